--- /dev/null
+++ b/src/gingerturn/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/gingerturn/cli/main.py
@@ -0,0 +1,311 @@
+"""The ``gingerturn`` command."""
+
+import asyncio
+import difflib
+import pathlib
+import sys
+import typing
+
+import click
+import httpx
+import msgspec
+
+import gingerturn
+from gingerturn import configuration, errors, settings
+
+EXIT_USAGE = 2
+EXIT_REFUSED = 4
+EXIT_UNKNOWN = 5
+EXIT_UNREACHABLE = 6
+ADMIN_TIMEOUT_S = 20.0
+
+_ADMIN = click.option(
+    "--admin",
+    default="http://127.0.0.1:8102",
+    envvar="GINGERTURN_ADMIN",
+    show_default=True,
+    show_envvar=True,
+    help="Address of a node's administration API.",
+)
+_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(gingerturn.__version__, prog_name="gingerturn")
+def cli() -> None:
+    """Overload control for deep service call graphs.
+
+    Exit status: 0 done; 2 wrong usage or an invalid file; 3 a stop that cut calls;
+    4 refused; 5 the outcome is not known; 6 the node cannot be reached.
+    """
+
+
+@cli.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="The node's settings file (TOML).",
+)
+@click.option(
+    "--record",
+    type=click.File("wb"),
+    help="Record every event to this file, for `gingerturn replay`.",
+)
+def node(path: pathlib.Path, record: typing.BinaryIO | None) -> None:
+    """Run a node beside a backend server."""
+    # Imported here, so that the other commands do not load the daemon's libraries.
+    import uvloop
+
+    from gingerturn.internal import logs
+    from gingerturn.internal.shell import daemon
+
+    chosen = settings.load(path)
+    logs.set_up(chosen.logging, node=chosen.node.id)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        sys.exit(runner.run(daemon.run(chosen, record=record)))
+
+
+@cli.command()
+@click.argument("trace_file", type=click.File("rb"))
+@click.option("--effects", "show", is_flag=True, help="Print each event and effect.")
+def replay(trace_file: typing.BinaryIO, show: bool) -> None:
+    """Replay a recorded trace and print the digest of its effects."""
+    from gingerturn.internal.core import trace
+
+    replayed = list(trace.replay(trace.read(trace_file)))
+    if show:
+        for event, out in replayed:
+            click.echo(f"{event}")
+            for effect in out:
+                click.echo(f"    {effect}")
+    click.echo(f"{len(replayed)} events, digest {trace.digest(replayed)}")
+
+
+@cli.group()
+def config() -> None:
+    """Check, compare and publish the configuration."""
+
+
+@config.command()
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(path_type=pathlib.Path)
+)
+def check(files: tuple[pathlib.Path, ...]) -> None:
+    """Check documents, each alone and all together."""
+    documents = {str(path): _read(path) for path in files}
+    checked = configuration.Configuration(documents)
+    click.echo(
+        f"{len(files)} documents, {len(checked.services)} services,"
+        f" {len(checked.kinds())} kinds: accepted. Digest {checked.digest}."
+    )
+
+
+@config.command()
+@click.argument("team")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+@_ADMIN
+def diff(team: str, file: pathlib.Path, admin: str) -> None:
+    """Compare a file with the team's document in force."""
+    view = _get(admin, "/config")
+    current = view["documents"].get(team, "")
+    lines = difflib.unified_diff(
+        current.splitlines(),
+        _read(file).splitlines(),
+        f"{team} at revision {view['changed'].get(team, 0)}",
+        str(file),
+        lineterm="",
+    )
+    for line in lines:
+        click.echo(line)
+
+
+@config.command()
+@click.argument("team")
+@click.argument("file", type=click.Path(path_type=pathlib.Path))
+@click.option("--author", required=True, help="Who publishes, for the audit trail.")
+@click.option(
+    "--base",
+    type=int,
+    help="Revision at which you saw the document last change; default: the present.",
+)
+@click.option("--token", envvar="GINGERTURN_TOKEN", default="", help="Team's token.")
+@_ADMIN
+@_JSON
+def publish(
+    team: str,
+    file: pathlib.Path,
+    author: str,
+    base: int | None,
+    token: str,
+    admin: str,
+    as_json: bool,
+) -> None:
+    """Publish a team's document, as a whole."""
+    text = _read(file)
+    configuration.parse(text, str(file))
+    if base is None:
+        base = _get(admin, "/config")["changed"].get(team, 0)
+    body = {"author": author, "base": base, "text": text}
+    headers = {"authorization": f"Bearer {token}"} if token else {}
+    result = _request(admin, "POST", f"/config/{team}", json=body, headers=headers)
+    if as_json:
+        _echo_json(result)
+    elif result["accepted"]:
+        click.echo(f"Accepted as revision {result['revision']}.")
+    else:
+        word = "Refused" if result["accepted"] is False else "Not known"
+        click.echo(f"{word}: {result['problem']}", err=True)
+    if result["accepted"] is None:
+        sys.exit(EXIT_UNKNOWN)
+    if not result["accepted"]:
+        sys.exit(EXIT_REFUSED)
+
+
+@config.command()
+@click.argument("team", required=False)
+@_ADMIN
+@_JSON
+def show(team: str | None, admin: str, as_json: bool) -> None:
+    """Show the configuration in force."""
+    view = _get(admin, "/config")
+    if as_json:
+        _echo_json(view)
+        return
+    click.echo(f"# revision {view['revision']}, digest {view['digest']}")
+    for name, text in sorted(view["documents"].items()):
+        if team in {None, name}:
+            click.echo(f"# team {name}, changed at {view['changed'][name]}\n{text}")
+
+
+@config.command()
+@_ADMIN
+@_JSON
+def history(admin: str, as_json: bool) -> None:
+    """Show the publications that the node saw decided."""
+    rows = _get(admin, "/config/history")
+    if as_json:
+        _echo_json(rows)
+        return
+    for row in rows:
+        click.echo(_audit_line(row))
+
+
+@cli.command()
+@click.argument("decision_id")
+@_ADMIN
+@_JSON
+def why(decision_id: str, admin: str, as_json: bool) -> None:
+    """Tell why a decision was made; any node can be asked."""
+    found = _get(admin, f"/why/{decision_id}")
+    if as_json:
+        _echo_json(found)
+        return
+    click.echo(found["words"])
+    click.echo(f"  rule      {found['rule']}")
+    click.echo(f"  kind      {found['kind']}")
+    click.echo(f"  rank      {found['rank']}")
+    click.echo(f"  request   {found['root']}")
+    click.echo(f"  revision  {found['revision']}")
+    for name, value in found["figures"].items():
+        click.echo(f"  {name}: {value:g}")
+
+
+@cli.command()
+@click.option("--team", default="", help="Only changes of this team.")
+@_ADMIN
+@_JSON
+def audit(team: str, admin: str, as_json: bool) -> None:
+    """Show the trail of changes."""
+    rows = _get(admin, "/audit", params={"team": team})
+    if as_json:
+        _echo_json(rows)
+        return
+    for row in rows:
+        click.echo(_audit_line(row))
+
+
+@cli.command()
+@_ADMIN
+@_JSON
+def status(admin: str, as_json: bool) -> None:
+    """Show a node, its backend server and the members that it knows."""
+    found = _get(admin, "/status")
+    if as_json:
+        _echo_json(found)
+        return
+    backend = found["backend"]
+    click.echo(
+        f"{found['node']} in {found['zone']}, revision {found['revision']},"
+        f" {found['calls']} calls, {found['hosted']} hosted"
+    )
+    click.echo(
+        f"backend {backend['service'] or '-'}: {backend['running']} running,"
+        f" {backend['queued']} queued, limit {backend['limit']:.0f} of"
+        f" {backend['slots']}, level: {backend['level_words']}"
+    )
+    for row in found["members"]:
+        click.echo(
+            f"  {row['node']:<20} {row['state']:<8} {row['zone']:<12}"
+            f" {row['service'] or '-':<14} {row['slots']:>5} slots"
+        )
+
+
+def main() -> None:
+    """Run the command; errors are one line that says what to do."""
+    try:
+        cli()
+    except errors.GingerturnError as error:
+        click.echo(f"gingerturn: {error}", err=True)
+        sys.exit(EXIT_USAGE)
+
+
+def _read(path: pathlib.Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.InvalidArgument(
+            f"cannot be read: {error}", peer=str(path)
+        ) from None
+
+
+def _get(admin: str, path: str, **options: typing.Any) -> typing.Any:
+    return _request(admin, "GET", path, **options)
+
+
+def _request(admin: str, method: str, path: str, **options: typing.Any) -> typing.Any:
+    try:
+        with httpx.Client(timeout=ADMIN_TIMEOUT_S, trust_env=False) as client:
+            reply = client.request(method, admin.rstrip("/") + path, **options)
+    except httpx.HTTPError as error:
+        click.echo(
+            f"gingerturn: {admin} cannot be reached ({error}); is the node running,"
+            " and is --admin its admin_port?",
+            err=True,
+        )
+        sys.exit(EXIT_UNREACHABLE)
+    if reply.status_code >= 400:
+        try:
+            title = reply.json().get("title", reply.text)
+        except ValueError:
+            title = reply.text
+        click.echo(f"gingerturn: {title}", err=True)
+        sys.exit(EXIT_REFUSED)
+    return reply.json()
+
+
+def _audit_line(row: dict[str, typing.Any]) -> str:
+    return (
+        f"{row['at']:.0f} {row['who']} {row['what']} {row['subject']}:"
+        f" {row['outcome']}, base {row['base']}, revision {row['revision']}"
+    )
+
+
+def _echo_json(value: typing.Any) -> None:
+    content = msgspec.json.encode(value)
+    click.echo(msgspec.json.format(content, indent=2).decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/gingerturn/internal/__init__.py
@@ -0,0 +1,1 @@
+"""The machinery of gingerturn; nothing here is a public interface."""
--- /dev/null
+++ b/src/gingerturn/internal/checks.py
@@ -0,0 +1,48 @@
+"""Small checks of arguments at the public boundary.
+
+Each returns its value or raises an error that names the field, what was passed
+and what is allowed.
+"""
+
+import ipaddress
+import re
+
+from gingerturn import errors
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
+"""Names stand in Host headers and in log streams, hence the narrow alphabet."""
+
+
+def check_name(field: str, value: str) -> str:
+    """Check the name of a node, service, kind, zone or team."""
+    if not NAME_PATTERN.match(value):
+        raise errors.InvalidArgument(
+            f"{field} is {value!r}; allowed are 1 to 63 lower-case letters, digits,"
+            " '.', '_' and '-', starting with a letter or digit"
+        )
+    return value
+
+
+def check_range(field: str, value: float, low: float, high: float) -> float:
+    """Check that a number lies within ``low`` and ``high``, both included."""
+    if not low <= value <= high:
+        raise errors.InvalidArgument(
+            f"{field} is {value!r}; allowed is {low} to {high}"
+        )
+    return value
+
+
+def check_ip(field: str, value: str) -> str:
+    """Check an IP number; names are refused since nodes talk by IP numbers."""
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise errors.InvalidArgument(
+            f"{field} is {value!r}; allowed is an IP number such as 10.0.0.7"
+        ) from None
+    return value
+
+
+def check_port(field: str, value: int) -> int:
+    """Check a TCP or UDP port."""
+    return int(check_range(field, value, 1, 65535))
--- /dev/null
+++ b/src/gingerturn/internal/core/admission.py
@@ -0,0 +1,252 @@
+"""Admission to the backend server: limit, queue and shedding level.
+
+The limit is the concurrency handed to the backend server. The queue is short,
+ordered by rank, and holds only what can still be run in time. The level is what
+callers' nodes are told: calls of lower rank are not worth sending.
+"""
+
+import bisect
+import math
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import messages, ranks, routing, state as states
+
+WINDOW_MS = 100.0
+"""Length of a control window; some tens of calls at the sizes of today."""
+
+WINDOWS = 8
+"""Windows that the level looks back on: calls that run for seconds free few
+slots in one window, and a level from so few would jump."""
+
+QUEUE_MS = 250.0
+"""The queue holds what starts within this time. Shorter queues lose bursts at
+normal load; longer ones only add to what must be shed once they are full."""
+
+MIN_QUEUE = 4
+OVERAGE = 1.05
+"""Admit 5 % more than was handed over, so that the queue never runs dry."""
+
+RAISE_GAIN = 0.5
+SLOW_START_SHARE = 0.2
+LIMIT_CUT = 0.9
+LIMIT_CUT_EVERY_MS = 100.0
+TIME_WEIGHT = 0.1
+TIME_HALF_LIFE_MS = 2_000.0
+"""An estimate that nothing confirms halves every 2 s: else a service that was
+slow once would be refused for ever, as nothing would measure it again."""
+
+MAX_SAMPLES = 4_096
+
+
+def announce(
+    state: states.State, now: ids.Milliseconds, *, slots: int, cold: bool
+) -> None:
+    """Set the limits of a backend server that announces or renews itself."""
+    backend = state.backend
+    if not backend.present:
+        share = SLOW_START_SHARE if cold else 1.0
+        backend.limit = max(1.0, slots * share)
+        backend.slow_start = cold
+        backend.running_since = now
+    backend.slots = slots
+    backend.limit = min(backend.limit, float(slots))
+
+
+def queue_bound(state: states.State, kind: str) -> int:
+    """Return how many calls may wait, from the observed service time."""
+    backend = state.backend
+    service_ms = max(1.0, service_time(state, kind))
+    bound = math.ceil(backend.limit * QUEUE_MS / service_ms)
+    return max(MIN_QUEUE, min(bound, int(backend.limit)))
+
+
+def service_time(state: states.State, kind: str) -> float:
+    """Return the observed time of a kind in ms; 0 when nothing is known."""
+    measured = state.backend.times.get(kind)
+    if measured is None:
+        return 0.0
+    age = state.now - measured.measured
+    if age <= TIME_HALF_LIFE_MS / 4:
+        return measured.mean_ms
+    return float(measured.mean_ms * 0.5 ** (age / TIME_HALF_LIFE_MS))
+
+
+def note_time(state: states.State, kind: str, elapsed: float) -> None:
+    """Take in the time of a finished call."""
+    measured = state.backend.times.get(kind)
+    if measured is None:
+        state.backend.times[kind] = states.ServiceTime(
+            mean_ms=elapsed, measured=state.now
+        )
+        return
+    measured.mean_ms += TIME_WEIGHT * (elapsed - measured.mean_ms)
+    measured.measured = state.now
+
+
+def note_arrival(state: states.State, rank: ids.Rank) -> None:
+    """Count an arriving call in the current window."""
+    window = state.backend.windows[-1]
+    if len(window.ranks) < MAX_SAMPLES:
+        window.ranks.append(rank)
+
+
+def has_slot(state: states.State) -> bool:
+    """Tell whether a call may be handed over now."""
+    return state.backend.running < int(state.backend.limit)
+
+
+def take_slot(state: states.State) -> None:
+    """Occupy a slot."""
+    _account(state)
+    state.backend.running += 1
+    state.backend.windows[-1].handed += 1
+
+
+def free_slot(state: states.State) -> None:
+    """Give a slot back."""
+    _account(state)
+    state.backend.running -= 1
+
+
+def enqueue(state: states.State, hosted: states.Hosted) -> ids.HostedId | None:
+    """Queue a call.
+
+    :return: the call that has to leave the queue for it, which may be itself.
+    """
+    backend = state.backend
+    entry = (hosted.rank, -state.next_number(), hosted.id)
+    bisect.insort(backend.queue, entry)
+    if len(backend.queue) <= queue_bound(state, hosted.terms.kind):
+        return None
+    dropped = backend.queue.pop(0)
+    backend.windows[-1].shed += 1
+    return dropped[2]
+
+
+def dequeue(state: states.State) -> ids.HostedId | None:
+    """Take the highest ranked call out of the queue."""
+    backend = state.backend
+    if not backend.queue:
+        backend.windows[-1].emptied = True
+        return None
+    return backend.queue.pop()[2]
+
+
+def remove(state: states.State, hosted: ids.HostedId) -> None:
+    """Take a call out of the queue wherever it stands."""
+    queue = state.backend.queue
+    queue[:] = [entry for entry in queue if entry[2] != hosted]
+
+
+def expected_wait(state: states.State, kind: str, rank: ids.Rank) -> float:
+    """Return the time in ms that a call of this rank would wait in the queue."""
+    backend = state.backend
+    if has_slot(state):
+        return 0.0
+    ahead = len(backend.queue) - bisect.bisect_left(backend.queue, (rank, 0, 0))
+    return (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
+
+
+def note_backend_refusal(state: states.State) -> None:
+    """Cut the limit: the backend server itself shed a call."""
+    backend = state.backend
+    backend.slow_start = False
+    if state.now - backend.last_cut < LIMIT_CUT_EVERY_MS:
+        return
+    backend.last_cut = state.now
+    backend.limit = max(1.0, min(backend.limit, float(backend.running)) * LIMIT_CUT)
+
+
+def note_backend_success(state: states.State) -> None:
+    """Let the limit grow after a success, if it was what held calls back."""
+    backend = state.backend
+    if backend.limit >= backend.slots or backend.running + 1 < int(backend.limit):
+        return
+    if backend.slow_start:
+        backend.limit += 1.0
+    else:
+        backend.limit += 1.0 / backend.limit
+    backend.limit = min(backend.limit, float(backend.slots))
+
+
+def control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Close a control window and move the level."""
+    backend = state.backend
+    if not backend.present:
+        backend.level = ranks.LOWEST
+        return
+    _account(state)
+    closed = backend.windows[-1]
+    if closed.shed:
+        backend.level = _raised(backend)
+    else:
+        backend.level = _lowered(backend, closed)
+    backend.windows.append(states.Window(ranks=[]))
+    del backend.windows[:-WINDOWS]
+
+
+def tree_level(state: states.State, kind: str) -> ids.Rank:
+    """Return the level of the services that calls of a kind go on to."""
+    children = state.children_of.get(kind)
+    if not children:
+        return ranks.LOWEST
+    return max(
+        routing.lowest_level(state, ids.ServiceName(service), child)
+        for service, child in children
+    )
+
+
+def report(state: states.State, kind: str) -> messages.LoadReport:
+    """Return the load report that rides on an answer."""
+    backend = state.backend
+    return messages.LoadReport(
+        level=backend.level,
+        tree_level=tree_level(state, kind),
+        load=backend.running + len(backend.queue),
+        limit=int(backend.limit),
+        leaving=backend.leaving or state.stopping,
+    )
+
+
+def come_back_after(state: states.State, rank: int, level: int) -> float:
+    """Return when a refused caller should come back, in ms.
+
+    From the observed state: a level falls by one band in about a second once
+    demand falls, so the distance from rank to level tells the earliest time at
+    which the answer can differ. A random part spreads the callers.
+    """
+    bands = max(0, level - rank) / ranks.BAND
+    base = 1_000.0 * (1.0 + min(bands, 8.0))
+    return base * (1.0 + state.random.random())
+
+
+def _raised(backend: states.Backend) -> ids.Rank:
+    arrivals: list[int] = []
+    handed = 0
+    for window in backend.windows:
+        arrivals.extend(window.ranks)
+        handed += window.handed
+    arrivals.sort(reverse=True)
+    room = int(handed * OVERAGE) + 1
+    if room >= len(arrivals):
+        return backend.level
+    target = arrivals[room]
+    if target <= backend.level:
+        return backend.level
+    return ids.Rank(backend.level + math.ceil(RAISE_GAIN * (target - backend.level)))
+
+
+def _lowered(backend: states.Backend, closed: states.Window) -> ids.Rank:
+    if backend.level <= 0 or backend.queue:
+        return backend.level
+    used = closed.busy_ms / (WINDOW_MS * max(1.0, backend.limit))
+    idle = max(0.0, 1.0 - used)
+    step = ranks.BAND * min(1.0, max(1.0 / 32, 2.0 * idle))
+    return ids.Rank(max(0, int(backend.level - step)))
+
+
+def _account(state: states.State) -> None:
+    backend = state.backend
+    elapsed = state.now - backend.running_since
+    backend.windows[-1].busy_ms += elapsed * backend.running
+    backend.running_since = state.now
--- /dev/null
+++ b/src/gingerturn/internal/core/calls.py
@@ -0,0 +1,543 @@
+"""The entry side: calls from callers, their attempts and retries."""
+
+import hashlib
+import heapq
+
+from gingerturn import configuration
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    allowance,
+    decisions,
+    effects,
+    events,
+    keys,
+    messages,
+    outbox,
+    ranks,
+    routing,
+    state as states,
+)
+
+MAX_REDIRECTS = 2
+"""Times that a call which was certainly not run is offered to another upstream
+without a token. Nothing ran, so this is no retry in the sense of the allowance;
+two are enough to pass a full and a leaving upstream."""
+
+GRACE_MS = 100.0
+"""The home node ends a call at its deadline and knows whether it ran; the entry
+node waits this much longer for that word before it must say ``unknown``."""
+
+CALL_DEADLINE = 0
+HOSTED_DEADLINE = 1
+OVERLOAD_STATUSES = frozenset({429, 503})
+AVOID_MS = 1_000.0
+"""An upstream that said it has no backend server is passed over for 1 s, by when
+gossip has told the rest."""
+
+AVOID_LEAVING_MS = 10_000.0
+"""One that said it is leaving for longer than it lingers, so that no call is under
+way to it when it closes its connections."""
+
+_DEADLINE_RULES = frozenset(
+    {decisions.Rule.DEADLINE_PASSED, decisions.Rule.QUEUE_EXPIRED}
+)
+_ABSENT_RULES = frozenset(
+    {
+        decisions.Rule.LEAVING,
+        decisions.Rule.STOPPING,
+        decisions.Rule.NO_BACKEND,
+        decisions.Rule.BACKEND_UNREACHABLE,
+    }
+)
+_FINAL_RULES = frozenset({decisions.Rule.KEY_INVALID, decisions.Rule.NOT_IN_TIME})
+
+
+def on_call_arrived(
+    state: states.State, event: events.CallArrived, out: states.Effects
+) -> None:
+    """Classify a call, tie it to its parent, and send it or refuse it."""
+    rule = state.configuration.classify(event.service, event.method, event.path)
+    parent = _parent(state, event)
+    call = _root(event, rule) if parent is None else _child(state, event, rule, parent)
+    state.calls[call.id] = call
+    if state.stopping and parent is None:
+        _refuse(state, call, decisions.Rule.STOPPING, out)
+        return
+    if not _key_fits(state, call, event, out):
+        return
+    heapq.heappush(state.deadlines, (call.deadline + GRACE_MS, CALL_DEADLINE, call.id))
+    budget = state.budgets.setdefault(call.service, allowance.Budget())
+    allowance.earn(budget, state.configuration.service(call.service).retry_share)
+    _send_first(state, call, out)
+
+
+def on_caller_gone(
+    state: states.State, event: events.CallerGone, out: states.Effects
+) -> None:
+    """Cancel the tree below a call that nobody waits for any more."""
+    call = state.calls.get(event.call)
+    if call is None:
+        return
+    _decide(state, call, decisions.Rule.CALLER_GONE)
+    _cancel_attempt(state, call, out)
+    _finish(state, call)
+
+
+def on_attempt_answered(
+    state: states.State, event: events.AttemptAnswered, out: states.Effects
+) -> None:
+    """Pass an answer on, or send the call again where that is allowed."""
+    attempt = state.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return
+    call = _returned(state, attempt, event.tokens, event.report)
+    routing.note_success(state, attempt.node)
+    if call is None:
+        return
+    call.attempt = None
+    if event.status in OVERLOAD_STATUSES and call.rule.repeatable:
+        call.first = False
+        call.tried.append(attempt.node)
+        if _retry(state, call, out):
+            return
+    decision = _decide(state, call, decisions.Rule.SENT, (float(event.status),))
+    out.append(effects.RelayAnswer(call=call.id, attempt=attempt.id, decision=decision))
+    _finish(state, call)
+
+
+def on_attempt_refused(
+    state: states.State, event: events.AttemptRefused, out: states.Effects
+) -> None:
+    """Take in a home node's refusal: go elsewhere, send again, or give up."""
+    attempt = state.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return
+    call = _returned(state, attempt, event.tokens, event.report)
+    routing.note_success(state, attempt.node)
+    rule = decisions.Rule(event.refusal.rule)
+    if rule in _ABSENT_RULES:
+        upstream = routing.upstream_of(state, attempt.node)
+        avoid = AVOID_LEAVING_MS if event.report.leaving else AVOID_MS
+        upstream.ejected_until = max(upstream.ejected_until, state.now + avoid)
+    if call is None:
+        return
+    call.attempt = None
+    call.tried.append(attempt.node)
+    if event.refusal.holder:
+        _go_to_holder(state, call, event.refusal, out)
+    elif event.refusal.outcome is messages.Outcome.ALREADY_RUN:
+        _refuse(state, call, rule, out, remote=event.refusal)
+    elif event.refusal.outcome is messages.Outcome.UNKNOWN:
+        call.first = False
+        hopeless = rule in _DEADLINE_RULES or not _may_repeat(call)
+        if hopeless or not _retry(state, call, out):
+            _refuse(state, call, rule, out, remote=event.refusal)
+    elif rule in _FINAL_RULES or not _redirect(state, call, out):
+        _refuse(state, call, rule, out, remote=event.refusal)
+
+
+def on_attempt_lost(
+    state: states.State, event: events.AttemptLost, out: states.Effects
+) -> None:
+    """Take in the loss of a connection; the tokens that went along are spent."""
+    attempt = state.attempts.pop(event.attempt, None)
+    if attempt is None:
+        return
+    _note_returned(state, attempt)
+    if routing.note_failure(state, attempt.node):
+        outbox.warn(out, "routing", f"Upstream {attempt.node} ejected after losses.")
+    call = state.calls.get(attempt.call)
+    if call is None:
+        return
+    call.attempt = None
+    call.tried.append(attempt.node)
+    if not event.reached:
+        call.tokens += attempt.tokens
+        if not _redirect(state, call, out):
+            _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+        return
+    call.first = False
+    if _may_repeat(call) and _retry(state, call, out):
+        return
+    _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+
+
+def on_deadline(state: states.State, call_id: ids.CallId, out: states.Effects) -> None:
+    """Give up on a call whose home node said nothing by its deadline."""
+    call = state.calls.get(call_id)
+    if call is None:
+        return
+    attempt = None if call.attempt is None else state.attempts.get(call.attempt)
+    if attempt is not None:
+        call.first = False
+        routing.note_failure(state, attempt.node)
+    _cancel_attempt(state, call, out)
+    _refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
+
+
+def _parent(state: states.State, event: events.CallArrived) -> states.Hosted | None:
+    hosted = state.spans.get(event.span)
+    return None if hosted is None else state.hosted.get(hosted)
+
+
+def _root(event: events.CallArrived, rule: configuration.KindRule) -> states.Call:
+    identity = event.key or f"{event.trace}-{event.span}"
+    root = root_hash(identity)
+    timeout = float(rule.timeout_ms)
+    if event.timeout_ms > 0:
+        timeout = min(timeout, event.timeout_ms)
+    return states.Call(
+        id=event.call,
+        rule=rule,
+        service=event.service,
+        importance=rule.importance,
+        depth=0,
+        root=root,
+        rank=ranks.rank_of(importance=rule.importance, depth=0, root=root),
+        deadline=event.now + timeout,
+        tokens=rule.retry_allowance,
+        trace=event.trace,
+        key="" if rule.repeatable else event.key,
+        key_derived=False,
+        replayable=event.replayable,
+        arrived=event.now,
+        first=not event.key or rule.repeatable or event.sending == 1,
+        tried=[],
+    )
+
+
+def _child(
+    state: states.State,
+    event: events.CallArrived,
+    rule: configuration.KindRule,
+    parent: states.Hosted,
+) -> states.Call:
+    terms = parent.terms
+    importance = max(rule.importance, terms.importance)
+    tokens = allowance.part_for_child(parent.tokens)
+    parent.tokens -= tokens
+    seen = state.children_of.setdefault(terms.kind, {})
+    seen[(event.service, rule.name)] = event.now
+    timeout = float(rule.timeout_ms)
+    if event.timeout_ms > 0:
+        timeout = min(timeout, event.timeout_ms)
+    key = "" if rule.repeatable else event.key
+    derived = False
+    if not rule.repeatable and not key and terms.repeatable:
+        # The parent may be sent again and would call once more. A parent that
+        # itself runs at most once needs no claim for what it calls.
+        key = _derived_key(event, parent)
+        derived = True
+    return states.Call(
+        id=event.call,
+        rule=rule,
+        service=event.service,
+        importance=importance,
+        depth=terms.depth + 1,
+        root=terms.root,
+        rank=ranks.rank_of(
+            importance=importance, depth=terms.depth + 1, root=terms.root
+        ),
+        deadline=min(parent.deadline, event.now + timeout),
+        tokens=tokens,
+        trace=terms.trace,
+        key=key,
+        key_derived=derived,
+        replayable=event.replayable,
+        arrived=event.now,
+        parent=parent.id,
+        first=terms.first and (not event.key or event.sending == 1),
+        tried=[],
+    )
+
+
+def root_hash(identity: str) -> ids.RootHash:
+    """Return 64 bits that stand for a whole request at every hop."""
+    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
+    return ids.RootHash(int.from_bytes(digest))
+
+
+def _derived_key(event: events.CallArrived, parent: states.Hosted) -> str:
+    """Return a key that is the same when the parent is sent again.
+
+    Equal calls of one parent are told apart by their number, in order.
+    """
+    what = f"{event.service} {event.method} {event.path} {event.body_digest}"
+    ordinal = parent.children.get(what, 0)
+    parent.children[what] = ordinal + 1
+    identity = f"{parent.terms.root:016x} {what} {ordinal}"
+    return hashlib.blake2b(identity.encode(), digest_size=16).hexdigest()
+
+
+def _key_fits(
+    state: states.State,
+    call: states.Call,
+    event: events.CallArrived,
+    out: states.Effects,
+) -> bool:
+    if call.rule.repeatable or call.key_derived:
+        return True
+    if not call.key:
+        if call.parent is None and call.rule.key is configuration.KeyRule.REQUIRED:
+            _refuse(state, call, decisions.Rule.KEY_REQUIRED, out)
+            return False
+        return True
+    if keys.key_in_window(event.key, event.now):
+        return True
+    _refuse(state, call, decisions.Rule.KEY_INVALID, out)
+    return False
+
+
+def _send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
+    nodes = routing.candidates(state, call.service)
+    if not nodes:
+        _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+        return
+    node = _pick(state, call, nodes)
+    if node is None:
+        _refuse_by_level(state, call, out)
+        return
+    _send(state, call, node, out)
+
+
+def _pick(
+    state: states.State, call: states.Call, nodes: list[ids.NodeId]
+) -> ids.NodeId | None:
+    if call.key:
+        # All sendings of one key meet at one node, where the second is told of
+        # the first without the log. Safety does not rest on this.
+        return keys.preferred(call.key, nodes)
+    return routing.choose(state, nodes, call.rule.name, call.rank)
+
+
+def _refuse_by_level(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    lowest = routing.lowest_level(state, call.service, call.rule.name)
+    retry_after = admission.come_back_after(state, call.rank, lowest)
+    figures = (float(lowest), 0.0, float(call.rank))
+    _refuse(
+        state, call, decisions.Rule.LEVEL, out, retry_after=retry_after, figures=figures
+    )
+
+
+def _send(
+    state: states.State, call: states.Call, node: ids.NodeId, out: states.Effects
+) -> None:
+    member = state.membership.members[node]
+    attempt = ids.AttemptId(state.next_number())
+    tokens = allowance.part_for_attempt(call.tokens)
+    call.tokens -= tokens
+    call.attempt = attempt
+    call.attempts += 1
+    state.attempts[attempt] = states.Attempt(
+        id=attempt, call=call.id, node=node, tokens=tokens
+    )
+    upstream = routing.upstream_of(state, node)
+    upstream.outstanding += 1
+    upstream.since_report += 1
+    terms = messages.CallTerms(
+        service=call.service,
+        kind=call.rule.name,
+        importance=call.importance,
+        depth=call.depth,
+        root=call.root,
+        trace=call.trace,
+        deadline_ms=max(0.0, call.deadline - state.now),
+        tokens=tokens,
+        repeatable=call.rule.repeatable,
+        key=call.key,
+        key_derived=call.key_derived,
+        first=call.first,
+    )
+    out.append(
+        effects.OpenAttempt(
+            attempt=attempt,
+            call=call.id,
+            node=node,
+            host=member.host,
+            port=member.peers_port,
+            terms=terms,
+        )
+    )
+
+
+def _may_repeat(call: states.Call) -> bool:
+    return call.rule.repeatable and call.replayable
+
+
+def _others(state: states.State, call: states.Call) -> list[ids.NodeId]:
+    nodes = routing.candidates(state, call.service)
+    return [node for node in nodes if node not in call.tried]
+
+
+def _redirect(state: states.State, call: states.Call, out: states.Effects) -> bool:
+    """Offer a call that was certainly not run to another upstream."""
+    if call.redirects >= MAX_REDIRECTS or not call.replayable:
+        return False
+    if state.now >= call.deadline:
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    if node is None:
+        return False
+    call.redirects += 1
+    _decide(state, call, decisions.Rule.REDIRECTED)
+    _send(state, call, node, out)
+    return True
+
+
+def _go_to_holder(
+    state: states.State,
+    call: states.Call,
+    refusal: messages.Refusal,
+    out: states.Effects,
+) -> None:
+    """Follow a key's claim to the node that holds it."""
+    call.first = False
+    name, _, incarnation = refusal.holder.rpartition("/")
+    member = state.membership.members.get(name)
+    same = member is not None and str(member.incarnation) == incarnation
+    known = same and name not in call.tried and call.replayable
+    if not known or call.redirects >= MAX_REDIRECTS:
+        _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        return
+    call.redirects += 1
+    _decide(state, call, decisions.Rule.REDIRECTED)
+    _send(state, call, ids.NodeId(name), out)
+
+
+def _retry(state: states.State, call: states.Call, out: states.Effects) -> bool:
+    """Send a repeatable call again, for a token and out of the budget."""
+    budget = state.budgets.setdefault(call.service, allowance.Budget())
+    figures = (float(call.tokens), budget.held, float(call.attempts))
+    if not _may_repeat(call) or state.now >= call.deadline:
+        return False
+    if call.tokens < 1:
+        _decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, figures)
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    if node is None:
+        _decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, figures)
+        return False
+    if not allowance.spend(budget):
+        _decide(state, call, decisions.Rule.RETRY_NO_BUDGET, figures)
+        return False
+    call.tokens -= 1
+    _decide(state, call, decisions.Rule.RETRIED, figures)
+    _send(state, call, node, out)
+    return True
+
+
+def _returned(
+    state: states.State,
+    attempt: states.Attempt,
+    tokens: int,
+    report: messages.LoadReport,
+) -> states.Call | None:
+    """Take back an attempt's tokens and its load report."""
+    _note_returned(state, attempt)
+    call = state.calls.get(attempt.call)
+    kind = call.rule.name if call is not None else ""
+    routing.hear(state, attempt.node, kind, report)
+    if call is not None:
+        call.tokens += allowance.returned(taken=attempt.tokens, reported=tokens)
+    return call
+
+
+def _note_returned(state: states.State, attempt: states.Attempt) -> None:
+    upstream = routing.upstream_of(state, attempt.node)
+    upstream.outstanding -= 1
+
+
+def _cancel_attempt(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    if call.attempt is None:
+        return
+    attempt = state.attempts.pop(call.attempt, None)
+    call.attempt = None
+    if attempt is None:
+        return
+    _note_returned(state, attempt)
+    out.append(effects.CancelAttempt(attempt=attempt.id))
+
+
+def _finish(state: states.State, call: states.Call) -> None:
+    """Forget a call and give its tokens back to its parent."""
+    state.calls.pop(call.id, None)
+    if call.parent is None:
+        return
+    parent = state.hosted.get(call.parent)
+    if parent is not None:
+        parent.tokens += call.tokens
+
+
+def _decide(
+    state: states.State,
+    call: states.Call,
+    rule: decisions.Rule,
+    figures: tuple[float, ...] = (),
+) -> str:
+    return state.decisions.record(
+        rule,
+        now=state.now,
+        root=call.root,
+        kind=call.rule.name,
+        rank=call.rank,
+        revision=state.revisions.revision,
+        figures=figures,
+    )
+
+
+_STATUS = {
+    decisions.Rule.KEY_REQUIRED: 428,
+    decisions.Rule.KEY_INVALID: 400,
+    decisions.Rule.ALREADY_RUN: 409,
+    decisions.Rule.DEADLINE_PASSED: 504,
+}
+_COME_BACK_MS = 1_000.0
+_NO_USE_COMING_BACK = frozenset(
+    {
+        decisions.Rule.KEY_REQUIRED,
+        decisions.Rule.KEY_INVALID,
+        decisions.Rule.ALREADY_RUN,
+    }
+)
+
+
+def _refuse(
+    state: states.State,
+    call: states.Call,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    remote: messages.Refusal | None = None,
+    retry_after: float = 0.0,
+    figures: tuple[float, ...] = (),
+) -> None:
+    """Answer a call with a problem, at once, and forget it."""
+    decision = remote.decision if remote else ""
+    if not decision:
+        decision = _decide(state, call, rule, figures)
+    outcome = messages.Outcome.NOT_RUN if call.first else messages.Outcome.UNKNOWN
+    if rule is decisions.Rule.ALREADY_RUN:
+        outcome = messages.Outcome.ALREADY_RUN
+    not_run = outcome is messages.Outcome.NOT_RUN
+    status = _STATUS.get(rule, 503 if not_run else 502)
+    if status == 504 and not_run:
+        status = 503
+    wait = retry_after or (remote.retry_after_ms if remote else 0.0)
+    if not wait and rule not in _NO_USE_COMING_BACK:
+        wait = _COME_BACK_MS * (1.0 + state.random.random())
+    out.append(
+        effects.RefuseCall(
+            call=call.id,
+            status=status,
+            outcome=outcome,
+            title=rule.name.lower().replace("_", " "),
+            retry_after_ms=wait,
+            decision=decision,
+        )
+    )
+    _finish(state, call)
--- /dev/null
+++ b/src/gingerturn/internal/core/claims.py
@@ -0,0 +1,129 @@
+"""Claims of keys on the log: batching, reading back, winning and losing."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    decisions,
+    effects,
+    hosting,
+    keys,
+    messages,
+    state as states,
+)
+
+
+def flush(state: states.State, out: states.Effects) -> None:
+    """Append the claims gathered since the last append, one append at a time.
+
+    While one is under way the others gather, so that a node adds at most one
+    append per round trip whatever its load.
+    """
+    if not state.claim_batch or state.appends:
+        return
+    number = state.next_number()
+    batch = tuple(state.claim_batch)
+    state.claim_batch.clear()
+    state.appends[number] = [claim.key for claim in batch]
+    out.append(
+        effects.Append(
+            append=number,
+            stream=keys.stream_name(state.backend.service),
+            record=messages.encode_record(messages.ClaimBatch(claims=batch)),
+        )
+    )
+
+
+def on_append_failed(
+    state: states.State, append: int, certain: bool, out: states.Effects
+) -> None:
+    """Take in a failed append of claims.
+
+    Only where it is certain that nothing was appended may the keys be forgotten.
+    """
+    claimed = state.appends.pop(append, [])
+    for key in claimed:
+        entry = state.keys.get(key)
+        if entry is None or entry.phase is not states.KeyPhase.CLAIMING:
+            continue
+        _give_up(state, entry, out)
+        if certain:
+            state.keys.pop(key, None)
+
+
+def on_record(
+    state: states.State, batch: messages.ClaimBatch, out: states.Effects
+) -> None:
+    """Take in claims in the log's order."""
+    for claim in batch.claims:
+        entry = state.keys.get(claim.key)
+        if entry is None:
+            state.keys[claim.key] = states.KeyEntry(
+                key=claim.key,
+                phase=states.KeyPhase.FOREIGN,
+                since=state.now,
+                holder=claim.node,
+                waiters=[],
+            )
+        elif entry.phase is states.KeyPhase.CLAIMING:
+            if claim.claim == entry.claim:
+                _won(state, entry, out)
+            else:
+                _lost(state, entry, claim.node, out)
+
+
+def check_waits(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    """Give up on claims that the log does not confirm in time."""
+    for entry in list(state.keys.values()):
+        if entry.phase is not states.KeyPhase.CLAIMING:
+            continue
+        if entry.hosted is not None and now - entry.since > keys.CLAIM_WAIT_MS:
+            _give_up(state, entry, out)
+
+
+def _won(state: states.State, entry: states.KeyEntry, out: states.Effects) -> None:
+    hosted = None if entry.hosted is None else state.hosted.get(entry.hosted)
+    if hosted is None:
+        entry.phase = states.KeyPhase.OURS_IDLE
+        entry.hosted = None
+        return
+    if state.now >= hosted.deadline:
+        entry.phase = states.KeyPhase.OURS_IDLE
+        entry.hosted = None
+        hosting.withdraw(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
+        return
+    keys.mark_running(entry)
+    hosting.hand_over(state, hosted, out)
+
+
+def _lost(
+    state: states.State, entry: states.KeyEntry, holder: str, out: states.Effects
+) -> None:
+    entry.phase = states.KeyPhase.FOREIGN
+    entry.holder = holder
+    hosted = None if entry.hosted is None else state.hosted.get(entry.hosted)
+    entry.hosted = None
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    if hosted is not None:
+        hosting.withdraw(state, hosted, decisions.Rule.CLAIM_LOST, out, holder=holder)
+    for waiter in waiters:
+        hosting.refuse_waiter(
+            state, waiter, decisions.Rule.CLAIM_LOST, out, holder=holder
+        )
+
+
+def _give_up(state: states.State, entry: states.KeyEntry, out: states.Effects) -> None:
+    """Refuse the calls of a key whose claim is not confirmed.
+
+    They were not handed over; whether another node ran the key is not known, and
+    the entry node says ``not-run`` only to a first sending.
+    """
+    hosted = None if entry.hosted is None else state.hosted.get(entry.hosted)
+    entry.hosted = None
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    if hosted is not None:
+        hosting.withdraw(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
+    for waiter in waiters:
+        hosting.refuse_waiter(state, waiter, decisions.Rule.LOG_UNAVAILABLE, out)
--- /dev/null
+++ b/src/gingerturn/internal/core/decisions.py
@@ -0,0 +1,237 @@
+"""Decision records: a fixed amount of memory, answered by ``gingerturn why``.
+
+Two rings hold packed records. Refusals have a ring of their own, since at the
+design size admissions outnumber them and would push them out within minutes.
+Records are packed rather than kept as objects: 64 bytes instead of about 300,
+so that 65,536 of them cost 4 MB.
+"""
+
+import enum
+import struct
+
+import msgspec
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import ranks
+
+_RECORD = struct.Struct("<QdQHHI4fI")
+"""Sequence number, time, root, rule, kind, rank, four figures, revision."""
+
+_SLOT_BYTES = 64
+_MAX_KIND = 0xFFFF
+
+
+class Rule(enum.IntEnum):
+    """The rule that decided."""
+
+    SENT = 1
+    LEVEL = 2
+    TREE_LEVEL = 3
+    NO_UPSTREAM = 4
+    NOT_IN_TIME = 5
+    KEY_REQUIRED = 6
+    RETRIED = 7
+    RETRY_NO_ALLOWANCE = 8
+    RETRY_NO_BUDGET = 9
+    RETRY_NO_UPSTREAM = 10
+    OUTCOME_UNKNOWN = 11
+    CALLER_GONE = 12
+    DEADLINE_PASSED = 13
+    REDIRECTED = 14
+    RUN = 20
+    QUEUED = 21
+    QUEUE_FULL = 22
+    QUEUE_EXPIRED = 23
+    LEAVING = 24
+    NO_BACKEND = 25
+    CLAIM_LOST = 26
+    LOG_UNAVAILABLE = 27
+    KEY_INVALID = 28
+    ALREADY_RUN = 29
+    JOINED_FIRST = 30
+    BACKEND_UNREACHABLE = 31
+    STOPPING = 32
+
+
+REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
+
+_FIGURES = {
+    Rule.SENT: ("upstream's load", "upstream's limit", "tokens", "ms to the deadline"),
+    Rule.LEVEL: ("lowest level of all upstreams", "upstreams", "own rank", ""),
+    Rule.TREE_LEVEL: ("level of the services below", "own rank below", "", ""),
+    Rule.NOT_IN_TIME: ("ms to the deadline", "observed service ms", "ms of wait", ""),
+    Rule.RETRIED: ("tokens left", "service budget left", "attempts so far", ""),
+    Rule.RETRY_NO_ALLOWANCE: ("tokens left", "service budget", "attempts so far", ""),
+    Rule.RETRY_NO_BUDGET: ("tokens left", "service budget left", "attempts so far", ""),
+    Rule.RUN: ("running", "limit", "queued", "ms waited"),
+    Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
+    Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
+    Rule.QUEUE_EXPIRED: ("running", "limit", "queued", "ms waited"),
+}
+
+_WORDS = {
+    Rule.SENT: "The call was sent to an upstream.",
+    Rule.LEVEL: (
+        "Refused before any work: every upstream sheds calls of this rank at present."
+    ),
+    Rule.TREE_LEVEL: (
+        "Refused before any work: a service that calls of this kind go on to sheds"
+        " calls of this rank at present."
+    ),
+    Rule.NO_UPSTREAM: "Refused: no node is known that offers the service.",
+    Rule.NOT_IN_TIME: "Refused: the call could not have finished in time.",
+    Rule.KEY_REQUIRED: (
+        "Refused: calls of this kind never repeat and need an Idempotency-Key."
+    ),
+    Rule.RETRIED: "Sent again, to another upstream.",
+    Rule.RETRY_NO_ALLOWANCE: (
+        "Not sent again: the whole request has used up its retry allowance."
+    ),
+    Rule.RETRY_NO_BUDGET: "Not sent again: the service's retry budget is used up.",
+    Rule.RETRY_NO_UPSTREAM: "Not sent again: no other upstream would take it.",
+    Rule.OUTCOME_UNKNOWN: (
+        "Answered as unknown: it was handed over and nothing is known of its end;"
+        " it may not be repeated."
+    ),
+    Rule.CALLER_GONE: "Cancelled: the caller went away.",
+    Rule.DEADLINE_PASSED: "Given up: the deadline passed.",
+    Rule.REDIRECTED: "Sent to the node that holds the claim of this key.",
+    Rule.RUN: "Handed to the backend server.",
+    Rule.QUEUED: "Queued: every slot within the limit is taken.",
+    Rule.QUEUE_FULL: "Shed: the queue was full and this call ranked lowest in it.",
+    Rule.QUEUE_EXPIRED: "Dropped from the queue: it could no longer finish in time.",
+    Rule.LEAVING: "Refused: the backend server is leaving and takes no new work.",
+    Rule.NO_BACKEND: "Refused: no backend server is announced at this node.",
+    Rule.CLAIM_LOST: "Not run here: another node holds the claim of this key.",
+    Rule.LOG_UNAVAILABLE: (
+        "Refused: the claim of the key could not be confirmed on the log."
+    ),
+    Rule.KEY_INVALID: (
+        "Refused: the key is no UUIDv7, or its time is outside the window that the"
+        " log remembers."
+    ),
+    Rule.ALREADY_RUN: "Not run: the call of this key has run already.",
+    Rule.JOINED_FIRST: "Not run twice: it waits for the first call with this key.",
+    Rule.BACKEND_UNREACHABLE: (
+        "Refused: the backend server could not be reached; nothing was handed over."
+    ),
+    Rule.STOPPING: "Refused: this node is stopping.",
+}
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """One decision as it is told to people.
+
+    :param id: what an answer carries in ``Gingerturn-Decision``.
+    :param time: milliseconds since the epoch.
+    :param figures: what the rule saw, by name.
+    """
+
+    id: str
+    time: ids.Milliseconds
+    root: str
+    rule: str
+    kind: str
+    rank: str
+    words: str
+    figures: dict[str, float]
+    revision: int
+
+
+class _Ring:
+    """Packed records by sequence number; the oldest is overwritten."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._buffer = bytearray(size * _SLOT_BYTES)
+
+    def write(self, sequence: int, *fields: float) -> None:
+        offset = (sequence % self._size) * _SLOT_BYTES
+        _RECORD.pack_into(self._buffer, offset, sequence, *fields)
+
+    def read(self, sequence: int) -> tuple[float, ...] | None:
+        offset = (sequence % self._size) * _SLOT_BYTES
+        record = _RECORD.unpack_from(self._buffer, offset)
+        return record if record[0] == sequence else None
+
+
+class DecisionLog:
+    """The decisions of one node.
+
+    Invariant: a sequence number is odd exactly for refusals, so that an id alone
+    tells which ring holds it.
+
+    :param node: the node, first part of each id.
+    :param size: records kept in each ring.
+    """
+
+    def __init__(self, *, node: ids.NodeId, size: int) -> None:
+        self._node = node
+        self._next = 1
+        self._admissions = _Ring(size)
+        self._refusals = _Ring(size)
+        self._kinds: list[str] = []
+        self._kind_numbers: dict[str, int] = {}
+
+    def record(
+        self,
+        rule: Rule,
+        *,
+        now: ids.Milliseconds,
+        root: ids.RootHash,
+        kind: str,
+        rank: ids.Rank,
+        revision: ids.Revision,
+        figures: tuple[float, ...] = (),
+    ) -> str:
+        """Keep a decision and return its id."""
+        refusal = rule in REFUSALS
+        self._next += 1
+        sequence = self._next * 2 + refusal
+        ring = self._refusals if refusal else self._admissions
+        padded = (*figures, 0.0, 0.0, 0.0, 0.0)[:4]
+        number = self._kind_number(kind)
+        ring.write(sequence, now, root, rule, number, rank, *padded, revision)
+        return f"{self._node}:{sequence:x}"
+
+    def find(self, decision_id: str) -> Decision | None:
+        """Return a decision, or ``None`` when it is not held (any more)."""
+        node, _, digits = decision_id.rpartition(":")
+        if node != self._node:
+            return None
+        try:
+            sequence = int(digits, 16)
+        except ValueError:
+            return None
+        ring = self._refusals if sequence % 2 else self._admissions
+        record = ring.read(sequence)
+        if record is None or sequence <= 0:
+            return None
+        return self._told(decision_id, record)
+
+    def _told(self, decision_id: str, record: tuple[float, ...]) -> Decision:
+        _, time, root, rule_number, kind, rank, *rest = record
+        rule = Rule(int(rule_number))
+        names = _FIGURES.get(rule, ("", "", "", ""))
+        figures = {
+            name: value for name, value in zip(names, rest, strict=False) if name
+        }
+        return Decision(
+            id=decision_id,
+            time=time,
+            root=f"{int(root):016x}",
+            rule=rule.name.lower().replace("_", "-"),
+            kind=self._kinds[int(kind)],
+            rank=ranks.describe(int(rank)),
+            words=_WORDS[rule],
+            figures=figures,
+            revision=int(rest[4]),
+        )
+
+    def _kind_number(self, kind: str) -> int:
+        number = self._kind_numbers.get(kind)
+        if number is None:
+            number = min(len(self._kinds), _MAX_KIND)
+            self._kinds.append(kind)
+            self._kind_numbers[kind] = number
+        return number
--- /dev/null
+++ b/src/gingerturn/internal/core/effects.py
@@ -0,0 +1,197 @@
+"""Everything that the core asks of the shell, as data."""
+
+import msgspec
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import messages
+
+
+class Effect(msgspec.Struct, frozen=True, tag=True, array_like=True, gc=False):
+    """Base of all effects."""
+
+
+class OpenAttempt(Effect, frozen=True):
+    """Send a call to the home node of an upstream."""
+
+    attempt: ids.AttemptId
+    call: ids.CallId
+    node: ids.NodeId
+    host: str
+    port: int
+    terms: messages.CallTerms
+
+
+class CancelAttempt(Effect, frozen=True):
+    """Tell the home node that the answer is not wanted any more."""
+
+    attempt: ids.AttemptId
+
+
+class RelayAnswer(Effect, frozen=True):
+    """Pass the answer of an attempt on to the caller."""
+
+    call: ids.CallId
+    attempt: ids.AttemptId
+    decision: str
+
+
+class RefuseCall(Effect, frozen=True):
+    """Answer the caller with a problem.
+
+    :param retry_after_ms: when to come back, 0 when that would not help.
+    """
+
+    call: ids.CallId
+    status: int
+    outcome: messages.Outcome
+    title: str
+    retry_after_ms: float
+    decision: str
+
+
+class HandOver(Effect, frozen=True):
+    """Hand a call to the backend server.
+
+    :param span: span id to send on, by which its own calls are recognised.
+    """
+
+    hosted: ids.HostedId
+    host: str
+    port: int
+    span: ids.SpanId
+    deadline_ms: float
+
+
+class CancelBackend(Effect, frozen=True):
+    """Drop a call, and close the exchange with the backend server if it began."""
+
+    hosted: ids.HostedId
+
+
+class SendAnswer(Effect, frozen=True):
+    """Send the backend server's answer to the entry node.
+
+    :param keep_as: key under which the shell keeps the answer, if any.
+    """
+
+    hosted: ids.HostedId
+    tokens: int
+    report: messages.LoadReport
+    decision: str
+    keep_as: str = ""
+
+
+class SendKeptAnswer(Effect, frozen=True):
+    """Send the kept answer of a key to a repeat of the call."""
+
+    hosted: ids.HostedId
+    key: str
+    tokens: int
+    report: messages.LoadReport
+    decision: str
+
+
+class KeepAnswer(Effect, frozen=True):
+    """Keep the answer of a call whose entry node is gone."""
+
+    hosted: ids.HostedId
+    key: str
+
+
+class ForgetAnswer(Effect, frozen=True):
+    """Drop the kept answer of a key."""
+
+    key: str
+
+
+class SendRefusal(Effect, frozen=True):
+    """Refuse a call towards its entry node."""
+
+    hosted: ids.HostedId
+    refusal: messages.Refusal
+    tokens: int
+    report: messages.LoadReport
+
+
+class ReadLog(Effect, frozen=True):
+    """Read a stream from an offset, waiting for new records for a while."""
+
+    stream: str
+    offset: int
+
+
+class Append(Effect, frozen=True):
+    """Append a record to a stream."""
+
+    append: int
+    stream: str
+    record: bytes
+
+
+class SendGossip(Effect, frozen=True):
+    """Send a membership message."""
+
+    host: str
+    port: int
+    message: messages.Gossip
+
+
+class FetchSnapshot(Effect, frozen=True):
+    """Ask a peer for the configuration that it has in force.
+
+    :param since: revision that this node has; only later changes travel.
+    """
+
+    node: ids.NodeId
+    host: str
+    port: int
+    since: ids.Revision
+
+
+class PublishEnded(Effect, frozen=True):
+    """Tell the operator how the publication ended.
+
+    :param revision: the new revision, or the one in conflict; 0 if not known.
+    """
+
+    request: str
+    accepted: bool | None
+    revision: ids.Revision
+    problem: str
+
+
+class WriteLog(Effect, frozen=True):
+    """Write a log line.
+
+    :param part: the fixed prefix of the part that speaks.
+    """
+
+    level: str
+    part: str
+    text: str
+
+
+class Stopped(Effect, frozen=True):
+    """Nothing is in flight any more; the process may exit."""
+
+
+AnyEffect = (
+    OpenAttempt
+    | CancelAttempt
+    | RelayAnswer
+    | RefuseCall
+    | HandOver
+    | CancelBackend
+    | SendAnswer
+    | SendKeptAnswer
+    | KeepAnswer
+    | ForgetAnswer
+    | SendRefusal
+    | ReadLog
+    | Append
+    | SendGossip
+    | FetchSnapshot
+    | PublishEnded
+    | WriteLog
+    | Stopped
+)
--- /dev/null
+++ b/src/gingerturn/internal/core/events.py
@@ -0,0 +1,252 @@
+"""Everything that can happen to a node, as data.
+
+Time is in every event and the only randomness is the seed of :class:`Started`,
+so a recorded trace of events gives the same effects byte for byte.
+"""
+
+import msgspec
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import messages
+
+
+class Event(msgspec.Struct, frozen=True, tag=True, array_like=True, gc=False):
+    """Base of all events.
+
+    :param now: the time at which it happened.
+    """
+
+    now: ids.Milliseconds
+
+
+class Started(Event, frozen=True):
+    """The node starts.
+
+    :param seed: seeds every random choice of this incarnation.
+    """
+
+    seed: int
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    host: str
+    peers_port: int
+    gossip_port: int
+    zone: str
+    region: str
+    decisions: int
+    seeds: tuple[str, ...] = ()
+
+
+class Tick(Event, frozen=True):
+    """The timer service ticks; parts with a due subscription run."""
+
+
+class CallArrived(Event, frozen=True):
+    """A caller's request has been read, whole or up to the buffer's size.
+
+    :param replayable: the body is held whole, so that it can be sent again.
+    :param body_digest: digest of the held body; tells derived keys apart.
+    :param timeout_ms: the caller's own deadline, 0 when it names none.
+    :param sending: 1 when the caller says that it sends this request for the first
+        time, higher for a repeat, 0 when it says nothing.
+    """
+
+    call: ids.CallId
+    service: ids.ServiceName
+    method: str
+    path: str
+    trace: str
+    span: ids.SpanId
+    key: str = ""
+    timeout_ms: float = 0
+    replayable: bool = True
+    body_digest: str = ""
+    sending: int = 0
+
+
+class CallerGone(Event, frozen=True):
+    """The caller closed its connection before its answer was whole."""
+
+    call: ids.CallId
+
+
+class AttemptAnswered(Event, frozen=True):
+    """An upstream's answer is held whole, or its head when it is long."""
+
+    attempt: ids.AttemptId
+    status: int
+    tokens: int
+    report: messages.LoadReport
+
+
+class AttemptRefused(Event, frozen=True):
+    """The home node refused; nothing was handed to its backend server, unless
+    the outcome says that this is not known.
+    """
+
+    attempt: ids.AttemptId
+    refusal: messages.Refusal
+    tokens: int
+    report: messages.LoadReport
+
+
+class AttemptLost(Event, frozen=True):
+    """The connection to the home node broke before the answer.
+
+    :param reached: ``False`` only when it is certain that nothing of the call
+        was written to the connection.
+    """
+
+    attempt: ids.AttemptId
+    reached: bool
+
+
+class OpenReceived(Event, frozen=True):
+    """A call for this node's backend server arrives from an entry node."""
+
+    hosted: ids.HostedId
+    sender: ids.NodeId
+    call: messages.CallTerms
+
+
+class CancelReceived(Event, frozen=True):
+    """The entry node gave up on a call, or its connection broke."""
+
+    hosted: ids.HostedId
+
+
+class BackendAnswered(Event, frozen=True):
+    """The backend server answered.
+
+    :param whole: the answer is held whole; otherwise its body is being streamed
+        and :class:`BackendFinished` will follow.
+    """
+
+    hosted: ids.HostedId
+    status: int
+    whole: bool = True
+
+
+class BackendFinished(Event, frozen=True):
+    """The streaming of a long answer ended."""
+
+    hosted: ids.HostedId
+
+
+class BackendFailed(Event, frozen=True):
+    """The exchange with the backend server failed.
+
+    :param handed: ``False`` only when not one byte was written to it.
+    """
+
+    hosted: ids.HostedId
+    handed: bool
+
+
+class BackendAnnounced(Event, frozen=True):
+    """The backend server beside this node announces itself, or renews."""
+
+    service: ids.ServiceName
+    host: str
+    port: int
+    slots: int
+    connections: int
+    cold: bool = False
+    load: int = -1
+    ttl_ms: float = 10_000
+
+
+class BackendWithdrawn(Event, frozen=True):
+    """The backend server is leaving: it drains and takes no new work."""
+
+
+class LogRead(Event, frozen=True):
+    """Records of a stream were read.
+
+    :param oldest: the oldest offset that the log still holds.
+    :param end: the offset after the newest record at the time of the read.
+    """
+
+    stream: str
+    first: int
+    records: tuple[bytes, ...]
+    oldest: int
+    end: int
+
+
+class LogReadFailed(Event, frozen=True):
+    """A stream could not be read."""
+
+    stream: str
+
+
+class AppendDone(Event, frozen=True):
+    """The log acknowledged an append."""
+
+    append: int
+    offset: int
+
+
+class AppendFailed(Event, frozen=True):
+    """An append was not acknowledged.
+
+    :param certain: it is certain that nothing was appended.
+    """
+
+    append: int
+    certain: bool
+
+
+class DatagramReceived(Event, frozen=True):
+    """An authentic membership message arrived."""
+
+    sender: ids.NodeId
+    host: str
+    port: int
+    message: messages.Gossip
+
+
+class PublishRequested(Event, frozen=True):
+    """An operator publishes a team's document at this node."""
+
+    request: str
+    team: ids.TeamName
+    author: str
+    base: ids.Revision
+    text: str
+
+
+class SnapshotReceived(Event, frozen=True):
+    """A peer sent the configuration that it has in force."""
+
+    snapshot: messages.ConfigSnapshot
+
+
+class StopRequested(Event, frozen=True):
+    """A planned stop of this node begins."""
+
+
+AnyEvent = (
+    Started
+    | Tick
+    | CallArrived
+    | CallerGone
+    | AttemptAnswered
+    | AttemptRefused
+    | AttemptLost
+    | OpenReceived
+    | CancelReceived
+    | BackendAnswered
+    | BackendFinished
+    | BackendFailed
+    | BackendAnnounced
+    | BackendWithdrawn
+    | LogRead
+    | LogReadFailed
+    | AppendDone
+    | AppendFailed
+    | DatagramReceived
+    | PublishRequested
+    | SnapshotReceived
+    | StopRequested
+)
--- /dev/null
+++ b/src/gingerturn/internal/core/hosting.py
@@ -0,0 +1,566 @@
+"""The home side: calls for the backend server beside this node."""
+
+import heapq
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    calls,
+    decisions,
+    effects,
+    events,
+    keys,
+    messages,
+    outbox,
+    ranks,
+    state as states,
+)
+
+UNREACHABLE_MS = 500.0
+"""Pause after the backend server refused a connection; one call then tries."""
+
+ORPHAN_MS = 60_000.0
+"""An unrepeatable call whose caller is gone keeps its slot for at most this long;
+the backend server was handed a deadline too and should be done well before."""
+
+
+def on_open(
+    state: states.State, event: events.OpenReceived, out: states.Effects
+) -> None:
+    """Admit, queue or refuse a call."""
+    terms = event.call
+    hosted = states.Hosted(
+        id=event.hosted,
+        sender=event.sender,
+        terms=terms,
+        rank=ranks.rank_of(
+            importance=terms.importance, depth=terms.depth, root=terms.root
+        ),
+        deadline=event.now + terms.deadline_ms,
+        tokens=terms.tokens,
+        arrived=event.now,
+        children={},
+    )
+    state.hosted[hosted.id] = hosted
+    if terms.key and _is_repeat(state, hosted, out):
+        return
+    rule = _unfit(state, hosted)
+    if rule is not None:
+        refuse(state, hosted, rule, out)
+        return
+    admission.note_arrival(state, hosted.rank)
+    if not _worth_starting(state, hosted, out):
+        return
+    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
+    if admission.has_slot(state):
+        start(state, hosted, out)
+        return
+    _enqueue(state, hosted, out)
+
+
+def on_cancel(
+    state: states.State, event: events.CancelReceived, out: states.Effects
+) -> None:
+    """Cancel a call whose entry node gave up on it."""
+    hosted = state.hosted.get(event.hosted)
+    if hosted is None or hosted.orphaned:
+        return
+    hosted.orphaned = True
+    running = states.HostedState.RUNNING
+    if hosted.state is running and not hosted.terms.repeatable:
+        return
+    out.append(effects.CancelBackend(hosted=hosted.id))
+    if hosted.state is states.HostedState.QUEUED:
+        admission.remove(state, hosted.id)
+        _forget(state, hosted)
+    elif hosted.state is states.HostedState.WAITING:
+        _forget(state, hosted)
+    else:
+        if hosted.state is states.HostedState.CLAIMING:
+            keys.detach(state, hosted)
+        _end_slot(state, hosted, out)
+
+
+def on_backend_answered(
+    state: states.State, event: events.BackendAnswered, out: states.Effects
+) -> None:
+    """Send the backend server's answer to the entry node."""
+    hosted = state.hosted.get(event.hosted)
+    if hosted is None or hosted.state is not states.HostedState.RUNNING:
+        return
+    if event.status in calls.OVERLOAD_STATUSES:
+        admission.note_backend_refusal(state)
+    else:
+        admission.note_time(state, hosted.terms.kind, event.now - hosted.started)
+        admission.note_backend_success(state)
+    state.backend.failures = 0
+    if event.whole:
+        _end_slot(state, hosted, out, pump=False)
+    else:
+        hosted.state = states.HostedState.STREAMING
+    _send_answer(state, hosted, out, whole=event.whole)
+    if hosted.terms.key:
+        _end_key(state, hosted, out, kept=event.whole, certain=True)
+    if event.whole:
+        fill(state, out)
+
+
+def on_backend_finished(
+    state: states.State, event: events.BackendFinished, out: states.Effects
+) -> None:
+    """Free the slot of a long answer."""
+    hosted = state.hosted.get(event.hosted)
+    if hosted is None or hosted.state is not states.HostedState.STREAMING:
+        return
+    _end_slot(state, hosted, out)
+
+
+def on_backend_failed(
+    state: states.State, event: events.BackendFailed, out: states.Effects
+) -> None:
+    """Take in a failed exchange with the backend server."""
+    hosted = state.hosted.get(event.hosted)
+    if hosted is None:
+        return
+    if hosted.state is states.HostedState.STREAMING:
+        _end_slot(state, hosted, out)
+        return
+    if hosted.state is not states.HostedState.RUNNING:
+        return
+    rule = decisions.Rule.OUTCOME_UNKNOWN
+    if not event.handed:
+        rule = decisions.Rule.BACKEND_UNREACHABLE
+        state.backend.unreachable_until = event.now + UNREACHABLE_MS
+    _end_slot(state, hosted, out, pump=False)
+    if hosted.terms.key:
+        _fail_key(state, hosted, out, handed=event.handed)
+    if not hosted.orphaned:
+        refuse(state, hosted, rule, out, handed=event.handed)
+    fill(state, out)
+
+
+def on_announced(
+    state: states.State, event: events.BackendAnnounced, out: states.Effects
+) -> None:
+    """Take in the announcement or the renewal of the backend server."""
+    backend = state.backend
+    declared = state.configuration.service(event.service).slots
+    slots = event.slots if declared is None else min(declared, event.slots)
+    if backend.present and backend.service != event.service:
+        outbox.warn(out, "backend", f"Service changed to {event.service}.")
+    admission.announce(state, event.now, slots=max(1, slots), cold=event.cold)
+    if not backend.present:
+        text = f"{event.service} announced, {slots} slots."
+        outbox.info(out, "backend", text)
+    backend.service = event.service
+    backend.host = event.host
+    backend.port = event.port
+    backend.present = True
+    backend.leaving = False
+    backend.expires = event.now + event.ttl_ms
+    fill(state, out)
+
+
+def on_withdrawn(
+    state: states.State, event: events.BackendWithdrawn, out: states.Effects
+) -> None:
+    """Stop giving work to a backend server that leaves; at once, not by gossip."""
+    if not state.backend.present or state.backend.leaving:
+        return
+    state.backend.leaving = True
+    outbox.info(out, "backend", f"{state.backend.service} is leaving.")
+    refuse_queue(state, decisions.Rule.LEAVING, out)
+
+
+def refuse_queue(
+    state: states.State, rule: decisions.Rule, out: states.Effects
+) -> None:
+    """Refuse every queued call; other upstreams can still take them."""
+    while (hosted_id := admission.dequeue(state)) is not None:
+        refuse(state, state.hosted[hosted_id], rule, out)
+
+
+def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Withdraw a backend server that stopped renewing."""
+    backend = state.backend
+    if backend.present and now >= backend.expires:
+        backend.present = False
+        outbox.warn(out, "backend", f"{backend.service} stopped renewing.")
+        refuse_queue(state, decisions.Rule.NO_BACKEND, out)
+
+
+def on_deadline(
+    state: states.State, hosted_id: ids.HostedId, out: states.Effects
+) -> None:
+    """End a call at its deadline; the entry node hears at once whether it ran."""
+    hosted = state.hosted.get(hosted_id)
+    if hosted is None:
+        return
+    if hosted.state is states.HostedState.QUEUED:
+        admission.remove(state, hosted.id)
+        refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
+    elif hosted.state is states.HostedState.CLAIMING:
+        keys.detach(state, hosted)
+        _end_slot(state, hosted, out, pump=False)
+        refuse(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
+        fill(state, out)
+    elif hosted.state is states.HostedState.WAITING:
+        refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out, handed=True)
+    elif hosted.state is states.HostedState.RUNNING:
+        _end_running(state, hosted, out)
+
+
+def _end_running(
+    state: states.State, hosted: states.Hosted, out: states.Effects
+) -> None:
+    if not hosted.orphaned:
+        rule = decisions.Rule.DEADLINE_PASSED
+        refuse(state, hosted, rule, out, handed=True, forget=False)
+    if hosted.terms.repeatable:
+        out.append(effects.CancelBackend(hosted=hosted.id))
+        _end_slot(state, hosted, out)
+        return
+    if hosted.orphaned and state.now >= hosted.started + ORPHAN_MS:
+        out.append(effects.CancelBackend(hosted=hosted.id))
+        if hosted.terms.key:
+            _fail_key(state, hosted, out, handed=True)
+        _end_slot(state, hosted, out)
+        return
+    # An unrepeatable call that has begun is not cancelled: its answer is kept
+    # for the caller's repeat.
+    hosted.orphaned = True
+    again = max(state.now, hosted.started + ORPHAN_MS)
+    heapq.heappush(state.deadlines, (again, calls.HOSTED_DEADLINE, hosted.id))
+
+
+def start(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
+    """Occupy a slot; claim the key first where there is one."""
+    admission.take_slot(state)
+    if not hosted.terms.key:
+        hand_over(state, hosted, out)
+        return
+    entry = state.keys.get(hosted.terms.key)
+    if entry is not None and _settled(state, hosted, entry, out):
+        return
+    if not keys.claims_usable(state) or not keys.covered(state, hosted):
+        withdraw(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
+        return
+    hosted.state = states.HostedState.CLAIMING
+    keys.attach(state, hosted)
+
+
+def _settled(
+    state: states.State,
+    hosted: states.Hosted,
+    entry: states.KeyEntry,
+    out: states.Effects,
+) -> bool:
+    """Deal with a call whose key was settled while it was queued.
+
+    :return: whether nothing is left to be done for it.
+    """
+    if entry.phase is states.KeyPhase.OURS_IDLE:
+        entry.hosted = hosted.id
+        keys.mark_running(entry)
+        hand_over(state, hosted, out)
+        return True
+    if entry.phase is states.KeyPhase.CLAIMING and entry.hosted is None:
+        return False
+    admission.free_slot(state)
+    _is_repeat(state, hosted, out)
+    fill(state, out)
+    return True
+
+
+def hand_over(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
+    """Hand a call that occupies a slot to the backend server."""
+    backend = state.backend
+    hosted.state = states.HostedState.RUNNING
+    hosted.started = state.now
+    hosted.span = state.next_span()
+    state.spans[hosted.span] = hosted.id
+    figures = (
+        float(backend.running),
+        backend.limit,
+        float(len(backend.queue)),
+        state.now - hosted.arrived,
+    )
+    hosted.decision = _decide(state, hosted, decisions.Rule.RUN, figures)
+    out.append(
+        effects.HandOver(
+            hosted=hosted.id,
+            host=backend.host,
+            port=backend.port,
+            span=hosted.span,
+            deadline_ms=max(0.0, hosted.deadline - state.now),
+        )
+    )
+
+
+def fill(state: states.State, out: states.Effects) -> None:
+    """Start queued calls while there are slots."""
+    while admission.has_slot(state):
+        hosted_id = admission.dequeue(state)
+        if hosted_id is None:
+            return
+        hosted = state.hosted[hosted_id]
+        needed = admission.service_time(state, hosted.terms.kind)
+        if state.now + needed > hosted.deadline:
+            refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
+            continue
+        start(state, hosted, out)
+
+
+def withdraw(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    holder: str = "",
+) -> None:
+    """Refuse a call that holds a slot and was not handed over."""
+    admission.free_slot(state)
+    if hosted.orphaned:
+        _forget(state, hosted)
+    else:
+        refuse(state, hosted, rule, out, holder=holder)
+    fill(state, out)
+
+
+def refuse_waiter(
+    state: states.State,
+    hosted_id: ids.HostedId,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    holder: str = "",
+    handed: bool = False,
+    outcome: messages.Outcome | None = None,
+) -> None:
+    """Refuse a repeat that waited for the first call of its key."""
+    hosted = state.hosted.get(hosted_id)
+    if hosted is None or hosted.state is not states.HostedState.WAITING:
+        return
+    refuse(state, hosted, rule, out, holder=holder, handed=handed, outcome=outcome)
+
+
+def refuse(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    handed: bool = False,
+    outcome: messages.Outcome | None = None,
+    holder: str = "",
+    forget: bool = True,
+    figures: tuple[float, ...] | None = None,
+) -> None:
+    """Refuse a call towards its entry node.
+
+    :param handed: the call may have reached the backend server.
+    """
+    backend = state.backend
+    if figures is None:
+        figures = (
+            float(backend.running),
+            backend.limit,
+            float(len(backend.queue)),
+            state.now - hosted.arrived,
+        )
+    decision = _decide(state, hosted, rule, figures)
+    if outcome is None:
+        outcome = messages.Outcome.UNKNOWN if handed else messages.Outcome.NOT_RUN
+    report = admission.report(state, hosted.terms.kind)
+    level = max(report.level, report.tree_level)
+    out.append(
+        effects.SendRefusal(
+            hosted=hosted.id,
+            refusal=messages.Refusal(
+                rule=int(rule),
+                outcome=outcome,
+                retry_after_ms=admission.come_back_after(state, hosted.rank, level),
+                decision=decision,
+                holder=holder,
+            ),
+            tokens=hosted.tokens,
+            report=report,
+        )
+    )
+    if forget:
+        _forget(state, hosted)
+
+
+def _is_repeat(state: states.State, hosted: states.Hosted, out: states.Effects) -> bool:
+    """Answer, or let wait, a call whose key is known here.
+
+    :return: ``False`` when the call is to go on to admission.
+    """
+    entry = state.keys.get(hosted.terms.key)
+    if entry is None or entry.phase is states.KeyPhase.OURS_IDLE:
+        return False
+    if entry.phase is states.KeyPhase.FOREIGN:
+        rule = decisions.Rule.CLAIM_LOST
+        refuse(state, hosted, rule, out, holder=entry.holder)
+        return True
+    if entry.phase is states.KeyPhase.OURS_DONE:
+        _answer_done(state, hosted, entry, out)
+        return True
+    if entry.hosted is None:
+        return False
+    hosted.state = states.HostedState.WAITING
+    entry.waiters.append(hosted.id)
+    _decide(state, hosted, decisions.Rule.JOINED_FIRST, ())
+    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
+    return True
+
+
+def _answer_done(
+    state: states.State,
+    hosted: states.Hosted,
+    entry: states.KeyEntry,
+    out: states.Effects,
+) -> None:
+    if not entry.certain:
+        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
+        return
+    if not entry.kept:
+        outcome = messages.Outcome.ALREADY_RUN
+        refuse(state, hosted, decisions.Rule.ALREADY_RUN, out, outcome=outcome)
+        return
+    decision = _decide(state, hosted, decisions.Rule.ALREADY_RUN, ())
+    out.append(
+        effects.SendKeptAnswer(
+            hosted=hosted.id,
+            key=entry.key,
+            tokens=hosted.tokens,
+            report=admission.report(state, hosted.terms.kind),
+            decision=decision,
+        )
+    )
+    _forget(state, hosted)
+
+
+def _end_key(
+    state: states.State,
+    hosted: states.Hosted,
+    out: states.Effects,
+    *,
+    kept: bool,
+    certain: bool,
+) -> None:
+    """Enter the last phase of a key and tell the repeats that waited."""
+    entry = state.keys[hosted.terms.key]
+    keys.mark_done(entry, kept=kept, certain=certain)
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    for waiter_id in waiters:
+        waiter = state.hosted.get(waiter_id)
+        if waiter is not None:
+            _answer_done(state, waiter, entry, out)
+
+
+def _fail_key(
+    state: states.State, hosted: states.Hosted, out: states.Effects, *, handed: bool
+) -> None:
+    if handed:
+        _end_key(state, hosted, out, kept=False, certain=False)
+        return
+    entry = state.keys[hosted.terms.key]
+    keys.mark_not_handed(entry)
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    for waiter in waiters:
+        refuse_waiter(state, waiter, decisions.Rule.BACKEND_UNREACHABLE, out)
+
+
+def _unfit(state: states.State, hosted: states.Hosted) -> decisions.Rule | None:
+    backend = state.backend
+    if backend.leaving or state.stopping:
+        return decisions.Rule.LEAVING
+    if not backend.present or backend.service != hosted.terms.service:
+        return decisions.Rule.NO_BACKEND
+    if state.now < backend.unreachable_until:
+        return decisions.Rule.BACKEND_UNREACHABLE
+    return None
+
+
+def _worth_starting(
+    state: states.State, hosted: states.Hosted, out: states.Effects
+) -> bool:
+    """Refuse what could not finish in time, or whose children would be shed."""
+    kind = hosted.terms.kind
+    needed = admission.service_time(state, kind)
+    wait = admission.expected_wait(state, kind, hosted.rank)
+    left = hosted.deadline - state.now
+    if left <= 0 or needed + wait > left:
+        rule = decisions.Rule.NOT_IN_TIME
+        refuse(state, hosted, rule, out, figures=(left, needed, wait))
+        return False
+    below = admission.tree_level(state, kind)
+    if ranks.deep_rank(hosted.rank) < below:
+        figures = (float(below), float(ranks.deep_rank(hosted.rank)))
+        refuse(state, hosted, decisions.Rule.TREE_LEVEL, out, figures=figures)
+        return False
+    return True
+
+
+def _enqueue(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
+    dropped = admission.enqueue(state, hosted)
+    if dropped is not None:
+        refuse(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
+
+
+def _send_answer(
+    state: states.State, hosted: states.Hosted, out: states.Effects, *, whole: bool
+) -> None:
+    keep = hosted.terms.key if whole else ""
+    if hosted.orphaned:
+        if keep:
+            out.append(effects.KeepAnswer(hosted=hosted.id, key=keep))
+        return
+    out.append(
+        effects.SendAnswer(
+            hosted=hosted.id,
+            tokens=hosted.tokens,
+            report=admission.report(state, hosted.terms.kind),
+            decision=hosted.decision,
+            keep_as=keep,
+        )
+    )
+
+
+def _end_slot(
+    state: states.State,
+    hosted: states.Hosted,
+    out: states.Effects,
+    *,
+    pump: bool = True,
+) -> None:
+    admission.free_slot(state)
+    _forget(state, hosted)
+    if pump:
+        fill(state, out)
+
+
+def _forget(state: states.State, hosted: states.Hosted) -> None:
+    state.hosted.pop(hosted.id, None)
+    state.spans.pop(hosted.span, None)
+
+
+def _decide(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    figures: tuple[float, ...],
+) -> str:
+    return state.decisions.record(
+        rule,
+        now=state.now,
+        root=hosted.terms.root,
+        kind=hosted.terms.kind,
+        rank=hosted.rank,
+        revision=state.revisions.revision,
+        figures=figures,
+    )
--- /dev/null
+++ b/src/gingerturn/internal/core/membership.py
@@ -0,0 +1,449 @@
+"""Who the members are: gossip in the manner of SWIM (Das et al., 2002).
+
+Each period a node pings one member; updates about members ride on pings and
+acknowledgements. A member that answers neither directly nor through others is
+suspected, and gone if it does not refute that. Bytes a second are bounded
+whatever the size: one probe a period, a bounded number of updates each.
+"""
+
+import math
+
+import msgspec
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    messages,
+    outbox,
+    revisions,
+    state as states,
+)
+
+PROBE_MS = 1_000.0
+CHECK_MS = 200.0
+INDIRECT_AFTER_MS = 400.0
+SUSPECT_AFTER_MS = 1_000.0
+GONE_AFTER_MS = 4_000.0
+FORGET_AFTER_MS = 300_000.0
+INDIRECT_PROBES = 2
+UPDATES_PER_MESSAGE = 6
+"""About 100 bytes each: with 6 a message stays inside one datagram of 1,200."""
+
+SYNC_PAGE = 8
+URGENT_FANOUT = 4
+"""Members told at once of a departure or a new revision; each passes news on to
+as many, so that a few rounds reach all even where a tenth is lost."""
+
+JOIN_CONTACTS = 3
+ISOLATED_SHARE = 0.5
+"""Where more than half of the members seem unreachable, the fault is more likely
+this node's own network: nobody is declared gone until some answer again."""
+
+
+def start(state: states.State, me: messages.Member, out: states.Effects) -> None:
+    """Enter the membership as its only member and tell the log."""
+    state.membership.me = me
+    _put(state, me)
+    record = messages.JoinRecord(
+        node=me.node,
+        incarnation=me.incarnation,
+        host=me.host,
+        gossip_port=me.gossip_port,
+        zone=me.zone,
+        at=state.now,
+    )
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream="members",
+            record=messages.encode_record(record),
+        )
+    )
+    contact_seeds(state, state.now, out)
+
+
+def contact_seeds(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    """Ask the peers of the settings while nobody else is known."""
+    if len(state.membership.members) > 1 or state.stopping:
+        return
+    for seed in state.seeds:
+        host, _, port = seed.rpartition(":")
+        _sync(state, host, int(port), "", out)
+
+
+def on_join_records(
+    state: states.State, records: list[messages.JoinRecord], out: states.Effects
+) -> None:
+    """Contact nodes that joined by the log, the latest first."""
+    latest: dict[str, messages.JoinRecord] = {r.node: r for r in records}
+    latest.pop(state.node, None)
+    unknown = [
+        record
+        for record in latest.values()
+        if record.node not in state.membership.members
+    ]
+    for record in unknown[-JOIN_CONTACTS:]:
+        _sync(state, record.host, record.gossip_port, "", out)
+
+
+def change_self(
+    state: states.State,
+    out: states.Effects,
+    *,
+    service: ids.ServiceName | None = None,
+    slots: int | None = None,
+    member_state: messages.MemberState | None = None,
+    urgent: bool = True,
+) -> None:
+    """Tell the others of a change of this node; what is ``None`` stays.
+
+    :param urgent: tell some members at once instead of with the next probes.
+    """
+    me = state.membership.me
+    if me is None:
+        return
+    changed = msgspec.structs.replace(
+        me,
+        version=me.version + 1,
+        service=me.service if service is None else service,
+        slots=me.slots if slots is None else slots,
+        state=me.state if member_state is None else member_state,
+    )
+    state.membership.me = changed
+    _put(state, changed)
+    if urgent:
+        push(state, out)
+
+
+def push(state: states.State, out: states.Effects) -> None:
+    """Tell some members at once what there is to tell."""
+    others = _reachable(state)
+    state.random.shuffle(others)
+    for node in others[:URGENT_FANOUT]:
+        _ping(state, node, out)
+
+
+def probe(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Ping the next member of a shuffled round."""
+    membership = state.membership
+    while membership.order:
+        node = membership.order.pop()
+        member = membership.members.get(node)
+        if member is not None and member.state is not messages.MemberState.GONE:
+            _ping(state, ids.NodeId(node), out, track=True)
+            return
+    membership.order = [str(node) for node in _reachable(state)]
+    state.random.shuffle(membership.order)
+
+
+def check(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Move on unanswered probes and suspicions."""
+    membership = state.membership
+    for sequence, probed in list(membership.probes.items()):
+        waited = now - probed.sent
+        if probed.for_sequence:
+            if waited > SUSPECT_AFTER_MS:
+                del membership.probes[sequence]
+        elif waited > SUSPECT_AFTER_MS:
+            del membership.probes[sequence]
+            _suspect(state, probed.node)
+        elif waited > INDIRECT_AFTER_MS and not probed.indirect:
+            probed.indirect = True
+            _probe_indirectly(state, sequence, probed.node, out)
+    if not _isolated(state):
+        _declare_gone(state, now, out)
+    _forget_gone(state, now)
+
+
+def on_gossip(
+    state: states.State,
+    sender: ids.NodeId,
+    host: str,
+    port: int,
+    message: messages.Gossip,
+    out: states.Effects,
+) -> None:
+    """Take in a membership message and answer it."""
+    membership = state.membership
+    membership.heard[sender] = state.now
+    news = [member for member in message.members if _merge(state, member, out)]
+    kinds = messages.GossipKind
+    if message.kind is kinds.PING:
+        _answer(state, kinds.ACK, message.sequence, host, port, out)
+    elif message.kind is kinds.ACK:
+        _on_ack(state, message, out)
+    elif message.kind is kinds.PING_REQUEST:
+        _on_ping_request(state, host, port, message, out)
+    elif message.kind is kinds.SYNC_REQUEST:
+        _send_page(state, host, port, message, out)
+    elif message.kind is kinds.SYNC_PAGE and message.cursor:
+        _sync(state, host, port, message.cursor, out)
+    if any(member.state >= messages.MemberState.LEAVING for member in news):
+        push(state, out)
+    revisions.hear(state, sender, message.revision, out)
+
+
+def _merge(state: states.State, heard: messages.Member, out: states.Effects) -> bool:
+    """Merge what was heard of a member.
+
+    :return: whether it was news.
+    """
+    me = state.membership.me
+    if heard.node == state.node and me is not None:
+        return _hear_of_self(state, me, heard, out)
+    known = state.membership.members.get(heard.node)
+    if known is not None and _precedence(heard) <= _precedence(known):
+        return False
+    if known is None and heard.state is messages.MemberState.GONE:
+        return False
+    if known is not None and heard.incarnation > known.incarnation:
+        # A restarted instance: nothing that the old one told counts any more.
+        state.upstreams.pop(heard.node, None)
+    _put(state, heard)
+    return True
+
+
+def _hear_of_self(
+    state: states.State,
+    me: messages.Member,
+    heard: messages.Member,
+    out: states.Effects,
+) -> bool:
+    if heard.incarnation > me.incarnation:
+        outbox.warn(out, "membership", f"A later incarnation of {me.node} exists.")
+        return False
+    if _precedence(heard) > _precedence(me):
+        version = max(me.version, heard.version)
+        state.membership.me = msgspec.structs.replace(me, version=version)
+        change_self(state, out, urgent=False)
+    return False
+
+
+def _precedence(member: messages.Member) -> tuple[int, int, int]:
+    return (member.incarnation, member.version, member.state)
+
+
+def _put(state: states.State, member: messages.Member) -> None:
+    membership = state.membership
+    old = membership.members.get(member.node)
+    membership.members[member.node] = member
+    membership.rumours[member.node] = _rumour_count(state)
+    if member.state is messages.MemberState.SUSPECT:
+        membership.suspected.setdefault(member.node, state.now)
+    else:
+        membership.suspected.pop(member.node, None)
+    if member.state is messages.MemberState.GONE:
+        membership.gone[member.node] = state.now
+    else:
+        membership.gone.pop(member.node, None)
+    if old is not None:
+        _unlist(state, old)
+    if member.service and member.state < messages.MemberState.LEAVING:
+        membership.by_service.setdefault(member.service, []).append(member.node)
+
+
+def _unlist(state: states.State, member: messages.Member) -> None:
+    nodes = state.membership.by_service.get(member.service)
+    if nodes and member.node in nodes:
+        nodes.remove(member.node)
+
+
+def _rumour_count(state: states.State) -> int:
+    return 3 * math.ceil(math.log2(len(state.membership.members) + 2))
+
+
+def _reachable(state: states.State) -> list[ids.NodeId]:
+    return [
+        member.node
+        for member in state.membership.members.values()
+        if member.node != state.node and member.state < messages.MemberState.GONE
+    ]
+
+
+def _updates(state: states.State) -> tuple[messages.Member, ...]:
+    """Return the updates that were passed on least often so far."""
+    membership = state.membership
+    if not membership.rumours:
+        return ()
+    chosen = sorted(membership.rumours, key=lambda node: -membership.rumours[node])[
+        :UPDATES_PER_MESSAGE
+    ]
+    for node in chosen:
+        membership.rumours[node] -= 1
+        if membership.rumours[node] <= 0:
+            del membership.rumours[node]
+    return tuple(
+        membership.members[node] for node in chosen if node in membership.members
+    )
+
+
+def _ping(
+    state: states.State,
+    node: ids.NodeId,
+    out: states.Effects,
+    *,
+    track: bool = False,
+) -> None:
+    membership = state.membership
+    member = membership.members[node]
+    membership.sequence += 1
+    if track:
+        membership.probes[membership.sequence] = states.Probe(node=node, sent=state.now)
+    message = _message(state, messages.GossipKind.PING, membership.sequence)
+    out.append(
+        effects.SendGossip(host=member.host, port=member.gossip_port, message=message)
+    )
+
+
+def _message(
+    state: states.State, kind: messages.GossipKind, sequence: int
+) -> messages.Gossip:
+    return messages.Gossip(
+        kind=kind,
+        sequence=sequence,
+        revision=state.revisions.revision,
+        members=_updates(state),
+    )
+
+
+def _answer(
+    state: states.State,
+    kind: messages.GossipKind,
+    sequence: int,
+    host: str,
+    port: int,
+    out: states.Effects,
+) -> None:
+    message = _message(state, kind, sequence)
+    out.append(effects.SendGossip(host=host, port=port, message=message))
+
+
+def _on_ack(state: states.State, message: messages.Gossip, out: states.Effects) -> None:
+    probed = state.membership.probes.pop(message.sequence, None)
+    if probed is None:
+        return
+    if probed.for_sequence:
+        _answer(
+            state,
+            messages.GossipKind.ACK,
+            probed.for_sequence,
+            probed.for_host,
+            probed.for_port,
+            out,
+        )
+
+
+def _on_ping_request(
+    state: states.State,
+    host: str,
+    port: int,
+    message: messages.Gossip,
+    out: states.Effects,
+) -> None:
+    if message.target not in state.membership.members:
+        return
+    _ping(state, ids.NodeId(message.target), out, track=True)
+    probed = state.membership.probes[state.membership.sequence]
+    probed.for_host = host
+    probed.for_port = port
+    probed.for_sequence = message.sequence
+
+
+def _probe_indirectly(
+    state: states.State, sequence: int, node: ids.NodeId, out: states.Effects
+) -> None:
+    helpers = [other for other in _reachable(state) if other != node]
+    state.random.shuffle(helpers)
+    for helper in helpers[:INDIRECT_PROBES]:
+        member = state.membership.members[helper]
+        message = messages.Gossip(
+            kind=messages.GossipKind.PING_REQUEST,
+            sequence=sequence,
+            revision=state.revisions.revision,
+            target=node,
+        )
+        out.append(
+            effects.SendGossip(
+                host=member.host, port=member.gossip_port, message=message
+            )
+        )
+
+
+def _suspect(state: states.State, node: ids.NodeId) -> None:
+    member = state.membership.members.get(node)
+    if member is None or member.state is not messages.MemberState.ALIVE:
+        if member is not None and member.state is messages.MemberState.LEAVING:
+            _put(state, _with_state(member, messages.MemberState.GONE))
+        return
+    _put(state, _with_state(member, messages.MemberState.SUSPECT))
+
+
+def _with_state(
+    member: messages.Member, new_state: messages.MemberState
+) -> messages.Member:
+    return msgspec.structs.replace(member, state=new_state)
+
+
+def _isolated(state: states.State) -> bool:
+    others = len(_reachable(state))
+    return others > 2 and len(state.membership.suspected) > others * ISOLATED_SHARE
+
+
+def _declare_gone(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    for node, since in list(state.membership.suspected.items()):
+        if now - since < GONE_AFTER_MS:
+            continue
+        member = state.membership.members[node]
+        _put(state, _with_state(member, messages.MemberState.GONE))
+        outbox.warn(out, "membership", f"{node} is gone.")
+
+
+def _forget_gone(state: states.State, now: ids.Milliseconds) -> None:
+    membership = state.membership
+    for node, since in list(membership.gone.items()):
+        if now - since < FORGET_AFTER_MS:
+            continue
+        del membership.gone[node]
+        membership.members.pop(node, None)
+        membership.rumours.pop(node, None)
+        membership.heard.pop(node, None)
+        state.upstreams.pop(ids.NodeId(node), None)
+
+
+def _sync(
+    state: states.State, host: str, port: int, cursor: str, out: states.Effects
+) -> None:
+    me = state.membership.me
+    message = messages.Gossip(
+        kind=messages.GossipKind.SYNC_REQUEST,
+        sequence=0,
+        revision=state.revisions.revision,
+        members=(me,) if me is not None else (),
+        cursor=cursor,
+    )
+    out.append(effects.SendGossip(host=host, port=port, message=message))
+
+
+def _send_page(
+    state: states.State,
+    host: str,
+    port: int,
+    request: messages.Gossip,
+    out: states.Effects,
+) -> None:
+    members = state.membership.members
+    names = sorted(name for name in members if name > request.cursor)
+    page = names[:SYNC_PAGE]
+    cursor = page[-1] if len(names) > SYNC_PAGE else ""
+    message = messages.Gossip(
+        kind=messages.GossipKind.SYNC_PAGE,
+        sequence=0,
+        revision=state.revisions.revision,
+        members=tuple(members[name] for name in page),
+        cursor=cursor,
+    )
+    out.append(effects.SendGossip(host=host, port=port, message=message))
--- /dev/null
+++ b/src/gingerturn/internal/core/messages.py
@@ -0,0 +1,216 @@
+"""Typed messages that events and effects carry between nodes and to the log."""
+
+import enum
+
+import msgspec
+
+from gingerturn.internal import ids
+
+
+class Outcome(enum.Enum):
+    """What a caller is told when it gets no answer of the backend server."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    ALREADY_RUN = "already-run"
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What rides on every answer of a home node.
+
+    :param level: ranks below it are being shed by this node.
+    :param tree_level: ranks of children below it are being shed by a service
+        that calls of the same kind go on to.
+    :param load: calls running and queued.
+    :param limit: calls that the node lets run at once.
+    :param leaving: the node takes no new work.
+    """
+
+    level: ids.Rank
+    tree_level: ids.Rank
+    load: int
+    limit: int
+    leaving: bool = False
+
+
+class CallTerms(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What an entry node tells the home node about a call.
+
+    :param deadline_ms: time left, relative so that clocks need not agree.
+    :param tokens: retry tokens that the attempt takes along.
+    :param key: key to be claimed before the call is handed over; empty when the
+        call needs no claim.
+    :param first: no earlier sending of this request, or of the one that it serves,
+        can have run; only then may a refusal say ``not-run``.
+    """
+
+    service: ids.ServiceName
+    kind: ids.KindName
+    importance: int
+    depth: int
+    root: ids.RootHash
+    trace: str
+    deadline_ms: float
+    tokens: int
+    repeatable: bool
+    key: str = ""
+    key_derived: bool = False
+    first: bool = True
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Why a home node gives no answer of its backend server.
+
+    :param rule: number of a :class:`.decisions.Rule`.
+    :param holder: node that holds the claim of the key, if another does.
+    """
+
+    rule: int
+    outcome: Outcome
+    retry_after_ms: float
+    decision: str
+    holder: str = ""
+
+
+class MemberState(enum.IntEnum):
+    """States of a member, in the order of precedence inside one version."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    GONE = 3
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One node as the others know it.
+
+    :param version: raised by the member itself with each change that it tells.
+    """
+
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    version: int
+    state: MemberState
+    host: str
+    peers_port: int
+    gossip_port: int
+    zone: str
+    service: ids.ServiceName = ids.ServiceName("")
+    slots: int = 0
+
+
+class GossipKind(enum.Enum):
+    """Kinds of membership messages."""
+
+    PING = "ping"
+    ACK = "ack"
+    PING_REQUEST = "ping-request"
+    SYNC_REQUEST = "sync-request"
+    SYNC_PAGE = "sync-page"
+
+
+class Gossip(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One membership message, with member updates riding on it.
+
+    :param sequence: pairs an acknowledgement with its ping.
+    :param target: node that an indirect probe is to reach.
+    :param cursor: last node of a synchronisation page; empty at the end.
+    :param revision: revision of the configuration that the sender has in force.
+    """
+
+    kind: GossipKind
+    sequence: int
+    revision: ids.Revision
+    members: tuple[Member, ...] = ()
+    target: str = ""
+    cursor: str = ""
+
+
+class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
+    """A node tells on the log where it can be found."""
+
+    node: str
+    incarnation: int
+    host: str
+    gossip_port: int
+    zone: str
+    at: float
+
+
+class LeaveRecord(msgspec.Struct, frozen=True, tag="leave"):
+    """A node left by a planned stop."""
+
+    node: str
+    incarnation: int
+    at: float
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, tag="claim"):
+    """The first claim of a key in offset order wins the right to run it."""
+
+    key: str
+    claim: str
+    node: str
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, tag="claims"):
+    """Claims appended together; they count in the order of the batch."""
+
+    claims: tuple[ClaimRecord, ...]
+
+
+class PublishRecord(msgspec.Struct, frozen=True, tag="publish"):
+    """A team publishes its document.
+
+    :param base: revision at which the author saw that document last change.
+    """
+
+    id: str
+    team: str
+    author: str
+    base: int
+    text: str
+    at: float
+
+
+class ConfigSnapshot(msgspec.Struct, frozen=True, tag="snapshot"):
+    """The accepted set at a revision, re-appended before retention drops it."""
+
+    revision: int
+    documents: dict[str, str]
+    revisions: dict[str, int]
+    digest: str
+
+
+class AuditRecord(msgspec.Struct, frozen=True, tag="audit"):
+    """One entry of the trail of changes."""
+
+    at: float
+    who: str
+    what: str
+    subject: str
+    outcome: str
+    base: int = 0
+    revision: int = 0
+
+
+LogRecord = (
+    JoinRecord | LeaveRecord | ClaimBatch | PublishRecord | ConfigSnapshot | AuditRecord
+)
+
+
+def encode_record(record: object) -> bytes:
+    """Return a log record as JSON, which operators can read."""
+    return msgspec.json.encode(record)
+
+
+_RECORD_DECODER: msgspec.json.Decoder[LogRecord] = msgspec.json.Decoder(LogRecord)
+
+
+def decode_record(content: bytes) -> LogRecord | None:
+    """Return a log record, or ``None`` for bytes that are none: records of a
+    later version or of others must not stop a reader."""
+    try:
+        return _RECORD_DECODER.decode(content)
+    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/src/gingerturn/internal/core/reducer.py
@@ -0,0 +1,317 @@
+"""The reducer: one function over all events, with effects as data.
+
+``reduce`` changes the state and returns what the shell is to do. It does no I/O,
+reads no clock and draws randomness only from the generator that the first event
+seeds, so the same events give the same effects.
+"""
+
+import collections.abc
+import heapq
+import typing
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    calls,
+    claims,
+    decisions,
+    effects,
+    events,
+    hosting,
+    keys,
+    membership,
+    messages,
+    outbox,
+    revisions,
+    state as states,
+    streams,
+    timers,
+)
+
+SLOW_CHECK_MS = 1_000.0
+STOP_LINGER_MS = 1_500.0
+"""A stopping node stays this long to refuse what is already on its way to it: a
+connection closed under such a call would leave its outcome unknown. Departure is
+told at once and reaches every entry within a few rounds of gossip."""
+
+PRUNE_MS = 30_000.0
+CHILDREN_FORGOTTEN_MS = 60_000.0
+"""Which services calls of a kind go on to is remembered for a minute."""
+
+
+def new_state(event: events.Started) -> states.State:
+    """Return the state from which a node starts."""
+    return states.State(
+        node=event.node, seed=event.seed, decision_count=event.decisions
+    )
+
+
+def reduce(state: states.State, event: events.Event) -> list[effects.Effect]:
+    """Apply one event.
+
+    :param state: changed in place.
+    :return: the effects, in the order in which they are to be carried out.
+    """
+    out: states.Effects = []
+    # A clock that was set back must not let time run backwards in the core.
+    state.now = max(state.now, event.now)
+    _HANDLERS[type(event)](state, event, out)
+    if state.claim_batch:
+        claims.flush(state, out)
+    if state.stopping and not state.stopped:
+        _check_stopped(state, out)
+    return out
+
+
+def _on_started(
+    state: states.State, event: events.Started, out: states.Effects
+) -> None:
+    state.incarnation = event.incarnation
+    state.zone = event.zone
+    state.region = event.region
+    state.seeds = event.seeds
+    state.revisions.snapshot_at = event.now
+    me = messages.Member(
+        node=event.node,
+        incarnation=event.incarnation,
+        version=1,
+        state=messages.MemberState.ALIVE,
+        host=event.host,
+        peers_port=event.peers_port,
+        gossip_port=event.gossip_port,
+        zone=event.zone,
+    )
+    for name, (period, _) in _TIMERS.items():
+        timers.subscribe(state, name=name, period=period, now=event.now)
+    membership.start(state, me, out)
+    streams.follow(state, streams.MEMBERS, out)
+    streams.follow(state, streams.CONFIG, out)
+
+
+def _on_tick(state: states.State, event: events.Tick, out: states.Effects) -> None:
+    now = state.now
+    while state.deadlines and state.deadlines[0][0] <= now:
+        _, which, number = heapq.heappop(state.deadlines)
+        if which == calls.CALL_DEADLINE:
+            calls.on_deadline(state, ids.CallId(number), out)
+        else:
+            hosting.on_deadline(state, ids.HostedId(number), out)
+    timers.run_due(state, now, _TIMER_HANDLERS, out)
+
+
+def _on_log_read(
+    state: states.State, event: events.LogRead, out: states.Effects
+) -> None:
+    stream = state.streams.get(event.stream)
+    if stream is None:
+        return
+    start = stream.offset
+    gap = streams.advance(
+        state, stream, first=event.first, count=len(event.records), end=event.end
+    )
+    if event.stream == streams.CONFIG:
+        revisions.on_read(state, first=event.first, oldest=event.oldest, gap=gap)
+    joins: list[messages.JoinRecord] = []
+    for index, content in enumerate(event.records):
+        offset = event.first + index
+        if offset < start:
+            continue
+        record = messages.decode_record(content)
+        if isinstance(record, messages.JoinRecord):
+            joins.append(record)
+        else:
+            _on_record(state, event.stream, offset, record, out)
+    if joins:
+        membership.on_join_records(state, joins, out)
+
+
+def _on_record(
+    state: states.State,
+    stream: str,
+    offset: int,
+    record: messages.LogRecord | None,
+    out: states.Effects,
+) -> None:
+    changed = False
+    if isinstance(record, messages.ClaimBatch):
+        if stream == keys.stream_name(state.backend.service):
+            claims.on_record(state, record, out)
+    elif stream != streams.CONFIG:
+        return
+    elif isinstance(record, messages.PublishRecord):
+        changed = revisions.on_publish(state, offset, record, out)
+    elif isinstance(record, messages.ConfigSnapshot):
+        changed = revisions.on_snapshot(state, record, out)
+    if changed:
+        membership.push(state, out)
+
+
+def _on_log_read_failed(
+    state: states.State, event: events.LogReadFailed, out: states.Effects
+) -> None:
+    stream = state.streams.get(event.stream)
+    if stream is not None:
+        streams.failed(state, stream, out)
+
+
+def _on_append_done(
+    state: states.State, event: events.AppendDone, out: states.Effects
+) -> None:
+    # The acknowledgement decides nothing: claims and publications count when they
+    # are read back in the log's order.
+    state.appends.pop(event.append, None)
+
+
+def _on_append_failed(
+    state: states.State, event: events.AppendFailed, out: states.Effects
+) -> None:
+    if event.append in state.appends:
+        claims.on_append_failed(state, event.append, event.certain, out)
+    elif event.certain:
+        revisions.on_append_failed(state, event.append, out)
+
+
+def _on_datagram(
+    state: states.State, event: events.DatagramReceived, out: states.Effects
+) -> None:
+    membership.on_gossip(
+        state, event.sender, event.host, event.port, event.message, out
+    )
+
+
+def _on_snapshot(
+    state: states.State, event: events.SnapshotReceived, out: states.Effects
+) -> None:
+    if revisions.on_snapshot(state, event.snapshot, out):
+        membership.push(state, out)
+
+
+def _on_announced(
+    state: states.State, event: events.BackendAnnounced, out: states.Effects
+) -> None:
+    backend = state.backend
+    before = (backend.service, backend.slots, backend.present, backend.leaving)
+    hosting.on_announced(state, event, out)
+    after = (backend.service, backend.slots, backend.present, backend.leaving)
+    if after != before and not state.stopping:
+        membership.change_self(
+            state,
+            out,
+            service=backend.service,
+            slots=backend.slots,
+            member_state=messages.MemberState.ALIVE,
+        )
+    _follow_claims(state, out)
+
+
+def _on_withdrawn(
+    state: states.State, event: events.BackendWithdrawn, out: states.Effects
+) -> None:
+    if not state.backend.present or state.backend.leaving:
+        return
+    hosting.on_withdrawn(state, event, out)
+    membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
+
+
+def _on_stop_requested(
+    state: states.State, event: events.StopRequested, out: states.Effects
+) -> None:
+    if state.stopping:
+        return
+    state.stopping = True
+    state.stop_after = state.now + STOP_LINGER_MS
+    outbox.info(out, "node", "Planned stop begins.")
+    hosting.refuse_queue(state, decisions.Rule.STOPPING, out)
+    membership.change_self(state, out, member_state=messages.MemberState.LEAVING)
+    record = messages.LeaveRecord(
+        node=state.node, incarnation=state.incarnation, at=state.now
+    )
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream=streams.MEMBERS,
+            record=messages.encode_record(record),
+        )
+    )
+
+
+def _check_stopped(state: states.State, out: states.Effects) -> None:
+    if state.calls or state.hosted or state.now < state.stop_after:
+        return
+    state.stopped = True
+    out.append(effects.Stopped())
+
+
+def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    admission.control(state, now, out)
+    present = state.backend.present
+    hosting.expire(state, now, out)
+    if present and not state.backend.present:
+        membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
+
+
+def _check_slowly(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    claims.check_waits(state, now, out)
+    revisions.check_waits(state, now, out)
+    revisions.keep_alive(state, now, out)
+    membership.contact_seeds(state, now, out)
+    _follow_claims(state, out)
+
+
+def _prune(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    for key in keys.prune(state, now):
+        out.append(effects.ForgetAnswer(key=key))
+    for children in state.children_of.values():
+        old = [c for c, seen in children.items() if now - seen > CHILDREN_FORGOTTEN_MS]
+        for child in old:
+            del children[child]
+
+
+def _follow_claims(state: states.State, out: states.Effects) -> None:
+    """Follow the claims of the own service once it has unrepeatable kinds."""
+    service = state.backend.service
+    if not service or keys.stream_name(service) in state.streams:
+        return
+    rules = state.configuration.kinds()
+    if any(rule.service == service and not rule.repeatable for rule in rules):
+        streams.follow(state, keys.stream_name(service), out)
+
+
+Handler = collections.abc.Callable[[states.State, typing.Any, states.Effects], None]
+
+_TIMERS: dict[str, tuple[ids.Milliseconds, timers.Handler]] = {
+    "admission": (admission.WINDOW_MS, _control),
+    "streams": (timers.TICK_MS, streams.resume),
+    "probe": (membership.PROBE_MS, membership.probe),
+    "membership": (membership.CHECK_MS, membership.check),
+    "slow": (SLOW_CHECK_MS, _check_slowly),
+    "prune": (PRUNE_MS, _prune),
+}
+_TIMER_HANDLERS = {name: handler for name, (_, handler) in _TIMERS.items()}
+
+_HANDLERS: dict[type[events.Event], Handler] = {
+    events.Started: _on_started,
+    events.Tick: _on_tick,
+    events.CallArrived: calls.on_call_arrived,
+    events.CallerGone: calls.on_caller_gone,
+    events.AttemptAnswered: calls.on_attempt_answered,
+    events.AttemptRefused: calls.on_attempt_refused,
+    events.AttemptLost: calls.on_attempt_lost,
+    events.OpenReceived: hosting.on_open,
+    events.CancelReceived: hosting.on_cancel,
+    events.BackendAnswered: hosting.on_backend_answered,
+    events.BackendFinished: hosting.on_backend_finished,
+    events.BackendFailed: hosting.on_backend_failed,
+    events.BackendAnnounced: _on_announced,
+    events.BackendWithdrawn: _on_withdrawn,
+    events.LogRead: _on_log_read,
+    events.LogReadFailed: _on_log_read_failed,
+    events.AppendDone: _on_append_done,
+    events.AppendFailed: _on_append_failed,
+    events.DatagramReceived: _on_datagram,
+    events.PublishRequested: revisions.publish,
+    events.SnapshotReceived: _on_snapshot,
+    events.StopRequested: _on_stop_requested,
+}
--- /dev/null
+++ b/src/gingerturn/internal/core/revisions.py
@@ -0,0 +1,370 @@
+"""The configuration in force: decided by the log's order, the same everywhere.
+
+A publication names the revision at which its author saw the team's document
+last change. The first in offset order wins, a later one with the same base is a
+conflict; every reader decides this from the same records. The revision is the
+offset of the accepted record plus one, so it only ever grows.
+"""
+
+from gingerturn import configuration, errors
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    events,
+    messages,
+    outbox,
+    state as states,
+    streams,
+)
+
+HISTORY = 200
+SEEN = 1_000
+PUBLISH_WAIT_MS = 10_000.0
+SNAPSHOT_EVERY_MS = 600_000.0
+"""The accepted set is appended anew every 10 minutes, well inside any retention
+that covers the claims, at 144 appends a day."""
+
+FETCH_EVERY_MS = 500.0
+
+
+def publish(
+    state: states.State, event: events.PublishRequested, out: states.Effects
+) -> None:
+    """Append a publication; its fate is told when it is read back."""
+    base = state.revisions.changed.get(event.team, 0)
+    if event.base != base:
+        _end(out, event.request, False, ids.Revision(base), _conflict(event, base))
+        return
+    problem = _problem(state, event.team, event.text)
+    if problem:
+        _end(out, event.request, False, ids.Revision(base), problem)
+        return
+    record_id = f"{state.random.getrandbits(96):024x}"
+    record = messages.PublishRecord(
+        id=record_id,
+        team=event.team,
+        author=event.author,
+        base=event.base,
+        text=event.text,
+        at=event.now,
+    )
+    state.revisions.pending[record_id] = states.Publication(
+        request=event.request,
+        id=record_id,
+        team=event.team,
+        author=event.author,
+        base=event.base,
+        since=event.now,
+    )
+    append = state.next_number()
+    state.revisions.appends[append] = record_id
+    out.append(
+        effects.Append(
+            append=append,
+            stream=streams.CONFIG,
+            record=messages.encode_record(record),
+        )
+    )
+
+
+def on_append_failed(state: states.State, append: int, out: states.Effects) -> None:
+    """Tell an author that the log certainly did not take the publication."""
+    record_id = state.revisions.appends.pop(append, "")
+    publication = state.revisions.pending.pop(record_id, None)
+    if publication is None:
+        return
+    problem = "the log service refused the append or is down; nothing was published"
+    _end(out, publication.request, False, ids.Revision(0), problem)
+
+
+def on_read(state: states.State, *, first: int, oldest: int, gap: bool) -> None:
+    """Take in where reading stands before the records themselves."""
+    revisions = state.revisions
+    if gap:
+        revisions.based = False
+    if oldest == 0 and first == 0:
+        revisions.based = True
+
+
+def on_publish(
+    state: states.State,
+    offset: int,
+    record: messages.PublishRecord,
+    out: states.Effects,
+) -> bool:
+    """Decide a publication.
+
+    :return: whether a new revision is in force.
+    """
+    revisions = state.revisions
+    if not revisions.based:
+        revisions.undecided.append((offset, record))
+        return False
+    if record.id in revisions.seen:
+        return False
+    _remember(revisions, record.id)
+    if revisions.revision > offset:
+        _end_overtaken(state, offset, record, out)
+        return False
+    base = revisions.changed.get(record.team, 0)
+    problem = ""
+    if record.base != base:
+        problem = f"conflict: {record.team} changed at revision {base} meanwhile"
+    else:
+        problem = _problem(state, record.team, record.text)
+    if problem:
+        _note(state, offset, record, "refused")
+        _end_pending(state, record.id, False, ids.Revision(base), problem, out)
+        return False
+    documents = dict(revisions.documents)
+    documents[record.team] = record.text
+    revisions.changed[record.team] = offset + 1
+    _put_in_force(state, documents, ids.Revision(offset + 1), out)
+    _note(state, offset, record, "accepted")
+    _end_pending(state, record.id, True, revisions.revision, "", out)
+    return True
+
+
+def on_snapshot(
+    state: states.State, snapshot: messages.ConfigSnapshot, out: states.Effects
+) -> bool:
+    """Take in a snapshot of the log or a difference sent by a peer.
+
+    :return: whether a new revision is in force.
+    """
+    revisions = state.revisions
+    revisions.snapshot_at = state.now
+    changed = False
+    if snapshot.revision > revisions.revision:
+        changed = _adopt(state, snapshot, out)
+        if not changed:
+            return False
+    revisions.based = True
+    undecided = list(revisions.undecided)
+    revisions.undecided.clear()
+    for offset, record in undecided:
+        changed |= on_publish(state, offset, record, out)
+    return changed
+
+
+def snapshot(state: states.State, *, since: int) -> messages.ConfigSnapshot:
+    """Return what changed after a revision, with the digest of the whole."""
+    revisions = state.revisions
+    documents = {
+        team: text
+        for team, text in revisions.documents.items()
+        if revisions.changed.get(team, 0) > since
+    }
+    return messages.ConfigSnapshot(
+        revision=revisions.revision,
+        documents=documents,
+        revisions=dict(revisions.changed),
+        digest=state.configuration.digest,
+    )
+
+
+def hear(
+    state: states.State, node: ids.NodeId, revision: ids.Revision, out: states.Effects
+) -> None:
+    """Fetch the configuration from a peer that has a later revision."""
+    revisions = state.revisions
+    if revision <= revisions.revision:
+        return
+    if state.now - revisions.fetched_at < FETCH_EVERY_MS:
+        return
+    member = state.membership.members.get(node)
+    if member is None:
+        return
+    revisions.fetched_at = state.now
+    out.append(
+        effects.FetchSnapshot(
+            node=node,
+            host=member.host,
+            port=member.peers_port,
+            since=revisions.revision,
+        )
+    )
+
+
+def check_waits(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    """Tell authors whose publication the log does not confirm in time."""
+    for publication in list(state.revisions.pending.values()):
+        if now - publication.since > PUBLISH_WAIT_MS:
+            del state.revisions.pending[publication.id]
+            _forget_append(state, publication.id)
+            problem = (
+                "the log did not confirm the publication in time; it may still"
+                " take effect: see `gingerturn config history`"
+            )
+            _end(out, publication.request, None, ids.Revision(0), problem)
+
+
+def keep_alive(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Append the accepted set anew before retention drops it.
+
+    The member with the lowest id does it. Where views differ two may; the second
+    record changes nothing.
+    """
+    revisions = state.revisions
+    if not revisions.based or revisions.revision == 0:
+        return
+    if now - revisions.snapshot_at < SNAPSHOT_EVERY_MS:
+        return
+    alive = [
+        member.node
+        for member in state.membership.members.values()
+        if member.state is messages.MemberState.ALIVE
+    ]
+    if alive and min(alive) != state.node:
+        return
+    revisions.snapshot_at = now
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream=streams.CONFIG,
+            record=messages.encode_record(snapshot(state, since=0)),
+        )
+    )
+
+
+def _adopt(
+    state: states.State, snapshot: messages.ConfigSnapshot, out: states.Effects
+) -> bool:
+    revisions = state.revisions
+    documents = {
+        team: text
+        for team, text in revisions.documents.items()
+        if team in snapshot.revisions
+    }
+    documents.update(snapshot.documents)
+    if configuration.digest_of(documents) != snapshot.digest:
+        outbox.warn(out, "config", f"Digest of revision {snapshot.revision} differs.")
+        return False
+    revisions.changed = dict(snapshot.revisions)
+    _put_in_force(state, documents, ids.Revision(snapshot.revision), out)
+    return True
+
+
+def _put_in_force(
+    state: states.State,
+    documents: dict[str, str],
+    revision: ids.Revision,
+    out: states.Effects,
+) -> None:
+    """Put a set of documents in force as a whole."""
+    if revision <= state.revisions.revision:
+        raise AssertionError(f"revision {revision} is not later than the present one")
+    state.configuration = configuration.Configuration(documents)
+    state.revisions.documents = documents
+    state.revisions.revision = revision
+    outbox.info(out, "config", f"Revision {revision} is in force.")
+
+
+def _problem(state: states.State, team: str, text: str) -> str:
+    documents = dict(state.revisions.documents)
+    documents[team] = text
+    try:
+        configuration.Configuration(documents)
+    except errors.InvalidDocument as error:
+        return str(error)
+    return ""
+
+
+def _conflict(event: events.PublishRequested, base: int) -> str:
+    return (
+        f"conflict: base is {event.base}, but {event.team} last changed at revision"
+        f" {base}; read it, merge, and publish on base {base}"
+    )
+
+
+def _end_overtaken(
+    state: states.State,
+    offset: int,
+    record: messages.PublishRecord,
+    out: states.Effects,
+) -> None:
+    """Tell an author whose record was decided by the sender of a snapshot."""
+    changed = state.revisions.changed.get(record.team, 0)
+    if changed == offset + 1:
+        _end_pending(state, record.id, True, ids.Revision(changed), "", out)
+        return
+    problem = f"conflict or overtaken: {record.team} changed at revision {changed}"
+    _end_pending(state, record.id, None, ids.Revision(changed), problem, out)
+
+
+def _end_pending(
+    state: states.State,
+    record_id: str,
+    accepted: bool | None,
+    revision: ids.Revision,
+    problem: str,
+    out: states.Effects,
+) -> None:
+    publication = state.revisions.pending.pop(record_id, None)
+    if publication is None:
+        return
+    _forget_append(state, record_id)
+    _end(out, publication.request, accepted, revision, problem)
+    outcome = {True: "accepted", False: "refused", None: "unknown"}[accepted]
+    record = messages.AuditRecord(
+        at=state.now,
+        who=publication.author,
+        what="publish",
+        subject=publication.team,
+        outcome=outcome,
+        base=publication.base,
+        revision=revision,
+    )
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream=streams.AUDIT,
+            record=messages.encode_record(record),
+        )
+    )
+
+
+def _end(
+    out: states.Effects,
+    request: str,
+    accepted: bool | None,
+    revision: ids.Revision,
+    problem: str,
+) -> None:
+    out.append(
+        effects.PublishEnded(
+            request=request, accepted=accepted, revision=revision, problem=problem
+        )
+    )
+
+
+def _forget_append(state: states.State, record_id: str) -> None:
+    appends = state.revisions.appends
+    for append in [number for number, known in appends.items() if known == record_id]:
+        del appends[append]
+
+
+def _note(
+    state: states.State, offset: int, record: messages.PublishRecord, outcome: str
+) -> None:
+    history = state.revisions.history
+    history.append(
+        messages.AuditRecord(
+            at=record.at,
+            who=record.author,
+            what="publish",
+            subject=record.team,
+            outcome=outcome,
+            base=record.base,
+            revision=offset + 1 if outcome == "accepted" else 0,
+        )
+    )
+    del history[:-HISTORY]
+
+
+def _remember(revisions: states.Revisions, record_id: str) -> None:
+    revisions.seen[record_id] = True
+    if len(revisions.seen) > SEEN:
+        del revisions.seen[next(iter(revisions.seen))]
--- /dev/null
+++ b/src/gingerturn/internal/core/routing.py
@@ -0,0 +1,191 @@
+"""Choice of an upstream from what answers told, and outlier handling."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import messages, ranks, state as states
+
+LEVEL_FRESH_MS = 300.0
+"""A level counts as told for this long; three control windows."""
+
+FADE_STEP_MS = 100.0
+FADE_FIRST_STEP = ranks.BAND // 64
+"""Without news a level falls by 1/64 of a band, then twice that, each 100 ms: the
+first steps let few calls through to ask, and after about a second any level is
+gone, so that a silent upstream is never avoided for long."""
+
+FADE_MAX_STEPS = 16
+
+ZONE_PENALTY = 0.15
+"""Added to the occupancy of an upstream in another zone: calls stay in the zone
+until its upstreams are busier by 15 % of their limit, which bounds both the
+traffic between zones and the imbalance that staying may cause."""
+
+FAILURES_TO_EJECT = 5
+EJECT_MS = 5_000.0
+MAX_EJECTIONS = 6
+
+
+def faded(heard: states.HeardLevel, now: ids.Milliseconds) -> ids.Rank:
+    """Return what a level heard some time ago counts for now."""
+    silence = now - heard.heard - LEVEL_FRESH_MS
+    if silence <= 0 or heard.level <= 0:
+        return heard.level
+    steps = min(FADE_MAX_STEPS, int(silence / FADE_STEP_MS) + 1)
+    return ids.Rank(max(0, heard.level - FADE_FIRST_STEP * ((1 << steps) - 1)))
+
+
+def upstream_of(state: states.State, node: ids.NodeId) -> states.Upstream:
+    """Return what is known of an upstream; starts afresh for an unknown one."""
+    upstream = state.upstreams.get(node)
+    if upstream is None:
+        silent = states.HeardLevel(level=ranks.LOWEST, heard=state.now)
+        upstream = states.Upstream(node=node, own=silent, tree={})
+        state.upstreams[node] = upstream
+    return upstream
+
+
+def hear(
+    state: states.State,
+    node: ids.NodeId,
+    kind: str,
+    report: messages.LoadReport,
+) -> None:
+    """Take in the load report of an answer."""
+    upstream = upstream_of(state, node)
+    upstream.own.level = report.level
+    upstream.own.heard = state.now
+    tree = upstream.tree.get(kind)
+    if tree is None:
+        upstream.tree[kind] = states.HeardLevel(
+            level=report.tree_level, heard=state.now
+        )
+    else:
+        tree.level = report.tree_level
+        tree.heard = state.now
+    upstream.load = report.load
+    upstream.limit = report.limit
+    upstream.since_report = 0
+
+
+def levels(
+    state: states.State, upstream: states.Upstream, kind: str
+) -> tuple[ids.Rank, ids.Rank]:
+    """Return the own level and the tree level of an upstream, faded."""
+    tree = upstream.tree.get(kind)
+    tree_level = faded(tree, state.now) if tree else ranks.LOWEST
+    return faded(upstream.own, state.now), tree_level
+
+
+def takes(state: states.State, node: ids.NodeId, kind: str, rank: ids.Rank) -> bool:
+    """Tell whether an upstream is expected to take a call of this rank."""
+    upstream = state.upstreams.get(node)
+    if upstream is None:
+        return True
+    own, tree = levels(state, upstream, kind)
+    return rank >= own and ranks.deep_rank(rank) >= tree
+
+
+def candidates(state: states.State, service: ids.ServiceName) -> list[ids.NodeId]:
+    """Return the upstreams of a service that are neither suspected nor ejected.
+
+    At most the declared share is ejected: where more are, ejection is passed
+    over for all, since then the fault is more likely common to them.
+    """
+    nodes = state.membership.by_service.get(service, [])
+    if not nodes:
+        return nodes
+    suspected = state.membership.suspected
+    healthy = [
+        node for node in nodes if node not in suspected and not _ejected(state, node)
+    ]
+    share = state.configuration.service(service).eject_share
+    if len(nodes) - len(healthy) > share * len(nodes):
+        return nodes
+    return healthy
+
+
+def choose(
+    state: states.State,
+    nodes: list[ids.NodeId],
+    kind: str,
+    rank: ids.Rank,
+) -> ids.NodeId | None:
+    """Choose among upstreams: the less busy of two random ones that take it.
+
+    :return: ``None`` when every one sheds calls of this rank.
+    """
+    if not nodes:
+        return None
+    first = _draw(state, nodes, kind, rank)
+    if first is None:
+        return None
+    second = nodes[int(state.random.random() * len(nodes))]
+    if second == first or not takes(state, second, kind, rank):
+        return first
+    return min((first, second), key=lambda node: _occupancy(state, node))
+
+
+def lowest_level(state: states.State, service: ids.ServiceName, kind: str) -> ids.Rank:
+    """Return the lowest rank that some upstream of a service is expected to take,
+    the levels of the services below it included."""
+    lowest = ranks.HIGHEST
+    nodes = candidates(state, service)
+    for node in nodes:
+        upstream = state.upstreams.get(node)
+        if upstream is None:
+            return ranks.LOWEST
+        lowest = min(lowest, max(levels(state, upstream, kind)))
+        if lowest == ranks.LOWEST:
+            break
+    return lowest if nodes else ranks.LOWEST
+
+
+def note_success(state: states.State, node: ids.NodeId) -> None:
+    """Take in that an upstream answered."""
+    upstream = upstream_of(state, node)
+    upstream.failures = 0
+    upstream.ejections = 0
+
+
+def note_failure(state: states.State, node: ids.NodeId) -> bool:
+    """Take in that an upstream lost or failed a call.
+
+    :return: whether it was ejected by this.
+    """
+    upstream = upstream_of(state, node)
+    upstream.failures += 1
+    if upstream.failures < FAILURES_TO_EJECT:
+        return False
+    upstream.failures = 0
+    upstream.ejections = min(MAX_EJECTIONS, upstream.ejections + 1)
+    upstream.ejected_until = state.now + EJECT_MS * upstream.ejections
+    return True
+
+
+def _ejected(state: states.State, node: ids.NodeId) -> bool:
+    upstream = state.upstreams.get(node)
+    return upstream is not None and state.now < upstream.ejected_until
+
+
+def _draw(
+    state: states.State, nodes: list[ids.NodeId], kind: str, rank: ids.Rank
+) -> ids.NodeId | None:
+    """Return a random upstream that takes the call; tries all from there on."""
+    start = int(state.random.random() * len(nodes))
+    for offset in range(len(nodes)):
+        node = nodes[(start + offset) % len(nodes)]
+        if takes(state, node, kind, rank):
+            return node
+    return None
+
+
+def _occupancy(state: states.State, node: ids.NodeId) -> float:
+    """Return the expected share of the limit in use, with the zone's penalty."""
+    member = state.membership.members.get(node)
+    penalty = 0.0
+    if member is not None and member.zone != state.zone:
+        penalty = ZONE_PENALTY
+    upstream = state.upstreams.get(node)
+    if upstream is None:
+        return penalty
+    limit = upstream.limit or (member.slots if member else 0) or 1
+    return (upstream.load + upstream.since_report) / limit + penalty
--- /dev/null
+++ b/src/gingerturn/internal/core/state.py
@@ -0,0 +1,359 @@
+"""The state of one node, changed only by the reducer."""
+
+import enum
+import random
+
+import msgspec
+
+from gingerturn import configuration
+from gingerturn.internal import ids
+from gingerturn.internal.core import allowance, decisions, effects, messages, ranks
+
+
+class Call(msgspec.Struct):
+    """A call that this node accepted from a caller and has not yet answered.
+
+    Invariant: ``tokens`` are those held here; those of ``attempt`` are not
+    among them.
+
+    :param parent: the hosted call on whose behalf the backend server calls.
+    :param tried: upstreams that refused or lost this call.
+    :param first: nothing of this request can have run so far; set to ``False``
+        as soon as that is not certain, and never back.
+    """
+
+    id: ids.CallId
+    rule: configuration.KindRule
+    service: ids.ServiceName
+    importance: int
+    depth: int
+    root: ids.RootHash
+    rank: ids.Rank
+    deadline: ids.Milliseconds
+    tokens: int
+    trace: str
+    key: str
+    key_derived: bool
+    replayable: bool
+    arrived: ids.Milliseconds
+    parent: ids.HostedId | None = None
+    attempt: ids.AttemptId | None = None
+    attempts: int = 0
+    redirects: int = 0
+    first: bool = True
+    tried: list[ids.NodeId] = []
+
+
+class Attempt(msgspec.Struct):
+    """One sending of a call, until its answer or its loss."""
+
+    id: ids.AttemptId
+    call: ids.CallId
+    node: ids.NodeId
+    tokens: int
+
+
+class HostedState(enum.Enum):
+    """States of a call at its home node."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    STREAMING = "streaming"
+    WAITING = "waiting"
+
+
+class Hosted(msgspec.Struct):
+    """A call at its home node.
+
+    Invariant: it occupies a slot exactly in the states CLAIMING, RUNNING and
+    STREAMING.
+
+    :param orphaned: the entry node gave up, but the call may not be cancelled.
+    """
+
+    id: ids.HostedId
+    sender: ids.NodeId
+    terms: messages.CallTerms
+    rank: ids.Rank
+    deadline: ids.Milliseconds
+    tokens: int
+    arrived: ids.Milliseconds
+    state: HostedState = HostedState.QUEUED
+    span: ids.SpanId = ids.SpanId("")
+    started: ids.Milliseconds = 0.0
+    orphaned: bool = False
+    decision: str = ""
+    children: dict[str, int] = {}
+
+
+class Window(msgspec.Struct):
+    """What one control window saw at admission."""
+
+    ranks: list[int] = []
+    handed: int = 0
+    shed: int = 0
+    busy_ms: float = 0.0
+    emptied: bool = False
+
+
+class ServiceTime(msgspec.Struct):
+    """Observed time of one kind at the backend server."""
+
+    mean_ms: float
+    measured: ids.Milliseconds
+
+
+class Backend(msgspec.Struct):
+    """The backend server beside this node, and admission to it.
+
+    Invariants: ``0 <= running``; the queue is sorted by (rank, arrival) and is
+    only longer than zero while ``running >= limit``.
+
+    :param queue: (rank, negative arrival number, hosted id), lowest first.
+    """
+
+    service: ids.ServiceName = ids.ServiceName("")
+    host: str = ""
+    port: int = 0
+    slots: int = 0
+    expires: ids.Milliseconds = 0.0
+    present: bool = False
+    leaving: bool = False
+    limit: float = 1.0
+    slow_start: bool = False
+    running: int = 0
+    queue: list[tuple[int, int, ids.HostedId]] = []
+    level: ids.Rank = ranks.LOWEST
+    windows: list[Window] = msgspec.field(default_factory=lambda: [Window()])
+    running_since: ids.Milliseconds = 0.0
+    last_cut: ids.Milliseconds = 0.0
+    times: dict[str, ServiceTime] = {}
+    failures: int = 0
+    unreachable_until: ids.Milliseconds = 0.0
+
+
+class HeardLevel(msgspec.Struct):
+    """A level that an answer told, and when."""
+
+    level: ids.Rank
+    heard: ids.Milliseconds
+
+
+class Upstream(msgspec.Struct):
+    """What this node knows of an upstream that it has called.
+
+    :param outstanding: attempts of this node in flight there.
+    :param since_report: attempts sent since the last load report.
+    """
+
+    node: ids.NodeId
+    own: HeardLevel
+    tree: dict[str, HeardLevel] = {}
+    load: int = 0
+    limit: int = 0
+    outstanding: int = 0
+    since_report: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: ids.Milliseconds = 0.0
+
+
+class Probe(msgspec.Struct):
+    """A ping whose acknowledgement is awaited."""
+
+    node: ids.NodeId
+    sent: ids.Milliseconds
+    indirect: bool = False
+    for_host: str = ""
+    for_port: int = 0
+    for_sequence: int = 0
+
+
+class Membership(msgspec.Struct):
+    """The members as this node knows them.
+
+    :param by_service: live members offering a service.
+    :param rumours: how often an update may still be passed on.
+    """
+
+    me: messages.Member | None = None
+    members: dict[str, messages.Member] = {}
+    by_service: dict[str, list[ids.NodeId]] = {}
+    rumours: dict[str, int] = {}
+    probes: dict[int, Probe] = {}
+    suspected: dict[str, ids.Milliseconds] = {}
+    gone: dict[str, ids.Milliseconds] = {}
+    order: list[str] = []
+    sequence: int = 0
+    heard: dict[str, ids.Milliseconds] = {}
+    revisions: dict[str, int] = {}
+
+
+class Stream(msgspec.Struct):
+    """Where this node stands in a stream of the log.
+
+    :param fresh: when the last successful read began to be answered.
+    :param covered_from: keys minted before this may have been claimed in records
+        that this node missed.
+    """
+
+    name: str
+    offset: int = 0
+    reading: bool = False
+    failures: int = 0
+    retry_at: ids.Milliseconds = 0.0
+    fresh: ids.Milliseconds = -1.0
+    caught_up: bool = False
+    covered_from: ids.Milliseconds = 0.0
+
+
+class KeyPhase(enum.Enum):
+    """What this node knows of a key."""
+
+    CLAIMING = "claiming"
+    OURS_IDLE = "ours-idle"
+    OURS_RUNNING = "ours-running"
+    OURS_DONE = "ours-done"
+    FOREIGN = "foreign"
+
+
+class KeyEntry(msgspec.Struct):
+    """One key of an unrepeatable call at its home node.
+
+    Invariant: HandOver is only ever emitted on the change to OURS_RUNNING, and
+    no change leads from OURS_DONE to another phase. From OURS_RUNNING the only
+    way back is a failure before one byte was written to the backend server.
+
+    :param claim: this node's own claim.
+    :param holder: the node whose claim came first, as ``node/incarnation``.
+    :param certain: the run ended with an answer; otherwise its end is not known.
+    """
+
+    key: str
+    phase: KeyPhase
+    since: ids.Milliseconds
+    claim: str = ""
+    holder: str = ""
+    hosted: ids.HostedId | None = None
+    waiters: list[ids.HostedId] = []
+    kept: bool = False
+    certain: bool = True
+
+
+class Publication(msgspec.Struct):
+    """A publication that this node appended and whose fate is not yet read."""
+
+    request: str
+    id: str
+    team: ids.TeamName
+    author: str
+    base: ids.Revision
+    since: ids.Milliseconds
+
+
+class Revisions(msgspec.Struct):
+    """The configuration in force.
+
+    Invariant: ``revision`` never goes down.
+
+    :param changed: revision at which each team's document last changed.
+    :param seen: ids of publications already decided, newest last.
+    :param based: the accepted set is complete up to ``revision``; a reader that
+        begins in a log trimmed by retention is not, until it has a snapshot.
+    :param undecided: publications read before that, decided after it.
+    """
+
+    revision: ids.Revision = ids.Revision(0)
+    documents: dict[str, str] = {}
+    changed: dict[str, int] = {}
+    seen: dict[str, bool] = {}
+    pending: dict[str, Publication] = {}
+    appends: dict[int, str] = {}
+    history: list[messages.AuditRecord] = []
+    based: bool = False
+    undecided: list[tuple[int, messages.PublishRecord]] = []
+    snapshot_at: ids.Milliseconds = 0.0
+    fetched_at: ids.Milliseconds = 0.0
+
+
+class State:
+    """The whole state of one node.
+
+    :param node: this node's id.
+    :param decision_count: records kept in each ring of decisions.
+    """
+
+    def __init__(self, *, node: ids.NodeId, seed: int, decision_count: int) -> None:
+        self.node = node
+        self.random = random.Random(seed)
+        self.incarnation = ids.Incarnation(0)
+        self.zone = ""
+        self.region = ""
+        self.now: ids.Milliseconds = 0.0
+        self.configuration = configuration.Configuration({})
+        self.calls: dict[ids.CallId, Call] = {}
+        self.attempts: dict[ids.AttemptId, Attempt] = {}
+        self.hosted: dict[ids.HostedId, Hosted] = {}
+        self.spans: dict[ids.SpanId, ids.HostedId] = {}
+        self.backend = Backend()
+        self.upstreams: dict[ids.NodeId, Upstream] = {}
+        self.budgets: dict[ids.ServiceName, allowance.Budget] = {}
+        self.children_of: dict[str, dict[tuple[str, str], ids.Milliseconds]] = {}
+        self.deadlines: list[tuple[ids.Milliseconds, int, int]] = []
+        self.membership = Membership()
+        self.streams: dict[str, Stream] = {}
+        self.keys: dict[str, KeyEntry] = {}
+        self.claim_keys: dict[str, str] = {}
+        self.claim_batch: list[messages.ClaimRecord] = []
+        self.appends: dict[int, list[str]] = {}
+        self.revisions = Revisions()
+        self.decisions = decisions.DecisionLog(node=node, size=decision_count)
+        self.timers: list[Timer] = []
+        self.stopping = False
+        self.stopped = False
+        self.stop_after: ids.Milliseconds = 0.0
+        self.seeds: tuple[str, ...] = ()
+        self.counter = 0
+
+    def __repr__(self) -> str:
+        return (
+            f"State(node={self.node!r}, calls={len(self.calls)},"
+            f" hosted={len(self.hosted)}, revision={self.revisions.revision})"
+        )
+
+    def next_number(self) -> int:
+        """Return a number never given before in this incarnation."""
+        self.counter += 1
+        return self.counter
+
+    def next_span(self) -> ids.SpanId:
+        """Return a fresh span id."""
+        return ids.SpanId(f"{self.random.getrandbits(64) | 1:016x}")
+
+    def dump(self) -> bytes:
+        """Return the state as JSON, for people and for comparing two replays."""
+        parts = {
+            name: value for name, value in vars(self).items() if name not in _NOT_DUMPED
+        }
+        parts["digest"] = self.configuration.digest
+        return msgspec.json.encode(parts, order="deterministic", enc_hook=_dumped)
+
+
+class Timer(msgspec.Struct):
+    """A part's subscription to the timer service."""
+
+    name: str
+    period: ids.Milliseconds
+    due: ids.Milliseconds
+
+
+_NOT_DUMPED = frozenset({"random", "configuration", "decisions", "children_of"})
+
+
+def _dumped(value: object) -> object:
+    return repr(value)
+
+
+Effects = list[effects.Effect]
+"""The effects of one event, in the order in which they are to be carried out."""
--- /dev/null
+++ b/src/gingerturn/internal/core/streams.py
@@ -0,0 +1,76 @@
+"""Following streams of the log, within a budget of reads."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import effects, outbox, state as states
+
+READS_PER_SECOND = 100.0
+"""Reads of the configuration and member streams by all nodes together. One node
+that reads tells the others by gossip, so more readers would not make a change
+known sooner; each node's own pause grows with the number of members."""
+
+RETRY_FIRST_MS = 200.0
+RETRY_MAX_MS = 10_000.0
+
+CONFIG = "config"
+MEMBERS = "members"
+AUDIT = "audit"
+
+
+def follow(state: states.State, name: str, out: states.Effects) -> None:
+    """Begin to follow a stream, from the oldest record still held."""
+    if name in state.streams:
+        return
+    stream = states.Stream(name=name)
+    state.streams[name] = stream
+    _read(stream, out)
+
+
+def advance(
+    state: states.State, stream: states.Stream, *, first: int, count: int, end: int
+) -> bool:
+    """Take in where a read ended.
+
+    :return: whether records were missed since the last read.
+    """
+    gap = stream.caught_up and first > stream.offset
+    stream.reading = False
+    stream.failures = 0
+    stream.offset = max(stream.offset, first + count)
+    stream.fresh = state.now
+    if stream.offset >= end:
+        stream.caught_up = True
+    if gap:
+        stream.covered_from = state.now
+    pause = _pause(state, stream)
+    stream.retry_at = state.now + pause
+    return gap
+
+
+def failed(state: states.State, stream: states.Stream, out: states.Effects) -> None:
+    """Take in a failed read; back off with jitter so that the log's return is not
+    met by all nodes at once."""
+    stream.reading = False
+    stream.failures += 1
+    if stream.failures == 1:
+        outbox.warn(out, "log", f"Stream {stream.name} cannot be read.")
+    longest = min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** min(stream.failures, 8))
+    stream.retry_at = state.now + longest * (0.5 + 0.5 * state.random.random())
+
+
+def resume(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Read each stream again whose pause is over."""
+    for stream in state.streams.values():
+        if not stream.reading and now >= stream.retry_at:
+            _read(stream, out)
+
+
+def _read(stream: states.Stream, out: states.Effects) -> None:
+    stream.reading = True
+    out.append(effects.ReadLog(stream=stream.name, offset=stream.offset))
+
+
+def _pause(state: states.State, stream: states.Stream) -> ids.Milliseconds:
+    if not stream.caught_up or stream.name.startswith("claims."):
+        return 0.0
+    members = len(state.membership.members)
+    return 1_000.0 * members / READS_PER_SECOND * state.random.random()
--- /dev/null
+++ b/src/gingerturn/internal/core/trace.py
@@ -0,0 +1,83 @@
+"""Recording the events of a node and replaying them to the same effects."""
+
+import collections.abc
+import hashlib
+import typing
+
+import msgspec
+
+from gingerturn import errors
+from gingerturn.internal.core import effects, events, reducer
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[events.AnyEvent] = msgspec.msgpack.Decoder(
+    events.AnyEvent
+)
+
+
+class Recorder:
+    """Writes each event to a file as it is applied.
+
+    :param target: a binary file that the caller opened and closes.
+    """
+
+    def __init__(self, target: typing.BinaryIO) -> None:
+        self._target = target
+
+    def record(self, event: events.Event) -> None:
+        """Write one event: its length (4 bytes), then the event."""
+        content = _ENCODER.encode(event)
+        self._target.write(len(content).to_bytes(4, "big") + content)
+
+
+def read(source: typing.BinaryIO) -> collections.abc.Iterator[events.AnyEvent]:
+    """Yield the events of a recorded trace.
+
+    A last event that was cut off, since the process was killed while writing, ends
+    the trace.
+    """
+    while len(length := source.read(4)) == 4:
+        content = source.read(int.from_bytes(length, "big"))
+        if len(content) < int.from_bytes(length, "big"):
+            return
+        try:
+            yield _DECODER.decode(content)
+        except msgspec.ValidationError as error:
+            raise errors.InvalidArgument(
+                f"the trace holds no event of this version: {error}",
+                step="read a trace",
+            ) from None
+
+
+def replay(
+    recorded: collections.abc.Iterable[events.Event],
+) -> collections.abc.Iterator[tuple[events.Event, list[effects.Effect]]]:
+    """Yield each event with the effects that it has.
+
+    :raises InvalidArgument: when the trace does not begin with the start of a node.
+    """
+    state = None
+    for event in recorded:
+        if state is None:
+            if not isinstance(event, events.Started):
+                raise errors.InvalidArgument(
+                    "the trace does not begin with the start of a node",
+                    step="replay a trace",
+                )
+            state = reducer.new_state(event)
+        yield event, reducer.reduce(state, event)
+
+
+def digest(
+    replayed: collections.abc.Iterable[tuple[events.Event, list[effects.Effect]]],
+) -> str:
+    """Return the digest of every effect, equal exactly for equal effects."""
+    running = hashlib.blake2b(digest_size=16)
+    for _, out in replayed:
+        running.update(encode_effects(out))
+    return running.hexdigest()
+
+
+def encode_effects(out: list[effects.Effect]) -> bytes:
+    """Return effects as bytes."""
+    return _ENCODER.encode(out)
--- /dev/null
+++ b/src/gingerturn/internal/ids.py
@@ -0,0 +1,47 @@
+"""The typed identifiers and units used through the whole program."""
+
+import typing
+
+NodeId = typing.NewType("NodeId", str)
+ServiceName = typing.NewType("ServiceName", str)
+KindName = typing.NewType("KindName", str)
+TeamName = typing.NewType("TeamName", str)
+
+CallId = typing.NewType("CallId", int)
+"""A call that a node accepted from a caller; unique within one incarnation."""
+
+AttemptId = typing.NewType("AttemptId", int)
+"""One sending of a call to one upstream; unique within one incarnation."""
+
+HostedId = typing.NewType("HostedId", int)
+"""A call that a node holds for its own backend server."""
+
+RootHash = typing.NewType("RootHash", int)
+"""64 bits that are the same at every hop of one whole request."""
+
+SpanId = typing.NewType("SpanId", str)
+"""The 16 hexadecimal digits of a span in a W3C ``traceparent``."""
+
+Key = typing.NewType("Key", str)
+"""What a caller sends in ``Idempotency-Key``."""
+
+ClaimId = typing.NewType("ClaimId", str)
+Incarnation = typing.NewType("Incarnation", int)
+Revision = typing.NewType("Revision", int)
+"""Revision of the configuration; 0 is the state before the first one."""
+
+Rank = typing.NewType("Rank", int)
+"""The place of a call in the shedding order; see :mod:`.core.ranks`."""
+
+Milliseconds = float
+"""Times and durations: milliseconds, since the Unix epoch for points in time."""
+
+
+class Address(typing.NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/gingerturn/internal/shell/admin.py
@@ -0,0 +1,384 @@
+"""The administration API: litestar on uvicorn, on an address of its own.
+
+Calls never pass through it: each of these layers costs more than the whole bound
+on the time added to a call.
+"""
+
+import collections.abc
+import contextlib
+import hashlib
+import hmac
+import ipaddress
+import typing
+
+import litestar
+import msgspec
+import uvicorn
+from litestar import exceptions, openapi, params, response as responses
+
+from gingerturn import configuration, errors
+from gingerturn.internal import checks, ids, logs
+from gingerturn.internal.core import (
+    decisions,
+    events,
+    messages,
+    ranks,
+    routing,
+)
+from gingerturn.internal.shell import clock, node as nodes
+
+PAGE = 100
+MAX_PAGE = 1_000
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+_PART = "admin"
+
+
+class Announcement(msgspec.Struct, forbid_unknown_fields=True):
+    """What a backend server says of itself to its own node.
+
+    :param cold: it has just started and is to be loaded slowly.
+    :param load: calls in progress as it counts them; a hint only.
+    :param ttl_ms: it is withdrawn when not renewed within this time.
+    """
+
+    service: str
+    host: str
+    port: int
+    slots: int
+    connections: int = 0
+    cold: bool = False
+    load: int = -1
+    ttl_ms: float = 10_000.0
+
+
+class MemberRow(msgspec.Struct):
+    """A member as this node knows it."""
+
+    node: str
+    state: str
+    zone: str
+    address: str
+    service: str
+    slots: int
+    incarnation: int
+    level: str
+    load: int
+    limit: int
+
+
+class BackendRow(msgspec.Struct):
+    """The backend server beside this node."""
+
+    service: str
+    present: bool
+    leaving: bool
+    slots: int
+    limit: float
+    running: int
+    queued: int
+    level: int
+    level_words: str
+
+
+class Status(msgspec.Struct):
+    """What ``gingerturn status`` prints."""
+
+    node: str
+    incarnation: int
+    zone: str
+    stopping: bool
+    revision: int
+    digest: str
+    calls: int
+    hosted: int
+    backend: BackendRow
+    members: list[MemberRow]
+    answered: int
+    refused: dict[str, int]
+    durations_us: dict[str, float]
+
+
+class Publication(msgspec.Struct, forbid_unknown_fields=True):
+    """A request to publish a team's document."""
+
+    author: str
+    base: int
+    text: str
+
+
+class PublicationResult(msgspec.Struct):
+    """How a publication ended; ``accepted`` is null when that is not known."""
+
+    accepted: bool | None
+    revision: int
+    problem: str
+
+
+class ConfigurationView(msgspec.Struct):
+    """The configuration in force."""
+
+    revision: int
+    digest: str
+    documents: dict[str, str]
+    changed: dict[str, int]
+
+
+class Administration:
+    """The handlers of one node's API.
+
+    :param node: the node.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        self._node = node
+
+    def application(self) -> litestar.Litestar:
+        """Return the application."""
+        handlers = [
+            litestar.get("/status", sync_to_thread=False)(self.status),
+            litestar.get("/why/{decision_id:str}")(self.why),
+            litestar.get("/audit")(self.audit),
+            litestar.get("/config", sync_to_thread=False)(self.config),
+            litestar.get("/config/history", sync_to_thread=False)(self.history),
+            litestar.post("/config/{team:str}", status_code=200)(self.publish),
+            litestar.put("/backend", sync_to_thread=False, status_code=204)(
+                self.announce
+            ),
+            litestar.delete("/backend", sync_to_thread=False)(self.withdraw),
+            litestar.post("/drain", sync_to_thread=False, status_code=202)(self.drain),
+        ]
+        return litestar.Litestar(
+            route_handlers=handlers,
+            exception_handlers={Exception: _problem},
+            openapi_config=openapi.OpenAPIConfig(
+                title="gingerturn administration", version="1"
+            ),
+            logging_config=None,
+        )
+
+    def status(self) -> Status:
+        """Return the state of the node and of the members it knows."""
+        state = self._node.state
+        backend = state.backend
+        counters = self._node.counters
+        return Status(
+            node=self._node.name,
+            incarnation=self._node.incarnation,
+            zone=state.zone,
+            stopping=state.stopping,
+            revision=state.revisions.revision,
+            digest=state.configuration.digest,
+            calls=len(state.calls),
+            hosted=len(state.hosted),
+            backend=BackendRow(
+                service=backend.service,
+                present=backend.present,
+                leaving=backend.leaving,
+                slots=backend.slots,
+                limit=backend.limit,
+                running=backend.running,
+                queued=len(backend.queue),
+                level=backend.level,
+                level_words=ranks.describe(backend.level),
+            ),
+            members=[self._member(m) for m in state.membership.members.values()],
+            answered=counters.answered,
+            refused=counters.refused,
+            durations_us={
+                f"p{p:g}": self._node.durations.get_value_at_percentile(p)
+                for p in PERCENTILES
+            },
+        )
+
+    async def why(self, decision_id: str) -> decisions.Decision:
+        """Return a decision, from whichever node holds it."""
+        found = await self._node.why(decision_id)
+        if found is None:
+            raise exceptions.NotFoundException(
+                f"decision {decision_id!r} is not held (any more)"
+            )
+        return found
+
+    async def audit(
+        self,
+        team: str = "",
+        since_ms: float = 0.0,
+        limit: typing.Annotated[int, params.Parameter(ge=1, le=MAX_PAGE)] = PAGE,
+        page: typing.Annotated[int, params.Parameter(ge=1)] = 1,
+    ) -> list[messages.AuditRecord]:
+        """Return the trail of changes, newest last."""
+        records = [
+            record
+            for record in await self._node.audit()
+            if record.at >= since_ms and team in {"", record.subject}
+        ]
+        return records[(page - 1) * limit : page * limit]
+
+    def config(self) -> ConfigurationView:
+        """Return the configuration in force."""
+        held = self._node.state.revisions
+        return ConfigurationView(
+            revision=held.revision,
+            digest=self._node.state.configuration.digest,
+            documents=held.documents,
+            changed=held.changed,
+        )
+
+    def history(self) -> list[messages.AuditRecord]:
+        """Return the publications that this node saw decided."""
+        return self._node.state.revisions.history
+
+    async def publish(
+        self,
+        team: str,
+        data: Publication,
+        request: litestar.Request[typing.Any, typing.Any, typing.Any],
+    ) -> PublicationResult:
+        """Publish a team's document."""
+        checks.check_name("team", team)
+        self._check_token(team, request.headers.get("authorization", ""))
+        configuration.parse(data.text, f"{team}.toml")
+        ended = await self._node.publish(
+            team=ids.TeamName(team),
+            author=data.author,
+            base=ids.Revision(data.base),
+            text=data.text,
+        )
+        return PublicationResult(
+            accepted=ended.accepted, revision=ended.revision, problem=ended.problem
+        )
+
+    def announce(
+        self,
+        data: Announcement,
+        request: litestar.Request[typing.Any, typing.Any, typing.Any],
+    ) -> None:
+        """Announce or renew the backend server beside this node."""
+        self._check_beside(request)
+        checks.check_name("service", data.service)
+        checks.check_ip("host", data.host)
+        checks.check_port("port", data.port)
+        checks.check_range("slots", data.slots, 1, 100_000)
+        checks.check_range("ttl_ms", data.ttl_ms, 100, 3_600_000)
+        self._node.apply(
+            events.BackendAnnounced(
+                now=clock.now(),
+                service=ids.ServiceName(data.service),
+                host=data.host,
+                port=data.port,
+                slots=data.slots,
+                connections=data.connections,
+                cold=data.cold,
+                load=data.load,
+                ttl_ms=data.ttl_ms,
+            )
+        )
+
+    def withdraw(
+        self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Withdraw the backend server: it takes no new work from here on."""
+        self._check_beside(request)
+        self._node.apply(events.BackendWithdrawn(now=clock.now()))
+
+    def drain(
+        self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Begin a planned stop of this node."""
+        self._check_beside(request)
+        self._node.apply(events.StopRequested(now=clock.now()))
+
+    def _member(self, member: messages.Member) -> MemberRow:
+        upstream = self._node.state.upstreams.get(member.node)
+        level = 0
+        if upstream is not None:
+            level = routing.faded(upstream.own, clock.now())
+        return MemberRow(
+            node=member.node,
+            state=member.state.name.lower(),
+            zone=member.zone,
+            address=f"{member.host}:{member.peers_port}",
+            service=member.service,
+            slots=member.slots,
+            incarnation=member.incarnation,
+            level=ranks.describe(level),
+            load=upstream.load if upstream else 0,
+            limit=upstream.limit if upstream else 0,
+        )
+
+    def _check_beside(
+        self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Only processes of the same instance speak for its backend server."""
+        client = request.client.host if request.client else ""
+        own = self._node.settings.node.host
+        if client == own or ipaddress.ip_address(client or "0.0.0.0").is_loopback:
+            return
+        logs.write("WARNING", _PART, f"Refused an act of {client}.")
+        raise exceptions.PermissionDeniedException(
+            "only a process of the same instance may do this"
+        )
+
+    def _check_token(self, team: str, authorization: str) -> None:
+        teams = {known.name: known for known in self._node.settings.team}
+        if not teams:
+            # A network of one team needs no tokens; then the address is the guard.
+            return
+        digest = hashlib.sha256(authorization.removeprefix("Bearer ").encode())
+        expected = teams[team].token_sha256 if team in teams else ""
+        if hmac.compare_digest(digest.hexdigest(), expected):
+            return
+        logs.write("WARNING", _PART, f"Refused a publication for team {team}.")
+        raise exceptions.PermissionDeniedException(
+            f"the token is not one of team {team!r}"
+        )
+
+
+def _problem(
+    request: litestar.Request[typing.Any, typing.Any, typing.Any], error: Exception
+) -> responses.Response[dict[str, typing.Any]]:
+    """Return any error as an RFC 9457 problem."""
+    status = 500
+    detail = str(error)
+    if isinstance(error, exceptions.HTTPException):
+        status = error.status_code
+        detail = error.detail
+        extra = getattr(error, "extra", None)
+        if extra:
+            detail = f"{detail}: {extra}"
+    elif isinstance(error, errors.InvalidArgument | errors.InvalidDocument):
+        status = 400
+    elif isinstance(error, errors.GingerturnError):
+        status = 502
+    if status == 500:
+        logs.write("ERROR", _PART, f"{type(error).__name__}: {error}")
+    return responses.Response(
+        {"type": "about:blank", "status": status, "title": detail},
+        status_code=status,
+        media_type="application/problem+json",
+    )
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Generator[None, None, None]:
+        """Capture none."""
+        yield
+
+
+def server(node: "nodes.Node") -> uvicorn.Server:
+    """Return the server of a node's administration API."""
+    place = node.settings.node
+    return _Server(
+        uvicorn.Config(
+            Administration(node).application(),
+            host=place.host,
+            port=place.admin_port,
+            log_level="warning",
+            access_log=False,
+            lifespan="off",
+            timeout_graceful_shutdown=1,
+        )
+    )
--- /dev/null
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -0,0 +1,253 @@
+"""Exchanges with the backend server beside this node, over HTTP/1.1."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+import httptools
+
+from gingerturn.internal.shell import heads
+
+IDLE_MS = 3_000.0
+"""An idle connection is closed after 3 s, before common backend servers close it
+from their side (5 s): a call written to a connection that is being closed has an
+unknown outcome."""
+
+CONNECT_TIMEOUT_S = 1.0
+BODILESS = frozenset({204, 304})
+
+
+class Receiver(typing.Protocol):
+    """What an exchange tells the node."""
+
+    def on_head(self, status: int, head: bytes, length: int) -> None:
+        """Take the head; ``length`` is -1 when it is not announced."""
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+
+    def on_end(self) -> None:
+        """Take the end of a whole answer."""
+
+    def on_failure(self, *, handed: bool) -> None:
+        """Take a failure; nothing more follows."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection to the backend server, for one exchange at a time.
+
+    Invariant: it goes back to the pool only after a whole answer with nothing left
+    over; a cancelled or failed exchange closes it.
+
+    :param pool: where it goes back to.
+    """
+
+    def __init__(self, pool: "Pool") -> None:
+        self._pool = pool
+        self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
+        self._parser: typing.Any = None
+        self._receiver: Receiver | None = None
+        self._head_only = False
+        self._informational = False
+        self._headers: list[heads.Header] = []
+        self._reusable = False
+        self._chunked = False
+        self._written = False
+        self._on_writable: list[collections.abc.Callable[[], None]] = []
+        self.write_paused = False
+        self.idle_since = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether a new exchange may begin on it."""
+        return not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the new connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the exchange that it failed."""
+        self._pool.discard(self)
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.on_failure(handed=self._written)
+
+    def begin(
+        self, receiver: Receiver, head: bytes, body: bytes, *, head_only: bool
+    ) -> None:
+        """Begin an exchange: write the head and what there is of the body."""
+        self._receiver = receiver
+        self._parser = httptools.HttpResponseParser(self)
+        self._head_only = head_only
+        self._informational = False
+        self._chunked = b"\ntransfer-encoding: chunked\r\n" in head
+        self._written = True
+        self._transport.write(head + b"\r\n")
+        if body:
+            self.write(body)
+
+    def write(self, body: bytes) -> None:
+        """Write a piece of a long body."""
+        if self._chunked:
+            self._transport.write(b"%x\r\n%b\r\n" % (len(body), body))
+        else:
+            self._transport.write(body)
+
+    def write_end(self) -> None:
+        """End a long body."""
+        if self._chunked:
+            self._transport.write(b"0\r\n\r\n")
+
+    def pause_writing(self) -> None:
+        """Note that the backend server reads slowly."""
+        self.write_paused = True
+
+    def resume_writing(self) -> None:
+        """Run what waited for the backend server to read."""
+        self.write_paused = False
+        waiting, self._on_writable = self._on_writable, []
+        for function in waiting:
+            function()
+
+    def when_writable(self, function: collections.abc.Callable[[], None]) -> None:
+        """Run a function once the backend server has read what was written."""
+        self._on_writable.append(function)
+
+    def pause(self) -> None:
+        """Stop reading until :meth:`resume`."""
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def abandon(self) -> None:
+        """Close the connection; the backend server takes that as cancellation."""
+        self._receiver = None
+        self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._receiver is None:
+            # Bytes that belong to no exchange: never read them as an answer.
+            self._transport.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._fail()
+
+    # Callbacks of the parser, which names them.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Gather a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on."""
+        status = self._parser.get_status_code()
+        self._informational = status < 200
+        if self._informational or self._receiver is None:
+            return
+        lengths = [value for n, value in self._headers if n == b"content-length"]
+        chunked = any(n == b"transfer-encoding" for n, _ in self._headers)
+        bodiless = self._head_only or status in BODILESS
+        if len(set(lengths)) > 1 or not (lengths or chunked or bodiless):
+            # Without framing the end of the answer could not be told from a cut.
+            self._fail()
+            return
+        self._reusable = self._parser.should_keep_alive()
+        head = heads.status_line(status) + heads.passed_on(self._headers)
+        if self._head_only and lengths:
+            head += b"content-length: %b\r\n" % lengths[0]
+        length = int(lengths[0]) if lengths and not chunked else -1
+        self._receiver.on_head(status, head, 0 if bodiless else length)
+        if self._head_only:
+            self._reusable = False
+            self._end()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a piece of the body on."""
+        if self._receiver is not None and not self._informational:
+            self._receiver.on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End the exchange."""
+        if not self._informational and self._receiver is not None:
+            self._end()
+
+    def _end(self) -> None:
+        receiver, self._receiver = self._receiver, None
+        if self._reusable:
+            self._pool.put(self)
+        else:
+            self._transport.close()
+        if receiver is not None:
+            receiver.on_end()
+
+    def _fail(self) -> None:
+        receiver, self._receiver = self._receiver, None
+        self._transport.abort()
+        if receiver is not None:
+            receiver.on_failure(handed=True)
+
+
+class Pool:
+    """Connections to one backend server."""
+
+    def __init__(self) -> None:
+        self._idle: collections.deque[Connection] = collections.deque()
+        self._address = ("", 0)
+
+    def use(self, host: str, port: int) -> None:
+        """Point the pool at an address; connections to another one are closed."""
+        if self._address == (host, port):
+            return
+        self._address = (host, port)
+        while self._idle:
+            self._idle.pop().abandon()
+
+    def take(self) -> Connection | None:
+        """Return an idle connection, the one used last first."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+        return None
+
+    async def connect(self) -> Connection:
+        """Open a connection.
+
+        :raises OSError: when it cannot be opened in time.
+        """
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, protocol = await loop.create_connection(
+                lambda: Connection(self), host, port
+            )
+        return protocol
+
+    def put(self, connection: Connection) -> None:
+        """Take a connection back."""
+        connection.idle_since = asyncio.get_running_loop().time() * 1000.0
+        self._idle.append(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """Forget a lost connection."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close_idle(self) -> None:
+        """Close what has been idle for long."""
+        horizon = asyncio.get_running_loop().time() * 1000.0 - IDLE_MS
+        while self._idle and self._idle[0].idle_since < horizon:
+            self._idle.popleft().abandon()
--- /dev/null
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -0,0 +1,270 @@
+"""One call at its home node: between the entry node and the backend server."""
+
+import asyncio
+import typing
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import effects, events
+from gingerturn.internal.shell import backend_http, clock, node as nodes
+from gingerturn.internal.wire import frames
+
+WINDOW = 262_144
+"""Bytes of a streamed body that may be under way without the receiver's word."""
+
+
+class Channel(typing.Protocol):
+    """The way back to the entry node."""
+
+    hosted: dict[int, ids.HostedId]
+
+    def send(self, frame: frames.Frame) -> None:
+        """Send a frame."""
+
+
+class HostedExchange:
+    """Carries one call to the backend server and its answer back.
+
+    Invariant: frames are only sent while ``_open``; after a cancel, a refusal or
+    the end of the answer the call id means nothing to the entry node any more.
+
+    :param node: this node.
+    :param channel: the way back.
+    :param opened: the frame that opened the call.
+    :param hosted: the id under which the core knows it.
+    """
+
+    def __init__(
+        self,
+        node: "nodes.Node",
+        channel: Channel,
+        opened: frames.Open,
+        hosted: ids.HostedId,
+    ) -> None:
+        self._node = node
+        self._channel = channel
+        self._opened = opened
+        self._hosted = hosted
+        self._open = True
+        self._connection: backend_http.Connection | None = None
+        self._abandoned = False
+        self._upload: list[frames.Chunk] = []
+        self._status = 0
+        self._head = b""
+        self._length = -1
+        self._body = bytearray()
+        self._streaming = False
+        self._credit = WINDOW
+
+    def hand_over(self, effect: effects.HandOver) -> None:
+        """Hand the call to the backend server."""
+        pool = self._node.pool
+        pool.use(effect.host, effect.port)
+        connection = pool.take()
+        if connection is not None:
+            self._begin(connection, effect)
+            return
+        task = asyncio.get_running_loop().create_task(self._connect(effect))
+        self._node.keep_task(task)
+
+    def on_chunk(self, chunk: frames.Chunk) -> None:
+        """Take a piece of a long request body."""
+        if self._connection is None:
+            self._upload.append(chunk)
+            return
+        self._write_chunk(chunk)
+
+    def add_credit(self, count: int) -> None:
+        """Send more of a long answer."""
+        self._credit += count
+        if self._credit > 0 and self._connection is not None:
+            self._connection.resume()
+
+    def abandon(self) -> None:
+        """Close the exchange with the backend server."""
+        self._abandoned = True
+        if self._connection is not None:
+            self._connection.abandon()
+            self._connection = None
+
+    def detach(self) -> None:
+        """Send nothing more: the entry node gave up."""
+        self._open = False
+
+    def refuse(self, effect: effects.SendRefusal) -> None:
+        """Send a refusal."""
+        self._send(
+            frames.Refuse(
+                call=self._opened.call,
+                refusal=effect.refusal,
+                tokens=effect.tokens,
+                report=effect.report,
+            )
+        )
+        self._open = False
+
+    def send_answer(self, effect: effects.SendAnswer) -> None:
+        """Send the answer, or its head and first piece when it is long."""
+        self._send(
+            frames.Answer(
+                call=self._opened.call,
+                status=self._status,
+                tokens=effect.tokens,
+                report=effect.report,
+                decision=effect.decision,
+                head=self._head,
+                body=bytes(self._body),
+                whole=not self._streaming,
+                length=self._length,
+            )
+        )
+        if self._streaming:
+            self._use_credit(len(self._body))
+            self._body.clear()
+            return
+        self._open = False
+
+    def send_kept(
+        self, effect: effects.SendKeptAnswer, kept: "nodes.KeptAnswer"
+    ) -> None:
+        """Send the kept answer of an earlier call."""
+        self._send(
+            frames.Answer(
+                call=self._opened.call,
+                status=kept.status,
+                tokens=effect.tokens,
+                report=effect.report,
+                decision=effect.decision,
+                head=kept.head,
+                body=kept.body,
+                whole=True,
+            )
+        )
+        self._open = False
+
+    def kept_answer(self) -> "nodes.KeptAnswer":
+        """Return the whole answer, to be kept."""
+        return nodes.KeptAnswer(
+            status=self._status, head=self._head, body=bytes(self._body)
+        )
+
+    # Called by the connection to the backend server.
+
+    def on_head(self, status: int, head: bytes, length: int) -> None:
+        """Take the head of the answer."""
+        self._status = status
+        self._head = head
+        self._length = length
+        if length > self._node.settings.limits.body_buffer:
+            self._start_streaming()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the answer: hold it, or send it on."""
+        if self._streaming:
+            self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
+            self._use_credit(len(body))
+            return
+        self._body += body
+        if len(self._body) > self._node.settings.limits.body_buffer:
+            self._start_streaming()
+
+    def on_end(self) -> None:
+        """Take the end of the answer."""
+        self._connection = None
+        if self._streaming:
+            self._send(frames.Chunk(call=self._opened.call, body=b"", last=True))
+            self._open = False
+            event: events.Event = events.BackendFinished(
+                now=clock.now(), hosted=self._hosted
+            )
+        else:
+            event = events.BackendAnswered(
+                now=clock.now(), hosted=self._hosted, status=self._status
+            )
+        self._node.apply(event)
+        self._node.drop_exchange(self._hosted)
+
+    def on_failure(self, *, handed: bool) -> None:
+        """Take a failure of the exchange."""
+        self._connection = None
+        if self._abandoned:
+            return
+        if self._streaming:
+            self._send(frames.Broken(call=self._opened.call))
+            self._open = False
+        self._node.apply(
+            events.BackendFailed(now=clock.now(), hosted=self._hosted, handed=handed)
+        )
+        self._node.drop_exchange(self._hosted)
+
+    @property
+    def call(self) -> int:
+        """The id of the call on its channel."""
+        return self._opened.call
+
+    @property
+    def channel(self) -> Channel:
+        """The way back to the entry node."""
+        return self._channel
+
+    def _send(self, frame: frames.Frame) -> None:
+        if self._open:
+            self._channel.send(frame)
+
+    async def _connect(self, effect: effects.HandOver) -> None:
+        try:
+            connection = await self._node.pool.connect()
+        except (OSError, TimeoutError):
+            self.on_failure(handed=False)
+            return
+        if self._abandoned:
+            self._node.pool.put(connection)
+            return
+        self._begin(connection, effect)
+
+    def _begin(
+        self, connection: backend_http.Connection, effect: effects.HandOver
+    ) -> None:
+        self._connection = connection
+        opened = self._opened
+        head = opened.head + b"traceparent: 00-%b-%b-01\r\n" % (
+            opened.terms.trace.encode("ascii"),
+            effect.span.encode("ascii"),
+        )
+        head += b"gingerturn-deadline-ms: %d\r\n" % int(effect.deadline_ms)
+        connection.begin(
+            self, head, opened.body, head_only=opened.head.startswith(b"HEAD ")
+        )
+        if not opened.whole:
+            self._grant(len(opened.body))
+        for chunk in self._upload:
+            self._write_chunk(chunk)
+        self._upload.clear()
+
+    def _write_chunk(self, chunk: frames.Chunk) -> None:
+        if self._connection is None:
+            return
+        if chunk.body:
+            self._connection.write(chunk.body)
+            self._grant(len(chunk.body))
+        if chunk.last:
+            self._connection.write_end()
+
+    def _grant(self, count: int) -> None:
+        if self._connection is not None and self._connection.write_paused:
+            self._connection.when_writable(lambda: self._grant(count))
+            return
+        if count:
+            self._send(frames.Credit(call=self._opened.call, count=count))
+
+    def _start_streaming(self) -> None:
+        self._streaming = True
+        self._node.apply(
+            events.BackendAnswered(
+                now=clock.now(), hosted=self._hosted, status=self._status, whole=False
+            )
+        )
+
+    def _use_credit(self, count: int) -> None:
+        self._credit -= count
+        if self._credit <= 0 and self._connection is not None:
+            self._connection.pause()
