--- /dev/null
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -0,0 +1,469 @@
+"""Callers' connections: HTTP/1.1 in, whole answers out."""
+
+import asyncio
+import collections
+import hashlib
+import os
+import typing
+import urllib.parse
+
+import httptools
+
+from gingerturn.internal import ids, logs
+from gingerturn.internal.core import effects, events, messages
+from gingerturn.internal.shell import clock, heads, node as nodes
+
+MAX_PIPELINED = 8
+"""Requests read ahead on one connection before reading pauses."""
+
+WINDOW = 262_144
+"""Bytes of a streamed body that may be under way without the receiver's word."""
+
+_PART = "ingress"
+
+
+class Request:
+    """One request of a caller, from its head to the end of its answer.
+
+    :param call: id under which the core knows it.
+    """
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.call = ids.CallId(0)
+        self.attempt = 0
+        self.target = b""
+        self.method = b""
+        self.headers: list[heads.Header] = []
+        self.body = bytearray()
+        self.complete = False
+        self.dispatched = False
+        self.answered = False
+        self.streaming_in: nodes.BodySink | None = None
+        self.streaming_out = False
+        self.chunked_out = False
+        self.head = b""
+        self.close_after = False
+        self.credit = WINDOW
+        self.resume_credit: typing.Callable[[int], None] | None = None
+        self.owed_credit = 0
+
+    def __repr__(self) -> str:
+        return f"Request({self.method!r}, {self.target!r}, call={self.call})"
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; requests on it are served in order.
+
+    Invariant: only ``_requests[0]`` is dispatched, and an answer is only ever
+    written for it.
+
+    :param node: the node that serves it.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        self._node = node
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
+        self._requests: collections.deque[Request] = collections.deque()
+        self._reading: Request | None = None
+        self._head_bytes = 0
+        self._closing = False
+        self._write_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._node.caller_connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel what the caller waited for."""
+        self._closing = True
+        self._node.caller_connections.discard(self)
+        for request in self._requests:
+            if request.dispatched and not request.answered:
+                self._node.apply(events.CallerGone(now=clock.now(), call=request.call))
+            if request.dispatched:
+                self._node.forget_request(request)
+        self._requests.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bad input ends the connection with a clear answer."""
+        if self._closing:
+            return
+        try:
+            self._parser.feed_data(data)
+        except _TooLarge:
+            self._reject(431, "the request's head is too large")
+        except httptools.HttpParserUpgrade:
+            self._reject(400, "upgrades are not served")
+        except httptools.HttpParserError as error:
+            reason = error.__context__ if error.__context__ else error
+            if isinstance(reason, _TooLarge):
+                self._reject(431, "the request's head is too large")
+                return
+            self._reject(400, f"not a valid HTTP/1.1 request: {error}")
+
+    def pause_writing(self) -> None:
+        """Withhold credit: the caller reads more slowly than the answer comes."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Grant the credit that was withheld."""
+        self._write_paused = False
+        if not self._requests:
+            return
+        request = self._requests[0]
+        if request.owed_credit and request.resume_credit is not None:
+            owed, request.owed_credit = request.owed_credit, 0
+            request.resume_credit(owed)
+
+    # Callbacks of the parser, which names them.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reading = Request(self)
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Gather the target; it may come in pieces."""
+        request = self._current()
+        request.target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Gather a header."""
+        self._current().headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Check the head, now that it is whole."""
+        request = self._current()
+        request.method = self._parser.get_method()
+        request.close_after = not self._parser.should_keep_alive()
+        self._requests.append(request)
+        problem = _framing_problem(request, self._parser.get_http_version())
+        if problem:
+            self._reject(400, problem)
+            return
+        if any(name == b"expect" for name, _ in request.headers):
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of a body: hold it, or stream it on."""
+        request = self._current()
+        if self._closing:
+            return
+        if request.streaming_in is not None:
+            self._stream_in(request, body)
+            return
+        request.body += body
+        limit = self._node.settings.limits.body_buffer
+        if len(request.body) <= limit or request.answered:
+            if request.answered:
+                request.body.clear()
+            return
+        self._transport.pause_reading()
+        if request is self._requests[0] and not request.dispatched:
+            self._dispatch(request)
+
+    def on_message_complete(self) -> None:
+        """Serve the request, now that it is whole, when its turn comes."""
+        request = self._current()
+        request.complete = True
+        self._reading = None
+        if self._closing:
+            return
+        if request.streaming_in is not None:
+            request.streaming_in(b"", True)
+            return
+        if len(self._requests) > MAX_PIPELINED:
+            self._transport.pause_reading()
+        if request is self._requests[0] and not request.dispatched:
+            self._dispatch(request)
+
+    # Towards the node.
+
+    def start_streaming(self, request: Request, sink: "nodes.BodySink") -> None:
+        """Send the rest of a long body on as it arrives."""
+        request.streaming_in = sink
+        request.credit = WINDOW - len(request.body)
+        if request.complete:
+            sink(b"", True)
+            return
+        if request.credit > 0:
+            self._transport.resume_reading()
+
+    def add_credit(self, request: Request, count: int) -> None:
+        """Let more of a long body in."""
+        request.credit += count
+        if request.credit > 0 and not self._closing:
+            self._transport.resume_reading()
+
+    def send_whole(self, request: Request, head: bytes, body: bytes) -> None:
+        """Write a whole answer."""
+        if self._closing:
+            return
+        if b"\ncontent-length:" not in head:
+            # An answer to HEAD keeps the length that the backend server told.
+            head += b"content-length: %d\r\n" % len(body)
+        self._write_head(request, head)
+        if request.method != b"HEAD":
+            self._transport.write(body)
+        self._finish(request)
+
+    def send_streaming(self, request: Request, head: bytes, length: int) -> None:
+        """Write the head of a long answer; its body follows in pieces."""
+        if self._closing:
+            return
+        request.streaming_out = True
+        request.chunked_out = length < 0
+        if length < 0:
+            head += b"transfer-encoding: chunked\r\n"
+        else:
+            head += b"content-length: %d\r\n" % length
+        self._write_head(request, head)
+
+    def send_piece(self, request: Request, body: bytes, *, last: bool) -> None:
+        """Write a piece of a long answer and grant credit for as much."""
+        if self._closing:
+            return
+        if body and request.chunked_out:
+            self._transport.write(b"%x\r\n%b\r\n" % (len(body), body))
+        elif body:
+            self._transport.write(body)
+        if last:
+            if request.chunked_out:
+                self._transport.write(b"0\r\n\r\n")
+            self._finish(request)
+            return
+        if self._write_paused:
+            request.owed_credit += len(body)
+        elif request.resume_credit is not None:
+            request.resume_credit(len(body))
+
+    def cut(self, request: Request) -> None:
+        """End a long answer that cannot be completed.
+
+        The caller sees fewer bytes than announced, or no last chunk, and so never
+        takes the fragment for the answer.
+        """
+        self._transport.abort()
+
+    def send_problem(self, request: Request, refusal: effects.RefuseCall) -> None:
+        """Write a problem, at once."""
+        if self._closing or request.answered:
+            return
+        close = request.close_after or not request.complete
+        self._transport.write(
+            heads.problem(
+                status=refusal.status,
+                outcome=refusal.outcome,
+                title=refusal.title,
+                retry_after_ms=refusal.retry_after_ms,
+                decision=refusal.decision,
+                close=close,
+                with_body=request.method != b"HEAD",
+            )
+        )
+        request.close_after = close
+        self._finish(request)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being served or read."""
+        return not self._requests and self._reading is None
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
+        self._closing = True
+        self._transport.close()
+
+    def _current(self) -> Request:
+        if self._reading is None:
+            self._reading = Request(self)
+        return self._reading
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._node.settings.limits.head_bytes:
+            raise _TooLarge
+
+    def _stream_in(self, request: Request, body: bytes) -> None:
+        if request.streaming_in is None:
+            return
+        request.credit -= len(body)
+        if request.credit <= 0:
+            self._transport.pause_reading()
+        request.streaming_in(body, False)
+
+    def _dispatch(self, request: Request) -> None:
+        request.dispatched = True
+        request.call = self._node.next_call()
+        service, path, target = _destination(request)
+        if not service:
+            self._reject(400, "the request names no service in Host")
+            return
+        if not self._node.knows_service(service):
+            self._answer_unknown(request, service)
+            return
+        trace, span = _trace_of(request)
+        request.head = _request_head(request, target)
+        arrival = events.CallArrived(
+            now=clock.now(),
+            call=request.call,
+            service=ids.ServiceName(service),
+            method=request.method.decode("ascii"),
+            path=path,
+            trace=trace,
+            span=span,
+            key=_text_header(request, heads.KEY_HEADER),
+            timeout_ms=_number_header(request, heads.TIMEOUT_HEADER),
+            replayable=request.complete,
+            body_digest=_digest(request.body) if request.body else "",
+            sending=int(_number_header(request, heads.SENDING_HEADER)),
+        )
+        self._node.begin_request(request, arrival)
+
+    def _answer_unknown(self, request: Request, service: str) -> None:
+        logs.write("WARNING", _PART, f"Service {service[:64]!r} is not known.")
+        refusal = effects.RefuseCall(
+            call=request.call,
+            status=404,
+            outcome=messages.Outcome.NOT_RUN,
+            title=f"service {service[:64]!r} is neither declared nor announced",
+            retry_after_ms=0,
+            decision="",
+        )
+        self.send_problem(request, refusal)
+
+    def _write_head(self, request: Request, head: bytes) -> None:
+        request.answered = True
+        if not request.complete:
+            request.close_after = True
+        if request.close_after:
+            head += b"connection: close\r\n"
+        self._transport.write(head + b"\r\n")
+
+    def _finish(self, request: Request) -> None:
+        request.answered = True
+        request.streaming_out = False
+        self._node.forget_request(request)
+        if self._requests and self._requests[0] is request:
+            self._requests.popleft()
+        if request.close_after or self._node.stopping:
+            self.close()
+            return
+        self._transport.resume_reading()
+        if self._requests and not self._requests[0].dispatched:
+            following = self._requests[0]
+            if following.complete:
+                self._dispatch(following)
+
+    def _reject(self, status: int, title: str) -> None:
+        """Answer bad input and close: what follows on the connection cannot be
+        told apart from the rest of the bad request."""
+        if self._closing:
+            return
+        logs.write("WARNING", _PART, f"Request rejected with {status}: {title[:120]}.")
+        if len(self._requests) <= 1 and not (
+            self._requests and self._requests[0].answered
+        ):
+            self._transport.write(
+                heads.problem(
+                    status=status,
+                    outcome=messages.Outcome.NOT_RUN,
+                    title=title[:200],
+                    retry_after_ms=0,
+                    decision="",
+                    close=True,
+                )
+            )
+        self.close()
+
+
+class _TooLarge(Exception):
+    """The head exceeds its bound."""
+
+
+def _framing_problem(request: Request, version: str) -> str:
+    """Return what is wrong with a head, or an empty string.
+
+    A request whose length two parties could read differently is refused: that is
+    how requests are smuggled past one of them.
+    """
+    if version != "1.1":
+        return f"HTTP/{version} is not served; use HTTP/1.1"
+    names = [name for name, _ in request.headers]
+    if names.count(b"content-length") > 1:
+        return "Content-Length is given more than once"
+    if names.count(b"host") != 1:
+        return "Host must be given exactly once"
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return "Content-Length and Transfer-Encoding are given both"
+    for name, value in request.headers:
+        if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            return "Transfer-Encoding must be chunked"
+    return ""
+
+
+def _destination(request: Request) -> tuple[str, str, bytes]:
+    """Return service, path and target of a request."""
+    target = request.target
+    authority = next(
+        (value.decode("latin-1") for n, value in request.headers if n == b"host"), ""
+    )
+    if target.startswith(b"http://"):
+        parts = urllib.parse.urlsplit(target.decode("latin-1"))
+        authority = parts.netloc
+        path = parts.path or "/"
+        query = f"?{parts.query}" if parts.query else ""
+        target = f"{path}{query}".encode("latin-1")
+    service = authority.rsplit("@", 1)[-1].split(":", 1)[0].strip().lower()
+    path = target.split(b"?", 1)[0].decode("latin-1")
+    return service, path, target
+
+
+def _trace_of(request: Request) -> tuple[str, ids.SpanId]:
+    for name, value in request.headers:
+        if name == heads.TRACEPARENT:
+            known = heads.parse_traceparent(value)
+            if known is not None:
+                return known
+    fresh = os.urandom(24).hex()
+    return fresh[:32], ids.SpanId(fresh[32:])
+
+
+def _text_header(request: Request, wanted: bytes) -> str:
+    for name, value in request.headers:
+        if name == wanted:
+            return value.decode("latin-1").strip().strip('"')
+    return ""
+
+
+def _number_header(request: Request, wanted: bytes) -> float:
+    text = _text_header(request, wanted)
+    return float(text) if text.isdigit() and len(text) <= 9 else 0.0
+
+
+def _digest(body: bytes | bytearray) -> str:
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
+
+
+def _request_head(request: Request, target: bytes) -> bytes:
+    """Return the head that goes to the backend server, without its end.
+
+    Framing is written anew: the length of a held body, or as announced.
+    """
+    lines = request.method + b" " + target + b" HTTP/1.1\r\n"
+    lines += heads.passed_on(
+        [header for header in request.headers if header[0] != heads.TRACEPARENT]
+    )
+    if request.complete:
+        if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
+            lines += b"content-length: %d\r\n" % len(request.body)
+        return lines
+    for name, value in request.headers:
+        if name == b"content-length":
+            return lines + b"content-length: %b\r\n" % value
+    return lines + b"transfer-encoding: chunked\r\n"
--- /dev/null
+++ b/src/gingerturn/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs of the protocols between nodes."""
--- /dev/null
+++ b/src/gingerturn/settings.py
@@ -0,0 +1,214 @@
+"""What one node is told at its start: its addresses, zone, log and secret.
+
+A node learns nothing of its place from the network; all is in one TOML file::
+
+    [node]
+    id = "plans-1"
+    zone = "bne-a"
+    region = "queensland"
+    host = "127.0.0.1"
+    calls_port = 8100
+    peers_port = 8101
+    gossip_port = 8101
+    admin_port = 8102
+
+    [log]
+    url = "http://127.0.0.1:7000"
+
+    [secret]
+    current = "a long random text"
+"""
+
+import pathlib
+import tomllib
+import urllib.parse
+
+import msgspec
+
+from gingerturn import errors
+from gingerturn.internal import checks, toml_lines
+
+MIN_SECRET_LENGTH = 16
+"""Below 16 characters a shared secret can be guessed offline from one packet."""
+
+MAX_BODY_BUFFER = 512 * 1024
+"""Half of the longest frame between nodes, so that a held body fits into one."""
+
+
+class Node(msgspec.Struct, forbid_unknown_fields=True):
+    """Addresses and place of the node."""
+
+    id: str
+    zone: str
+    host: str
+    calls_port: int
+    peers_port: int
+    gossip_port: int
+    admin_port: int
+    region: str = "default"
+    drain_timeout_ms: int = 30_000
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True):
+    """The platform's log service.
+
+    :param poll_ms: longest time that one read may wait for new records.
+    """
+
+    url: str
+    poll_ms: int = 1_000
+    timeout_ms: int = 3_000
+
+
+class Secret(msgspec.Struct, forbid_unknown_fields=True):
+    """The secret that nodes share; two are accepted during a rotation."""
+
+    current: str
+    previous: str = ""
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True):
+    """Bounds on memory.
+
+    :param body_buffer: bytes of a body that are held to be sent again or
+        checked whole; longer bodies are streamed.
+    :param decisions: decision records kept for ``gingerturn why``.
+    """
+
+    body_buffer: int = 262_144
+    head_bytes: int = 32_768
+    decisions: int = 65_536
+
+
+class Logging(msgspec.Struct, forbid_unknown_fields=True):
+    """How log lines are written."""
+
+    level: str = "INFO"
+    json: bool = False
+
+
+class Team(msgspec.Struct, forbid_unknown_fields=True):
+    """A team's right to publish its own document.
+
+    :param token_sha256: SHA-256 of the team's token, in hexadecimal.
+    """
+
+    name: str
+    token_sha256: str
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True):
+    """The whole settings file."""
+
+    node: Node
+    log: Log
+    secret: Secret
+    limits: Limits = msgspec.field(default_factory=Limits)
+    logging: Logging = msgspec.field(default_factory=Logging)
+    team: list[Team] = []
+    peers: list[str] = []
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises InvalidDocument: with every problem found, each with its line.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _invalid([f"{path}: cannot be read: {error}"], path) from None
+    try:
+        table = tomllib.loads(text)
+        settings = msgspec.convert(table, Settings)
+    except tomllib.TOMLDecodeError as error:
+        raise _invalid([f"{path}: not TOML: {error}"], path) from None
+    except msgspec.ValidationError as error:
+        raise _invalid([f"{path}: {error}"], path) from None
+    problems = _problems(settings, text, path)
+    if problems:
+        raise _invalid(problems, path)
+    return settings
+
+
+def _invalid(problems: list[str], path: pathlib.Path) -> errors.InvalidDocument:
+    return errors.InvalidDocument(problems, step="read settings", peer=str(path))
+
+
+def _problems(settings: Settings, text: str, path: pathlib.Path) -> list[str]:
+    problems: list[str] = []
+
+    def check(where: str, test: object, *arguments: object) -> None:
+        try:
+            test(*arguments)  # type: ignore[operator]
+        except errors.InvalidArgument as error:
+            line = toml_lines.line_of(text, where)
+            problems.append(f"{path}:{line}: {error.message}")
+
+    node = settings.node
+    for field in ("id", "zone", "region"):
+        check(f"$.node.{field}", checks.check_name, field, getattr(node, field))
+    check("$.node.host", checks.check_ip, "host", node.host)
+    for field in ("calls_port", "peers_port", "gossip_port", "admin_port"):
+        check(f"$.node.{field}", checks.check_port, field, getattr(node, field))
+    drain = node.drain_timeout_ms
+    check(
+        "$.node.drain_timeout_ms",
+        checks.check_range,
+        "drain_timeout_ms",
+        drain,
+        0,
+        600_000,
+    )
+    check("$.log.url", _check_url, settings.log.url)
+    check(
+        "$.log.poll_ms", checks.check_range, "poll_ms", settings.log.poll_ms, 10, 60_000
+    )
+    check("$.secret.current", _check_secret, "current", settings.secret.current)
+    if settings.secret.previous:
+        check("$.secret.previous", _check_secret, "previous", settings.secret.previous)
+    limits = settings.limits
+    check(
+        "$.limits.body_buffer",
+        checks.check_range,
+        "body_buffer",
+        limits.body_buffer,
+        1024,
+        MAX_BODY_BUFFER,
+    )
+    check(
+        "$.limits.decisions",
+        checks.check_range,
+        "decisions",
+        limits.decisions,
+        1024,
+        1_048_576,
+    )
+    for peer in settings.peers:
+        check("$.peers", _check_peer, peer)
+    return problems
+
+
+def _check_url(url: str) -> None:
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme not in {"http", "https"} or not parts.hostname:
+        raise errors.InvalidArgument(
+            f"url is {url!r}; allowed is http:// or https:// with an IP number"
+        )
+
+
+def _check_secret(field: str, secret: str) -> None:
+    if len(secret) < MIN_SECRET_LENGTH:
+        raise errors.InvalidArgument(
+            f"{field} has {len(secret)} characters; allowed are"
+            f" {MIN_SECRET_LENGTH} or more"
+        )
+
+
+def _check_peer(peer: str) -> None:
+    host, _, port = peer.rpartition(":")
+    checks.check_ip("peers", host)
+    if not port.isdigit():
+        raise errors.InvalidArgument(
+            f"peers holds {peer!r}; allowed is IP:PORT of a node's gossip port"
+        )
--- /dev/null
+++ b/tooling/gingerturn_standins/backend.py
@@ -0,0 +1,208 @@
+"""A stand-in for a backend server: slots, service time, calls on to others.
+
+Control by ``POST /control``: ``service_ms``, ``refuse`` (answer 503 beyond the
+slots), ``slow`` (factor on the service time). ``GET /counts`` tells how often each
+``Idempotency-Key`` or ``X-Request-Id`` was executed.
+"""
+
+import asyncio
+import collections
+import json
+import random
+import signal
+
+import click
+import httpx
+import uvloop
+
+from gingerturn_standins import http_server
+
+BODY = b'{"result": "ok"}'
+
+
+class BackendServer:
+    """The stand-in.
+
+    :param slots: requests worked on at once; further ones wait inside.
+    :param calls: URLs of services that each request calls on to, one after another.
+    """
+
+    def __init__(
+        self, *, service: str, slots: int, service_ms: float, calls: list[str], entry: str
+    ) -> None:
+        self.service = service
+        self.slots = slots
+        self.service_ms = service_ms
+        self.slow = 1.0
+        self.refuse = False
+        self.executions: collections.Counter[str] = collections.Counter()
+        self.finished = 0
+        self.cancelled = 0
+        self.running = 0
+        self._semaphore = asyncio.Semaphore(slots)
+        self._calls = calls
+        self._entry = entry
+        self._client = httpx.AsyncClient(
+            timeout=60.0, trust_env=False, limits=httpx.Limits(max_connections=None)
+        )
+        self._random = random.Random(service)
+
+    async def handle(self, request: http_server.Request) -> http_server.Response:
+        """Serve a request."""
+        if request.target == "/control":
+            for name, value in json.loads(request.body).items():
+                setattr(self, name, value)
+            return http_server.Response(200, b"{}")
+        if request.target == "/counts":
+            return http_server.Response(200, self._counts())
+        if request.target.startswith("/echo"):
+            return http_server.Response(200, request.body)
+        if request.target.startswith("/bytes/"):
+            return _bytes_answer(request.target)
+        if self.refuse and self.running >= self.slots:
+            return http_server.Response(503, b'{"error": "busy"}')
+        return await self._work(request)
+
+    async def _work(self, request: http_server.Request) -> http_server.Response:
+        name = request.headers.get("idempotency-key") or request.headers.get(
+            "x-request-id", ""
+        )
+        self.running += 1
+        try:
+            async with self._semaphore:
+                if name:
+                    self.executions[name] += 1
+                mean = self.service_ms * self.slow
+                await asyncio.sleep(mean * self._random.uniform(0.8, 1.2) / 1000.0)
+                status = await self._call_on(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+        self.finished += 1
+        if status != 200:
+            return http_server.Response(status, b'{"error": "a call failed"}')
+        body = json.dumps({"service": self.service, "id": name}).encode()
+        return http_server.Response(200, body)
+
+    async def _call_on(self, request: http_server.Request) -> int:
+        """Call the further services of a request; stop at the first failure."""
+        if request.method != "POST":
+            return 200
+        for target in self._calls:
+            service, _, path = target.partition("/")
+            method, _, service = service.rpartition(":")
+            headers = {"host": service}
+            for name in ("traceparent", "x-request-id"):
+                if name in request.headers:
+                    headers[name] = request.headers[name]
+            try:
+                reply = await self._client.request(
+                    method or "POST", f"{self._entry}/{path}", headers=headers
+                )
+            except httpx.HTTPError:
+                return 502
+            if reply.status_code != 200:
+                return 503 if reply.status_code == 503 else 502
+        return 200
+
+    def _counts(self) -> bytes:
+        return json.dumps(
+            {
+                "executions": self.executions,
+                "finished": self.finished,
+                "cancelled": self.cancelled,
+                "running": self.running,
+            }
+        ).encode()
+
+
+def _bytes_answer(target: str) -> http_server.Response:
+    """``/bytes/N``, ``/bytes/N/chunked``, ``/bytes/N/cut``: a body of N bytes."""
+    parts = target.split("/")
+    size = int(parts[2])
+    how = parts[3] if len(parts) > 3 else ""
+    if how == "chunked":
+        piece = b"x" * 65_536
+        pieces = [piece] * (size // len(piece)) + [b"x" * (size % len(piece))]
+        return http_server.Response(200, pieces=[p for p in pieces if p])
+    return http_server.Response(200, b"x" * size, cut=how == "cut")
+
+
+async def announce(
+    client: httpx.AsyncClient, admin: str, fields: dict[str, object]
+) -> None:
+    """Announce to the own node and renew until cancelled."""
+    while True:
+        try:
+            reply = await client.put(f"{admin}/backend", json=fields)
+            reply.raise_for_status()
+            fields["cold"] = False
+            await asyncio.sleep(2.0)
+        except httpx.HTTPError:
+            await asyncio.sleep(0.1)
+
+
+@click.command()
+@click.option("--service", required=True)
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--slots", default=10)
+@click.option("--service-ms", default=20.0)
+@click.option("--call", "calls", multiple=True, help="METHOD:SERVICE/PATH")
+@click.option("--entry", default="", help="URL of the own node's calls port.")
+@click.option("--admin", default="", help="URL of the own node's administration.")
+@click.option("--cold", is_flag=True)
+def main(
+    service: str,
+    host: str,
+    port: int,
+    slots: int,
+    service_ms: float,
+    calls: tuple[str, ...],
+    entry: str,
+    admin: str,
+    cold: bool,
+) -> None:
+    """Run the stand-in until SIGTERM: it then withdraws and finishes its work."""
+
+    async def run() -> None:
+        backend = BackendServer(
+            service=service,
+            slots=slots,
+            service_ms=service_ms,
+            calls=list(calls),
+            entry=entry,
+        )
+        server = await http_server.serve(backend.handle, host, port)
+        stop = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+        fields: dict[str, object] = {
+            "service": service,
+            "host": host,
+            "port": port,
+            "slots": slots,
+            "connections": slots * 7,
+            "cold": cold,
+        }
+        async with httpx.AsyncClient(timeout=5.0, trust_env=False) as client:
+            task = asyncio.create_task(announce(client, admin, fields)) if admin else None
+            await stop.wait()
+            if task is not None:
+                task.cancel()
+                try:
+                    await client.delete(f"{admin}/backend")
+                except httpx.HTTPError:
+                    pass
+        while backend.running:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.2)
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tooling/gingerturn_standins/http_server.py
@@ -0,0 +1,122 @@
+"""A minimal HTTP/1.1 server for the stand-ins, on the library's parser."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+
+import httptools
+
+
+@dataclasses.dataclass
+class Request:
+    """A whole request."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass
+class Response:
+    """A whole answer; ``pieces`` instead of ``body`` sends it chunked.
+
+    :param cut: break the connection after the body, before its announced end.
+    """
+
+    status: int = 200
+    body: bytes = b""
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    pieces: list[bytes] | None = None
+    cut: bool = False
+
+
+class NoAnswer(Exception):
+    """The handler wants the connection closed without an answer."""
+
+
+Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, handler: Handler, lost: set[asyncio.Task[None]]) -> None:
+        self._handler = handler
+        self._tasks = lost
+        self._parser = httptools.HttpRequestParser(self)
+        self._task: asyncio.Task[None] | None = None
+        self._transport: typing.Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        # A closed connection is how a caller cancels.
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        self._target = b""
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        request = Request(
+            method=self._parser.get_method().decode(),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            body=bytes(self._body),
+        )
+        keep = self._parser.should_keep_alive()
+        self._task = asyncio.get_running_loop().create_task(self._serve(request, keep))
+        self._tasks.add(self._task)
+        self._task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, request: Request, keep: bool) -> None:
+        try:
+            response = await self._handler(request)
+        except NoAnswer:
+            self._transport.abort()
+            return
+        headers = {"content-type": "application/json", **response.headers}
+        if response.pieces is None:
+            announced = len(response.body) + (1000 if response.cut else 0)
+            headers["content-length"] = str(announced)
+        else:
+            headers["transfer-encoding"] = "chunked"
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        head = f"HTTP/1.1 {response.status} X\r\n{lines}\r\n".encode("latin-1")
+        if response.pieces is None:
+            body = b"" if request.method == "HEAD" else response.body
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            for piece in response.pieces:
+                self._transport.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                await asyncio.sleep(0)
+            if not response.cut:
+                self._transport.write(b"0\r\n\r\n")
+        if response.cut or not keep:
+            self._transport.close()
+
+
+async def serve(handler: Handler, host: str, port: int) -> asyncio.Server:
+    """Serve a handler."""
+    tasks: set[asyncio.Task[None]] = set()
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _Connection(handler, tasks), host, port)
--- /dev/null
+++ b/tooling/gingerturn_standins/processes.py
@@ -0,0 +1,206 @@
+"""Real processes for demos and tests: a log, nodes and backend servers.
+
+Only the caller of this module starts processes; the product itself starts none.
+"""
+
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import httpx
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SECRET = "a secret of the demonstration only"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that are free at present on the loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@dataclasses.dataclass
+class NodeProcess:
+    """A node and the backend server beside it."""
+
+    name: str
+    calls_port: int
+    admin_port: int
+    backend_port: int
+    node: subprocess.Popen[bytes]
+    backend: subprocess.Popen[bytes] | None = None
+
+    @property
+    def entry(self) -> str:
+        """URL for callers."""
+        return f"http://127.0.0.1:{self.calls_port}"
+
+    @property
+    def admin(self) -> str:
+        """URL of the administration API."""
+        return f"http://127.0.0.1:{self.admin_port}"
+
+    @property
+    def backend_url(self) -> str:
+        """URL of the backend server itself."""
+        return f"http://127.0.0.1:{self.backend_port}"
+
+
+class Cluster:
+    """Processes that belong together; use it as a context manager.
+
+    :param folder: where settings and logs are written.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.nodes: dict[str, NodeProcess] = {}
+        (self.log_port,) = free_ports(1)
+        self._environment = {
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join([str(ROOT / "src"), str(ROOT / "tooling")]),
+        }
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self.log = self._spawn(
+            "log", "-m", "gingerturn_standins.log_service", "--port", str(self.log_port)
+        )
+        wait_for(f"{self.log_url}/control")
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *problem: object) -> None:
+        self.close()
+
+    @property
+    def log_url(self) -> str:
+        """URL of the log service."""
+        return f"http://127.0.0.1:{self.log_port}"
+
+    def add(
+        self,
+        name: str,
+        *,
+        service: str,
+        zone: str,
+        slots: int = 10,
+        service_ms: float = 20.0,
+        calls: tuple[str, ...] = (),
+        extra: str = "",
+        wait: bool = True,
+    ) -> NodeProcess:
+        """Start a node and a backend server beside it."""
+        calls_port, peers_port, admin_port, backend_port = free_ports(4)
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f'[node]\nid = "{name}"\nzone = "{zone}"\nhost = "127.0.0.1"\n'
+            f"calls_port = {calls_port}\npeers_port = {peers_port}\n"
+            f"gossip_port = {peers_port}\nadmin_port = {admin_port}\n"
+            f'[log]\nurl = "{self.log_url}"\n'
+            f'[secret]\ncurrent = "{SECRET}"\n{extra}'
+        )
+        process = self._spawn(name, "-m", "gingerturn", "node", "--settings", str(path))
+        started = NodeProcess(name, calls_port, admin_port, backend_port, process)
+        self.nodes[name] = started
+        started.backend = self._spawn(
+            f"{name}.backend",
+            *("-m", "gingerturn_standins.backend", "--service", service),
+            *("--port", str(backend_port), "--slots", str(slots)),
+            *("--service-ms", str(service_ms)),
+            *("--entry", started.entry, "--admin", started.admin),
+            *[part for call in calls for part in ("--call", call)],
+        )
+        if wait:
+            wait_for(f"{started.admin}/status")
+        return started
+
+    def wait_ready(self, *, members: int, timeout: float = 20.0) -> None:
+        """Wait until every node knows so many upstreams."""
+        deadline = time.monotonic() + timeout
+        for node in self.nodes.values():
+            while True:
+                status = httpx.get(f"{node.admin}/status", trust_env=False).json()
+                offered = [m for m in status["members"] if m["service"]]
+                if len(offered) >= members:
+                    break
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{node.name} knows {len(offered)} upstreams")
+                time.sleep(0.05)
+
+    def publish(self, team: str, text: str) -> int:
+        """Publish a document and wait until it is in force at every node."""
+        node = next(iter(self.nodes.values()))
+        base = httpx.get(f"{node.admin}/config", trust_env=False).json()
+        reply = httpx.post(
+            f"{node.admin}/config/{team}",
+            json={
+                "author": "tests",
+                "base": base["changed"].get(team, 0),
+                "text": text,
+            },
+            timeout=20.0,
+            trust_env=False,
+        ).json()
+        if not reply.get("accepted"):
+            raise RuntimeError(f"not accepted: {reply}")
+        self.wait_revision(reply["revision"])
+        return int(reply["revision"])
+
+    def wait_revision(self, revision: int, timeout: float = 15.0) -> None:
+        """Wait until a revision is in force at every node."""
+        deadline = time.monotonic() + timeout
+        for node in self.nodes.values():
+            while True:
+                view = httpx.get(f"{node.admin}/config", trust_env=False).json()
+                if view["revision"] >= revision:
+                    break
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{node.name} is at {view['revision']}")
+                time.sleep(0.02)
+
+    def fault(self, **faults: object) -> None:
+        """Set faults of the log service."""
+        httpx.post(f"{self.log_url}/control", json=faults, trust_env=False)
+
+    def close(self) -> None:
+        """End every process."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait(timeout=10)
+
+    def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        with (self.folder / f"{name}.log").open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                env=self._environment,
+                stdout=output,
+                stderr=output,
+            )
+        self._processes.append(process)
+        return process
+
+
+def wait_for(url: str, timeout: float = 15.0) -> None:
+    """Wait until a URL answers."""
+    deadline = time.monotonic() + timeout
+    while True:
+        try:
+            httpx.get(url, timeout=1.0, trust_env=False)
+            return
+        except httpx.HTTPError:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.05)
