Add the fake world, the overload bench and the first properties

Cause: decisions could not be measured. Change: the real reducers on a fake clock with fake backend servers and callers; graphs of both users; baselines and variants with one mechanism out each; properties over arbitrary event sequences. A log stream's first read waited a second before it could say that it is empty, so claims were refused meanwhile: it no longer waits. A backend connection that ended an exchange while paused hung the next one: it is resumed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# `make demo` and `make test` do all the set-up that they need.
+
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+RUN := PYTHONPATH=src:tooling:. $(PYTHON)
+
+.PHONY: demo demo-coopcarga test test-slow lint format bench bench-cost capacity clean
+
+$(VENV)/ready: pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/ready
+	$(RUN) -m gingerturn_demo brolga
+
+demo-coopcarga: $(VENV)/ready
+	$(RUN) -m gingerturn_demo coopcarga
+
+test: $(VENV)/ready
+	$(RUN) -m pytest tests
+
+lint: $(VENV)/ready
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/mypy
+
+format: $(VENV)/ready
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+bench: $(VENV)/ready
+	$(RUN) -m benchmarks.overload
+
+bench-cost: $(VENV)/ready
+	$(RUN) -m benchmarks.cost
+
+capacity: $(VENV)/ready
+	$(RUN) -m benchmarks.capacity
+
+clean:
+	rm -rf $(VENV) out .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them is a test."""
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,398 @@
+"""Goodput, recovery and order of shedding on the fake clock.
+
+``python -m benchmarks.overload`` prints every figure with its bound. The real
+reducers run; callers, backend servers and delays are fakes. The same seed gives
+the same figures on every machine.
+"""
+
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import sys
+
+import click
+from hdrh import histogram
+
+from benchmarks import graphs, variants
+from gingerturn_fakes import world
+
+WARM_S = 10
+TRIGGER_S = 30
+AFTER_S = 30
+SLOW = 3.0
+RETRIES = 10
+SEED = 20261202
+DEMANDS = (0.5, 1.0, 2.0, 4.0, 10.0)
+OUT = pathlib.Path("out/bench")
+
+
+@dataclasses.dataclass
+class Sending:
+    """One sending of a root: the slot time spent for it and whether it completed."""
+
+    kind: str
+    slot_ms: float = 0.0
+    complete: bool = False
+
+
+@dataclasses.dataclass
+class Result:
+    """What one run measured.
+
+    :param per_second: completed roots in each second, by kind.
+    """
+
+    graph: str
+    variant: str
+    scenario: str
+    demand: float
+    offered: dict[str, int]
+    complete: dict[str, int]
+    complete_overload: int
+    best_overload: float
+    per_second: dict[str, list[int]]
+    shed_per_second: list[int]
+    attempts_per_second: list[float]
+    wasted_share: float
+    attempts_per_root: float
+    recovery_s: float
+    normal: float
+    latency_ms: dict[str, float]
+    answers: dict[str, int]
+    failed: dict[str, int]
+
+
+class Run:
+    """One run of a graph under a demand.
+
+    :param storm: slow the deepest service and let callers retry hard.
+    """
+
+    def __init__(
+        self,
+        graph: graphs.Graph,
+        *,
+        demand: float,
+        storm: bool,
+        seconds: int,
+        lookups_only_over: bool = False,
+    ) -> None:
+        self.graph = graph
+        self.storm = storm
+        self.seconds = seconds
+        self.world = world.World(
+            seed=SEED,
+            services=graph.services,
+            documents={graph.name: graph.document},
+            zones=graph.zones,
+            caller_ms=graph.caller_ms,
+        )
+        capacity = graph.capacity()
+        self.rates = {k: capacity * s * demand for k, s in graph.mix.items()}
+        if lookups_only_over:
+            protected = graph.protected
+            self.rates[protected] = capacity * graph.mix[protected]
+        self.offered = dict.fromkeys(graph.kinds, 0)
+        self.complete = dict.fromkeys(graph.kinds, 0)
+        self.per_second = {k: [0] * (seconds + 1) for k in graph.kinds}
+        self.shed = [0] * (seconds + 1)
+        self.deep_runs = [0] * (seconds + 1)
+        self.deep_roots: set[int] = set()
+        self.deep_total = 0
+        self.sendings: dict[int, Sending] = {}
+        self.current: dict[int, Sending] = {}
+        self.answers: dict[str, int] = {}
+        self.failed = dict.fromkeys(graph.kinds, 0)
+        self.latency = histogram.HdrHistogram(1, 600_000, 3)
+        self._numbers = 0
+        self.world.on_root_end = self._on_end
+        self.world.on_work_end = self._on_work_end
+        self.world.on_execution = self._on_execution
+        self.world.on_arrival = self._on_arrival
+
+    def play(self) -> None:
+        """Run it."""
+        for kind, rate in self.rates.items():
+            self._schedule(kind, rate)
+        if not self.storm:
+            self.world.run(self.seconds * 1000.0)
+            return
+        self.world.run(WARM_S * 1000.0)
+        self._set_slow(SLOW)
+        self.world.run(TRIGGER_S * 1000.0)
+        self._set_slow(1.0)
+        self.world.run((self.seconds - WARM_S - TRIGGER_S) * 1000.0)
+
+    def _set_slow(self, factor: float) -> None:
+        for node in self.world.nodes.values():
+            if node.backend.spec.name == self.graph.deepest:
+                node.backend.slow = factor
+
+    def _schedule(self, kind: str, rate: float) -> None:
+        delay = self.world.random.expovariate(rate) * 1000.0
+        self.world.at(delay, lambda: self._offer(kind, rate))
+
+    def _offer(self, kind: str, rate: float) -> None:
+        self._schedule(kind, rate)
+        self._numbers += 1
+        spec = self.graph.kinds[kind]
+        root = world.Root(id=self._numbers, kind=spec, sent=self.world.now, key="")
+        self.offered[kind] += 1
+        self.world.send(root)
+
+    def _second(self) -> int:
+        return min(self.seconds, int((self.world.now - world.START) / 1000.0))
+
+    def _on_arrival(self, root: world.Root, root_hash: int | None) -> None:
+        sending = Sending(kind=root.kind.name)
+        self.current[root.id] = sending
+        if root_hash is not None:
+            self.sendings[root_hash] = sending
+
+    def _on_execution(self, node: world.FakeNode, work: world.Work) -> None:
+        if node.backend.spec.name == self.graph.deepest:
+            self.deep_runs[self._second()] += 1
+            self.deep_total += 1
+            self.deep_roots.add(work.root)
+
+    def _on_work_end(
+        self, node: world.FakeNode, work: world.Work, elapsed: float
+    ) -> None:
+        sending = self.sendings.get(work.root)
+        if sending is not None:
+            sending.slot_ms += elapsed
+
+    def _on_end(self, root: world.Root) -> None:
+        kind = root.kind.name
+        sending = self.current.pop(root.id, None)
+        self.answers[root.answer] = self.answers.get(root.answer, 0) + 1
+        if root.answer == "ok":
+            self.complete[kind] += 1
+            self.per_second[kind][self._second()] += 1
+            self.latency.record_value(max(1, int(root.answered - root.sent)))
+            if sending is not None:
+                sending.complete = True
+            return
+        self.shed[self._second()] += 1
+        self.failed[kind] += 1
+        if self.storm and root.tries < RETRIES:
+            # Hard retrying: at once, whatever Retry-After says.
+            self.world.send(root)
+
+    def result(self, variant: str, scenario: str, demand: float) -> Result:
+        """Return what was measured."""
+        total = [sum(column) for column in zip(*self.per_second.values(), strict=True)]
+        spent = sum(s.slot_ms for s in self.sendings.values())
+        wasted = sum(s.slot_ms for s in self.sendings.values() if not s.complete)
+        normal = sum(total[4:WARM_S]) / (WARM_S - 4)
+        begin, end = 5, self.seconds
+        return Result(
+            graph=self.graph.name,
+            variant=variant,
+            scenario=scenario,
+            demand=demand,
+            offered=self.offered,
+            complete=self.complete,
+            complete_overload=sum(total[begin:end]),
+            best_overload=self._best() * (end - begin),
+            per_second=self.per_second,
+            shed_per_second=self.shed,
+            attempts_per_second=[float(count) for count in self.deep_runs],
+            wasted_share=wasted / spent if spent else 0.0,
+            attempts_per_root=self.deep_total / max(1, len(self.deep_roots)),
+            recovery_s=_recovery(total, normal) if self.storm else 0.0,
+            normal=normal,
+            latency_ms={
+                f"p{p:g}": self.latency.get_value_at_percentile(p)
+                for p in (50.0, 90.0, 99.0, 99.9)
+            },
+            answers=self.answers,
+            failed=self.failed,
+        )
+
+    def _best(self) -> float:
+        """Return the most roots a second that the slots allow for what is offered.
+
+        A linear bound: each root takes its slot time at each service, no service
+        gives more than its slots, and no kind completes more than is offered.
+        """
+        uses = self.graph.slot_ms()
+        slots = {s.name: s.slots * s.upstreams for s in self.graph.services}
+        return _most(self.rates, uses, slots, self.graph.protected)
+
+
+def _most(
+    rates: dict[str, float],
+    uses: dict[str, dict[str, float]],
+    slots: dict[str, int],
+    protected: str,
+) -> float:
+    """Return the greatest total rate with the protected kind served first.
+
+    Protected roots take their slots first, as the brief demands; the rest is
+    filled greedily by the kinds that take the least of the scarcest service,
+    which is exact where, as here, each further kind meets one scarce service.
+    """
+    left = {name: count * 1000.0 for name, count in slots.items()}
+    total = 0.0
+    others = sorted(
+        (k for k in rates if k != protected),
+        key=lambda k: max(used / slots[s] for s, used in uses[k].items()),
+    )
+    for kind in [protected, *others]:
+        possible = min(left[s] / used for s, used in uses[kind].items())
+        served = max(0.0, min(rates[kind], possible))
+        total += served
+        for service, used in uses[kind].items():
+            left[service] -= served * used
+    return total
+
+
+def _recovery(total: list[int], normal: float) -> float:
+    """Return the seconds from the trigger's end until goodput stays at 95 %."""
+    ended = WARM_S + TRIGGER_S
+    # Three-second means: single seconds of a few hundred roots scatter by 5 %.
+    for second in range(ended, len(total) - 1):
+        rest = total[second : len(total) - 1]
+        windows = [rest[i : i + 3] for i in range(max(1, len(rest) - 2))]
+        if all(sum(w) / len(w) >= 0.95 * normal for w in windows):
+            return float(second - ended)
+    return float("inf")
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """One run to be made."""
+
+    graph: str
+    variant: str
+    scenario: str
+    demand: float
+
+
+def run_case(case: Case) -> Result:
+    """Make one run, in a process of its own."""
+    variants.VARIANTS[case.variant]()
+    storm = case.scenario == "storm"
+    seconds = WARM_S + TRIGGER_S + AFTER_S if storm else 25
+    run = Run(
+        graphs.GRAPHS[case.graph](),
+        demand=case.demand,
+        storm=storm,
+        seconds=seconds,
+        lookups_only_over=case.scenario == "lookups-over",
+    )
+    run.play()
+    return run.result(case.variant, case.scenario, case.demand)
+
+
+def run_cases(cases: list[Case], workers: int = 6) -> list[Result]:
+    """Make runs side by side; each in a fresh process, since variants change it."""
+    with concurrent.futures.ProcessPoolExecutor(
+        max_workers=workers, max_tasks_per_child=1
+    ) as pool:
+        return list(pool.map(run_case, cases))
+
+
+def _cases(chosen: list[str], names: list[str]) -> list[Case]:
+    cases = []
+    for graph in chosen:
+        for demand in DEMANDS:
+            cases.append(Case(graph, "gingerturn", "steady", demand))
+        cases.append(Case(graph, "pass-through", "steady", 0.5))
+        cases.append(Case(graph, "pass-through", "steady", 2.0))
+        cases.append(Case(graph, "gingerturn", "lookups-over", 2.0))
+        for name in names:
+            cases.append(Case(graph, name, "storm", 0.9))
+        cases.append(Case(graph, "gingerturn", "storm", 2.0))
+    return cases
+
+
+def _line(name: str, figure: float, bound: str, met: bool | None) -> str:
+    mark = {True: "met", False: "FALLS SHORT", None: ""}[met]
+    return f"  {name:<58} {figure:>9.3f}   {bound:<22} {mark}"
+
+
+def report(results: list[Result]) -> str:
+    """Return the figures with their bounds."""
+    lines = []
+    by_case = {(r.graph, r.variant, r.scenario, r.demand): r for r in results}
+    for graph in sorted({r.graph for r in results}):
+        lines.append(f"{graph}")
+        for demand in (2.0, 10.0):
+            r = by_case.get((graph, "gingerturn", "steady", demand))
+            if r:
+                share = r.complete_overload / r.best_overload
+                name = f"goodput at {demand:g}x, share of the best the slots allow"
+                lines.append(_line(name, share, ">= 0.95", share >= 0.95))
+                name = f"work for roots that failed, share of slot time, {demand:g}x"
+                wasted = r.wasted_share
+                lines.append(_line(name, wasted, "<= 0.02", wasted <= 0.02))
+        r = by_case.get((graph, "gingerturn", "lookups-over", 2.0))
+        if r:
+            kind = graphs.GRAPHS[graph]().protected
+            share = r.complete[kind] / max(1, r.complete[kind] + r.failed[kind])
+            name = "protected roots complete, lookups alone over capacity"
+            lines.append(_line(name, share, ">= 0.999", share >= 0.999))
+        ours = by_case.get((graph, "gingerturn", "steady", 0.5))
+        plain = by_case.get((graph, "pass-through", "steady", 0.5))
+        if ours and plain:
+            lost = 1 - ours.complete_overload / plain.complete_overload
+            name = "goodput lost at 0.5x against pass-through"
+            lines.append(_line(name, lost, "<= 0.03", lost <= 0.03))
+        for demand in (0.9, 2.0):
+            r = by_case.get((graph, "gingerturn", "storm", demand))
+            if r:
+                name = f"storm at {demand:g}x: seconds to recover"
+                met = r.recovery_s <= 2 if demand < 1 else None
+                lines.append(_line(name, r.recovery_s, "<= 2 (at 0.9x)", met))
+                name = f"storm at {demand:g}x: attempts per root, deepest service"
+                tries = r.attempts_per_root
+                lines.append(_line(name, tries, "<= 1.1", tries <= 1.1))
+                name = f"storm at {demand:g}x: work for roots that failed"
+                wasted = r.wasted_share
+                lines.append(_line(name, wasted, "<= 0.02", wasted <= 0.02))
+        lines.append(
+            "  storm at 0.9x, by variant:"
+            "        goodput  in trigger  recovery s  attempts  wasted  protected"
+        )
+        for r in results:
+            if r.graph == graph and r.scenario == "storm" and r.demand == 0.9:
+                lines.append(_variant_line(r))
+    return "\n".join(lines)
+
+
+def _variant_line(r: Result) -> str:
+    total = [sum(column) for column in zip(*r.per_second.values(), strict=True)]
+    during = sum(total[WARM_S : WARM_S + TRIGGER_S]) / TRIGGER_S / r.normal
+    overall = sum(r.complete.values()) / sum(r.offered.values())
+    kind = graphs.GRAPHS[r.graph]().protected
+    guarded = r.complete[kind] / r.offered[kind]
+    return (
+        f"    {r.variant:<28} {overall:>9.3f} {during:>11.3f} {r.recovery_s:>11.0f}"
+        f" {r.attempts_per_root:>9.3f} {r.wasted_share:>7.3f} {guarded:>10.4f}"
+    )
+
+
+@click.command()
+@click.option(
+    "--graph", "chosen", multiple=True, type=click.Choice(list(graphs.GRAPHS))
+)
+@click.option("--variant", "names", multiple=True, help="Only these in the storm.")
+@click.option("--workers", default=6)
+def main(chosen: tuple[str, ...], names: tuple[str, ...], workers: int) -> None:
+    """Measure and print each figure with its bound."""
+    cases = _cases(
+        list(chosen) or list(graphs.GRAPHS), list(names) or list(variants.VARIANTS)
+    )
+    results = run_cases(cases, workers)
+    click.echo(report(results))
+    OUT.mkdir(parents=True, exist_ok=True)
+    rows = [dataclasses.asdict(r) for r in results]
+    (OUT / "overload.json").write_text(json.dumps(rows))
+    click.echo(f"All series: {OUT / 'overload.json'}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/variants.py
@@ -0,0 +1,200 @@
+"""Baselines, and our own mechanisms taken out one at a time.
+
+Each variant changes the core's functions inside the process of its run; the
+product has no switches for this.
+"""
+
+import collections.abc
+import typing
+
+from gingerturn.internal.core import (
+    admission,
+    allowance,
+    calls,
+    effects,
+    hosting,
+    ranks,
+    routing,
+)
+
+_PER_HOP_ATTEMPTS = 4
+
+
+def nothing() -> None:
+    """The product as it is."""
+
+
+def pass_through() -> None:
+    """A plain proxy: a random upstream, no limit, no shedding, no cancellation."""
+    _no_admission()
+    _random_choice()
+    _no_retries()
+    _no_cancellation()
+
+
+def per_hop_retries() -> None:
+    """A plain proxy that retries at every hop, three times each."""
+    _no_admission()
+    _random_choice()
+    _no_cancellation()
+    _set(calls, "_retry", _retry_per_hop)
+    _set(calls, "_may_repeat", lambda call: call.rule.repeatable)
+
+
+def static_limits() -> None:
+    """Concurrency limits at the slots, first come first served, nothing else."""
+    no_levels()
+    no_tree_levels()
+    _random_choice()
+    _no_retries()
+    _set(hosting, "_worth_starting", lambda state, hosted, out: True)
+    _set(ranks, "rank_of", lambda **fields: ranks.LOWEST)
+
+
+def no_levels() -> None:
+    """Without the home node's level riding on answers."""
+    _set(admission, "_raised", lambda backend: ranks.LOWEST)
+
+
+def no_tree_levels() -> None:
+    """Without the levels of the services below."""
+    _set(admission, "tree_level", lambda state, kind: ranks.LOWEST)
+
+
+def no_deep_first() -> None:
+    """Deeper calls get no precedence over new roots of their class."""
+    original = ranks.rank_of
+    _set(
+        ranks,
+        "rank_of",
+        lambda *, importance, depth, root: original(
+            importance=importance, depth=0, root=root
+        ),
+    )
+    _set(ranks, "deep_rank", lambda rank: rank)
+
+
+def no_common_order() -> None:
+    """Each hop draws an order of its own instead of the root's hash."""
+    original = ranks.rank_of
+
+    def drawn(*, importance: int, depth: int, root: int) -> int:
+        mixed = (root * 0x9E3779B97F4A7C15 * (depth + 3)) & ((1 << 64) - 1)
+        return original(importance=importance, depth=depth, root=mixed)
+
+    _set(ranks, "rank_of", drawn)
+
+
+def no_classes() -> None:
+    """Every kind has the same importance."""
+    original = ranks.rank_of
+    _set(
+        ranks,
+        "rank_of",
+        lambda *, importance, depth, root: original(
+            importance=0, depth=depth, root=root
+        ),
+    )
+
+
+def no_queue() -> None:
+    """Nothing waits: what finds no slot is refused."""
+    _set(admission, "queue_bound", lambda state, kind: 0)
+
+
+def no_redirects() -> None:
+    """A refused call is not offered to another upstream."""
+    _set(calls, "_redirect", lambda state, call, out: False)
+
+
+def no_retries() -> None:
+    """Nothing is sent again."""
+    _no_retries()
+
+
+def no_budget() -> None:
+    """Without the retry budget of a service."""
+    _set(allowance, "spend", lambda budget: True)
+
+
+def no_deadline_check() -> None:
+    """Calls that cannot finish in time are begun all the same."""
+    _set(admission, "service_time", lambda state, kind: 0.0)
+
+
+def no_load_choice() -> None:
+    """A random upstream instead of the less busy of two."""
+    _random_choice()
+
+
+def no_cancellation() -> None:
+    """Work goes on after its caller has given up."""
+    _no_cancellation()
+
+
+VARIANTS: dict[str, collections.abc.Callable[[], None]] = {
+    "gingerturn": nothing,
+    "pass-through": pass_through,
+    "per-hop-retries": per_hop_retries,
+    "static-limits": static_limits,
+    "no-levels": no_levels,
+    "no-tree-levels": no_tree_levels,
+    "no-deep-first": no_deep_first,
+    "no-common-order": no_common_order,
+    "no-classes": no_classes,
+    "no-queue": no_queue,
+    "no-redirects": no_redirects,
+    "no-retries": no_retries,
+    "no-budget": no_budget,
+    "no-deadline-check": no_deadline_check,
+    "no-load-choice": no_load_choice,
+    "no-cancellation": no_cancellation,
+}
+BASELINES = ("pass-through", "per-hop-retries", "static-limits")
+
+
+def _set(module: typing.Any, name: str, replacement: object) -> None:
+    if not hasattr(module, name):
+        raise AttributeError(f"{module.__name__} has no {name} to take out")
+    setattr(module, name, replacement)
+
+
+def _no_admission() -> None:
+    no_levels()
+    no_tree_levels()
+    _set(admission, "has_slot", lambda state: True)
+    _set(hosting, "_worth_starting", lambda state, hosted, out: True)
+
+
+def _random_choice() -> None:
+    _set(routing, "_occupancy", lambda state, node: 0.0)
+
+
+def _no_retries() -> None:
+    _set(calls, "_retry", lambda state, call, out: False)
+
+
+def _no_cancellation() -> None:
+    _set(effects, "CancelBackend", _ignored)
+    _set(effects, "CancelAttempt", _ignored)
+
+
+class _Ignored(effects.Effect, frozen=True):
+    """An effect that nothing carries out."""
+
+
+def _ignored(**fields: object) -> _Ignored:
+    return _Ignored()
+
+
+def _retry_per_hop(state: typing.Any, call: typing.Any, out: typing.Any) -> bool:
+    if not call.rule.repeatable or state.now >= call.deadline:
+        return False
+    if call.attempts >= _PER_HOP_ATTEMPTS:
+        return False
+    nodes = routing.candidates(state, call.service)
+    node = routing.choose(state, nodes, call.rule.name, call.rank)
+    if node is None:
+        return False
+    calls._send(state, call, node, out)
+    return True
--- a/src/gingerturn/configuration.py
+++ b/src/gingerturn/configuration.py
@@ -114,7 +114,7 @@
     service: ids.ServiceName
     importance: int
     path_prefix: str
-    methods: frozenset[str]
+    methods: tuple[str, ...]
     repeatable: bool
     retry_allowance: int
     timeout_ms: int
@@ -352,7 +352,7 @@
                 service=ids.ServiceName(kind.service),
                 importance=classes[kind.importance],
                 path_prefix=kind.path_prefix,
-                methods=frozenset(kind.methods),
+                methods=tuple(kind.methods),
                 repeatable=kind.repeatable,
                 retry_allowance=kind.retry_allowance,
                 timeout_ms=kind.timeout_ms,
@@ -370,7 +370,7 @@
         service=ids.ServiceName(""),
         importance=0,
         path_prefix="/",
-        methods=frozenset(),
+        methods=(),
         repeatable=repeatable,
         retry_allowance=0,
         timeout_ms=DEFAULT_TIMEOUT_MS,
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -114,10 +114,14 @@
 
 
 class ReadLog(Effect, frozen=True):
-    """Read a stream from an offset, waiting for new records for a while."""
+    """Read a stream from an offset.
+
+    :param wait: wait a while for new records if there are none.
+    """
 
     stream: str
     offset: int
+    wait: bool
 
 
 class Append(Effect, frozen=True):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -143,7 +143,12 @@
     elif isinstance(record, messages.ConfigSnapshot):
         changed = revisions.on_snapshot(state, record, out)
     if changed:
-        membership.push(state, out)
+        _on_revision(state, out)
+
+
+def _on_revision(state: states.State, out: states.Effects) -> None:
+    membership.push(state, out)
+    _follow_claims(state, out)
 
 
 def _on_log_read_failed(
@@ -183,7 +188,7 @@
     state: states.State, event: events.SnapshotReceived, out: states.Effects
 ) -> None:
     if revisions.on_snapshot(state, event.snapshot, out):
-        membership.push(state, out)
+        _on_revision(state, out)
 
 
 def _on_announced(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -337,7 +337,7 @@
             name: value for name, value in vars(self).items() if name not in _NOT_DUMPED
         }
         parts["digest"] = self.configuration.digest
-        return msgspec.json.encode(parts, order="deterministic", enc_hook=_dumped)
+        return msgspec.json.encode(parts, enc_hook=_dumped)
 
 
 class Timer(msgspec.Struct):
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -66,7 +66,11 @@
 
 def _read(stream: states.Stream, out: states.Effects) -> None:
     stream.reading = True
-    out.append(effects.ReadLog(stream=stream.name, offset=stream.offset))
+    # Until the end was seen once, an empty stream must say so at once: claims are
+    # refused for as long as that is not known.
+    out.append(
+        effects.ReadLog(stream=stream.name, offset=stream.offset, wait=stream.caught_up)
+    )
 
 
 def _pause(state: states.State, stream: states.Stream) -> ids.Milliseconds:
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -187,6 +187,9 @@
     def _end(self) -> None:
         receiver, self._receiver = self._receiver, None
         if self._reusable:
+            # The last pieces may have used up the credit; a connection that went
+            # back paused let the next exchange on it hang.
+            self.resume()
             self._pool.put(self)
         else:
             self._transport.close()
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -584,11 +584,14 @@
             self.drop_exchange(effect.hosted)
 
     def _read_log(self, effect: effects.ReadLog) -> None:
-        self._spawn(self._read_stream(effect.stream, effect.offset))
+        self._spawn(self._read_stream(effect))
 
-    async def _read_stream(self, stream: str, offset: int) -> None:
+    async def _read_stream(self, effect: effects.ReadLog) -> None:
+        stream = effect.stream
         try:
-            reply, records = await self._log.read(stream, offset)
+            reply, records = await self._log.read(
+                stream, effect.offset, wait=effect.wait
+            )
         except errors.LogServiceError:
             self.apply(events.LogReadFailed(now=clock.now(), stream=stream))
             return
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,30 @@
+"""Settings for all tests: seeded Hypothesis, and the list of known failures."""
+
+import pathlib
+
+import hypothesis
+import pytest
+
+from tests.common import known_red
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, database=None, print_blob=True
+)
+hypothesis.settings.load_profile("ci")
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect exactly the listed tests to fail; one that passes fails the run."""
+    listed = known_red.read(ROOT / "KNOWN-RED.txt")
+    found = set()
+    for item in items:
+        if item.nodeid in listed:
+            found.add(item.nodeid)
+            reason = listed[item.nodeid]
+            item.add_marker(pytest.mark.xfail(strict=True, reason=reason))
+    whole_run = len({item.path for item in items}) > 1
+    unknown = sorted(set(listed) - found)
+    if whole_run and unknown:
+        raise pytest.UsageError(f"KNOWN-RED.txt names unknown tests: {unknown}")
--- /dev/null
+++ b/tooling/gingerturn_demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstrations: real processes on loopback, a surge, and a report."""
--- a/tooling/gingerturn_standins/backend.py
+++ b/tooling/gingerturn_standins/backend.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import random
 import signal
@@ -28,7 +29,13 @@
     """
 
     def __init__(
-        self, *, service: str, slots: int, service_ms: float, calls: list[str], entry: str
+        self,
+        *,
+        service: str,
+        slots: int,
+        service_ms: float,
+        calls: list[str],
+        entry: str,
     ) -> None:
         self.service = service
         self.slots = slots
@@ -187,14 +194,14 @@
             "cold": cold,
         }
         async with httpx.AsyncClient(timeout=5.0, trust_env=False) as client:
-            task = asyncio.create_task(announce(client, admin, fields)) if admin else None
+            task = (
+                asyncio.create_task(announce(client, admin, fields)) if admin else None
+            )
             await stop.wait()
             if task is not None:
                 task.cancel()
-                try:
+                with contextlib.suppress(httpx.HTTPError):
                     await client.delete(f"{admin}/backend")
-                except httpx.HTTPError:
-                    pass
         while backend.running:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.2)
--- a/tooling/gingerturn_standins/log_service.py
+++ b/tooling/gingerturn_standins/log_service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import time
@@ -103,15 +104,15 @@
             raise http_server.NoAnswer
         return http_server.Response(200, json.dumps({"offset": offset}).encode())
 
-    async def _read(self, stream: Stream, query: dict[str, int]) -> http_server.Response:
+    async def _read(
+        self, stream: Stream, query: dict[str, int]
+    ) -> http_server.Response:
         self.reads += 1
         wanted = query.get("from", 0)
         if wanted >= stream.end and query.get("wait_ms", 0):
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(query["wait_ms"] / 1000.0):
                     await stream.changed.wait()
-            except TimeoutError:
-                pass
         if self.faults.down:
             return http_server.Response(503, b'{"error": "outage"}')
         first = max(stream.oldest, min(wanted, stream.end))
