Tell a shed child from a full backend server

Cause: a backend server answers 503 when a service below it shed its call. The node took that for the backend server's own shedding and cut its limit, at every service above the full one; ruled out: retries (attempts per root 1.000) and the queue (Plans refused with 20 of 90 slots in use). Change: a hosted call knows whether one of its children failed.

--- a/benchmarks/graphs.py
+++ b/benchmarks/graphs.py
@@ -150,6 +150,8 @@
     """A user's graph and its demand.
 
     :param mix: share of each kind of root in the demand.
+    :param patience_ms: time after which a caller goes away, by kind; shorter than
+        the deadlines, as callers are.
     :param deepest: the service that is slowed in the storm.
     """
 
@@ -160,6 +162,7 @@
     services: list[world.ServiceSpec]
     kinds: dict[str, world.KindSpec]
     mix: dict[str, float]
+    patience_ms: dict[str, float]
     protected: str
     deepest: str
 
@@ -257,6 +260,7 @@
             "port-request": world.KindSpec("port-request", "porting", "POST", "/ports"),
         },
         mix={"plan-status": 0.9, "port-request": 0.1},
+        patience_ms={"plan-status": 3_000.0, "port-request": 8_000.0},
         protected="port-request",
         deepest="provisioning",
     )
@@ -297,6 +301,11 @@
             "sign-off": world.KindSpec("sign-off", "balanca", "POST", "/sign"),
         },
         mix={"manifest-view": 0.45, "customs-pack": 0.47, "sign-off": 0.08},
+        patience_ms={
+            "manifest-view": 6_000.0,
+            "customs-pack": 7_000.0,
+            "sign-off": 12_000.0,
+        },
         protected="sign-off",
         deepest="paletes",
     )
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -31,6 +31,7 @@
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
+FIRST_FAILURE_STATUS = 500
 AVOID_MS = 1_000.0
 """An upstream that said it has no backend server is passed over for 1 s, by when
 gossip has told the rest."""
@@ -103,7 +104,7 @@
             return
     decision = _decide(state, call, decisions.Rule.SENT, (float(event.status),))
     out.append(effects.RelayAnswer(call=call.id, attempt=attempt.id, decision=decision))
-    _finish(state, call)
+    _finish(state, call, failed=event.status >= FIRST_FAILURE_STATUS)
 
 
 def on_attempt_refused(
@@ -463,14 +464,15 @@
     out.append(effects.CancelAttempt(attempt=attempt.id))
 
 
-def _finish(state: states.State, call: states.Call) -> None:
-    """Forget a call and give its tokens back to its parent."""
+def _finish(state: states.State, call: states.Call, *, failed: bool = False) -> None:
+    """Forget a call; its parent gets its tokens back and learns of a failure."""
     state.calls.pop(call.id, None)
     if call.parent is None:
         return
     parent = state.hosted.get(call.parent)
     if parent is not None:
         parent.tokens += call.tokens
+        parent.child_failed |= failed
 
 
 def _decide(
@@ -540,4 +542,4 @@
             decision=decision,
         )
     )
-    _finish(state, call)
+    _finish(state, call, failed=True)
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -89,7 +89,10 @@
     if hosted is None or hosted.state is not states.HostedState.RUNNING:
         return
     if event.status in calls.OVERLOAD_STATUSES:
-        admission.note_backend_refusal(state)
+        # A backend server passes on that a service below it shed. Taken for its
+        # own shedding, that cut the limits of every service above the full one.
+        if not hosted.child_failed:
+            admission.note_backend_refusal(state)
     else:
         admission.note_time(state, hosted.terms.kind, event.now - hosted.started)
         admission.note_backend_success(state)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -70,6 +70,8 @@
     STREAMING.
 
     :param orphaned: the entry node gave up, but the call may not be cancelled.
+    :param child_failed: a call that the backend server made for it failed, so its
+        own failure tells nothing of the backend server.
     """
 
     id: ids.HostedId
@@ -83,6 +85,7 @@
     span: ids.SpanId = ids.SpanId("")
     started: ids.Milliseconds = 0.0
     orphaned: bool = False
+    child_failed: bool = False
     decision: str = ""
     children: dict[str, int] = {}
 
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -284,19 +284,26 @@
 
     # Callers.
 
-    def send(self, root: Root, *, entry: str | None = None) -> None:
-        """Send a whole request, through a random entry if none is named."""
+    def send(
+        self, root: Root, *, entry: str | None = None, patience: float = 0.0
+    ) -> None:
+        """Send a whole request, through a random entry if none is named.
+
+        :param patience: the caller goes away after this time; 0 for never.
+        """
         alive = [n for n in self.nodes.values() if n.alive]
         node = self.nodes[entry] if entry else self.random.choice(alive)
         root.tries += 1
-        self.at(self.caller_ms, lambda: self._arrive(node, root))
+        self.at(self.caller_ms, lambda: self._arrive(node, root, patience))
 
-    def _arrive(self, node: FakeNode, root: Root) -> None:
+    def _arrive(self, node: FakeNode, root: Root, patience: float) -> None:
         if not node.alive:
             self._answer_root(root, "lost", 0.0)
             return
         call = self._number()
         node.callers[call] = root
+        if patience:
+            self.at(patience, lambda: self._go_away(node, call, root))
         self._call(
             node,
             call,
@@ -310,6 +317,13 @@
         accepted = node.state.calls.get(ids.CallId(call))
         self.on_arrival(root, None if accepted is None else accepted.root)
 
+    def _go_away(self, node: FakeNode, call: int, root: Root) -> None:
+        if node.callers.pop(call, None) is None:
+            return
+        node.requests.pop(call, None)
+        self._apply(node, events.CallerGone(now=self.now, call=ids.CallId(call)))
+        self._answer_root(root, "gone", 0.0)
+
     def _call(
         self,
         node: FakeNode,
