Ask for levels instead of sending calls to find out

Cause: a kind that was shed whole brought no answers, so its level faded where roots are admitted, and every 3 s a burst of hopeless roots filled Plans; seen in a time line of the levels. Also the lowest of the upstreams' levels let in what a single one took, and gains were too large for a loop that is a second long. Ruled out: the queue's length (a factor of 4 only added waiting). Change: a level in force that is 150 ms old is asked for (no work is done for it); a service's level is the mean of its upstreams'; smaller gains, and the lowering follows the density of arrivals just above the level.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -26,7 +26,20 @@
 OVERAGE = 1.05
 """Admit 5 % more than was handed over, so that the queue never runs dry."""
 
-RAISE_GAIN = 0.5
+RAISE_GAIN = 0.25
+ONSET_GAIN = 0.75
+LOWER_GAIN = 0.12
+"""The part of a correction made in one window. A root admitted now reaches the
+deepest service about a second, ten windows, later; larger gains correct the same
+error several times over and the level swings, which wastes work below."""
+
+IDLE_HELD = 0.02
+"""Idle shares up to 2 % are noise of a few slots and move no level."""
+
+DEEP_QUEUE_FACTOR = 2
+"""A call deeper in a tree may wait twice as long as a root before it is shed,
+since the work done for it would be lost; the level rises long before."""
+
 SLOW_START_SHARE = 0.2
 LIMIT_CUT = 0.9
 LIMIT_CUT_EVERY_MS = 100.0
@@ -36,6 +49,7 @@
 slow once would be refused for ever, as nothing would measure it again."""
 
 MAX_SAMPLES = 4_096
+MIN_NEAR = 3
 
 
 def announce(
@@ -60,6 +74,17 @@
     return max(MIN_QUEUE, min(bound, int(backend.limit)))
 
 
+def _note_queue(state: states.State, kind: str) -> None:
+    """Keep the least length of the queue in this window; a queue that never runs
+    dry is a standing one."""
+    window = state.backend.windows[-1]
+    length = len(state.backend.queue)
+    if length < window.least_queue:
+        window.least_queue = length
+    if kind:
+        window.target_queue = max(2, queue_bound(state, kind) // 2)
+
+
 def service_time(state: states.State, kind: str) -> float:
     """Return the observed time of a kind in ms; 0 when nothing is known."""
     measured = state.backend.times.get(kind)
@@ -116,7 +141,11 @@
     backend = state.backend
     entry = (hosted.rank, -state.next_number(), hosted.id)
     bisect.insort(backend.queue, entry)
-    if len(backend.queue) <= queue_bound(state, hosted.terms.kind):
+    bound = queue_bound(state, hosted.terms.kind)
+    if hosted.terms.depth > 0:
+        bound *= DEEP_QUEUE_FACTOR
+    _note_queue(state, hosted.terms.kind)
+    if len(backend.queue) <= bound:
         return None
     dropped = backend.queue.pop(0)
     backend.windows[-1].shed += 1
@@ -127,9 +156,11 @@
     """Take the highest ranked call out of the queue."""
     backend = state.backend
     if not backend.queue:
-        backend.windows[-1].emptied = True
+        backend.windows[-1].least_queue = 0
         return None
-    return backend.queue.pop()[2]
+    found = backend.queue.pop()[2]
+    _note_queue(state, "")
+    return found
 
 
 def remove(state: states.State, hosted: ids.HostedId) -> None:
@@ -177,11 +208,17 @@
         return
     _account(state)
     closed = backend.windows[-1]
-    if closed.shed:
+    if closed.shed or closed.least_queue >= closed.target_queue:
         backend.level = _raised(backend)
-    else:
+    elif closed.least_queue == 0:
         backend.level = _lowered(backend, closed)
-    backend.windows.append(states.Window(ranks=[]))
+    backend.windows.append(
+        states.Window(
+            ranks=[],
+            least_queue=len(backend.queue),
+            target_queue=closed.target_queue,
+        )
+    )
     del backend.windows[:-WINDOWS]
 
 
@@ -191,11 +228,17 @@
     if not children:
         return ranks.LOWEST
     return max(
-        routing.lowest_level(state, ids.ServiceName(service), child)
+        routing.service_level(state, ids.ServiceName(service), child)
         for service, child in children
     )
 
 
+def ask_below(state: states.State, kind: str, out: states.Effects) -> None:
+    """Ask the services that calls of a kind go on to for their present levels."""
+    for service, child in state.children_of.get(kind, {}):
+        routing.ask_levels(state, ids.ServiceName(service), child, out)
+
+
 def report(state: states.State, kind: str) -> messages.LoadReport:
     """Return the load report that rides on an answer."""
     backend = state.backend
@@ -233,7 +276,9 @@
     target = arrivals[room]
     if target <= backend.level:
         return backend.level
-    return ids.Rank(backend.level + math.ceil(RAISE_GAIN * (target - backend.level)))
+    closed = backend.windows[-1]
+    gain = ONSET_GAIN if closed.shed > closed.handed else RAISE_GAIN
+    return ids.Rank(backend.level + math.ceil(gain * (target - backend.level)))
 
 
 def _lowered(backend: states.Backend, closed: states.Window) -> ids.Rank:
@@ -241,8 +286,30 @@
         return backend.level
     used = closed.busy_ms / (WINDOW_MS * max(1.0, backend.limit))
     idle = max(0.0, 1.0 - used)
-    step = ranks.BAND * min(1.0, max(1.0 / 32, 2.0 * idle))
-    return ids.Rank(max(0, int(backend.level - step)))
+    if idle <= IDLE_HELD:
+        return backend.level
+    return ids.Rank(max(0, int(backend.level - _lowering(backend, idle))))
+
+
+def _lowering(backend: states.Backend, idle: float) -> float:
+    """Return by how much to lower the level so as to fill the idle slots.
+
+    Calls below the level do not arrive, so how many there are is taken from the
+    density of those just above it.
+    """
+    band_end = (backend.level // ranks.BAND + 1) * ranks.BAND
+    handed = sum(window.handed for window in backend.windows)
+    near = sum(
+        1
+        for window in backend.windows
+        for rank in window.ranks
+        if backend.level <= rank < band_end
+    )
+    if near < MIN_NEAR:
+        return ranks.BAND * max(1.0 / 16, idle)
+    density = near / (band_end - backend.level)
+    missing = handed * idle / max(0.2, 1.0 - idle)
+    return min(float(ranks.BAND), max(1.0, LOWER_GAIN * missing / density))
 
 
 def _account(state: states.State) -> None:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -164,6 +164,15 @@
     _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
 
 
+def on_level_told(
+    state: states.State, event: events.LevelTold, out: states.Effects
+) -> None:
+    """Take in an upstream's answer to a question about its level."""
+    waiting = routing.upstream_of(state, event.node).since_report
+    routing.hear(state, event.node, event.kind, event.report)
+    routing.upstream_of(state, event.node).since_report = waiting
+
+
 def on_deadline(state: states.State, call_id: ids.CallId, out: states.Effects) -> None:
     """Give up on a call whose home node said nothing by its deadline."""
     call = state.calls.get(call_id)
@@ -315,7 +324,8 @@
 def _refuse_by_level(
     state: states.State, call: states.Call, out: states.Effects
 ) -> None:
-    lowest = routing.lowest_level(state, call.service, call.rule.name)
+    routing.ask_levels(state, call.service, call.rule.name, out)
+    lowest = routing.service_level(state, call.service, call.rule.name)
     retry_after = admission.come_back_after(state, call.rank, lowest)
     figures = (float(lowest), 0.0, float(call.rank))
     _refuse(
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -113,6 +113,22 @@
     report: messages.LoadReport
 
 
+class AskLevel(Effect, frozen=True):
+    """Ask an upstream what it sheds at present, for calls of a kind."""
+
+    node: ids.NodeId
+    host: str
+    port: int
+    kind: ids.KindName
+
+
+class TellLevel(Effect, frozen=True):
+    """Answer such a question."""
+
+    question: int
+    report: messages.LoadReport
+
+
 class ReadLog(Effect, frozen=True):
     """Read a stream from an offset.
 
@@ -191,6 +207,8 @@
     | KeepAnswer
     | ForgetAnswer
     | SendRefusal
+    | AskLevel
+    | TellLevel
     | ReadLog
     | Append
     | SendGossip
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -109,6 +109,24 @@
     call: messages.CallTerms
 
 
+class LevelAsked(Event, frozen=True):
+    """A peer asks what this node sheds at present, for calls of a kind.
+
+    :param question: number by which the shell pairs the answer with it.
+    """
+
+    question: int
+    kind: ids.KindName
+
+
+class LevelTold(Event, frozen=True):
+    """A peer's answer to that question."""
+
+    node: ids.NodeId
+    kind: ids.KindName
+    report: messages.LoadReport
+
+
 class CancelReceived(Event, frozen=True):
     """The entry node gave up on a call, or its connection broke."""
 
@@ -235,6 +253,8 @@
     | AttemptRefused
     | AttemptLost
     | OpenReceived
+    | LevelAsked
+    | LevelTold
     | CancelReceived
     | BackendAnswered
     | BackendFinished
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -58,6 +58,16 @@
     _enqueue(state, hosted, out)
 
 
+def on_level_asked(
+    state: states.State, event: events.LevelAsked, out: states.Effects
+) -> None:
+    """Tell a peer what is shed at present; what is known only from long ago is
+    asked for in turn, for the next question."""
+    admission.ask_below(state, event.kind, out)
+    report = admission.report(state, event.kind)
+    out.append(effects.TellLevel(question=event.question, report=report))
+
+
 def on_cancel(
     state: states.State, event: events.CancelReceived, out: states.Effects
 ) -> None:
@@ -502,6 +512,8 @@
         refuse(state, hosted, rule, out, figures=(left, needed, wait))
         return False
     below = admission.tree_level(state, kind)
+    if below > ranks.LOWEST:
+        admission.ask_below(state, kind, out)
     if ranks.deep_rank(hosted.rank) < below:
         figures = (float(below), float(ranks.deep_rank(hosted.rank)))
         refuse(state, hosted, decisions.Rule.TREE_LEVEL, out, figures=figures)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -305,6 +305,8 @@
     events.AttemptRefused: calls.on_attempt_refused,
     events.AttemptLost: calls.on_attempt_lost,
     events.OpenReceived: hosting.on_open,
+    events.LevelAsked: hosting.on_level_asked,
+    events.LevelTold: calls.on_level_told,
     events.CancelReceived: hosting.on_cancel,
     events.BackendAnswered: hosting.on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -1,10 +1,21 @@
 """Choice of an upstream from what answers told, and outlier handling."""
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import messages, ranks, state as states
+from gingerturn.internal.core import effects, messages, ranks, state as states
 
-LEVEL_FRESH_MS = 300.0
-"""A level counts as told for this long; three control windows."""
+LEVEL_FRESH_MS = 1_000.0
+"""A level counts as told for this long. While a deep service is slow a node hears
+from each of its upstreams only some times a second; with 300 ms the level faded
+between two answers and let in roots that were shed below."""
+
+ASK_AFTER_MS = 150.0
+"""A level that keeps calls back is asked for anew after this time. Sending a call
+to find out costs the work that is lost when it is shed further down: with fading
+alone, a kind that was shed whole sent a burst of hopeless calls every 3 s."""
+
+ASKED_AT_ONCE = 4
+"""Upstreams asked at once; each has its turn, so that a large service costs no
+more questions than a small one."""
 
 FADE_STEP_MS = 100.0
 FADE_FIRST_STEP = ranks.BAND // 64
@@ -124,19 +135,56 @@
     return min((first, second), key=lambda node: _occupancy(state, node))
 
 
-def lowest_level(state: states.State, service: ids.ServiceName, kind: str) -> ids.Rank:
-    """Return the lowest rank that some upstream of a service is expected to take,
-    the levels of the services below it included."""
-    lowest = ranks.HIGHEST
+def service_level(state: states.State, service: ids.ServiceName, kind: str) -> ids.Rank:
+    """Return the rank from which a service as a whole is expected to take calls,
+    the levels of the services below it included.
+
+    The mean over its upstreams: the lowest would let in what only one upstream
+    takes, and all of that would meet there.
+    """
+    total = 0
     nodes = candidates(state, service)
     for node in nodes:
         upstream = state.upstreams.get(node)
-        if upstream is None:
-            return ranks.LOWEST
-        lowest = min(lowest, max(levels(state, upstream, kind)))
-        if lowest == ranks.LOWEST:
-            break
-    return lowest if nodes else ranks.LOWEST
+        if upstream is not None:
+            total += max(levels(state, upstream, kind))
+    return ids.Rank(total // len(nodes)) if nodes else ranks.LOWEST
+
+
+def ask_levels(
+    state: states.State, service: ids.ServiceName, kind: str, out: states.Effects
+) -> None:
+    """Ask some upstreams of a service whose levels are in force but not fresh."""
+    nodes = candidates(state, service)
+    asked = 0
+    start = int(state.random.random() * len(nodes)) if nodes else 0
+    for offset in range(len(nodes)):
+        node = nodes[(start + offset) % len(nodes)]
+        upstream = state.upstreams.get(node)
+        if upstream is None or not _wants_asking(state, upstream, kind):
+            continue
+        upstream.asked = state.now
+        member = state.membership.members[node]
+        out.append(
+            effects.AskLevel(
+                node=node,
+                host=member.host,
+                port=member.peers_port,
+                kind=ids.KindName(kind),
+            )
+        )
+        asked += 1
+        if asked == ASKED_AT_ONCE:
+            return
+
+
+def _wants_asking(state: states.State, upstream: states.Upstream, kind: str) -> bool:
+    if state.now - upstream.asked < ASK_AFTER_MS:
+        return False
+    tree = upstream.tree.get(kind)
+    heard = upstream.own.heard if tree is None else min(tree.heard, upstream.own.heard)
+    in_force = upstream.own.level > 0 or (tree is not None and tree.level > 0)
+    return in_force and state.now - heard >= ASK_AFTER_MS
 
 
 def note_success(state: states.State, node: ids.NodeId) -> None:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -91,13 +91,18 @@
 
 
 class Window(msgspec.Struct):
-    """What one control window saw at admission."""
+    """What one control window saw at admission.
+
+    :param least_queue: least length of the queue in the window.
+    :param target_queue: a queue at least this long throughout raises the level.
+    """
 
     ranks: list[int] = []
     handed: int = 0
     shed: int = 0
     busy_ms: float = 0.0
-    emptied: bool = False
+    least_queue: int = 0
+    target_queue: int = 2
 
 
 class ServiceTime(msgspec.Struct):
@@ -148,6 +153,7 @@
 
     :param outstanding: attempts of this node in flight there.
     :param since_report: attempts sent since the last load report.
+    :param asked: when its level was last asked for.
     """
 
     node: ids.NodeId
@@ -157,6 +163,7 @@
     limit: int = 0
     outstanding: int = 0
     since_report: int = 0
+    asked: ids.Milliseconds = 0.0
     failures: int = 0
     ejections: int = 0
     ejected_until: ids.Milliseconds = 0.0
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -194,6 +194,7 @@
         self._sequence = 0
         self._numbers = 0
         self._addresses: dict[int, str] = {}
+        self._questions: dict[int, tuple[FakeNode, ids.KindName]] = {}
         self._homes: dict[tuple[str, int], tuple[FakeNode, int]] = {}
         for spec in services:
             for index in range(spec.upstreams):
@@ -573,6 +574,33 @@
 
         self._to(node, entry, arrive)
 
+    def _ask_level(self, node: FakeNode, effect: effects.AskLevel) -> None:
+        home = self.nodes[effect.node]
+        question = self._number()
+        self._questions[question] = (node, effect.kind)
+
+        def arrive() -> None:
+            self._apply(
+                home,
+                events.LevelAsked(now=self.now, question=question, kind=effect.kind),
+            )
+
+        self._to(node, home, arrive)
+
+    def _tell_level(self, node: FakeNode, effect: effects.TellLevel) -> None:
+        asker, kind = self._questions.pop(effect.question)
+
+        def arrive() -> None:
+            told = events.LevelTold(
+                now=self.now,
+                node=ids.NodeId(node.name),
+                kind=kind,
+                report=effect.report,
+            )
+            self._apply(asker, told)
+
+        self._to(node, asker, arrive)
+
     def _gossip(self, node: FakeNode, effect: effects.SendGossip) -> None:
         if not self.gossip_on:
             self._gossip_quietly(node, effect)
@@ -805,6 +833,8 @@
     effects.SendAnswer: World._send_answer,
     effects.SendKeptAnswer: World._send_kept,
     effects.SendRefusal: World._send_refusal,
+    effects.AskLevel: World._ask_level,
+    effects.TellLevel: World._tell_level,
     effects.SendGossip: World._gossip,
     effects.Append: World._append,
     effects.ReadLog: World._read_log,
