--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -14,9 +14,12 @@
 WINDOW_MS = 100.0
 """Length of a control window; some tens of calls at the sizes of today."""
 
-WINDOWS = 8
-"""Windows that the level looks back on: calls that run for seconds free few
-slots in one window, and a level from so few would jump."""
+WINDOWS = 32
+MIN_WINDOWS = 8
+ENOUGH_HANDED = 40
+"""The level looks back on as many windows as handed over 40 calls, at least 8 and
+at most 32. Calls that run for seconds free few slots in a window; a level from 13
+calls jumped by a quarter of a band for no reason but chance."""
 
 QUEUE_MS = 250.0
 """The queue holds what starts within this time. Shorter queues lose bursts at
@@ -36,7 +39,7 @@
 IDLE_HELD = 0.02
 """Idle shares up to 2 % are noise of a few slots and move no level."""
 
-DEEP_QUEUE_FACTOR = 2
+DEEP_QUEUE_FACTOR = 4
 """A call deeper in a tree may wait twice as long as a root before it is shed,
 since the work done for it would be lost; the level rises long before."""
 
@@ -200,6 +203,25 @@
     backend.limit = min(backend.limit, float(backend.slots))
 
 
+def overdue(state: states.State) -> list[ids.HostedId]:
+    """Take out of the queue what waited longer than the queue is meant to hold.
+
+    A call of low rank can be overtaken for seconds; meanwhile it holds the slots of
+    the calls above it, which cost more slot time than all shed calls together.
+    """
+    backend = state.backend
+    found = []
+    for _, _, hosted_id in backend.queue:
+        hosted = state.hosted[hosted_id]
+        longest = QUEUE_MS * (DEEP_QUEUE_FACTOR if hosted.terms.depth > 0 else 2)
+        if state.now - hosted.arrived > longest:
+            found.append(hosted_id)
+    for hosted_id in found:
+        remove(state, hosted_id)
+        backend.windows[-1].shed += 1
+    return found
+
+
 def control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Close a control window and move the level."""
     backend = state.backend
@@ -263,10 +285,23 @@
     return base * (1.0 + state.random.random())
 
 
+def _recent(backend: states.Backend) -> list[states.Window]:
+    """Return the latest windows that tell enough."""
+    handed = 0
+    count = 0
+    for window in reversed(backend.windows):
+        handed += window.handed
+        count += 1
+        if count >= MIN_WINDOWS and handed >= ENOUGH_HANDED:
+            break
+    return backend.windows[-count:]
+
+
 def _raised(backend: states.Backend) -> ids.Rank:
     arrivals: list[int] = []
     handed = 0
-    for window in backend.windows:
+    recent = _recent(backend)
+    for window in recent:
         arrivals.extend(window.ranks)
         handed += window.handed
     arrivals.sort(reverse=True)
@@ -278,6 +313,7 @@
         return backend.level
     closed = backend.windows[-1]
     gain = ONSET_GAIN if closed.shed > closed.handed else RAISE_GAIN
+    gain *= MIN_WINDOWS / max(MIN_WINDOWS, len(recent))
     return ids.Rank(backend.level + math.ceil(gain * (target - backend.level)))
 
 
@@ -298,10 +334,11 @@
     density of those just above it.
     """
     band_end = (backend.level // ranks.BAND + 1) * ranks.BAND
-    handed = sum(window.handed for window in backend.windows)
+    recent = _recent(backend)
+    handed = sum(window.handed for window in recent)
     near = sum(
         1
-        for window in backend.windows
+        for window in recent
         for rank in window.ranks
         if backend.level <= rank < band_end
     )
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -193,6 +193,12 @@
         refuse(state, state.hosted[hosted_id], rule, out)
 
 
+def shed_overdue(state: states.State, out: states.Effects) -> None:
+    """Refuse queued calls that waited for too long."""
+    for hosted_id in admission.overdue(state):
+        refuse(state, state.hosted[hosted_id], decisions.Rule.QUEUE_EXPIRED, out)
+
+
 def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Withdraw a backend server that stopped renewing."""
     backend = state.backend
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -248,6 +248,7 @@
 
 
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    hosting.shed_overdue(state, out)
     admission.control(state, now, out)
     present = state.backend.present
     hosting.expire(state, now, out)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -149,6 +149,8 @@
         self._exchanges: dict[ids.HostedId, exchanges.HostedExchange] = {}
         self._kept: dict[str, KeptAnswer] = {}
         self._asks: dict[int, asyncio.Future[bytes]] = {}
+        self._level_asks: dict[int, tuple[ids.NodeId, ids.KindName, ids.Address]] = {}
+        self._level_questions: dict[int, tuple[peers.Accepted | LocalChannel, int]] = {}
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -168,6 +170,8 @@
             effects.KeepAnswer: self._keep_answer,
             effects.ForgetAnswer: self._forget_answer,
             effects.SendRefusal: self._send_refusal,
+            effects.AskLevel: self._ask_level,
+            effects.TellLevel: self._tell_level,
             effects.ReadLog: self._read_log,
             effects.Append: self._append,
             effects.SendGossip: self.gossip.send,
@@ -279,6 +283,9 @@
         if isinstance(frame, frames.Reply):
             self._on_reply(frame)
             return
+        if isinstance(frame, frames.TellLevel):
+            self._on_level_told(frame)
+            return
         pending = self._attempts.get(frame.call)
         if pending is None:
             return
@@ -314,6 +321,7 @@
 
     def on_link_lost(self, call: int, *, reached: bool) -> None:
         """Take the loss of the connection that carried an attempt."""
+        self._level_asks.pop(call, None)
         ask = self._asks.pop(call, None)
         if ask is not None and not ask.done():
             ask.set_exception(ConnectionError("the peer cannot be reached"))
@@ -339,6 +347,9 @@
         if isinstance(frame, frames.Open):
             self._on_open(channel, frame)
             return
+        if isinstance(frame, frames.AskLevel):
+            self._on_level_asked(channel, frame)
+            return
         if isinstance(frame, frames.Ask):
             channel.send(frames.Reply(frame.call, self._answer_question(frame)))
             return
@@ -444,9 +455,7 @@
         request = known[0]
         for number in [n for n, p in self._attempts_of(request)]:
             self._drop_attempt(number, cancel=True)
-        carrier: Carrier = self._local
-        if effect.node != self.name:
-            carrier = self._link(ids.Address(effect.host, effect.port))
+        carrier = self._carrier(effect.node, ids.Address(effect.host, effect.port))
         self._attempts[effect.attempt] = PendingAttempt(request, carrier)
         request.attempt = effect.attempt
         carrier.send(
@@ -583,6 +592,39 @@
         if effect.hosted not in self.state.hosted:
             self.drop_exchange(effect.hosted)
 
+    def _ask_level(self, effect: effects.AskLevel) -> None:
+        address = ids.Address(effect.host, effect.port)
+        number = self._next_ask()
+        self._level_asks[number] = (effect.node, effect.kind, address)
+        self._carrier(effect.node, address).send(
+            frames.AskLevel(call=number, kind=effect.kind)
+        )
+
+    def _on_level_asked(
+        self, channel: "peers.Accepted | LocalChannel", frame: frames.AskLevel
+    ) -> None:
+        question = self._next_ask()
+        self._level_questions[question] = (channel, frame.call)
+        self.apply(
+            events.LevelAsked(
+                now=clock.now(), question=question, kind=ids.KindName(frame.kind)
+            )
+        )
+
+    def _tell_level(self, effect: effects.TellLevel) -> None:
+        channel, call = self._level_questions.pop(effect.question)
+        channel.send(frames.TellLevel(call=call, report=effect.report))
+
+    def _on_level_told(self, frame: frames.TellLevel) -> None:
+        known = self._level_asks.pop(frame.call, None)
+        if known is None:
+            return
+        node, kind, address = known
+        self._carrier(node, address).forget(frame.call)
+        self.apply(
+            events.LevelTold(now=clock.now(), node=node, kind=kind, report=frame.report)
+        )
+
     def _read_log(self, effect: effects.ReadLog) -> None:
         self._spawn(self._read_stream(effect))
 
@@ -711,6 +753,9 @@
         loop = asyncio.get_running_loop()
         self._ticker = loop.call_later(timers.TICK_MS / 1000.0, self._tick)
 
+    def _carrier(self, node: ids.NodeId, address: ids.Address) -> Carrier:
+        return self._local if node == self.name else self._link(address)
+
     def _link(self, address: ids.Address) -> peers.Link:
         link = self._links.get(address)
         if link is None:
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -84,6 +84,20 @@
     count: int
 
 
+class AskLevel(msgspec.Struct, frozen=True):
+    """Asks what the receiver sheds at present, for calls of a kind."""
+
+    call: int
+    kind: str
+
+
+class TellLevel(msgspec.Struct, frozen=True):
+    """The answer to that question."""
+
+    call: int
+    report: messages.LoadReport
+
+
 class Hello(msgspec.Struct, frozen=True):
     """Opens a connection; each side proves that it knows the secret."""
 
@@ -109,7 +123,20 @@
     content: bytes
 
 
-Frame = Open | Answer | Refuse | Chunk | Cancel | Broken | Credit | Hello | Ask | Reply
+Frame = (
+    Open
+    | Answer
+    | Refuse
+    | Chunk
+    | Cancel
+    | Broken
+    | Credit
+    | Hello
+    | Ask
+    | Reply
+    | AskLevel
+    | TellLevel
+)
 
 
 def encode(frame: Frame) -> bytes:
@@ -209,7 +236,10 @@
 
 
 def _encode_report(part: typing.Any, report: messages.LoadReport) -> None:
-    inner = part.report
+    _fill_report(part.report, report)
+
+
+def _fill_report(inner: typing.Any, report: messages.LoadReport) -> None:
     inner.level = report.level
     inner.treeLevel = report.tree_level
     inner.load = report.load
@@ -218,7 +248,10 @@
 
 
 def _decode_report(part: typing.Any) -> messages.LoadReport:
-    inner = part.report
+    return _read_report(part.report)
+
+
+def _read_report(inner: typing.Any) -> messages.LoadReport:
     return messages.LoadReport(
         level=ids.Rank(inner.level),
         tree_level=ids.Rank(inner.treeLevel),
@@ -316,6 +349,14 @@
     message.credit = frame.count
 
 
+def _encode_ask_level(message: typing.Any, frame: AskLevel) -> None:
+    message.askLevel = frame.kind
+
+
+def _encode_tell_level(message: typing.Any, frame: TellLevel) -> None:
+    _fill_report(message.init("tellLevel"), frame.report)
+
+
 def _encode_reply(message: typing.Any, frame: Reply) -> None:
     message.reply = frame.content
 
@@ -335,6 +376,8 @@
     Hello: _encode_hello,
     Ask: _encode_ask,
     Reply: _encode_reply,
+    AskLevel: _encode_ask_level,
+    TellLevel: _encode_tell_level,
 }
 
 _DECODERS: dict[int, typing.Callable[[int, typing.Any], Frame]] = {
@@ -348,5 +391,7 @@
     7: _decode_ask,
     8: lambda call, message: Reply(call, message.reply),
     9: lambda call, message: Broken(call),
+    10: lambda call, message: AskLevel(call, message.askLevel),
+    11: lambda call, message: TellLevel(call, _read_report(message.tellLevel)),
 }
 """By the discriminant of the union, in the order of the schema."""
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -85,7 +85,10 @@
     ask @8 :Ask;
     reply @9 :Data;
     broken @10 :Void;
-    # The body that was being sent cannot be completed.
+      # The body that was being sent cannot be completed.
+    askLevel @11 :Text;
+    # What is shed at present, for calls of this kind?
+    tellLevel @12 :Report;
   }
 }
 
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -4,7 +4,7 @@
 import typing
 import uuid
 
-from gingerturn import configuration
+from gingerturn import configuration, settings as settings_module
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
@@ -55,6 +55,23 @@
     return configuration.Configuration({"shop": DOCUMENT})
 
 
+def settings(name: str = "n1") -> settings_module.Settings:
+    """Return the settings of a node that nothing runs."""
+    return settings_module.Settings(
+        node=settings_module.Node(
+            id=name,
+            zone="bne-a",
+            host="127.0.0.1",
+            calls_port=1,
+            peers_port=2,
+            gossip_port=2,
+            admin_port=3,
+        ),
+        log=settings_module.Log(url="http://127.0.0.1:1"),
+        secret=settings_module.Secret(current="a secret of the tests"),
+    )
+
+
 def started(name: str = "n1", *, seed: int = 1, now: float = START) -> events.Started:
     """Return the start of a node."""
     return events.Started(
--- a/tooling/gingerturn_demo/scene.py
+++ b/tooling/gingerturn_demo/scene.py
@@ -18,7 +18,7 @@
 WARM_S = 6
 TRIGGER_S = 10
 AFTER_S = 12
-CALLER_ATTEMPTS = 6
+CALLER_ATTEMPTS = 4
 CALLER_TIMEOUT_S = 4.0
 
 
@@ -98,9 +98,9 @@
             Upstreams("provisioning", ("bne-a", "bne-b"), 4, 50.0),
         ),
         loads=(
-            Load("lookup", "plans", "GET", "/status", 120.0, 900.0),
-            Load("view", "provisioning", "GET", "/view", 40.0, 220.0),
-            Load("port", "porting", "POST", "/ports", 12.0, 25.0, keyed=True),
+            Load("lookup", "plans", "GET", "/status", 40.0, 80.0),
+            Load("view", "provisioning", "GET", "/view", 40.0, 110.0),
+            Load("port", "porting", "POST", "/ports", 8.0, 10.0, keyed=True),
         ),
         deepest="provisioning",
     )
@@ -124,10 +124,10 @@
             Upstreams("paletes", ("boa-viagem", "suape"), 5, 50.0),
         ),
         loads=(
-            Load("manifest", "manifesto", "GET", "/view", 120.0, 900.0),
-            Load("pallet", "paletes", "GET", "/view", 40.0, 250.0),
-            Load("pack", "despacho", "GET", "/pack", 60.0, 300.0),
-            Load("sign-off", "balanca", "POST", "/sign", 10.0, 25.0, keyed=True),
+            Load("manifest", "manifesto", "GET", "/view", 40.0, 80.0),
+            Load("pallet", "paletes", "GET", "/view", 40.0, 130.0),
+            Load("pack", "despacho", "GET", "/pack", 20.0, 40.0),
+            Load("sign-off", "balanca", "POST", "/sign", 8.0, 10.0, keyed=True),
         ),
         deepest="paletes",
     )
@@ -333,7 +333,12 @@
     """Ask another node than the one that decided why it did."""
     if not decision:
         return "nothing was refused"
-    asked = next(n for n in cluster.nodes.values() if n.node.poll() is None)
+    decider = decision.rpartition(":")[0]
+    asked = next(
+        node
+        for name, node in cluster.nodes.items()
+        if node.node.poll() is None and name != decider
+    )
     reply = await client.get(f"{asked.admin}/why/{decision}")
     if reply.status_code != 200:
         return f"{decision}: {reply.text}"
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -182,7 +182,7 @@
             process.wait(timeout=10)
 
     def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
-        with (self.folder / f"{name}.log").open("ab") as output:
+        with (self.folder / f"{name}.log").open("wb") as output:
             process = subprocess.Popen(
                 [sys.executable, *arguments],
                 env=self._environment,
