--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -31,7 +31,9 @@
 
 RAISE_GAIN = 0.25
 ONSET_GAIN = 0.75
-LOWER_GAIN = 0.12
+LOWER_GAIN = 0.04
+IDLE_GAIN = 0.4
+MUCH_IDLE = 0.3
 """The part of a correction made in one window. A root admitted now reaches the
 deepest service about a second, ten windows, later; larger gains correct the same
 error several times over and the level swings, which wastes work below."""
@@ -346,7 +348,8 @@
         return ranks.BAND * max(1.0 / 16, idle)
     density = near / (band_end - backend.level)
     missing = handed * idle / max(0.2, 1.0 - idle)
-    return min(float(ranks.BAND), max(1.0, LOWER_GAIN * missing / density))
+    gain = LOWER_GAIN + IDLE_GAIN * max(0.0, idle - MUCH_IDLE)
+    return min(float(ranks.BAND), max(1.0, gain * missing / density))
 
 
 def _account(state: states.State) -> None:
--- /dev/null
+++ b/tests/common/small.py
@@ -0,0 +1,147 @@
+"""A small graph for scenarios: the shape of Brolga's, a few slots each."""
+
+import uuid
+
+from gingerturn_fakes import world
+
+DOCUMENT = """
+[[importance]]
+name = "lookup"
+
+[[importance]]
+name = "protected"
+above = ["lookup"]
+
+[[service]]
+name = "plans"
+
+[[service]]
+name = "porting"
+
+[[service]]
+name = "provisioning"
+
+[[kind]]
+name = "plan-status"
+service = "plans"
+importance = "lookup"
+retry_allowance = 2
+timeout_ms = 4000
+
+[[kind]]
+name = "sim-view"
+service = "provisioning"
+importance = "lookup"
+retry_allowance = 2
+timeout_ms = 4000
+
+[[kind]]
+name = "port-request"
+service = "porting"
+methods = ["POST"]
+importance = "protected"
+repeatable = false
+timeout_ms = 6000
+
+[[kind]]
+name = "provision"
+service = "provisioning"
+methods = ["POST"]
+path_prefix = "/provision"
+importance = "protected"
+repeatable = false
+timeout_ms = 6000
+"""
+
+ZONES = ["bne-a", "bne-b", "tsv"]
+
+KINDS = {
+    "plan-status": world.KindSpec("plan-status", "plans", "GET", "/status"),
+    "sim-view": world.KindSpec("sim-view", "provisioning", "GET", "/view"),
+    "port-request": world.KindSpec(
+        "port-request", "porting", "POST", "/ports", keyed=True
+    ),
+    "provision": world.KindSpec(
+        "provision", "provisioning", "POST", "/provision", keyed=True
+    ),
+}
+
+
+def new_world(*, seed: int = 1, gossip: bool = False) -> world.World:
+    """Return the small graph, started."""
+    made = world.World(
+        seed=seed,
+        services=[
+            world.ServiceSpec(
+                "plans",
+                3,
+                8,
+                {"plan-status": 40.0},
+                {"plan-status": ["provisioning GET /view"]},
+            ),
+            world.ServiceSpec(
+                "porting",
+                2,
+                10,
+                {"port-request": 40.0},
+                {"port-request": ["provisioning POST /provision"]},
+            ),
+            world.ServiceSpec(
+                "provisioning", 3, 4, {"sim-view": 40.0, "provision": 80.0}
+            ),
+        ],
+        documents={"shop": DOCUMENT},
+        zones=ZONES,
+    )
+    made.gossip_on = gossip
+    return made
+
+
+def key_of(made: world.World, number: int) -> str:
+    """Return a UUIDv7 of the present time of a world."""
+    return str(uuid.UUID(int=(int(made.now) << 80) | (7 << 76) | (2 << 62) | number))
+
+
+class Truth:
+    """Holds answers against what was executed.
+
+    :param made: the world to watch; its hooks are taken over.
+    """
+
+    def __init__(self, made: world.World) -> None:
+        self._world = made
+        self._run_keys: dict[str, int] = {}
+        self._run_roots: set[tuple[str, int]] = set()
+        self._hashes: dict[int, int] = {}
+        self.false_not_run: list[world.Root] = []
+        self.answers: list[world.Root] = []
+        made.on_execution = self._on_execution
+        made.on_root_end = self._on_end
+        made.on_arrival = self._on_arrival
+
+    @property
+    def twice(self) -> list[str]:
+        """Keys that were executed more than once."""
+        return [key for key, count in self._run_keys.items() if count > 1]
+
+    @property
+    def run_keys(self) -> set[str]:
+        """Keys that were executed."""
+        return set(self._run_keys)
+
+    def _on_execution(self, node: world.FakeNode, work: world.Work) -> None:
+        if work.key:
+            self._run_keys[work.key] = self._run_keys.get(work.key, 0) + 1
+        self._run_roots.add((node.backend.spec.name, work.root))
+
+    def _on_arrival(self, root: world.Root, root_hash: int | None) -> None:
+        if root_hash is not None:
+            self._hashes[root.id] = root_hash
+
+    def _on_end(self, root: world.Root) -> None:
+        self.answers.append(root)
+        if root.answer != "not-run":
+            return
+        place = (root.kind.service, self._hashes.get(root.id, -1))
+        if root.key in self._run_keys or place in self._run_roots:
+            self.false_not_run.append(root)
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -423,6 +423,10 @@
                 event = events.CancelReceived(now=self.now, hosted=ids.HostedId(hosted))
                 self._apply(node, event)
 
+    def apply(self, name: str, event: events.Event) -> None:
+        """Let something happen to a node."""
+        self._apply(self.nodes[name], event)
+
     # The core's effects.
 
     def _apply(self, node: FakeNode, event: events.Event) -> None:
