Hold each proof against its mechanism taken out

Cause: the scenarios passed at once, so nothing showed that they can fail. Change: tests that take one mechanism out (classes, levels, claims, repeats, the truth of not-run, leaving, suspicion, tokens, the key's window) and expect a named scenario or property to fail. Two scenarios did not fail at first: shedding-order was limited by Plans, where both kinds never met, and pause expected nothing of time.

--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -39,6 +39,7 @@
     | "executed-twice"                                     -> twice
     | "false-not-run"                                      -> false_not_run
     | "lost" NAME                                          -> lost
+    | "late" NAME "over" NUMBER                            -> late
     | "new-work" NAME "after" NUMBER                       -> new_work
     | "opened-to" NAME "after" NUMBER                      -> opened_to
     | "refusals-slower-than" NUMBER                        -> slow_refusals
@@ -63,6 +64,7 @@
     kind: str
     at: float
     complete: bool = False
+    took_ms: float = 0.0
     answers: list[str] = dataclasses.field(default_factory=list)
     waits_ms: list[float] = dataclasses.field(default_factory=list)
 
@@ -200,6 +202,7 @@
             sent.waits_ms.append(self.world.now - self._begun[root.id])
         if root.answer == "ok":
             sent.complete = True
+            sent.took_ms = self.world.now - root.sent
         elif root.tries < self._retry:
             self._send(root)
 
@@ -239,6 +242,11 @@
             and "unknown" in s.answers
         )
 
+    def _get_late(self, kind: str, bound_ms: str) -> float:
+        cohort = [s for s in self._sent.values() if s.kind == kind and s.complete]
+        late = sum(1 for s in cohort if s.took_ms > float(bound_ms))
+        return late / max(1, len(cohort))
+
     def _get_twice(self) -> float:
         return len(self.truth.twice)
 
--- /dev/null
+++ b/tests/cover/test_decisions_under_load.py
@@ -0,0 +1,365 @@
+"""Single decisions: tokens, keys, deadlines, levels, choice of upstream."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    decisions,
+    effects,
+    events,
+    messages,
+    ranks,
+    reducer,
+    routing,
+    state as states,
+)
+from gingerturn_fakes import world
+from tests.common import builders, small
+
+
+def _entry(*upstreams: str) -> states.State:
+    """Return an entry node that knows upstreams of Plans."""
+    state = builders.node_state("entry")
+    builders.add_members(state, *[builders.member(name, "plans") for name in upstreams])
+    return state
+
+
+def _answer(
+    state: states.State, attempt: int, *, status: int = 200, tokens: int = 0
+) -> list[effects.Effect]:
+    return reducer.reduce(
+        state,
+        builders.answered(attempt, status=status, tokens=tokens, now=state.now),
+    )
+
+
+def test_a_503_is_sent_again_to_another_upstream_for_a_token() -> None:
+    state = _entry("p1", "p2")
+    first = builders.only(
+        reducer.reduce(state, builders.arrived(1)), effects.OpenAttempt
+    )
+    second = builders.only(
+        _answer(state, first.attempt, status=503), effects.OpenAttempt
+    )
+    assert second.node != first.node
+    # Two tokens: one went along and was not heard of again, one was spent.
+    assert state.calls[ids.CallId(1)].tokens == 0
+    assert builders.only(_answer(state, second.attempt), effects.RelayAnswer).call == 1
+
+
+def test_an_unrepeatable_call_that_may_have_run_is_unknown() -> None:
+    state = builders.node_state("entry")
+    builders.add_members(
+        state, builders.member("q1", "porting"), builders.member("q2", "porting")
+    )
+    key = builders.key_at(builders.START)
+    out = reducer.reduce(
+        state, builders.arrived(1, service="porting", method="POST", key=key, sending=1)
+    )
+    attempt = builders.only(out, effects.OpenAttempt).attempt
+    lost = events.AttemptLost(now=state.now, attempt=attempt, reached=True)
+    refusal = builders.only(reducer.reduce(state, lost), effects.RefuseCall)
+    assert refusal.outcome is messages.Outcome.UNKNOWN
+    assert refusal.status == 502
+
+
+def test_an_attempt_that_never_left_goes_elsewhere_for_free() -> None:
+    state = _entry("p1", "p2")
+    first = builders.only(
+        reducer.reduce(state, builders.arrived(1)), effects.OpenAttempt
+    )
+    lost = events.AttemptLost(now=state.now, attempt=first.attempt, reached=False)
+    second = builders.only(reducer.reduce(state, lost), effects.OpenAttempt)
+    assert second.node != first.node
+    assert second.terms.tokens + state.calls[ids.CallId(1)].tokens == 2
+
+
+@pytest.mark.parametrize("key", ["", "x", "0a2372b7-7814-4000-80d8-2119ba9fd248"])
+def test_an_unrepeatable_root_needs_a_proper_key(key: str) -> None:
+    state = builders.node_state("entry")
+    out = reducer.reduce(
+        state, builders.arrived(1, service="porting", method="POST", key=key)
+    )
+    refusal = builders.only(out, effects.RefuseCall)
+    assert refusal.status == (400 if key else 428)
+    assert refusal.retry_after_ms == 0
+
+
+def test_a_key_out_of_its_window_is_refused() -> None:
+    for minted in (builders.START - 1_000_000, builders.START + 100_000):
+        state = builders.node_state("entry")
+        builders.add_members(state, builders.member("q1", "porting"))
+        key = builders.key_at(minted)
+        out = reducer.reduce(
+            state, builders.arrived(1, service="porting", method="POST", key=key)
+        )
+        assert builders.only(out, effects.RefuseCall).status == 400
+
+
+def run_key_at_two_homes() -> int:
+    """Send one key to two homes at the same moment; return how often it ran."""
+    made = small.new_world(seed=3)
+    truth = small.Truth(made)
+    key = small.key_of(made, 1)
+    terms = builders.call_terms(
+        service="porting",
+        kind="port-request",
+        importance=1,
+        repeatable=False,
+        key=key,
+        deadline_ms=6_000.0,
+    )
+    made.run(500.0)
+    for number, name in enumerate(("porting-1", "porting-2")):
+        made.nodes[name].terms[900 + number] = ("plans-1", 900 + number, terms)
+        made.nodes[name].requests[-(900 + number)] = ("POST", "/ports")
+        made.apply(name, builders.opened(900 + number, terms, now=made.now))
+    made.run(5_000.0)
+    return 2 if key in truth.twice else int(key in truth.run_keys)
+
+
+def test_one_key_at_two_homes_at_once_runs_once() -> None:
+    assert run_key_at_two_homes() == 1
+
+
+def test_a_claim_of_an_earlier_incarnation_is_never_run_again() -> None:
+    state = builders.node_state("q1", service="porting")
+    key = builders.key_at(builders.START)
+    old = messages.ClaimBatch(
+        claims=(messages.ClaimRecord(key=key, claim="old", node="q1/1"),)
+    )
+    reducer.reduce(state, builders.log_read("claims.porting", old))
+    terms = builders.call_terms(
+        service="porting", kind="port-request", repeatable=False, key=key
+    )
+    out = reducer.reduce(state, builders.opened(5, terms))
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.holder == "q1/1"
+    assert not builders.all_of(out, effects.HandOver)
+
+
+def test_a_call_that_cannot_finish_in_time_is_not_begun() -> None:
+    state = builders.node_state("p1", service="plans")
+    state.backend.times["plan-status"] = states.ServiceTime(
+        mean_ms=400.0, measured=builders.START
+    )
+    late = builders.call_terms(deadline_ms=300.0)
+    out = reducer.reduce(state, builders.opened(1, late))
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.rule == decisions.Rule.NOT_IN_TIME
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+
+
+def test_an_estimate_that_nothing_confirms_fades() -> None:
+    state = builders.node_state("p1", service="plans")
+    state.backend.times["plan-status"] = states.ServiceTime(
+        mean_ms=4_000.0, measured=builders.START
+    )
+    state.now = builders.START + 20_000
+    assert admission.service_time(state, "plan-status") < 10
+
+
+def test_a_higher_class_takes_the_place_of_a_lower_one_in_the_queue() -> None:
+    state = builders.node_state("p1", service="plans", slots=1)
+    reducer.reduce(state, builders.opened(1))
+    for hosted in range(2, 2 + admission.MIN_QUEUE):
+        reducer.reduce(state, builders.opened(hosted))
+    out = reducer.reduce(state, builders.opened(99, builders.call_terms(importance=3)))
+    refused = builders.only(out, effects.SendRefusal)
+    assert refused.hosted != 99
+    assert refused.refusal.retry_after_ms > 0
+    done = events.BackendAnswered(now=state.now, hosted=ids.HostedId(1), status=200)
+    assert builders.only(reducer.reduce(state, done), effects.HandOver).hosted == 99
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 7), st.integers(0, 9), st.integers(0, 2**64 - 1)),
+        min_size=2,
+        max_size=30,
+    )
+)
+def test_ranks_order_by_class_then_depth_then_root(calls: list) -> None:
+    def rank(call: tuple[int, int, int]) -> int:
+        importance, depth, root = call
+        return ranks.rank_of(importance=importance, depth=depth, root=root)
+
+    wanted = sorted(calls, key=lambda c: (c[0], c[1] > 0, c[2] >> 48))
+    assert [rank(c) for c in wanted] == sorted(rank(c) for c in calls)
+
+
+def test_a_child_of_a_shed_service_does_not_cut_the_parents_limit() -> None:
+    state = builders.node_state("p1", service="plans", slots=10)
+    handed = builders.only(reducer.reduce(state, builders.opened(1)), effects.HandOver)
+    reducer.reduce(
+        state, builders.arrived(7, service="porting", span=handed.span, now=state.now)
+    )
+    answer = events.BackendAnswered(now=state.now, hosted=ids.HostedId(1), status=503)
+    reducer.reduce(state, answer)
+    assert state.backend.limit == 10
+
+
+def test_a_backend_servers_own_refusal_cuts_the_limit() -> None:
+    state = builders.node_state("p1", service="plans", slots=10)
+    reducer.reduce(state, builders.opened(1))
+    answer = events.BackendAnswered(now=state.now, hosted=ids.HostedId(1), status=503)
+    reducer.reduce(state, answer)
+    assert state.backend.limit < 10
+
+
+def test_a_cold_backend_server_is_loaded_slowly() -> None:
+    state = builders.node_state("p1")
+    reducer.reduce(state, builders.announced("plans", slots=20, cold=True))
+    assert int(state.backend.limit) == 4
+    for hosted in range(40):
+        reducer.reduce(state, builders.opened(hosted))
+        running = [
+            h.id for h in state.hosted.values() if h.state is states.HostedState.RUNNING
+        ]
+        done = events.BackendAnswered(now=state.now, hosted=running[0], status=200)
+        if len(running) >= int(state.backend.limit):
+            reducer.reduce(state, done)
+    assert state.backend.limit == 20
+
+
+def test_ejection_never_takes_more_than_the_declared_share() -> None:
+    state = _entry("p1", "p2", "p3", "p4")
+    for name in ("p1", "p2"):
+        for _ in range(routing.FAILURES_TO_EJECT):
+            routing.note_failure(state, ids.NodeId(name))
+    plans = ids.ServiceName("plans")
+    assert sorted(routing.candidates(state, plans)) == ["p3", "p4"]
+    for _ in range(routing.FAILURES_TO_EJECT):
+        routing.note_failure(state, ids.NodeId("p3"))
+    assert len(routing.candidates(state, plans)) == 4
+
+
+def test_levels_keep_roots_out_before_any_work() -> None:
+    state = _entry("p1", "p2")
+    high = builders.report(level=ranks.HIGHEST)
+    for name in ("p1", "p2"):
+        routing.hear(state, ids.NodeId(name), "plan-status", high)
+    out = reducer.reduce(state, builders.arrived(1))
+    refusal = builders.only(out, effects.RefuseCall)
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+    assert refusal.status == 503
+    assert refusal.retry_after_ms >= 1_000
+
+
+def test_a_level_that_is_not_fresh_is_asked_for() -> None:
+    state = _entry("p1")
+    high = builders.report(level=ranks.HIGHEST)
+    routing.hear(state, ids.NodeId("p1"), "plan-status", high)
+    later = state.now + routing.ASK_AFTER_MS + 1
+    out = reducer.reduce(state, builders.arrived(1, now=later))
+    assert builders.only(out, effects.AskLevel).node == "p1"
+    told = events.LevelTold(
+        now=later + 1,
+        node=ids.NodeId("p1"),
+        kind=ids.KindName("plan-status"),
+        report=builders.report(),
+    )
+    reducer.reduce(state, told)
+    again = reducer.reduce(state, builders.arrived(2, now=later + 2))
+    assert builders.all_of(again, effects.OpenAttempt)
+
+
+def test_a_silent_level_fades() -> None:
+    heard = states.HeardLevel(level=ranks.HIGHEST, heard=builders.START)
+    soon = builders.START + routing.LEVEL_FRESH_MS
+    assert routing.faded(heard, soon) == ranks.HIGHEST
+    assert routing.faded(heard, soon + 3_000) == ranks.LOWEST
+
+
+def test_calls_stay_in_the_zone_until_it_is_busier() -> None:
+    state = _entry("p1")
+    builders.add_members(state, builders.member("far", "plans", zone="tsv"))
+    nodes = [ids.NodeId("p1"), ids.NodeId("far")]
+
+    def share_near() -> float:
+        chosen = [
+            routing.choose(state, nodes, "plan-status", ranks.HIGHEST)
+            for _ in range(400)
+        ]
+        return chosen.count(ids.NodeId("p1")) / len(chosen)
+
+    # Of two random draws one is the near node three times in four.
+    assert share_near() > 0.7
+    busy = builders.report(load=9, limit=10)
+    routing.hear(state, ids.NodeId("p1"), "plan-status", busy)
+    assert share_near() < 0.3
+
+
+class _Tree:
+    """A tree of calls in which anything may fail or be lost, on bare reducers."""
+
+    def __init__(self, seed: int, depth: int, allowance: int) -> None:
+        self.chance = random.Random(seed)
+        self.depth = depth
+        self.allowance = allowance
+        self.retries = 0
+
+    def run(self) -> None:
+        """Play one whole request."""
+        self._call(self.allowance, 0)
+
+    def _call(self, tokens: int, depth: int) -> int:
+        """Play a call with its attempts; return the tokens that come back."""
+        state = _entry("p1", "p2", "p3", "p4")
+        out = reducer.reduce(state, builders.arrived(1))
+        call = state.calls[ids.CallId(1)]
+        attempt = builders.only(out, effects.OpenAttempt)
+        # Put the call's tokens to what its parent gave it.
+        call.tokens = tokens - tokens // 2
+        state.attempts[attempt.attempt].tokens = tokens // 2
+        held = tokens // 2
+        while True:
+            left = self._home(held, depth)
+            fate = self.chance.random()
+            if fate < 0.3:
+                event: events.Event = events.AttemptLost(
+                    now=state.now, attempt=attempt.attempt, reached=True
+                )
+            else:
+                status = 503 if fate < 0.7 else 200
+                event = builders.answered(
+                    attempt.attempt, status=status, tokens=left, now=state.now
+                )
+            out = reducer.reduce(state, event)
+            opened = builders.all_of(out, effects.OpenAttempt)
+            if not opened:
+                return max(0, call.tokens)
+            self.retries += 1
+            attempt = opened[0]
+            held = attempt.terms.tokens
+
+    def _home(self, tokens: int, depth: int) -> int:
+        """Play a home node whose backend server makes up to two calls."""
+        if depth >= self.depth:
+            return tokens
+        for _ in range(self.chance.randint(0, 2)):
+            part = (tokens + 1) // 2
+            tokens = tokens - part + self._call(part, depth + 1)
+        return tokens
+
+
+@hypothesis.given(st.integers(0, 2**32), st.integers(0, 3), st.integers(0, 16))
+@hypothesis.settings(max_examples=60)
+def test_attempts_in_a_tree_never_exceed_the_allowance(
+    seed: int, depth: int, allowance: int
+) -> None:
+    tree = _Tree(seed, depth, allowance)
+    tree.run()
+    assert tree.retries <= allowance
+
+
+def test_the_fakes_have_the_tests_kinds() -> None:
+    assert set(small.KINDS) == {
+        rule.name for rule in small.new_world().configuration.kinds()
+    }
+    assert isinstance(small.KINDS["provision"], world.KindSpec)
--- /dev/null
+++ b/tests/quality/test_proofs_can_fail.py
@@ -0,0 +1,164 @@
+"""Each proof fails once its mechanism is taken out.
+
+A check that passes with and without what it checks proves nothing. Every entry
+takes one mechanism out and names a scenario, or a played fault, that must then
+fail.
+"""
+
+import collections.abc
+import pathlib
+
+import pytest
+
+from gingerturn.internal.core import (
+    admission,
+    allowance,
+    calls,
+    claims,
+    hosting,
+    keys,
+    messages,
+    ranks,
+    routing,
+    state as states,
+)
+from tests.common import scenario
+from tests.cover import test_decisions_under_load as under_load
+
+FOLDER = pathlib.Path(__file__).parents[1] / "scenarios"
+
+
+def _no_classes(patch: pytest.MonkeyPatch) -> None:
+    original = ranks.rank_of
+    patch.setattr(
+        ranks,
+        "rank_of",
+        lambda *, importance, depth, root: original(
+            importance=0, depth=depth, root=root
+        ),
+    )
+
+
+def _no_claims(patch: pytest.MonkeyPatch) -> None:
+    """Run a keyed call without winning its claim, as a lease holder would."""
+
+    def start(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
+        admission.take_slot(state)
+        hosted.terms = messages.CallTerms(
+            **{
+                **{n: getattr(hosted.terms, n) for n in hosted.terms.__struct_fields__},
+                "key": "",
+            }
+        )
+        hosting.hand_over(state, hosted, out)
+
+    patch.setattr(hosting, "start", start)
+
+
+def _loser_runs(patch: pytest.MonkeyPatch) -> None:
+    """Take one's own claim for the first, whatever came before it."""
+
+    def on_record(
+        state: states.State, batch: messages.ClaimBatch, out: states.Effects
+    ) -> None:
+        for claim in batch.claims:
+            entry = state.keys.get(claim.key)
+            if entry is None or entry.phase is not states.KeyPhase.CLAIMING:
+                continue
+            if claim.claim == entry.claim:
+                claims._won(state, entry, out)
+
+    patch.setattr(claims, "on_record", on_record)
+
+
+def _repeats_not_known(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(hosting, "_is_repeat", lambda state, hosted, out: False)
+    patch.setattr(hosting, "_settled", lambda state, hosted, entry, out: False)
+    _no_claims(patch)
+
+
+def _always_not_run(patch: pytest.MonkeyPatch) -> None:
+    """Say ``not-run`` of every call that got no answer."""
+
+    class _Always:
+        NOT_RUN = messages.Outcome.NOT_RUN
+        UNKNOWN = messages.Outcome.NOT_RUN
+        ALREADY_RUN = messages.Outcome.ALREADY_RUN
+
+    class _Messages:
+        Outcome = _Always
+        CallTerms = messages.CallTerms
+
+    patch.setattr(calls, "messages", _Messages)
+
+
+def _leaving_takes_work(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(hosting, "_unfit", lambda state, hosted: None)
+    patch.setattr("gingerturn.internal.core.membership.push", lambda state, out: None)
+
+
+def _no_levels_and_no_order(patch: pytest.MonkeyPatch) -> None:
+    """Pass everything through, in the order of arrival."""
+    patch.setattr(admission, "has_slot", lambda state: True)
+    patch.setattr(hosting, "_worth_starting", lambda state, hosted, out: True)
+    patch.setattr(admission, "tree_level", lambda state, kind: ranks.LOWEST)
+
+
+def _no_suspicion(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(
+        "gingerturn.internal.core.membership._suspect", lambda state, node: None
+    )
+    patch.setattr(routing, "note_failure", lambda state, node: False)
+
+
+SCENARIOS: list[
+    tuple[str, collections.abc.Callable[[pytest.MonkeyPatch], None], str]
+] = [
+    ("shedding-order", _no_classes, "complete provision"),
+    ("storm", _no_levels_and_no_order, "complete plan-status 17 25"),
+    ("twice-over", _repeats_not_known, "twice"),
+    ("twice-over", _always_not_run, "false_not_run"),
+    ("drain", _leaving_takes_work, "new_work"),
+    ("pause", _no_suspicion, "late plan-status"),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "take_out", "told"),
+    SCENARIOS,
+    ids=[f"{name}-{f.__name__.strip('_')}" for name, f, _ in SCENARIOS],
+)
+def test_scenario_fails_without_the_mechanism(
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    take_out: collections.abc.Callable[[pytest.MonkeyPatch], None],
+    told: str,
+) -> None:
+    take_out(monkeypatch)
+    failures = scenario.play(FOLDER / f"{name}.scenario")
+    assert any(told in failure for failure in failures), failures
+
+
+def test_the_duplicate_proof_fails_when_a_loser_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _loser_runs(monkeypatch)
+    assert under_load.run_key_at_two_homes() == 2
+
+
+def test_the_token_proof_fails_when_tokens_are_copied(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(allowance, "part_for_child", lambda tokens: 0)
+    monkeypatch.setattr(allowance, "part_for_attempt", lambda tokens: 0)
+    monkeypatch.setattr(allowance, "returned", lambda *, taken, reported: reported + 1)
+    with pytest.raises(AssertionError):
+        under_load.test_attempts_in_a_tree_never_exceed_the_allowance()
+
+
+def test_the_window_proof_fails_without_the_window(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(keys, "key_in_window", lambda key, now: True)
+    with pytest.raises(AssertionError):
+        under_load.test_a_key_out_of_its_window_is_refused()
