--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -69,11 +69,15 @@
 @cli.command()
 @click.argument("trace_file", type=click.File("rb"))
 @click.option("--effects", "show", is_flag=True, help="Print each event and effect.")
-def replay(trace_file: typing.BinaryIO, show: bool) -> None:
+@_JSON
+def replay(trace_file: typing.BinaryIO, show: bool, as_json: bool) -> None:
     """Replay a recorded trace and print the digest of its effects."""
     from gingerturn.internal.core import trace
 
     replayed = list(trace.replay(trace.read(trace_file)))
+    if as_json:
+        _echo_json({"events": len(replayed), "digest": trace.digest(replayed)})
+        return
     if show:
         for event, out in replayed:
             click.echo(f"{event}")
@@ -91,10 +95,17 @@
 @click.argument(
     "files", nargs=-1, required=True, type=click.Path(path_type=pathlib.Path)
 )
-def check(files: tuple[pathlib.Path, ...]) -> None:
+@_JSON
+def check(files: tuple[pathlib.Path, ...], as_json: bool) -> None:
     """Check documents, each alone and all together."""
     documents = {str(path): _read(path) for path in files}
     checked = configuration.Configuration(documents)
+    if as_json:
+        kinds = [rule.name for rule in checked.kinds()]
+        _echo_json(
+            {"services": checked.services, "kinds": kinds, "digest": checked.digest}
+        )
+        return
     click.echo(
         f"{len(files)} documents, {len(checked.services)} services,"
         f" {len(checked.kinds())} kinds: accepted. Digest {checked.digest}."
@@ -105,17 +116,24 @@
 @click.argument("team")
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
 @_ADMIN
-def diff(team: str, file: pathlib.Path, admin: str) -> None:
+@_JSON
+def diff(team: str, file: pathlib.Path, admin: str, as_json: bool) -> None:
     """Compare a file with the team's document in force."""
     view = _get(admin, "/config")
     current = view["documents"].get(team, "")
-    lines = difflib.unified_diff(
-        current.splitlines(),
-        _read(file).splitlines(),
-        f"{team} at revision {view['changed'].get(team, 0)}",
-        str(file),
-        lineterm="",
+    changed = view["changed"].get(team, 0)
+    lines = list(
+        difflib.unified_diff(
+            current.splitlines(),
+            _read(file).splitlines(),
+            f"{team} at revision {changed}",
+            str(file),
+            lineterm="",
+        )
     )
+    if as_json:
+        _echo_json({"team": team, "changed": changed, "diff": lines})
+        return
     for line in lines:
         click.echo(line)
 
--- a/src/gingerturn/internal/core/trace.py
+++ b/src/gingerturn/internal/core/trace.py
@@ -42,7 +42,7 @@
             return
         try:
             yield _DECODER.decode(content)
-        except msgspec.ValidationError as error:
+        except msgspec.MsgspecError as error:
             raise errors.InvalidArgument(
                 f"the trace holds no event of this version: {error}",
                 step="read a trace",
--- a/tooling/gingerturn_demo/scene.py
+++ b/tooling/gingerturn_demo/scene.py
@@ -69,7 +69,7 @@
     refused: dict[str, list[int]]
     sent: dict[str, int]
     complete: dict[str, int]
-    attempts: list[int]
+    attempts: list[float]
     longest_refusal_ms: float
     keys: int
     keys_run: int
@@ -245,7 +245,7 @@
 async def _play(scene: Scene, cluster: processes.Cluster, revision_s: float) -> Outcome:
     entries = [node.entry for node in cluster.nodes.values()]
     player = _Player(scene, entries, WARM_S + TRIGGER_S + AFTER_S)
-    attempts: list[int] = []
+    attempts: list[float] = []
     limits = httpx.Limits(max_connections=400, max_keepalive_connections=400)
     async with httpx.AsyncClient(trust_env=False, limits=limits) as client:
         surge = (float(WARM_S), float(WARM_S + TRIGGER_S))
@@ -299,16 +299,20 @@
     client: httpx.AsyncClient,
     scene: Scene,
     cluster: processes.Cluster,
-    attempts: list[int],
+    attempts: list[float],
 ) -> None:
-    """Sample once a second how much the deepest service has executed."""
-    before = 0
+    """Sample once a second the attempts per whole request at the deepest service."""
+    before = collections.Counter[str]()
     while True:
-        total = 0
+        total = collections.Counter[str]()
         for node in _of_service(cluster, scene.deepest):
             reply = await client.get(f"{node.backend_url}/counts")
-            total += reply.json()["finished"]
-        attempts.append(total - before)
+            counts = reply.json()
+            total["roots"] += counts["roots"]
+            total["executed"] += counts["finished"] + counts["cancelled"]
+            total["executed"] += counts["expired"]
+        new = total - before
+        attempts.append(new["executed"] / max(1, new["roots"]))
         before = total
         await asyncio.sleep(1.0)
 
--- a/tooling/gingerturn_demo/show.py
+++ b/tooling/gingerturn_demo/show.py
@@ -24,7 +24,8 @@
         middle.plot(range(seconds), series[:seconds], label=name)
     middle.set_ylabel("refused /s")
     bottom.plot(range(len(outcome.attempts)), outcome.attempts)
-    bottom.set_ylabel(f"executed /s\nat {outcome.scene.deepest}")
+    bottom.set_ylabel(f"attempts per whole request\nat {outcome.scene.deepest}")
+    bottom.set_ylim(0, 2)
     bottom.set_xlabel("seconds")
     for axis in (top, middle, bottom):
         axis.axvspan(
@@ -61,6 +62,9 @@
         )
     lines += [
         "",
+        "Attempts per whole request at the deepest service: mean"
+        f" {sum(outcome.attempts[1:]) / max(1, len(outcome.attempts) - 1):.2f}, most"
+        f" in a second {max(outcome.attempts[1:], default=0.0):.2f}.",
         f"Recovery: goodput was back after {_recovery(outcome)} s.",
         f"At most once: {outcome.keys} keyed requests, {outcome.keys_run} ran,"
         f" {outcome.keys_twice} ran twice.",
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -100,6 +100,7 @@
         peers: str = "[]",
         wait: bool = True,
         backend: bool = True,
+        options: tuple[str, ...] = (),
     ) -> NodeProcess:
         """Start a node and a backend server beside it."""
         calls_port, peers_port, admin_port, backend_port = free_ports(4)
@@ -112,7 +113,9 @@
             f'[log]\nurl = "{self.log_url}"\n'
             f'[secret]\ncurrent = "{SECRET}"\n{extra}'
         )
-        process = self._spawn(name, "-m", "gingerturn", "node", "--settings", str(path))
+        process = self._spawn(
+            name, "-m", "gingerturn", "node", "--settings", str(path), *options
+        )
         started = NodeProcess(name, calls_port, admin_port, backend_port, process)
         self.nodes[name] = started
         if not backend:
