--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -192,7 +192,7 @@
 
     async def why(self, decision_id: str) -> decisions.Decision:
         """Return a decision, from whichever node holds it."""
-        found = await self._node.why(decision_id)
+        found = await self._node.links.why(decision_id)
         if found is None:
             raise exceptions.NotFoundException(
                 f"decision {decision_id!r} is not held (any more)"
@@ -209,7 +209,7 @@
         """Return the trail of changes, newest last."""
         records = [
             record
-            for record in await self._node.audit()
+            for record in await self._node.log.audit()
             if record.at >= since_ms and team in {"", record.subject}
         ]
         return records[(page - 1) * limit : page * limit]
--- /dev/null
+++ b/src/gingerturn/internal/shell/entry.py
@@ -0,0 +1,210 @@
+"""The entry side of the shell: callers' requests and their attempts."""
+
+import collections.abc
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import effects, events
+from gingerturn.internal.shell import clock, ingress, links, node as nodes
+from gingerturn.internal.wire import frames
+
+MAX_DURATION_US = 60_000_000
+
+BodySink = collections.abc.Callable[[bytes, bool], None]
+"""Takes a piece of a body and whether it is the last."""
+
+
+class PendingAttempt:
+    """An attempt whose answer, or the end of whose answer, is awaited."""
+
+    def __init__(self, request: ingress.Request, carrier: links.Carrier) -> None:
+        self.request = request
+        self.carrier = carrier
+        self.answer: frames.Answer | None = None
+        self.relaying = False
+
+
+class EntrySide:
+    """Requests that callers wait for, and the attempts that carry them.
+
+    :param node: the node.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        self._node = node
+        self._requests: dict[ids.CallId, tuple[ingress.Request, float]] = {}
+        self._attempts: dict[int, PendingAttempt] = {}
+        self._elapsed: list[ids.Milliseconds] = []
+
+    def handlers(self) -> "nodes.Handlers":
+        """Return the effects that are carried out here."""
+        return {
+            effects.OpenAttempt: self._open_attempt,
+            effects.CancelAttempt: self._cancel_attempt,
+            effects.RelayAnswer: self._relay_answer,
+            effects.RefuseCall: self._refuse_call,
+        }
+
+    def begin_request(
+        self, request: ingress.Request, arrival: events.CallArrived
+    ) -> None:
+        """Take a caller's request."""
+        self._requests[request.call] = (request, arrival.now)
+        self._node.apply(arrival)
+
+    def forget_request(self, request: ingress.Request) -> None:
+        """Forget a request that is answered, or whose caller is gone."""
+        known = self._requests.pop(request.call, None)
+        if known is not None and request.answered:
+            self._elapsed.append(clock.now() - known[1])
+            self._node.counters.answered += 1
+        for number in [n for n, p in self._attempts_of(request)]:
+            self._drop_attempt(number, cancel=True)
+
+    def on_frame(self, frame: frames.Frame) -> None:
+        """Take a frame from a home node."""
+        pending = self._attempts.get(frame.call)
+        if pending is None:
+            return
+        if isinstance(frame, frames.Answer):
+            pending.answer = frame
+            self._node.apply(
+                events.AttemptAnswered(
+                    now=clock.now(),
+                    attempt=ids.AttemptId(frame.call),
+                    status=frame.status,
+                    tokens=frame.tokens,
+                    report=frame.report,
+                )
+            )
+        elif isinstance(frame, frames.Refuse):
+            self._drop_attempt(frame.call, cancel=False)
+            self._node.apply(
+                events.AttemptRefused(
+                    now=clock.now(),
+                    attempt=ids.AttemptId(frame.call),
+                    refusal=frame.refusal,
+                    tokens=frame.tokens,
+                    report=frame.report,
+                )
+            )
+        elif isinstance(frame, frames.Chunk):
+            self._on_answer_chunk(pending, frame)
+        elif isinstance(frame, frames.Credit):
+            pending.request.connection.add_credit(pending.request, frame.count)
+        elif isinstance(frame, frames.Broken):
+            self._drop_attempt(frame.call, cancel=False)
+            pending.request.connection.cut(pending.request)
+
+    def on_lost(self, call: int, *, reached: bool) -> None:
+        """Take the loss of the connection that carried an attempt."""
+        pending = self._attempts.pop(call, None)
+        if pending is None:
+            return
+        pending.request.streaming_in = None
+        if pending.relaying:
+            pending.request.connection.cut(pending.request)
+            return
+        self._node.apply(
+            events.AttemptLost(
+                now=clock.now(), attempt=ids.AttemptId(call), reached=reached
+            )
+        )
+
+    def record_durations(self) -> None:
+        """Put the durations since the last tick into the histogram, off the way of
+        any call."""
+        for elapsed_ms in self._elapsed:
+            value = int(elapsed_ms * 1000.0)
+            self._node.durations.record_value(max(1, min(value, MAX_DURATION_US)))
+        self._elapsed.clear()
+
+    def _open_attempt(self, effect: effects.OpenAttempt) -> None:
+        known = self._requests.get(effect.call)
+        if known is None:
+            return
+        request = known[0]
+        for number in [n for n, p in self._attempts_of(request)]:
+            self._drop_attempt(number, cancel=True)
+        carrier = self._node.links.carrier(
+            effect.node, ids.Address(effect.host, effect.port)
+        )
+        self._attempts[effect.attempt] = PendingAttempt(request, carrier)
+        request.attempt = effect.attempt
+        carrier.send(
+            frames.Open(
+                call=effect.attempt,
+                terms=effect.terms,
+                head=request.head,
+                body=bytes(request.body),
+                whole=request.complete,
+            )
+        )
+        if not request.complete and effect.attempt in self._attempts:
+            request.connection.start_streaming(
+                request, self._upload_sink(effect.attempt, carrier)
+            )
+
+    def _upload_sink(self, attempt: int, carrier: links.Carrier) -> BodySink:
+        def sink(body: bytes, last: bool) -> None:
+            if attempt in self._attempts:
+                carrier.send(frames.Chunk(call=attempt, body=body, last=last))
+
+        return sink
+
+    def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
+        self._drop_attempt(effect.attempt, cancel=True)
+
+    def _relay_answer(self, effect: effects.RelayAnswer) -> None:
+        pending = self._attempts.get(effect.attempt)
+        if pending is None or pending.answer is None:
+            return
+        answer = pending.answer
+        head = answer.head + b"gingerturn-decision: %b\r\n" % answer.decision.encode()
+        request = pending.request
+        if answer.whole:
+            self._attempts.pop(effect.attempt)
+            pending.carrier.forget(effect.attempt)
+            request.connection.send_whole(request, head, answer.body)
+            return
+        pending.relaying = True
+        request.resume_credit = self._credit_granter(effect.attempt, pending.carrier)
+        request.connection.send_streaming(request, head, answer.length)
+        request.connection.send_piece(request, answer.body, last=False)
+
+    def _credit_granter(
+        self, attempt: int, carrier: links.Carrier
+    ) -> collections.abc.Callable[[int], None]:
+        def grant(count: int) -> None:
+            if attempt in self._attempts and count:
+                carrier.send(frames.Credit(call=attempt, count=count))
+
+        return grant
+
+    def _on_answer_chunk(self, pending: PendingAttempt, chunk: frames.Chunk) -> None:
+        request = pending.request
+        if chunk.last:
+            self._drop_attempt(chunk.call, cancel=False)
+        request.connection.send_piece(request, chunk.body, last=chunk.last)
+
+    def _refuse_call(self, effect: effects.RefuseCall) -> None:
+        known = self._requests.get(effect.call)
+        counts = self._node.counters.refused
+        counts[effect.title] = counts.get(effect.title, 0) + 1
+        if known is not None:
+            known[0].connection.send_problem(known[0], effect)
+
+    def _attempts_of(
+        self, request: ingress.Request
+    ) -> list[tuple[int, PendingAttempt]]:
+        pending = self._attempts.get(request.attempt)
+        if pending is None or pending.request is not request:
+            return []
+        return [(request.attempt, pending)]
+
+    def _drop_attempt(self, number: int, *, cancel: bool) -> None:
+        pending = self._attempts.pop(number, None)
+        if pending is None:
+            return
+        if cancel:
+            pending.carrier.send(frames.Cancel(call=number))
+        pending.carrier.forget(number)
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
 from gingerturn.internal.shell import backend_http, clock, node as nodes
@@ -12,6 +14,14 @@
 """Bytes of a streamed body that may be under way without the receiver's word."""
 
 
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """A whole answer kept for repeats of an unrepeatable call."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+
 class Channel(typing.Protocol):
     """The way back to the entry node."""
 
@@ -57,7 +67,7 @@
 
     def hand_over(self, effect: effects.HandOver) -> None:
         """Hand the call to the backend server."""
-        pool = self._node.pool
+        pool = self._node.home.pool
         pool.use(effect.host, effect.port)
         connection = pool.take()
         if connection is not None:
@@ -123,9 +133,7 @@
             return
         self._open = False
 
-    def send_kept(
-        self, effect: effects.SendKeptAnswer, kept: "nodes.KeptAnswer"
-    ) -> None:
+    def send_kept(self, effect: effects.SendKeptAnswer, kept: KeptAnswer) -> None:
         """Send the kept answer of an earlier call."""
         self._send(
             frames.Answer(
@@ -141,11 +149,9 @@
         )
         self._open = False
 
-    def kept_answer(self) -> "nodes.KeptAnswer":
+    def kept_answer(self) -> KeptAnswer:
         """Return the whole answer, to be kept."""
-        return nodes.KeptAnswer(
-            status=self._status, head=self._head, body=bytes(self._body)
-        )
+        return KeptAnswer(status=self._status, head=self._head, body=bytes(self._body))
 
     # Called by the connection to the backend server.
 
@@ -181,7 +187,7 @@
                 now=clock.now(), hosted=self._hosted, status=self._status
             )
         self._node.apply(event)
-        self._node.drop_exchange(self._hosted)
+        self._node.home.drop_exchange(self._hosted)
 
     def on_failure(self, *, handed: bool) -> None:
         """Take a failure of the exchange."""
@@ -194,7 +200,7 @@
         self._node.apply(
             events.BackendFailed(now=clock.now(), hosted=self._hosted, handed=handed)
         )
-        self._node.drop_exchange(self._hosted)
+        self._node.home.drop_exchange(self._hosted)
 
     @property
     def call(self) -> int:
@@ -212,12 +218,12 @@
 
     async def _connect(self, effect: effects.HandOver) -> None:
         try:
-            connection = await self._node.pool.connect()
+            connection = await self._node.home.pool.connect()
         except (OSError, TimeoutError):
             self.on_failure(handed=False)
             return
         if self._abandoned:
-            self._node.pool.put(connection)
+            self._node.home.pool.put(connection)
             return
         self._begin(connection, effect)
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -11,7 +11,7 @@
 
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages
-from gingerturn.internal.shell import clock, heads, node as nodes
+from gingerturn.internal.shell import clock, entry, heads, node as nodes
 
 MAX_PIPELINED = 8
 """Requests read ahead on one connection before reading pauses."""
@@ -39,7 +39,7 @@
         self.complete = False
         self.dispatched = False
         self.answered = False
-        self.streaming_in: nodes.BodySink | None = None
+        self.streaming_in: entry.BodySink | None = None
         self.streaming_out = False
         self.chunked_out = False
         self.head = b""
@@ -84,7 +84,7 @@
             if request.dispatched and not request.answered:
                 self._node.apply(events.CallerGone(now=clock.now(), call=request.call))
             if request.dispatched:
-                self._node.forget_request(request)
+                self._node.entry.forget_request(request)
         self._requests.clear()
 
     def data_received(self, data: bytes) -> None:
@@ -184,7 +184,7 @@
 
     # Towards the node.
 
-    def start_streaming(self, request: Request, sink: "nodes.BodySink") -> None:
+    def start_streaming(self, request: Request, sink: "entry.BodySink") -> None:
         """Send the rest of a long body on as it arrives."""
         request.streaming_in = sink
         request.credit = WINDOW - len(request.body)
@@ -299,7 +299,7 @@
 
     def _dispatch(self, request: Request) -> None:
         request.dispatched = True
-        request.call = self._node.next_call()
+        request.call = ids.CallId(self._node.next_number())
         service, path, target = _destination(request)
         if not service:
             self._reject(400, "the request names no service in Host")
@@ -323,7 +323,7 @@
             body_digest=_digest(request.body) if request.body else "",
             sending=int(_number_header(request, heads.SENDING_HEADER)),
         )
-        self._node.begin_request(request, arrival)
+        self._node.entry.begin_request(request, arrival)
 
     def _answer_unknown(self, request: Request, service: str) -> None:
         logs.write("WARNING", _PART, f"Service {service[:64]!r} is not known.")
@@ -348,7 +348,7 @@
     def _finish(self, request: Request) -> None:
         request.answered = True
         request.streaming_out = False
-        self._node.forget_request(request)
+        self._node.entry.forget_request(request)
         if self._requests and self._requests[0] is request:
             self._requests.popleft()
         if request.close_after or self._node.stopping:
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -155,7 +155,7 @@
 
     def on_frame(self, frame: frames.Frame) -> None:
         """Hand a frame to the node."""
-        self._node.on_link_frame(frame)
+        self._node.links.on_link_frame(frame)
 
     def _greet(self, hello: frames.Hello) -> None:
         self._check_proof(hello, b"accepting", self._nonce, hello.nonce)
@@ -188,12 +188,12 @@
         """Cancel what the peer waited for."""
         self._node.accepted.discard(self)
         for hosted in list(self.hosted.values()):
-            self._node.on_cancelled(hosted)
+            self._node.home.on_cancelled(hosted)
         self.hosted.clear()
 
     def on_frame(self, frame: frames.Frame) -> None:
         """Hand a frame to the node."""
-        self._node.on_accepted_frame(self, frame)
+        self._node.links.on_accepted_frame(self, frame)
 
     def _greet(self, hello: frames.Hello) -> None:
         if not self._their_nonce:
@@ -274,6 +274,6 @@
         self._waiting.clear()
         sent, self._sent = self._sent, set()
         for call in unsent - sent:
-            self._node.on_link_lost(call, reached=False)
+            self._node.links.on_link_lost(call, reached=False)
         for call in sent:
-            self._node.on_link_lost(call, reached=True)
+            self._node.links.on_link_lost(call, reached=True)
