Tickets: keys that run once without the log

Cause: keyed calls stopped with the log service. Ruled out: a lease, whose holder may pause. Change: any node mints, for a home node in its present incarnation, a key with a keyed MAC; only that incarnation runs it and remembers in memory that it did, so no claim is appended; an earlier incarnation's ticket is unknown.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -213,6 +213,7 @@
         replayable=event.replayable,
         arrived=event.now,
         first=not event.key or rule.repeatable or event.sending == 1,
+        holder="" if rule.repeatable else event.holder,
         tried=[],
     )
 
@@ -258,6 +259,7 @@
         arrived=event.now,
         parent=parent.id,
         first=terms.first and (not event.key or event.sending == 1),
+        holder="" if rule.repeatable else event.holder,
         tried=[],
     )
 
@@ -293,13 +295,16 @@
             _refuse(state, call, decisions.Rule.KEY_REQUIRED, out)
             return False
         return True
-    if keys.key_in_window(event.key, event.now):
+    if call.holder or keys.key_in_window(event.key, event.now):
         return True
     _refuse(state, call, decisions.Rule.KEY_INVALID, out)
     return False
 
 
 def _send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
+    if call.holder:
+        _send_to_holder(state, call, out)
+        return
     nodes = routing.candidates(state, call.service)
     if not nodes:
         _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
@@ -317,6 +322,28 @@
     _send(state, call, node, out)
 
 
+def _send_to_holder(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    """Send a call with a ticket to the one node that may run it.
+
+    Where that incarnation is gone nobody can tell whether it ran.
+    """
+    member = _holding_member(state, call.holder)
+    if member is None:
+        _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        return
+    _send(state, call, member.node, out)
+
+
+def _holding_member(state: states.State, holder: str) -> messages.Member | None:
+    name, _, incarnation = holder.rpartition("/")
+    member = state.membership.members.get(name)
+    if member is None or member.state is messages.MemberState.GONE:
+        return None
+    return member if str(member.incarnation) == incarnation else None
+
+
 def _pick(
     state: states.State, call: states.Call, nodes: list[ids.NodeId]
 ) -> ids.NodeId | None:
@@ -366,6 +393,7 @@
         key=call.key,
         key_derived=call.key_derived,
         first=call.first,
+        ticket=call.holder,
     )
     out.append(
         effects.OpenAttempt(
@@ -390,7 +418,7 @@
 
 def _redirect(state: states.State, call: states.Call, out: states.Effects) -> bool:
     """Offer a call that was certainly not run to another upstream."""
-    if call.redirects >= MAX_REDIRECTS or not call.replayable:
+    if call.redirects >= MAX_REDIRECTS or not call.replayable or call.holder:
         return False
     if state.now >= call.deadline:
         return False
@@ -411,16 +439,14 @@
 ) -> None:
     """Follow a key's claim to the node that holds it."""
     call.first = False
-    name, _, incarnation = refusal.holder.rpartition("/")
-    member = state.membership.members.get(name)
-    same = member is not None and str(member.incarnation) == incarnation
-    known = same and name not in call.tried and call.replayable
-    if not known or call.redirects >= MAX_REDIRECTS:
+    member = _holding_member(state, refusal.holder)
+    known = member is not None and member.node not in call.tried and call.replayable
+    if member is None or not known or call.redirects >= MAX_REDIRECTS:
         _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
     call.redirects += 1
     _decide(state, call, decisions.Rule.REDIRECTED)
-    _send(state, call, ids.NodeId(name), out)
+    _send(state, call, member.node, out)
 
 
 def _retry(state: states.State, call: states.Call, out: states.Effects) -> bool:
@@ -538,6 +564,9 @@
     if not decision:
         decision = _decide(state, call, rule, figures)
     outcome = messages.Outcome.NOT_RUN if call.first else messages.Outcome.UNKNOWN
+    if call.holder and remote is not None:
+        # The holder of a ticket alone may run it, so its word is the whole truth.
+        outcome = remote.outcome
     if rule is decisions.Rule.ALREADY_RUN:
         outcome = messages.Outcome.ALREADY_RUN
     not_run = outcome is messages.Outcome.NOT_RUN
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -47,6 +47,8 @@
     :param replayable: the body is held whole, so that it can be sent again.
     :param body_digest: digest of the held body; tells derived keys apart.
     :param timeout_ms: the caller's own deadline, 0 when it names none.
+    :param holder: the node that alone may run the call, as ``node/incarnation``, when
+        its key is a ticket.
     :param sending: 1 when the caller says that it sends this request for the first
         time, higher for a repeat, 0 when it says nothing.
     """
@@ -62,6 +64,7 @@
     replayable: bool = True
     body_digest: str = ""
     sending: int = 0
+    holder: str = ""
 
 
 class CallerGone(Event, frozen=True):
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -42,6 +42,10 @@
         children={},
     )
     state.hosted[hosted.id] = hosted
+    if terms.ticket and terms.ticket != keys.own_name(state):
+        # A ticket of an earlier incarnation, which may have run it.
+        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
+        return
     if terms.key and _is_repeat(state, hosted, out):
         return
     rule = _unfit(state, hosted)
@@ -259,6 +263,8 @@
         hand_over(state, hosted, out)
         return
     entry = state.keys.get(hosted.terms.key)
+    if entry is None and hosted.terms.ticket:
+        entry = keys.own(state, hosted.terms.key)
     if entry is not None and _settled(state, hosted, entry, out):
         return
     if not keys.claims_usable(state) or not keys.covered(state, hosted):
--- a/src/gingerturn/internal/core/keys.py
+++ b/src/gingerturn/internal/core/keys.py
@@ -111,6 +111,15 @@
     return entry
 
 
+def own(state: states.State, key: str) -> states.KeyEntry:
+    """Remember a ticket of this node; it needs no claim, as no one else may run it."""
+    entry = states.KeyEntry(
+        key=key, phase=states.KeyPhase.OURS_IDLE, since=state.now, waiters=[]
+    )
+    state.keys[key] = entry
+    return entry
+
+
 def detach(state: states.State, hosted: states.Hosted) -> None:
     """Part a call from its key before it ran; the claim may still be won."""
     entry = state.keys.get(hosted.terms.key)
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -40,6 +40,8 @@
     :param tokens: retry tokens that the attempt takes along.
     :param key: key to be claimed before the call is handed over; empty when the
         call needs no claim.
+    :param ticket: the node that alone may run it, as ``node/incarnation``, when the
+        key is a ticket; then no claim is needed.
     :param first: no earlier sending of this request, or of the one that it serves,
         can have run; only then may a refusal say ``not-run``.
     """
@@ -56,6 +58,7 @@
     key: str = ""
     key_derived: bool = False
     first: bool = True
+    ticket: str = ""
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -136,6 +136,19 @@
     return min((first, second), key=lambda node: _occupancy(state, node))
 
 
+def ticket_holder(state: states.State, service: ids.ServiceName) -> str:
+    """Return the node for which to mint a ticket, as ``node/incarnation``.
+
+    The less busy of two, as for a call; an empty string when nobody offers the
+    service.
+    """
+    nodes = candidates(state, service)
+    node = choose(state, nodes, "", ranks.HIGHEST)
+    if node is None:
+        return ""
+    return f"{node}/{state.membership.members[node].incarnation}"
+
+
 def service_level(state: states.State, service: ids.ServiceName, kind: str) -> ids.Rank:
     """Return the rank from which a service as a whole is expected to take calls,
     the levels of the services below it included.
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -18,6 +18,7 @@
 
     :param parent: the hosted call on whose behalf the backend server calls.
     :param tried: upstreams that refused or lost this call.
+    :param holder: the node that alone may run it, when its key is a ticket.
     :param first: nothing of this request can have run so far; set to ``False``
         as soon as that is not certain, and never back.
     """
@@ -41,6 +42,7 @@
     attempts: int = 0
     redirects: int = 0
     first: bool = True
+    holder: str = ""
     tried: list[ids.NodeId] = []
 
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -3,15 +3,17 @@
 import asyncio
 import collections
 import hashlib
+import json
 import os
 import typing
 import urllib.parse
 
 import httptools
 
+from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.core import effects, events, messages
-from gingerturn.internal.shell import clock, entry, heads, node as nodes
+from gingerturn.internal.core import effects, events, messages, routing
+from gingerturn.internal.shell import clock, entry, heads, node as nodes, tickets
 
 MAX_PIPELINED = 8
 """Requests read ahead on one connection before reading pauses."""
@@ -19,6 +21,9 @@
 WINDOW = 262_144
 """Bytes of a streamed body that may be under way without the receiver's word."""
 
+OWN_AUTHORITY = "gingerturn"
+"""The authority under which a node answers callers itself."""
+
 _PART = "ingress"
 
 
@@ -304,9 +309,22 @@
         if not service:
             self._reject(400, "the request names no service in Host")
             return
+        if service == OWN_AUTHORITY:
+            self._answer_own(request, path)
+            return
         if not self._node.knows_service(service):
             self._answer_unknown(request, service)
             return
+        key = _text_header(request, heads.KEY_HEADER)
+        holder = ""
+        if tickets.is_ticket(key):
+            try:
+                holder = tickets.check(
+                    self._node.secrets, key, service=service, now=clock.now()
+                )
+            except errors.InvalidArgument as error:
+                self._reject(400, error.message)
+                return
         trace, span = _trace_of(request)
         request.head = _request_head(request, target)
         arrival = events.CallArrived(
@@ -317,7 +335,8 @@
             path=path,
             trace=trace,
             span=span,
-            key=_text_header(request, heads.KEY_HEADER),
+            key=key,
+            holder=holder,
             timeout_ms=_number_header(request, heads.TIMEOUT_HEADER),
             replayable=request.complete,
             body_digest=_digest(request.body) if request.body else "",
@@ -325,6 +344,21 @@
         )
         self._node.entry.begin_request(request, arrival)
 
+    def _answer_own(self, request: Request, path: str) -> None:
+        """Mint a ticket: ``POST /tickets/SERVICE`` with ``Host: gingerturn``."""
+        service = ids.ServiceName(path.removeprefix("/tickets/"))
+        holder = ""
+        if request.method == b"POST" and path.startswith("/tickets/"):
+            holder = routing.ticket_holder(self._node.state, service)
+        if not holder:
+            self._answer_unknown(request, f"{OWN_AUTHORITY}{path}")
+            return
+        key = tickets.mint(
+            self._node.secrets[0], holder=holder, service=service, now=clock.now()
+        )
+        head = heads.status_line(201) + b"content-type: application/json\r\n"
+        self.send_whole(request, head, json.dumps({"key": key}).encode())
+
     def _answer_unknown(self, request: Request, service: str) -> None:
         logs.write("WARNING", _PART, f"Service {service[:64]!r} is not known.")
         refusal = effects.RefuseCall(
--- a/tests/cover/test_decisions_under_load.py
+++ b/tests/cover/test_decisions_under_load.py
@@ -143,6 +143,40 @@
     assert not builders.all_of(out, effects.HandOver)
 
 
+TICKET = f"q1/{int(builders.START)}"
+
+
+def _ticket_terms(holder: str = TICKET) -> messages.CallTerms:
+    return builders.call_terms(
+        service="porting",
+        kind="port-request",
+        repeatable=False,
+        key="gt1.x",
+        ticket=holder,
+    )
+
+
+def test_a_ticket_runs_once_and_without_the_log() -> None:
+    state = builders.node_state("q1", service="porting")
+    state.streams.clear()
+    out = reducer.reduce(state, builders.opened(1, _ticket_terms()))
+    assert builders.only(out, effects.HandOver).hosted == 1
+    assert not builders.all_of(out, effects.Append)
+    assert reducer.reduce(state, builders.opened(2, _ticket_terms())) == []
+    done = events.BackendAnswered(now=state.now, hosted=ids.HostedId(1), status=200)
+    out = reducer.reduce(state, done)
+    assert builders.only(out, effects.SendAnswer).hosted == 1
+    assert builders.only(out, effects.SendKeptAnswer).hosted == 2
+
+
+def test_a_ticket_of_an_earlier_incarnation_is_unknown() -> None:
+    state = builders.node_state("q1", service="porting")
+    out = reducer.reduce(state, builders.opened(1, _ticket_terms("q1/1")))
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.outcome is messages.Outcome.UNKNOWN
+    assert not builders.all_of(out, effects.HandOver)
+
+
 def test_a_call_that_cannot_finish_in_time_is_not_begun() -> None:
     state = builders.node_state("p1", service="plans")
     state.backend.times["plan-status"] = states.ServiceTime(
--- a/tests/nocover/test_command_line.py
+++ b/tests/nocover/test_command_line.py
@@ -1,6 +1,7 @@
 """The command line against real nodes: what it prints and its exit statuses."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -17,6 +18,7 @@
 def _run(*arguments: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, "-m", "gingerturn", *arguments],
+        env={**os.environ, "PYTHONPATH": str(processes.ROOT / "src")},
         capture_output=True,
         text=True,
         timeout=30,
--- a/tests/nocover/test_failures.py
+++ b/tests/nocover/test_failures.py
@@ -149,6 +149,28 @@
     assert _executions(fresh, key) == 1
 
 
+def test_tickets_go_on_while_the_log_is_down(fresh: processes.Cluster) -> None:
+    entry = fresh.nodes["plans-1"]
+    fresh.fault(down=True)
+    minted = httpx.post(
+        entry.entry + "/tickets/porting",
+        headers={"host": "gingerturn"},
+        trust_env=False,
+    )
+    assert minted.status_code == 201
+    key = minted.json()["key"]
+    replies = [_port(node, key, sending=2) for node in fresh.nodes.values()]
+    assert [reply.status_code for reply in replies] == [200] * 3
+    assert _executions(fresh, key) == 1
+    forged = _port(entry, key[:-1] + ("0" if key[-1] != "0" else "1"))
+    assert forged.status_code == 400
+    assert "not authentic" in forged.text
+    wrong = httpx.post(
+        entry.entry + "/tickets/nobody", headers={"host": "gingerturn"}, trust_env=False
+    )
+    assert wrong.status_code == 404
+
+
 def test_a_lost_acknowledgement_runs_the_call_once(fresh: processes.Cluster) -> None:
     entry = fresh.nodes["plans-1"]
     keys = [_new_key() for _ in range(5)]
--- a/tests/nocover/test_faults_property.py
+++ b/tests/nocover/test_faults_property.py
@@ -3,7 +3,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from gingerturn.internal.core import events
+from gingerturn.internal import ids
+from gingerturn.internal.core import events, routing
 from gingerturn_fakes import world
 from tests.common import small
 
@@ -26,6 +27,7 @@
         st.integers(1, 3),
         st.integers(1, 3),
         st.booleans(),
+        st.booleans(),
     ),
     min_size=3,
     max_size=15,
@@ -45,17 +47,25 @@
         self._numbers = 0
 
     def request(
-        self, at: float, service: str, tries: int, copies: int, honest: bool
+        self,
+        at: float,
+        service: str,
+        tries: int,
+        copies: int,
+        honest: bool,
+        ticket: bool,
     ) -> None:
         """Send a keyed request, in several copies at the same moment.
 
         :param honest: the caller numbers its sendings; only a single copy can.
+        :param ticket: the key is a ticket instead of the caller's own.
         """
         self._numbers += 1
         number = self._numbers
         kind = small.KINDS["port-request" if service == "porting" else "provision"]
         self.world.at(
-            at * 1000.0, lambda: self._send(kind, number, tries, copies, honest)
+            at * 1000.0,
+            lambda: self._send(kind, number, tries, copies, honest, ticket),
         )
 
     def _send(
@@ -65,12 +75,24 @@
         tries: int,
         copies: int,
         honest: bool,
+        ticket: bool,
     ) -> None:
         key = small.key_of(self.world, number)
+        holder = ""
+        if ticket:
+            alive = next(n for n in self.world.nodes.values() if n.alive)
+            service = ids.ServiceName(kind.service)
+            holder = routing.ticket_holder(alive.state, service)
+            if not holder:
+                return
         self._tries[key] = tries
         for copy in range(copies):
             root = world.Root(
-                id=number * 10 + copy, kind=kind, sent=self.world.now, key=key
+                id=number * 10 + copy,
+                kind=kind,
+                sent=self.world.now,
+                key=key,
+                holder=holder,
             )
             if not (honest and copies == 1):
                 root.tries = 1  # The next sending counts as a repeat: no claim.
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -88,6 +88,8 @@
     class _Messages:
         Outcome = _Always
         CallTerms = messages.CallTerms
+        Member = messages.Member
+        MemberState = messages.MemberState
 
     patch.setattr(calls, "messages", _Messages)
 
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -103,6 +103,7 @@
     kind: KindSpec
     sent: float
     key: str
+    holder: str = ""
     tries: int = 0
     answer: str = ""
     answered: float = 0.0
@@ -317,6 +318,7 @@
             f"{root.id:016x}",
             root.key,
             sending=root.tries,
+            holder=root.holder,
         )
         accepted = node.state.calls.get(ids.CallId(call))
         self.on_arrival(root, None if accepted is None else accepted.root)
@@ -338,6 +340,7 @@
         span: str,
         key: str = "",
         sending: int = 0,
+        holder: str = "",
     ) -> None:
         node.requests[call] = (method, path)
         self._apply(
@@ -352,6 +355,7 @@
                 span=ids.SpanId(span),
                 key=key,
                 sending=sending,
+                holder=holder,
             ),
         )
 
