--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -78,6 +78,8 @@
     answers: dict[str, int]
     failed: dict[str, int]
     given_up: dict[str, int]
+    settled_offered: dict[str, int]
+    settled_complete: dict[str, int]
 
 
 class Run:
@@ -130,6 +132,8 @@
         self.sent_per_second = [0] * (seconds + 1)
         self.kept_per_second = [0] * (seconds + 1)
         self.given_up = dict.fromkeys(graph.kinds, 0)
+        self.settled_offered = dict.fromkeys(graph.kinds, 0)
+        self.settled_complete = dict.fromkeys(graph.kinds, 0)
         self.world.on_root_end = self._on_end
         self.world.on_work_end = self._on_work_end
         self.world.on_execution = self._on_execution
@@ -164,6 +168,8 @@
         root = world.Root(id=self._numbers, kind=spec, sent=self.world.now, key="")
         self.offered[kind] += 1
         self.sent_per_second[self._second()] += 1
+        if self._second() < self.seconds - SETTLE_S:
+            self.settled_offered[kind] += 1
         self._send(root)
 
     def _send(self, root: world.Root) -> None:
@@ -201,7 +207,10 @@
         if root.answer == "ok":
             self.complete[kind] += 1
             self.per_second[kind][self._second()] += 1
-            self.kept_per_second[int((root.sent - world.START) / 1000.0)] += 1
+            sent_second = int((root.sent - world.START) / 1000.0)
+            self.kept_per_second[sent_second] += 1
+            if sent_second < self.seconds - SETTLE_S:
+                self.settled_complete[kind] += 1
             self.latency.record_value(max(1, int(root.answered - root.sent)))
             if sending is not None:
                 sending.complete = True
@@ -247,6 +256,8 @@
             answers=self.answers,
             failed=self.failed,
             given_up=self.given_up,
+            settled_offered=self.settled_offered,
+            settled_complete=self.settled_complete,
         )
 
     def _recovery(self) -> float:
@@ -476,7 +487,7 @@
 
 def _protected(r: Result) -> float:
     kind = graphs.GRAPHS[r.graph]().protected
-    return r.complete[kind] / max(1, r.complete[kind] + r.given_up[kind])
+    return r.settled_complete[kind] / max(1, r.settled_offered[kind])
 
 
 def _variant_line(r: Result) -> str:
