--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -281,8 +281,8 @@
         " larger step and clashes with the language of the house.",
         f"2. Claims: with unrepeatable kinds in services of more than"
         f" {CLAIM_BUDGET * 2:.0f} nodes together, a node's part of the budget is one"
-        " append each 2 s, the time after which a claim is given up. Next step: keys"
-        " issued by the home node (tickets), which need no append.",
+        " append each 2 s, the time after which a claim is given up. Tickets need no"
+        " append and are the way out for callers that can fetch one.",
         f"3. Memory: {CONTROL_MB - rss:.1f} MB are left. A service with more than"
         f" {(CONTROL_MB - rss) / (slopes['key_bytes'] * KEY_WINDOW_S / 1e6):.0f}"
         " claims a second exceeds it by its keys alone.",
