Show that the stop and the revisions can fail

Cause: the proofs of the planned stop and of the configuration were never seen to fail. Change: a stop that exits at once, a base that is not checked, a trimmed log that counts as whole: each makes its proof fail.

--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -107,8 +107,7 @@
         _end_overtaken(state, offset, record, out)
         return False
     base = revisions.changed.get(record.team, 0)
-    problem = ""
-    if record.base != base:
+    if _is_overtaken(record, base):
         problem = f"conflict: {record.team} changed at revision {base} meanwhile"
     else:
         problem = _problem(state, record.team, record.text)
@@ -272,6 +271,10 @@
     return ""
 
 
+def _is_overtaken(record: messages.PublishRecord, base: int) -> bool:
+    return record.base != base
+
+
 def _conflict(event: events.PublishRequested, base: int) -> str:
     return (
         f"conflict: base is {event.base}, but {event.team} last changed at revision"
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -39,6 +39,7 @@
     | "executed-twice"                                     -> twice
     | "false-not-run"                                      -> false_not_run
     | "lost" NAME                                          -> lost
+    | "cut" NAME                                           -> cut
     | "late" NAME "over" NUMBER                            -> late
     | "new-work" NAME "after" NUMBER                       -> new_work
     | "opened-to" NAME "after" NUMBER                      -> opened_to
@@ -211,6 +212,9 @@
             self._handed.append((self._seconds, node.name))
         elif isinstance(effect, effects.OpenAttempt):
             self._opened.append((self._seconds, str(effect.node)))
+        elif isinstance(effect, effects.Stopped):
+            # The process exits, whatever is still under way to it or in it.
+            self.world.at(0.0, lambda: self.world.kill(node.name))
 
     # Expectations.
 
@@ -242,6 +246,13 @@
             and "unknown" in s.answers
         )
 
+    def _get_cut(self, kind: str) -> float:
+        return sum(
+            1
+            for s in self._sent.values()
+            if s.kind == kind and {"lost", "unknown"} & set(s.answers)
+        )
+
     def _get_late(self, kind: str, bound_ms: str) -> float:
         cohort = [s for s in self._sent.values() if s.kind == kind and s.complete]
         late = sum(1 for s in cohort if s.took_ms > float(bound_ms))
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -15,15 +15,21 @@
     allowance,
     calls,
     claims,
+    effects,
     hosting,
     keys,
     messages,
     ranks,
+    reducer,
+    revisions,
     routing,
     state as states,
 )
 from tests.common import scenario
-from tests.cover import test_decisions_under_load as under_load
+from tests.cover import (
+    test_decisions_under_load as under_load,
+    test_revisions as of_revisions,
+)
 
 FOLDER = pathlib.Path(__file__).parents[1] / "scenarios"
 
@@ -113,12 +119,23 @@
     patch.setattr(routing, "note_failure", lambda state, node: False)
 
 
+def _stops_at_once(patch: pytest.MonkeyPatch) -> None:
+    """Exit on the first signal, without finishing or lingering."""
+
+    def stop(state: states.State, out: states.Effects) -> None:
+        state.stopped = True
+        out.append(effects.Stopped())
+
+    patch.setattr(reducer, "_check_stopped", stop)
+
+
 SCENARIOS: list[
     tuple[str, collections.abc.Callable[[pytest.MonkeyPatch], None], str]
 ] = [
     ("shedding-order", _no_classes, "complete provision"),
     ("storm", _no_levels_and_no_order, "complete plan-status 17 25"),
     ("twice-over", _repeats_not_known, "twice"),
+    ("drain", _stops_at_once, "cut plan-status"),
     ("pause", _always_not_run, "false_not_run"),
     ("drain", _leaving_takes_work, "new_work"),
     ("pause", _no_suspicion, "late plan-status"),
@@ -158,6 +175,25 @@
         under_load.test_attempts_in_a_tree_never_exceed_the_allowance()
 
 
+def test_the_conflict_proof_fails_when_the_base_is_not_checked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(revisions, "_is_overtaken", lambda record, base: False)
+    with pytest.raises(AssertionError):
+        of_revisions.test_of_two_on_the_same_base_the_first_in_the_log_wins_everywhere()
+
+
+def test_the_retention_proof_fails_when_a_trimmed_log_counts_as_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def based(state: states.State, *, first: int, oldest: int, gap: bool) -> None:
+        state.revisions.based = True
+
+    monkeypatch.setattr(revisions, "on_read", based)
+    with pytest.raises(AssertionError):
+        of_revisions.test_a_reader_of_a_trimmed_log_decides_nothing_before_a_snapshot()
+
+
 def test_the_window_proof_fails_without_the_window(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -303,7 +303,8 @@
 
     def _arrive(self, node: FakeNode, root: Root, patience: float) -> None:
         if not node.alive:
-            self._answer_root(root, "lost", 0.0)
+            # No process listens there: the connection itself is refused.
+            self._answer_root(root, "refused", 0.0)
             return
         call = self._number()
         node.callers[call] = root
