--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -1,16 +1,18 @@
 """The entry side of the shell: callers' requests and their attempts."""
 
 import collections.abc
+import typing
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import clock, ingress, links, node as nodes
+from gingerturn.internal.shell import clock, ingress, links
 from gingerturn.internal.wire import frames
 
-MAX_DURATION_US = 60_000_000
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
 
-BodySink = collections.abc.Callable[[bytes, bool], None]
-"""Takes a piece of a body and whether it is the last."""
+MAX_DURATION_US = 60_000_000
 
 
 class PendingAttempt:
@@ -144,7 +146,7 @@
                 request, self._upload_sink(effect.attempt, carrier)
             )
 
-    def _upload_sink(self, attempt: int, carrier: links.Carrier) -> BodySink:
+    def _upload_sink(self, attempt: int, carrier: links.Carrier) -> ingress.BodySink:
         def sink(body: bytes, last: bool) -> None:
             if attempt in self._attempts:
                 carrier.send(frames.Chunk(call=attempt, body=body, last=last))
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -7,9 +7,13 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import backend_http, clock, node as nodes
+from gingerturn.internal.shell import backend_http, clock
 from gingerturn.internal.wire import frames
 
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
+
 WINDOW = 262_144
 """Bytes of a streamed body that may be under way without the receiver's word."""
 
--- a/src/gingerturn/internal/shell/gossip.py
+++ b/src/gingerturn/internal/shell/gossip.py
@@ -6,9 +6,12 @@
 from gingerturn import errors
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import clock, node as nodes
+from gingerturn.internal.shell import clock
 from gingerturn.internal.wire import datagrams
 
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
 
 class GossipProtocol(asyncio.DatagramProtocol):
     """The node's UDP socket.
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -1,16 +1,16 @@
 """The home side of the shell: calls for the backend server beside this node."""
 
+import typing
+
 from gingerturn.internal import ids
 from gingerturn.internal.core import decisions, effects, events, messages
-from gingerturn.internal.shell import (
-    backend_http,
-    clock,
-    exchanges,
-    links,
-    node as nodes,
-)
+from gingerturn.internal.shell import backend_http, clock, exchanges, links
 from gingerturn.internal.wire import frames
 
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
+
 MAX_KEPT_BYTES = 65_536
 
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import hashlib
 import json
 import os
@@ -13,7 +14,11 @@
 from gingerturn import errors
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages, routing
-from gingerturn.internal.shell import clock, entry, heads, node as nodes, tickets
+from gingerturn.internal.shell import clock, heads, tickets
+
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
 
 MAX_PIPELINED = 8
 """Requests read ahead on one connection before reading pauses."""
@@ -21,6 +26,9 @@
 WINDOW = 262_144
 """Bytes of a streamed body that may be under way without the receiver's word."""
 
+BodySink = collections.abc.Callable[[bytes, bool], None]
+"""Takes a piece of a body and whether it is the last."""
+
 OWN_AUTHORITY = "gingerturn"
 """The authority under which a node answers callers itself."""
 
@@ -44,7 +52,7 @@
         self.complete = False
         self.dispatched = False
         self.answered = False
-        self.streaming_in: entry.BodySink | None = None
+        self.streaming_in: BodySink | None = None
         self.streaming_out = False
         self.chunked_out = False
         self.head = b""
@@ -189,7 +197,7 @@
 
     # Towards the node.
 
-    def start_streaming(self, request: Request, sink: "entry.BodySink") -> None:
+    def start_streaming(self, request: Request, sink: "BodySink") -> None:
         """Send the rest of a long body on as it arrives."""
         request.streaming_in = sink
         request.credit = WINDOW - len(request.body)
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -8,9 +8,13 @@
 from gingerturn import errors
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import decisions, effects, events, messages, revisions
-from gingerturn.internal.shell import clock, node as nodes, peers
+from gingerturn.internal.shell import clock, peers
 from gingerturn.internal.wire import frames
 
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
+
 ASK_TIMEOUT_S = 2.0
 _ASK_BASE = 1 << 62
 """Questions share the frames' call ids with attempts; theirs begin here."""
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -1,9 +1,14 @@
 """The log service's side of the shell: reads and appends as tasks."""
 
+import typing
+
 from gingerturn import errors
 from gingerturn.internal import logs
 from gingerturn.internal.core import effects, events, messages
-from gingerturn.internal.shell import clock, log_client, node as nodes
+from gingerturn.internal.shell import clock, log_client
+
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
 
 
 class LogSide:
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -7,9 +7,12 @@
 
 from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import node as nodes
 from gingerturn.internal.wire import datagrams, frames
 
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
+
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
 NONCE_BYTES = 16
