--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -238,6 +238,10 @@
             for size, value in slopes["control_bytes"].items()
         ],
         _row("appends for each start of a node", f"{slopes['appends_per_start']:.2f}"),
+        *[
+            _row(f"appends for {rate} claims/s at four nodes", f"{value:.1f} /s")
+            for rate, value in slopes["claim_appends"].items()
+        ],
         _row("appends for each change", "2 (publication and audit)"),
         _row(
             "control against changes a day",
@@ -264,6 +268,9 @@
         f" about 23 s ({_mark(slopes['bad_day_bytes'], CONTROL_BYTES)} as a rate in"
         " those seconds). More than half of all members unreachable is taken for the"
         " node's own isolation, and nobody is declared gone.",
+        f"- The same zone starting again within a minute: {525 / 60:.1f} appends/s"
+        f" more, {appends + 525 / 60:.1f} in all"
+        f" ({_mark(appends + 525 / 60, LOG_APPENDS)}).",
         "- Regions apart for minutes: each side goes on with what it sees. Members"
         " declared gone are remembered for 5 minutes and come back with a higher"
         " version; the merge is bounded by 5 updates a message. Not run at size.",
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -6,11 +6,12 @@
 
 import dataclasses
 import gc
-import math
 import os
 import random
 import time
+import uuid
 
+from benchmarks import graphs
 from gingerturn import configuration
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -23,6 +24,7 @@
     timers,
 )
 from gingerturn.internal.wire import datagrams
+from gingerturn_fakes import world
 
 START = 1_800_000_000_000.0
 SECRET = b"a secret of the benchmarks"
@@ -272,9 +274,31 @@
     return (rss_mb() - before) * 1e6 / len(table)
 
 
-def gossip_rounds(members: int) -> int:
-    """Return the rounds that news need to reach all, each telling four."""
-    return math.ceil(math.log(max(2, members), 4)) + 1
+def claim_appends(rate: float, *, seconds: int = 20) -> float:
+    """Return the appends a second for keyed port requests at a rate, on the fakes.
+
+    Four nodes of Porting claim; each may append once in a fiftieth of a second.
+    """
+    graph = graphs.brolga()
+    made = world.World(
+        seed=1,
+        services=graph.services,
+        documents={"shop": graphs.BROLGA_DOCUMENT.replace('key = "generated"\n', "")},
+        zones=graph.zones,
+    )
+    made.run(2_000)
+    before = made.log.appends
+    total = int(rate * seconds)
+    for number in range(total):
+        made.at(number * 1_000.0 / rate, lambda n=number: _send_keyed(made, graph, n))
+    made.run(seconds * 1_000.0)
+    return (made.log.appends - before) / seconds
+
+
+def _send_keyed(made: world.World, graph: graphs.Graph, number: int) -> None:
+    key = uuid.UUID(int=(int(made.now) << 80) | (7 << 76) | (2 << 62) | number)
+    kind = graph.kinds["port-request"]
+    made.send(world.Root(id=number + 1, kind=kind, sent=made.now, key=str(key)))
 
 
 def main() -> None:
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -101,6 +101,7 @@
             str(run.nodes): statistics.median(run.cpu_share) for run in (few, real)
         },
         "in_force_ms": [round(value, 1) for value in real.in_force_ms],
+        **_claims(),
         "real_nodes": real.nodes,
         "rss_mb": statistics.median(real.rss_mb),
         "rss_most_mb": real.rss_mb[-1],
@@ -124,6 +125,11 @@
     return states
 
 
+def _claims() -> dict[str, object]:
+    rates = (1, 10, 50, 200)
+    return {"claim_appends": {str(rate): control.claim_appends(rate) for rate in rates}}
+
+
 def report(found: dict[str, object]) -> list[str]:
     """Return the figures with their bounds."""
 
@@ -175,6 +181,10 @@
         line("one upstream called before", "upstream_bytes", None, "B"),
         line("log reads/s by 40 nodes", "log_reads_per_second", 100.0, ""),
         line("log appends for each start of a node", "appends_per_start", None, ""),
+        *[
+            f"  log appends/s for {rate} claims/s at four nodes {value:>26.1f} /s"
+            for rate, value in found["claim_appends"].items()  # type: ignore[attr-defined]
+        ],
         "events reduced by one core in a second, by kind",
     ]
     lines += [
@@ -192,7 +202,7 @@
 def main(record: bool, added_only: bool) -> None:
     """Measure what a node costs."""
     if added_only:
-        found = {**json.loads(SLOPES.read_text()), **added_figures()}
+        found = {**json.loads(SLOPES.read_text()), **added_figures(), **_claims()}
     else:
         found = measure()
     click.echo("\n".join(report(found)))
