Feed arbitrary bytes to the HTTP parsers

Change: two properties: a caller's bytes get the node's own problems or nothing, a backend server's bytes end an exchange exactly once.

--- /dev/null
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -0,0 +1,129 @@
+"""Arbitrary bytes from callers and backend servers: no crash, nothing invented."""
+
+import re
+
+import hypothesis
+from hypothesis import strategies as st
+
+from gingerturn.internal import ids
+from gingerturn.internal.shell import backend_http, ingress, node as nodes
+from tests.common import builders
+
+PIECES = st.lists(
+    st.one_of(
+        st.binary(max_size=60),
+        st.sampled_from(
+            [
+                b"GET / HTTP/1.1\r\n",
+                b"PUT /x HTTP/1.1\r\n",
+                b"host: plans\r\n",
+                b"host: nobody\r\n",
+                b"content-length: 3\r\n",
+                b"content-length: 99999999999999999999\r\n",
+                b"transfer-encoding: chunked\r\n",
+                b"expect: 100-continue\r\n",
+                b"idempotency-key: gt1.x\r\n",
+                b"\r\n",
+                b"abc",
+                b"3\r\nabc\r\n0\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\n",
+                b"HTTP/1.1 100 Continue\r\n\r\n",
+                b"HTTP/1.1 204 No Content\r\n\r\n",
+            ]
+        ),
+    ),
+    max_size=14,
+)
+
+
+class Transport:
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written = bytearray()
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        assert not self.closed
+        self.written += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        """Nothing is read here anyway."""
+
+    resume_reading = pause_reading
+
+
+class Receiver:
+    """Counts what an exchange tells."""
+
+    def __init__(self) -> None:
+        self.ends = 0
+        self.failures = 0
+
+    def on_head(self, status: int, head: bytes, length: int) -> None:
+        assert 200 <= status <= 999
+
+    def on_body(self, body: bytes) -> None:
+        assert not self.ends
+
+    def on_end(self) -> None:
+        self.ends += 1
+
+    def on_failure(self, *, handed: bool) -> None:
+        self.failures += 1
+
+
+@hypothesis.given(PIECES)
+@hypothesis.settings(max_examples=200)
+def test_any_bytes_of_a_caller_get_answers_or_nothing(pieces: list[bytes]) -> None:
+    node = nodes.Node(builders.settings())
+    connection = ingress.CallerConnection(node)
+    transport = Transport()
+    connection.connection_made(transport)
+    for piece in pieces:
+        connection.data_received(piece)
+    # No service is known here, so every answer is the node's own problem.
+    statuses = re.findall(rb"HTTP/1\.1 (\d\d\d) ", bytes(transport.written))
+    assert set(statuses) <= {b"100", b"400", b"404", b"431"}
+    assert transport.written.count(b"application/problem+json") == sum(
+        1 for status in statuses if status != b"100"
+    )
+    connection.connection_lost(None)
+    assert not node.caller_connections
+    assert node.state.calls == {}
+
+
+@hypothesis.given(PIECES, st.booleans())
+@hypothesis.settings(max_examples=200)
+def test_any_bytes_of_a_backend_server_end_an_exchange_at_most_once(
+    pieces: list[bytes], head_only: bool
+) -> None:
+    pool = backend_http.Pool()
+    put: list[backend_http.Connection] = []
+    pool.put = put.append  # type: ignore[method-assign]
+    connection = backend_http.Connection(pool)
+    transport = Transport()
+    connection.connection_made(transport)  # type: ignore[arg-type]
+    receiver = Receiver()
+    connection.begin(receiver, b"GET / HTTP/1.1\r\n", b"", head_only=head_only)
+    for piece in pieces:
+        if not transport.closed:
+            connection.data_received(piece)
+    connection.connection_lost(None)
+    assert receiver.ends + receiver.failures == 1
+    # After an end the connection may serve again only if nothing was left over.
+    assert len(put) <= receiver.ends
+
+
+def test_ids_are_not_shared_between_calls_and_questions() -> None:
+    node = nodes.Node(builders.settings())
+    numbers = [node.next_number() for _ in range(5)]
+    assert len({ids.CallId(number) for number in numbers}) == 5
