--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -3,6 +3,7 @@
 import re
 
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 
 from gingerturn.internal import ids
@@ -101,6 +102,58 @@
     assert node.state.calls == {}
 
 
+HEADS = st.builds(
+    lambda lines, body: b"PUT /x HTTP/1.1\r\n" + b"".join(lines) + b"\r\n" + body,
+    st.lists(
+        st.sampled_from(
+            [
+                b"host: plans\r\n",
+                b"content-length: 3\r\n",
+                b"content-length: 4\r\n",
+                b"transfer-encoding: chunked\r\n",
+                b"transfer-encoding: gzip, chunked\r\n",
+                b"x: y\r\n",
+            ]
+        ),
+        max_size=4,
+    ),
+    st.sampled_from([b"", b"abc", b"abcd", b"3\r\nabc\r\n0\r\n\r\n"]),
+)
+
+
+def check_only_clear_framing_is_dispatched(stream: bytes) -> None:
+    """Feed a stream; every request that is dispatched has one clear length."""
+    node = nodes.Node(builders.settings())
+    node.knows_service = lambda service: True  # type: ignore[method-assign]
+    dispatched: list[ingress.Request] = []
+    node.entry.begin_request = (  # type: ignore[method-assign]
+        lambda request, arrival: dispatched.append(request)
+    )
+    connection = ingress.CallerConnection(node)
+    connection.connection_made(Transport())  # type: ignore[arg-type]
+    connection.data_received(stream)
+    for request in dispatched:
+        names = [name for name, _ in request.headers]
+        assert names.count(b"host") == 1
+        framed = names.count(b"content-length") + names.count(b"transfer-encoding")
+        assert framed <= 1
+        assert (b"transfer-encoding", b"gzip, chunked") not in request.headers
+
+
+@hypothesis.given(st.lists(HEADS, min_size=1, max_size=3).map(b"".join))
+@hypothesis.settings(max_examples=300)
+def test_only_requests_of_clear_framing_are_dispatched(stream: bytes) -> None:
+    check_only_clear_framing_is_dispatched(stream)
+
+
+def test_that_proof_fails_without_the_check(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ingress, "_framing_problem", lambda request, version: "")
+    with pytest.raises(AssertionError):
+        check_only_clear_framing_is_dispatched(
+            b"PUT /x HTTP/1.1\r\nhost: a\r\nhost: b\r\ncontent-length: 3\r\n\r\nabc"
+        )
+
+
 @hypothesis.given(PIECES, st.booleans())
 @hypothesis.settings(max_examples=200)
 def test_any_bytes_of_a_backend_server_end_an_exchange_at_most_once(
