--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -179,7 +179,7 @@
                 running=backend.running,
                 queued=len(backend.queue),
                 level=backend.level,
-                level_words=ranks.describe(backend.level),
+                level_words=_level_words(backend.level),
             ),
             members=[self._member(m) for m in state.membership.members.values()],
             answered=counters.answered,
@@ -301,7 +301,7 @@
             service=member.service,
             slots=member.slots,
             incarnation=member.incarnation,
-            level=ranks.describe(level),
+            level=_level_words(level),
             load=upstream.load if upstream else 0,
             limit=upstream.limit if upstream else 0,
         )
@@ -334,6 +334,12 @@
         )
 
 
+def _level_words(level: int) -> str:
+    if level == ranks.LOWEST:
+        return "nothing is shed"
+    return f"shed below {ranks.describe(level)}"
+
+
 def _problem(
     request: litestar.Request[typing.Any, typing.Any, typing.Any], error: Exception
 ) -> responses.Response[dict[str, typing.Any]]:
