--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -58,12 +58,17 @@
     import uvloop
 
     from gingerturn.internal import logs
-    from gingerturn.internal.shell import daemon
 
     chosen = settings.load(path)
     logs.set_up(chosen.logging, node=chosen.node.id)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(daemon.run(chosen, record=record)))
+        sys.exit(runner.run(_run_node(chosen, record)))
+
+
+async def _run_node(chosen: settings.Settings, record: typing.BinaryIO | None) -> int:
+    from gingerturn.internal.shell import daemon, node as nodes
+
+    return await daemon.run(nodes.Node(chosen, record=record))
 
 
 @cli.command()
--- a/src/gingerturn/internal/core/allowance.py
+++ b/src/gingerturn/internal/core/allowance.py
@@ -27,9 +27,9 @@
     held: float = MAX_BUDGET
 
 
-def earn(budget: Budget, share: float) -> None:
+def earn(budget: Budget, share: float, *, most: float = MAX_BUDGET) -> None:
     """Add what one first attempt earns."""
-    budget.held = min(MAX_BUDGET, budget.held + share)
+    budget.held = min(most, budget.held + share)
 
 
 def spend(budget: Budget) -> bool:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -3,7 +3,7 @@
 import hashlib
 import heapq
 
-from gingerturn import configuration
+from gingerturn import configuration, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
@@ -15,6 +15,7 @@
     messages,
     outbox,
     ranks,
+    route_table,
     routing,
     state as states,
 )
@@ -28,6 +29,12 @@
 """The home node ends a call at its deadline and knows whether it ran; the entry
 node waits this much longer for that word before it must say ``unknown``."""
 
+SLACK_USED = 0.4
+"""Share of the declared slack that the caps of all nodes' budgets add up to. A node
+may spend its cap twice within one window, when the window's start empties a budget
+that its end finds filled again; and a node that was replaced starts with a fresh
+one."""
+
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
@@ -58,18 +65,28 @@
     state: states.State, event: events.CallArrived, out: states.Effects
 ) -> None:
     """Classify a call, tie it to its parent, and send it or refuse it."""
-    rule = state.configuration.classify(event.service, event.method, event.path)
+    rule: configuration.KindRule | decisions.Rule
+    if state.routed:
+        rule = route_table.resolve(state, event)
+        if isinstance(rule, decisions.Rule):
+            _refuse(state, _root(event, _UNROUTED), rule, out)
+            return
+    else:
+        rule = state.configuration.classify(event.service, event.method, event.path)
     parent = _parent(state, event)
     call = _root(event, rule) if parent is None else _child(state, event, rule, parent)
     state.calls[call.id] = call
-    if state.stopping and parent is None:
+    if state.stopping and parent is None and not _served_while_stopping(state):
         _refuse(state, call, decisions.Rule.STOPPING, out)
         return
     if not _key_fits(state, call, event, out):
         return
     heapq.heappush(state.deadlines, (call.deadline + GRACE_MS, CALL_DEADLINE, call.id))
-    budget = state.budgets.setdefault(call.service, allowance.Budget())
-    allowance.earn(budget, state.configuration.service(call.service).retry_share)
+    allowance.earn(
+        _budget(state, call.service),
+        state.configuration.service(call.service).retry_share,
+        most=_most_budget(state),
+    )
     _send_first(state, call, out)
 
 
@@ -134,6 +151,9 @@
         hopeless = rule in _DEADLINE_RULES or not _may_repeat(call)
         if hopeless or not _retry(state, call, out):
             _refuse(state, call, rule, out, remote=event.refusal)
+    elif event.refusal.arrived:
+        if not _retry(state, call, out, ran=False):
+            _refuse(state, call, rule, out, remote=event.refusal)
     elif rule in _FINAL_RULES or not _redirect(state, call, out):
         _refuse(state, call, rule, out, remote=event.refusal)
 
@@ -188,6 +208,31 @@
     _refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
 
 
+def _served_while_stopping(state: states.State) -> bool:
+    """Tell whether a stopping node still serves callers that come to it.
+
+    Where callers are led here by readiness they notice the stop only after some
+    seconds; the node knows the other upstreams and can serve them meanwhile.
+    """
+    return state.routed and state.now < state.stop_after
+
+
+def _budget(state: states.State, service: ids.ServiceName) -> allowance.Budget:
+    budget = state.budgets.get(service)
+    if budget is None:
+        budget = allowance.Budget(held=_most_budget(state))
+        state.budgets[service] = budget
+    return budget
+
+
+def _most_budget(state: states.State) -> float:
+    """Return the cap of a retry budget: this node's part of what all may hold."""
+    if state.retry_slack is None:
+        return allowance.MAX_BUDGET
+    nodes = max(1, len(state.membership.members) - len(state.membership.gone))
+    return min(allowance.MAX_BUDGET, state.retry_slack * SLACK_USED / nodes)
+
+
 def _parent(state: states.State, event: events.CallArrived) -> states.Hosted | None:
     hosted = state.spans.get(event.span)
     return None if hosted is None else state.hosted.get(hosted)
@@ -199,14 +244,17 @@
     timeout = float(rule.timeout_ms)
     if event.timeout_ms > 0:
         timeout = min(timeout, event.timeout_ms)
+    # The backend server beside this node serves a request that has begun.
+    importance = routes.BEGUN_CLASS if event.own_backend else rule.importance
+    depth = 1 if event.own_backend else 0
     return states.Call(
         id=event.call,
         rule=rule,
-        service=event.service,
-        importance=rule.importance,
-        depth=0,
+        service=rule.service or event.service,
+        importance=importance,
+        depth=depth,
         root=root,
-        rank=ranks.rank_of(importance=rule.importance, depth=0, root=root),
+        rank=ranks.rank_of(importance=importance, depth=depth, root=root),
         deadline=event.now + timeout,
         tokens=rule.retry_allowance,
         trace=event.trace,
@@ -451,11 +499,18 @@
     _send(state, call, member.node, out)
 
 
-def _retry(state: states.State, call: states.Call, out: states.Effects) -> bool:
-    """Send a repeatable call again, for a token and out of the budget."""
-    budget = state.budgets.setdefault(call.service, allowance.Budget())
+def _retry(
+    state: states.State, call: states.Call, out: states.Effects, *, ran: bool = True
+) -> bool:
+    """Send a call again, for a token and out of the budget.
+
+    :param ran: the last attempt may have run, so that only a repeatable call goes
+        again.
+    """
+    budget = _budget(state, call.service)
     figures = (float(call.tokens), budget.held, float(call.attempts))
-    if not _may_repeat(call) or state.now >= call.deadline:
+    allowed = _may_repeat(call) if ran else call.replayable and not call.holder
+    if not allowed or state.now >= call.deadline:
         return False
     if call.tokens < 1:
         _decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, figures)
@@ -540,6 +595,7 @@
     decisions.Rule.KEY_INVALID: 400,
     decisions.Rule.ALREADY_RUN: 409,
     decisions.Rule.DEADLINE_PASSED: 504,
+    decisions.Rule.NO_ROUTE: 404,
 }
 _COME_BACK_MS = 1_000.0
 _NO_USE_COMING_BACK = frozenset(
@@ -547,8 +603,21 @@
         decisions.Rule.KEY_REQUIRED,
         decisions.Rule.KEY_INVALID,
         decisions.Rule.ALREADY_RUN,
+        decisions.Rule.NO_ROUTE,
     }
 )
+_UNROUTED = configuration.KindRule(
+    name=ids.KindName("unrouted"),
+    service=ids.ServiceName(""),
+    importance=0,
+    path_prefix="/",
+    methods=(),
+    repeatable=True,
+    retry_allowance=0,
+    timeout_ms=configuration.DEFAULT_TIMEOUT_MS,
+    key=configuration.KeyRule.GENERATED,
+)
+"""Stands in for the kind of a request that has no route."""
 
 
 def _refuse(
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -51,6 +51,9 @@
     JOINED_FIRST = 30
     BACKEND_UNREACHABLE = 31
     STOPPING = 32
+    BACKEND_REFUSED = 33
+    NO_ROUTE = 34
+    NO_CONFIGURATION = 35
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -116,6 +119,11 @@
         "Refused: the backend server could not be reached; nothing was handed over."
     ),
     Rule.STOPPING: "Refused: this node is stopping.",
+    Rule.BACKEND_REFUSED: (
+        "Refused: the backend server turned the call away without running it."
+    ),
+    Rule.NO_ROUTE: "Refused: the route table has no route for this host and path.",
+    Rule.NO_CONFIGURATION: "Refused: this node has no configuration yet.",
 }
 
 
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -53,6 +53,7 @@
     """Hand a call to the backend server.
 
     :param span: span id to send on, by which its own calls are recognised.
+    :param instance: the start of the backend server that is meant, if known.
     """
 
     hosted: ids.HostedId
@@ -60,6 +61,7 @@
     port: int
     span: ids.SpanId
     deadline_ms: float
+    instance: str = ""
 
 
 class CancelBackend(Effect, frozen=True):
@@ -140,6 +142,32 @@
     wait: bool
 
 
+class ReadNewest(Effect, frozen=True):
+    """Read the newest record of each key of a stream."""
+
+    stream: str
+
+
+class PutRecord(Effect, frozen=True):
+    """Put a record under a key, in place of the one before.
+
+    :param record: empty to drop the key.
+    """
+
+    put: int
+    stream: str
+    key: str
+    record: bytes
+
+
+class FetchRoutes(Effect, frozen=True):
+    """Ask a peer for the route table that it has in force."""
+
+    node: ids.NodeId
+    host: str
+    port: int
+
+
 class Append(Effect, frozen=True):
     """Append a record to a stream."""
 
@@ -210,6 +238,9 @@
     | AskLevel
     | TellLevel
     | ReadLog
+    | ReadNewest
+    | PutRecord
+    | FetchRoutes
     | Append
     | SendGossip
     | FetchSnapshot
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import messages
 
@@ -23,6 +24,10 @@
     """The node starts.
 
     :param seed: seeds every random choice of this incarnation.
+    :param routed: callers are served by the route table instead of naming services.
+    :param keyed_log: the log keeps the newest record of each key.
+    :param retry_slack: retries of one service in each window that all nodes together
+        may make beyond the share of its first attempts.
     """
 
     seed: int
@@ -35,6 +40,9 @@
     region: str
     decisions: int
     seeds: tuple[str, ...] = ()
+    routed: bool = False
+    keyed_log: bool = False
+    retry_slack: float | None = None
 
 
 class Tick(Event, frozen=True):
@@ -51,6 +59,8 @@
         its key is a ticket.
     :param sending: 1 when the caller says that it sends this request for the first
         time, higher for a repeat, 0 when it says nothing.
+    :param own_backend: the caller is the backend server beside this node, which
+        serves a request that has begun.
     """
 
     call: ids.CallId
@@ -65,6 +75,7 @@
     body_digest: str = ""
     sending: int = 0
     holder: str = ""
+    own_backend: bool = False
 
 
 class CallerGone(Event, frozen=True):
@@ -141,11 +152,13 @@
 
     :param whole: the answer is held whole; otherwise its body is being streamed
         and :class:`BackendFinished` will follow.
+    :param executed: ``False`` when it says that it did not run the request.
     """
 
     hosted: ids.HostedId
     status: int
     whole: bool = True
+    executed: bool = True
 
 
 class BackendFinished(Event, frozen=True):
@@ -165,7 +178,11 @@
 
 
 class BackendAnnounced(Event, frozen=True):
-    """The backend server beside this node announces itself, or renews."""
+    """The backend server beside this node announces itself, or renews.
+
+    :param instance: id of this start of the backend server, if it tells one.
+    :param sequence: grows with each announcement of one instance.
+    """
 
     service: ids.ServiceName
     host: str
@@ -175,10 +192,17 @@
     cold: bool = False
     load: int = -1
     ttl_ms: float = 10_000
+    instance: str = ""
+    sequence: int = 0
 
 
 class BackendWithdrawn(Event, frozen=True):
-    """The backend server is leaving: it drains and takes no new work."""
+    """The backend server is leaving: it drains and takes no new work.
+
+    :param instance: which start of it leaves; empty for whatever runs there.
+    """
+
+    instance: str = ""
 
 
 class LogRead(Event, frozen=True):
@@ -195,6 +219,29 @@
     end: int
 
 
+class NewestRead(Event, frozen=True):
+    """The newest record of each key of a stream was read.
+
+    :param end: the offset from which to read on.
+    """
+
+    stream: str
+    records: tuple[bytes, ...]
+    end: int
+
+
+class PutDone(Event, frozen=True):
+    """The log acknowledged a record under a key."""
+
+    put: int
+
+
+class PutFailed(Event, frozen=True):
+    """A record under a key was not acknowledged; it may have taken effect."""
+
+    put: int
+
+
 class LogReadFailed(Event, frozen=True):
     """A stream could not be read."""
 
@@ -243,6 +290,12 @@
     snapshot: messages.ConfigSnapshot
 
 
+class RoutesReceived(Event, frozen=True):
+    """A peer sent the route table that it has in force."""
+
+    table: routes.RouteTable
+
+
 class StopRequested(Event, frozen=True):
     """A planned stop of this node begins."""
 
@@ -265,6 +318,10 @@
     | BackendAnnounced
     | BackendWithdrawn
     | LogRead
+    | NewestRead
+    | PutDone
+    | PutFailed
+    | RoutesReceived
     | LogReadFailed
     | AppendDone
     | AppendFailed
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -19,6 +19,13 @@
 UNREACHABLE_MS = 500.0
 """Pause after the backend server refused a connection; one call then tries."""
 
+MISDIRECTED = 421
+"""Status (RFC 9110) of a backend server that is not the instance that was meant."""
+
+INSTANCES_KEPT = 64
+"""Past instances remembered, to tell their late announcements: more than follow one
+another on an instance within any delay."""
+
 ORPHAN_MS = 60_000.0
 """An unrepeatable call whose caller is gone keeps its slot for at most this long;
 the backend server was handed a deadline too and should be done well before."""
@@ -102,6 +109,9 @@
     hosted = state.hosted.get(event.hosted)
     if hosted is None or hosted.state is not states.HostedState.RUNNING:
         return
+    if not event.executed:
+        _on_turned_away(state, hosted, event.status, out)
+        return
     if event.status in calls.OVERLOAD_STATUSES:
         # A backend server passes on that a service below it shed. Taken for its
         # own shedding, that cut the limits of every service above the full one.
@@ -155,6 +165,64 @@
     fill(state, out)
 
 
+def _on_turned_away(
+    state: states.State, hosted: states.Hosted, status: int, out: states.Effects
+) -> None:
+    """Take in that the backend server said that it did not run a call."""
+    _end_slot(state, hosted, out, pump=False)
+    if hosted.terms.key:
+        _fail_key(state, hosted, out, handed=False)
+    if status == MISDIRECTED:
+        # Another instance has the address now; the announced one is gone.
+        _lose_backend(state, out)
+        refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
+        return
+    admission.note_backend_refusal(state)
+    if not hosted.orphaned:
+        refuse(state, hosted, decisions.Rule.BACKEND_REFUSED, out, arrived=True)
+    fill(state, out)
+
+
+def _lose_backend(state: states.State, out: states.Effects) -> None:
+    backend = state.backend
+    if backend.present:
+        text = f"{backend.service} {backend.instance} no longer has its address."
+        outbox.warn(out, "backend", text)
+    backend.present = False
+    _note_left(backend, backend.instance)
+    refuse_queue(state, decisions.Rule.NO_BACKEND, out)
+
+
+def is_late(state: states.State, instance: str, sequence: int) -> bool:
+    """Tell whether an announcement was overtaken by a later one, by the instance's
+    own leaving, or by its successor."""
+    backend = state.backend
+    if not instance:
+        return False
+    if instance in backend.left:
+        return True
+    return instance == backend.instance and 0 < sequence <= backend.sequence
+
+
+def _note_left(backend: states.Backend, instance: str) -> None:
+    if not instance:
+        return
+    backend.left[instance] = True
+    if len(backend.left) > INSTANCES_KEPT:
+        del backend.left[next(iter(backend.left))]
+
+
+def _begin_instance(backend: states.Backend, instance: str) -> None:
+    """Start afresh for a new start of the backend server: nothing measured of the
+    one before holds for it."""
+    _note_left(backend, backend.instance)
+    backend.instance = instance
+    backend.sequence = 0
+    backend.present = False
+    backend.times.clear()
+    backend.unreachable_until = 0.0
+
+
 def on_announced(
     state: states.State, event: events.BackendAnnounced, out: states.Effects
 ) -> None:
@@ -162,6 +230,9 @@
     backend = state.backend
     declared = state.configuration.service(event.service).slots
     slots = event.slots if declared is None else min(declared, event.slots)
+    if event.instance and event.instance != backend.instance:
+        _begin_instance(backend, event.instance)
+    backend.sequence = max(backend.sequence, event.sequence)
     if backend.present and backend.service != event.service:
         outbox.warn(out, "backend", f"Service changed to {event.service}.")
     admission.announce(state, event.now, slots=max(1, slots), cold=event.cold)
@@ -179,13 +250,22 @@
 
 def on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
-) -> None:
-    """Stop giving work to a backend server that leaves; at once, not by gossip."""
-    if not state.backend.present or state.backend.leaving:
-        return
-    state.backend.leaving = True
-    outbox.info(out, "backend", f"{state.backend.service} is leaving.")
+) -> bool:
+    """Stop giving work to a backend server that leaves; at once, not by gossip.
+
+    :return: whether it was the present one, which did not leave before.
+    """
+    backend = state.backend
+    if event.instance and event.instance != backend.instance:
+        _note_left(backend, event.instance)
+        return False
+    _note_left(backend, event.instance)
+    if not backend.present or backend.leaving:
+        return False
+    backend.leaving = True
+    outbox.info(out, "backend", f"{backend.service} {backend.instance} is leaving.")
     refuse_queue(state, decisions.Rule.LEAVING, out)
+    return True
 
 
 def refuse_queue(
@@ -317,6 +397,7 @@
             port=backend.port,
             span=hosted.span,
             deadline_ms=max(0.0, hosted.deadline - state.now),
+            instance=backend.instance,
         )
     )
 
@@ -380,10 +461,12 @@
     holder: str = "",
     forget: bool = True,
     figures: tuple[float, ...] | None = None,
+    arrived: bool = False,
 ) -> None:
     """Refuse a call towards its entry node.
 
-    :param handed: the call may have reached the backend server.
+    :param handed: the call may have been run by the backend server.
+    :param arrived: the backend server turned the call away.
     """
     backend = state.backend
     if figures is None:
@@ -407,6 +490,7 @@
                 retry_after_ms=admission.come_back_after(state, hosted.rank, level),
                 decision=decision,
                 holder=holder,
+                arrived=arrived,
             ),
             tokens=hosted.tokens,
             report=report,
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -16,7 +16,9 @@
     messages,
     outbox,
     revisions,
+    route_table,
     state as states,
+    streams,
 )
 
 PROBE_MS = 500.0
@@ -46,6 +48,19 @@
 that a draw cannot miss all of them."""
 
 JOIN_CONTACTS = 3
+KEYED_CONTACTS = 16
+"""Nodes contacted at once from the members that a keyed log lists, the latest first:
+some of them may be gone for good and never answer."""
+
+CONTACT_TRIES = 4
+REVIVE_MS = 1_000.0
+"""Each second one member that is held for gone is pinged: after both sides of a
+parted network gave each other up, nothing else would bring them together."""
+
+PUT_RETRY_MS = 500.0
+"""Pause, before a random part, until a join record that the log did not acknowledge
+is put again."""
+
 ISOLATED_SHARE = 0.5
 """Where more than half of the members seem unreachable, the fault is more likely
 this node's own network: nobody is declared gone until some answer again."""
@@ -55,7 +70,59 @@
     """Enter the membership as its only member and tell the log."""
     state.membership.me = me
     _put(state, me)
-    record = messages.JoinRecord(
+    if state.keyed_log:
+        put_join_record(state, out)
+        return
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream=streams.MEMBERS,
+            record=messages.encode_record(_join_record(state, me)),
+        )
+    )
+    contact_seeds(state, state.now, out)
+
+
+def put_join_record(state: states.State, out: states.Effects) -> None:
+    """Put this node's place under its key; others read it when they start."""
+    membership = state.membership
+    if membership.me is None:
+        return
+    membership.join_put = state.next_number()
+    membership.join_retry_at = math.inf
+    out.append(
+        effects.PutRecord(
+            put=membership.join_put,
+            stream=streams.MEMBERS,
+            key=state.node,
+            record=messages.encode_record(_join_record(state, membership.me)),
+        )
+    )
+
+
+def on_put_ended(
+    state: states.State, put: int, out: states.Effects, *, done: bool
+) -> None:
+    """Take in whether the join record was put, and read who else there is.
+
+    The list is read after the own record is there: so of two nodes that start at
+    the same time the later one finds the earlier.
+    """
+    membership = state.membership
+    if put != membership.join_put:
+        return
+    if done:
+        membership.join_put = 0
+    else:
+        pause = PUT_RETRY_MS * (1.0 + state.random.random())
+        membership.join_retry_at = state.now + pause
+    streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
+    if done:
+        streams.reread(state, streams.MEMBERS)
+
+
+def _join_record(state: states.State, me: messages.Member) -> messages.JoinRecord:
+    return messages.JoinRecord(
         node=me.node,
         incarnation=me.incarnation,
         host=me.host,
@@ -63,14 +130,59 @@
         zone=me.zone,
         at=state.now,
     )
-    out.append(
-        effects.Append(
-            append=state.next_number(),
-            stream="members",
-            record=messages.encode_record(record),
-        )
-    )
-    contact_seeds(state, state.now, out)
+
+
+def on_listed(
+    state: states.State,
+    records: list[messages.JoinRecord],
+    out: states.Effects,
+) -> None:
+    """Take in who joined by a keyed log: contact those not known yet."""
+    membership = state.membership
+    membership.listed = True
+    members = membership.members
+    latest = sorted(records, key=lambda record: -record.at)
+    for record in latest:
+        known = members.get(record.node)
+        if record.node == state.node or (
+            known is not None and known.incarnation >= record.incarnation
+        ):
+            continue
+        membership.unmet[record.node] = (record, 0)
+    contact_unmet(state, state.now, out)
+
+
+def contact_unmet(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    """Contact nodes that joined by the log and were not heard of yet; datagrams may
+    be lost, so each is tried a few times."""
+    membership = state.membership
+    contacted = 0
+    for node, (record, tries) in list(membership.unmet.items()):
+        known = membership.members.get(node)
+        met = known is not None and known.incarnation >= record.incarnation
+        if met or tries >= CONTACT_TRIES:
+            del membership.unmet[node]
+            continue
+        if contacted < KEYED_CONTACTS:
+            membership.unmet[node] = (record, tries + 1)
+            _sync(state, record.host, record.gossip_port, "", out)
+            contacted += 1
+
+
+def revive(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Ping a member that is held for gone, and renew what the log must hold."""
+    membership = state.membership
+    gone = [node for node in membership.gone if node in membership.members]
+    if gone and not state.stopping:
+        _ping(state, ids.NodeId(state.random.choice(gone)), out)
+    if membership.join_put and now >= membership.join_retry_at:
+        put_join_record(state, out)
+    contact_unmet(state, now, out)
+    if state.keyed_log and not _reachable(state) and membership.listed:
+        # Alone: the others may have been replaced while this node was cut off.
+        streams.reread(state, streams.MEMBERS)
 
 
 def contact_seeds(
@@ -204,6 +316,7 @@
     if any(member.state is messages.MemberState.LEAVING for member in news):
         push(state, out)
     revisions.hear(state, sender, message.revision, out)
+    route_table.hear(state, sender, message.route_version, out)
 
 
 def _tell_of_doubt(state: states.State, sender: ids.NodeId) -> None:
@@ -244,7 +357,12 @@
     out: states.Effects,
 ) -> bool:
     if heard.incarnation > me.incarnation:
-        outbox.warn(out, "membership", f"A later incarnation of {me.node} exists.")
+        # The wall clock from which incarnations are taken was set back before this
+        # start; keeping the lower number would leave this node out for good.
+        outbox.warn(out, "membership", f"A later incarnation of {me.node} was known.")
+        state.incarnation = ids.Incarnation(heard.incarnation + 1)
+        state.membership.me = msgspec.structs.replace(me, incarnation=state.incarnation)
+        change_self(state, out)
         return False
     if _precedence(heard) > _precedence(me):
         version = max(me.version, heard.version)
@@ -353,6 +471,7 @@
         kind=kind,
         sequence=sequence,
         revision=state.revisions.revision,
+        route_version=0 if state.routes is None else state.routes.version,
         members=_updates(state),
     )
 
@@ -410,6 +529,7 @@
             kind=messages.GossipKind.PING_REQUEST,
             sequence=sequence,
             revision=state.revisions.revision,
+            route_version=0 if state.routes is None else state.routes.version,
             target=node,
         )
         out.append(
@@ -470,6 +590,7 @@
         kind=messages.GossipKind.SYNC_REQUEST,
         sequence=0,
         revision=state.revisions.revision,
+        route_version=0 if state.routes is None else state.routes.version,
         members=(me,) if me is not None else (),
         cursor=cursor,
     )
@@ -491,6 +612,7 @@
         kind=messages.GossipKind.SYNC_PAGE,
         sequence=0,
         revision=state.revisions.revision,
+        route_version=0 if state.routes is None else state.routes.version,
         members=tuple(members[name] for name in page),
         cursor=cursor,
     )
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gingerturn import routes
 from gingerturn.internal import ids
 
 
@@ -66,6 +67,8 @@
 
     :param rule: number of a :class:`.decisions.Rule`.
     :param holder: node that holds the claim of the key, if another does.
+    :param arrived: the backend server itself turned the call away. Nothing ran, but
+        the call reached an upstream and counts as an attempt.
     """
 
     rule: int
@@ -73,6 +76,7 @@
     retry_after_ms: float
     decision: str
     holder: str = ""
+    arrived: bool = False
 
 
 class MemberState(enum.IntEnum):
@@ -119,6 +123,7 @@
     :param target: node that an indirect probe is to reach.
     :param cursor: last node of a synchronisation page; empty at the end.
     :param revision: revision of the configuration that the sender has in force.
+    :param route_version: version of the route table that it has in force.
     """
 
     kind: GossipKind
@@ -127,6 +132,7 @@
     members: tuple[Member, ...] = ()
     target: str = ""
     cursor: str = ""
+    route_version: int = 0
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
@@ -198,7 +204,13 @@
 
 
 LogRecord = (
-    JoinRecord | LeaveRecord | ClaimBatch | PublishRecord | ConfigSnapshot | AuditRecord
+    JoinRecord
+    | LeaveRecord
+    | ClaimBatch
+    | PublishRecord
+    | ConfigSnapshot
+    | AuditRecord
+    | routes.RouteTable
 )
 
 
--- /dev/null
+++ b/src/gingerturn/internal/core/readiness.py
@@ -0,0 +1,12 @@
+"""Whether a node can serve callers: it has a configuration and knows members."""
+
+from gingerturn.internal.core import state as states
+
+
+def is_ready(state: states.State) -> bool:
+    """Tell whether new callers may be sent to this node."""
+    if state.stopping:
+        return False
+    if state.routed and state.routes is None:
+        return False
+    return state.membership.listed or not state.keyed_log
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -9,6 +9,7 @@
 import heapq
 import typing
 
+from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
@@ -23,6 +24,7 @@
     messages,
     outbox,
     revisions,
+    route_table,
     state as states,
     streams,
     timers,
@@ -34,6 +36,10 @@
 connection closed under such a call would leave its outcome unknown. Departure is
 told at once and reaches every entry within a few rounds of gossip."""
 
+ROUTED_LINGER_MS = 3_000.0
+"""Where callers are led to nodes by readiness, a stopping node goes on serving them
+this long: two missed checks a second apart, and some time for what is under way."""
+
 PRUNE_MS = 30_000.0
 CHILDREN_FORGOTTEN_MS = 60_000.0
 """Which services calls of a kind go on to is remembered for a minute."""
@@ -70,6 +76,9 @@
     state.zone = event.zone
     state.region = event.region
     state.seeds = event.seeds
+    state.routed = event.routed
+    state.keyed_log = event.keyed_log
+    state.retry_slack = event.retry_slack
     state.revisions.snapshot_at = event.now
     me = messages.Member(
         node=event.node,
@@ -84,6 +93,10 @@
     for name, (period, _) in _TIMERS.items():
         timers.subscribe(state, name=name, period=period, now=event.now)
     membership.start(state, me, out)
+    if event.routed:
+        streams.follow(state, streams.ROUTES, out, keyed=True)
+    if event.keyed_log:
+        return
     streams.follow(state, streams.MEMBERS, out)
     streams.follow(state, streams.CONFIG, out)
 
@@ -137,6 +150,8 @@
     if isinstance(record, messages.ClaimBatch):
         if stream == keys.stream_name(state.backend.service):
             claims.on_record(state, record, out)
+    elif isinstance(record, routes.RouteTable) and stream == streams.ROUTES:
+        _put_routes(state, record, out)
     elif stream != streams.CONFIG:
         return
     elif isinstance(record, messages.PublishRecord):
@@ -147,6 +162,47 @@
         _on_revision(state, out)
 
 
+def _on_newest_read(
+    state: states.State, event: events.NewestRead, out: states.Effects
+) -> None:
+    stream = state.streams.get(event.stream)
+    if stream is None:
+        return
+    streams.base(state, stream, end=event.end, out=out)
+    decoded = [messages.decode_record(content) for content in event.records]
+    if event.stream == streams.MEMBERS:
+        joins = [r for r in decoded if isinstance(r, messages.JoinRecord)]
+        membership.on_listed(state, joins, out)
+        return
+    for record in decoded:
+        _on_record(state, event.stream, event.end, record, out)
+
+
+def _on_put_done(
+    state: states.State, event: events.PutDone, out: states.Effects
+) -> None:
+    membership.on_put_ended(state, event.put, out, done=True)
+
+
+def _on_put_failed(
+    state: states.State, event: events.PutFailed, out: states.Effects
+) -> None:
+    membership.on_put_ended(state, event.put, out, done=False)
+
+
+def _on_routes(
+    state: states.State, event: events.RoutesReceived, out: states.Effects
+) -> None:
+    _put_routes(state, event.table, out)
+
+
+def _put_routes(
+    state: states.State, table: routes.RouteTable, out: states.Effects
+) -> None:
+    if route_table.put(state, table, out):
+        membership.push(state, out)
+
+
 def _on_revision(state: states.State, out: states.Effects) -> None:
     membership.push(state, out)
     _follow_claims(state, out)
@@ -196,6 +252,8 @@
     state: states.State, event: events.BackendAnnounced, out: states.Effects
 ) -> None:
     backend = state.backend
+    if hosting.is_late(state, event.instance, event.sequence):
+        return
     before = (backend.service, backend.slots, backend.present, backend.leaving)
     hosting.on_announced(state, event, out)
     after = (backend.service, backend.slots, backend.present, backend.leaving)
@@ -210,12 +268,20 @@
     _follow_claims(state, out)
 
 
+def _on_backend_answered(
+    state: states.State, event: events.BackendAnswered, out: states.Effects
+) -> None:
+    present = state.backend.present
+    hosting.on_backend_answered(state, event, out)
+    if present and not state.backend.present:
+        membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
+
+
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
-    if not state.backend.present or state.backend.leaving:
+    if not hosting.on_withdrawn(state, event, out):
         return
-    hosting.on_withdrawn(state, event, out)
     membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
 
 
@@ -225,10 +291,21 @@
     if state.stopping:
         return
     state.stopping = True
-    state.stop_after = state.now + STOP_LINGER_MS
+    linger = ROUTED_LINGER_MS if state.routed else STOP_LINGER_MS
+    state.stop_after = state.now + linger
     outbox.info(out, "node", "Planned stop begins.")
     hosting.refuse_queue(state, decisions.Rule.STOPPING, out)
     membership.change_self(state, out, member_state=messages.MemberState.LEAVING)
+    if state.keyed_log:
+        out.append(
+            effects.PutRecord(
+                put=state.next_number(),
+                stream=streams.MEMBERS,
+                key=state.node,
+                record=b"",
+            )
+        )
+        return
     record = messages.LeaveRecord(
         node=state.node, incarnation=state.incarnation, at=state.now
     )
@@ -295,6 +372,7 @@
     "probe": (membership.PROBE_MS, membership.probe),
     "membership": (membership.CHECK_MS, membership.check),
     "slow": (SLOW_CHECK_MS, _check_slowly),
+    "revive": (membership.REVIVE_MS, membership.revive),
     "prune": (PRUNE_MS, _prune),
 }
 _TIMER_HANDLERS = {name: handler for name, (_, handler) in _TIMERS.items()}
@@ -311,12 +389,16 @@
     events.LevelAsked: hosting.on_level_asked,
     events.LevelTold: calls.on_level_told,
     events.CancelReceived: hosting.on_cancel,
-    events.BackendAnswered: hosting.on_backend_answered,
+    events.BackendAnswered: _on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
     events.BackendAnnounced: _on_announced,
     events.BackendWithdrawn: _on_withdrawn,
     events.LogRead: _on_log_read,
+    events.NewestRead: _on_newest_read,
+    events.PutDone: _on_put_done,
+    events.PutFailed: _on_put_failed,
+    events.RoutesReceived: _on_routes,
     events.LogReadFailed: _on_log_read_failed,
     events.AppendDone: _on_append_done,
     events.AppendFailed: _on_append_failed,
--- /dev/null
+++ b/src/gingerturn/internal/core/route_table.py
@@ -0,0 +1,90 @@
+"""The route table in force: whole, by version, never back."""
+
+from gingerturn import configuration, errors, routes
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    decisions,
+    effects,
+    events,
+    outbox,
+    state as states,
+)
+
+FETCH_EVERY_MS = 300.0
+"""Pause between two questions to peers for a later table: an answer takes a few
+milliseconds, so a lost one is asked for again well within the two seconds in which
+operators expect a change to be in force."""
+
+_PART = "routes"
+
+
+def put(state: states.State, table: routes.RouteTable, out: states.Effects) -> bool:
+    """Put a table in force if it is later than the present one.
+
+    A table that is not allowed changes nothing: the one before stays in force.
+
+    :return: whether it is in force now.
+    """
+    present = 0 if state.routes is None else state.routes.version
+    if table.version <= present:
+        return False
+    try:
+        routes.check_table(table, origin=f"version {table.version}")
+    except errors.InvalidDocument as error:
+        outbox.warn(out, _PART, f"Table refused: {error}.")
+        return False
+    state.routes = routes.RouteIndex(table)
+    names = {route.name for route in table.routes}
+    for name in [name for name in state.turns if name not in names]:
+        del state.turns[name]
+    text = f"Version {table.version} is in force, {len(table.routes)} routes."
+    outbox.info(out, _PART, text)
+    return True
+
+
+def hear(
+    state: states.State, node: ids.NodeId, version: int, out: states.Effects
+) -> None:
+    """Fetch the table from a peer that has a later one."""
+    present = 0 if state.routes is None else state.routes.version
+    if version <= present or state.now - state.routes_fetched_at < FETCH_EVERY_MS:
+        return
+    member = state.membership.members.get(node)
+    if member is None:
+        return
+    state.routes_fetched_at = state.now
+    out.append(effects.FetchRoutes(node=node, host=member.host, port=member.peers_port))
+
+
+def resolve(
+    state: states.State, event: events.CallArrived
+) -> configuration.KindRule | decisions.Rule:
+    """Return the rule for a request, or why there is none."""
+    if state.routes is None:
+        return decisions.Rule.NO_CONFIGURATION
+    route = state.routes.match(event.service, event.path)
+    if route is None:
+        return decisions.Rule.NO_ROUTE
+    return state.routes.rule(route, _service(state, route))
+
+
+def _service(state: states.State, route: routes.Route) -> str:
+    """Return whose turn it is by weight (smooth weighted round robin).
+
+    Drawing at random instead strays from the weights by several parts in a hundred
+    over some hundred requests; taking turns keeps them to a single request.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    turns = state.turns.setdefault(route.name, {})
+    total = sum(share.weight for share in route.shares)
+    for share in route.shares:
+        if share.service not in turns:
+            # A random start, so that nodes that start together do not send the
+            # same requests of a rare route to the same service.
+            turns[share.service] = share.weight * state.random.random()
+        turns[share.service] += share.weight
+    weighted = [share for share in route.shares if share.weight > 0]
+    chosen = max(weighted, key=lambda share: turns[share.service]).service
+    turns[chosen] -= total
+    return chosen
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gingerturn import configuration
+from gingerturn import configuration, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import allowance, decisions, effects, messages, ranks
 
@@ -121,6 +121,8 @@
     only longer than zero while ``running >= limit``.
 
     :param queue: (rank, negative arrival number, hosted id), lowest first.
+    :param left: instances that left or were replaced; what still arrives from them
+        is late.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -138,6 +140,9 @@
     windows: list[Window] = msgspec.field(default_factory=lambda: [Window()])
     running_since: ids.Milliseconds = 0.0
     last_cut: ids.Milliseconds = 0.0
+    instance: str = ""
+    sequence: int = 0
+    left: dict[str, bool] = {}
     times: dict[str, ServiceTime] = {}
     unreachable_until: ids.Milliseconds = 0.0
 
@@ -186,6 +191,11 @@
 
     :param by_service: live members offering a service.
     :param rumours: how often an update may still be passed on.
+    :param unmet: nodes that joined by the log and were not heard of since, and how
+        often each was contacted.
+    :param join_put: number under which the own join record is being put; 0 once it
+        is acknowledged.
+    :param listed: the members on the log have been read.
     """
 
     me: messages.Member | None = None
@@ -199,6 +209,10 @@
     sequence: int = 0
     next_push: ids.Milliseconds = 0.0
     push_waits: bool = False
+    unmet: dict[str, tuple[messages.JoinRecord, int]] = {}
+    join_put: int = 0
+    join_retry_at: ids.Milliseconds = 0.0
+    listed: bool = False
 
 
 class Stream(msgspec.Struct):
@@ -207,9 +221,16 @@
     :param fresh: when the last successful read began to be answered.
     :param covered_from: keys minted before this may have been claimed in records
         that this node missed.
+    :param keyed: the log keeps the newest record of each key of it, so that reading
+        begins with those and not with the oldest record.
+    :param based: those have been read.
+    :param followed: records are read as they come.
     """
 
     name: str
+    keyed: bool = False
+    based: bool = False
+    followed: bool = True
     offset: int = 0
     reading: bool = False
     failures: int = 0
@@ -324,6 +345,13 @@
         self.next_claim: ids.Milliseconds = 0.0
         self.claim_gap: ids.Milliseconds = 0.0
         self.revisions = Revisions()
+        self.routed = False
+        self.keyed_log = False
+        self.retry_slack: float | None = None
+        self.routes: routes.RouteIndex | None = None
+        self.routes_fetched_at: ids.Milliseconds = 0.0
+        # Credit of each service of a split route, for the weighted turn.
+        self.turns: dict[str, dict[str, float]] = {}
         self.decisions = decisions.DecisionLog(node=node, size=decision_count)
         self.timers: list[Timer] = []
         self.stopping = False
@@ -353,6 +381,7 @@
             name: value for name, value in vars(self).items() if name not in _NOT_DUMPED
         }
         parts["digest"] = self.configuration.digest
+        parts["route_version"] = 0 if self.routes is None else self.routes.version
         return msgspec.json.encode(parts, enc_hook=_dumped)
 
 
@@ -365,7 +394,7 @@
 
 
 _NOT_DUMPED = frozenset(
-    {"random", "configuration", "decisions", "children_of", "refused"}
+    {"random", "configuration", "decisions", "children_of", "refused", "routes"}
 )
 
 
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -11,16 +11,32 @@
 RETRY_FIRST_MS = 200.0
 RETRY_MAX_MS = 10_000.0
 
+KEYED_RETRY_MAX_MS = 1_000.0
+"""A keyed stream is asked for again each second at the latest: what lapsed while the
+log was away is to be known again within two seconds of its return."""
+
 CONFIG = "config"
 MEMBERS = "members"
 AUDIT = "audit"
+ROUTES = "routes"
+
 
+def follow(
+    state: states.State,
+    name: str,
+    out: states.Effects,
+    *,
+    keyed: bool = False,
+    followed: bool = True,
+) -> None:
+    """Begin to follow a stream, from the oldest record still held.
 
-def follow(state: states.State, name: str, out: states.Effects) -> None:
-    """Begin to follow a stream, from the oldest record still held."""
+    :param keyed: from the newest record of each key instead.
+    :param followed: read on as records come; otherwise reading ends there.
+    """
     if name in state.streams:
         return
-    stream = states.Stream(name=name)
+    stream = states.Stream(name=name, keyed=keyed, followed=followed)
     state.streams[name] = stream
     _read(stream, out)
 
@@ -41,11 +57,35 @@
         stream.caught_up = True
     if gap:
         stream.covered_from = state.now
+        # Of a keyed stream nothing was missed that its newest records do not tell.
+        stream.based = False
     pause = _pause(state, stream)
     stream.retry_at = state.now + pause
     return gap
 
 
+def base(
+    state: states.State, stream: states.Stream, *, end: int, out: states.Effects
+) -> None:
+    """Take in that the newest records of a keyed stream were read."""
+    stream.reading = False
+    stream.failures = 0
+    stream.based = True
+    stream.caught_up = True
+    stream.offset = end
+    stream.fresh = state.now
+    if stream.followed:
+        _read(stream, out)
+
+
+def reread(state: states.State, name: str) -> None:
+    """Read the newest records of a keyed stream again."""
+    stream = state.streams.get(name)
+    if stream is not None:
+        stream.based = False
+        stream.retry_at = max(stream.retry_at, state.now)
+
+
 def failed(state: states.State, stream: states.Stream, out: states.Effects) -> None:
     """Take in a failed read; back off with jitter so that the log's return is not
     met by all nodes at once."""
@@ -53,19 +93,24 @@
     stream.failures += 1
     if stream.failures == 1:
         outbox.warn(out, "log", f"Stream {stream.name} cannot be read.")
-    longest = min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** min(stream.failures, 8))
+    bound = KEYED_RETRY_MAX_MS if stream.keyed else RETRY_MAX_MS
+    longest = min(bound, RETRY_FIRST_MS * 2 ** min(stream.failures, 8))
     stream.retry_at = state.now + longest * (0.5 + 0.5 * state.random.random())
 
 
 def resume(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Read each stream again whose pause is over."""
     for stream in state.streams.values():
-        if not stream.reading and now >= stream.retry_at:
+        at_rest = stream.keyed and stream.based and not stream.followed
+        if not stream.reading and not at_rest and now >= stream.retry_at:
             _read(stream, out)
 
 
 def _read(stream: states.Stream, out: states.Effects) -> None:
     stream.reading = True
+    if stream.keyed and not stream.based:
+        out.append(effects.ReadNewest(stream=stream.name))
+        return
     # Until the end was seen once, an empty stream must say so at once: claims are
     # refused for as long as that is not known.
     out.append(
@@ -74,7 +119,7 @@
 
 
 def _pause(state: states.State, stream: states.Stream) -> ids.Milliseconds:
-    if not stream.caught_up or stream.name.startswith("claims."):
+    if not stream.caught_up or stream.keyed or stream.name.startswith("claims."):
         return 0.0
     members = len(state.membership.members)
     return 1_000.0 * members / READS_PER_SECOND * state.random.random()
--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -16,7 +16,7 @@
 import uvicorn
 from litestar import exceptions, openapi, params, response as responses
 
-from gingerturn import configuration, errors
+from gingerturn import announcements, configuration, errors
 from gingerturn.internal import checks, ids, logs
 from gingerturn.internal.core import (
     decisions,
@@ -33,24 +33,6 @@
 _PART = "admin"
 
 
-class Announcement(msgspec.Struct, forbid_unknown_fields=True):
-    """What a backend server says of itself to its own node.
-
-    :param cold: it has just started and is to be loaded slowly.
-    :param load: calls in progress as it counts them; a hint only.
-    :param ttl_ms: it is withdrawn when not renewed within this time.
-    """
-
-    service: str
-    host: str
-    port: int
-    slots: int
-    connections: int = 0
-    cold: bool = False
-    load: int = -1
-    ttl_ms: float = 10_000.0
-
-
 class MemberRow(msgspec.Struct):
     """A member as this node knows it."""
 
@@ -250,36 +232,19 @@
 
     def announce(
         self,
-        data: Announcement,
+        data: announcements.Announcement,
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
     ) -> None:
         """Announce or renew the backend server beside this node."""
         self._check_beside(request)
-        checks.check_name("service", data.service)
-        checks.check_ip("host", data.host)
-        checks.check_port("port", data.port)
-        checks.check_range("slots", data.slots, 1, 100_000)
-        checks.check_range("ttl_ms", data.ttl_ms, 100, 3_600_000)
-        self._node.apply(
-            events.BackendAnnounced(
-                now=clock.now(),
-                service=ids.ServiceName(data.service),
-                host=data.host,
-                port=data.port,
-                slots=data.slots,
-                connections=data.connections,
-                cold=data.cold,
-                load=data.load,
-                ttl_ms=data.ttl_ms,
-            )
-        )
+        self._node.announce(data)
 
     def withdraw(
         self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
     ) -> None:
         """Withdraw the backend server: it takes no new work from here on."""
         self._check_beside(request)
-        self._node.apply(events.BackendWithdrawn(now=clock.now()))
+        self._node.withdraw()
 
     def drain(
         self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -161,7 +161,10 @@
         if pending is None or pending.answer is None:
             return
         answer = pending.answer
-        head = answer.head + b"gingerturn-decision: %b\r\n" % answer.decision.encode()
+        head = answer.head
+        name = self._node.dialect.decision
+        if name:
+            head += b"%b: %b\r\n" % (name, answer.decision.encode())
         request = pending.request
         if answer.whole:
             self._attempts.pop(effect.attempt)
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -63,6 +63,7 @@
         self._abandoned = False
         self._upload: list[frames.Chunk] = []
         self._status = 0
+        self._executed = True
         self._head = b""
         self._length = -1
         self._body = bytearray()
@@ -159,9 +160,10 @@
 
     # Called by the connection to the backend server.
 
-    def on_head(self, status: int, head: bytes, length: int) -> None:
+    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Take the head of the answer."""
         self._status = status
+        self._executed = executed
         self._head = head
         self._length = length
         if length > self._node.settings.limits.body_buffer:
@@ -188,7 +190,10 @@
             )
         else:
             event = events.BackendAnswered(
-                now=clock.now(), hosted=self._hosted, status=self._status
+                now=clock.now(),
+                hosted=self._hosted,
+                status=self._status,
+                executed=self._executed,
             )
         self._node.apply(event)
         self._node.home.drop_exchange(self._hosted)
@@ -236,13 +241,12 @@
     ) -> None:
         self._connection = connection
         opened = self._opened
-        head = opened.head + b"traceparent: 00-%b-%b-01\r\n" % (
-            opened.terms.trace.encode("ascii"),
-            effect.span.encode("ascii"),
-        )
-        head += b"gingerturn-deadline-ms: %d\r\n" % int(effect.deadline_ms)
         connection.begin(
-            self, head, opened.body, head_only=opened.head.startswith(b"HEAD ")
+            self,
+            self._backend_head(effect),
+            opened.body,
+            head_only=opened.head.startswith(b"HEAD "),
+            whole=opened.whole,
         )
         if not opened.whole:
             self._grant(len(opened.body))
@@ -250,6 +254,20 @@
             self._write_chunk(chunk)
         self._upload.clear()
 
+    def _backend_head(self, effect: effects.HandOver) -> bytes:
+        dialect = self._node.dialect
+        opened = self._opened
+        head = opened.head
+        if dialect.trace:
+            head += b"traceparent: 00-%b-%b-01\r\n" % (
+                opened.terms.trace.encode("ascii"),
+                effect.span.encode("ascii"),
+            )
+        head += b"%b: %d\r\n" % (dialect.deadline, int(effect.deadline_ms))
+        if dialect.instance and effect.instance:
+            head += b"%b: %b\r\n" % (dialect.instance, effect.instance.encode())
+        return head
+
     def _write_chunk(self, chunk: frames.Chunk) -> None:
         if self._connection is None:
             return
--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -6,6 +6,7 @@
 import http
 import json
 
+from gingerturn import dialect as dialects
 from gingerturn.internal import ids
 from gingerturn.internal.core import messages
 
@@ -41,9 +42,14 @@
 _PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 
-def passed_on(headers: list[Header]) -> bytes:
-    """Return the header lines that go on to the next hop."""
-    dropped = _named_by_connection(headers)
+def passed_on(
+    headers: list[Header], *, without: frozenset[bytes] = frozenset()
+) -> bytes:
+    """Return the header lines that go on to the next hop.
+
+    :param without: names that do not go on.
+    """
+    dropped = _named_by_connection(headers) | without
     return b"".join(
         b"%b: %b\r\n" % (name, value)
         for name, value in headers
@@ -60,6 +66,14 @@
     return frozenset()
 
 
+def value_in(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header in a head written by :func:`passed_on`."""
+    if not name:
+        return b""
+    _, found, rest = head.partition(b"\r\n" + name + b": ")
+    return rest.partition(b"\r\n")[0].strip() if found else b""
+
+
 def status_line(status: int) -> bytes:
     """Return the first line of an answer."""
     return b"HTTP/1.1 %d %b\r\n" % (status, _PHRASES.get(status, "").encode())
@@ -75,6 +89,8 @@
     close: bool,
     first_sending: bool | None = None,
     with_body: bool = True,
+    dialect: dialects.Dialect = dialects.OWN,
+    request_id: bytes = b"",
 ) -> bytes:
     """Return a whole answer with an RFC 9457 problem body."""
     fields: dict[str, object] = {
@@ -90,11 +106,16 @@
     ]
     if decision:
         fields["decision"] = decision
-        lines.append(b"gingerturn-decision: %b\r\n" % decision.encode())
+        lines.append(b"%b: %b\r\n" % (dialect.decision, decision.encode()))
+    if request_id:
+        lines.append(b"%b: %b\r\n" % (dialect.request_id, request_id))
     if retry_after_ms > 0:
-        seconds = max(1, round(retry_after_ms / 1000.0))
-        fields["retry_after_s"] = seconds
-        lines.append(b"retry-after: %d\r\n" % seconds)
+        seconds = retry_after_ms / 1000.0
+        if not dialect.retry_after_fractions:
+            # RFC 9110 knows whole seconds only.
+            seconds = max(1, round(seconds))
+        fields["retry_after_s"] = round(seconds, 3)
+        lines.append(b"retry-after: %g\r\n" % round(seconds, 3))
     if close:
         lines.append(b"connection: close\r\n")
     body = json.dumps(fields).encode()
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -22,7 +22,7 @@
 
     def __init__(self, node: "nodes.Node") -> None:
         self._node = node
-        self.pool = backend_http.Pool()
+        self.pool = backend_http.Pool(node.dialect)
         self._exchanges: dict[ids.HostedId, exchanges.HostedExchange] = {}
         self._kept: dict[str, exchanges.KeptAnswer] = {}
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -57,6 +57,7 @@
         self.chunked_out = False
         self.head = b""
         self.close_after = False
+        self.request_id = b""
         self.credit = WINDOW
         self.resume_credit: typing.Callable[[int], None] | None = None
         self.owed_credit = 0
@@ -83,10 +84,13 @@
         self._head_bytes = 0
         self._closing = False
         self._write_paused = False
+        self._own_backend = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self._own_backend = bool(peer) and self._node.is_own_address(peer[0])
         self._node.caller_connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -277,6 +281,8 @@
                 decision=refusal.decision,
                 close=close,
                 with_body=request.method != b"HEAD",
+                dialect=self._node.dialect,
+                request_id=request.request_id,
             )
         )
         request.close_after = close
@@ -317,10 +323,13 @@
         if not service:
             self._reject(400, "the request names no service in Host")
             return
+        dialect = self._node.dialect
+        if dialect.request_id:
+            request.request_id = _header(request, dialect.request_id)
         if service == OWN_AUTHORITY:
             self._answer_own(request, path)
             return
-        if not self._node.knows_service(service):
+        if not self._node.state.routed and not self._node.knows_service(service):
             self._answer_unknown(request, service)
             return
         key = _text_header(request, heads.KEY_HEADER)
@@ -334,7 +343,7 @@
                 self._reject(400, error.message)
                 return
         trace, span = _trace_of(request)
-        request.head = _request_head(request, target)
+        request.head = _request_head(request, target, self._node)
         arrival = events.CallArrived(
             now=clock.now(),
             call=request.call,
@@ -345,10 +354,11 @@
             span=span,
             key=key,
             holder=holder,
-            timeout_ms=_number_header(request, heads.TIMEOUT_HEADER),
+            timeout_ms=_number_header(request, dialect.timeout),
             replayable=request.complete,
             body_digest=_digest(request.body) if request.body else "",
             sending=int(_number_header(request, heads.SENDING_HEADER)),
+            own_backend=self._own_backend,
         )
         self._node.entry.begin_request(request, arrival)
 
@@ -419,6 +429,7 @@
                     retry_after_ms=0,
                     decision="",
                     close=True,
+                    dialect=self._node.dialect,
                 )
             )
         self.close()
@@ -476,11 +487,15 @@
     return fresh[:32], ids.SpanId(fresh[32:])
 
 
-def _text_header(request: Request, wanted: bytes) -> str:
+def _header(request: Request, wanted: bytes) -> bytes:
     for name, value in request.headers:
         if name == wanted:
-            return value.decode("latin-1").strip().strip('"')
-    return ""
+            return value.strip()
+    return b""
+
+
+def _text_header(request: Request, wanted: bytes) -> str:
+    return _header(request, wanted).decode("latin-1").strip('"')
 
 
 def _number_header(request: Request, wanted: bytes) -> float:
@@ -492,15 +507,20 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-def _request_head(request: Request, target: bytes) -> bytes:
+def _request_head(request: Request, target: bytes, node: "nodes.Node") -> bytes:
     """Return the head that goes to the backend server, without its end.
 
     Framing is written anew: the length of a held body, or as announced.
     """
+    dialect = node.dialect
+    without = dialect.written_by_nodes
+    if dialect.trace:
+        without |= {heads.TRACEPARENT}
     lines = request.method + b" " + target + b" HTTP/1.1\r\n"
-    lines += heads.passed_on(
-        [header for header in request.headers if header[0] != heads.TRACEPARENT]
-    )
+    lines += heads.passed_on(request.headers, without=without)
+    if dialect.caller_service:
+        own = node.settings.backend.service.encode()
+        lines += b"%b: %b\r\n" % (dialect.caller_service, own)
     if request.complete:
         if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
             lines += b"content-length: %d\r\n" % len(request.body)
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gingerturn import errors
+from gingerturn import errors, routes
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import decisions, effects, events, messages, revisions
 from gingerturn.internal.shell import clock, peers
@@ -82,6 +82,7 @@
             effects.AskLevel: self._ask_level,
             effects.TellLevel: self._tell_level,
             effects.FetchSnapshot: self._fetch_snapshot,
+            effects.FetchRoutes: self._fetch_routes,
         }
 
     def close(self) -> None:
@@ -170,6 +171,19 @@
             events.LevelTold(now=clock.now(), node=node, kind=kind, report=frame.report)
         )
 
+    def _fetch_routes(self, effect: effects.FetchRoutes) -> None:
+        self._node.spawn(self._fetch_table(effect))
+
+    async def _fetch_table(self, effect: effects.FetchRoutes) -> None:
+        question = frames.Ask(call=self._next_ask(), routes=True)
+        try:
+            content = await self._ask(ids.Address(effect.host, effect.port), question)
+            table = msgspec.json.decode(content, type=routes.RouteTable)
+        except (errors.GingerturnError, msgspec.MsgspecError) as error:
+            logs.write("WARNING", "routes", f"No table from {effect.node}: {error}.")
+            return
+        self._node.apply(events.RoutesReceived(now=clock.now(), table=table))
+
     def _fetch_snapshot(self, effect: effects.FetchSnapshot) -> None:
         self._node.spawn(self._fetch(effect))
 
@@ -206,6 +220,9 @@
             future.set_result(frame.content)
 
     def _answer_question(self, question: frames.Ask) -> bytes:
+        if question.routes:
+            index = self._node.state.routes
+            return b"" if index is None else messages.encode_record(index.table)
         if question.decision:
             found = self._node.state.decisions.find(question.decision)
             return b"" if found is None else msgspec.json.encode(found)
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -6,11 +6,12 @@
 
 import base64
 import typing
+import urllib.parse
 
 import httpcore
 import msgspec
 
-from gingerturn import errors, settings
+from gingerturn import errors, log_service, settings
 
 MAX_RECORDS = 500
 """Records asked for in one read."""
@@ -24,6 +25,13 @@
 _NEVER_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
 
 
+class Reply(msgspec.Struct):
+    """What the log service answers to a read of the newest records."""
+
+    end: int
+    records: list[str]
+
+
 class ReadReply(msgspec.Struct):
     """What the log service answers to a read."""
 
@@ -60,7 +68,7 @@
 
     async def read(
         self, stream: str, offset: int, *, wait: bool = True
-    ) -> tuple[ReadReply, tuple[bytes, ...]]:
+    ) -> log_service.Records:
         """Read from an offset, waiting a while for new records if there are none.
 
         :raises LogServiceError: when the log service does not answer as it should.
@@ -75,22 +83,60 @@
             )
             _check_status(response.status)
             reply = msgspec.json.decode(response.content, type=ReadReply)
-            return reply, tuple(base64.b64decode(r) for r in reply.records)
+            return log_service.Records(
+                first=reply.first,
+                oldest=reply.oldest,
+                end=reply.end,
+                contents=tuple(base64.b64decode(r) for r in reply.records),
+            )
         except (*_FAILURES, msgspec.MsgspecError, ValueError) as error:
             raise self._error(f"read {stream}", error, took_effect=False) from None
 
-    async def append(self, stream: str, record: bytes) -> int:
+    async def newest(self, stream: str) -> log_service.Newest:
+        """Read the newest record of each key.
+
+        :raises LogServiceError: when the log service does not answer as it should.
+        """
+        try:
+            response = await self._pool.request(
+                "GET",
+                f"{self._url}/streams/{stream}/newest",
+                extensions=self._extensions,
+            )
+            _check_status(response.status)
+            reply = msgspec.json.decode(response.content, type=Reply)
+            contents = tuple(base64.b64decode(r) for r in reply.records)
+        except (*_FAILURES, msgspec.MsgspecError, ValueError) as error:
+            raise self._error(f"newest {stream}", error, took_effect=False) from None
+        return log_service.Newest(contents=contents, end=reply.end)
+
+    async def put(self, stream: str, key: str, record: bytes) -> None:
+        """Append a record under a key; an empty one drops the key.
+
+        :raises LogServiceError: as for :meth:`append`.
+        """
+        await self._append(f"{stream}/records?key={urllib.parse.quote(key)}", record)
+
+    async def append(
+        self, stream: str, record: bytes, *, expected_end: int | None = None
+    ) -> int:
         """Append a record and return its offset.
 
+        :param expected_end: append only if the stream ends there.
+
         :raises LogServiceError: with ``took_effect`` ``None`` unless it is certain
             that nothing was appended: the connection was never made, or the log
             service said so itself with a 4xx or 503 status.
         """
-        step = f"append to {stream}"
+        condition = "" if expected_end is None else f"?expected_end={expected_end}"
+        return await self._append(f"{stream}/records{condition}", record)
+
+    async def _append(self, resource: str, record: bytes) -> int:
+        step = f"append to {resource}"
         try:
             response = await self._pool.request(
                 "POST",
-                f"{self._url}/streams/{stream}/records",
+                f"{self._url}/streams/{resource}",
                 content=record,
                 extensions=self._extensions,
             )
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -2,10 +2,10 @@
 
 import typing
 
-from gingerturn import errors
+from gingerturn import errors, log_service
 from gingerturn.internal import logs
 from gingerturn.internal.core import effects, events, messages
-from gingerturn.internal.shell import clock, log_client
+from gingerturn.internal.shell import clock
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -15,19 +15,25 @@
     """Carries out what the core asks of the log.
 
     :param node: the node.
+    :param service: the log service.
     """
 
-    def __init__(self, node: "nodes.Node") -> None:
+    def __init__(self, node: "nodes.Node", service: log_service.LogService) -> None:
         self._node = node
-        self._client = log_client.LogClient(node.settings.log)
+        self._service = service
 
     def handlers(self) -> "nodes.Handlers":
         """Return the effects that are carried out here."""
-        return {effects.ReadLog: self._read_log, effects.Append: self._append}
+        return {
+            effects.ReadLog: self._read_log,
+            effects.ReadNewest: self._read_newest,
+            effects.PutRecord: self._put,
+            effects.Append: self._append,
+        }
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.close()
+        await self._service.close()
 
     async def audit(self) -> list[messages.AuditRecord]:
         """Return the trail of changes that the log still holds.
@@ -37,10 +43,10 @@
         found: list[messages.AuditRecord] = []
         offset = 0
         while True:
-            reply, records = await self._client.read("audit", offset, wait=False)
-            decoded = [messages.decode_record(record) for record in records]
+            reply = await self._service.read("audit", offset, wait=False)
+            decoded = [messages.decode_record(record) for record in reply.contents]
             found += [r for r in decoded if isinstance(r, messages.AuditRecord)]
-            offset = reply.first + len(records)
+            offset = reply.first + len(reply.contents)
             if offset >= reply.end:
                 return found
 
@@ -50,10 +56,9 @@
     async def _read_stream(self, effect: effects.ReadLog) -> None:
         stream = effect.stream
         try:
-            reply, records = await self._client.read(
-                stream, effect.offset, wait=effect.wait
-            )
-        except errors.LogServiceError:
+            reply = await self._service.read(stream, effect.offset, wait=effect.wait)
+        except errors.LogServiceError as error:
+            logs.write("INFO", "log", f"{error}.")
             self._node.apply(events.LogReadFailed(now=clock.now(), stream=stream))
             return
         self._node.apply(
@@ -61,18 +66,46 @@
                 now=clock.now(),
                 stream=stream,
                 first=reply.first,
-                records=records,
+                records=reply.contents,
                 oldest=reply.oldest,
                 end=reply.end,
             )
         )
 
+    def _read_newest(self, effect: effects.ReadNewest) -> None:
+        self._node.spawn(self._newest(effect.stream))
+
+    async def _newest(self, stream: str) -> None:
+        try:
+            reply = await self._service.newest(stream)
+        except errors.LogServiceError as error:
+            logs.write("INFO", "log", f"{error}.")
+            self._node.apply(events.LogReadFailed(now=clock.now(), stream=stream))
+            return
+        self._node.apply(
+            events.NewestRead(
+                now=clock.now(), stream=stream, records=reply.contents, end=reply.end
+            )
+        )
+
+    def _put(self, effect: effects.PutRecord) -> None:
+        self._node.spawn(self._put_record(effect))
+
+    async def _put_record(self, effect: effects.PutRecord) -> None:
+        try:
+            await self._service.put(effect.stream, effect.key, effect.record)
+        except errors.LogServiceError as error:
+            logs.write("WARNING", "log", f"{error}.")
+            self._node.apply(events.PutFailed(now=clock.now(), put=effect.put))
+            return
+        self._node.apply(events.PutDone(now=clock.now(), put=effect.put))
+
     def _append(self, effect: effects.Append) -> None:
         self._node.spawn(self._append_record(effect))
 
     async def _append_record(self, effect: effects.Append) -> None:
         try:
-            offset = await self._client.append(effect.stream, effect.record)
+            offset = await self._service.append(effect.stream, effect.record)
         except errors.LogServiceError as error:
             logs.write("WARNING", "log", f"{error}.")
             certain = error.took_effect is False
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -11,7 +11,12 @@
 import msgspec
 from hdrh import histogram
 
-from gingerturn import settings
+from gingerturn import (
+    announcements,
+    dialect as dialects,
+    log_service,
+    settings,
+)
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, reducer, timers, trace
 from gingerturn.internal.shell import (
@@ -21,8 +26,11 @@
     home,
     ingress,
     links,
+    log_client,
     log_side,
     peers,
+    probes,
+    side_http,
 )
 
 Handlers = dict[type[effects.Effect], collections.abc.Callable[[typing.Any], None]]
@@ -36,6 +44,7 @@
     refused: dict[str, int] = {}
     control_seconds: float = 0.0
     events: int = 0
+    lines_dropped: int = 0
 
 
 class Node:
@@ -46,12 +55,20 @@
 
     :param chosen: its settings.
     :param record: binary file to which events are recorded, if any.
+    :param dialect: names of headers towards callers and the backend server.
+    :param log: the log service, if not one of gingerturn's own form.
     """
 
     def __init__(
-        self, chosen: settings.Settings, *, record: typing.BinaryIO | None = None
+        self,
+        chosen: settings.Settings,
+        *,
+        record: typing.BinaryIO | None = None,
+        dialect: dialects.Dialect = dialects.OWN,
+        log: log_service.LogService | None = None,
     ) -> None:
         self.settings = chosen
+        self.dialect = dialect
         self.name = chosen.node.id
         self.incarnation = int(time.time() * 1000)
         self.secrets = [
@@ -70,7 +87,7 @@
         self.links = links.Links(self)
         self.entry = entry.EntrySide(self)
         self.home = home.HomeSide(self)
-        self.log = log_side.LogSide(self)
+        self.log = log_side.LogSide(self, log or log_client.LogClient(chosen.log))
         self._recorder = None if record is None else trace.Recorder(record)
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -118,9 +135,51 @@
         await loop.create_datagram_endpoint(
             lambda: self.gossip, (place.host, place.gossip_port)
         )
+        for port in (place.ready_port, place.metrics_port):
+            if port:
+                handler = probes.ready_handler(self)
+                self.add_server(await side_http.serve(handler, place.host, port))
         self.apply(self._started)
         self._tick()
 
+    def add_server(self, server: asyncio.Server) -> None:
+        """Close a server together with this node."""
+        self._servers.append(server)
+
+    def is_own_address(self, host: str) -> bool:
+        """Tell whether a peer is a process of the same instance, which callers that
+        reach this node from elsewhere are not."""
+        return bool(self.settings.backend.service) and host == self.settings.node.host
+
+    def announce(self, announcement: announcements.Announcement) -> None:
+        """Take what the backend server tells of itself.
+
+        :raises InvalidArgument: for a value that is not allowed.
+        """
+        announcements.check_announcement(announcement)
+        if announcement.leaving:
+            self.withdraw(announcement.instance)
+            return
+        self.apply(
+            events.BackendAnnounced(
+                now=clock.now(),
+                service=ids.ServiceName(announcement.service),
+                host=announcement.host,
+                port=announcement.port,
+                slots=announcement.slots,
+                connections=announcement.connections,
+                cold=announcement.cold,
+                load=announcement.load,
+                ttl_ms=announcement.ttl_ms,
+                instance=announcement.instance,
+                sequence=announcement.sequence,
+            )
+        )
+
+    def withdraw(self, instance: str = "") -> None:
+        """Take that the backend server, or one start of it, takes no new work."""
+        self.apply(events.BackendWithdrawn(now=clock.now(), instance=instance))
+
     async def close(self) -> None:
         """Close everything; what is in flight is cut."""
         if self._ticker is not None:
@@ -226,6 +285,9 @@
             region=place.region,
             decisions=self.settings.limits.decisions,
             seeds=tuple(self.settings.peers),
+            routed=self.settings.routing.table,
+            keyed_log=self.settings.log.keyed,
+            retry_slack=self.settings.retries.slack,
         )
 
     def _tick(self) -> None:
--- /dev/null
+++ b/src/gingerturn/internal/shell/probes.py
@@ -0,0 +1,59 @@
+"""Readiness and metrics of a node, for the platform that runs it."""
+
+import typing
+
+from gingerturn.internal.core import readiness
+from gingerturn.internal.shell import side_http
+
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import node as nodes
+
+METRICS_PATH = "/metrics"
+TEXT = "text/plain; version=0.0.4"
+
+
+def ready_handler(node: "nodes.Node") -> side_http.Handler:
+    """Return what answers whether callers may be sent to this node."""
+
+    def handle(request: side_http.Request) -> side_http.Reply:
+        if request.path == METRICS_PATH:
+            return side_http.Reply(200, metrics(node), TEXT)
+        return side_http.Reply(200 if readiness.is_ready(node.state) else 503)
+
+    return handle
+
+
+def metrics(node: "nodes.Node") -> bytes:
+    """Return counters, gauges and latencies in the Prometheus text format."""
+    state = node.state
+    backend = state.backend
+    lines: list[str] = []
+
+    def add(name: str, kind: str, *rows: tuple[str, float]) -> None:
+        lines.append(f"# TYPE gingerturn_{name} {kind}")
+        lines.extend(f"gingerturn_{name}{labels} {value:g}" for labels, value in rows)
+
+    add("ready", "gauge", ("", readiness.is_ready(state)))
+    add("answered_total", "counter", ("", node.counters.answered))
+    refused = [
+        (f'{{rule="{rule}"}}', float(count))
+        for rule, count in sorted(node.counters.refused.items())
+    ]
+    add("refused_total", "counter", *refused)
+    add("events_total", "counter", ("", node.counters.events))
+    add("log_lines_dropped_total", "counter", ("", node.counters.lines_dropped))
+    add("calls_in_flight", "gauge", ("", len(state.calls)))
+    add("hosted_calls", "gauge", ("", len(state.hosted)))
+    add("backend_running", "gauge", ("", backend.running))
+    add("backend_limit", "gauge", ("", backend.limit))
+    add("backend_queue", "gauge", ("", len(backend.queue)))
+    add("backend_level", "gauge", ("", backend.level))
+    add("members", "gauge", ("", len(state.membership.members)))
+    version = 0 if state.routes is None else state.routes.version
+    add("route_version", "gauge", ("", version))
+    quantiles = [
+        (f'{{quantile="{q / 100:g}"}}', node.durations.get_value_at_percentile(q) / 1e6)
+        for q in (50.0, 90.0, 99.0)
+    ]
+    add("answer_seconds", "summary", *quantiles)
+    return ("\n".join(lines) + "\n").encode()
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -17,8 +17,9 @@
 """Clocks of instances may differ by some seconds; replays inside this time are
 caught by the order of each sender's times."""
 
-REORDER_MS = 2_000.0
-"""Datagrams of one sender may overtake one another by this much."""
+REORDER_MS = 15_000.0
+"""Datagrams of one sender may overtake one another by this much, and a sender whose
+clock was set back while it restarted is not shut out for as long as that took."""
 
 _KINDS = list(messages.GossipKind)
 
@@ -43,6 +44,7 @@
     part.revision = message.revision
     part.target = message.target
     part.cursor = message.cursor
+    part.routeVersion = message.route_version
     members = part.init("members", len(message.members))
     for slot, member in zip(members, message.members, strict=True):
         slot.node = member.node
@@ -82,6 +84,7 @@
             members=tuple(_member(slot) for slot in part.members),
             target=part.target,
             cursor=part.cursor,
+            route_version=part.routeVersion,
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
     except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -99,12 +99,13 @@
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=9, gc=False):
-    """A question about what a node holds: a decision, or what changed in the
-    configuration since a revision."""
+    """A question about what a node holds: a decision, the route table, or what
+    changed in the configuration since a revision."""
 
     call: int
     decision: str = ""
     since: int = 0
+    routes: bool = False
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag=10, gc=False):
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -24,4 +24,5 @@
   members @5 :List(Member);
   target @6 :Text;
   cursor @7 :Text;
+  routeVersion @8 :UInt64;
 }
--- /dev/null
+++ b/src/gingerturn/log_service.py
@@ -0,0 +1,58 @@
+"""What a node asks of the platform's log service.
+
+:class:`.internal.shell.log_client.LogClient` speaks to a service of gingerturn's own
+form; a deployment on another platform passes an object with these methods. Every
+method raises :class:`.errors.LogServiceError` when the service does not do what was
+asked, and decides nothing: when to try again is the node's concern.
+"""
+
+import typing
+
+import msgspec
+
+
+class Records(msgspec.Struct, frozen=True):
+    """What a read found.
+
+    :param first: offset of the first record.
+    :param oldest: the oldest offset that the service still holds.
+    :param end: the offset after the newest record.
+    :param contents: records from ``first`` on; empty where a record is of no use to
+        a node, so that offsets stay in step.
+    """
+
+    first: int
+    oldest: int
+    end: int
+    contents: tuple[bytes, ...]
+
+
+class Newest(msgspec.Struct, frozen=True):
+    """The newest record of each key, and from where to read on."""
+
+    contents: tuple[bytes, ...]
+    end: int
+
+
+class LogService(typing.Protocol):
+    """An append-only log with streams, offsets and, on some, keys."""
+
+    async def read(self, stream: str, offset: int, *, wait: bool = True) -> Records:
+        """Read from an offset, waiting a while for new records if there are none."""
+
+    async def append(
+        self, stream: str, record: bytes, *, expected_end: int | None = None
+    ) -> int:
+        """Append a record and return its offset.
+
+        :param expected_end: append only if the stream ends there.
+        """
+
+    async def newest(self, stream: str) -> Newest:
+        """Read the newest record of each key."""
+
+    async def put(self, stream: str, key: str, record: bytes) -> None:
+        """Append a record under a key; an empty one drops the key."""
+
+    async def close(self) -> None:
+        """Close the connections."""
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -36,7 +36,12 @@
 
 
 class Node(msgspec.Struct, forbid_unknown_fields=True):
-    """Addresses and place of the node."""
+    """Addresses and place of the node.
+
+    :param admin_port: of the administration API; 0 serves none.
+    :param ready_port: where readiness is told; 0 serves none.
+    :param metrics_port: where metrics are told; 0 serves none.
+    """
 
     id: str
     zone: str
@@ -47,17 +52,50 @@
     admin_port: int
     region: str = "default"
     drain_timeout_ms: int = 30_000
+    ready_port: int = 0
+    metrics_port: int = 0
 
 
 class Log(msgspec.Struct, forbid_unknown_fields=True):
     """The platform's log service.
 
     :param poll_ms: longest time that one read may wait for new records.
+    :param keyed: it keeps the newest record of each key, from which a node learns
+        members and routes at its start.
     """
 
     url: str
     poll_ms: int = 1_000
     timeout_ms: int = 3_000
+    keyed: bool = False
+
+
+class Backend(msgspec.Struct, forbid_unknown_fields=True):
+    """The backend server beside the node, as far as it is known beforehand.
+
+    :param service: the service in whose name it calls others.
+    """
+
+    service: str = ""
+
+
+class Routing(msgspec.Struct, forbid_unknown_fields=True):
+    """How callers' requests find their service.
+
+    :param table: by the route table; otherwise ``Host`` names the service.
+    """
+
+    table: bool = False
+
+
+class Retries(msgspec.Struct, forbid_unknown_fields=True):
+    """Bounds on retries that hold for all nodes together.
+
+    :param slack: retries of one service that all nodes may make beyond the share
+        of its first attempts; ``None`` bounds each node by itself only.
+    """
+
+    slack: float | None = None
 
 
 class Secret(msgspec.Struct, forbid_unknown_fields=True):
@@ -106,6 +144,9 @@
     secret: Secret
     limits: Limits = msgspec.field(default_factory=Limits)
     logging: Logging = msgspec.field(default_factory=Logging)
+    backend: Backend = msgspec.field(default_factory=Backend)
+    routing: Routing = msgspec.field(default_factory=Routing)
+    retries: Retries = msgspec.field(default_factory=Retries)
     team: list[Team] = []
     peers: list[str] = []
 
@@ -132,6 +173,17 @@
     return settings
 
 
+def check_settings(settings: Settings, *, origin: str) -> Settings:
+    """Return settings whose values are all allowed, when no file of ours holds them.
+
+    :raises InvalidDocument: with every problem found.
+    """
+    problems = _problems(settings, "", pathlib.Path(origin))
+    if problems:
+        raise _invalid(problems, pathlib.Path(origin))
+    return settings
+
+
 def _invalid(problems: list[str], path: pathlib.Path) -> errors.InvalidDocument:
     return errors.InvalidDocument(problems, step="read settings", peer=str(path))
 
@@ -150,8 +202,11 @@
     for field in ("id", "zone", "region"):
         check(f"$.node.{field}", checks.check_name, field, getattr(node, field))
     check("$.node.host", checks.check_ip, "host", node.host)
-    for field in ("calls_port", "peers_port", "gossip_port", "admin_port"):
+    for field in ("calls_port", "peers_port", "gossip_port"):
         check(f"$.node.{field}", checks.check_port, field, getattr(node, field))
+    for field in ("admin_port", "ready_port", "metrics_port"):
+        if getattr(node, field) != 0:
+            check(f"$.node.{field}", checks.check_port, field, getattr(node, field))
     drain = node.drain_timeout_ms
     check(
         "$.node.drain_timeout_ms",
@@ -185,6 +240,12 @@
         1024,
         1_048_576,
     )
+    if settings.backend.service:
+        service = settings.backend.service
+        check("$.backend.service", checks.check_name, "service", service)
+    if settings.retries.slack is not None:
+        slack = settings.retries.slack
+        check("$.retries.slack", checks.check_range, "slack", slack, 0.0, 1e6)
     for peer in settings.peers:
         check("$.peers", _check_peer, peer)
     return problems
