Read the settings again on SIGHUP instead of ending

The process had no handler, so the signal's default ended it with its calls in flight. Change: SIGHUP reads the settings again; bad ones change nothing; what cannot change while the process runs is named in the log.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -62,13 +62,16 @@
     chosen = settings.load(path)
     logs.set_up(chosen.logging, node=chosen.node.id)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(_run_node(chosen, record)))
+        sys.exit(runner.run(_run_node(path, chosen, record)))
 
 
-async def _run_node(chosen: settings.Settings, record: typing.BinaryIO | None) -> int:
+async def _run_node(
+    path: pathlib.Path, chosen: settings.Settings, record: typing.BinaryIO | None
+) -> int:
     from gingerturn.internal.shell import daemon, node as nodes
 
-    return await daemon.run(nodes.Node(chosen, record=record))
+    node = nodes.Node(chosen, record=record)
+    return await daemon.run(node, reload=lambda: settings.load(path))
 
 
 @cli.command()
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -296,6 +296,15 @@
     table: routes.RouteTable
 
 
+class SettingsChanged(Event, frozen=True):
+    """The settings were read again.
+
+    :param retry_slack: as in :class:`Started`.
+    """
+
+    retry_slack: float | None
+
+
 class StopRequested(Event, frozen=True):
     """A planned stop of this node begins."""
 
@@ -322,6 +331,7 @@
     | PutDone
     | PutFailed
     | RoutesReceived
+    | SettingsChanged
     | LogReadFailed
     | AppendDone
     | AppendFailed
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -318,6 +318,12 @@
     )
 
 
+def _on_settings_changed(
+    state: states.State, event: events.SettingsChanged, out: states.Effects
+) -> None:
+    state.retry_slack = event.retry_slack
+
+
 def _check_stopped(state: states.State, out: states.Effects) -> None:
     if state.calls or state.hosted or state.now < state.stop_after:
         return
@@ -399,6 +405,7 @@
     events.PutDone: _on_put_done,
     events.PutFailed: _on_put_failed,
     events.RoutesReceived: _on_routes,
+    events.SettingsChanged: _on_settings_changed,
     events.LogReadFailed: _on_log_read_failed,
     events.AppendDone: _on_append_done,
     events.AppendFailed: _on_append_failed,
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -1,8 +1,10 @@
 """The daemon: one node and its administration API, until a signal ends it."""
 
 import asyncio
+import collections.abc
 import signal
 
+from gingerturn import errors, settings
 from gingerturn.internal import logs
 from gingerturn.internal.core import events
 from gingerturn.internal.shell import clock, node as nodes
@@ -15,9 +17,17 @@
 """The drain took longer than allowed, or a second signal ended it."""
 
 
-async def run(node: nodes.Node) -> int:
+Reload = collections.abc.Callable[[], settings.Settings]
+"""Reads the settings again.
+
+:raises GingerturnError: when they are not allowed."""
+
+
+async def run(node: nodes.Node, *, reload: Reload | None = None) -> int:
     """Run a node until a planned stop has ended.
 
+    SIGHUP reads the settings again; bad ones change nothing.
+
     SIGTERM or SIGINT begins the planned stop; a second one, or the drain's time
     limit, ends the process at once.
 
@@ -27,6 +37,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, node, cut)
+    loop.add_signal_handler(signal.SIGHUP, _on_reload, node, reload)
     await node.start()
     place = node.settings.node
     administration = _Administration(node) if place.admin_port else None
@@ -72,6 +83,18 @@
     node.apply(events.StopRequested(now=clock.now()))
 
 
+def _on_reload(node: nodes.Node, reload: Reload | None) -> None:
+    """Read the settings again. Without a handler the signal would end the process
+    and cut every call in flight."""
+    if reload is None:
+        logs.write("INFO", "node", "Nothing to reload.")
+        return
+    try:
+        node.reload(reload())
+    except errors.GingerturnError as error:
+        logs.write("ERROR", "node", f"Settings refused, the last stay: {error}.")
+
+
 async def _wait_stopped(node: nodes.Node, cut: asyncio.Event, limit: float) -> bool:
     """Wait for the end of a planned stop; tell whether nothing was cut."""
     ended = asyncio.create_task(nodes.run(node))
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -176,6 +176,26 @@
             )
         )
 
+    def reload(self, chosen: settings.Settings) -> None:
+        """Take settings that were read again.
+
+        Addresses, names and the log cannot change while the process runs; what of
+        them differs is named in the log and comes into force with the next start.
+        """
+        later = [
+            part
+            for part in ("node", "log", "secret", "backend", "routing", "limits")
+            if getattr(chosen, part) != getattr(self.settings, part)
+        ]
+        self.settings.retries = chosen.retries
+        self.apply(
+            events.SettingsChanged(now=clock.now(), retry_slack=chosen.retries.slack)
+        )
+        text = "Settings read again."
+        if later:
+            text += f" Changes of {', '.join(later)} wait for the next start."
+        logs.write("INFO", "node", text)
+
     def withdraw(self, instance: str = "") -> None:
         """Take that the backend server, or one start of it, takes no new work."""
         self.apply(events.BackendWithdrawn(now=clock.now(), instance=instance))
