Tie calls of a backend server to their parents by the ids of requests

Change: the id of a call continues that of the request that it serves; one that continues a request that runs here is its child and inherits rank and deadline. In routed mode a call has the attempts of its own route; the shared budget bounds the sum.

--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -21,6 +21,9 @@
     :param not_executed: from backend servers: present when the request did not run.
     :param decision: to callers: id of the decision, for ``gingerturn why``.
     :param trace: pass a W3C ``traceparent`` on, which ties calls to their parents.
+    :param lineage: what a backend server puts between the id of the request that it
+        serves and its own part in the id of a call. A call whose id continues that of
+        a request that runs here belongs to it; any other is a request of its own.
     :param retry_after_fractions: callers read fractions of seconds in Retry-After.
     """
 
@@ -32,6 +35,7 @@
     not_executed: bytes = b""
     decision: bytes = b"gingerturn-decision"
     trace: bool = True
+    lineage: bytes = b""
     retry_after_fractions: bool = False
 
     @property
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -3,7 +3,7 @@
 import hashlib
 import heapq
 
-from gingerturn import configuration, routes
+from gingerturn import configuration
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
@@ -244,17 +244,14 @@
     timeout = float(rule.timeout_ms)
     if event.timeout_ms > 0:
         timeout = min(timeout, event.timeout_ms)
-    # The backend server beside this node serves a request that has begun.
-    importance = routes.BEGUN_CLASS if event.own_backend else rule.importance
-    depth = 1 if event.own_backend else 0
     return states.Call(
         id=event.call,
         rule=rule,
         service=rule.service or event.service,
-        importance=importance,
-        depth=depth,
+        importance=rule.importance,
+        depth=0,
         root=root,
-        rank=ranks.rank_of(importance=importance, depth=depth, root=root),
+        rank=ranks.rank_of(importance=rule.importance, depth=0, root=root),
         deadline=event.now + timeout,
         tokens=rule.retry_allowance,
         trace=event.trace,
@@ -276,10 +273,16 @@
 ) -> states.Call:
     terms = parent.terms
     importance = max(rule.importance, terms.importance)
-    tokens = allowance.part_for_child(parent.tokens)
-    parent.tokens -= tokens
+    if state.routed:
+        # The route says how often a call may be sent, and the budget bounds the sum
+        # over the graph. A share of the parent's tokens, of which there is mostly
+        # one, would leave a call in a tree without any.
+        tokens = rule.retry_allowance
+    else:
+        tokens = allowance.part_for_child(parent.tokens)
+        parent.tokens -= tokens
     seen = state.children_of.setdefault(terms.kind, {})
-    seen[(event.service, rule.name)] = event.now
+    seen[(rule.service or event.service, rule.name)] = event.now
     timeout = float(rule.timeout_ms)
     if event.timeout_ms > 0:
         timeout = min(timeout, event.timeout_ms)
@@ -293,7 +296,7 @@
     return states.Call(
         id=event.call,
         rule=rule,
-        service=event.service,
+        service=rule.service or event.service,
         importance=importance,
         depth=terms.depth + 1,
         root=terms.root,
@@ -302,7 +305,7 @@
         ),
         deadline=min(parent.deadline, event.now + timeout),
         tokens=tokens,
-        trace=terms.trace,
+        trace=event.trace if state.lineage else terms.trace,
         key=key,
         key_derived=derived,
         replayable=event.replayable,
@@ -569,7 +572,8 @@
         return
     parent = state.hosted.get(call.parent)
     if parent is not None:
-        parent.tokens += call.tokens
+        if not state.routed:
+            parent.tokens += call.tokens
         parent.child_failed |= failed
 
 
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -28,6 +28,7 @@
     :param keyed_log: the log keeps the newest record of each key.
     :param retry_slack: retries of one service in each window that all nodes together
         may make beyond the share of its first attempts.
+    :param lineage: calls are tied to their parents by the ids of requests.
     """
 
     seed: int
@@ -43,6 +44,7 @@
     routed: bool = False
     keyed_log: bool = False
     retry_slack: float | None = None
+    lineage: bool = False
 
 
 class Tick(Event, frozen=True):
@@ -59,8 +61,6 @@
         its key is a ticket.
     :param sending: 1 when the caller says that it sends this request for the first
         time, higher for a repeat, 0 when it says nothing.
-    :param own_backend: the caller is the backend server beside this node, which
-        serves a request that has begun.
     """
 
     call: ids.CallId
@@ -75,7 +75,6 @@
     body_digest: str = ""
     sending: int = 0
     holder: str = ""
-    own_backend: bool = False
 
 
 class CallerGone(Event, frozen=True):
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -381,7 +381,7 @@
     backend = state.backend
     hosted.state = states.HostedState.RUNNING
     hosted.started = state.now
-    hosted.span = state.next_span()
+    hosted.span = ids.SpanId(hosted.terms.trace) if state.lineage else state.next_span()
     state.spans[hosted.span] = hosted.id
     figures = (
         float(backend.running),
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -78,6 +78,7 @@
     state.seeds = event.seeds
     state.routed = event.routed
     state.keyed_log = event.keyed_log
+    state.lineage = event.lineage
     state.retry_slack = event.retry_slack
     state.revisions.snapshot_at = event.now
     me = messages.Member(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -347,6 +347,7 @@
         self.revisions = Revisions()
         self.routed = False
         self.keyed_log = False
+        self.lineage = False
         self.retry_slack: float | None = None
         self.routes: routes.RouteIndex | None = None
         self.routes_fetched_at: ids.Milliseconds = 0.0
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from gingerturn import errors
+from gingerturn import dialect as dialects, errors
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages, routing
 from gingerturn.internal.shell import clock, heads, tickets
@@ -84,13 +84,10 @@
         self._head_bytes = 0
         self._closing = False
         self._write_paused = False
-        self._own_backend = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        peer = transport.get_extra_info("peername")
-        self._own_backend = bool(peer) and self._node.is_own_address(peer[0])
         self._node.caller_connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -342,7 +339,7 @@
             except errors.InvalidArgument as error:
                 self._reject(400, error.message)
                 return
-        trace, span = _trace_of(request)
+        trace, span = _trace_of(request, dialect)
         request.head = _request_head(request, target, self._node)
         arrival = events.CallArrived(
             now=clock.now(),
@@ -358,7 +355,6 @@
             replayable=request.complete,
             body_digest=_digest(request.body) if request.body else "",
             sending=int(_number_header(request, heads.SENDING_HEADER)),
-            own_backend=self._own_backend,
         )
         self._node.entry.begin_request(request, arrival)
 
@@ -477,7 +473,12 @@
     return service, path, target
 
 
-def _trace_of(request: Request) -> tuple[str, ids.SpanId]:
+def _trace_of(request: Request, dialect: dialects.Dialect) -> tuple[str, ids.SpanId]:
+    """Return what stands for the request, and for what it is part of."""
+    if dialect.lineage and request.request_id:
+        parent = request.request_id.rpartition(dialect.lineage)[0]
+        own = request.request_id.decode("latin-1")
+        return own, ids.SpanId(parent.decode("latin-1") or own)
     for name, value in request.headers:
         if name == heads.TRACEPARENT:
             known = heads.parse_traceparent(value)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -146,11 +146,6 @@
         """Close a server together with this node."""
         self._servers.append(server)
 
-    def is_own_address(self, host: str) -> bool:
-        """Tell whether a peer is a process of the same instance, which callers that
-        reach this node from elsewhere are not."""
-        return bool(self.settings.backend.service) and host == self.settings.node.host
-
     def announce(self, announcement: announcements.Announcement) -> None:
         """Take what the backend server tells of itself.
 
@@ -308,6 +303,7 @@
             routed=self.settings.routing.table,
             keyed_log=self.settings.log.keyed,
             retry_slack=self.settings.retries.slack,
+            lineage=bool(self.dialect.lineage),
         )
 
     def _tick(self) -> None:
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -15,13 +15,9 @@
 from gingerturn import configuration, errors
 from gingerturn.internal import checks, ids
 
-MAX_PRIORITY = configuration.IMPORTANCE_CLASSES - 2
+MAX_PRIORITY = configuration.IMPORTANCE_CLASSES - 1
 """Priorities from 0 (goes first) to this one have an importance class of their own;
-later ones share the lowest. The highest class is left to calls that serve a request
-which has begun."""
-
-BEGUN_CLASS = configuration.IMPORTANCE_CLASSES - 1
-"""Class of calls that a backend server makes: the work above them is spent."""
+later ones share the lowest."""
 
 MAX_ATTEMPTS = 16
 MAX_WEIGHT = 1_000_000
