Weigh all of a few upstreams, by what calls met; let silence hold nothing

The proof of suspicion now draws two, since weighing all passes over a frozen node by itself; the scenario must pass there with it and fail without.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -54,6 +54,10 @@
 SLOW_START_SHARE = 0.2
 """A cold backend server begins with a fifth of its slots and doubles each round."""
 
+FULL_SHARE = 0.75
+"""A backend server that announced its slots and turns calls away while fewer than this
+share of them are taken is faulty, not full: a lower limit would only turn away more."""
+
 LIMIT_CUT = 0.9
 LIMIT_CUT_EVERY_MS = 100.0
 """A tenth for each refusal, once a window: a burst of refusals is one message."""
@@ -202,6 +206,8 @@
     backend.slow_start = False
     if state.now - backend.last_cut < LIMIT_CUT_EVERY_MS:
         return
+    if state.routed and backend.running < FULL_SHARE * backend.slots:
+        return
     backend.last_cut = state.now
     backend.limit = max(1.0, min(backend.limit, float(backend.running)) * LIMIT_CUT)
 
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -39,6 +39,9 @@
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
 FIRST_FAILURE_STATUS = 500
+GATEWAY_TIMEOUT = 504
+"""What a backend server answers at the deadline; then no time is left to repeat."""
+
 AVOID_MS = 1_000.0
 """An upstream that said it has no backend server is passed over for 1 s, by when
 gossip has told the rest."""
@@ -110,11 +113,12 @@
     if attempt is None:
         return
     call = _returned(state, attempt, event.tokens, event.report)
-    routing.note_success(state, attempt.node)
+    failed = event.status >= FIRST_FAILURE_STATUS and not event.child_failed
+    routing.note_answer(state, attempt.node, failed=failed)
     if call is None:
         return
     call.attempt = None
-    if event.status in OVERLOAD_STATUSES and call.rule.repeatable:
+    if _worth_repeating(state, call, event):
         call.first = False
         call.tried.append(attempt.node)
         if _retry(state, call, out):
@@ -132,8 +136,9 @@
     if attempt is None:
         return
     call = _returned(state, attempt, event.tokens, event.report)
-    routing.note_success(state, attempt.node)
     rule = decisions.Rule(event.refusal.rule)
+    own_failure = event.refusal.arrived or rule is decisions.Rule.OUTCOME_UNKNOWN
+    routing.note_answer(state, attempt.node, failed=own_failure)
     if rule in _ABSENT_RULES:
         upstream = routing.upstream_of(state, attempt.node)
         avoid = AVOID_LEAVING_MS if event.report.leaving else AVOID_MS
@@ -184,6 +189,34 @@
     _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
 
 
+def on_node_suspected(
+    state: states.State, node: ids.NodeId, out: states.Effects
+) -> None:
+    """Send repeatable calls that wait at a silent node to another one.
+
+    Those that may not repeat, or find no other upstream, go on waiting: the node may
+    be slow and answer yet.
+    """
+    waiting = [a for a in state.attempts.values() if a.node == node]
+    for attempt in waiting:
+        call = state.calls.get(attempt.call)
+        if call is None or not _may_repeat(call) or not _can_go_elsewhere(state, call):
+            continue
+        call.first = False
+        call.tried.append(node)
+        _cancel_attempt(state, call, out)
+        _retry(state, call, out)
+
+
+def give_up_all(state: states.State, out: states.Effects) -> None:
+    """Answer every call that is still held, since the process is about to end."""
+    for call in list(state.calls.values()):
+        if call.attempt is not None:
+            call.first = False
+        _cancel_attempt(state, call, out)
+        _refuse(state, call, decisions.Rule.STOPPING, out)
+
+
 def on_level_told(
     state: states.State, event: events.LevelTold, out: states.Effects
 ) -> None:
@@ -208,6 +241,19 @@
     _refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
 
 
+def _worth_repeating(
+    state: states.State, call: states.Call, event: events.AttemptAnswered
+) -> bool:
+    """Tell whether another upstream may well answer better than this one did."""
+    if not call.rule.repeatable:
+        return False
+    if event.status in OVERLOAD_STATUSES:
+        return True
+    if not state.routed or event.child_failed or event.status == GATEWAY_TIMEOUT:
+        return False
+    return event.status >= FIRST_FAILURE_STATUS
+
+
 def _served_while_stopping(state: states.State) -> bool:
     """Tell whether a stopping node still serves callers that come to it.
 
@@ -469,6 +515,13 @@
     return [node for node in nodes if node not in call.tried]
 
 
+def _can_go_elsewhere(state: states.State, call: states.Call) -> bool:
+    if call.tokens < 1 or _budget(state, call.service).held < 1.0:
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    return node is not None and state.now < call.deadline
+
+
 def _redirect(state: states.State, call: states.Call, out: states.Effects) -> bool:
     """Offer a call that was certainly not run to another upstream."""
     if call.redirects >= MAX_REDIRECTS or not call.replayable or call.holder:
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -74,6 +74,7 @@
     """Send the backend server's answer to the entry node.
 
     :param keep_as: key under which the shell keeps the answer, if any.
+    :param child_failed: a call that the backend server made for it failed.
     """
 
     hosted: ids.HostedId
@@ -81,6 +82,7 @@
     report: messages.LoadReport
     decision: str
     keep_as: str = ""
+    child_failed: bool = False
 
 
 class SendKeptAnswer(Effect, frozen=True):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -84,12 +84,17 @@
 
 
 class AttemptAnswered(Event, frozen=True):
-    """An upstream's answer is held whole, or its head when it is long."""
+    """An upstream's answer is held whole, or its head when it is long.
+
+    :param child_failed: a call that the backend server made for it failed, so its own
+        failure tells nothing of that upstream and another one would fail as well.
+    """
 
     attempt: ids.AttemptId
     status: int
     tokens: int
     report: messages.LoadReport
+    child_failed: bool = False
 
 
 class AttemptRefused(Event, frozen=True):
@@ -305,7 +310,13 @@
 
 
 class StopRequested(Event, frozen=True):
-    """A planned stop of this node begins."""
+    """A planned stop of this node begins.
+
+    :param grace_ms: after this time the process ends, whatever is in flight; 0 when
+        that is not known.
+    """
+
+    grace_ms: float = 0.0
 
 
 AnyEvent = (
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -27,8 +27,13 @@
 another on an instance within any delay."""
 
 ORPHAN_MS = 60_000.0
-"""An unrepeatable call whose caller is gone keeps its slot for at most this long;
-the backend server was handed a deadline too and should be done well before."""
+"""An unrepeatable call whose caller is gone keeps its slot for at most this long past
+its deadline, so that its answer can be kept for the caller's repeat; the backend
+server was handed the deadline too and should be done well before."""
+
+UNKEYED_ORPHAN_MS = 500.0
+"""One without a key, which nobody can ask about again, keeps its slot only this long:
+an answer that was lost on its way would otherwise hold the slot for a minute."""
 
 
 def on_open(
@@ -322,7 +327,8 @@
         out.append(effects.CancelBackend(hosted=hosted.id))
         _end_slot(state, hosted, out)
         return
-    if hosted.orphaned and state.now >= hosted.started + ORPHAN_MS:
+    keep_ms = ORPHAN_MS if hosted.terms.key else UNKEYED_ORPHAN_MS
+    if hosted.orphaned and state.now >= hosted.deadline + keep_ms:
         out.append(effects.CancelBackend(hosted=hosted.id))
         if hosted.terms.key:
             _fail_key(state, hosted, out, handed=True)
@@ -331,7 +337,7 @@
     # An unrepeatable call that has begun is not cancelled: its answer is kept
     # for the caller's repeat.
     hosted.orphaned = True
-    again = max(state.now, hosted.started + ORPHAN_MS)
+    again = max(state.now, hosted.deadline + keep_ms)
     heapq.heappush(state.deadlines, (again, calls.HOSTED_DEADLINE, hosted.id))
 
 
@@ -637,6 +643,7 @@
             report=admission.report(state, hosted.terms.kind),
             decision=hosted.decision,
             keep_as=keep,
+            child_failed=hosted.child_failed,
         )
     )
 
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -270,9 +270,15 @@
             return
 
 
-def check(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
-    """Move on unanswered probes and suspicions."""
+def check(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> list[ids.NodeId]:
+    """Move on unanswered probes and suspicions.
+
+    :return: members that this node itself suspects from now on.
+    """
     membership = state.membership
+    suspected: list[ids.NodeId] = []
     for sequence, probed in list(membership.probes.items()):
         waited = now - probed.sent
         if probed.for_sequence:
@@ -281,6 +287,7 @@
         elif waited > SUSPECT_AFTER_MS:
             del membership.probes[sequence]
             _suspect(state, probed.node)
+            suspected.append(probed.node)
         elif waited > INDIRECT_AFTER_MS and not probed.indirect:
             probed.indirect = True
             _probe_indirectly(state, sequence, probed.node, out)
@@ -289,6 +296,7 @@
     if not _isolated(state):
         _declare_gone(state, now, out)
     _forget_gone(state, now)
+    return suspected
 
 
 def on_gossip(
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -40,6 +40,10 @@
 """Where callers are led to nodes by readiness, a stopping node goes on serving them
 this long: two missed checks a second apart, and some time for what is under way."""
 
+LAST_ANSWERS_MS = 500.0
+"""Before the end of its grace a node answers what it still holds: a caller that is
+told that the end is unclear knows more than one whose connection breaks."""
+
 PRUNE_MS = 30_000.0
 CHILDREN_FORGOTTEN_MS = 60_000.0
 """Which services calls of a kind go on to is remembered for a minute."""
@@ -294,6 +298,8 @@
     state.stopping = True
     linger = ROUTED_LINGER_MS if state.routed else STOP_LINGER_MS
     state.stop_after = state.now + linger
+    if event.grace_ms > 0:
+        state.stop_by = state.now + max(0.0, event.grace_ms - LAST_ANSWERS_MS)
     outbox.info(out, "node", "Planned stop begins.")
     hosting.refuse_queue(state, decisions.Rule.STOPPING, out)
     membership.change_self(state, out, member_state=messages.MemberState.LEAVING)
@@ -326,12 +332,21 @@
 
 
 def _check_stopped(state: states.State, out: states.Effects) -> None:
-    if state.calls or state.hosted or state.now < state.stop_after:
+    if state.now >= state.stop_by:
+        calls.give_up_all(state, out)
+    elif state.calls or state.hosted or state.now < state.stop_after:
         return
     state.stopped = True
     out.append(effects.Stopped())
 
 
+def _check_members(
+    state: states.State, now: ids.Milliseconds, out: states.Effects
+) -> None:
+    for node in membership.check(state, now, out):
+        calls.on_node_suspected(state, node, out)
+
+
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     hosting.shed_overdue(state, out)
     admission.control(state, now, out)
@@ -377,7 +392,7 @@
     "admission": (admission.WINDOW_MS, _control),
     "streams": (timers.TICK_MS, streams.resume),
     "probe": (membership.PROBE_MS, membership.probe),
-    "membership": (membership.CHECK_MS, membership.check),
+    "membership": (membership.CHECK_MS, _check_members),
     "slow": (SLOW_CHECK_MS, _check_slowly),
     "revive": (membership.REVIVE_MS, membership.revive),
     "prune": (PRUNE_MS, _prune),
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -30,6 +30,23 @@
 until its upstreams are busier by 15 % of their limit, which bounds both the
 traffic between zones and the imbalance that staying may cause."""
 
+ERROR_WEIGHT = 0.05
+"""Weight of one answer in the share of failures: the memory is some twenty answers."""
+
+ERROR_PENALTY = 2.0
+"""Added to the occupancy of an upstream in proportion to its share of failures. One
+that fails half of its calls is chosen when the others are full; its share shows by
+what calls met, which a health check does not."""
+
+ALL_WEIGHED = 8
+"""Up to so many upstreams are all weighed against each other, so that a near one is
+found whenever there is one. Of more, two are drawn: weighing hundreds costs time, and
+all entries would choose the same one by the same old reports."""
+
+JITTER = 0.04
+"""Random part of the occupancy, so that entries that know the same do not all choose
+the same upstream."""
+
 FAILURES_TO_EJECT = 5
 EJECT_MS = 5_000.0
 MAX_EJECTIONS = 6
@@ -121,19 +138,23 @@
     kind: str,
     rank: ids.Rank,
 ) -> ids.NodeId | None:
-    """Choose among upstreams: the less busy of two random ones that take it.
+    """Choose among upstreams that take it: the least busy of a few, or the less busy
+    of two random ones.
 
     :return: ``None`` when every one sheds calls of this rank.
     """
     if not nodes:
         return None
+    if len(nodes) <= ALL_WEIGHED:
+        taking = [node for node in nodes if takes(state, node, kind, rank)]
+        return min(taking, key=lambda node: _cost(state, node), default=None)
     first = _draw(state, nodes, kind, rank)
     if first is None:
         return None
     second = nodes[int(state.random.random() * len(nodes))]
     if second == first or not takes(state, second, kind, rank):
         return first
-    return min((first, second), key=lambda node: _occupancy(state, node))
+    return min((first, second), key=lambda node: _cost(state, node))
 
 
 def ticket_holder(state: states.State, service: ids.ServiceName) -> str:
@@ -201,11 +222,15 @@
     return in_force and state.now - heard >= ASK_AFTER_MS
 
 
-def note_success(state: states.State, node: ids.NodeId) -> None:
-    """Take in that an upstream answered."""
+def note_answer(state: states.State, node: ids.NodeId, *, failed: bool = False) -> None:
+    """Take in that an upstream answered.
+
+    :param failed: with a failure of its own, or by turning the call away.
+    """
     upstream = upstream_of(state, node)
     upstream.failures = 0
     upstream.ejections = 0
+    upstream.error += ERROR_WEIGHT * (failed - upstream.error)
 
 
 def note_failure(state: states.State, node: ids.NodeId) -> bool:
@@ -240,14 +265,16 @@
     return None
 
 
-def _occupancy(state: states.State, node: ids.NodeId) -> float:
-    """Return the expected share of the limit in use, with the zone's penalty."""
+def _cost(state: states.State, node: ids.NodeId) -> float:
+    """Return the expected share of the limit in use, with penalties for another zone
+    and for failures, and a small random part."""
     member = state.membership.members.get(node)
-    penalty = 0.0
+    penalty = JITTER * state.random.random()
     if member is not None and member.zone != state.zone:
-        penalty = ZONE_PENALTY
+        penalty += ZONE_PENALTY
     upstream = state.upstreams.get(node)
     if upstream is None:
         return penalty
+    penalty += ERROR_PENALTY * upstream.error
     limit = upstream.limit or (member.slots if member else 0) or 1
     return (upstream.load + upstream.since_report) / limit + penalty
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -1,6 +1,7 @@
 """The state of one node, changed only by the reducer."""
 
 import enum
+import math
 import random
 
 import msgspec
@@ -158,6 +159,8 @@
     """What this node knows of an upstream that it has called.
 
     :param outstanding: attempts of this node in flight there.
+    :param failures: calls lost there since the last answer.
+    :param error: share of the latest answers that were failures of its own.
     :param since_report: attempts sent since the last load report.
     :param asked: when its level was last asked for.
     """
@@ -171,6 +174,7 @@
     since_report: int = 0
     asked: ids.Milliseconds = 0.0
     failures: int = 0
+    error: float = 0.0
     ejections: int = 0
     ejected_until: ids.Milliseconds = 0.0
 
@@ -358,6 +362,7 @@
         self.stopping = False
         self.stopped = False
         self.stop_after: ids.Milliseconds = 0.0
+        self.stop_by: ids.Milliseconds = math.inf
         self.seeds: tuple[str, ...] = ()
         self.counter = 0
 
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -43,6 +43,7 @@
     administration = _Administration(node) if place.admin_port else None
     logs.write("INFO", "node", f"Node {node.name} is up.")
     drained = await _wait_stopped(node, cut, place.drain_timeout_ms / 1000.0)
+    left = len(node.state.calls) + len(node.state.hosted)
     if administration is not None:
         administration.stop()
     await node.close()
@@ -51,7 +52,6 @@
     if drained:
         logs.write("INFO", "node", "Stopped; no call was cut.")
         return EXIT_CLEAN
-    left = len(node.state.calls) + len(node.state.hosted)
     logs.write("WARNING", "node", f"Stopped early; {left} calls were cut.")
     return EXIT_DRAIN_CUT
 
@@ -80,7 +80,8 @@
     if node.stopping:
         cut.set()
         return
-    node.apply(events.StopRequested(now=clock.now()))
+    grace_ms = float(node.settings.node.drain_timeout_ms)
+    node.apply(events.StopRequested(now=clock.now(), grace_ms=grace_ms))
 
 
 def _on_reload(node: nodes.Node, reload: Reload | None) -> None:
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -76,6 +76,7 @@
                     status=frame.status,
                     tokens=frame.tokens,
                     report=frame.report,
+                    child_failed=frame.child_failed,
                 )
             )
         elif isinstance(frame, frames.Refuse):
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -130,6 +130,7 @@
                 body=bytes(self._body),
                 whole=not self._streaming,
                 length=self._length,
+                child_failed=effect.child_failed,
             )
         )
         if self._streaming:
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -39,6 +39,7 @@
     """The backend server's answer, or its head when the body follows.
 
     :param length: announced length of a body that follows; -1 if not known.
+    :param child_failed: a call that the backend server made for it failed.
     """
 
     call: int
@@ -50,6 +51,7 @@
     body: bytes
     whole: bool
     length: int = -1
+    child_failed: bool = False
 
 
 class Refuse(msgspec.Struct, frozen=True, array_like=True, tag=3, gc=False):
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -112,7 +112,14 @@
     patch.setattr(admission, "tree_level", lambda state, kind: ranks.LOWEST)
 
 
+def _two_are_drawn(patch: pytest.MonkeyPatch) -> None:
+    """Choose as among many upstreams. Where a few are all weighed, what an entry sent
+    itself keeps it from a frozen one, whether or not that is suspected."""
+    patch.setattr(routing, "ALL_WEIGHED", 0)
+
+
 def _no_suspicion(patch: pytest.MonkeyPatch) -> None:
+    _two_are_drawn(patch)
     patch.setattr(
         "gingerturn.internal.core.membership._suspect", lambda state, node: None
     )
@@ -158,6 +165,13 @@
     assert any(told in failure for failure in failures), failures
 
 
+def test_frozen_nodes_are_passed_over_also_where_two_are_drawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _two_are_drawn(monkeypatch)
+    assert scenario.play(FOLDER / "pause.scenario") == []
+
+
 def test_the_duplicate_proof_fails_when_a_loser_runs(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
