Log each decision that touches a request, bounded and never waiting

Cause: on-call engineers have only logs and metrics; a node wrote text lines on what it believed, and none on requests.

Failures have a budget of 50 lines a second and successes of 5, and what is left out is counted and told; a reader that stalls costs whole lines, never a wait.

Ruled out: loguru's own JSON (1 kB a line, most of it about the source line).

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -100,7 +100,7 @@
     call = state.calls.get(event.call)
     if call is None:
         return
-    _decide(state, call, decisions.Rule.CALLER_GONE)
+    _decide(state, call, decisions.Rule.CALLER_GONE, out)
     _cancel_attempt(state, call, out)
     _finish(state, call)
 
@@ -123,7 +123,16 @@
         call.tried.append(attempt.node)
         if _retry(state, call, out):
             return
-    decision = _decide(state, call, decisions.Rule.SENT, (float(event.status),))
+    figures = (float(event.status),)
+    decision = _decide(
+        state,
+        call,
+        decisions.Rule.SENT,
+        out,
+        figures,
+        upstream=attempt.node,
+        status=event.status,
+    )
     out.append(effects.RelayAnswer(call=call.id, attempt=attempt.id, decision=decision))
     _finish(state, call, failed=event.status >= FIRST_FAILURE_STATUS)
 
@@ -532,7 +541,7 @@
     if node is None:
         return False
     call.redirects += 1
-    _decide(state, call, decisions.Rule.REDIRECTED)
+    _decide(state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1])
     _send(state, call, node, out)
     return True
 
@@ -551,7 +560,7 @@
         _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
     call.redirects += 1
-    _decide(state, call, decisions.Rule.REDIRECTED)
+    _decide(state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1])
     _send(state, call, member.node, out)
 
 
@@ -569,17 +578,17 @@
     if not allowed or state.now >= call.deadline:
         return False
     if call.tokens < 1:
-        _decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, figures)
+        _decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
         return False
     node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
     if node is None:
-        _decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, figures)
+        _decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
         return False
     if not allowance.spend(budget):
-        _decide(state, call, decisions.Rule.RETRY_NO_BUDGET, figures)
+        _decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
         return False
     call.tokens -= 1
-    _decide(state, call, decisions.Rule.RETRIED, figures)
+    _decide(state, call, decisions.Rule.RETRIED, out, figures)
     _send(state, call, node, out)
     return True
 
@@ -634,9 +643,14 @@
     state: states.State,
     call: states.Call,
     rule: decisions.Rule,
+    out: states.Effects,
     figures: tuple[float, ...] = (),
+    *,
+    upstream: str = "",
+    status: int = 0,
 ) -> str:
-    return state.decisions.record(
+    """Keep a decision, let it be logged, and return its id."""
+    decision = state.decisions.record(
         rule,
         now=state.now,
         root=call.root,
@@ -645,6 +659,21 @@
         revision=state.revisions.revision,
         figures=figures,
     )
+    out.append(
+        effects.LogDecision(
+            part="entry",
+            request=call.trace,
+            decision=decision,
+            rule=int(rule),
+            kind=call.rule.name,
+            upstream=upstream,
+            figures=figures,
+            version=state.version,
+            waited_ms=state.now - call.arrived,
+            status=status,
+        )
+    )
+    return decision
 
 
 _STATUS = {
@@ -688,9 +717,6 @@
     figures: tuple[float, ...] = (),
 ) -> None:
     """Answer a call with a problem, at once, and forget it."""
-    decision = remote.decision if remote else ""
-    if not decision:
-        decision = _decide(state, call, rule, figures)
     outcome = messages.Outcome.NOT_RUN if call.first else messages.Outcome.UNKNOWN
     if call.holder and remote is not None:
         # The holder of a ticket alone may run it, so its word is the whole truth.
@@ -701,6 +727,10 @@
     status = _STATUS.get(rule, 503 if not_run else 502)
     if status == 504 and not_run:
         status = 503
+    upstream = call.tried[-1] if call.tried else ""
+    own = _decide(state, call, rule, out, figures, upstream=upstream, status=status)
+    # Where a home node refused, its decision tells more than that it did.
+    decision = (remote.decision if remote else "") or own
     wait = retry_after or (remote.retry_after_ms if remote else 0.0)
     if not wait and rule not in _NO_USE_COMING_BACK:
         wait = _COME_BACK_MS * (1.0 + state.random.random())
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -56,6 +56,26 @@
     NO_CONFIGURATION = 35
 
 
+_QUIET = frozenset({Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST})
+
+
+def is_failure(rule: Rule, status: int) -> bool:
+    """Tell whether a request fails, is sent again or goes elsewhere by a decision."""
+    return rule not in _QUIET or status >= 500
+
+
+def words_of(rule: Rule) -> str:
+    """Return a rule as a sentence."""
+    return _WORDS[rule]
+
+
+def named(rule: Rule, figures: tuple[float, ...]) -> dict[str, float]:
+    """Return what a rule saw, by name."""
+    names = _FIGURES.get(rule, ())
+    pairs = zip(names, figures, strict=False)
+    return {name: round(value, 3) for name, value in pairs if name}
+
+
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
 
 _FIGURES = {
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -221,6 +221,30 @@
     text: str
 
 
+class LogDecision(Effect, frozen=True):
+    """Write the log line of a decision that touches a request.
+
+    :param part: the fixed prefix of the part that decided.
+    :param request: id of the request.
+    :param upstream: the node that it was sent to, or came from.
+    :param figures: what the rule saw, by the names that ``decisions`` gives.
+    :param version: version of the routes, or revision of the documents, in force.
+    :param waited_ms: age of the request when it was decided.
+    :param status: status of the answer, 0 when there is none yet.
+    """
+
+    part: str
+    request: str
+    decision: str
+    rule: int
+    kind: str
+    upstream: str
+    figures: tuple[float, ...]
+    version: int
+    waited_ms: float
+    status: int = 0
+
+
 class Stopped(Effect, frozen=True):
     """Nothing is in flight any more; the process may exit."""
 
@@ -248,5 +272,6 @@
     | FetchSnapshot
     | PublishEnded
     | WriteLog
+    | LogDecision
     | Stopped
 )
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -395,7 +395,7 @@
         float(len(backend.queue)),
         state.now - hosted.arrived,
     )
-    hosted.decision = _decide(state, hosted, decisions.Rule.RUN, figures)
+    hosted.decision = _decide(state, hosted, decisions.Rule.RUN, out, figures)
     out.append(
         effects.HandOver(
             hosted=hosted.id,
@@ -482,7 +482,7 @@
             float(len(backend.queue)),
             state.now - hosted.arrived,
         )
-    decision = _decide(state, hosted, rule, figures)
+    decision = _decide(state, hosted, rule, out, figures)
     if outcome is None:
         outcome = messages.Outcome.UNKNOWN if handed else messages.Outcome.NOT_RUN
     report = admission.report(state, hosted.terms.kind)
@@ -525,7 +525,7 @@
         return False
     hosted.state = states.HostedState.WAITING
     entry.waiters.append(hosted.id)
-    _decide(state, hosted, decisions.Rule.JOINED_FIRST, ())
+    _decide(state, hosted, decisions.Rule.JOINED_FIRST, out, ())
     heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
     return True
 
@@ -543,7 +543,7 @@
         outcome = messages.Outcome.ALREADY_RUN
         refuse(state, hosted, decisions.Rule.ALREADY_RUN, out, outcome=outcome)
         return
-    decision = _decide(state, hosted, decisions.Rule.ALREADY_RUN, ())
+    decision = _decide(state, hosted, decisions.Rule.ALREADY_RUN, out, ())
     out.append(
         effects.SendKeptAnswer(
             hosted=hosted.id,
@@ -670,9 +670,11 @@
     state: states.State,
     hosted: states.Hosted,
     rule: decisions.Rule,
+    out: states.Effects,
     figures: tuple[float, ...],
 ) -> str:
-    return state.decisions.record(
+    """Keep a decision, let it be logged, and return its id."""
+    decision = state.decisions.record(
         rule,
         now=state.now,
         root=hosted.terms.root,
@@ -681,3 +683,17 @@
         revision=state.revisions.revision,
         figures=figures,
     )
+    out.append(
+        effects.LogDecision(
+            part="home",
+            request=hosted.terms.trace,
+            decision=decision,
+            rule=int(rule),
+            kind=hosted.terms.kind,
+            upstream=hosted.sender,
+            figures=figures,
+            version=state.version,
+            waited_ms=state.now - hosted.arrived,
+        )
+    )
+    return decision
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -126,7 +126,12 @@
         return
     start = stream.offset
     gap = streams.advance(
-        state, stream, first=event.first, count=len(event.records), end=event.end
+        state,
+        stream,
+        out,
+        first=event.first,
+        count=len(event.records),
+        end=event.end,
     )
     if event.stream == streams.CONFIG:
         revisions.on_read(state, first=event.first, oldest=event.oldest, gap=gap)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -372,6 +372,13 @@
             f" hosted={len(self.hosted)}, revision={self.revisions.revision})"
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the routes in force, or revision of the documents."""
+        if self.routes is not None:
+            return self.routes.version
+        return self.revisions.revision
+
     def next_number(self) -> int:
         """Return a number never given before in this incarnation."""
         self.counter += 1
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -42,12 +42,19 @@
 
 
 def advance(
-    state: states.State, stream: states.Stream, *, first: int, count: int, end: int
+    state: states.State,
+    stream: states.Stream,
+    out: states.Effects,
+    *,
+    first: int,
+    count: int,
+    end: int,
 ) -> bool:
     """Take in where a read ended.
 
     :return: whether records were missed since the last read.
     """
+    _note_regained(stream, out)
     gap = stream.caught_up and first > stream.offset
     stream.reading = False
     stream.failures = 0
@@ -68,6 +75,7 @@
     state: states.State, stream: states.Stream, *, end: int, out: states.Effects
 ) -> None:
     """Take in that the newest records of a keyed stream were read."""
+    _note_regained(stream, out)
     stream.reading = False
     stream.failures = 0
     stream.based = True
@@ -78,6 +86,12 @@
         _read(stream, out)
 
 
+def _note_regained(stream: states.Stream, out: states.Effects) -> None:
+    if stream.failures:
+        text = f"Stream {stream.name} can be read again, after {stream.failures} tries."
+        outbox.info(out, "log", text)
+
+
 def reread(state: states.State, name: str) -> None:
     """Read the newest records of a keyed stream again."""
     stream = state.streams.get(name)
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -1,9 +1,18 @@
-"""Structured logs: short sentences with a fixed prefix for each part."""
+"""Structured logs: short sentences with a fixed prefix for each part.
 
+As JSON they go to standard output, one object a line, bounded in two ways. Lines of
+decisions have a budget a second, kept apart for failures, so that a flood of refusals
+or of successes leaves out the rest and says how much. And a reader that stalls never
+blocks a request: what the pipe does not take is left out and counted.
+"""
+
+import os
 import sys
+import time
 import typing
 
 import loguru
+import msgspec
 
 from gingerturn import settings
 
@@ -11,16 +20,115 @@
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[node]} [{extra[part]}] {message}"
 )
 
+FAILURES_PER_S = 50
+"""Lines a second for decisions by which a request fails or is sent again: each costs
+about 0.1 ms, so this bounds logging to half a percent of a core."""
+
+SUCCESSES_PER_S = 5
+"""Lines a second for all other decisions: enough to follow an example."""
+
+BACKLOG_BYTES = 65_536
+"""Bytes kept while the reader is slow, as much as a pipe usually holds."""
+
+
+class Budget:
+    """Lines that may be written in the present second.
+
+    :param per_s: lines a second.
+    """
+
+    def __init__(self, per_s: int) -> None:
+        self._per_s = per_s
+        self._second = 0
+        self._used = 0
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        """Take one line; tell whether there was one."""
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._used = 0
+        if self._used >= self._per_s:
+            self.left_out += 1
+            return False
+        self._used += 1
+        return True
+
+
+class Output:
+    """Writes lines to a file descriptor and never waits for its reader.
+
+    Invariant: only whole lines are left out.
+
+    :param descriptor: made non-blocking here.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._backlog = bytearray()
+        self.left_out = 0
+        os.set_blocking(descriptor, False)
+
+    def take(self, message: "loguru.Message") -> None:
+        """Write a line of loguru's."""
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(timespec="milliseconds"),
+            "level": record["level"].name,
+            **record["extra"],
+            "text": record["message"],
+        }
+        self.write(msgspec.json.encode(line) + b"\n")
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or keep it for later, or leave it out."""
+        if len(self._backlog) + len(line) > BACKLOG_BYTES:
+            self.flush()
+        if len(self._backlog) + len(line) > BACKLOG_BYTES:
+            self.left_out += 1
+            return
+        self._backlog += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes."""
+        while self._backlog:
+            try:
+                count = os.write(self._descriptor, self._backlog)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; a node goes on without its logs.
+                self._backlog.clear()
+                return
+            del self._backlog[:count]
+
+
+class _State:
+    """What this module keeps between lines."""
+
+    def __init__(self) -> None:
+        self.failures = Budget(FAILURES_PER_S)
+        self.successes = Budget(SUCCESSES_PER_S)
+        self.output: Output | None = None
+
+
+_state = _State()
+
 
 def set_up(chosen: settings.Logging, *, node: str) -> None:
-    """Send log lines to standard error, as text or as JSON."""
+    """Send log lines to standard error as text, or to standard output as JSON."""
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node, "part": "node"})
+    if chosen.json:
+        _state.output = _state.output or Output(sys.stdout.fileno())
+        loguru.logger.add(_state.output.take, level=chosen.level, format="{message}")
+        return
     loguru.logger.add(
         sys.stderr,
         level=chosen.level,
         format=_FORMAT,
-        serialize=chosen.json,
         backtrace=False,
         diagnose=False,
     )
@@ -29,3 +137,36 @@
 def write(level: str, part: str, text: str, **fields: typing.Any) -> None:
     """Write one line."""
     loguru.logger.bind(part=part, **fields).log(level, text)
+
+
+def may_write_decision(*, failure: bool) -> bool:
+    """Take the line of a decision out of the second's budget.
+
+    Asked before the line is made, since most of the cost lies in that.
+
+    :param failure: the request fails by it, or is sent again.
+    """
+    budget = _state.failures if failure else _state.successes
+    return budget.take(time.monotonic())
+
+
+def report_left_out() -> int:
+    """Write how many lines were left out since the last time, and return it."""
+    budgets = (_state.failures, _state.successes)
+    stalled = 0 if _state.output is None else _state.output.left_out
+    failures, successes = (budget.left_out for budget in budgets)
+    for budget in budgets:
+        budget.left_out = 0
+    if _state.output is not None:
+        _state.output.left_out = 0
+        _state.output.flush()
+    if failures or stalled:
+        write(
+            "WARNING",
+            "logs",
+            "Lines were left out.",
+            failures=failures,
+            successes=successes,
+            stalled=stalled,
+        )
+    return failures + successes + stalled
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -41,7 +41,15 @@
     await node.start()
     place = node.settings.node
     administration = _Administration(node) if place.admin_port else None
-    logs.write("INFO", "node", f"Node {node.name} is up.")
+    logs.write(
+        "INFO",
+        "node",
+        f"Node {node.name} is up.",
+        incarnation=node.incarnation,
+        zone=place.zone,
+        service=node.settings.backend.service,
+        log=node.settings.log.url,
+    )
     drained = await _wait_stopped(node, cut, place.drain_timeout_ms / 1000.0)
     left = len(node.state.calls) + len(node.state.hosted)
     if administration is not None:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -18,7 +18,15 @@
     settings,
 )
 from gingerturn.internal import ids, logs
-from gingerturn.internal.core import effects, events, reducer, timers, trace
+from gingerturn.internal.core import (
+    decisions,
+    effects,
+    events,
+    readiness,
+    reducer,
+    timers,
+    trace,
+)
 from gingerturn.internal.shell import (
     clock,
     entry,
@@ -33,6 +41,9 @@
     side_http,
 )
 
+REPORT_MS = 1_000.0
+"""How often it is told what the logs left out."""
+
 Handlers = dict[type[effects.Effect], collections.abc.Callable[[typing.Any], None]]
 """What carries out each type of effect."""
 
@@ -96,6 +107,8 @@
         self._applying = False
         self._ticker: asyncio.TimerHandle | None = None
         self._numbers = 0
+        self._was_ready = False
+        self._report_at = 0.0
         self._handlers: Handlers = {
             **self.entry.handlers(),
             **self.home.handlers(),
@@ -104,6 +117,7 @@
             effects.SendGossip: self.gossip.send,
             effects.PublishEnded: self._publish_ended,
             effects.WriteLog: self._write_log,
+            effects.LogDecision: self._log_decision,
             effects.Stopped: self._on_stopped,
         }
 
@@ -275,6 +289,18 @@
         for effect in reducer.reduce(self.state, event):
             self._handlers[type(effect)](effect)
 
+    def _note_readiness(self) -> None:
+        """Write when the readiness changed, and each second what was left out."""
+        ready = readiness.is_ready(self.state)
+        if ready != self._was_ready:
+            self._was_ready = ready
+            text = "Ready for callers." if ready else "Not ready for callers."
+            logs.write("INFO", "node", text, version=self.state.version)
+        now = clock.now()
+        if now >= self._report_at:
+            self._report_at = now + REPORT_MS
+            self.counters.lines_dropped += logs.report_left_out()
+
     def _publish_ended(self, effect: effects.PublishEnded) -> None:
         future = self._publications.pop(effect.request, None)
         if future is not None and not future.done():
@@ -283,6 +309,26 @@
     def _write_log(self, effect: effects.WriteLog) -> None:
         logs.write(effect.level, effect.part, effect.text)
 
+    def _log_decision(self, effect: effects.LogDecision) -> None:
+        rule = decisions.Rule(effect.rule)
+        failure = decisions.is_failure(rule, effect.status)
+        if not logs.may_write_decision(failure=failure):
+            return
+        logs.write(
+            "WARNING" if failure else "INFO",
+            effect.part,
+            decisions.words_of(rule),
+            request=effect.request,
+            rule=rule.name.lower(),
+            kind=effect.kind,
+            upstream=effect.upstream,
+            status=effect.status,
+            figures=decisions.named(rule, effect.figures),
+            version=effect.version,
+            waited_ms=round(effect.waited_ms, 1),
+            decision=effect.decision,
+        )
+
     def _on_stopped(self, effect: effects.Stopped) -> None:
         self.stopped.set()
 
@@ -311,6 +357,7 @@
         self.apply(events.Tick(now=clock.now()))
         self.home.pool.close_idle()
         self.entry.record_durations()
+        self._note_readiness()
         self.counters.control_seconds += time.thread_time() - begun
         loop = asyncio.get_running_loop()
         self._ticker = loop.call_later(timers.TICK_MS / 1000.0, self._tick)
--- a/tests/quality/test_completeness.py
+++ b/tests/quality/test_completeness.py
@@ -28,6 +28,7 @@
         effects.FetchSnapshot,
         effects.PublishEnded,
         effects.WriteLog,
+        effects.LogDecision,
         effects.Stopped,
     }
     known = set(world._HANDLERS) | passed_over
