--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -9,7 +9,13 @@
 import math
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import messages, ranks, routing, state as states
+from gingerturn.internal.core import (
+    knee,
+    messages,
+    ranks,
+    routing,
+    state as states,
+)
 
 WINDOW_MS = 100.0
 """Length of a control window; some tens of calls at the sizes of today."""
@@ -139,7 +145,8 @@
 
 def has_slot(state: states.State) -> bool:
     """Tell whether a call may be handed over now."""
-    return state.backend.running < int(state.backend.limit)
+    backend = state.backend
+    return backend.running < min(int(backend.limit), knee.usable_slots(state))
 
 
 def take_slot(state: states.State) -> None:
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -10,6 +10,7 @@
     effects,
     events,
     keys,
+    knee,
     messages,
     outbox,
     ranks,
@@ -123,7 +124,7 @@
         if not hosted.child_failed:
             admission.note_backend_refusal(state)
     else:
-        admission.note_time(state, hosted.terms.kind, event.now - hosted.started)
+        _note_times(state, hosted, event.now - hosted.started)
         admission.note_backend_success(state)
     if event.whole:
         _end_slot(state, hosted, out, pump=False)
@@ -170,6 +171,14 @@
     fill(state, out)
 
 
+def _note_times(
+    state: states.State, hosted: states.Hosted, elapsed: ids.Milliseconds
+) -> None:
+    mean = admission.service_time(state, hosted.terms.kind)
+    knee.note(state, hosted, elapsed, mean)
+    admission.note_time(state, hosted.terms.kind, elapsed)
+
+
 def _on_turned_away(
     state: states.State, hosted: states.Hosted, status: int, out: states.Effects
 ) -> None:
@@ -225,6 +234,7 @@
     backend.sequence = 0
     backend.present = False
     backend.times.clear()
+    backend.knee = states.Knee()
     backend.unreachable_until = 0.0
 
 
@@ -387,6 +397,7 @@
     backend = state.backend
     hosted.state = states.HostedState.RUNNING
     hosted.started = state.now
+    hosted.occupancy = backend.running / max(1, backend.slots)
     hosted.span = ids.SpanId(hosted.terms.trace) if state.lineage else state.next_span()
     state.spans[hosted.span] = hosted.id
     figures = (
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -72,6 +72,7 @@
     Invariant: it occupies a slot exactly in the states CLAIMING, RUNNING and
     STREAMING.
 
+    :param occupancy: share of the slots in use when it was handed over.
     :param orphaned: the entry node gave up, but the call may not be cancelled.
     :param child_failed: a call that the backend server made for it failed, so its
         own failure tells nothing of the backend server.
@@ -87,6 +88,7 @@
     state: HostedState = HostedState.QUEUED
     span: ids.SpanId = ids.SpanId("")
     started: ids.Milliseconds = 0.0
+    occupancy: float = 0.0
     orphaned: bool = False
     child_failed: bool = False
     decision: str = ""
@@ -115,6 +117,19 @@
     measured: ids.Milliseconds
 
 
+class Knee(msgspec.Struct):
+    """Times of calls relative to their kind, by how full the backend server was.
+
+    :param held_until: its last slots are left free until then.
+    """
+
+    full: float = 0.0
+    full_count: int = 0
+    roomy: float = 0.0
+    roomy_count: int = 0
+    held_until: ids.Milliseconds = 0.0
+
+
 class Backend(msgspec.Struct):
     """The backend server beside this node, and admission to it.
 
@@ -145,6 +160,7 @@
     sequence: int = 0
     left: dict[str, bool] = {}
     times: dict[str, ServiceTime] = {}
+    knee: Knee = msgspec.field(default_factory=Knee)
     unreachable_until: ids.Milliseconds = 0.0
 
 
