Say which address a node could not take, and pick ports that nobody else takes

Ports were picked by asking the system for free ones; the system gives the same ports to outgoing connections, and the nodes that had started made some before the later ones listened. The node said nothing but a traceback on stderr. Ruled out: slow starts (the process had ended). Change: ports are picked below the system's own range; a node logs the address that it cannot take and ends with status 7; the administration API binds before it serves; who waits for a node gets its name and the end of its log. Before: no message named address or node.

--- a/benchmarks/real_nodes.py
+++ b/benchmarks/real_nodes.py
@@ -47,7 +47,7 @@
                     backend=False,
                 )
             for node in cluster.nodes.values():
-                processes.wait_for(f"{node.admin}/status", timeout=60.0)
+                cluster.wait_up(node, timeout=60.0)
             _wait_known(cluster, count)
             begun = [_publish(cluster, number) for number in range(publications)]
             time.sleep(2.0)
--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -35,7 +35,8 @@
     """Overload control for deep service call graphs.
 
     Exit status: 0 done; 2 wrong usage or an invalid file; 3 a stop that cut calls;
-    4 refused; 5 the outcome is not known; 6 the node cannot be reached.
+    4 refused; 5 the outcome is not known; 6 the node cannot be reached; 7 a node did
+    not start, since an address is taken.
     """
 
 
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import signal
+import socket
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
@@ -13,6 +14,9 @@
 """Time for the administration API to end after the node has closed."""
 
 EXIT_CLEAN = 0
+EXIT_NOT_STARTED = 7
+"""An address that the settings name is taken, or not one of this machine."""
+
 EXIT_DRAIN_CUT = 3
 """The drain took longer than allowed, or a second signal ended it."""
 
@@ -38,9 +42,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, node, cut)
     loop.add_signal_handler(signal.SIGHUP, _on_reload, node, reload)
-    await node.start()
     place = node.settings.node
-    administration = _Administration(node) if place.admin_port else None
+    try:
+        await node.start()
+        administration = _Administration(node) if place.admin_port else None
+    except errors.GingerturnError as error:
+        logs.write("ERROR", "node", f"Not started: {error}.")
+        await node.close()
+        return EXIT_NOT_STARTED
     logs.write(
         "INFO",
         "node",
@@ -72,8 +81,16 @@
         # one that serves no administration API need not spend.
         from gingerturn.internal.shell import admin
 
+        place = node.settings.node
+        # Bound here: the server's own failure to bind would end the process in the
+        # middle of a task, with a traceback and no word on what was taken.
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with nodes.listening(place.host, place.admin_port):
+            bound.bind((place.host, place.admin_port))
         self._server = admin.server(node)
-        self._task = asyncio.get_running_loop().create_task(self._server.serve())
+        serving = self._server.serve(sockets=[bound])
+        self._task = asyncio.get_running_loop().create_task(serving)
 
     def stop(self) -> None:
         """Begin to stop."""
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -14,6 +14,7 @@
 from gingerturn import (
     announcements,
     dialect as dialects,
+    errors,
     log_service,
     settings,
 )
@@ -132,33 +133,40 @@
     async def start(self) -> None:
         """Open the sockets and begin.
 
-        :raises OSError: when an address cannot be bound.
+        :raises GingerturnError: naming the address that cannot be bound.
         """
         loop = asyncio.get_running_loop()
         place = self.settings.node
-        self._servers.append(
-            await loop.create_server(
-                lambda: ingress.CallerConnection(self), place.host, place.calls_port
+        with listening(place.host, place.calls_port):
+            self._servers.append(
+                await loop.create_server(
+                    lambda: ingress.CallerConnection(self), place.host, place.calls_port
+                )
             )
-        )
-        self._servers.append(
-            await loop.create_server(
-                lambda: peers.Accepted(self), place.host, place.peers_port
+        with listening(place.host, place.peers_port):
+            self._servers.append(
+                await loop.create_server(
+                    lambda: peers.Accepted(self), place.host, place.peers_port
+                )
+            )
+        with listening(place.host, place.gossip_port):
+            await loop.create_datagram_endpoint(
+                lambda: self.gossip, (place.host, place.gossip_port)
             )
-        )
-        await loop.create_datagram_endpoint(
-            lambda: self.gossip, (place.host, place.gossip_port)
-        )
         for port in (place.ready_port, place.metrics_port):
             if port:
-                handler = probes.ready_handler(self)
-                self.add_server(await side_http.serve(handler, place.host, port))
+                await self.serve_beside(probes.ready_handler(self), port)
         self.apply(self._started)
         self._tick()
 
-    def add_server(self, server: asyncio.Server) -> None:
-        """Close a server together with this node."""
-        self._servers.append(server)
+    async def serve_beside(self, handler: side_http.Handler, port: int) -> None:
+        """Serve what is not a call on a port of its own, until this node closes.
+
+        :raises GingerturnError: when the address cannot be bound.
+        """
+        host = self.settings.node.host
+        with listening(host, port):
+            self._servers.append(await side_http.serve(handler, host, port))
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Take what the backend server tells of itself.
@@ -363,6 +371,22 @@
         self._ticker = loop.call_later(timers.TICK_MS / 1000.0, self._tick)
 
 
+@contextlib.contextmanager
+def listening(host: str, port: int) -> collections.abc.Iterator[None]:
+    """Name the address that cannot be bound.
+
+    :raises GingerturnError: instead of the system's own error, which names none.
+    """
+    try:
+        yield
+    except OSError as error:
+        raise errors.GingerturnError(
+            f"cannot listen: {error.strerror or error}",
+            step="listen",
+            peer=f"{host}:{port}",
+        ) from None
+
+
 async def run(node: Node) -> None:
     """Run a node until it has stopped, or its drain takes too long."""
     await node.stopped.wait()
--- a/tests/nocover/conftest.py
+++ b/tests/nocover/conftest.py
@@ -33,7 +33,7 @@
         wait=False,
     )
     for node in made.nodes.values():
-        processes.wait_for(f"{node.admin}/status")
+        made.wait_up(node)
     made.wait_ready(members=3)
     made.publish("shop", builders.DOCUMENT)
 
--- a/tests/nocover/test_command_line.py
+++ b/tests/nocover/test_command_line.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -11,6 +12,7 @@
 import httpx
 import pytest
 
+from gingerturn.internal.shell import daemon
 from gingerturn_standins import processes
 from tests.common import builders
 
@@ -121,3 +123,35 @@
     told = _run("replay", str(path))
     assert told.returncode == 2
     assert "Traceback" not in told.stderr
+
+
+@pytest.mark.parametrize("which", ["calls_port", "peers_port", "admin_port"])
+def test_a_node_whose_address_is_taken_says_which_and_ends(
+    which: str, tmp_path: pathlib.Path
+) -> None:
+    with socket.socket() as taken, processes.Cluster(tmp_path) as cluster:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        added = cluster.add("n1", service="plans", zone="a", wait=False, backend=False)
+        added.node.kill()
+        added.node.wait(timeout=10)
+        path = tmp_path / "n1.toml"
+        lines = path.read_text().splitlines()
+        path.write_text(
+            "\n".join(f"{which} = {port}" if which in line else line for line in lines)
+        )
+        again = cluster._spawn(
+            "again", "-m", "gingerturn", "node", "--settings", str(path)
+        )
+        assert again.wait(timeout=20) == daemon.EXIT_NOT_STARTED
+        told = (tmp_path / "again.log").read_text()
+        assert f"listen, 127.0.0.1:{port}: cannot listen" in told
+
+
+def test_a_node_that_does_not_come_up_is_named(tmp_path: pathlib.Path) -> None:
+    with processes.Cluster(tmp_path) as cluster:
+        added = cluster.add("n1", service="plans", zone="a", wait=False, backend=False)
+        added.node.kill()
+        with pytest.raises(processes.NotStarted, match="n1 did not come up"):
+            cluster.wait_up(added)
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -3,9 +3,12 @@
 Only the caller of this module starts processes; the product itself starts none.
 """
 
+import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,17 +21,37 @@
 SECRET = "a secret of the demonstration only"
 
 
+_FIRST_PORT = 12_000
+_RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+_given = itertools.count(random.SystemRandom().randrange(1_000))
+"""Begins anywhere, so that two runs at the same time seldom try the same ports."""
+
+
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free at present on the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return TCP ports that are free at present on the loopback address.
+
+    They lie below those that the system gives to outgoing connections. Ports that it
+    gave out as free were taken again, as such, before the node that was to listen on
+    them had started: of 40 nodes one or two then never came up.
+    """
+    span = int(_RANGE_FILE.read_text().split()[0]) - _FIRST_PORT
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _FIRST_PORT + next(_given) * _STRIDE % span
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
+_STRIDE = 7
+"""Prime to any span in use, so that every port has its turn before one comes again."""
+
+
+class NotStarted(Exception):
+    """A node did not come up; the text names it."""
+
+
 @dataclasses.dataclass
 class NodeProcess:
     """A node and the backend server beside it."""
@@ -129,9 +152,25 @@
             *[part for call in calls for part in ("--call", call)],
         )
         if wait:
-            wait_for(f"{started.admin}/status")
+            self.wait_up(started)
         return started
 
+    def wait_up(self, node: NodeProcess, timeout: float = 15.0) -> None:
+        """Wait until a node answers.
+
+        :raises NotStarted: naming the node, with the end of its log.
+        """
+        deadline = time.monotonic() + timeout
+        while True:
+            with contextlib.suppress(httpx.HTTPError):
+                httpx.get(f"{node.admin}/status", timeout=1.0, trust_env=False)
+                return
+            ended = node.node.poll()
+            if ended is not None or time.monotonic() > deadline:
+                tail = (self.folder / f"{node.name}.log").read_text()[-400:]
+                raise NotStarted(f"{node.name} did not come up ({ended=}): {tail}")
+            time.sleep(0.05)
+
     def wait_ready(self, *, members: int, timeout: float = 20.0) -> None:
         """Wait until every node knows so many upstreams."""
         deadline = time.monotonic() + timeout
