Keep a tree in the class of its root, and refuse roots on one scale

Cause: on routes a call took the higher of its root's class and its own route's. Ruled out: the gains of the level (they settle where levels and ranks share a scale). Change, in routed mode only: a tree keeps its root's class; levels are set on one scale for roots and their calls; a level refuses roots, and never the calls of a request that has begun, which their home sheds last.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -140,7 +140,9 @@
     """Count an arriving call in the current window."""
     window = state.backend.windows[-1]
     if len(window.ranks) < MAX_SAMPLES:
-        window.ranks.append(rank)
+        # On routes a level tells which requests to refuse at their root, whether the
+        # root itself or its calls come here; so both are put on one scale.
+        window.ranks.append(ranks.deep_rank(rank) if state.routed else rank)
 
 
 def has_slot(state: states.State) -> bool:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -327,7 +327,12 @@
     parent: states.Hosted,
 ) -> states.Call:
     terms = parent.terms
-    importance = max(rule.importance, terms.importance)
+    importance = terms.importance
+    if not state.routed:
+        importance = max(importance, rule.importance)
+    # A route's priority ranks its callers' requests among each other. Were it to lift
+    # a call above its request, a full service would tell a level that cuts off every
+    # request of the lower class at once instead of a part of them.
     if state.routed:
         # The route says how often a call may be sent, and the budget bounds the sum
         # over the graph. A share of the parent's tokens, of which there is mostly
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -626,7 +626,8 @@
     below = admission.tree_level(state, kind)
     if below > ranks.LOWEST:
         admission.ask_below(state, kind, out)
-    if ranks.deep_rank(hosted.rank) < below:
+    spared = state.routed and hosted.terms.depth > 0
+    if not spared and ranks.deep_rank(hosted.rank) < below:
         figures = (float(below), float(ranks.deep_rank(hosted.rank)))
         refuse(state, hosted, decisions.Rule.TREE_LEVEL, out, figures=figures)
         return False
--- a/src/gingerturn/internal/core/ranks.py
+++ b/src/gingerturn/internal/core/ranks.py
@@ -35,6 +35,11 @@
     return ids.Rank(rank | DEEP_BIT)
 
 
+def is_deep(rank: ids.Rank) -> bool:
+    """Tell whether a call is deeper than a root."""
+    return bool(rank & DEEP_BIT)
+
+
 def describe(rank: int) -> str:
     """Return a rank in an operator's words."""
     importance = rank >> CLASS_SHIFT
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -110,7 +110,11 @@
     if upstream is None:
         return True
     own, tree = levels(state, upstream, kind)
-    return rank >= own and ranks.deep_rank(rank) >= tree
+    if not state.routed:
+        return rank >= own and ranks.deep_rank(rank) >= tree
+    # Only roots are refused by a level: the work above a deeper call is spent, and its
+    # home sheds it last if it must.
+    return ranks.is_deep(rank) or ranks.deep_rank(rank) >= max(own, tree)
 
 
 def candidates(state: states.State, service: ids.ServiceName) -> list[ids.NodeId]:
