Bound retries over all nodes by what calls repeat

Calls of a repeated request, which count as repeats, drew on nothing. Ruled out: a larger share for each first attempt (four levels of a tree add up to 0.4). Change: the cap grows with the first attempts of the last window; a node starts with an empty budget; calls of a repeated request draw on their service's budget. Log lines: an answer passed on and an offer to another node say so.

--- a/src/gingerturn/internal/core/allowance.py
+++ b/src/gingerturn/internal/core/allowance.py
@@ -11,20 +11,58 @@
 adds its declared share, each retry takes one.
 """
 
+import math
+
 import msgspec
 
 MAX_BUDGET = 10.0
 """Cap of the budget: a burst of ten retries after a quiet time does no harm at
 the smallest declared upstream (20 slots), and more would arrive as one load."""
 
+WINDOW_MS = 10_000.0
+"""Time over which a bound on the retries of all nodes is counted."""
+
+BURST_SHARE = 0.05
+"""Part of the first attempts of one window that a node may save up for a burst, where
+retries are bounded over all nodes. Together with the share that each first attempt
+earns (0.1) it stays a quarter below the usual bound of 0.2."""
+
+SLACK_USED = 0.4
+"""Share of the declared slack that the caps of all nodes' budgets add up to. A node
+may spend its cap twice within one window, when the window's start empties a budget
+that its end finds filled again."""
+
 
 class Budget(msgspec.Struct):
     """The retry budget of one service at one node.
 
-    Invariant: ``0 <= held <= MAX_BUDGET``.
+    Invariant: ``held <= most`` after each first attempt. It is below zero while calls
+    of repeated requests, which count as repeats too, have drawn more than there was.
+
+    :param recent: first attempts of about the last window.
+    :param counted: when ``recent`` was last brought up to date.
     """
 
     held: float = MAX_BUDGET
+    recent: float = 0.0
+    counted: float = 0.0
+
+
+def count_first(budget: Budget, now: float) -> None:
+    """Count a first attempt; earlier ones fade over the window."""
+    elapsed = max(0.0, now - budget.counted)
+    budget.counted = now
+    budget.recent = budget.recent * math.exp(-elapsed / WINDOW_MS) + 1.0
+
+
+def shared_cap(budget: Budget, *, slack: float, nodes: int) -> float:
+    """Return the most that one of so many nodes may hold of a bound on them all."""
+    return slack * SLACK_USED / max(1, nodes) + BURST_SHARE * budget.recent
+
+
+def draw(budget: Budget) -> None:
+    """Take out a repeat that is made in any case: a call of a repeated request."""
+    budget.held -= 1.0
 
 
 def earn(budget: Budget, share: float, *, most: float = MAX_BUDGET) -> None:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -29,12 +29,6 @@
 """The home node ends a call at its deadline and knows whether it ran; the entry
 node waits this much longer for that word before it must say ``unknown``."""
 
-SLACK_USED = 0.4
-"""Share of the declared slack that the caps of all nodes' budgets add up to. A node
-may spend its cap twice within one window, when the window's start empties a budget
-that its end finds filled again; and a node that was replaced starts with a fresh
-one."""
-
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
@@ -85,11 +79,7 @@
     if not _key_fits(state, call, event, out):
         return
     heapq.heappush(state.deadlines, (call.deadline + GRACE_MS, CALL_DEADLINE, call.id))
-    allowance.earn(
-        _budget(state, call.service),
-        state.configuration.service(call.service).retry_share,
-        most=_most_budget(state),
-    )
+    _earn(state, call)
     _send_first(state, call, out)
 
 
@@ -123,13 +113,11 @@
         call.tried.append(attempt.node)
         if _retry(state, call, out):
             return
-    figures = (float(event.status),)
     decision = _decide(
         state,
         call,
         decisions.Rule.SENT,
         out,
-        figures,
         upstream=attempt.node,
         status=event.status,
     )
@@ -275,17 +263,28 @@
 def _budget(state: states.State, service: ids.ServiceName) -> allowance.Budget:
     budget = state.budgets.get(service)
     if budget is None:
-        budget = allowance.Budget(held=_most_budget(state))
+        budget = allowance.Budget()
+        if state.retry_slack is not None:
+            # A node that has just started does not know how many others there are,
+            # and when all start at once all would spend a share too large.
+            budget.held = 0.0
         state.budgets[service] = budget
     return budget
 
 
-def _most_budget(state: states.State) -> float:
-    """Return the cap of a retry budget: this node's part of what all may hold."""
-    if state.retry_slack is None:
-        return allowance.MAX_BUDGET
-    nodes = max(1, len(state.membership.members) - len(state.membership.gone))
-    return min(allowance.MAX_BUDGET, state.retry_slack * SLACK_USED / nodes)
+def _earn(state: states.State, call: states.Call) -> None:
+    """Let a first attempt earn its share of the service's retry budget."""
+    budget = _budget(state, call.service)
+    share = state.configuration.service(call.service).retry_share
+    most = allowance.MAX_BUDGET
+    if state.retry_slack is not None:
+        allowance.count_first(budget, state.now)
+        nodes = len(state.membership.members) - len(state.membership.gone)
+        most = allowance.shared_cap(budget, slack=state.retry_slack, nodes=nodes)
+    if call.repeat:
+        allowance.draw(budget)
+    else:
+        allowance.earn(budget, share, most=most)
 
 
 def _parent(state: states.State, event: events.CallArrived) -> states.Hosted | None:
@@ -365,6 +364,7 @@
         ),
         deadline=min(parent.deadline, event.now + timeout),
         tokens=tokens,
+        repeat=terms.repeat,
         trace=event.trace if state.lineage else terms.trace,
         key=key,
         key_derived=derived,
@@ -507,6 +507,7 @@
         key_derived=call.key_derived,
         first=call.first,
         ticket=call.holder,
+        repeat=call.repeat,
     )
     out.append(
         effects.OpenAttempt(
@@ -593,6 +594,7 @@
         _decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
         return False
     call.tokens -= 1
+    call.repeat = True
     _decide(state, call, decisions.Rule.RETRIED, out, figures)
     _send(state, call, node, out)
     return True
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -79,7 +79,6 @@
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
 
 _FIGURES = {
-    Rule.SENT: ("upstream's load", "upstream's limit", "tokens", "ms to the deadline"),
     Rule.LEVEL: ("lowest level of all upstreams", "upstreams", "own rank", ""),
     Rule.TREE_LEVEL: ("level of the services below", "own rank below", "", ""),
     Rule.NOT_IN_TIME: ("ms to the deadline", "observed service ms", "ms of wait", ""),
@@ -93,7 +92,7 @@
 }
 
 _WORDS = {
-    Rule.SENT: "The call was sent to an upstream.",
+    Rule.SENT: "The upstream's answer is passed on.",
     Rule.LEVEL: (
         "Refused before any work: every upstream sheds calls of this rank at present."
     ),
@@ -118,7 +117,7 @@
     ),
     Rule.CALLER_GONE: "Cancelled: the caller went away.",
     Rule.DEADLINE_PASSED: "Given up: the deadline passed.",
-    Rule.REDIRECTED: "Sent to the node that holds the claim of this key.",
+    Rule.REDIRECTED: "Offered to another node: the one before did not run it.",
     Rule.RUN: "Handed to the backend server.",
     Rule.QUEUED: "Queued: every slot within the limit is taken.",
     Rule.QUEUE_FULL: "Shed: the queue was full and this call ranked lowest in it.",
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -41,6 +41,8 @@
     :param tokens: retry tokens that the attempt takes along.
     :param key: key to be claimed before the call is handed over; empty when the
         call needs no claim.
+    :param repeat: an earlier sending of it, or of the request that it serves, reached
+        an upstream; what it calls counts as repeats too.
     :param ticket: the node that alone may run it, as ``node/incarnation``, when the
         key is a ticket; then no claim is needed.
     :param first: no earlier sending of this request, or of the one that it serves,
@@ -60,6 +62,7 @@
     key_derived: bool = False
     first: bool = True
     ticket: str = ""
+    repeat: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -17,6 +17,7 @@
     Invariant: ``tokens`` are those held here; those of ``attempt`` are not
     among them.
 
+    :param repeat: it is part of a request that is run again.
     :param parent: the hosted call on whose behalf the backend server calls.
     :param tried: upstreams that refused or lost this call.
     :param holder: the node that alone may run it, when its key is a ticket.
@@ -38,6 +39,7 @@
     key_derived: bool
     replayable: bool
     arrived: ids.Milliseconds
+    repeat: bool = False
     parent: ids.HostedId | None = None
     attempt: ids.AttemptId | None = None
     attempts: int = 0
