Promise 'not run' only after a word that says so

At the deadline the entry found no attempt and told 'not run' of a call that had run. Ruled out: the home's own word (it comes at the deadline, not 100 ms later), a lost connection (answered at once). Change: a call is cleared only by an explicit refusal or a sending that never left; a fault that loses an attempt leaves it unclear. Faults that nothing catches are logged. Before: test_fail_safe failed (told NOT_RUN). After: it passes. Conclusion: the promise no longer rests on the rest of the state being right.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -143,6 +143,7 @@
     if call is None:
         return
     call.attempt = None
+    call.cleared = event.refusal.outcome is messages.Outcome.NOT_RUN
     call.tried.append(attempt.node)
     if event.refusal.holder:
         _go_to_holder(state, call, event.refusal, out)
@@ -176,6 +177,7 @@
     call.attempt = None
     call.tried.append(attempt.node)
     if not event.reached:
+        call.cleared = True
         call.tokens += attempt.tokens
         if not _redirect(state, call, out):
             _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
@@ -487,6 +489,7 @@
     call.tokens -= tokens
     call.attempt = attempt
     call.attempts += 1
+    call.cleared = False
     state.attempts[attempt] = states.Attempt(
         id=attempt, call=call.id, node=node, tokens=tokens
     )
@@ -724,7 +727,8 @@
     figures: tuple[float, ...] = (),
 ) -> None:
     """Answer a call with a problem, at once, and forget it."""
-    outcome = messages.Outcome.NOT_RUN if call.first else messages.Outcome.UNKNOWN
+    certain = call.first and call.cleared
+    outcome = messages.Outcome.NOT_RUN if certain else messages.Outcome.UNKNOWN
     if call.holder and remote is not None:
         # The holder of a ticket alone may run it, so its word is the whole truth.
         outcome = remote.outcome
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -23,6 +23,9 @@
     :param holder: the node that alone may run it, when its key is a ticket.
     :param first: nothing of this request can have run so far; set to ``False``
         as soon as that is not certain, and never back.
+    :param cleared: no sending of it is open: none was made, or the last one was
+        certainly not run. Only then may a caller be told so, whatever else the state
+        says: a fault that lost an attempt must not turn into a promise.
     """
 
     id: ids.CallId
@@ -45,6 +48,7 @@
     attempts: int = 0
     redirects: int = 0
     first: bool = True
+    cleared: bool = True
     holder: str = ""
     tried: list[ids.NodeId] = []
 
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -4,6 +4,8 @@
 import collections.abc
 import signal
 import socket
+import traceback
+import typing
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
@@ -42,6 +44,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, node, cut)
     loop.add_signal_handler(signal.SIGHUP, _on_reload, node, reload)
+    loop.set_exception_handler(_on_fault)
     place = node.settings.node
     try:
         await node.start()
@@ -101,6 +104,14 @@
         await asyncio.wait([self._task], timeout=ADMIN_STOP_S)
 
 
+def _on_fault(loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]) -> None:
+    """Write a fault that nothing caught: one bad event must not end the process, nor
+    pass without a word."""
+    error = context.get("exception")
+    trace = "".join(traceback.format_exception(error)[-3:]) if error else ""
+    logs.write("ERROR", "node", f"Fault: {context['message']}.", trace=trace)
+
+
 def _on_signal(node: nodes.Node, cut: asyncio.Event) -> None:
     if node.stopping:
         cut.set()
--- /dev/null
+++ b/tests/cover/test_fail_safe.py
@@ -0,0 +1,58 @@
+"""What a caller is told when something inside went wrong: never a false promise."""
+
+import pytest
+
+from gingerturn import routes
+from gingerturn.internal.core import (
+    calls,
+    decisions,
+    effects,
+    events,
+    messages,
+    reducer,
+    routing,
+)
+from tests.common import builders, routed
+
+
+def test_a_sent_call_whose_refusal_could_not_be_taken_in_is_not_called_unrun(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Seen with half-edited sources: taking in a home's refusal ended in an error after
+    # the attempt had been forgotten; at the deadline the caller was told 'not run' of
+    # a call that had run.
+    state = routed.node_state(
+        routed.route(kind=routes.RouteType.UNREPEATABLE, timeout_ms=800)
+    )
+    builders.add_members(state, builders.member("n2", "plans"))
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+
+    def broken(*arguments: object, **options: object) -> None:
+        raise AttributeError("a fault of the program")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(routing, "note_answer", broken)
+        refusal = routed.refused(
+            sent.attempt,
+            rule=int(decisions.Rule.DEADLINE_PASSED),
+            outcome=messages.Outcome.UNKNOWN,
+        )
+        with pytest.raises(AttributeError):
+            reducer.reduce(state, refusal)
+    late = builders.START + 800 + calls.GRACE_MS + 10
+    out = reducer.reduce(state, events.Tick(now=late))
+    told = builders.only(out, effects.RefuseCall)
+    assert told.outcome is messages.Outcome.UNKNOWN
+    assert told.status == 504
+
+
+def test_a_call_refused_by_its_home_unrun_is_still_called_unrun() -> None:
+    state = routed.node_state(routed.route(kind=routes.RouteType.UNREPEATABLE))
+    builders.add_members(state, builders.member("n2", "plans"))
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    out = reducer.reduce(
+        state, routed.refused(sent.attempt, rule=int(decisions.Rule.LEAVING))
+    )
+    told = builders.only(out, effects.RefuseCall)
+    assert told.outcome is messages.Outcome.NOT_RUN
+    assert told.status == 503
