Tell the time to come back from the route's target

Ruled out: no time at all (who comes back at once meets the same level). Change: where load is the reason, a quarter to a half of the route's target.

--- a/src/gingerturn/configuration.py
+++ b/src/gingerturn/configuration.py
@@ -114,7 +114,10 @@
 
 
 class KindRule(msgspec.Struct, frozen=True):
-    """A kind ready for use by the core, its importance resolved to a class."""
+    """A kind ready for use by the core, its importance resolved to a class.
+
+    :param target_ms: time within which an answer has its full worth; 0 if not known.
+    """
 
     name: ids.KindName
     service: ids.ServiceName
@@ -125,6 +128,7 @@
     retry_allowance: int
     timeout_ms: int
     key: KeyRule
+    target_ms: int = 0
 
 
 class Configuration:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -29,6 +29,10 @@
 """The home node ends a call at its deadline and knows whether it ran; the entry
 node waits this much longer for that word before it must say ``unknown``."""
 
+COME_BACK_SHARE = 0.25
+COME_BACK_LEAST_MS = 100.0
+"""A caller is not sent back sooner than answers with new levels come."""
+
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
@@ -55,6 +59,15 @@
         decisions.Rule.BACKEND_UNREACHABLE,
     }
 )
+_SHED_RULES = frozenset(
+    {
+        decisions.Rule.LEVEL,
+        decisions.Rule.TREE_LEVEL,
+        decisions.Rule.QUEUE_FULL,
+        decisions.Rule.QUEUE_EXPIRED,
+        decisions.Rule.BACKEND_REFUSED,
+    }
+)
 _FINAL_RULES = frozenset({decisions.Rule.KEY_INVALID, decisions.Rule.NOT_IN_TIME})
 
 
@@ -716,6 +729,17 @@
 """Stands in for the kind of a request that has no route."""
 
 
+def _in_time_again(state: states.State, call: states.Call) -> ids.Milliseconds:
+    """Return when to come back so that an answer may still have its full worth.
+
+    Whoever comes back is ranked anew and has the same chance then as later; a quarter
+    to a half of the target leaves time for the work. Where nothing is to be had at all
+    the caller is sent away for longer.
+    """
+    share = COME_BACK_SHARE * (1.0 + state.random.random())
+    return max(COME_BACK_LEAST_MS, share * call.rule.target_ms)
+
+
 def _refuse(
     state: states.State,
     call: states.Call,
@@ -743,6 +767,8 @@
     # Where a home node refused, its decision tells more than that it did.
     decision = (remote.decision if remote else "") or own
     wait = retry_after or (remote.retry_after_ms if remote else 0.0)
+    if rule in _SHED_RULES and call.rule.target_ms:
+        wait = _in_time_again(state, call)
     if not wait and rule not in _NO_USE_COMING_BACK:
         wait = _COME_BACK_MS * (1.0 + state.random.random())
     out.append(
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -175,4 +175,5 @@
         retry_allowance=route.max_attempts - 1,
         timeout_ms=route.timeout_ms,
         key=configuration.KeyRule.GENERATED,
+        target_ms=route.target_ms,
     )
