Split the entry side: arrivals, calls, refusals

Cause: calls.py had grown to 800 lines with three jobs. Change: what a request is when it arrives, and how a call ends without an answer, are modules of their own; nothing else. The proof that takes 'unknown' out of the words a caller is told patches the new module too, since the words are chosen there now.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -1,6 +1,5 @@
 """The entry side: calls from callers, their attempts and retries."""
 
-import hashlib
 import heapq
 
 from gingerturn import configuration
@@ -8,6 +7,7 @@
 from gingerturn.internal.core import (
     admission,
     allowance,
+    arrivals,
     decisions,
     effects,
     events,
@@ -15,6 +15,7 @@
     messages,
     outbox,
     ranks,
+    refusals,
     route_table,
     routing,
     state as states,
@@ -29,18 +30,6 @@
 """The home node ends a call at its deadline and knows whether it ran; the entry
 node waits this much longer for that word before it must say ``unknown``."""
 
-SPARED_SHARE = 1.0 / 8
-"""On routes this share of every kind of request goes with the first priority, so that
-no kind is starved however little there is: users want each served at least a quarter as
-often as all. An eighth keeps to that until half of everything is refused."""
-
-SPARED_FROM = int((1.0 - SPARED_SHARE) * 2**64)
-"""The roots that are spared: those whose hash goes last in the shedding order."""
-
-COME_BACK_SHARE = 0.25
-COME_BACK_LEAST_MS = 100.0
-"""A caller is not sent back sooner than answers with new levels come."""
-
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
 OVERLOAD_STATUSES = frozenset({429, 503})
@@ -67,15 +56,6 @@
         decisions.Rule.BACKEND_UNREACHABLE,
     }
 )
-_SHED_RULES = frozenset(
-    {
-        decisions.Rule.LEVEL,
-        decisions.Rule.TREE_LEVEL,
-        decisions.Rule.QUEUE_FULL,
-        decisions.Rule.QUEUE_EXPIRED,
-        decisions.Rule.BACKEND_REFUSED,
-    }
-)
 _FINAL_RULES = frozenset({decisions.Rule.KEY_INVALID, decisions.Rule.NOT_IN_TIME})
 
 
@@ -87,18 +67,20 @@
     if state.routed:
         rule = route_table.resolve(state, event)
         if isinstance(rule, decisions.Rule):
-            _refuse(state, _root(state, event, _UNROUTED), rule, out)
+            refusals.refuse(
+                state, arrivals.root_call(state, event, arrivals.UNROUTED), rule, out
+            )
             return
     else:
         rule = state.configuration.classify(event.service, event.method, event.path)
-    parent = _parent(state, event)
+    parent = arrivals.parent_of(state, event)
     if parent is None:
-        call = _root(state, event, rule)
+        call = arrivals.root_call(state, event, rule)
     else:
-        call = _child(state, event, rule, parent)
+        call = arrivals.child_call(state, event, rule, parent)
     state.calls[call.id] = call
     if state.stopping and parent is None and not _served_while_stopping(state):
-        _refuse(state, call, decisions.Rule.STOPPING, out)
+        refusals.refuse(state, call, decisions.Rule.STOPPING, out)
         return
     if not _key_fits(state, call, event, out):
         return
@@ -114,9 +96,9 @@
     call = state.calls.get(event.call)
     if call is None:
         return
-    _decide(state, call, decisions.Rule.CALLER_GONE, out)
+    refusals.decide(state, call, decisions.Rule.CALLER_GONE, out)
     _cancel_attempt(state, call, out)
-    _finish(state, call)
+    refusals.finish(state, call)
 
 
 def on_attempt_answered(
@@ -137,7 +119,7 @@
         call.tried.append(attempt.node)
         if _retry(state, call, out):
             return
-    decision = _decide(
+    decision = refusals.decide(
         state,
         call,
         decisions.Rule.SENT,
@@ -146,7 +128,7 @@
         status=event.status,
     )
     out.append(effects.RelayAnswer(call=call.id, attempt=attempt.id, decision=decision))
-    _finish(state, call, failed=event.status >= FIRST_FAILURE_STATUS)
+    refusals.finish(state, call, failed=event.status >= FIRST_FAILURE_STATUS)
 
 
 def on_attempt_refused(
@@ -172,17 +154,17 @@
     if event.refusal.holder:
         _go_to_holder(state, call, event.refusal, out)
     elif event.refusal.outcome is messages.Outcome.ALREADY_RUN:
-        _refuse(state, call, rule, out, remote=event.refusal)
+        refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.outcome is messages.Outcome.UNKNOWN:
         call.first = False
         hopeless = rule in _DEADLINE_RULES or not _may_repeat(call)
         if hopeless or not _retry(state, call, out):
-            _refuse(state, call, rule, out, remote=event.refusal)
+            refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.arrived:
         if not _retry(state, call, out, ran=False):
-            _refuse(state, call, rule, out, remote=event.refusal)
+            refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif rule in _FINAL_RULES or not _redirect(state, call, out):
-        _refuse(state, call, rule, out, remote=event.refusal)
+        refusals.refuse(state, call, rule, out, remote=event.refusal)
 
 
 def on_attempt_lost(
@@ -204,12 +186,12 @@
         call.cleared = True
         call.tokens += attempt.tokens
         if not _redirect(state, call, out):
-            _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+            refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
         return
     call.first = False
     if _may_repeat(call) and _retry(state, call, out):
         return
-    _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+    refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
 
 
 def on_node_suspected(
@@ -237,7 +219,7 @@
         if call.attempt is not None:
             call.first = False
         _cancel_attempt(state, call, out)
-        _refuse(state, call, decisions.Rule.STOPPING, out)
+        refusals.refuse(state, call, decisions.Rule.STOPPING, out)
 
 
 def on_level_told(
@@ -261,7 +243,7 @@
         call.first = False
         routing.note_failure(state, attempt.node)
     _cancel_attempt(state, call, out)
-    _refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
+    refusals.refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
 
 
 def _worth_repeating(
@@ -313,119 +295,6 @@
         allowance.earn(budget, share, most=most)
 
 
-def _parent(state: states.State, event: events.CallArrived) -> states.Hosted | None:
-    hosted = state.spans.get(event.span)
-    return None if hosted is None else state.hosted.get(hosted)
-
-
-def _root(
-    state: states.State, event: events.CallArrived, rule: configuration.KindRule
-) -> states.Call:
-    identity = event.key or f"{event.trace}-{event.span}"
-    root = root_hash(identity)
-    timeout = float(rule.timeout_ms)
-    if event.timeout_ms > 0:
-        timeout = min(timeout, event.timeout_ms)
-    importance = rule.importance
-    if state.routed and root >= SPARED_FROM:
-        importance = configuration.IMPORTANCE_CLASSES - 1
-    return states.Call(
-        id=event.call,
-        rule=rule,
-        service=rule.service or event.service,
-        importance=importance,
-        depth=0,
-        root=root,
-        rank=ranks.rank_of(importance=importance, depth=0, root=root),
-        deadline=event.now + timeout,
-        tokens=rule.retry_allowance,
-        trace=event.trace,
-        key="" if rule.repeatable else event.key,
-        key_derived=False,
-        replayable=event.replayable,
-        arrived=event.now,
-        first=not event.key or rule.repeatable or event.sending == 1,
-        holder="" if rule.repeatable else event.holder,
-        tried=[],
-    )
-
-
-def _child(
-    state: states.State,
-    event: events.CallArrived,
-    rule: configuration.KindRule,
-    parent: states.Hosted,
-) -> states.Call:
-    terms = parent.terms
-    importance = terms.importance
-    if not state.routed:
-        importance = max(importance, rule.importance)
-    # A route's priority ranks its callers' requests among each other. Were it to lift
-    # a call above its request, a full service would tell a level that cuts off every
-    # request of the lower class at once instead of a part of them.
-    if state.routed:
-        # The route says how often a call may be sent, and the budget bounds the sum
-        # over the graph. A share of the parent's tokens, of which there is mostly
-        # one, would leave a call in a tree without any.
-        tokens = rule.retry_allowance
-    else:
-        tokens = allowance.part_for_child(parent.tokens)
-        parent.tokens -= tokens
-    seen = state.children_of.setdefault(terms.kind, {})
-    seen[(rule.service or event.service, rule.name)] = event.now
-    timeout = float(rule.timeout_ms)
-    if event.timeout_ms > 0:
-        timeout = min(timeout, event.timeout_ms)
-    key = "" if rule.repeatable else event.key
-    derived = False
-    if not rule.repeatable and not key and terms.repeatable:
-        # The parent may be sent again and would call once more. A parent that
-        # itself runs at most once needs no claim for what it calls.
-        key = _derived_key(event, parent)
-        derived = True
-    return states.Call(
-        id=event.call,
-        rule=rule,
-        service=rule.service or event.service,
-        importance=importance,
-        depth=terms.depth + 1,
-        root=terms.root,
-        rank=ranks.rank_of(
-            importance=importance, depth=terms.depth + 1, root=terms.root
-        ),
-        deadline=min(parent.deadline, event.now + timeout),
-        tokens=tokens,
-        repeat=terms.repeat,
-        trace=event.trace if state.lineage else terms.trace,
-        key=key,
-        key_derived=derived,
-        replayable=event.replayable,
-        arrived=event.now,
-        parent=parent.id,
-        first=terms.first and (not event.key or event.sending == 1),
-        holder="" if rule.repeatable else event.holder,
-        tried=[],
-    )
-
-
-def root_hash(identity: str) -> ids.RootHash:
-    """Return 64 bits that stand for a whole request at every hop."""
-    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
-    return ids.RootHash(int.from_bytes(digest))
-
-
-def _derived_key(event: events.CallArrived, parent: states.Hosted) -> str:
-    """Return a key that is the same when the parent is sent again.
-
-    Equal calls of one parent are told apart by their number, in order.
-    """
-    what = f"{event.service} {event.method} {event.path} {event.body_digest}"
-    ordinal = parent.children.get(what, 0)
-    parent.children[what] = ordinal + 1
-    identity = f"{parent.terms.root:016x} {what} {ordinal}"
-    return hashlib.blake2b(identity.encode(), digest_size=16).hexdigest()
-
-
 def _key_fits(
     state: states.State,
     call: states.Call,
@@ -436,12 +305,12 @@
         return True
     if not call.key:
         if call.parent is None and call.rule.key is configuration.KeyRule.REQUIRED:
-            _refuse(state, call, decisions.Rule.KEY_REQUIRED, out)
+            refusals.refuse(state, call, decisions.Rule.KEY_REQUIRED, out)
             return False
         return True
     if call.holder or keys.key_in_window(event.key, event.now):
         return True
-    _refuse(state, call, decisions.Rule.KEY_INVALID, out)
+    refusals.refuse(state, call, decisions.Rule.KEY_INVALID, out)
     return False
 
 
@@ -451,7 +320,7 @@
         return
     nodes = routing.candidates(state, call.service)
     if not nodes:
-        _refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+        refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
         return
     refused = (call.service, call.rule.name, call.rank & ranks.DEEP_BIT)
     if not call.key and call.rank <= state.refused.get(refused, -1):
@@ -475,7 +344,7 @@
     """
     member = _holding_member(state, call.holder)
     if member is None:
-        _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
     _send(state, call, member.node, out)
 
@@ -504,7 +373,7 @@
     lowest = routing.service_level(state, call.service, call.rule.name)
     retry_after = admission.come_back_after(state, call.rank, lowest)
     figures = (float(lowest), 0.0, float(call.rank))
-    _refuse(
+    refusals.refuse(
         state, call, decisions.Rule.LEVEL, out, retry_after=retry_after, figures=figures
     )
 
@@ -579,7 +448,9 @@
     if node is None:
         return False
     call.redirects += 1
-    _decide(state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1])
+    refusals.decide(
+        state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1]
+    )
     _send(state, call, node, out)
     return True
 
@@ -595,10 +466,12 @@
     member = _holding_member(state, refusal.holder)
     known = member is not None and member.node not in call.tried and call.replayable
     if member is None or not known or call.redirects >= MAX_REDIRECTS:
-        _refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
     call.redirects += 1
-    _decide(state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1])
+    refusals.decide(
+        state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1]
+    )
     _send(state, call, member.node, out)
 
 
@@ -616,18 +489,18 @@
     if not allowed or state.now >= call.deadline:
         return False
     if call.tokens < 1:
-        _decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
         return False
     node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
     if node is None:
-        _decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
         return False
     if not allowance.spend(budget):
-        _decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
         return False
     call.tokens -= 1
     call.repeat = True
-    _decide(state, call, decisions.Rule.RETRIED, out, figures)
+    refusals.decide(state, call, decisions.Rule.RETRIED, out, figures)
     _send(state, call, node, out)
     return True
 
@@ -664,137 +537,3 @@
         return
     _note_returned(state, attempt)
     out.append(effects.CancelAttempt(attempt=attempt.id))
-
-
-def _finish(state: states.State, call: states.Call, *, failed: bool = False) -> None:
-    """Forget a call; its parent gets its tokens back and learns of a failure."""
-    state.calls.pop(call.id, None)
-    if call.parent is None:
-        return
-    parent = state.hosted.get(call.parent)
-    if parent is not None:
-        if not state.routed:
-            parent.tokens += call.tokens
-        parent.child_failed |= failed
-
-
-def _decide(
-    state: states.State,
-    call: states.Call,
-    rule: decisions.Rule,
-    out: states.Effects,
-    figures: tuple[float, ...] = (),
-    *,
-    upstream: str = "",
-    status: int = 0,
-) -> str:
-    """Keep a decision, let it be logged, and return its id."""
-    decision = state.decisions.record(
-        rule,
-        now=state.now,
-        root=call.root,
-        kind=call.rule.name,
-        rank=call.rank,
-        revision=state.revisions.revision,
-        figures=figures,
-    )
-    out.append(
-        effects.LogDecision(
-            part="entry",
-            request=call.trace,
-            decision=decision,
-            rule=int(rule),
-            kind=call.rule.name,
-            upstream=upstream,
-            figures=figures,
-            version=state.version,
-            waited_ms=state.now - call.arrived,
-            status=status,
-        )
-    )
-    return decision
-
-
-_STATUS = {
-    decisions.Rule.KEY_REQUIRED: 428,
-    decisions.Rule.KEY_INVALID: 400,
-    decisions.Rule.ALREADY_RUN: 409,
-    decisions.Rule.DEADLINE_PASSED: 504,
-    decisions.Rule.NO_ROUTE: 404,
-}
-_COME_BACK_MS = 1_000.0
-_NO_USE_COMING_BACK = frozenset(
-    {
-        decisions.Rule.KEY_REQUIRED,
-        decisions.Rule.KEY_INVALID,
-        decisions.Rule.ALREADY_RUN,
-        decisions.Rule.NO_ROUTE,
-    }
-)
-_UNROUTED = configuration.KindRule(
-    name=ids.KindName("unrouted"),
-    service=ids.ServiceName(""),
-    importance=0,
-    path_prefix="/",
-    methods=(),
-    repeatable=True,
-    retry_allowance=0,
-    timeout_ms=configuration.DEFAULT_TIMEOUT_MS,
-    key=configuration.KeyRule.GENERATED,
-)
-"""Stands in for the kind of a request that has no route."""
-
-
-def _in_time_again(state: states.State, call: states.Call) -> ids.Milliseconds:
-    """Return when to come back so that an answer may still have its full worth.
-
-    Whoever comes back is ranked anew and has the same chance then as later; a quarter
-    to a half of the target leaves time for the work. Where nothing is to be had at all
-    the caller is sent away for longer.
-    """
-    share = COME_BACK_SHARE * (1.0 + state.random.random())
-    return max(COME_BACK_LEAST_MS, share * call.rule.target_ms)
-
-
-def _refuse(
-    state: states.State,
-    call: states.Call,
-    rule: decisions.Rule,
-    out: states.Effects,
-    *,
-    remote: messages.Refusal | None = None,
-    retry_after: float = 0.0,
-    figures: tuple[float, ...] = (),
-) -> None:
-    """Answer a call with a problem, at once, and forget it."""
-    certain = call.first and call.cleared
-    outcome = messages.Outcome.NOT_RUN if certain else messages.Outcome.UNKNOWN
-    if call.holder and remote is not None:
-        # The holder of a ticket alone may run it, so its word is the whole truth.
-        outcome = remote.outcome
-    if rule is decisions.Rule.ALREADY_RUN:
-        outcome = messages.Outcome.ALREADY_RUN
-    not_run = outcome is messages.Outcome.NOT_RUN
-    status = _STATUS.get(rule, 503 if not_run else 502)
-    if status == 504 and not_run:
-        status = 503
-    upstream = call.tried[-1] if call.tried else ""
-    own = _decide(state, call, rule, out, figures, upstream=upstream, status=status)
-    # Where a home node refused, its decision tells more than that it did.
-    decision = (remote.decision if remote else "") or own
-    wait = retry_after or (remote.retry_after_ms if remote else 0.0)
-    if rule in _SHED_RULES and call.rule.target_ms:
-        wait = _in_time_again(state, call)
-    if not wait and rule not in _NO_USE_COMING_BACK:
-        wait = _COME_BACK_MS * (1.0 + state.random.random())
-    out.append(
-        effects.RefuseCall(
-            call=call.id,
-            status=status,
-            outcome=outcome,
-            title=rule.name.lower().replace("_", " "),
-            retry_after_ms=wait,
-            decision=decision,
-        )
-    )
-    _finish(state, call, failed=True)
--- /dev/null
+++ b/src/gingerturn/internal/core/refusals.py
@@ -0,0 +1,147 @@
+"""How a call ends without an answer: what its caller is told, and what is kept."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    decisions,
+    effects,
+    messages,
+    state as states,
+)
+
+COME_BACK_SHARE = 0.25
+"""A refused caller comes back after a quarter to a half of the route's target."""
+
+COME_BACK_LEAST_MS = 100.0
+"""A caller is not sent back sooner than answers with new levels come."""
+
+_SHED_RULES = frozenset(
+    {
+        decisions.Rule.LEVEL,
+        decisions.Rule.TREE_LEVEL,
+        decisions.Rule.QUEUE_FULL,
+        decisions.Rule.QUEUE_EXPIRED,
+        decisions.Rule.BACKEND_REFUSED,
+    }
+)
+_STATUS = {
+    decisions.Rule.KEY_REQUIRED: 428,
+    decisions.Rule.KEY_INVALID: 400,
+    decisions.Rule.ALREADY_RUN: 409,
+    decisions.Rule.DEADLINE_PASSED: 504,
+    decisions.Rule.NO_ROUTE: 404,
+}
+_COME_BACK_MS = 1_000.0
+"""After one to two seconds where nothing better is known."""
+
+_NO_USE_COMING_BACK = frozenset(
+    {
+        decisions.Rule.KEY_REQUIRED,
+        decisions.Rule.KEY_INVALID,
+        decisions.Rule.ALREADY_RUN,
+        decisions.Rule.NO_ROUTE,
+    }
+)
+
+
+def finish(state: states.State, call: states.Call, *, failed: bool = False) -> None:
+    """Forget a call; its parent gets its tokens back and learns of a failure."""
+    state.calls.pop(call.id, None)
+    if call.parent is None:
+        return
+    parent = state.hosted.get(call.parent)
+    if parent is not None:
+        if not state.routed:
+            parent.tokens += call.tokens
+        parent.child_failed |= failed
+
+
+def decide(
+    state: states.State,
+    call: states.Call,
+    rule: decisions.Rule,
+    out: states.Effects,
+    figures: tuple[float, ...] = (),
+    *,
+    upstream: str = "",
+    status: int = 0,
+) -> str:
+    """Keep a decision, let it be logged, and return its id."""
+    decision = state.decisions.record(
+        rule,
+        now=state.now,
+        root=call.root,
+        kind=call.rule.name,
+        rank=call.rank,
+        revision=state.revisions.revision,
+        figures=figures,
+    )
+    out.append(
+        effects.LogDecision(
+            part="entry",
+            request=call.trace,
+            decision=decision,
+            rule=int(rule),
+            kind=call.rule.name,
+            upstream=upstream,
+            figures=figures,
+            version=state.version,
+            waited_ms=state.now - call.arrived,
+            status=status,
+        )
+    )
+    return decision
+
+
+def _in_time_again(state: states.State, call: states.Call) -> ids.Milliseconds:
+    """Return when to come back so that an answer may still have its full worth.
+
+    Whoever comes back is ranked anew and has the same chance then as later; a quarter
+    to a half of the target leaves time for the work. Where nothing is to be had at all
+    the caller is sent away for longer.
+    """
+    share = COME_BACK_SHARE * (1.0 + state.random.random())
+    return max(COME_BACK_LEAST_MS, share * call.rule.target_ms)
+
+
+def refuse(
+    state: states.State,
+    call: states.Call,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    remote: messages.Refusal | None = None,
+    retry_after: float = 0.0,
+    figures: tuple[float, ...] = (),
+) -> None:
+    """Answer a call with a problem, at once, and forget it."""
+    certain = call.first and call.cleared
+    outcome = messages.Outcome.NOT_RUN if certain else messages.Outcome.UNKNOWN
+    if call.holder and remote is not None:
+        # The holder of a ticket alone may run it, so its word is the whole truth.
+        outcome = remote.outcome
+    if rule is decisions.Rule.ALREADY_RUN:
+        outcome = messages.Outcome.ALREADY_RUN
+    not_run = outcome is messages.Outcome.NOT_RUN
+    status = _STATUS.get(rule, 503 if not_run else 502)
+    if status == 504 and not_run:
+        status = 503
+    upstream = call.tried[-1] if call.tried else ""
+    own = decide(state, call, rule, out, figures, upstream=upstream, status=status)
+    # Where a home node refused, its decision tells more than that it did.
+    decision = (remote.decision if remote else "") or own
+    wait = retry_after or (remote.retry_after_ms if remote else 0.0)
+    if rule in _SHED_RULES and call.rule.target_ms:
+        wait = _in_time_again(state, call)
+    if not wait and rule not in _NO_USE_COMING_BACK:
+        wait = _COME_BACK_MS * (1.0 + state.random.random())
+    out.append(
+        effects.RefuseCall(
+            call=call.id,
+            status=status,
+            outcome=outcome,
+            title=rule.name.lower().replace("_", " "),
+            retry_after_ms=wait,
+            decision=decision,
+        )
+    )
+    finish(state, call, failed=True)
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -21,6 +21,7 @@
     messages,
     ranks,
     reducer,
+    refusals,
     revisions,
     routing,
     state as states,
@@ -98,6 +99,7 @@
         MemberState = messages.MemberState
 
     patch.setattr(calls, "messages", _Messages)
+    patch.setattr(refusals, "messages", _Messages)
 
 
 def _leaving_takes_work(patch: pytest.MonkeyPatch) -> None:
