--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-Lines = tuple[bytes, ...]
-
 
 class Dialect(msgspec.Struct, frozen=True, kw_only=True):
     """Header names, in lower case; an empty one is not used.
