Say each thing once: status 421, the quiet rules, offers, dropped headers

Change: one of each; that set is made once at a node's start. Behaviour stays as it is. Before and after: tests/cover, tests/quality and tests/nocover pass, linter and types clean.

--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+TRACEPARENT = b"traceparent"
+"""W3C Trace Context."""
+
 
 class Dialect(msgspec.Struct, frozen=True, kw_only=True):
     """Header names, in lower case; an empty one is not used.
@@ -36,10 +39,11 @@
     lineage: bytes = b""
     retry_after_fractions: bool = False
 
-    @property
     def written_by_nodes(self) -> frozenset[bytes]:
-        """Headers that nodes write anew; a sender's own are dropped."""
-        names = (self.timeout, self.deadline, self.caller_service, self.instance)
+        """Return the headers that nodes write anew; a sender's own are dropped."""
+        names = {self.timeout, self.deadline, self.caller_service, self.instance}
+        if self.trace:
+            names.add(TRACEPARENT)
         return frozenset(name for name in names if name)
 
 
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -447,12 +447,18 @@
     node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
     if node is None:
         return False
+    _offer(state, call, node, out)
+    return True
+
+
+def _offer(
+    state: states.State, call: states.Call, node: ids.NodeId, out: states.Effects
+) -> None:
+    """Send a call that was not run where it was to another node."""
     call.redirects += 1
-    refusals.decide(
-        state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1]
-    )
+    rule = decisions.Rule.REDIRECTED
+    refusals.decide(state, call, rule, out, upstream=call.tried[-1])
     _send(state, call, node, out)
-    return True
 
 
 def _go_to_holder(
@@ -468,11 +474,7 @@
     if member is None or not known or call.redirects >= MAX_REDIRECTS:
         refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
-    call.redirects += 1
-    refusals.decide(
-        state, call, decisions.Rule.REDIRECTED, out, upstream=call.tried[-1]
-    )
-    _send(state, call, member.node, out)
+    _offer(state, call, member.node, out)
 
 
 def _retry(
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -56,12 +56,12 @@
     NO_CONFIGURATION = 35
 
 
-_QUIET = frozenset({Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST})
+REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
 
 
 def is_failure(rule: Rule, status: int) -> bool:
     """Tell whether a request fails, is sent again or goes elsewhere by a decision."""
-    return rule not in _QUIET or status >= 500
+    return rule in REFUSALS or status >= 500
 
 
 def words_of(rule: Rule) -> str:
@@ -76,8 +76,6 @@
     return {name: round(value, 3) for name, value in pairs if name}
 
 
-REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
-
 _FIGURES = {
     Rule.LEVEL: ("lowest level of all upstreams", "upstreams", "own rank", ""),
     Rule.TREE_LEVEL: ("level of the services below", "own rank below", "", ""),
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -20,9 +20,6 @@
 UNREACHABLE_MS = 500.0
 """Pause after the backend server refused a connection; one call then tries."""
 
-MISDIRECTED = 421
-"""Status (RFC 9110) of a backend server that is not the instance that was meant."""
-
 INSTANCES_KEPT = 64
 """Past instances remembered, to tell their late announcements: more than follow one
 another on an instance within any delay."""
@@ -186,7 +183,7 @@
     _end_slot(state, hosted, out, pump=False)
     if hosted.terms.key:
         _fail_key(state, hosted, out, handed=False)
-    if status == MISDIRECTED:
+    if status == messages.MISDIRECTED:
         # Another instance has the address now; the announced one is gone.
         _lose_backend(state, out)
         refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -7,6 +7,10 @@
 from gingerturn import routes
 from gingerturn.internal import ids
 
+MISDIRECTED = 421
+"""Status of a backend server that is not the one meant; it has run nothing
+(RFC 9110, 15.5.20)."""
+
 
 class Outcome(enum.Enum):
     """What a caller is told when it gets no answer of the backend server."""
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -8,6 +8,7 @@
 import httptools
 
 from gingerturn import dialect as dialects
+from gingerturn.internal.core import messages
 from gingerturn.internal.shell import clock, heads
 
 IDLE_MS = 3_000.0
@@ -215,7 +216,7 @@
             head += b"content-length: %b\r\n" % lengths[0]
         length = int(lengths[0]) if lengths and not chunked else -1
         mark = self._pool.dialect.not_executed
-        executed = status != heads.MISDIRECTED and all(
+        executed = status != messages.MISDIRECTED and all(
             name != mark for name, _ in self._headers
         )
         self._receiver.on_head(
--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -28,17 +28,11 @@
 """Headers of one connection (RFC 9110, 7.6.1) and those about framing, which each
 hop writes itself."""
 
-MISDIRECTED = 421
-"""Status of a backend server that is not the one meant; it has run nothing
-(RFC 9110, 15.5.20)."""
-
 OWN_PREFIX = b"gingerturn-"
 """Headers that only this system says; from outside they are dropped, but for the
-two below, which a caller may send."""
+timeout of the dialect and the one below, which a caller may send."""
 
-TIMEOUT_HEADER = b"gingerturn-timeout-ms"
 SENDING_HEADER = b"gingerturn-sending"
-TRACEPARENT = b"traceparent"
 KEY_HEADER = b"idempotency-key"
 
 Header = tuple[bytes, bytes]
@@ -91,7 +85,6 @@
     retry_after_ms: ids.Milliseconds,
     decision: str,
     close: bool,
-    first_sending: bool | None = None,
     with_body: bool = True,
     dialect: dialects.Dialect = dialects.OWN,
     request_id: bytes = b"",
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -480,7 +480,7 @@
         own = request.request_id.decode("latin-1")
         return own, ids.SpanId(parent.decode("latin-1") or own)
     for name, value in request.headers:
-        if name == heads.TRACEPARENT:
+        if name == dialects.TRACEPARENT:
             known = heads.parse_traceparent(value)
             if known is not None:
                 return known
@@ -514,11 +514,8 @@
     Framing is written anew: the length of a held body, or as announced.
     """
     dialect = node.dialect
-    without = dialect.written_by_nodes
-    if dialect.trace:
-        without |= {heads.TRACEPARENT}
     lines = request.method + b" " + target + b" HTTP/1.1\r\n"
-    lines += heads.passed_on(request.headers, without=without)
+    lines += heads.passed_on(request.headers, without=node.written_headers)
     if dialect.caller_service:
         own = node.settings.backend.service.encode()
         lines += b"%b: %b\r\n" % (dialect.caller_service, own)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -81,6 +81,7 @@
     ) -> None:
         self.settings = chosen
         self.dialect = dialect
+        self.written_headers = dialect.written_by_nodes()
         self.name = chosen.node.id
         self.incarnation = int(time.time() * 1000)
         self.secrets = [
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -277,3 +277,12 @@
 def all_of(out: list[effects.Effect], kind: type[E]) -> list[E]:
     """Return every effect of a type."""
     return [effect for effect in out if isinstance(effect, kind)]
+
+
+def passed(state: states.State, duration: float) -> list[effects.Effect]:
+    """Let time pass by ticks, and return every effect."""
+    out: list[effects.Effect] = []
+    end = state.now + duration
+    while state.now < end:
+        out += reducer.reduce(state, events.Tick(now=state.now + 10.0))
+    return out
--- a/tests/cover/test_keyed_members.py
+++ b/tests/cover/test_keyed_members.py
@@ -48,14 +48,6 @@
     )
 
 
-def _pass(state: states.State, duration: float) -> list[effects.Effect]:
-    out: list[effects.Effect] = []
-    end = state.now + duration
-    while state.now < end:
-        out += reducer.reduce(state, events.Tick(now=state.now + 10.0))
-    return out
-
-
 def test_the_own_record_is_put_before_the_others_are_read() -> None:
     state, out = _begun()
     put = builders.only(out, effects.PutRecord)
@@ -70,7 +62,7 @@
     state, out = _begun()
     put = builders.only(out, effects.PutRecord)
     reducer.reduce(state, events.PutFailed(now=state.now, put=put.put))
-    out = _pass(state, 2_500.0)
+    out = builders.passed(state, 2_500.0)
     assert builders.all_of(out, effects.PutRecord)
 
 
@@ -80,7 +72,7 @@
     out = _listed(state, "n2", "n3")
     assert {e.port for e in builders.all_of(out, effects.SendGossip)} == {9000, 9001}
     builders.add_members(state, builders.member("n2", "plans"))
-    out = _pass(state, 5_000.0)
+    out = builders.passed(state, 5_000.0)
     greeted = [
         e.port
         for e in builders.all_of(out, effects.SendGossip)
@@ -108,7 +100,7 @@
     for _ in range(12):
         failed = events.LogReadFailed(now=state.now, stream=streams.MEMBERS)
         reducer.reduce(state, failed)
-        out = _pass(state, streams.KEYED_RETRY_MAX_MS + 20.0)
+        out = builders.passed(state, streams.KEYED_RETRY_MAX_MS + 20.0)
         read = [e.stream for e in builders.all_of(out, effects.ReadNewest)]
         assert streams.MEMBERS in read
 
@@ -126,7 +118,7 @@
         now=state.now, stream=stream, first=20, records=(), oldest=20, end=20
     )
     reducer.reduce(state, gap)
-    out = _pass(state, 50.0)
+    out = builders.passed(state, 50.0)
     assert builders.only(out, effects.ReadNewest).stream == stream
 
 
@@ -136,7 +128,7 @@
     known = builders.member("n2", "plans")
     builders.add_members(state, known)
     builders.add_members(state, messages.Member(*_fields(known, gone)))
-    out = _pass(state, 2_100.0)
+    out = builders.passed(state, 2_100.0)
     assert any(e.port == 9001 for e in builders.all_of(out, effects.SendGossip))
 
 
--- a/tests/cover/test_silent_nodes.py
+++ b/tests/cover/test_silent_nodes.py
@@ -14,14 +14,6 @@
 from tests.common import builders, routed
 
 
-def _pass(state: states.State, duration: float) -> list[effects.Effect]:
-    out: list[effects.Effect] = []
-    end = state.now + duration
-    while state.now < end:
-        out += reducer.reduce(state, events.Tick(now=state.now + 10.0))
-    return out
-
-
 def _entry(kind: routes.RouteType) -> tuple[states.State, effects.OpenAttempt]:
     state = routed.node_state(routed.route(kind=kind, timeout_ms=5_000))
     builders.add_members(
@@ -35,7 +27,7 @@
     state = routed.node_state(service="porting", slots=1)
     terms = builders.call_terms(service="porting", repeatable=False, deadline_ms=800.0)
     reducer.reduce(state, builders.opened(1, terms))
-    out = _pass(state, 800.0 + hosting.UNKEYED_ORPHAN_MS + 50.0)
+    out = builders.passed(state, 800.0 + hosting.UNKEYED_ORPHAN_MS + 50.0)
     refusal = builders.only(out, effects.SendRefusal).refusal
     assert refusal.outcome is messages.Outcome.UNKNOWN
     assert builders.only(out, effects.CancelBackend).hosted == 1
@@ -44,7 +36,7 @@
 
 def test_a_repeatable_call_at_a_silent_node_goes_elsewhere() -> None:
     state, first = _entry(routes.RouteType.SAFE)
-    out = _pass(state, 4 * membership.PROBE_MS + membership.SUSPECT_AFTER_MS)
+    out = builders.passed(state, 4 * membership.PROBE_MS + membership.SUSPECT_AFTER_MS)
     again = builders.all_of(out, effects.OpenAttempt)
     assert [e.node != first.node for e in again] == [True]
     assert builders.only(out, effects.CancelAttempt).attempt == first.attempt
@@ -52,7 +44,7 @@
 
 def test_an_unrepeatable_call_at_a_silent_node_waits_for_it() -> None:
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
-    out = _pass(state, 4 * membership.PROBE_MS + membership.SUSPECT_AFTER_MS)
+    out = builders.passed(state, 4 * membership.PROBE_MS + membership.SUSPECT_AFTER_MS)
     assert not builders.all_of(out, effects.OpenAttempt)
     assert not builders.all_of(out, effects.CancelAttempt)
 
@@ -61,7 +53,7 @@
     # A request to a silent upstream was cut when the process ended.
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
     reducer.reduce(state, events.StopRequested(now=state.now, grace_ms=2_000.0))
-    out = _pass(state, 2_000.0 - reducer.LAST_ANSWERS_MS + 20.0)
+    out = builders.passed(state, 2_000.0 - reducer.LAST_ANSWERS_MS + 20.0)
     refusal = builders.only(out, effects.RefuseCall)
     assert refusal.status == 502
     assert refusal.outcome is messages.Outcome.UNKNOWN
