Take nothing from outside before a node has begun

The port for announcements was open before the start was applied. An announcement that came in between changed the backend server's state while the node was not yet a member, so no member was told; the ones after it changed nothing, so none was told later either. The backend server stayed unknown for as long as its node ran. On the users' platform the same happens to a node that is restarted beside a running server. Callers' requests in that window would have met a state without routes (404 from the unrouted interface). Ruled out: lost datagrams and spent rumours (all three knew three members); ports taken by another run (that gave exits with code 7 in parallel runs, told apart by the log); the log (the own record was acknowledged and listed). Change: addresses are bound first, the start is applied, then connections are taken; datagrams before the start are dropped. Free ports are looked for in the whole range and for UDP too, since parallel runs met on ports. Before and after: test_a_backend_server_announced_during_the_start_is_told_to_members fails without the change (twice of two) and passes with it.

--- a/src/gingerturn/internal/shell/gossip.py
+++ b/src/gingerturn/internal/shell/gossip.py
@@ -33,7 +33,10 @@
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        """Check a datagram and hand it to the core; drop what is not authentic."""
+        """Check a datagram and hand it to the core; drop what is not authentic, and
+        what comes before the start: whoever sent it will try again."""
+        if not self._node.begun:
+            return
         self.bytes_received += len(data)
         now = clock.now()
         try:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -62,8 +62,9 @@
 class Node:
     """One node.
 
-    Invariant: events are applied one at a time and the effects of one are carried
-    out before the next is applied, also when carrying out one makes another.
+    Invariants: events are applied one at a time and the effects of one are carried
+    out before the next is applied, also when carrying out one makes another; nothing
+    that comes from outside is applied before the start.
 
     :param chosen: its settings.
     :param record: binary file to which events are recorded, if any.
@@ -107,6 +108,7 @@
         self._servers: list[asyncio.Server] = []
         self._queue: collections.deque[events.Event] = collections.deque()
         self._applying = False
+        self._begun = False
         self._ticker: asyncio.TimerHandle | None = None
         self._numbers = 0
         self._was_ready = False
@@ -126,48 +128,44 @@
     def __repr__(self) -> str:
         return f"Node(name={self.name!r}, incarnation={self.incarnation})"
 
+    @property
+    def begun(self) -> bool:
+        """Whether the start has been applied."""
+        return self._begun
+
     @property
     def stopping(self) -> bool:
         """Whether a planned stop is under way."""
         return self.state.stopping
 
     async def start(self) -> None:
-        """Open the sockets and begin.
+        """Bind the addresses, begin, and only then take what comes in.
 
         :raises GingerturnError: naming the address that cannot be bound.
         """
-        loop = asyncio.get_running_loop()
         place = self.settings.node
-        with listening(place.host, place.calls_port):
-            self._servers.append(
-                await loop.create_server(
-                    lambda: ingress.CallerConnection(self), place.host, place.calls_port
-                )
-            )
-        with listening(place.host, place.peers_port):
-            self._servers.append(
-                await loop.create_server(
-                    lambda: peers.Accepted(self), place.host, place.peers_port
-                )
-            )
-        with listening(place.host, place.gossip_port):
-            await loop.create_datagram_endpoint(
-                lambda: self.gossip, (place.host, place.gossip_port)
-            )
+        await self._bind(lambda: ingress.CallerConnection(self), place.calls_port)
+        await self._bind(lambda: peers.Accepted(self), place.peers_port)
         for port in (place.ready_port, place.metrics_port):
             if port:
                 await self.serve_beside(probes.ready_handler(self), port)
+        with listening(place.host, place.gossip_port):
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self.gossip, (place.host, place.gossip_port)
+            )
         self.apply(self._started)
+        self._begun = True
+        for server in self._servers:
+            await server.start_serving()
         self._tick()
 
     async def serve_beside(self, handler: side_http.Handler, port: int) -> None:
-        """Serve what is not a call on a port of its own, until this node closes.
+        """Serve what is not a call on a port of its own, from the start of this node
+        until it closes.
 
         :raises GingerturnError: when the address cannot be bound.
         """
-        host = self.settings.node.host
-        with listening(host, port):
-            self._servers.append(await side_http.serve(handler, host, port))
+        await self._bind(lambda: side_http.Connection(handler), port)
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Take what the backend server tells of itself.
@@ -291,6 +289,22 @@
         )
         return await future
 
+    async def _bind(
+        self, make: collections.abc.Callable[[], asyncio.Protocol], port: int
+    ) -> None:
+        """Bind an address; it takes connections once the node has begun.
+
+        An announcement that came before the start was taken into a state that no
+        member was told of, and since the following ones changed nothing, the backend
+        server stayed unknown to the others for as long as the node ran.
+        """
+        host = self.settings.node.host
+        with listening(host, port):
+            server = await asyncio.get_running_loop().create_server(
+                make, host, port, start_serving=self._begun
+            )
+        self._servers.append(server)
+
     def _apply_one(self, event: events.Event) -> None:
         if self._recorder is not None:
             self._recorder.record(event)
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -39,7 +39,12 @@
 Handler = collections.abc.Callable[[Request], Reply]
 
 
-class _Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol):
+    """One connection.
+
+    :param handler: what answers its requests.
+    """
+
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
@@ -48,9 +53,11 @@
         self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the new connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -58,17 +65,21 @@
             self._transport.abort()
 
     def on_message_begin(self) -> None:
+        """Begin a request."""
         self._target = b""
         self._body.clear()
 
     def on_url(self, url: bytes) -> None:
+        """Gather the target; it may come in pieces."""
         self._target += url
 
     def on_body(self, body: bytes) -> None:
+        """Gather the body, up to its bound."""
         if len(self._body) <= MAX_BODY:
             self._body += body
 
     def on_message_complete(self) -> None:
+        """Answer the request."""
         reply = self._reply()
         keep = self._parser.should_keep_alive()
         head = heads.status_line(reply.status)
@@ -94,12 +105,3 @@
             # One bad request must not end the process that carries the calls.
             logs.write("ERROR", _PART, f"{request.path}: {error!r}.")
             return Reply(500)
-
-
-async def serve(handler: Handler, host: str, port: int) -> asyncio.Server:
-    """Serve a handler.
-
-    :raises OSError: when the address cannot be bound.
-    """
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: _Connection(handler), host, port)
--- /dev/null
+++ b/tests/nocover/test_start_of_a_node.py
@@ -0,0 +1,94 @@
+"""What comes to a node while it starts."""
+
+import asyncio
+import contextlib
+
+import msgspec
+
+from gingerturn import announcements, errors, log_service, settings
+from gingerturn.internal.shell import node as nodes, side_http
+from gingerturn_standins import processes
+
+ANNOUNCEMENT = announcements.Announcement(
+    service="plans", host="127.0.0.1", port=9, slots=8, instance="i-1", sequence=1
+)
+
+
+def _away(step: str) -> errors.LogServiceError:
+    return errors.LogServiceError("away", step=step, peer="log", took_effect=False)
+
+
+class _NoLog:
+    """A log service that is away."""
+
+    async def read(
+        self, stream: str, offset: int, *, wait: bool = True
+    ) -> log_service.Records:
+        raise _away("read")
+
+    async def append(
+        self, stream: str, record: bytes, *, expected_end: int | None = None
+    ) -> int:
+        raise _away("append")
+
+    async def newest(self, stream: str) -> log_service.Newest:
+        raise _away("newest")
+
+    async def put(self, stream: str, key: str, record: bytes) -> None:
+        raise _away("put")
+
+    async def close(self) -> None:
+        return
+
+
+def _settings(calls: int, peers: int, gossip: int) -> settings.Settings:
+    return settings.Settings(
+        node=settings.Node(
+            id="n1",
+            zone="a",
+            region="r",
+            host="127.0.0.1",
+            calls_port=calls,
+            peers_port=peers,
+            gossip_port=gossip,
+            admin_port=0,
+        ),
+        log=settings.Log(url="http://127.0.0.1:9", keyed=True),
+        secret=settings.Secret(current="a secret of the tests only"),
+        routing=settings.Routing(table=True),
+    )
+
+
+async def _announce(port: int, sequence: int) -> None:
+    body = str(sequence).encode()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = b"POST / HTTP/1.1\r\nhost: n\r\nconnection: close\r\n"
+    writer.write(head + b"content-length: %d\r\n\r\n%b" % (len(body), body))
+    assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def _start_between_announcements() -> str:
+    *ports, beside = processes.free_ports(4)
+    node = nodes.Node(_settings(*ports), log=_NoLog())
+
+    def handle(request: side_http.Request) -> side_http.Reply:
+        sequence = int(request.body)
+        node.announce(msgspec.structs.replace(ANNOUNCEMENT, sequence=sequence))
+        return side_http.Reply(200)
+
+    await node.serve_beside(handle, beside)
+    try:
+        with contextlib.suppress(ConnectionRefusedError):
+            await _announce(beside, 1)
+        await node.start()
+        await _announce(beside, 2)
+        me = node.state.membership.me
+        assert me is not None
+        return me.service
+    finally:
+        await node.close()
+
+
+def test_a_backend_server_announced_during_the_start_is_told_to_members() -> None:
+    assert asyncio.run(_start_between_announcements()) == "plans"
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -211,9 +210,5 @@
     """Return a port that is free together with the next one."""
     while True:
         (port,) = processes.free_ports(1)
-        try:
-            with socket.socket() as following:
-                following.bind(("127.0.0.1", port + 1))
+        if processes.is_free(port + 1):
             return port
-        except OSError:
-            continue
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -23,12 +23,12 @@
 
 _FIRST_PORT = 12_000
 _RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
-_given = itertools.count(random.SystemRandom().randrange(1_000))
+_given = itertools.count(random.SystemRandom().randrange(20_000))
 """Begins anywhere, so that two runs at the same time seldom try the same ports."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free at present on the loopback address.
+    """Return ports that are free at present on the loopback address, TCP and UDP.
 
     They lie below those that the system gives to outgoing connections. Ports that it
     gave out as free were taken again, as such, before the node that was to listen on
@@ -38,12 +38,22 @@
     ports: list[int] = []
     while len(ports) < count:
         port = _FIRST_PORT + next(_given) * _STRIDE % span
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+        if is_free(port):
             ports.append(port)
     return ports
 
 
+def is_free(port: int) -> bool:
+    """Tell whether a port is free at present."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 _STRIDE = 7
 """Prime to any span in use, so that every port has its turn before one comes again."""
 
