Enforce the bounds on callers that a route table brings

Looking at it showed two faults: bad input behind a request that was still being served was answered at once, so the caller read the 400 as the answer to the request before it; and a header line without an end was held without a bound, since the parser tells a header only once its line is whole. Change: head and body bytes, time for a head and idle time are taken from the table in force, without one from the settings (new fields, with ranges); 431, 413, 408 and a close. The answer to bad input waits until the requests before it have theirs. The request and what its head says moved to a module of their own.

--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -5,7 +5,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import clock, ingress, links
+from gingerturn.internal.shell import caller_requests, clock, links
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -18,7 +18,9 @@
 class PendingAttempt:
     """An attempt whose answer, or the end of whose answer, is awaited."""
 
-    def __init__(self, request: ingress.Request, carrier: links.Carrier) -> None:
+    def __init__(
+        self, request: caller_requests.Request, carrier: links.Carrier
+    ) -> None:
         self.request = request
         self.carrier = carrier
         self.answer: frames.Answer | None = None
@@ -33,7 +35,7 @@
 
     def __init__(self, node: "nodes.Node") -> None:
         self._node = node
-        self._requests: dict[ids.CallId, tuple[ingress.Request, float]] = {}
+        self._requests: dict[ids.CallId, tuple[caller_requests.Request, float]] = {}
         self._attempts: dict[int, PendingAttempt] = {}
         self._elapsed: list[ids.Milliseconds] = []
 
@@ -47,13 +49,13 @@
         }
 
     def begin_request(
-        self, request: ingress.Request, arrival: events.CallArrived
+        self, request: caller_requests.Request, arrival: events.CallArrived
     ) -> None:
         """Take a caller's request."""
         self._requests[request.call] = (request, arrival.now)
         self._node.apply(arrival)
 
-    def forget_request(self, request: ingress.Request) -> None:
+    def forget_request(self, request: caller_requests.Request) -> None:
         """Forget a request that is answered, or whose caller is gone."""
         known = self._requests.pop(request.call, None)
         if known is not None and request.answered:
@@ -147,7 +149,9 @@
                 request, self._upload_sink(effect.attempt, carrier)
             )
 
-    def _upload_sink(self, attempt: int, carrier: links.Carrier) -> ingress.BodySink:
+    def _upload_sink(
+        self, attempt: int, carrier: links.Carrier
+    ) -> caller_requests.BodySink:
         def sink(body: bytes, last: bool) -> None:
             if attempt in self._attempts:
                 carrier.send(frames.Chunk(call=attempt, body=body, last=last))
@@ -200,7 +204,7 @@
             known[0].connection.send_problem(known[0], effect)
 
     def _attempts_of(
-        self, request: ingress.Request
+        self, request: caller_requests.Request
     ) -> list[tuple[int, PendingAttempt]]:
         pending = self._attempts.get(request.attempt)
         if pending is None or pending.request is not request:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -3,18 +3,21 @@
 import asyncio
 import collections
 import collections.abc
-import hashlib
 import json
-import os
 import typing
-import urllib.parse
 
 import httptools
 
-from gingerturn import dialect as dialects, errors
+from gingerturn import errors
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages, routing
-from gingerturn.internal.shell import clock, heads, tickets
+from gingerturn.internal.shell import (
+    caller_limits,
+    caller_requests,
+    clock,
+    heads,
+    tickets,
+)
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -23,54 +26,17 @@
 MAX_PIPELINED = 8
 """Requests read ahead on one connection before reading pauses."""
 
-WINDOW = 262_144
-"""Bytes of a streamed body that may be under way without the receiver's word."""
-
-BodySink = collections.abc.Callable[[bytes, bool], None]
-"""Takes a piece of a body and whether it is the last."""
-
 OWN_AUTHORITY = "gingerturn"
 """The authority under which a node answers callers itself."""
 
 _PART = "ingress"
 
 
-class Request:
-    """One request of a caller, from its head to the end of its answer.
-
-    :param call: id under which the core knows it.
-    """
-
-    def __init__(self, connection: "CallerConnection") -> None:
-        self.connection = connection
-        self.call = ids.CallId(0)
-        self.attempt = 0
-        self.target = b""
-        self.method = b""
-        self.headers: list[heads.Header] = []
-        self.body = bytearray()
-        self.complete = False
-        self.dispatched = False
-        self.answered = False
-        self.streaming_in: BodySink | None = None
-        self.streaming_out = False
-        self.chunked_out = False
-        self.head = b""
-        self.close_after = False
-        self.request_id = b""
-        self.credit = WINDOW
-        self.resume_credit: typing.Callable[[int], None] | None = None
-        self.owed_credit = 0
-
-    def __repr__(self) -> str:
-        return f"Request({self.method!r}, {self.target!r}, call={self.call})"
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller; requests on it are served in order.
 
-    Invariant: only ``_requests[0]`` is dispatched, and an answer is only ever
-    written for it.
+    Invariants: only ``_requests[0]`` is dispatched, and an answer is only ever
+    written for it; nothing is read any more once there are last words.
 
     :param node: the node that serves it.
     """
@@ -79,9 +45,16 @@
         self._node = node
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
-        self._requests: collections.deque[Request] = collections.deque()
-        self._reading: Request | None = None
+        self._requests: collections.deque[caller_requests.Request] = collections.deque()
+        self._reading: caller_requests.Request | None = None
+        self._in_head = False
         self._head_bytes = 0
+        self._unread_bytes = 0
+        self._limits = caller_limits.in_force(node)
+        # When the head that is being read began, or the last request ended.
+        self._since = clock.now()
+        # The answer to bad input, kept until the requests before it have theirs.
+        self._last_words = b""
         self._closing = False
         self._write_paused = False
 
@@ -103,18 +76,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bad input ends the connection with a clear answer."""
-        if self._closing:
+        if self._closing or self._last_words:
             return
         try:
+            if self._in_head:
+                # The parser tells a header only once its line is whole, and would
+                # hold a line without an end.
+                self._count_unread(len(data))
             self._parser.feed_data(data)
         except _TooLarge:
-            self._reject(431, "the request's head is too large")
+            self._reject_head()
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrades are not served")
         except httptools.HttpParserError as error:
             reason = error.__context__ if error.__context__ else error
             if isinstance(reason, _TooLarge):
-                self._reject(431, "the request's head is too large")
+                self._reject_head()
                 return
             self._reject(400, f"not a valid HTTP/1.1 request: {error}")
 
@@ -136,8 +113,12 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
-        self._reading = Request(self)
+        self._reading = caller_requests.Request(self)
+        self._in_head = True
         self._head_bytes = 0
+        self._unread_bytes = 0
+        self._limits = caller_limits.in_force(self._node)
+        self._since = clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Gather the target; it may come in pieces."""
@@ -152,21 +133,31 @@
 
     def on_headers_complete(self) -> None:
         """Check the head, now that it is whole."""
+        self._in_head = False
         request = self._current()
         request.method = self._parser.get_method()
         request.close_after = not self._parser.should_keep_alive()
         self._requests.append(request)
-        problem = _framing_problem(request, self._parser.get_http_version())
+        version = self._parser.get_http_version()
+        problem = caller_requests.framing_problem(request, version)
         if problem:
             self._reject(400, problem)
             return
-        if any(name == b"expect" for name, _ in request.headers):
+        if caller_requests.announced_length(request) > self._limits.body_bytes:
+            self._reject_body()
+            return
+        expects = any(name == b"expect" for name, _ in request.headers)
+        if expects and request is self._requests[0]:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Take a piece of a body: hold it, or stream it on."""
         request = self._current()
-        if self._closing:
+        if self._closing or self._last_words:
+            return
+        request.body_bytes += len(body)
+        if request.body_bytes > self._limits.body_bytes:
+            self._reject_body()
             return
         if request.streaming_in is not None:
             self._stream_in(request, body)
@@ -186,7 +177,7 @@
         request = self._current()
         request.complete = True
         self._reading = None
-        if self._closing:
+        if self._closing or self._last_words:
             return
         if request.streaming_in is not None:
             request.streaming_in(b"", True)
@@ -198,23 +189,27 @@
 
     # Towards the node.
 
-    def start_streaming(self, request: Request, sink: "BodySink") -> None:
+    def start_streaming(
+        self, request: caller_requests.Request, sink: caller_requests.BodySink
+    ) -> None:
         """Send the rest of a long body on as it arrives."""
         request.streaming_in = sink
-        request.credit = WINDOW - len(request.body)
+        request.credit = caller_requests.WINDOW - len(request.body)
         if request.complete:
             sink(b"", True)
             return
         if request.credit > 0:
             self._transport.resume_reading()
 
-    def add_credit(self, request: Request, count: int) -> None:
+    def add_credit(self, request: caller_requests.Request, count: int) -> None:
         """Let more of a long body in."""
         request.credit += count
         if request.credit > 0 and not self._closing:
             self._transport.resume_reading()
 
-    def send_whole(self, request: Request, head: bytes, body: bytes) -> None:
+    def send_whole(
+        self, request: caller_requests.Request, head: bytes, body: bytes
+    ) -> None:
         """Write a whole answer."""
         if self._closing:
             return
@@ -226,7 +221,9 @@
             self._transport.write(body)
         self._finish(request)
 
-    def send_streaming(self, request: Request, head: bytes, length: int) -> None:
+    def send_streaming(
+        self, request: caller_requests.Request, head: bytes, length: int
+    ) -> None:
         """Write the head of a long answer; its body follows in pieces."""
         if self._closing:
             return
@@ -238,7 +235,9 @@
             head += b"content-length: %d\r\n" % length
         self._write_head(request, head)
 
-    def send_piece(self, request: Request, body: bytes, *, last: bool) -> None:
+    def send_piece(
+        self, request: caller_requests.Request, body: bytes, *, last: bool
+    ) -> None:
         """Write a piece of a long answer and grant credit for as much."""
         if self._closing:
             return
@@ -256,7 +255,7 @@
         elif request.resume_credit is not None:
             request.resume_credit(len(body))
 
-    def cut(self, request: Request) -> None:
+    def cut(self, request: caller_requests.Request) -> None:
         """End a long answer that cannot be completed.
 
         The caller sees fewer bytes than announced, or no last chunk, and so never
@@ -264,7 +263,9 @@
         """
         self._transport.abort()
 
-    def send_problem(self, request: Request, refusal: effects.RefuseCall) -> None:
+    def send_problem(
+        self, request: caller_requests.Request, refusal: effects.RefuseCall
+    ) -> None:
         """Write a problem, at once."""
         if self._closing or request.answered:
             return
@@ -290,22 +291,39 @@
         """Whether no request is being served or read."""
         return not self._requests and self._reading is None
 
+    def check_time(self, now: ids.Milliseconds) -> None:
+        """End a connection whose request's head, or next request, does not come."""
+        if self._requests or self._closing:
+            return
+        limits = caller_limits.in_force(self._node)
+        waited = now - self._since
+        if self._reading is not None:
+            if waited > limits.head_timeout_ms:
+                self._reject(408, "the request's head took too long")
+        elif waited > limits.idle_timeout_ms:
+            self.close()
+
     def close(self) -> None:
         """Close the connection once what was written is sent."""
         self._closing = True
         self._transport.close()
 
-    def _current(self) -> Request:
+    def _current(self) -> caller_requests.Request:
         if self._reading is None:
-            self._reading = Request(self)
+            self._reading = caller_requests.Request(self)
         return self._reading
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
-        if self._head_bytes > self._node.settings.limits.head_bytes:
+        if self._head_bytes > self._limits.head_bytes:
+            raise _TooLarge
+
+    def _count_unread(self, count: int) -> None:
+        self._unread_bytes += count
+        if self._unread_bytes > self._limits.head_bytes:
             raise _TooLarge
 
-    def _stream_in(self, request: Request, body: bytes) -> None:
+    def _stream_in(self, request: caller_requests.Request, body: bytes) -> None:
         if request.streaming_in is None:
             return
         request.credit -= len(body)
@@ -313,23 +331,23 @@
             self._transport.pause_reading()
         request.streaming_in(body, False)
 
-    def _dispatch(self, request: Request) -> None:
+    def _dispatch(self, request: caller_requests.Request) -> None:
         request.dispatched = True
         request.call = ids.CallId(self._node.next_number())
-        service, path, target = _destination(request)
+        service, path, target = caller_requests.destination(request)
         if not service:
             self._reject(400, "the request names no service in Host")
             return
         dialect = self._node.dialect
         if dialect.request_id:
-            request.request_id = _header(request, dialect.request_id)
+            request.request_id = caller_requests.header(request, dialect.request_id)
         if service == OWN_AUTHORITY:
             self._answer_own(request, path)
             return
         if not self._node.state.routed and not self._node.knows_service(service):
             self._answer_unknown(request, service)
             return
-        key = _text_header(request, heads.KEY_HEADER)
+        key = caller_requests.text_header(request, heads.KEY_HEADER)
         holder = ""
         if tickets.is_ticket(key):
             try:
@@ -339,8 +357,8 @@
             except errors.InvalidArgument as error:
                 self._reject(400, error.message)
                 return
-        trace, span = _trace_of(request, dialect)
-        request.head = _request_head(request, target, self._node)
+        trace, span = caller_requests.trace_of(request, dialect)
+        request.head = caller_requests.request_head(request, target, self._node)
         arrival = events.CallArrived(
             now=clock.now(),
             call=request.call,
@@ -351,14 +369,14 @@
             span=span,
             key=key,
             holder=holder,
-            timeout_ms=_number_header(request, dialect.timeout),
+            timeout_ms=caller_requests.number_header(request, dialect.timeout),
             replayable=request.complete,
-            body_digest=_digest(request.body) if request.body else "",
-            sending=int(_number_header(request, heads.SENDING_HEADER)),
+            body_digest=caller_requests.digest(request.body) if request.body else "",
+            sending=int(caller_requests.number_header(request, heads.SENDING_HEADER)),
         )
         self._node.entry.begin_request(request, arrival)
 
-    def _answer_own(self, request: Request, path: str) -> None:
+    def _answer_own(self, request: caller_requests.Request, path: str) -> None:
         """Mint a ticket: ``POST /tickets/SERVICE`` with ``Host: gingerturn``."""
         service = ids.ServiceName(path.removeprefix("/tickets/"))
         holder = ""
@@ -373,7 +391,7 @@
         head = heads.status_line(201) + b"content-type: application/json\r\n"
         self.send_whole(request, head, json.dumps({"key": key}).encode())
 
-    def _answer_unknown(self, request: Request, service: str) -> None:
+    def _answer_unknown(self, request: caller_requests.Request, service: str) -> None:
         logs.write("WARNING", _PART, f"Service {service[:64]!r} is not known.")
         refusal = effects.RefuseCall(
             call=request.call,
@@ -385,7 +403,7 @@
         )
         self.send_problem(request, refusal)
 
-    def _write_head(self, request: Request, head: bytes) -> None:
+    def _write_head(self, request: caller_requests.Request, head: bytes) -> None:
         request.answered = True
         if not request.complete:
             request.close_after = True
@@ -393,12 +411,17 @@
             head += b"connection: close\r\n"
         self._transport.write(head + b"\r\n")
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: caller_requests.Request) -> None:
         request.answered = True
         request.streaming_out = False
         self._node.entry.forget_request(request)
         if self._requests and self._requests[0] is request:
             self._requests.popleft()
+        self._since = clock.now()
+        if self._last_words and not self._requests:
+            self._transport.write(self._last_words)
+            self.close()
+            return
         if request.close_after or self._node.stopping:
             self.close()
             return
@@ -408,122 +431,40 @@
             if following.complete:
                 self._dispatch(following)
 
+    def _reject_head(self) -> None:
+        most = self._limits.head_bytes
+        self._reject(431, f"the request's head is longer than {most} bytes")
+
+    def _reject_body(self) -> None:
+        most = self._limits.body_bytes
+        self._reject(413, f"the request's body is longer than {most} bytes")
+
     def _reject(self, status: int, title: str) -> None:
         """Answer bad input and close: what follows on the connection cannot be
         told apart from the rest of the bad request."""
-        if self._closing:
+        if self._closing or self._last_words:
             return
         logs.write("WARNING", _PART, f"Request rejected with {status}: {title[:120]}.")
-        if len(self._requests) <= 1 and not (
-            self._requests and self._requests[0].answered
-        ):
-            self._transport.write(
-                heads.problem(
-                    status=status,
-                    outcome=messages.Outcome.NOT_RUN,
-                    title=title[:200],
-                    retry_after_ms=0,
-                    decision="",
-                    close=True,
-                    dialect=self._node.dialect,
-                )
-            )
+        self._last_words = heads.problem(
+            status=status,
+            outcome=messages.Outcome.NOT_RUN,
+            title=title[:200],
+            retry_after_ms=0,
+            decision="",
+            close=True,
+            dialect=self._node.dialect,
+        )
+        bad = self._reading
+        if any(request is not bad for request in self._requests):
+            # Written now it would be read as the answer to the first of them.
+            if bad is not None and bad in self._requests:
+                self._requests.remove(bad)
+            return
+        if self._requests and self._requests[0].answered:
+            self._last_words = b""
+        self._transport.write(self._last_words)
         self.close()
 
 
 class _TooLarge(Exception):
     """The head exceeds its bound."""
-
-
-def _framing_problem(request: Request, version: str) -> str:
-    """Return what is wrong with a head, or an empty string.
-
-    A request whose length two parties could read differently is refused: that is
-    how requests are smuggled past one of them.
-    """
-    if version != "1.1":
-        return f"HTTP/{version} is not served; use HTTP/1.1"
-    names = [name for name, _ in request.headers]
-    if names.count(b"content-length") > 1:
-        return "Content-Length is given more than once"
-    if names.count(b"host") != 1:
-        return "Host must be given exactly once"
-    if b"content-length" in names and b"transfer-encoding" in names:
-        return "Content-Length and Transfer-Encoding are given both"
-    for name, value in request.headers:
-        if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            return "Transfer-Encoding must be chunked"
-    return ""
-
-
-def _destination(request: Request) -> tuple[str, str, bytes]:
-    """Return service, path and target of a request."""
-    target = request.target
-    authority = next(
-        (value.decode("latin-1") for n, value in request.headers if n == b"host"), ""
-    )
-    if target.startswith(b"http://"):
-        parts = urllib.parse.urlsplit(target.decode("latin-1"))
-        authority = parts.netloc
-        path = parts.path or "/"
-        query = f"?{parts.query}" if parts.query else ""
-        target = f"{path}{query}".encode("latin-1")
-    service = authority.rsplit("@", 1)[-1].split(":", 1)[0].strip().lower()
-    path = target.split(b"?", 1)[0].decode("latin-1")
-    return service, path, target
-
-
-def _trace_of(request: Request, dialect: dialects.Dialect) -> tuple[str, ids.SpanId]:
-    """Return what stands for the request, and for what it is part of."""
-    if dialect.lineage and request.request_id:
-        parent = request.request_id.rpartition(dialect.lineage)[0]
-        own = request.request_id.decode("latin-1")
-        return own, ids.SpanId(parent.decode("latin-1") or own)
-    for name, value in request.headers:
-        if name == dialects.TRACEPARENT:
-            known = heads.parse_traceparent(value)
-            if known is not None:
-                return known
-    fresh = os.urandom(24).hex()
-    return fresh[:32], ids.SpanId(fresh[32:])
-
-
-def _header(request: Request, wanted: bytes) -> bytes:
-    for name, value in request.headers:
-        if name == wanted:
-            return value.strip()
-    return b""
-
-
-def _text_header(request: Request, wanted: bytes) -> str:
-    return _header(request, wanted).decode("latin-1").strip('"')
-
-
-def _number_header(request: Request, wanted: bytes) -> float:
-    text = _text_header(request, wanted)
-    return float(text) if text.isdigit() and len(text) <= 9 else 0.0
-
-
-def _digest(body: bytes | bytearray) -> str:
-    return hashlib.blake2b(body, digest_size=16).hexdigest()
-
-
-def _request_head(request: Request, target: bytes, node: "nodes.Node") -> bytes:
-    """Return the head that goes to the backend server, without its end.
-
-    Framing is written anew: the length of a held body, or as announced.
-    """
-    dialect = node.dialect
-    lines = request.method + b" " + target + b" HTTP/1.1\r\n"
-    lines += heads.passed_on(request.headers, without=node.written_headers)
-    if dialect.caller_service:
-        own = node.settings.backend.service.encode()
-        lines += b"%b: %b\r\n" % (dialect.caller_service, own)
-    if request.complete:
-        if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
-            lines += b"content-length: %d\r\n" % len(request.body)
-        return lines
-    for name, value in request.headers:
-        if name == b"content-length":
-            return lines + b"content-length: %b\r\n" % value
-    return lines + b"transfer-encoding: chunked\r\n"
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -29,6 +29,7 @@
     trace,
 )
 from gingerturn.internal.shell import (
+    caller_limits,
     clock,
     entry,
     gossip,
@@ -113,6 +114,7 @@
         self._numbers = 0
         self._was_ready = False
         self._report_at = 0.0
+        self._check_callers_at = 0.0
         self._handlers: Handlers = {
             **self.entry.handlers(),
             **self.home.handlers(),
@@ -324,6 +326,12 @@
             self._report_at = now + REPORT_MS
             self.counters.lines_dropped += logs.report_left_out()
 
+    def _check_callers(self) -> None:
+        now = clock.now()
+        if now >= self._check_callers_at:
+            self._check_callers_at = now + caller_limits.CHECK_MS
+            caller_limits.check_times(self, now)
+
     def _publish_ended(self, effect: effects.PublishEnded) -> None:
         future = self._publications.pop(effect.request, None)
         if future is not None and not future.done():
@@ -381,6 +389,7 @@
         self.home.pool.close_idle()
         self.entry.record_durations()
         self._note_readiness()
+        self._check_callers()
         self.counters.control_seconds += time.thread_time() - begun
         loop = asyncio.get_running_loop()
         self._ticker = loop.call_later(timers.TICK_MS / 1000.0, self._tick)
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -59,11 +59,14 @@
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
-    """What callers may send, and how long a connection may take or stay idle."""
+    """What callers may send, and how long a connection may take or stay idle.
 
-    header_bytes: int = 32_768
+    :param head_timeout_ms: from the first byte of a head to its last.
+    """
+
+    head_bytes: int = 32_768
     body_bytes: int = 67_108_864
-    header_timeout_ms: int = 10_000
+    head_timeout_ms: int = 10_000
     idle_timeout_ms: int = 60_000
 
 
@@ -88,6 +91,9 @@
     seen: set[tuple[str, str]] = set()
     if table.version < 1:
         problems.append(f"version is {table.version}; allowed is 1 or more")
+    for field, value in msgspec.structs.asdict(table.limits).items():
+        if value < 1:
+            problems.append(f"limits: {field} is {value}; allowed is 1 or more")
     for route in table.routes:
         problems += [f"route {route.name!r}: {p}" for p in _route_problems(route)]
         place = (route.host, route.path_prefix)
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -106,17 +106,38 @@
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True):
-    """Bounds on memory.
+    """Bounds on memory, and on what callers send.
+
+    A route table brings bounds on callers of its own, which go before these.
 
     :param body_buffer: bytes of a body that are held to be sent again or
         checked whole; longer bodies are streamed.
     :param decisions: decision records kept for ``gingerturn why``, of admissions
         and of refusals each; 64 bytes a record.
+    :param head_bytes: of a caller's request.
+    :param body_bytes: of a caller's request.
+    :param head_timeout_ms: from the first byte of a head to its last.
+    :param idle_timeout_ms: after which a caller's connection without a request is
+        closed; longer than load balancers and client libraries keep theirs.
     """
 
     body_buffer: int = 262_144
     head_bytes: int = 32_768
     decisions: int = 32_768
+    body_bytes: int = 1_073_741_824
+    head_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 120_000
+
+
+LIMIT_RANGES = {
+    "body_buffer": (1_024, MAX_BODY_BUFFER),
+    "decisions": (1_024, 1_048_576),
+    "head_bytes": (1_024, 1_048_576),
+    "body_bytes": (1, 1 << 40),
+    "head_timeout_ms": (100, 600_000),
+    "idle_timeout_ms": (100, 86_400_000),
+}
+"""Least and most allowed of each limit."""
 
 
 class Logging(msgspec.Struct, forbid_unknown_fields=True):
@@ -223,23 +244,9 @@
     check("$.secret.current", _check_secret, "current", settings.secret.current)
     if settings.secret.previous:
         check("$.secret.previous", _check_secret, "previous", settings.secret.previous)
-    limits = settings.limits
-    check(
-        "$.limits.body_buffer",
-        checks.check_range,
-        "body_buffer",
-        limits.body_buffer,
-        1024,
-        MAX_BODY_BUFFER,
-    )
-    check(
-        "$.limits.decisions",
-        checks.check_range,
-        "decisions",
-        limits.decisions,
-        1024,
-        1_048_576,
-    )
+    for field, (least, most) in LIMIT_RANGES.items():
+        value = getattr(settings.limits, field)
+        check(f"$.limits.{field}", checks.check_range, field, value, least, most)
     if settings.backend.service:
         service = settings.backend.service
         check("$.backend.service", checks.check_name, "service", service)
--- /dev/null
+++ b/tests/cover/test_caller_limits.py
@@ -0,0 +1,167 @@
+"""What callers may send, and how long their connections may take."""
+
+import re
+
+import pytest
+
+from gingerturn import errors, routes
+from gingerturn.internal.core import effects, messages
+from gingerturn.internal.shell import (
+    caller_limits,
+    caller_requests,
+    clock,
+    ingress,
+    node as nodes,
+)
+from tests.common import builders, routed, transports
+
+LIMITS = routes.RequestLimits(
+    head_bytes=200, body_bytes=10, head_timeout_ms=3_000, idle_timeout_ms=5_000
+)
+
+
+class Caller:
+    """A connection to a node whose table has :data:`LIMITS`, without a network."""
+
+    def __init__(self, limits: routes.RequestLimits = LIMITS) -> None:
+        self.node = nodes.Node(builders.settings())
+        self.node.state.routed = True
+        self.put_in_force(limits)
+        self.dispatched: list[caller_requests.Request] = []
+        self.node.entry.begin_request = (  # type: ignore[method-assign]
+            lambda request, arrival: self.dispatched.append(request)
+        )
+        self.connection = ingress.CallerConnection(self.node)
+        self.transport = transports.Transport()
+        self.connection.connection_made(self.transport)  # type: ignore[arg-type]
+
+    def put_in_force(self, limits: routes.RequestLimits) -> None:
+        table = routes.RouteTable(version=1, routes=(routed.route(),), limits=limits)
+        self.node.state.routes = routes.RouteIndex(table)
+
+    @property
+    def statuses(self) -> list[int]:
+        """Statuses of all answers so far."""
+        found = re.findall(rb"HTTP/1.1 (\d+) ", bytes(self.transport.written))
+        return [int(status) for status in found]
+
+    def send(self, *pieces: bytes) -> None:
+        for piece in pieces:
+            self.connection.data_received(piece)
+
+    def pass_time(self, elapsed_ms: float) -> None:
+        caller_limits.check_times(self.node, clock.now() + elapsed_ms)
+
+
+GET = b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
+
+
+def _put(framing: bytes, body: bytes = b"") -> bytes:
+    return b"PUT /a/ HTTP/1.1\r\nhost: shop.example\r\n%b\r\n\r\n%b" % (framing, body)
+
+
+def test_a_head_over_the_bound_of_the_table_is_refused() -> None:
+    caller = Caller()
+    caller.send(
+        b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\nx: %b\r\n\r\n" % (b"y" * 200)
+    )
+    assert caller.statuses == [431]
+    assert caller.transport.closed
+
+
+def test_a_header_line_without_an_end_is_refused_too() -> None:
+    caller = Caller()
+    caller.send(b"GET /a/ HTTP/1.1\r\nx: ", *([b"y" * 50] * 4))
+    assert not caller.statuses
+    caller.send(b"y")
+    assert caller.statuses == [431]
+
+
+def test_a_body_that_is_announced_too_long_is_refused_before_it_is_read() -> None:
+    caller = Caller()
+    caller.send(_put(b"content-length: 11"))
+    assert caller.statuses == [413]
+    assert not caller.dispatched
+
+
+def test_a_body_at_the_bound_is_served() -> None:
+    caller = Caller()
+    caller.send(_put(b"content-length: 10", b"0123456789"))
+    assert len(caller.dispatched) == 1
+    assert not caller.transport.closed
+
+
+def test_a_chunked_body_is_refused_once_it_passes_the_bound() -> None:
+    caller = Caller()
+    chunk = b"6\r\n012345\r\n"
+    caller.send(_put(b"transfer-encoding: chunked", chunk))
+    assert not caller.transport.closed
+    caller.send(chunk)
+    assert caller.statuses == [413]
+    assert not caller.dispatched
+
+
+def test_a_head_that_takes_too_long_is_told_that_it_did_not_run() -> None:
+    caller = Caller()
+    caller.send(b"GET /a/ HTTP/1.1\r\n")
+    caller.pass_time(2_900)
+    assert not caller.transport.closed
+    caller.pass_time(3_100)
+    assert caller.statuses == [408]
+    assert b"gingerturn-outcome: not-run" in caller.transport.written
+    assert caller.transport.closed
+
+
+def test_an_idle_connection_is_closed_only_after_the_bound() -> None:
+    caller = Caller()
+    caller.pass_time(4_900)
+    assert not caller.transport.closed
+    caller.pass_time(5_100)
+    assert caller.transport.closed
+    assert not caller.transport.written
+
+
+def test_a_connection_that_waits_for_an_answer_is_not_idle() -> None:
+    caller = Caller()
+    caller.send(GET)
+    caller.pass_time(60_000)
+    assert not caller.transport.closed
+
+
+def test_a_later_table_bounds_the_next_request() -> None:
+    caller = Caller()
+    caller.put_in_force(routes.RequestLimits(body_bytes=20))
+    caller.send(_put(b"content-length: 11", b"0123456789a"))
+    assert len(caller.dispatched) == 1
+
+
+def test_bad_input_behind_a_request_is_not_answered_in_its_place() -> None:
+    # The 400 was written at once, and the caller read it as the answer to the first.
+    caller = Caller()
+    caller.send(GET, b"no request at all\r\n\r\n")
+    assert caller.statuses == []
+    assert not caller.transport.closed
+    (first,) = caller.dispatched
+    caller.connection.send_problem(
+        first,
+        effects.RefuseCall(
+            call=first.call,
+            status=503,
+            outcome=messages.Outcome.NOT_RUN,
+            title="level",
+            retry_after_ms=100,
+            decision="",
+        ),
+    )
+    assert caller.statuses == [503, 400]
+    assert caller.transport.closed
+
+
+@pytest.mark.parametrize(
+    "field", ["head_bytes", "body_bytes", "head_timeout_ms", "idle_timeout_ms"]
+)
+def test_a_bound_of_nothing_is_refused_by_name(field: str) -> None:
+    limits = routes.RequestLimits(**{field: 0})
+    table = routes.RouteTable(version=1, routes=(routed.route(),), limits=limits)
+    with pytest.raises(errors.InvalidDocument, match=f"{field} is 0; allowed is 1"):
+        routes.check_table(table, origin="test")
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -8,7 +8,12 @@
 
 from gingerturn import dialect
 from gingerturn.internal import ids
-from gingerturn.internal.shell import backend_http, ingress, node as nodes
+from gingerturn.internal.shell import (
+    backend_http,
+    caller_requests,
+    ingress,
+    node as nodes,
+)
 from tests.common import builders, transports
 
 PIECES = st.lists(
@@ -101,7 +106,7 @@
     """Feed a stream; every request that is dispatched has one clear length."""
     node = nodes.Node(builders.settings())
     node.knows_service = lambda service: True  # type: ignore[method-assign]
-    dispatched: list[ingress.Request] = []
+    dispatched: list[caller_requests.Request] = []
     node.entry.begin_request = (  # type: ignore[method-assign]
         lambda request, arrival: dispatched.append(request)
     )
@@ -123,7 +128,7 @@
 
 
 def test_that_proof_fails_without_the_check(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ingress, "_framing_problem", lambda request, version: "")
+    monkeypatch.setattr(caller_requests, "framing_problem", lambda request, version: "")
     with pytest.raises(AssertionError):
         check_only_clear_framing_is_dispatched(
             b"PUT /x HTTP/1.1\r\nhost: a\r\nhost: b\r\ncontent-length: 3\r\n\r\nabc"
