Let an instance come back that a late word of an older one displaced

Cause: found by reading. A node that was restarted remembers no past instances. A late announcement of one that had ended before then looked like a new start; the living instance counted as replaced, and what it said from then on was ignored for as long as the node ran. Ruled out: telling old from new by the sequence number (each start begins anew) or by the cold time (not every start is cold). Change: a replaced instance is remembered with its last sequence number instead of as one that left. It is heard again once its successor left, fell silent, or was not found at its address by a call; until then the later one is believed.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -1,6 +1,7 @@
 """The home side: calls for the backend server beside this node."""
 
 import heapq
+import typing
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -17,6 +18,8 @@
     state as states,
 )
 
+_T = typing.TypeVar("_T")
+
 UNREACHABLE_MS = 500.0
 """Pause after the backend server refused a connection; one call then tries."""
 
@@ -212,21 +215,32 @@
         return False
     if instance in backend.left:
         return True
-    return instance == backend.instance and 0 < sequence <= backend.sequence
+    if instance == backend.instance:
+        return 0 < sequence <= backend.sequence
+    if instance not in backend.replaced:
+        return False
+    # Which of two is alive no announcement tells for certain: after a restart of this
+    # node a late word of an instance long gone looks like a new start. The later one
+    # is believed until a call finds another at its address, or it falls silent.
+    return backend.present or sequence <= backend.replaced[instance]
 
 
 def _note_left(backend: states.Backend, instance: str) -> None:
-    if not instance:
-        return
-    backend.left[instance] = True
-    if len(backend.left) > INSTANCES_KEPT:
-        del backend.left[next(iter(backend.left))]
+    if instance:
+        _remember(backend.left, instance, True)
+
+
+def _remember(table: dict[str, _T], instance: str, what: _T) -> None:
+    table[instance] = what
+    if len(table) > INSTANCES_KEPT:
+        del table[next(iter(table))]
 
 
 def _begin_instance(backend: states.Backend, instance: str) -> None:
     """Start afresh for a new start of the backend server: nothing measured of the
     one before holds for it."""
-    _note_left(backend, backend.instance)
+    if backend.instance:
+        _remember(backend.replaced, backend.instance, backend.sequence)
     backend.instance = instance
     backend.sequence = 0
     backend.present = False
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -143,8 +143,10 @@
     only longer than zero while ``running >= limit``.
 
     :param queue: (rank, negative arrival number, hosted id), lowest first.
-    :param left: instances that left or were replaced; what still arrives from them
-        is late.
+    :param left: instances that left, or that a call did not find any more; what still
+        arrives from them is late.
+    :param replaced: instances that another one took the place of, and the last
+        sequence number heard from each.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -165,6 +167,7 @@
     instance: str = ""
     sequence: int = 0
     left: dict[str, bool] = {}
+    replaced: dict[str, int] = {}
     times: dict[str, ServiceTime] = {}
     knee: Knee = msgspec.field(default_factory=Knee)
     unreachable_until: ids.Milliseconds = 0.0
--- a/tests/cover/test_announcements.py
+++ b/tests/cover/test_announcements.py
@@ -41,6 +41,42 @@
     assert builders.only(out, effects.HandOver).instance == "i-2"
 
 
+def test_a_late_word_of_an_instance_of_before_a_restart_costs_no_more_than_a_call() -> (
+    None
+):
+    # The node was restarted, so it had never heard of the old instance; its late word
+    # was taken for a new start, and the living one was ignored for good.
+    state = routed.node_state(service="plans")
+    reducer.reduce(state, routed.announced(instance="i-old", sequence=50))
+    reducer.reduce(state, routed.announced(instance="i-1", sequence=2))
+    reducer.reduce(state, builders.opened(1))
+    misdirected = events.BackendAnswered(
+        now=state.now, hosted=ids.HostedId(1), status=421, executed=False
+    )
+    reducer.reduce(state, misdirected)
+    reducer.reduce(state, routed.announced(instance="i-1", sequence=3))
+    out = reducer.reduce(state, builders.opened(2))
+    assert builders.only(out, effects.HandOver).instance == "i-1"
+
+
+def test_a_replaced_instance_does_not_come_back_beside_its_successor() -> None:
+    state = routed.node_state(service="plans")
+    reducer.reduce(state, routed.announced(instance="i-2"))
+    reducer.reduce(state, routed.announced(instance="i-1", sequence=9))
+    out = reducer.reduce(state, builders.opened(1))
+    assert builders.only(out, effects.HandOver).instance == "i-2"
+
+
+def test_a_replaced_instance_needs_a_later_word_to_come_back() -> None:
+    state = routed.node_state(service="plans")
+    reducer.reduce(state, routed.announced(sequence=7))
+    reducer.reduce(state, routed.announced(instance="i-2"))
+    reducer.reduce(state, _withdrawn("i-2"))
+    reducer.reduce(state, routed.announced(sequence=7))
+    out = reducer.reduce(state, builders.opened(1))
+    assert _rule(out) is decisions.Rule.LEAVING
+
+
 def test_leaving_refuses_what_is_queued_and_what_comes_later() -> None:
     state = routed.node_state(service="plans", slots=1)
     reducer.reduce(state, builders.opened(1))
