Notice settings that change without a signal

The wait for a planned stop also woke the process 20 times a second for nothing. Change: the file is read each second and taken when its content differs from what was taken last; one that is not allowed changes nothing and is told once. The stop waits on an event. Ruled out: inotify (not to be had there); the time of modification (a file may be put in place with an older one).

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -59,20 +59,17 @@
     import uvloop
 
     from gingerturn.internal import logs
+    from gingerturn.internal.shell import daemon, node as nodes
 
-    chosen = settings.load(path)
+    source = daemon.Source(path, settings.load)
+    chosen = source.load()
     logs.set_up(chosen.logging, node=chosen.node.id)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(_run_node(path, chosen, record)))
 
+    async def run() -> int:
+        return await daemon.run(nodes.Node(chosen, record=record), source)
 
-async def _run_node(
-    path: pathlib.Path, chosen: settings.Settings, record: typing.BinaryIO | None
-) -> int:
-    from gingerturn.internal.shell import daemon, node as nodes
-
-    node = nodes.Node(chosen, record=record)
-    return await daemon.run(node, reload=lambda: settings.load(path))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        sys.exit(runner.run(run()))
 
 
 @cli.command()
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import pathlib
 import signal
 import socket
 import traceback
@@ -23,27 +24,64 @@
 """The drain took longer than allowed, or a second signal ended it."""
 
 
-Reload = collections.abc.Callable[[], settings.Settings]
-"""Reads the settings again.
+WATCH_S = 1.0
+"""How often the settings are looked at. They may change without a signal, and what may
+change while a node runs is no matter of milliseconds."""
 
-:raises GingerturnError: when they are not allowed."""
 
+class Source:
+    """Where settings come from, and what of it was taken last.
 
-async def run(node: nodes.Node, *, reload: Reload | None = None) -> int:
+    :param path: the file.
+    :param load: reads it.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        load: collections.abc.Callable[[pathlib.Path], settings.Settings],
+    ) -> None:
+        self._path = path
+        self._load = load
+        self._taken = self._content()
+
+    def changed(self) -> bool:
+        """Tell whether the file holds something else than when it was last read; one
+        that cannot be read has not changed."""
+        content = self._content()
+        return content is not None and content != self._taken
+
+    def load(self) -> settings.Settings:
+        """Read the settings again.
+
+        :raises GingerturnError: when they are not allowed.
+        """
+        self._taken = self._content()
+        return self._load(self._path)
+
+    def _content(self) -> bytes | None:
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return None
+
+
+async def run(node: nodes.Node, source: Source) -> int:
     """Run a node until a planned stop has ended.
 
-    SIGHUP reads the settings again; bad ones change nothing.
+    SIGHUP, or a change of the file, reads the settings again; bad ones change nothing.
 
     SIGTERM or SIGINT begins the planned stop; a second one, or the drain's time
     limit, ends the process at once.
 
     :return: the exit status.
     """
+    stopping = asyncio.Event()
     cut = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _on_signal, node, cut)
-    loop.add_signal_handler(signal.SIGHUP, _on_reload, node, reload)
+        loop.add_signal_handler(number, _on_signal, node, stopping, cut)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, source)
     loop.set_exception_handler(_on_fault)
     place = node.settings.node
     try:
@@ -62,6 +100,8 @@
         service=node.settings.backend.service,
         log=node.settings.log.url,
     )
+    node.spawn(_watch(node, source))
+    await stopping.wait()
     drained = await _wait_stopped(node, cut, place.drain_timeout_ms / 1000.0)
     left = len(node.state.calls) + len(node.state.hosted)
     if administration is not None:
@@ -112,22 +152,27 @@
     logs.write("ERROR", "node", f"Fault: {context['message']}.", trace=trace)
 
 
-def _on_signal(node: nodes.Node, cut: asyncio.Event) -> None:
+def _on_signal(node: nodes.Node, stopping: asyncio.Event, cut: asyncio.Event) -> None:
     if node.stopping:
         cut.set()
         return
     grace_ms = float(node.settings.node.drain_timeout_ms)
     node.apply(events.StopRequested(now=clock.now(), grace_ms=grace_ms))
+    stopping.set()
 
 
-def _on_reload(node: nodes.Node, reload: Reload | None) -> None:
-    """Read the settings again. Without a handler the signal would end the process
-    and cut every call in flight."""
-    if reload is None:
-        logs.write("INFO", "node", "Nothing to reload.")
-        return
+async def _watch(node: nodes.Node, source: Source) -> None:
+    while True:
+        await asyncio.sleep(WATCH_S)
+        if source.changed():
+            _reload(node, source)
+
+
+def _reload(node: nodes.Node, source: Source) -> None:
+    """Read the settings again. Without a handler SIGHUP would end the process and cut
+    every call in flight."""
     try:
-        node.reload(reload())
+        node.reload(source.load())
     except errors.GingerturnError as error:
         logs.write("ERROR", "node", f"Settings refused, the last stay: {error}.")
 
@@ -136,8 +181,6 @@
     """Wait for the end of a planned stop; tell whether nothing was cut."""
     ended = asyncio.create_task(nodes.run(node))
     cutting = asyncio.create_task(cut.wait())
-    while not node.stopping and not ended.done():
-        await asyncio.sleep(0.05)
     done, waiting = await asyncio.wait(
         {ended, cutting}, timeout=limit, return_when=asyncio.FIRST_COMPLETED
     )
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import json
 import pathlib
 import signal
 
@@ -176,6 +177,19 @@
     assert _ask(machine, "h1").status_code == 200
 
 
+def test_settings_that_change_without_a_signal_are_noticed(
+    platform: platform_processes.Platform,
+) -> None:
+    path = platform.folder / "plans-1.json"
+    told = json.loads(path.read_text())
+    path.write_text("{")
+    platform.wait_until(lambda: "Settings refused" in platform.log_of("plans-1"))
+    told["bounds"]["retry_budget_slack"] = 7
+    path.write_text(json.dumps(told))
+    platform.wait_until(lambda: "Settings read again" in platform.log_of("plans-1"))
+    assert _ask(platform.machines["plans-1"], "h2").status_code == 200
+
+
 def test_the_store_away_changes_nothing_for_requests_and_is_caught_up_later(
     platform: platform_processes.Platform,
 ) -> None:
