Explain a failed request from the logs by one command, and compare replays with life

There was no such program, a node on the platform recorded nothing, and the one test of replay compared two replays with each other, never with the node itself. Ruled out: asking nodes (they may be gone by the time somebody asks).

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -10,7 +10,7 @@
 import msgspec
 
 import gingerturn
-from gingerturn import configuration, errors, settings
+from gingerturn import configuration, errors, explain, settings
 
 EXIT_USAGE = 2
 EXIT_REFUSED = 4
@@ -216,11 +216,27 @@
 
 
 @cli.command()
-@click.argument("decision_id")
+@click.argument("decision_id", metavar="ID")
+@click.option(
+    "--log",
+    "logs",
+    multiple=True,
+    type=click.File("rb"),
+    help="Search this log file of a node instead of asking one; may be repeated.",
+)
 @_ADMIN
 @_JSON
-def why(decision_id: str, admin: str, as_json: bool) -> None:
-    """Tell why a decision was made; any node can be asked."""
+def why(
+    decision_id: str, logs: tuple[typing.BinaryIO, ...], admin: str, as_json: bool
+) -> None:
+    """Tell why a decision was made; any node can be asked.
+
+    With --log: tell from logs why a request ended as it did, by the id of the request
+    or of a decision.
+    """
+    if logs:
+        _explain(decision_id, logs, as_json)
+        return
     found = _get(admin, f"/why/{decision_id}")
     if as_json:
         _echo_json(found)
@@ -321,6 +337,28 @@
     return reply.json()
 
 
+def _explain(wanted: str, logs: tuple[typing.BinaryIO, ...], as_json: bool) -> None:
+    story = explain.explain(explain.read(logs), wanted)
+    if as_json:
+        _echo_json(story)
+        return
+    for line in story.lines:
+        figures = ", ".join(f"{name} {value:g}" for name, value in line.figures.items())
+        status = f" status {line.status}" if line.status else ""
+        click.echo(
+            f"{line.time} {line.node} {line.part} {line.request} {line.rule}{status}"
+            f" after {line.waited_ms:g} ms, version {line.version}"
+            + (f" ({figures})" if figures else "")
+        )
+    if story.end is None:
+        click.echo("No line tells how it ended.")
+    elif story.cause is None:
+        click.echo(f"It was answered with {story.end.status}.")
+    if story.cause is not None:
+        cause = story.cause
+        click.echo(f"Cause: {cause.text} At {cause.node}, for {cause.request}.")
+
+
 def _audit_line(row: dict[str, typing.Any]) -> str:
     return (
         f"{row['at']:.0f} {row['who']} {row['what']} {row['subject']}:"
--- a/src/gingerturn/internal/core/trace.py
+++ b/src/gingerturn/internal/core/trace.py
@@ -16,18 +16,30 @@
 
 
 class Recorder:
-    """Writes each event to a file as it is applied.
+    """Writes each event to a file as it is applied, and sums up its effects.
 
     :param target: a binary file that the caller opened and closes.
     """
 
     def __init__(self, target: typing.BinaryIO) -> None:
         self._target = target
+        self._running = _new_digest()
+        self.events = 0
+
+    @property
+    def digest(self) -> str:
+        """Digest of all effects so far; :func:`digest` of a replay gives the same."""
+        return self._running.hexdigest()
 
     def record(self, event: events.Event) -> None:
         """Write one event: its length (4 bytes), then the event."""
         content = _ENCODER.encode(event)
         self._target.write(len(content).to_bytes(4, "big") + content)
+        self.events += 1
+
+    def note(self, out: list[effects.Effect]) -> None:
+        """Take in the effects of the event that was recorded last."""
+        self._running.update(encode_effects(out))
 
 
 def read(source: typing.BinaryIO) -> collections.abc.Iterator[events.AnyEvent]:
@@ -72,12 +84,16 @@
     replayed: collections.abc.Iterable[tuple[events.Event, list[effects.Effect]]],
 ) -> str:
     """Return the digest of every effect, equal exactly for equal effects."""
-    running = hashlib.blake2b(digest_size=16)
+    running = _new_digest()
     for _, out in replayed:
         running.update(encode_effects(out))
     return running.hexdigest()
 
 
+def _new_digest() -> "hashlib.blake2b":
+    return hashlib.blake2b(digest_size=16)
+
+
 def encode_effects(out: list[effects.Effect]) -> bytes:
     """Return effects as bytes."""
     return _ENCODER.encode(out)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -235,6 +235,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.log.close()
+        if self._recorder is not None:
+            recorded, digest = self._recorder.events, self._recorder.digest
+            text = f"Recorded {recorded} events, digest {digest}."
+            logs.write("INFO", "node", text)
 
     def apply(self, event: events.Event) -> None:
         """Apply an event and carry out its effects."""
@@ -311,7 +315,10 @@
         if self._recorder is not None:
             self._recorder.record(event)
         self.counters.events += 1
-        for effect in reducer.reduce(self.state, event):
+        out = reducer.reduce(self.state, event)
+        if self._recorder is not None:
+            self._recorder.note(out)
+        for effect in out:
             self._handlers[type(effect)](effect)
 
     def _note_readiness(self) -> None:
--- a/tests/nocover/test_command_line.py
+++ b/tests/nocover/test_command_line.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -111,9 +112,9 @@
             httpx.get(node.entry + "/", headers={"host": "plans"}, trust_env=False)
         node.node.send_signal(signal.SIGTERM)
         assert node.node.wait(timeout=15) == 0
-    runs = {_run("replay", str(record)).stdout for _ in range(2)}
-    assert len(runs) == 1
-    assert "digest" in runs.pop()
+    replayed = _run("replay", str(record)).stdout
+    (digest,) = re.findall(r"digest (\w{32})", replayed)
+    assert f"digest {digest}." in (tmp_path / "plans-1.log").read_text()
 
 
 @pytest.mark.parametrize("content", [b"\x00\x00\x00\x05hello", b"\x00\x00\x00\x01\x90"])
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import contextlib
 import json
 import pathlib
 import signal
@@ -9,6 +10,8 @@
 import httpx
 import pytest
 
+from gingerturn import explain
+from gingerturn.internal.core import trace
 from gingerturn_standins import platform_processes
 
 ROUTE = {
@@ -190,6 +193,56 @@
     assert _ask(platform.machines["plans-1"], "h2").status_code == 200
 
 
+def _why(made: platform_processes.Platform, wanted: str) -> explain.Story:
+    """Explain a request from the logs of all nodes, once they tell how it ended."""
+
+    def story() -> explain.Story:
+        paths = [made.folder / f"{name}.log" for name in made.machines]
+        with contextlib.ExitStack() as stack:
+            files = [stack.enter_context(path.open("rb")) for path in paths]
+            return explain.explain(explain.read(files), wanted)
+
+    made.wait_until(lambda: story().end is not None)
+    return story()
+
+
+def test_a_failed_request_is_explained_by_the_logs_alone(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["plans-1"]
+    upstream = platform.machines["porting-1"]
+
+    def ask(number: str) -> tuple[int, explain.Line]:
+        reply = _ask(entry, number, path="/p/", method="POST")
+        by_id = _why(platform, number)
+        assert by_id == _why(platform, reply.headers["Gingerturn-Decision"])
+        assert by_id.cause is not None
+        return reply.status_code, by_id.cause
+
+    upstream.tell_upstream(refuse=True)
+    status, cause = ask("e-refused")
+    assert (status, cause.rule, cause.node) == (503, "backend_refused", "porting-1")
+    upstream.tell_upstream(refuse=False, cut=True)
+    status, cause = ask("e-unclear")
+    assert (status, cause.rule, cause.node) == (502, "outcome_unknown", "porting-1")
+    upstream.tell_upstream(cut=False, work_ms=60_000)
+    status, cause = ask("e-late")
+    assert (status, cause.rule, cause.node) == (504, "deadline_passed", "porting-1")
+
+
+def test_a_recorded_node_replays_to_the_same_effects(
+    platform: platform_processes.Platform,
+) -> None:
+    machine = platform.machines["plans-1"]
+    for number in range(5):
+        _ask(machine, f"r{number}")
+    machine.node.send_signal(signal.SIGTERM)
+    assert machine.node.wait(timeout=10) == 0
+    with platform.record_of("plans-1").open("rb") as source:
+        replayed = trace.digest(trace.replay(trace.read(source)))
+    assert f"digest {replayed}." in platform.log_of("plans-1")
+
+
 def test_the_store_away_changes_nothing_for_requests_and_is_caught_up_later(
     platform: platform_processes.Platform,
 ) -> None:
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -119,9 +119,16 @@
     def start_node(self, name: str) -> subprocess.Popen[bytes]:
         """Start a node's process, from the settings written for it."""
         return self._spawn(
-            name, str(ROOT / "platform" / "node.py"), boot=self._settings_path(name)
+            name,
+            str(ROOT / "platform" / "node.py"),
+            GINGERTURN_BOOT=str(self._settings_path(name)),
+            GINGERTURN_RECORD=str(self.record_of(name)),
         )
 
+    def record_of(self, name: str) -> pathlib.Path:
+        """Return where a node records its events."""
+        return self.folder / f"{name}.events"
+
     def configure(self, *routes: dict[str, object]) -> int:
         """Write the next version of the operator's configuration."""
         self._version += 3
@@ -190,11 +197,9 @@
         self._settings_path(name).write_text(json.dumps(told))
 
     def _spawn(
-        self, name: str, *arguments: str, boot: pathlib.Path | None = None
+        self, name: str, *arguments: str, **variables: str
     ) -> subprocess.Popen[bytes]:
-        environment = dict(self._environment)
-        if boot is not None:
-            environment["GINGERTURN_BOOT"] = str(boot)
+        environment = {**self._environment, **variables}
         with (self.folder / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, *arguments],
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -2,8 +2,8 @@
 
 ``POST /control`` sets: ``state`` (``draining``), ``refuse`` (answer 503 with
 ``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, and
-``unframed`` (answers without a length). ``GET /counts`` tells how often each request
-id ran, and what came with the last one.
+``cut`` (break the connection in the middle of each answer). ``GET /counts`` tells how
+often each request id ran, and what came with the last one.
 """
 
 import asyncio
@@ -32,6 +32,7 @@
         self.state = "ready"
         self.refuse = False
         self.silent = False
+        self.cut = False
         self.work_ms = 5.0
         self.sequence = 0
         self.runs: collections.Counter[str] = collections.Counter()
@@ -69,7 +70,7 @@
         await asyncio.sleep(self.work_ms / 1000.0)
         body = request.body or f"{self.service} {request.target}".encode()
         headers = {**echoed, "Response-Signature": f"signed.{number}"}
-        return http_server.Response(200, body, headers)
+        return http_server.Response(200, body, headers, cut=self.cut)
 
     def beat(self) -> dict[str, object]:
         """Return the next heartbeat."""
