Trust idle connections by what was learned of them, and answer bad hosts at once again

Connections were trusted for 3 s whatever the server said or did. Change: a pool module of its own. The time in Keep-Alive is kept to; a rested connection that is lost without a byte halves the trust, which doubles again each 5 s; calls that cannot be sent again go only on connections used in the last 250 ms. The rejection drops the bad request and those behind it, and waits only for those before it. Ruled out: sending again on a new connection without asking the budget: where answers are lost by resets that would be a second arrival.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -1,22 +1,17 @@
 """Exchanges with the backend server beside this node, over HTTP/1.1."""
 
 import asyncio
-import collections
 import collections.abc
 import typing
 
 import httptools
 
-from gingerturn import dialect as dialects
 from gingerturn.internal.core import messages
 from gingerturn.internal.shell import clock, heads
 
-IDLE_MS = 3_000.0
-"""An idle connection is closed after 3 s, before common backend servers close it
-from their side (5 s): a call written to a connection that is being closed has an
-unknown outcome."""
+if typing.TYPE_CHECKING:
+    from gingerturn.internal.shell import backend_pool
 
-CONNECT_TIMEOUT_S = 1.0
 BODILESS = frozenset({204, 304})
 
 
@@ -49,7 +44,7 @@
     :param pool: where it goes back to.
     """
 
-    def __init__(self, pool: "Pool") -> None:
+    def __init__(self, pool: "backend_pool.Pool") -> None:
         self._pool = pool
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._parser: typing.Any = None
@@ -60,12 +55,15 @@
         self._reusable = False
         self._chunked = False
         self._written = False
+        self._answered = False
         self._upload_ended = True
         self._request_id = b""
         self._foreign = False
         self._trusted = True
         self._until_close = False
         self._on_writable: list[collections.abc.Callable[[], None]] = []
+        # How long it had rested when the exchange under way began; 0 for a new one.
+        self._rested_ms = 0.0
         self.write_paused = False
         self.idle_since = 0.0
 
@@ -90,6 +88,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the exchange that it failed."""
         self._pool.discard(self)
+        if self._receiver is not None and not self._answered and self._rested_ms > 0:
+            self._pool.note_forgotten(self._rested_ms)
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
             receiver.on_failure(handed=self._written)
@@ -117,6 +117,8 @@
         self._request_id = heads.value_in(head, self._pool.dialect.request_id)
         self._chunked = b"\ntransfer-encoding: chunked\r\n" in head
         self._written = True
+        self._answered = False
+        self._rested_ms = clock.now() - self.idle_since if self.idle_since else 0.0
         self._transport.write(head + b"\r\n")
         if body:
             self.write(body)
@@ -193,6 +195,7 @@
     def on_headers_complete(self) -> None:
         """Pass the head on."""
         status = self._parser.get_status_code()
+        self._answered = True
         self._informational = status < 200
         if self._informational or self._receiver is None:
             return
@@ -211,6 +214,7 @@
         self._reusable = (
             self._trusted and self._parser.should_keep_alive() and not self._until_close
         )
+        self._pool.note_keep_alive(self._headers)
         head = heads.status_line(status) + heads.passed_on(self._headers)
         if self._head_only and lengths:
             head += b"content-length: %b\r\n" % lengths[0]
@@ -262,60 +266,3 @@
         self._transport.abort()
         if receiver is not None:
             receiver.on_failure(handed=True)
-
-
-class Pool:
-    """Connections to one backend server.
-
-    :param dialect: names of the headers that it speaks.
-    """
-
-    def __init__(self, dialect: dialects.Dialect) -> None:
-        self.dialect = dialect
-        self._idle: collections.deque[Connection] = collections.deque()
-        self._address = ("", 0)
-
-    def use(self, host: str, port: int) -> None:
-        """Point the pool at an address; connections to another one are closed."""
-        if self._address == (host, port):
-            return
-        self._address = (host, port)
-        while self._idle:
-            self._idle.pop().abandon()
-
-    def take(self) -> Connection | None:
-        """Return an idle connection, the one used last first."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable:
-                return connection
-        return None
-
-    async def connect(self) -> Connection:
-        """Open a connection.
-
-        :raises OSError: when it cannot be opened in time.
-        """
-        loop = asyncio.get_running_loop()
-        host, port = self._address
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, protocol = await loop.create_connection(
-                lambda: Connection(self), host, port
-            )
-        return protocol
-
-    def put(self, connection: Connection) -> None:
-        """Take a connection back."""
-        connection.idle_since = clock.now()
-        self._idle.append(connection)
-
-    def discard(self, connection: Connection) -> None:
-        """Forget a lost connection."""
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def close_idle(self) -> None:
-        """Close what has been idle for long."""
-        horizon = clock.now() - IDLE_MS
-        while self._idle and self._idle[0].idle_since < horizon:
-            self._idle.popleft().abandon()
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -74,7 +74,7 @@
         """Hand the call to the backend server."""
         pool = self._node.home.pool
         pool.use(effect.host, effect.port)
-        connection = pool.take()
+        connection = pool.take(surely_alive=not self._opened.terms.repeatable)
         if connection is not None:
             self._begin(connection, effect)
             return
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -4,7 +4,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import decisions, effects, events, messages
-from gingerturn.internal.shell import backend_http, clock, exchanges, links
+from gingerturn.internal.shell import backend_pool, clock, exchanges, links
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -22,7 +22,7 @@
 
     def __init__(self, node: "nodes.Node") -> None:
         self._node = node
-        self.pool = backend_http.Pool(node.dialect)
+        self.pool = backend_pool.Pool(node.dialect)
         self._exchanges: dict[ids.HostedId, exchanges.HostedExchange] = {}
         self._kept: dict[str, exchanges.KeptAnswer] = {}
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -336,7 +336,7 @@
         request.call = ids.CallId(self._node.next_number())
         service, path, target = caller_requests.destination(request)
         if not service:
-            self._reject(400, "the request names no service in Host")
+            self._reject(400, "the request names no service in Host", request)
             return
         dialect = self._node.dialect
         if dialect.request_id:
@@ -355,7 +355,7 @@
                     self._node.secrets, key, service=service, now=clock.now()
                 )
             except errors.InvalidArgument as error:
-                self._reject(400, error.message)
+                self._reject(400, error.message, request)
                 return
         trace, span = caller_requests.trace_of(request, dialect)
         request.head = caller_requests.request_head(request, target, self._node)
@@ -419,8 +419,7 @@
             self._requests.popleft()
         self._since = clock.now()
         if self._last_words and not self._requests:
-            self._transport.write(self._last_words)
-            self.close()
+            self._end_with_last_words()
             return
         if request.close_after or self._node.stopping:
             self.close()
@@ -439,9 +438,14 @@
         most = self._limits.body_bytes
         self._reject(413, f"the request's body is longer than {most} bytes")
 
-    def _reject(self, status: int, title: str) -> None:
+    def _reject(
+        self, status: int, title: str, bad: caller_requests.Request | None = None
+    ) -> None:
         """Answer bad input and close: what follows on the connection cannot be
-        told apart from the rest of the bad request."""
+        told apart from the rest of the bad request.
+
+        :param bad: the bad request; without one, what is being read.
+        """
         if self._closing or self._last_words:
             return
         logs.write("WARNING", _PART, f"Request rejected with {status}: {title[:120]}.")
@@ -454,14 +458,24 @@
             close=True,
             dialect=self._node.dialect,
         )
-        bad = self._reading
-        if any(request is not bad for request in self._requests):
-            # Written now it would be read as the answer to the first of them.
-            if bad is not None and bad in self._requests:
-                self._requests.remove(bad)
+        self._drop_from(bad or self._reading)
+        if not self._requests:
+            self._end_with_last_words()
+
+    def _drop_from(self, bad: caller_requests.Request | None) -> None:
+        """Forget a bad request and those behind it. Those before it are answered
+        first: else the answer to it would be read as the answer to one of them."""
+        if bad is None or bad not in self._requests:
             return
-        if self._requests and self._requests[0].answered:
+        while self._requests.pop() is not bad:
+            pass
+        if bad.answered:
             self._last_words = b""
+        if bad.dispatched:
+            self._node.apply(events.CallerGone(now=clock.now(), call=bad.call))
+            self._node.entry.forget_request(bad)
+
+    def _end_with_last_words(self) -> None:
         self._transport.write(self._last_words)
         self.close()
 
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -1,7 +1,7 @@
 """Answers of a backend server: whole or not, and whose they are."""
 
 from gingerturn import dialect
-from gingerturn.internal.shell import backend_http
+from gingerturn.internal.shell import backend_http, backend_pool
 from tests.common import transports
 
 NAMED = dialect.Dialect(request_id=b"request-id", not_executed=b"not-executed")
@@ -12,7 +12,7 @@
     """An exchange on one connection, and what it tells."""
 
     def __init__(self, *, whole: bool = True) -> None:
-        self.pool = backend_http.Pool(NAMED)
+        self.pool = backend_pool.Pool(NAMED)
         self.connection = backend_http.Connection(self.pool)
         self.transport = transports.Transport()
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -157,6 +157,15 @@
     assert caller.transport.closed
 
 
+def test_a_request_that_is_bad_by_its_host_is_answered_at_once() -> None:
+    # It waited for itself: the first version held its answer back for ever.
+    caller = Caller()
+    caller.send(b"GET /a/ HTTP/1.1\r\nhost: \r\n\r\n" + GET)
+    assert caller.statuses == [400]
+    assert caller.transport.closed
+    assert not caller.dispatched
+
+
 @pytest.mark.parametrize(
     "field", ["head_bytes", "body_bytes", "head_timeout_ms", "idle_timeout_ms"]
 )
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -10,6 +10,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.shell import (
     backend_http,
+    backend_pool,
     caller_requests,
     ingress,
     node as nodes,
@@ -140,7 +141,7 @@
 def test_any_bytes_of_a_backend_server_end_an_exchange_at_most_once(
     pieces: list[bytes], head_only: bool
 ) -> None:
-    pool = backend_http.Pool(dialect.OWN)
+    pool = backend_pool.Pool(dialect.OWN)
     put: list[backend_http.Connection] = []
     pool.put = put.append  # type: ignore[method-assign]
     connection = backend_http.Connection(pool)
