--- a/src/gingerturn/explain.py
+++ b/src/gingerturn/explain.py
@@ -62,13 +62,13 @@
     """Return the lines about requests in some log files, in order of time.
 
     Other output of a process may stand between them and is passed over, and so is a
-    line that was cut off.
+    line that was cut off. What a collector of logs put before a line is passed over too.
     """
     found: list[Line] = []
     for source in sources:
         for raw in source:
             try:
-                line = msgspec.json.decode(raw, type=Line)
+                line = msgspec.json.decode(raw[raw.find(b"{") :], type=Line)
             except msgspec.MsgspecError:
                 continue
             if line.request:
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -95,6 +95,11 @@
     assert len(explain.read([file])) == len(UNCLEAR)
 
 
+def test_what_a_collector_put_before_a_line_is_passed_over() -> None:
+    file = io.BytesIO(b"  12.345 s  n1 | " + _file(*UNCLEAR[:1]).getvalue())
+    assert len(explain.read([file])) == 1
+
+
 def test_an_id_that_no_line_names_is_an_error_that_says_so() -> None:
     with pytest.raises(errors.InvalidArgument, match="'r9' is in no line"):
         _story("r9")
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -115,8 +115,8 @@
 
 
 def _one_is_drawn(patch: pytest.MonkeyPatch) -> None:
-    """Choose at random, which is the worst case. Where several are weighed, what
-    an entry sent itself keeps it from a frozen one, whether or not that is suspected."""
+    """Choose at random, which is the worst case. Where several are weighed, what an
+    entry sent itself keeps it from a frozen one, whether or not that is suspected."""
     patch.setattr(routing, "ALL_WEIGHED", 0)
     patch.setattr(routing, "NEAR_DRAWN", 0)
     patch.setattr(routing, "ANY_DRAWN", 1)
