A fault soak: real processes, faults from outside, promises checked as seen

Change: gingerturn_soak: nodes on the stand-in of the platform, proxies of ours before callers, backend servers and the log, eighteen kinds of steps drawn from a seed, callers that keep their connections, backend servers that write down each arrival and run before they work, and ten checks of promises. `make soak RUNS=50`, `--seed N` plays one again. Ruled out: a proxy between nodes (they announce the port on which they listen); those connections are disturbed by pausing and killing. Before and after: tests/cover/test_soak_checks.py shows for each check a run that breaks its promise and one that does not.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 RUN := PYTHONPATH=src:tooling:. $(PYTHON)
 
-.PHONY: demo demo-coopcarga test test-slow lint format bench bench-cost capacity clean
+.PHONY: demo demo-coopcarga test test-slow lint format soak bench bench-cost capacity clean
 
 $(VENV)/ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,6 +32,9 @@
 bench: $(VENV)/ready
 	$(RUN) -m benchmarks.overload
 
+soak: $(VENV)/ready
+	$(RUN) -m gingerturn_soak --runs $(or $(RUNS),10)
+
 bench-cost: $(VENV)/ready
 	$(RUN) -m benchmarks.cost
 
--- /dev/null
+++ b/tests/cover/test_soak_checks.py
@@ -0,0 +1,164 @@
+"""The checks of the soak: each tells a broken promise, and nothing else."""
+
+import math
+import pathlib
+
+import msgspec
+import pytest
+
+from gingerturn_soak import callers, checks, ledger, schedule
+
+START = 1_000_000.0
+STOP = schedule.Kind.NODE_STOP
+KILL = schedule.Kind.NODE_KILL
+
+
+def _attempt(number: str = "m0-1", **fields: object) -> callers.Attempt:
+    base = {
+        "id": number,
+        "repeatable": False,
+        "node": "m0",
+        "incarnation": 0,
+        "began": START,
+        "ended": START + 100.0,
+        "status": 200,
+    }
+    return callers.Attempt(**{**base, **fields})  # type: ignore[arg-type]
+
+
+def _entry(event: str, number: str = "m0-1", at: float = START) -> ledger.Entry:
+    return ledger.Entry(event, at, "i-1", "porting", number)
+
+
+def _fault(kind: schedule.Kind, **fields: object) -> checks.Fault:
+    base = {"kind": kind, "node": "m0", "began": START, "ended": START + 10.0}
+    return checks.Fault(**{**base, **fields})  # type: ignore[arg-type]
+
+
+def _seen(
+    tmp_path: pathlib.Path,
+    *attempts: callers.Attempt,
+    entries: tuple[ledger.Entry, ...] = (),
+    faults: tuple[checks.Fault, ...] = (),
+    healed: float = 0.0,
+) -> checks.Seen:
+    path = tmp_path / "u.upstream.log"
+    path.write_bytes(b"\n".join(msgspec.json.encode(entry) for entry in entries))
+    return checks.Seen(
+        attempts=list(attempts),
+        ledger=ledger.Ledger([path]),
+        faults=list(faults),
+        published={4: START - 10_000.0},
+        healed=healed,
+    )
+
+
+def _broken(check: checks.Check, seen: checks.Seen) -> bool:
+    return bool(list(check(seen)))
+
+
+def test_a_quiet_run_breaks_nothing(tmp_path: pathlib.Path) -> None:
+    entries = (_entry("arrived"), _entry("run"))
+    seen = _seen(tmp_path, _attempt(), entries=entries, healed=START - 1.0)
+    assert checks.broken(seen, timing=True) == []
+
+
+def test_two_runs_of_what_may_not_be_repeated_are_told(tmp_path: pathlib.Path) -> None:
+    entries = (_entry("run"), _entry("run"))
+    assert _broken(checks.at_most_once, _seen(tmp_path, _attempt(), entries=entries))
+    repeatable = _attempt(repeatable=True)
+    seen = _seen(tmp_path, repeatable, entries=entries)
+    assert not _broken(checks.at_most_once, seen)
+
+
+@pytest.mark.parametrize(("status", "told"), [(503, True), (429, True), (502, False)])
+def test_a_false_not_run_is_told(
+    status: int, told: bool, tmp_path: pathlib.Path
+) -> None:
+    seen = _seen(tmp_path, _attempt(status=status), entries=(_entry("run"),))
+    assert _broken(checks.not_run_is_true, seen) is told
+
+
+def test_half_an_answer_is_told(tmp_path: pathlib.Path) -> None:
+    seen = _seen(tmp_path, _attempt(whole=False))
+    assert _broken(checks.answers_are_whole, seen)
+
+
+def test_work_after_leaving_is_told_only_past_the_bound(tmp_path: pathlib.Path) -> None:
+    left = _entry("acknowledged", "", START)
+    in_time = _entry("run", at=START + checks.APPLY_MS)
+    late = _entry("run", at=START + checks.APPLY_MS + 1.0)
+    check = checks.leaving_gets_no_work
+    assert not _broken(check, _seen(tmp_path, entries=(left, in_time)))
+    assert _broken(check, _seen(tmp_path, entries=(left, late)))
+
+
+def test_a_request_cut_by_a_planned_stop_is_told(tmp_path: pathlib.Path) -> None:
+    cut = _attempt(status=0, problem="ReadError")
+    stop = _fault(STOP, code=0)
+    passed_on = (_entry("arrived"),)
+    check = checks.stops_cut_nothing
+    assert _broken(check, _seen(tmp_path, cut, entries=passed_on, faults=(stop,)))
+    assert not _broken(check, _seen(tmp_path, cut, faults=(stop,)))
+    both = (stop, _fault(KILL, node="m1"))
+    assert not _broken(check, _seen(tmp_path, cut, entries=passed_on, faults=both))
+    assert _broken(check, _seen(tmp_path, faults=(_fault(STOP, code=3),)))
+
+
+def test_a_version_that_is_not_known_in_time_is_told(tmp_path: pathlib.Path) -> None:
+    unknown = _attempt(version=4, status=404)
+    check = checks.configuration_in_time
+    assert _broken(check, _seen(tmp_path, unknown))
+    assert not _broken(check, _seen(tmp_path, unknown, faults=(_fault(KILL),)))
+    other = _fault(KILL, node="m1")
+    assert _broken(check, _seen(tmp_path, unknown, faults=(other,)))
+    the_log = _fault(schedule.Kind.LOG_DOWN, node="")
+    assert not _broken(check, _seen(tmp_path, unknown, faults=(the_log,)))
+
+
+def test_a_step_back_is_told_within_one_incarnation(tmp_path: pathlib.Path) -> None:
+    served = _attempt("m0-1", version=4)
+    back = _attempt("m0-2", version=4, status=404, began=START + 200, ended=START + 210)
+    check = checks.configuration_never_back
+    assert _broken(check, _seen(tmp_path, served, back))
+    restarted = msgspec.structs.replace(back, incarnation=1)
+    assert not _broken(check, _seen(tmp_path, served, restarted))
+
+
+def test_repeats_beyond_the_bound_are_told(tmp_path: pathlib.Path) -> None:
+    check = checks.retries_are_bounded
+    allowed = tuple(_entry("arrived", at=START + n) for n in range(50))
+    assert not _broken(check, _seen(tmp_path, entries=allowed))
+    more = (*allowed, _entry("arrived", at=START + 51))
+    assert _broken(check, _seen(tmp_path, entries=more))
+    spread = (*allowed, _entry("arrived", at=START + checks.WINDOW_MS + 1))
+    assert not _broken(check, _seen(tmp_path, entries=spread))
+
+
+def test_an_answer_that_never_comes_is_told(tmp_path: pathlib.Path) -> None:
+    late = _attempt(ended=START + callers.DEADLINE_MS + checks.TOUCH_MS + 1.0)
+    assert _broken(checks.answers_come_in_time, _seen(tmp_path, late))
+    seen = _seen(tmp_path, late, faults=(_fault(KILL),))
+    assert not _broken(checks.answers_come_in_time, seen)
+
+
+def test_a_system_that_does_not_recover_is_told(tmp_path: pathlib.Path) -> None:
+    failed = _attempt(status=503)
+    assert _broken(checks.serves_again, _seen(tmp_path, failed, healed=START - 1.0))
+    assert not _broken(checks.serves_again, _seen(tmp_path, failed))
+
+
+def test_a_seed_gives_the_same_schedule_again() -> None:
+    first = schedule.draw(7, machines=4, length_s=10.0)
+    assert first == schedule.draw(7, machines=4, length_s=10.0)
+    assert first != schedule.draw(8, machines=4, length_s=10.0)
+    assert all(0 <= step.target < 4 and math.isfinite(step.at) for step in first)
+
+
+def test_every_kind_of_step_is_drawn_by_some_seed() -> None:
+    drawn = {
+        step.kind
+        for seed in range(100)
+        for step in schedule.draw(seed, machines=4, length_s=10.0)
+    }
+    assert drawn == set(schedule.Kind)
--- /dev/null
+++ b/tooling/gingerturn_soak/proxy.py
@@ -0,0 +1,99 @@
+"""A TCP proxy on the loopback address that delays, resets, cuts or silences."""
+
+import asyncio
+import contextlib
+import enum
+
+READ_BYTES = 65_536
+
+
+class Mode(enum.Enum):
+    """What the proxy does with the bytes of connections, old and new."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one way"
+    """Bytes of the side that called go on; those that come back do not."""
+
+
+class Proxy:
+    """One listening address in front of another.
+
+    Invariant: bytes that go on do so in order and unchanged; a connection that was
+    silenced never speaks again, since some of its bytes are gone.
+
+    :param target: port behind it.
+    """
+
+    def __init__(self, port: int, target: int) -> None:
+        self.port = port
+        self._target = target
+        self._mode = Mode.PASS
+        self._delay_s = 0.0
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._serving: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    async def close(self) -> None:
+        """Stop listening and end every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        await asyncio.gather(*self._serving)
+
+    def set_mode(self, mode: Mode, *, delay_ms: float = 0.0) -> None:
+        """Set what is done from now on.
+
+        Connections that lost bytes are reset when they are to pass again.
+        """
+        if self._mode in {Mode.SILENT, Mode.ONE_WAY}:
+            self.reset()
+        self._mode = mode
+        self._delay_s = delay_ms / 1000.0
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        try:
+            there = await asyncio.open_connection("127.0.0.1", self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, there[1]}
+        await asyncio.gather(
+            self._pump(reader, there[1], back=False),
+            self._pump(there[0], writer, back=True),
+        )
+        self._writers -= {writer, there[1]}
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, back: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self._mode is Mode.DELAY:
+                    await asyncio.sleep(self._delay_s)
+                silent = self._mode is Mode.SILENT
+                if silent or (self._mode is Mode.ONE_WAY and back):
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if self._mode in {Mode.PASS, Mode.DELAY}:
+                writer.close()
+                return
+        writer.transport.abort()
--- /dev/null
+++ b/tooling/gingerturn_soak/run.py
@@ -0,0 +1,312 @@
+"""One run of the soak: processes, callers, faults by schedule, and the verdict."""
+
+import asyncio
+import collections.abc
+import pathlib
+import signal
+import subprocess
+
+import msgspec
+
+from gingerturn_soak import callers, checks, ledger, proxy, schedule
+from gingerturn_standins import platform_processes, processes
+
+SERVICES = ("plans", "porting")
+EXIT_WAIT_S = 8.0
+HEAL_S = 6.0
+"""From the end of the last fault until all are expected to be served again."""
+
+AFTER_S = 2.0
+ROUTES_KEPT = 6
+"""Versions whose routes a configuration still has."""
+
+
+class Run:
+    """A run.
+
+    :param folder: where processes write.
+    :param machines: how many nodes, each with a backend server.
+    """
+
+    def __init__(self, folder: pathlib.Path, *, machines: int) -> None:
+        self._count = machines
+        self._folder = folder
+        self._faults: list[checks.Fault] = []
+        self._published: dict[int, float] = {}
+        self._log_link = proxy.Proxy(0, 0)
+        self._links: list[proxy.Proxy] = []
+        self._doors: list[proxy.Proxy] = []
+        self._callers: list[callers.Callers] = []
+        self._versions: list[int] = []
+
+    async def play(self, steps: list[schedule.Step]) -> checks.Seen:
+        """Play a schedule and return what was seen."""
+        (link,) = processes.free_ports(1)
+        self._platform = platform_processes.Platform(self._folder, log_link=link)
+        with self._platform:
+            self._log_link = proxy.Proxy(link, self._platform.store_port)
+            await self._log_link.start()
+            self._configure()
+            await self._start_machines()
+            await asyncio.to_thread(self._platform.wait_ready, 40.0)
+            stop = asyncio.Event()
+            async with asyncio.TaskGroup() as group:
+                for each in self._callers:
+                    group.create_task(each.run(stop))
+                await self._carry_out(steps)
+                await asyncio.sleep(HEAL_S)
+                healed = callers.now_ms()
+                await asyncio.sleep(AFTER_S)
+                stop.set()
+            await self._close()
+        files = sorted(self._folder.glob("*.upstream.log"))
+        return checks.Seen(
+            attempts=[a for each in self._callers for a in each.attempts],
+            ledger=ledger.Ledger(files),
+            faults=self._faults,
+            published=self._published,
+            healed=healed,
+        )
+
+    async def _start_machines(self) -> None:
+        for number in range(self._count):
+            link, door = processes.free_ports(2)
+            machine = self._platform.add(
+                f"m{number}", service=SERVICES[number % len(SERVICES)], link=link
+            )
+            self._links.append(proxy.Proxy(link, machine.ports["app"]))
+            self._doors.append(proxy.Proxy(door, machine.ports["outbound"]))
+            await self._links[-1].start()
+            await self._doors[-1].start()
+            self._callers.append(callers.Callers(machine.name, door))
+
+    async def _close(self) -> None:
+        for each in (self._log_link, *self._links, *self._doors):
+            await each.close()
+
+    async def _carry_out(self, steps: list[schedule.Step]) -> None:
+        """Begin each step at its time; they overlap as they come."""
+        begun = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as group:
+            for step in steps:
+                wait = begun + step.at - asyncio.get_running_loop().time()
+                await asyncio.sleep(max(0.0, wait))
+                group.create_task(self._do(step))
+
+    async def _do(self, step: schedule.Step) -> None:
+        whole = step.kind.value.startswith("log-")
+        machine = self._machine(step.target)
+        fault = checks.Fault(
+            kind=step.kind,
+            node="" if whole else machine.name,
+            began=callers.now_ms(),
+            ended=float("inf"),
+        )
+        self._faults.append(fault)
+        await _ACTIONS[step.kind](self, step, fault)
+        fault.ended = callers.now_ms()
+
+    def _machine(self, target: int) -> platform_processes.Machine:
+        return list(self._platform.machines.values())[target]
+
+    def _configure(self) -> None:
+        kept = self._versions[-ROUTES_KEPT:]
+        # The number that the next configuration will have is in one of its routes.
+        version = self._platform.next_version
+        routes = [_route("r-a", "/a/", "plans"), _route("r-p", "/p/", "porting")]
+        routes += [_route(f"r-{v}", f"/v/{v}/", "plans") for v in [*kept, version]]
+        self._platform.configure(*routes)
+        self._versions.append(version)
+        self._published[version] = callers.now_ms()
+        for each in self._callers:
+            each.version = version
+
+    # What each kind of step does.
+
+    async def _node_kill(self, step: schedule.Step, fault: checks.Fault) -> None:
+        machine = self._machine(step.target)
+        await self._end(machine.node, signal.SIGKILL)
+        await asyncio.sleep(step.lasts)
+        self._start_node(machine, step.target)
+
+    async def _node_stop(self, step: schedule.Step, fault: checks.Fault) -> None:
+        machine = self._machine(step.target)
+        if machine.node.poll() is not None:
+            return
+        fault.code = await self._end(machine.node, signal.SIGTERM)
+        self._start_node(machine, step.target)
+
+    async def _node_pause(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._pause(self._machine(step.target).node, step.lasts)
+
+    async def _node_reload(self, step: schedule.Step, fault: checks.Fault) -> None:
+        node = self._machine(step.target).node
+        if node.poll() is None:
+            node.send_signal(signal.SIGHUP)
+
+    async def _backend_kill(self, step: schedule.Step, fault: checks.Fault) -> None:
+        machine = self._machine(step.target)
+        await self._end(machine.upstream, signal.SIGKILL)
+        await asyncio.sleep(step.lasts)
+        if machine.upstream.poll() is not None:
+            self._platform.restart_upstream(machine)
+
+    async def _backend_pause(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._pause(self._machine(step.target).upstream, step.lasts)
+
+    async def _backend_drain(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Let a backend server leave, serve on for a while, and be replaced."""
+        machine = self._machine(step.target)
+        await self._tell(machine, state="draining")
+        await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.lasts)
+        await self._backend_kill(step, fault)
+
+    async def _backend_refuse(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._tell_for(step, refuse=True)
+
+    async def _backend_cut(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._tell_for(step, cut=True)
+
+    async def _backend_link(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._disturb(self._links[step.target], step)
+
+    async def _backend_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
+        self._links[step.target].reset()
+
+    async def _caller_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
+        self._doors[step.target].reset()
+
+    async def _log_down(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._fault_for(step, down=True)
+
+    async def _log_silent(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._fault_for(step, silent=True)
+
+    async def _log_slow(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._fault_for(step, delay_ms=200.0 * step.lasts)
+
+    async def _log_loses(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await asyncio.to_thread(self._platform.fault, lose_answers=3)
+
+    async def _log_on_link(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._disturb(self._log_link, step)
+
+    async def _change(self, step: schedule.Step, fault: checks.Fault) -> None:
+        self._configure()
+
+    async def _disturb(self, link: proxy.Proxy, step: schedule.Step) -> None:
+        """Disturb a link in the way that the length of the step picks."""
+        modes = (proxy.Mode.DELAY, proxy.Mode.SILENT, proxy.Mode.ONE_WAY)
+        mode = modes[int(step.lasts * 1_000) % len(modes)]
+        link.set_mode(mode, delay_ms=100.0 * step.lasts)
+        await asyncio.sleep(step.lasts)
+        link.set_mode(proxy.Mode.PASS)
+
+    async def _fault_for(self, step: schedule.Step, **fault: object) -> None:
+        await asyncio.to_thread(self._platform.fault, **fault)
+        await asyncio.sleep(step.lasts)
+        healed = {name: type(value)() for name, value in fault.items()}
+        await asyncio.to_thread(self._platform.fault, **healed)
+
+    async def _tell_for(self, step: schedule.Step, **what: object) -> None:
+        machine = self._machine(step.target)
+        await self._tell(machine, **what)
+        await asyncio.sleep(step.lasts)
+        await self._tell(machine, **dict.fromkeys(what, False))
+
+    async def _tell(self, machine: platform_processes.Machine, **what: object) -> None:
+        """Tell a backend server what to do, if it runs and is not paused."""
+        if machine.upstream.poll() is None:
+            await asyncio.to_thread(machine.tell_upstream, **what)
+
+    async def _pause(self, process: subprocess.Popen[bytes], lasts: float) -> None:
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            process.send_signal(signal.SIGCONT)
+
+    async def _end(
+        self, process: subprocess.Popen[bytes], number: signal.Signals
+    ) -> int | None:
+        """Signal a process, and return its exit status once it ends."""
+        if process.poll() is None:
+            process.send_signal(number)
+        try:
+            return await asyncio.to_thread(process.wait, EXIT_WAIT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return None
+
+    def _start_node(self, machine: platform_processes.Machine, target: int) -> None:
+        if machine.node.poll() is not None:
+            machine.node = self._platform.start_node(machine.name)
+            self._callers[target].incarnation += 1
+
+
+def _route(name: str, prefix: str, service: str) -> dict[str, object]:
+    safe = service == "plans"
+    return {
+        "name": name,
+        "hostname": callers.HOST,
+        "path_prefix": prefix,
+        "route_type": "safe" if safe else "non_idempotent",
+        "timeout_ms": 1_500,
+        "target_latency_ms": 500,
+        "priority": 2 if safe else 0,
+        "service_name": service,
+        "max_attempts": 2 if safe else 1,
+    }
+
+
+_Action = collections.abc.Callable[
+    [Run, schedule.Step, checks.Fault], collections.abc.Awaitable[None]
+]
+_ACTIONS: dict[schedule.Kind, _Action] = {
+    schedule.Kind.NODE_KILL: Run._node_kill,
+    schedule.Kind.NODE_STOP: Run._node_stop,
+    schedule.Kind.NODE_PAUSE: Run._node_pause,
+    schedule.Kind.NODE_RELOAD: Run._node_reload,
+    schedule.Kind.BACKEND_KILL: Run._backend_kill,
+    schedule.Kind.BACKEND_PAUSE: Run._backend_pause,
+    schedule.Kind.BACKEND_DRAIN: Run._backend_drain,
+    schedule.Kind.BACKEND_REFUSE: Run._backend_refuse,
+    schedule.Kind.BACKEND_CUT: Run._backend_cut,
+    schedule.Kind.BACKEND_LINK: Run._backend_link,
+    schedule.Kind.BACKEND_RESET: Run._backend_reset,
+    schedule.Kind.CALLER_RESET: Run._caller_reset,
+    schedule.Kind.LOG_DOWN: Run._log_down,
+    schedule.Kind.LOG_SILENT: Run._log_silent,
+    schedule.Kind.LOG_SLOW: Run._log_slow,
+    schedule.Kind.LOG_LOSES: Run._log_loses,
+    schedule.Kind.LOG_LINK: Run._log_on_link,
+    schedule.Kind.CONFIGURE: Run._change,
+}
+
+
+class Verdict(msgspec.Struct):
+    """What a run came to.
+
+    :param broken: a sentence for each promise that was broken.
+    """
+
+    seed: int
+    attempts: int
+    served: int
+    steps: list[str]
+    broken: list[str]
+
+
+def play(
+    seed: int, folder: pathlib.Path, *, machines: int, length_s: float, timing: bool
+) -> Verdict:
+    """Play the run of a seed."""
+    steps = schedule.draw(seed, machines=machines, length_s=length_s)
+    run = Run(folder, machines=machines)
+    seen = asyncio.run(run.play(steps))
+    return Verdict(
+        seed=seed,
+        attempts=len(seen.attempts),
+        served=sum(attempt.status == 200 for attempt in seen.attempts),
+        steps=[f"{s.at:g} {s.kind.value} m{s.target} {s.lasts:g}" for s in steps],
+        broken=checks.broken(seen, timing=timing),
+    )
--- /dev/null
+++ b/tooling/gingerturn_soak/schedule.py
@@ -0,0 +1,76 @@
+"""What happens when: drawn from a seed, and the same for the same seed."""
+
+import enum
+import random
+
+import msgspec
+
+
+class Kind(enum.Enum):
+    """What is done to which process or connection."""
+
+    NODE_KILL = "node-kill"
+    NODE_STOP = "node-stop"
+    NODE_PAUSE = "node-pause"
+    NODE_RELOAD = "node-reload"
+    BACKEND_KILL = "backend-kill"
+    BACKEND_PAUSE = "backend-pause"
+    BACKEND_DRAIN = "backend-drain"
+    BACKEND_REFUSE = "backend-refuse"
+    BACKEND_CUT = "backend-cut"
+    BACKEND_LINK = "backend-link"
+    BACKEND_RESET = "backend-reset"
+    LOG_DOWN = "log-down"
+    LOG_SILENT = "log-silent"
+    LOG_SLOW = "log-slow"
+    LOG_LOSES = "log-loses"
+    LOG_LINK = "log-link"
+    CALLER_RESET = "caller-reset"
+    CONFIGURE = "configure"
+
+
+PLANNED = frozenset(
+    {Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.BACKEND_DRAIN, Kind.CONFIGURE}
+)
+"""Planned work: what it cuts is the system's own fault."""
+
+SERIES = frozenset({Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.CONFIGURE})
+"""These come in series too, with little time between."""
+
+QUIET_S = 2.0
+"""Before the first step, so that all are ready."""
+
+
+class Step(msgspec.Struct, frozen=True):
+    """One thing that is done.
+
+    :param at: seconds from the start of traffic.
+    :param target: number of the machine.
+    :param lasts: seconds until it is undone, where it can be.
+    """
+
+    at: float
+    kind: Kind
+    target: int
+    lasts: float
+
+
+def draw(seed: int, *, machines: int, length_s: float) -> list[Step]:
+    """Return the steps of a run, in order of time."""
+    chance = random.Random(seed)
+    steps: list[Step] = []
+    for _ in range(chance.randint(4, 8)):
+        kind = chance.choice(list(Kind))
+        at = chance.uniform(QUIET_S, length_s)
+        times = chance.randint(2, 4) if kind in SERIES else 1
+        gap = chance.uniform(0.2, 1.5)
+        for number in range(times):
+            steps.append(
+                Step(
+                    at=round(at + number * gap, 3),
+                    kind=kind,
+                    target=chance.randrange(machines),
+                    lasts=round(chance.uniform(0.3, 4.0), 3),
+                )
+            )
+    return sorted(steps, key=lambda step: step.at)
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -20,12 +20,17 @@
 
 @dataclasses.dataclass
 class Machine:
-    """A node and the upstream beside it."""
+    """A node and the upstream beside it.
+
+    :param starts: how often the upstream was started.
+    """
 
     name: str
+    service: str
     ports: dict[str, int]
     node: subprocess.Popen[bytes]
     upstream: subprocess.Popen[bytes]
+    starts: int = 1
 
     @property
     def entry(self) -> str:
@@ -66,12 +71,14 @@
     """The store and some machines; use it as a context manager.
 
     :param folder: where settings and logs are written.
+    :param log_link: port by which nodes reach the store in place of its own.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, log_link: int | None = None) -> None:
         self.folder = folder
         self.machines: dict[str, Machine] = {}
         (self.store_port,) = processes.free_ports(1)
+        self._log_link = log_link or self.store_port
         path = [str(ROOT / "src"), str(ROOT / "tooling")]
         self._environment = {**os.environ, "PYTHONPATH": os.pathsep.join(path)}
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -99,22 +106,40 @@
         """URL of the store."""
         return f"http://127.0.0.1:{self.store_port}"
 
-    def add(self, name: str, *, service: str) -> Machine:
-        """Start a node and an upstream beside it."""
+    def add(self, name: str, *, service: str, link: int | None = None) -> Machine:
+        """Start a node and an upstream beside it.
+
+        :param link: port that the upstream announces in place of its own.
+        """
         names = ("outbound", "inbound", "ready", "control", "app")
         ports = dict(zip(names, processes.free_ports(len(names)), strict=True))
         ports["gossip"] = _free_pair()
+        ports["link"] = link or ports["app"]
         self._write_settings(name, service, ports)
         node = self.start_node(name)
-        upstream = self._spawn(
+        upstream = self._start_upstream(name, service, ports, f"i-{name}")
+        machine = Machine(name, service, ports, node, upstream)
+        self.machines[name] = machine
+        return machine
+
+    def restart_upstream(self, machine: Machine) -> None:
+        """Start an upstream that has ended; it is a new instance."""
+        machine.starts += 1
+        instance = f"i-{machine.name}-{machine.starts}"
+        machine.upstream = self._start_upstream(
+            machine.name, machine.service, machine.ports, instance
+        )
+
+    def _start_upstream(
+        self, name: str, service: str, ports: dict[str, int], instance: str
+    ) -> subprocess.Popen[bytes]:
+        return self._spawn(
             f"{name}.upstream",
             *("-m", "gingerturn_standins.platform_upstream", "--service", service),
-            *("--port", str(ports["app"]), "--instance", f"i-{name}"),
+            *("--port", str(ports["app"]), "--announce", str(ports["link"])),
+            *("--instance", instance),
             *("--control", f"127.0.0.1:{ports['control']}"),
         )
-        machine = Machine(name, ports, node, upstream)
-        self.machines[name] = machine
-        return machine
 
     def start_node(self, name: str) -> subprocess.Popen[bytes]:
         """Start a node's process, from the settings written for it."""
@@ -129,9 +154,14 @@
         """Return where a node records its events."""
         return self.folder / f"{name}.events"
 
+    @property
+    def next_version(self) -> int:
+        """Version that the next configuration will have."""
+        return self._version + 3
+
     def configure(self, *routes: dict[str, object]) -> int:
         """Write the next version of the operator's configuration."""
-        self._version += 3
+        self._version = self.next_version
         content = {
             "version": f"{self._version:08x}",
             "routes": list(routes),
@@ -192,7 +222,7 @@
             "bounds": {"grace_s": 6, "retry_budget_slack": 49},
             "app_addr": f"127.0.0.1:{ports['app']}",
             "service_name": service,
-            "platform_config": {"address": f"127.0.0.1:{self.store_port}"},
+            "platform_config": {"address": f"127.0.0.1:{self._log_link}"},
         }
         self._settings_path(name).write_text(json.dumps(told))
 
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -4,12 +4,16 @@
 ``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, and
 ``cut`` (break the connection in the middle of each answer). ``GET /counts`` tells how
 often each request id ran, and what came with the last one.
+
+Each arrival, run and acknowledged leaving is also written to standard output as a line
+of JSON, the run before the work on it begins.
 """
 
 import asyncio
 import collections
 import json
 import signal
+import time
 
 import click
 import httpx
@@ -56,6 +60,7 @@
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
         number = request.headers.get("request-id", "")
+        self._write("arrived", number)
         expected = request.headers.get("expected-instance", self.instance)
         echoed = {"Request-Id": number}
         if not number or self.refuse:
@@ -66,12 +71,29 @@
             headers = {**echoed, "Instance-Id": self.instance}
             return http_server.Response(421, b"", headers)
         self.runs[number] += 1
+        self._write("run", number)
         self.last = {**request.headers, "target": request.target}
         await asyncio.sleep(self.work_ms / 1000.0)
         body = request.body or f"{self.service} {request.target}".encode()
         headers = {**echoed, "Response-Signature": f"signed.{number}"}
         return http_server.Response(200, body, headers, cut=self.cut)
 
+    def acknowledge(self, state: str) -> None:
+        """Take in that a heartbeat with this state was acknowledged."""
+        if state == "draining" and state not in self.acknowledged:
+            self._write("acknowledged", "")
+        self.acknowledged.append(state)
+
+    def _write(self, event: str, number: str) -> None:
+        line = {
+            "event": event,
+            "at": time.time() * 1000.0,
+            "instance": self.instance,
+            "service": self.service,
+            "id": number,
+        }
+        print(json.dumps(line, separators=(",", ":")), flush=True)
+
     def beat(self) -> dict[str, object]:
         """Return the next heartbeat."""
         self.sequence += 1
@@ -105,20 +127,23 @@
             except httpx.HTTPError:
                 continue
             if reply.status_code == 200:
-                upstream.acknowledged.append(state)
+                upstream.acknowledge(state)
 
 
 @click.command()
 @click.option("--service", required=True)
 @click.option("--port", type=int, required=True)
+@click.option("--announce", type=int, help="Port to announce, if another one.")
 @click.option("--instance", required=True)
 @click.option("--control", required=True, help="IP:PORT for heartbeats.")
-def main(service: str, port: int, instance: str, control: str) -> None:
+def main(
+    service: str, port: int, announce: int | None, instance: str, control: str
+) -> None:
     """Run the stand-in until SIGTERM."""
 
     async def run() -> None:
         upstream = Upstream(
-            service=service, address=f"127.0.0.1:{port}", instance=instance
+            service=service, address=f"127.0.0.1:{announce or port}", instance=instance
         )
         server = await http_server.serve(upstream.handle, "127.0.0.1", port)
         stop = asyncio.Event()
