Read the members again if a read was under way when the own record came

Cause: found by reading. Of two nodes that start at once the later reader finds the earlier, since each puts its record before it reads. Where the first put failed, a read begun before the record was there counted as the read after it, and both could miss each other for good. Change: such a read is marked as begun too early and followed by another one.

--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -116,9 +116,10 @@
     else:
         pause = PUT_RETRY_MS * (1.0 + state.random.random())
         membership.join_retry_at = state.now + pause
-    streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
     if done:
-        streams.reread(state, streams.MEMBERS)
+        # A read that is under way began before the record was there.
+        streams.reread(state, streams.MEMBERS, anew=True)
+    streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
 
 
 def _join_record(state: states.State, me: messages.Member) -> messages.JoinRecord:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -254,12 +254,14 @@
         begins with those and not with the oldest record.
     :param based: those have been read.
     :param followed: records are read as they come.
+    :param outdated: the read under way began too early to tell what is asked for.
     """
 
     name: str
     keyed: bool = False
     based: bool = False
     followed: bool = True
+    outdated: bool = False
     offset: int = 0
     reading: bool = False
     failures: int = 0
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -78,7 +78,8 @@
     _note_regained(stream, out)
     stream.reading = False
     stream.failures = 0
-    stream.based = True
+    stream.based = not stream.outdated
+    stream.outdated = False
     stream.caught_up = True
     stream.offset = end
     stream.fresh = state.now
@@ -92,11 +93,15 @@
         outbox.info(out, "log", text)
 
 
-def reread(state: states.State, name: str) -> None:
-    """Read the newest records of a keyed stream again."""
+def reread(state: states.State, name: str, *, anew: bool = False) -> None:
+    """Read the newest records of a keyed stream again.
+
+    :param anew: a read that is under way began too early.
+    """
     stream = state.streams.get(name)
     if stream is not None:
         stream.based = False
+        stream.outdated |= anew and stream.reading
         stream.retry_at = max(stream.retry_at, state.now)
 
 
@@ -104,6 +109,7 @@
     """Take in a failed read; back off with jitter so that the log's return is not
     met by all nodes at once."""
     stream.reading = False
+    stream.outdated = False
     stream.failures += 1
     if stream.failures == 1:
         outbox.warn(out, "log", f"Stream {stream.name} cannot be read.")
--- a/tests/cover/test_keyed_members.py
+++ b/tests/cover/test_keyed_members.py
@@ -94,6 +94,25 @@
     assert not readiness.is_ready(state)
 
 
+def test_members_are_read_again_if_a_read_was_under_way_when_the_own_record_came() -> (
+    None
+):
+    # That read may have missed a node which read before this node's record was there:
+    # neither would have heard of the other.
+    state, out = _begun()
+    put = builders.only(out, effects.PutRecord).put
+    reducer.reduce(state, events.PutFailed(now=state.now, put=put))
+    out = builders.passed(state, 2 * membership.PUT_RETRY_MS + membership.REVIVE_MS)
+    _put_done(state, builders.only(out, effects.PutRecord).put)
+    _listed(state)
+    out = builders.passed(state, 50.0)
+    read = [e.stream for e in builders.all_of(out, effects.ReadNewest)]
+    assert read == [streams.MEMBERS]
+    builders.add_members(state, builders.member("n2", "plans"))
+    _listed(state)
+    assert not builders.all_of(builders.passed(state, 3_000.0), effects.ReadNewest)
+
+
 def test_a_failed_read_is_tried_again_within_a_second() -> None:
     state, out = _begun()
     _put_done(state, builders.only(out, effects.PutRecord).put)
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -3,6 +3,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -21,6 +22,8 @@
 @click.option("--length", default=12.0, help="Seconds of faults.", show_default=True)
 def main(seeds: tuple[int, ...], runs: int, machines: int, length: float) -> None:
     """Play runs and print each one's verdict; exit with 1 if a promise was broken."""
+    # Ended by a signal too, a run ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
     chosen = seeds or [random.SystemRandom().randrange(1 << 31) for _ in range(runs)]
     failed = [seed for seed in chosen if not _play(seed, machines, length)]
     click.echo(f"{len(chosen)} runs, {len(failed)} with a promise broken: {failed}")
