--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -1,7 +1,6 @@
 """The home side: calls for the backend server beside this node."""
 
 import heapq
-import typing
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -10,6 +9,7 @@
     decisions,
     effects,
     events,
+    instances,
     keys,
     knee,
     messages,
@@ -18,15 +18,9 @@
     state as states,
 )
 
-_T = typing.TypeVar("_T")
-
 UNREACHABLE_MS = 500.0
 """Pause after the backend server refused a connection; one call then tries."""
 
-INSTANCES_KEPT = 64
-"""Past instances remembered, to tell their late announcements: more than follow one
-another on an instance within any delay."""
-
 ORPHAN_MS = 60_000.0
 """An unrepeatable call whose caller is gone keeps its slot for at most this long past
 its deadline, so that its answer can be kept for the caller's repeat; the backend
@@ -203,52 +197,10 @@
         text = f"{backend.service} {backend.instance} no longer has its address."
         outbox.warn(out, "backend", text)
     backend.present = False
-    _note_left(backend, backend.instance)
+    instances.note_left(backend, backend.instance)
     refuse_queue(state, decisions.Rule.NO_BACKEND, out)
 
 
-def is_late(state: states.State, instance: str, sequence: int) -> bool:
-    """Tell whether an announcement was overtaken by a later one, by the instance's
-    own leaving, or by its successor."""
-    backend = state.backend
-    if not instance:
-        return False
-    if instance in backend.left:
-        return True
-    if instance == backend.instance:
-        return 0 < sequence <= backend.sequence
-    if instance not in backend.replaced:
-        return False
-    # Which of two is alive no announcement tells for certain: after a restart of this
-    # node a late word of an instance long gone looks like a new start. The later one
-    # is believed until a call finds another at its address, or it falls silent.
-    return backend.present or sequence <= backend.replaced[instance]
-
-
-def _note_left(backend: states.Backend, instance: str) -> None:
-    if instance:
-        _remember(backend.left, instance, True)
-
-
-def _remember(table: dict[str, _T], instance: str, what: _T) -> None:
-    table[instance] = what
-    if len(table) > INSTANCES_KEPT:
-        del table[next(iter(table))]
-
-
-def _begin_instance(backend: states.Backend, instance: str) -> None:
-    """Start afresh for a new start of the backend server: nothing measured of the
-    one before holds for it."""
-    if backend.instance:
-        _remember(backend.replaced, backend.instance, backend.sequence)
-    backend.instance = instance
-    backend.sequence = 0
-    backend.present = False
-    backend.times.clear()
-    backend.knee = states.Knee()
-    backend.unreachable_until = 0.0
-
-
 def on_announced(
     state: states.State, event: events.BackendAnnounced, out: states.Effects
 ) -> None:
@@ -257,7 +209,7 @@
     declared = state.configuration.service(event.service).slots
     slots = event.slots if declared is None else min(declared, event.slots)
     if event.instance and event.instance != backend.instance:
-        _begin_instance(backend, event.instance)
+        instances.begin(backend, event.instance)
     backend.sequence = max(backend.sequence, event.sequence)
     if backend.present and backend.service != event.service:
         outbox.warn(out, "backend", f"Service changed to {event.service}.")
@@ -283,9 +235,9 @@
     """
     backend = state.backend
     if event.instance and event.instance != backend.instance:
-        _note_left(backend, event.instance)
+        instances.note_left(backend, event.instance)
         return False
-    _note_left(backend, event.instance)
+    instances.note_left(backend, event.instance)
     if not backend.present or backend.leaving:
         return False
     backend.leaving = True
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -18,7 +18,6 @@
     revisions,
     route_table,
     state as states,
-    streams,
 )
 
 PROBE_MS = 500.0
@@ -47,171 +46,11 @@
 """Below this size the few members that are not gone are listed before drawing, so
 that a draw cannot miss all of them."""
 
-JOIN_CONTACTS = 3
-KEYED_CONTACTS = 16
-"""Nodes contacted at once from the members that a keyed log lists, the latest first:
-some of them may be gone for good and never answer."""
-
-CONTACT_TRIES = 4
-REVIVE_MS = 1_000.0
-"""Each second one member that is held for gone is pinged: after both sides of a
-parted network gave each other up, nothing else would bring them together."""
-
-PUT_RETRY_MS = 500.0
-"""Pause, before a random part, until a join record that the log did not acknowledge
-is put again."""
-
 ISOLATED_SHARE = 0.5
 """Where more than half of the members seem unreachable, the fault is more likely
 this node's own network: nobody is declared gone until some answer again."""
 
 
-def start(state: states.State, me: messages.Member, out: states.Effects) -> None:
-    """Enter the membership as its only member and tell the log."""
-    state.membership.me = me
-    _put(state, me)
-    if state.keyed_log:
-        put_join_record(state, out)
-        return
-    out.append(
-        effects.Append(
-            append=state.next_number(),
-            stream=streams.MEMBERS,
-            record=messages.encode_record(_join_record(state, me)),
-        )
-    )
-    contact_seeds(state, state.now, out)
-
-
-def put_join_record(state: states.State, out: states.Effects) -> None:
-    """Put this node's place under its key; others read it when they start."""
-    membership = state.membership
-    if membership.me is None:
-        return
-    membership.join_put = state.next_number()
-    membership.join_retry_at = math.inf
-    out.append(
-        effects.PutRecord(
-            put=membership.join_put,
-            stream=streams.MEMBERS,
-            key=state.node,
-            record=messages.encode_record(_join_record(state, membership.me)),
-        )
-    )
-
-
-def on_put_ended(
-    state: states.State, put: int, out: states.Effects, *, done: bool
-) -> None:
-    """Take in whether the join record was put, and read who else there is.
-
-    The list is read after the own record is there: so of two nodes that start at
-    the same time the later one finds the earlier.
-    """
-    membership = state.membership
-    if put != membership.join_put:
-        return
-    if done:
-        membership.join_put = 0
-    else:
-        pause = PUT_RETRY_MS * (1.0 + state.random.random())
-        membership.join_retry_at = state.now + pause
-    if done:
-        # A read that is under way began before the record was there.
-        streams.reread(state, streams.MEMBERS, anew=True)
-    streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
-
-
-def _join_record(state: states.State, me: messages.Member) -> messages.JoinRecord:
-    return messages.JoinRecord(
-        node=me.node,
-        incarnation=me.incarnation,
-        host=me.host,
-        gossip_port=me.gossip_port,
-        zone=me.zone,
-        at=state.now,
-    )
-
-
-def on_listed(
-    state: states.State,
-    records: list[messages.JoinRecord],
-    out: states.Effects,
-) -> None:
-    """Take in who joined by a keyed log: contact those not known yet."""
-    membership = state.membership
-    membership.listed = True
-    members = membership.members
-    latest = sorted(records, key=lambda record: -record.at)
-    for record in latest:
-        known = members.get(record.node)
-        if record.node == state.node or (
-            known is not None and known.incarnation >= record.incarnation
-        ):
-            continue
-        membership.unmet[record.node] = (record, 0)
-    contact_unmet(state, state.now, out)
-
-
-def contact_unmet(
-    state: states.State, now: ids.Milliseconds, out: states.Effects
-) -> None:
-    """Contact nodes that joined by the log and were not heard of yet; datagrams may
-    be lost, so each is tried a few times."""
-    membership = state.membership
-    contacted = 0
-    for node, (record, tries) in list(membership.unmet.items()):
-        known = membership.members.get(node)
-        met = known is not None and known.incarnation >= record.incarnation
-        if met or tries >= CONTACT_TRIES:
-            del membership.unmet[node]
-            continue
-        if contacted < KEYED_CONTACTS:
-            membership.unmet[node] = (record, tries + 1)
-            _sync(state, record.host, record.gossip_port, "", out)
-            contacted += 1
-
-
-def revive(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
-    """Ping a member that is held for gone, and renew what the log must hold."""
-    membership = state.membership
-    gone = [node for node in membership.gone if node in membership.members]
-    if gone and not state.stopping:
-        _ping(state, ids.NodeId(state.random.choice(gone)), out)
-    if membership.join_put and now >= membership.join_retry_at:
-        put_join_record(state, out)
-    contact_unmet(state, now, out)
-    if state.keyed_log and not _reachable(state) and membership.listed:
-        # Alone: the others may have been replaced while this node was cut off.
-        streams.reread(state, streams.MEMBERS)
-
-
-def contact_seeds(
-    state: states.State, now: ids.Milliseconds, out: states.Effects
-) -> None:
-    """Ask the peers of the settings while nobody else is known."""
-    if len(state.membership.members) > 1 or state.stopping:
-        return
-    for seed in state.seeds:
-        host, _, port = seed.rpartition(":")
-        _sync(state, host, int(port), "", out)
-
-
-def on_join_records(
-    state: states.State, records: list[messages.JoinRecord], out: states.Effects
-) -> None:
-    """Contact nodes that joined by the log, the latest first."""
-    latest: dict[str, messages.JoinRecord] = {r.node: r for r in records}
-    latest.pop(state.node, None)
-    unknown = [
-        record
-        for record in latest.values()
-        if record.node not in state.membership.members
-    ]
-    for record in unknown[-JOIN_CONTACTS:]:
-        _sync(state, record.host, record.gossip_port, "", out)
-
-
 def change_self(
     state: states.State,
     out: states.Effects,
@@ -236,7 +75,7 @@
         state=me.state if member_state is None else member_state,
     )
     state.membership.me = changed
-    _put(state, changed)
+    put(state, changed)
     if urgent:
         push(state, out)
 
@@ -254,20 +93,20 @@
     membership.next_push = state.now + PUSH_EVERY_MS
     membership.push_waits = False
     for node in _some(state, URGENT_FANOUT):
-        _ping(state, node, out)
+        ping(state, node, out)
 
 
 def probe(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Ping the next member of a shuffled round."""
     membership = state.membership
     if not membership.order:
-        membership.order = [str(node) for node in _reachable(state)]
+        membership.order = [str(node) for node in reachable(state)]
         state.random.shuffle(membership.order)
     while membership.order:
         node = membership.order.pop()
         member = membership.members.get(node)
         if member is not None and member.state is not messages.MemberState.GONE:
-            _ping(state, ids.NodeId(node), out, track=True)
+            ping(state, ids.NodeId(node), out, track=True)
             return
 
 
@@ -321,7 +160,7 @@
     elif message.kind is kinds.SYNC_REQUEST:
         _send_page(state, host, port, message, out)
     elif message.kind is kinds.SYNC_PAGE and message.cursor:
-        _sync(state, host, port, message.cursor, out)
+        sync(state, host, port, message.cursor, out)
     if any(member.state is messages.MemberState.LEAVING for member in news):
         push(state, out)
     revisions.hear(state, sender, message.revision, out)
@@ -355,7 +194,7 @@
     if known is not None and heard.incarnation > known.incarnation:
         # A restarted instance: nothing that the old one told counts any more.
         state.upstreams.pop(heard.node, None)
-    _put(state, heard)
+    put(state, heard)
     return True
 
 
@@ -384,7 +223,8 @@
     return (member.incarnation, member.version, member.state)
 
 
-def _put(state: states.State, member: messages.Member) -> None:
+def put(state: states.State, member: messages.Member) -> None:
+    """Take what is known of a member, and let it be passed on."""
     membership = state.membership
     old = membership.members.get(member.node)
     membership.members[member.node] = member
@@ -413,7 +253,8 @@
     return 3 * math.ceil(math.log2(len(state.membership.members) + 2))
 
 
-def _reachable(state: states.State) -> list[ids.NodeId]:
+def reachable(state: states.State) -> list[ids.NodeId]:
+    """Return the other members that are not held for gone."""
     return [
         member.node
         for member in state.membership.members.values()
@@ -428,7 +269,7 @@
     """
     members = state.membership.members
     if len(members) < SMALL:
-        pool = sorted(_reachable(state))
+        pool = sorted(reachable(state))
         return state.random.sample(pool, min(count, len(pool)))
     drawn = state.random.sample(list(members), 2 * count)
     return [
@@ -455,13 +296,17 @@
     )
 
 
-def _ping(
+def ping(
     state: states.State,
     node: ids.NodeId,
     out: states.Effects,
     *,
     track: bool = False,
 ) -> None:
+    """Ping a member.
+
+    :param track: miss its answer.
+    """
     membership = state.membership
     member = membership.members[node]
     membership.sequence += 1
@@ -521,7 +366,7 @@
 ) -> None:
     if message.target not in state.membership.members:
         return
-    _ping(state, ids.NodeId(message.target), out, track=True)
+    ping(state, ids.NodeId(message.target), out, track=True)
     probed = state.membership.probes[state.membership.sequence]
     probed.for_host = host
     probed.for_port = port
@@ -552,9 +397,9 @@
     member = state.membership.members.get(node)
     if member is None or member.state is not messages.MemberState.ALIVE:
         if member is not None and member.state is messages.MemberState.LEAVING:
-            _put(state, _with_state(member, messages.MemberState.GONE))
+            put(state, _with_state(member, messages.MemberState.GONE))
         return
-    _put(state, _with_state(member, messages.MemberState.SUSPECT))
+    put(state, _with_state(member, messages.MemberState.SUSPECT))
 
 
 def _with_state(
@@ -576,7 +421,7 @@
         if now - since < GONE_AFTER_MS:
             continue
         member = state.membership.members[node]
-        _put(state, _with_state(member, messages.MemberState.GONE))
+        put(state, _with_state(member, messages.MemberState.GONE))
         outbox.warn(out, "membership", f"{node} is gone.")
 
 
@@ -591,9 +436,10 @@
         state.upstreams.pop(ids.NodeId(node), None)
 
 
-def _sync(
+def sync(
     state: states.State, host: str, port: int, cursor: str, out: states.Effects
 ) -> None:
+    """Ask a node for the members that it knows, by pages, and tell it of this one."""
     me = state.membership.me
     message = messages.Gossip(
         kind=messages.GossipKind.SYNC_REQUEST,
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -19,6 +19,8 @@
     effects,
     events,
     hosting,
+    instances,
+    joining,
     keys,
     membership,
     messages,
@@ -97,7 +99,7 @@
     )
     for name, (period, _) in _TIMERS.items():
         timers.subscribe(state, name=name, period=period, now=event.now)
-    membership.start(state, me, out)
+    joining.start(state, me, out)
     if event.routed:
         streams.follow(state, streams.ROUTES, out, keyed=True)
     if event.keyed_log:
@@ -146,7 +148,7 @@
         else:
             _on_record(state, event.stream, offset, record, out)
     if joins:
-        membership.on_join_records(state, joins, out)
+        joining.on_join_records(state, joins, out)
 
 
 def _on_record(
@@ -182,7 +184,7 @@
     decoded = [messages.decode_record(content) for content in event.records]
     if event.stream == streams.MEMBERS:
         joins = [r for r in decoded if isinstance(r, messages.JoinRecord)]
-        membership.on_listed(state, joins, out)
+        joining.on_listed(state, joins, out)
         return
     for record in decoded:
         _on_record(state, event.stream, event.end, record, out)
@@ -191,13 +193,13 @@
 def _on_put_done(
     state: states.State, event: events.PutDone, out: states.Effects
 ) -> None:
-    membership.on_put_ended(state, event.put, out, done=True)
+    joining.on_put_ended(state, event.put, out, done=True)
 
 
 def _on_put_failed(
     state: states.State, event: events.PutFailed, out: states.Effects
 ) -> None:
-    membership.on_put_ended(state, event.put, out, done=False)
+    joining.on_put_ended(state, event.put, out, done=False)
 
 
 def _on_routes(
@@ -262,7 +264,7 @@
     state: states.State, event: events.BackendAnnounced, out: states.Effects
 ) -> None:
     backend = state.backend
-    if hosting.is_late(state, event.instance, event.sequence):
+    if instances.is_late(state, event.instance, event.sequence):
         return
     before = (backend.service, backend.slots, backend.present, backend.leaving)
     hosting.on_announced(state, event, out)
@@ -368,7 +370,7 @@
     claims.check_waits(state, now, out)
     revisions.check_waits(state, now, out)
     revisions.keep_alive(state, now, out)
-    membership.contact_seeds(state, now, out)
+    joining.contact_seeds(state, now, out)
     _follow_claims(state, out)
 
 
@@ -399,7 +401,7 @@
     "probe": (membership.PROBE_MS, membership.probe),
     "membership": (membership.CHECK_MS, _check_members),
     "slow": (SLOW_CHECK_MS, _check_slowly),
-    "revive": (membership.REVIVE_MS, membership.revive),
+    "revive": (joining.REVIVE_MS, joining.revive),
     "prune": (PRUNE_MS, _prune),
 }
 _TIMER_HANDLERS = {name: handler for name, (_, handler) in _TIMERS.items()}
