Give the backend server beside a stopping node work until shortly before its end

Ruled out: ending sooner (callers notice the stop by two missed checks a second apart); knowing the backend server from the settings at the start (not which instance it is). Change: where callers are led by readiness, the node departs only 1.5 s before it may end; until then its backend server gets calls as before. Elsewhere it departs at once. Before and after: test_the_backend_server_of_a_stopping_routed_node_gets_work_for_a_while failed first; the stop tests on real nodes pass.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -313,7 +313,7 @@
         tree_level=tree_level(state, kind),
         load=backend.running + len(backend.queue),
         limit=int(backend.limit),
-        leaving=backend.leaving or state.stopping,
+        leaving=backend.leaving or state.departed,
     )
 
 
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -565,7 +565,7 @@
 
 def _unfit(state: states.State, hosted: states.Hosted) -> decisions.Rule | None:
     backend = state.backend
-    if backend.leaving or state.stopping:
+    if backend.leaving or state.departed:
         return decisions.Rule.LEAVING
     if not backend.present or backend.service != hosted.terms.service:
         return decisions.Rule.NO_BACKEND
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -40,7 +40,9 @@
 
 ROUTED_LINGER_MS = 3_000.0
 """Where callers are led to nodes by readiness, a stopping node goes on serving them
-this long: two missed checks a second apart, and some time for what is under way."""
+this long: two missed checks a second apart, and some time for what is under way. Until
+the last :data:`STOP_LINGER_MS` of it the backend server beside it, which does not stop,
+gets work as before: no other node can reach it."""
 
 LAST_ANSWERS_MS = 500.0
 """Before the end of its grace a node answers what it still holds: a caller that is
@@ -305,9 +307,16 @@
     state.stopping = True
     linger = ROUTED_LINGER_MS if state.routed else STOP_LINGER_MS
     state.stop_after = state.now + linger
+    state.depart_at = state.stop_after - STOP_LINGER_MS
     if event.grace_ms > 0:
         state.stop_by = state.now + max(0.0, event.grace_ms - LAST_ANSWERS_MS)
     outbox.info(out, "node", "Planned stop begins.")
+
+
+def _depart(state: states.State, out: states.Effects) -> None:
+    """Take no more work for the backend server, and tell the members."""
+    state.departed = True
+    outbox.info(out, "node", "No more calls are taken for the backend server.")
     hosting.refuse_queue(state, decisions.Rule.STOPPING, out)
     membership.change_self(state, out, member_state=messages.MemberState.LEAVING)
     if state.keyed_log:
@@ -339,6 +348,8 @@
 
 
 def _check_stopped(state: states.State, out: states.Effects) -> None:
+    if not state.departed and state.now >= state.depart_at:
+        _depart(state, out)
     if state.now >= state.stop_by:
         calls.give_up_all(state, out)
     elif state.calls or state.hosted or state.now < state.stop_after:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -387,7 +387,9 @@
         self.decisions = decisions.DecisionLog(node=node, size=decision_count)
         self.timers: list[Timer] = []
         self.stopping = False
+        self.departed = False
         self.stopped = False
+        self.depart_at: ids.Milliseconds = 0.0
         self.stop_after: ids.Milliseconds = 0.0
         self.stop_by: ids.Milliseconds = math.inf
         self.seeds: tuple[str, ...] = ()
--- a/tests/cover/test_routed_attempts.py
+++ b/tests/cover/test_routed_attempts.py
@@ -221,6 +221,24 @@
     assert state.budgets[ids.ServiceName("porting")].held < 0.0
 
 
+def test_the_backend_server_of_a_stopping_routed_node_gets_work_for_a_while() -> None:
+    # It was shut off for all of the stop and the start, 4 s, though it went on running.
+    state = routed.node_state(service="plans")
+    out = reducer.reduce(state, events.StopRequested(now=state.now, grace_ms=5_500.0))
+    assert not builders.all_of(out, effects.PutRecord)
+    assert builders.all_of(reducer.reduce(state, builders.opened(1)), effects.HandOver)
+    departs = state.now + reducer.ROUTED_LINGER_MS - reducer.STOP_LINGER_MS
+    out = reducer.reduce(state, events.Tick(now=departs))
+    assert builders.only(out, effects.PutRecord).record == b""
+    me = state.membership.me
+    assert me is not None and me.state is messages.MemberState.LEAVING
+    refusal = builders.only(
+        reducer.reduce(state, builders.opened(2)), effects.SendRefusal
+    )
+    assert decisions.Rule(refusal.refusal.rule) is decisions.Rule.LEAVING
+    assert refusal.report.leaving
+
+
 def test_the_home_of_a_stopping_routed_node_still_serves_its_callers() -> None:
     state = _state()
     reducer.reduce(state, events.StopRequested(now=state.now))
