For each rule, show that its proof fails when the mechanism is out

Change: fifteen rows in tests/quality/test_rules_can_be_broken.py; each proof passes, and fails with its mechanism out. Ruled out: taking out admission.remove for REFUSED (a fault, no broken promise); the handler of cancels is taken out instead.

--- /dev/null
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -0,0 +1,184 @@
+"""For each rule of the users' platform: its proof fails when its mechanism is out."""
+
+import collections.abc
+import typing
+
+import pytest
+
+from gingerturn.internal.core import (
+    calls,
+    decisions,
+    events,
+    hosting,
+    instances,
+    joining,
+    reducer,
+    route_table,
+    routing,
+    streams,
+)
+from gingerturn.internal.shell import backend_http, caller_limits
+from tests.cover import (
+    test_announcements as announcements,
+    test_backend_answers as answers,
+    test_caller_limits as limits,
+    test_decisions_under_load as under_load,
+    test_keyed_members as members,
+    test_routed_attempts as attempts,
+    test_routes as of_routes,
+    test_silent_nodes as silent,
+)
+
+Proof = collections.abc.Callable[[], None]
+
+
+def _nothing(*arguments: typing.Any, **options: typing.Any) -> None:
+    """Stand in for what is taken out."""
+
+
+def _false(*arguments: typing.Any, **options: typing.Any) -> bool:
+    return False
+
+
+def _true(*arguments: typing.Any, **options: typing.Any) -> bool:
+    return True
+
+
+def _no_route(*arguments: typing.Any) -> decisions.Rule:
+    return decisions.Rule.NO_ROUTE
+
+
+def _any_table(state: typing.Any, table: typing.Any, out: typing.Any) -> bool:
+    state.routes = of_routes.routes.RouteIndex(table)
+    return True
+
+
+OUT: list[tuple[str, typing.Any, typing.Any, object, Proof]] = [
+    (
+        "TWICE",
+        calls,
+        "_may_repeat",
+        _true,
+        attempts.test_an_unrepeatable_call_whose_end_is_unclear_is_never_sent_again,
+    ),
+    (
+        "REFUSED",
+        reducer._HANDLERS,
+        events.CancelReceived,
+        _nothing,
+        attempts.test_a_cancelled_queue_entry_is_never_handed_over,
+    ),
+    (
+        "MIXED",
+        backend_http.Connection,
+        "_is_foreign",
+        _false,
+        answers.test_a_late_answer_to_an_earlier_request_is_passed_over,
+    ),
+    (
+        "ROUTE",
+        hosting,
+        "_lose_backend",
+        _nothing,
+        announcements.test_a_misdirected_answer_takes_the_backend_server_out,
+    ),
+    (
+        "DRAIN, new work",
+        hosting,
+        "_unfit",
+        _nothing,
+        announcements.test_leaving_refuses_what_is_queued_and_what_comes_later,
+    ),
+    (
+        "DRAIN, late word",
+        instances,
+        "is_late",
+        _false,
+        announcements.test_a_late_announcement_does_not_undo_leaving,
+    ),
+    (
+        "LOST, end of the grace",
+        reducer.calls,
+        "give_up_all",
+        _nothing,
+        silent.test_a_node_whose_grace_ends_answers_what_it_still_holds,
+    ),
+    (
+        "LOST, callers of a stopping node",
+        calls,
+        "_served_while_stopping",
+        _false,
+        attempts.test_the_home_of_a_stopping_routed_node_still_serves_its_callers,
+    ),
+    (
+        "CONFIG, from a peer",
+        route_table,
+        "hear",
+        _nothing,
+        of_routes.test_a_later_version_heard_by_gossip_is_fetched_from_that_peer,
+    ),
+    (
+        "CONFIG, never back",
+        route_table,
+        "put",
+        _any_table,
+        of_routes.test_the_version_in_force_never_goes_down,
+    ),
+    (
+        "DENIED",
+        route_table,
+        "resolve",
+        _no_route,
+        of_routes.test_without_a_table_a_caller_is_told_to_come_back,
+    ),
+    (
+        "RECOVER, parted sides",
+        joining.membership,
+        "ping",
+        _nothing,
+        members.test_members_held_for_gone_are_pinged_so_that_parted_sides_meet_again,
+    ),
+    (
+        "RECOVER, read again",
+        streams,
+        "reread",
+        _nothing,
+        members.test_members_are_read_again_if_a_read_was_under_way_when_the_own_record_came,
+    ),
+    (
+        "request limits",
+        caller_limits,
+        "in_force",
+        lambda node: of_routes.routes.RequestLimits(),
+        limits.test_a_body_that_is_announced_too_long_is_refused_before_it_is_read,
+    ),
+    (
+        "calls stay in their zone",
+        routing,
+        "ZONE_PENALTY",
+        0.0,
+        under_load.test_of_many_upstreams_too_calls_stay_in_the_zone_until_it_is_busier,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "replacement", "proof"),
+    [row[1:] for row in OUT],
+    ids=[row[0] for row in OUT],
+)
+def test_a_proof_fails_without_its_mechanism(
+    monkeypatch: pytest.MonkeyPatch,
+    owner: typing.Any,
+    name: typing.Any,
+    replacement: object,
+    proof: Proof,
+) -> None:
+    proof()
+    with monkeypatch.context() as patch:
+        if isinstance(owner, dict):
+            patch.setitem(owner, name, replacement)
+        else:
+            patch.setattr(owner, name, replacement)
+        with pytest.raises(AssertionError):
+            proof()
