Do not count a body as head that comes in one piece with the rest of it

To bound a header line without an end, all bytes of a piece that began inside a head counted as head; a body behind the head's end in the same piece counted too, and 32 kB of it would have been refused with 431. Change: a piece counts only if the same head is still open after it. Before and after: test_a_body_right_behind_the_rest_of_a_head_does_not_count_as_head failed first; the test of a line without an end passes as before.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -79,11 +79,12 @@
         if self._closing or self._last_words:
             return
         try:
-            if self._in_head:
-                # The parser tells a header only once its line is whole, and would
-                # hold a line without an end.
-                self._count_unread(len(data))
+            begun = self._reading if self._in_head else None
             self._parser.feed_data(data)
+            if self._in_head and self._reading is begun:
+                # All of it is head. The parser tells a header only once its line is
+                # whole, and would hold a line without an end.
+                self._count_unread(len(data))
         except _TooLarge:
             self._reject_head()
         except httptools.HttpParserUpgrade:
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -77,6 +77,14 @@
     assert caller.statuses == [431]
 
 
+def test_a_body_right_behind_the_rest_of_a_head_does_not_count_as_head() -> None:
+    caller = Caller(routes.RequestLimits(head_bytes=200, body_bytes=1_000))
+    request = _put(b"content-length: 400", b"z" * 400)
+    caller.send(request[:30], request[30:])
+    assert len(caller.dispatched) == 1
+    assert not caller.statuses
+
+
 def test_a_body_that_is_announced_too_long_is_refused_before_it_is_read() -> None:
     caller = Caller()
     caller.send(_put(b"content-length: 11"))
