Ask an unknown sender of gossip who there is

They go on pinging it, but their own records had long ceased to ride along, so it did not know the senders and passed over the versions that they told; it answered 503 until the log returned. Ruled out: the time allowed to the test (the state lasted as long as the outage). Change: a ping or an acknowledgement of a sender that is no known member is answered with the question for all members. Before and after: test_a_sender_that_is_not_known_is_asked_who_there_is failed first; the real test waits until the peers hold the node for gone, fails without the change and passes with it. Conclusion: a fault of the product, found by a test that failed once.

--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -51,6 +51,10 @@
 this node's own network: nobody is declared gone until some answer again."""
 
 
+_OF_MEMBERS = frozenset({messages.GossipKind.PING, messages.GossipKind.ACK})
+"""Kinds of messages that a node gets only from one that takes it for a member."""
+
+
 def change_self(
     state: states.State,
     out: states.Effects,
@@ -163,6 +167,10 @@
         sync(state, host, port, message.cursor, out)
     if any(member.state is messages.MemberState.LEAVING for member in news):
         push(state, out)
+    if sender not in state.membership.members and message.kind in _OF_MEMBERS:
+        # A node that was restarted while the log was away hears from peers that it
+        # does not know: their own records have long ceased to ride along.
+        sync(state, host, port, "", out)
     revisions.hear(state, sender, message.revision, out)
     route_table.hear(state, sender, message.route_version, out)
 
--- a/tests/cover/test_keyed_members.py
+++ b/tests/cover/test_keyed_members.py
@@ -141,6 +141,20 @@
     assert builders.only(out, effects.ReadNewest).stream == stream
 
 
+def test_a_sender_that_is_not_known_is_asked_who_there_is() -> None:
+    # A node that was restarted while the log was away was pinged by its peers, and did
+    # not know them: their own records had long ceased to ride along.
+    state, _ = _begun()
+    ping = builders.gossip(route_version=3)
+    out = reducer.reduce(state, builders.datagram("n2", ping, now=state.now))
+    kinds = [e.message.kind for e in builders.all_of(out, effects.SendGossip)]
+    assert messages.GossipKind.SYNC_REQUEST in kinds
+    builders.add_members(state, builders.member("n2", "plans"))
+    out = reducer.reduce(state, builders.datagram("n2", ping, now=state.now))
+    kinds = [e.message.kind for e in builders.all_of(out, effects.SendGossip)]
+    assert messages.GossipKind.SYNC_REQUEST not in kinds
+
+
 def test_members_held_for_gone_are_pinged_so_that_parted_sides_meet_again() -> None:
     state = routed.node_state()
     gone = messages.MemberState.GONE
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -287,6 +287,8 @@
     machine = platform.machines["plans-1"]
     _kill(machine)
     platform.fault(down=True)
+    # By then the peers' own records have long ceased to ride along with their pings.
+    platform.wait_until(lambda: "plans-1 is gone" in platform.log_of("plans-2"))
     machine.node = platform.start_node("plans-1")
     platform.wait_until(lambda: _answers(machine, 200))
     platform.fault(down=False)
