--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -242,6 +242,9 @@
             recorded, digest = self._recorder.events, self._recorder.digest
             text = f"Recorded {recorded} events, digest {digest}."
             logs.write("INFO", "node", text)
+            # Connections that end from here on still make events; recorded, they
+            # would not be in the digest that was told.
+            self._recorder = None
 
     def apply(self, event: events.Event) -> None:
         """Apply an event and carry out its effects."""
