--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -242,7 +242,7 @@
             recorded, digest = self._recorder.events, self._recorder.digest
             text = f"Recorded {recorded} events, digest {digest}."
             logs.write("INFO", "node", text)
-            # Connections that end from here on still make events; recorded, they
+            # An announcement may still come in while the node closes; recorded, it
             # would not be in the digest that was told.
             self._recorder = None
 
