Sharpen two tests that did not fail without their mechanism

Ended calls all had one deadline, so one tick took them all; and the next probe moved the calls of the frozen node as well.

--- a/tests/cover/test_silent_nodes.py
+++ b/tests/cover/test_silent_nodes.py
@@ -13,6 +13,7 @@
     reducer,
     routing,
     state as states,
+    timers,
 )
 from tests.common import builders, routed
 
@@ -75,18 +76,25 @@
 
 def test_calls_leave_a_node_that_froze_right_after_an_answer() -> None:
     state, first = _entry(routes.RouteType.SAFE)
-    # It answers another call while a probe of this node is on its way, then freezes.
-    probed = 0.0
-    while not probed:
-        builders.passed(state, 10.0)
-        probes = state.membership.probes.values()
-        probed = max((p.sent for p in probes if p.node == first.node), default=0.0)
-    builders.passed(state, membership.SUSPECT_AFTER_MS - 100.0)
+    # Many others: the next probe of this node would come too late to help.
+    others = (builders.member(f"other{n}", "porting") for n in range(20))
+    builders.add_members(state, *others)
+    _suspect_by_silence(state, first.node)
     routing.hear(state, first.node, "lookup", builders.report())
-    out = builders.passed(state, 2_000.0)
+    out = builders.passed(state, routing.ANSWERED_LATELY_MS - 20.0)
+    assert not builders.all_of(out, effects.CancelAttempt)
+    out = builders.passed(state, 20.0 + membership.CHECK_MS + timers.GRID_MS)
     assert builders.only(out, effects.CancelAttempt).attempt == first.attempt
 
 
+def _suspect_by_silence(state: states.State, node: ids.NodeId) -> None:
+    """Let a probe of a node that answers calls until then miss its answer."""
+    state.membership.order = [node]
+    while node not in state.membership.suspected:
+        routing.hear(state, node, "lookup", builders.report())
+        builders.passed(state, 10.0)
+
+
 def test_a_probe_that_was_lost_is_repeated_by_the_node_itself() -> None:
     state, _ = _entry(routes.RouteType.SAFE)
     out = builders.passed(state, 3 * membership.PROBE_MS)
--- a/tests/cover/test_ticks.py
+++ b/tests/cover/test_ticks.py
@@ -35,9 +35,10 @@
 def test_calls_that_have_ended_cost_no_ticks() -> None:
     state = routed.node_state(service="plans", slots=500)
     for number in range(1, 400):
-        reducer.reduce(state, builders.opened(number))
+        now = state.now + 20.0
+        reducer.reduce(state, builders.opened(number, now=now))
         answer = events.BackendAnswered(
-            now=state.now, hosted=ids.HostedId(number), status=200, executed=True
+            now=now, hosted=ids.HostedId(number), status=200, executed=True
         )
         reducer.reduce(state, answer)
     ticks, _ = _tick(state, until=state.now + 10_000.0)
