Soak: disturb connections between nodes by proxies

Change: [node] advertised_peers_port (the platform's nodes take it from an environment variable); a proxy before each node's port for other nodes; steps peers-link and peers-reset. The datagrams of membership pass, so a node whose connections are silenced is still held for alive.

Bad values of the variable are told with name, value and what is allowed; tests.

--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -43,6 +43,9 @@
     return value
 
 
+MAX_PORT = 65_535
+
+
 def check_port(field: str, value: int) -> int:
     """Check a TCP or UDP port."""
-    return int(check_range(field, value, 1, 65535))
+    return int(check_range(field, value, 1, MAX_PORT))
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -389,7 +389,7 @@
             node=ids.NodeId(self.name),
             incarnation=ids.Incarnation(self.incarnation),
             host=place.host,
-            peers_port=place.peers_port,
+            peers_port=place.advertised_peers_port or place.peers_port,
             gossip_port=place.gossip_port,
             zone=place.zone,
             region=place.region,
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -41,6 +41,8 @@
     :param admin_port: of the administration API; 0 serves none.
     :param ready_port: where readiness is told; 0 serves none.
     :param metrics_port: where metrics are told; 0 serves none.
+    :param advertised_peers_port: what other nodes connect to, where something between
+        translates addresses; 0 for ``peers_port`` itself.
     """
 
     id: str
@@ -54,6 +56,7 @@
     drain_timeout_ms: int = 30_000
     ready_port: int = 0
     metrics_port: int = 0
+    advertised_peers_port: int = 0
 
 
 class Log(msgspec.Struct, forbid_unknown_fields=True):
@@ -232,7 +235,8 @@
     check("$.node.host", checks.check_ip, "host", node.host)
     for field in ("calls_port", "peers_port", "gossip_port"):
         check(f"$.node.{field}", checks.check_port, field, getattr(node, field))
-    for field in ("admin_port", "ready_port", "metrics_port"):
+    optional = ("admin_port", "ready_port", "metrics_port", "advertised_peers_port")
+    for field in optional:
         if getattr(node, field) != 0:
             check(f"$.node.{field}", checks.check_port, field, getattr(node, field))
     drain = node.drain_timeout_ms
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -123,6 +123,11 @@
     [
         ('host = "127.0.0.1"', 'host = "localhost"', "allowed is an IP number"),
         ("calls_port = 8100", "calls_port = 0", "allowed is 1 to 65535"),
+        (
+            "admin_port = 8102",
+            "admin_port = 8102\nadvertised_peers_port = 70000",
+            "allowed is 1 to 65535",
+        ),
         ('current = "long enough for the tests"', 'current = "short"', "16 or more"),
         ("http://127.0.0.1:7000", "ftp://x", "http:// or https://"),
         ('zone = "bne-a"', "", "zone"),
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gingerturn import errors, routes
-from gingerturn_platform import beats, boot, configs, store
+from gingerturn_platform import beats, boot, configs, names, start, store
 
 CONFIG = {
     "version": "0000001c",
@@ -157,6 +157,24 @@
         boot.to_settings(boot.load(_written(tmp_path, told)))
 
 
+@pytest.mark.parametrize("value", ["x", "-1", "65536", ""])
+def test_a_bad_advertised_port_names_variable_and_value(
+    value: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(names.ADVERTISE_VARIABLE, value)
+    with pytest.raises(errors.InvalidDocument, match=f"{value!r}; allowed is 0 to"):
+        start.advertised_port()
+
+
+def test_the_advertised_port_is_taken_from_its_variable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv(names.ADVERTISE_VARIABLE, "7001")
+    assert start.advertised_port() == 7001
+    monkeypatch.delenv(names.ADVERTISE_VARIABLE)
+    assert start.advertised_port() == 0
+
+
 def test_a_settings_file_without_a_field_names_it(tmp_path: pathlib.Path) -> None:
     told = {key: value for key, value in BOOT.items() if key != "listen"}
     with pytest.raises(errors.InvalidDocument, match="listen"):
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -35,6 +35,7 @@
         self._published: dict[int, float] = {}
         self._log_link = proxy.Proxy(0, 0)
         self._links: list[proxy.Proxy] = []
+        self._peers: list[proxy.Proxy] = []
         self._doors: list[proxy.Proxy] = []
         self._callers: list[callers.Callers] = []
         self._versions: list[int] = []
@@ -70,18 +71,22 @@
 
     async def _start_machines(self) -> None:
         for number in range(self._count):
-            link, door = processes.free_ports(2)
+            link, peers, door = processes.free_ports(3)
             machine = self._platform.add(
-                f"m{number}", service=SERVICES[number % len(SERVICES)], link=link
+                f"m{number}",
+                service=SERVICES[number % len(SERVICES)],
+                link=link,
+                peers_link=peers,
             )
             self._links.append(proxy.Proxy(link, machine.ports["app"]))
+            self._peers.append(proxy.Proxy(peers, machine.ports["inbound"]))
             self._doors.append(proxy.Proxy(door, machine.ports["outbound"]))
-            await self._links[-1].start()
-            await self._doors[-1].start()
+            for each in (self._links, self._peers, self._doors):
+                await each[-1].start()
             self._callers.append(callers.Callers(machine.name, door))
 
     async def _close(self) -> None:
-        for each in (self._log_link, *self._links, *self._doors):
+        for each in (self._log_link, *self._links, *self._peers, *self._doors):
             await each.close()
 
     async def _carry_out(self, steps: list[schedule.Step]) -> None:
@@ -173,6 +178,12 @@
     async def _backend_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._links[step.target].reset()
 
+    async def _peers_link(self, step: schedule.Step, fault: checks.Fault) -> None:
+        await self._disturb(self._peers[step.target], step)
+
+    async def _peers_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
+        self._peers[step.target].reset()
+
     async def _caller_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._doors[step.target].reset()
 
@@ -273,6 +284,8 @@
     schedule.Kind.BACKEND_CUT: Run._backend_cut,
     schedule.Kind.BACKEND_LINK: Run._backend_link,
     schedule.Kind.BACKEND_RESET: Run._backend_reset,
+    schedule.Kind.PEERS_LINK: Run._peers_link,
+    schedule.Kind.PEERS_RESET: Run._peers_reset,
     schedule.Kind.CALLER_RESET: Run._caller_reset,
     schedule.Kind.LOG_DOWN: Run._log_down,
     schedule.Kind.LOG_SILENT: Run._log_silent,
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -25,6 +25,8 @@
     LOG_SLOW = "log-slow"
     LOG_LOSES = "log-loses"
     LOG_LINK = "log-link"
+    PEERS_LINK = "peers-link"
+    PEERS_RESET = "peers-reset"
     CALLER_RESET = "caller-reset"
     CONFIGURE = "configure"
 
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -78,6 +78,7 @@
         self.folder = folder
         self.machines: dict[str, Machine] = {}
         (self.store_port,) = processes.free_ports(1)
+        self._peers_links: dict[str, int] = {}
         self._log_link = log_link or self.store_port
         path = [str(ROOT / "src"), str(ROOT / "tooling")]
         self._environment = {**os.environ, "PYTHONPATH": os.pathsep.join(path)}
@@ -106,15 +107,24 @@
         """URL of the store."""
         return f"http://127.0.0.1:{self.store_port}"
 
-    def add(self, name: str, *, service: str, link: int | None = None) -> Machine:
+    def add(
+        self,
+        name: str,
+        *,
+        service: str,
+        link: int | None = None,
+        peers_link: int = 0,
+    ) -> Machine:
         """Start a node and an upstream beside it.
 
         :param link: port that the upstream announces in place of its own.
+        :param peers_link: port to which other nodes connect in place of its own.
         """
         names = ("outbound", "inbound", "ready", "control", "app")
         ports = dict(zip(names, processes.free_ports(len(names)), strict=True))
         ports["gossip"] = _free_pair()
         ports["link"] = link or ports["app"]
+        self._peers_links[name] = peers_link
         self._write_settings(name, service, ports)
         node = self.start_node(name)
         upstream = self._start_upstream(name, service, ports, f"i-{name}")
@@ -148,6 +158,7 @@
             str(ROOT / "platform" / "node.py"),
             GINGERTURN_BOOT=str(self._settings_path(name)),
             GINGERTURN_RECORD=str(self.record_of(name)),
+            GINGERTURN_ADVERTISED_PEERS_PORT=str(self._peers_links[name]),
         )
 
     def record_of(self, name: str) -> pathlib.Path:
