--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -24,7 +24,7 @@
     timers,
 )
 from gingerturn.internal.wire import datagrams
-from gingerturn_fakes import world
+from gingerturn_fakes import parts, world
 
 START = 1_800_000_000_000.0
 SECRET = b"a secret of the benchmarks"
@@ -298,7 +298,7 @@
 def _send_keyed(made: world.World, graph: graphs.Graph, number: int) -> None:
     key = uuid.UUID(int=(int(made.now) << 80) | (7 << 76) | (2 << 62) | number)
     kind = graph.kinds["port-request"]
-    made.send(world.Root(id=number + 1, kind=kind, sent=made.now, key=str(key)))
+    made.send(parts.Root(id=number + 1, kind=kind, sent=made.now, key=str(key)))
 
 
 def main() -> None:
--- a/benchmarks/graphs.py
+++ b/benchmarks/graphs.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from gingerturn_fakes import world
+from gingerturn_fakes import parts, world
 
 BROLGA_DOCUMENT = """
 [[importance]]
@@ -159,8 +159,8 @@
     document: str
     zones: list[str]
     caller_ms: float
-    services: list[world.ServiceSpec]
-    kinds: dict[str, world.KindSpec]
+    services: list[parts.ServiceSpec]
+    kinds: dict[str, parts.KindSpec]
     mix: dict[str, float]
     patience_ms: dict[str, float]
     protected: str
@@ -225,14 +225,14 @@
         zones=["bne-a", "bne-b", "tsv"],
         caller_ms=8.0,
         services=[
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "plans",
                 5,
                 90,
                 {"plan-status": 300.0},
                 {"plan-status": ["profiles GET /view"]},
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "porting",
                 4,
                 110,
@@ -244,20 +244,20 @@
                     ]
                 },
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "profiles",
                 3,
                 150,
                 {"profile-view": 200.0, "profile-assign": 300.0},
                 {"profile-view": ["provisioning GET /view"]},
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "provisioning", 3, 20, {"sim-view": 200.0, "provision": 600.0}
             ),
         ],
         kinds={
-            "plan-status": world.KindSpec("plan-status", "plans", "GET", "/status"),
-            "port-request": world.KindSpec("port-request", "porting", "POST", "/ports"),
+            "plan-status": parts.KindSpec("plan-status", "plans", "GET", "/status"),
+            "port-request": parts.KindSpec("port-request", "porting", "POST", "/ports"),
         },
         mix={"plan-status": 0.9, "port-request": 0.1},
         patience_ms={"plan-status": 3_000.0, "port-request": 8_000.0},
@@ -274,31 +274,31 @@
         zones=["guararapes", "boa-viagem", "suape"],
         caller_ms=3.0,
         services=[
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "manifesto",
                 5,
                 170,
                 {"manifest-view": 400.0},
                 {"manifest-view": ["paletes GET /view"]},
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "balanca",
                 3,
                 280,
                 {"sign-off": 600.0},
                 {"sign-off": ["manifesto GET /view", "paletes POST /fix"]},
             ),
-            world.ServiceSpec("despacho", 3, 280, {"customs-pack": 2_500.0}),
-            world.ServiceSpec(
+            parts.ServiceSpec("despacho", 3, 280, {"customs-pack": 2_500.0}),
+            parts.ServiceSpec(
                 "paletes", 3, 60, {"pallet-view": 500.0, "pallet-fix": 700.0}
             ),
         ],
         kinds={
-            "manifest-view": world.KindSpec(
+            "manifest-view": parts.KindSpec(
                 "manifest-view", "manifesto", "GET", "/view"
             ),
-            "customs-pack": world.KindSpec("customs-pack", "despacho", "GET", "/pack"),
-            "sign-off": world.KindSpec("sign-off", "balanca", "POST", "/sign"),
+            "customs-pack": parts.KindSpec("customs-pack", "despacho", "GET", "/pack"),
+            "sign-off": parts.KindSpec("sign-off", "balanca", "POST", "/sign"),
         },
         mix={"manifest-view": 0.45, "customs-pack": 0.47, "sign-off": 0.08},
         patience_ms={
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -18,7 +18,7 @@
 from hdrh import histogram
 
 from benchmarks import graphs, variants
-from gingerturn_fakes import world
+from gingerturn_fakes import parts, world
 
 WARM_S = 10
 TRIGGER_S = 30
@@ -165,26 +165,26 @@
         self._schedule(kind, rate)
         self._numbers += 1
         spec = self.graph.kinds[kind]
-        root = world.Root(id=self._numbers, kind=spec, sent=self.world.now, key="")
+        root = parts.Root(id=self._numbers, kind=spec, sent=self.world.now, key="")
         self.offered[kind] += 1
         self.sent_per_second[self._second()] += 1
         if self._second() < self.seconds - SETTLE_S:
             self.settled_offered[kind] += 1
         self._send(root)
 
-    def _send(self, root: world.Root) -> None:
+    def _send(self, root: parts.Root) -> None:
         self.world.send(root, patience=self.graph.patience_ms[root.kind.name])
 
     def _second(self) -> int:
         return min(self.seconds, int((self.world.now - world.START) / 1000.0))
 
-    def _on_arrival(self, root: world.Root, root_hash: int | None) -> None:
+    def _on_arrival(self, root: parts.Root, root_hash: int | None) -> None:
         sending = Sending(kind=root.kind.name, sent=self.world.now)
         self.current[root.id] = sending
         if root_hash is not None:
             self.sendings[root_hash] = sending
 
-    def _on_execution(self, node: world.FakeNode, work: world.Work) -> None:
+    def _on_execution(self, node: parts.FakeNode, work: parts.Work) -> None:
         if node.backend.spec.name == self.graph.deepest:
             self.deep_runs[self._second()] += 1
             self.deep_total += 1
@@ -192,13 +192,13 @@
             self.deep_roots.add((work.root, work.kind))
 
     def _on_work_end(
-        self, node: world.FakeNode, work: world.Work, elapsed: float
+        self, node: parts.FakeNode, work: parts.Work, elapsed: float
     ) -> None:
         sending = self.sendings.get(work.root)
         if sending is not None:
             sending.slot_ms += elapsed
 
-    def _on_end(self, root: world.Root) -> None:
+    def _on_end(self, root: parts.Root) -> None:
         kind = root.kind.name
         sending = self.current.pop(root.id, None)
         if sending is not None:
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -12,7 +12,7 @@
 import lark
 
 from gingerturn.internal.core import effects, events
-from gingerturn_fakes import world
+from gingerturn_fakes import parts, world
 from tests.common import small
 
 GRAMMAR = r"""
@@ -146,11 +146,11 @@
         self._number += 1
         spec = small.KINDS[kind]
         key = small.key_of(self.world, self._number) if spec.keyed else ""
-        root = world.Root(id=self._number, kind=spec, sent=self.world.now, key=key)
+        root = parts.Root(id=self._number, kind=spec, sent=self.world.now, key=key)
         self._sent[root.id] = Sent(kind=kind, at=self._seconds)
         self._send(root)
 
-    def _send(self, root: world.Root) -> None:
+    def _send(self, root: parts.Root) -> None:
         self._begun[root.id] = self.world.now
         self.world.send(root)
 
@@ -190,12 +190,12 @@
     def _act_withdraw(self, name: str) -> None:
         self.world.apply(name, events.BackendWithdrawn(now=self.world.now))
 
-    def _nodes(self, service: str) -> list[world.FakeNode]:
+    def _nodes(self, service: str) -> list[parts.FakeNode]:
         return [n for n in self.world.nodes.values() if n.backend.spec.name == service]
 
     # What is seen.
 
-    def _on_end(self, root: world.Root) -> None:
+    def _on_end(self, root: parts.Root) -> None:
         self._watch_truth(root)
         sent = self._sent[root.id]
         sent.answers.append(root.answer)
@@ -207,7 +207,7 @@
         elif root.tries < self._retry:
             self._send(root)
 
-    def _on_effect(self, node: world.FakeNode, effect: effects.Effect) -> None:
+    def _on_effect(self, node: parts.FakeNode, effect: effects.Effect) -> None:
         if isinstance(effect, effects.HandOver):
             self._handed.append((self._seconds, node.name))
         elif isinstance(effect, effects.OpenAttempt):
--- a/tests/common/small.py
+++ b/tests/common/small.py
@@ -2,7 +2,7 @@
 
 import uuid
 
-from gingerturn_fakes import world
+from gingerturn_fakes import parts, world
 
 DOCUMENT = """
 [[importance]]
@@ -56,12 +56,12 @@
 ZONES = ["bne-a", "bne-b", "tsv"]
 
 KINDS = {
-    "plan-status": world.KindSpec("plan-status", "plans", "GET", "/status"),
-    "sim-view": world.KindSpec("sim-view", "provisioning", "GET", "/view"),
-    "port-request": world.KindSpec(
+    "plan-status": parts.KindSpec("plan-status", "plans", "GET", "/status"),
+    "sim-view": parts.KindSpec("sim-view", "provisioning", "GET", "/view"),
+    "port-request": parts.KindSpec(
         "port-request", "porting", "POST", "/ports", keyed=True
     ),
-    "provision": world.KindSpec(
+    "provision": parts.KindSpec(
         "provision", "provisioning", "POST", "/provision", keyed=True
     ),
 }
@@ -72,21 +72,21 @@
     made = world.World(
         seed=seed,
         services=[
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "plans",
                 3,
                 8,
                 {"plan-status": 40.0},
                 {"plan-status": ["provisioning GET /view"]},
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "porting",
                 2,
                 10,
                 {"port-request": 40.0},
                 {"port-request": ["provisioning POST /provision"]},
             ),
-            world.ServiceSpec(
+            parts.ServiceSpec(
                 "provisioning", 3, 4, {"sim-view": 40.0, "provision": 80.0}
             ),
         ],
@@ -113,8 +113,8 @@
         self._run_keys: dict[str, int] = {}
         self._run_roots: set[tuple[str, int]] = set()
         self._hashes: dict[int, int] = {}
-        self.false_not_run: list[world.Root] = []
-        self.answers: list[world.Root] = []
+        self.false_not_run: list[parts.Root] = []
+        self.answers: list[parts.Root] = []
         made.on_execution = self._on_execution
         made.on_root_end = self._on_end
         made.on_arrival = self._on_arrival
@@ -129,16 +129,16 @@
         """Keys that were executed."""
         return set(self._run_keys)
 
-    def _on_execution(self, node: world.FakeNode, work: world.Work) -> None:
+    def _on_execution(self, node: parts.FakeNode, work: parts.Work) -> None:
         if work.key:
             self._run_keys[work.key] = self._run_keys.get(work.key, 0) + 1
         self._run_roots.add((node.backend.spec.name, work.root))
 
-    def _on_arrival(self, root: world.Root, root_hash: int | None) -> None:
+    def _on_arrival(self, root: parts.Root, root_hash: int | None) -> None:
         # A sending that was refused at once has a hash that no other one had.
         self._hashes[root.id] = -1 if root_hash is None else root_hash
 
-    def _on_end(self, root: world.Root) -> None:
+    def _on_end(self, root: parts.Root) -> None:
         self.answers.append(root)
         if root.answer != "not-run":
             return
--- a/tests/cover/test_decisions_under_load.py
+++ b/tests/cover/test_decisions_under_load.py
@@ -18,7 +18,7 @@
     routing,
     state as states,
 )
-from gingerturn_fakes import world
+from gingerturn_fakes import parts
 from tests.common import builders, routed, small
 
 
@@ -450,4 +450,4 @@
     assert set(small.KINDS) == {
         rule.name for rule in small.new_world().configuration.kinds()
     }
-    assert isinstance(small.KINDS["provision"], world.KindSpec)
+    assert isinstance(small.KINDS["provision"], parts.KindSpec)
--- a/tests/nocover/test_faults_property.py
+++ b/tests/nocover/test_faults_property.py
@@ -5,7 +5,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import events, routing
-from gingerturn_fakes import world
+from gingerturn_fakes import parts
 from tests.common import small
 
 NODES = ["porting-1", "porting-2", "provisioning-1", "plans-1"]
@@ -70,7 +70,7 @@
 
     def _send(
         self,
-        kind: world.KindSpec,
+        kind: parts.KindSpec,
         number: int,
         tries: int,
         copies: int,
@@ -87,7 +87,7 @@
                 return
         self._tries[key] = tries
         for copy in range(copies):
-            root = world.Root(
+            root = parts.Root(
                 id=number * 10 + copy,
                 kind=kind,
                 sent=self.world.now,
@@ -98,7 +98,7 @@
                 root.tries = 1  # The next sending counts as a repeat: no claim.
             self.world.send(root)
 
-    def _on_end(self, root: world.Root) -> None:
+    def _on_end(self, root: parts.Root) -> None:
         self._watch(root)
         if root.answer != "ok" and root.tries < self._tries[root.key] + 1:
             self.world.send(root)
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gingerturn.internal.core import effects, events
+from gingerturn_fakes import parts
 
 if typing.TYPE_CHECKING:
     from gingerturn_fakes import world as worlds
@@ -41,9 +42,7 @@
             keys[key] = record
 
 
-def append(
-    world: "worlds.World", node: "worlds.FakeNode", effect: effects.Append
-) -> None:
+def append(world: "worlds.World", node: parts.FakeNode, effect: effects.Append) -> None:
     """Append a record."""
 
     def done() -> events.Event:
@@ -59,9 +58,7 @@
     _write(world, node, done, failed)
 
 
-def put(
-    world: "worlds.World", node: "worlds.FakeNode", effect: effects.PutRecord
-) -> None:
+def put(world: "worlds.World", node: parts.FakeNode, effect: effects.PutRecord) -> None:
     """Put a record under a key."""
 
     def done() -> events.Event:
@@ -76,7 +73,7 @@
 
 def _write(
     world: "worlds.World",
-    node: "worlds.FakeNode",
+    node: parts.FakeNode,
     done: collections.abc.Callable[[], events.Event],
     failed: collections.abc.Callable[[bool], events.Event],
 ) -> None:
@@ -101,9 +98,7 @@
     world.at(log.delay_ms, arrive)
 
 
-def read(
-    world: "worlds.World", node: "worlds.FakeNode", effect: effects.ReadLog
-) -> None:
+def read(world: "worlds.World", node: parts.FakeNode, effect: effects.ReadLog) -> None:
     """Read records from an offset."""
 
     def found() -> events.Event:
@@ -121,7 +116,7 @@
 
 
 def read_newest(
-    world: "worlds.World", node: "worlds.FakeNode", effect: effects.ReadNewest
+    world: "worlds.World", node: parts.FakeNode, effect: effects.ReadNewest
 ) -> None:
     """Read the newest record of each key."""
 
@@ -138,7 +133,7 @@
 
 def _read(
     world: "worlds.World",
-    node: "worlds.FakeNode",
+    node: parts.FakeNode,
     stream: str,
     found: collections.abc.Callable[[], events.Event],
     poll_ms: float,
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import heapq
 import math
 import random
@@ -15,126 +14,14 @@
     events,
     messages,
     reducer,
-    state as states,
     streams,
 )
-from gingerturn_fakes import fake_log
+from gingerturn_fakes import backends, fake_log, parts
 
 START = 1_800_000_000_000.0
 ZONE_MS = 1.0
 """One way between availability zones, as the brief gives it."""
 
-LOCAL_MS = 0.1
-"""One way inside a zone or an instance; the brief gives none, chosen small."""
-
-
-@dataclasses.dataclass
-class ServiceSpec:
-    """A service: how many upstreams, and what its calls take.
-
-    :param service_ms: time of work at the backend server for each kind.
-    :param calls: services that calls of a kind go on to, one after another, after
-        the own work.
-    """
-
-    name: str
-    upstreams: int
-    slots: int
-    service_ms: dict[str, float]
-    calls: dict[str, list[str]] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass
-class KindSpec:
-    """What a caller sends: where, how, and how often it repeats it."""
-
-    name: str
-    service: str
-    method: str
-    path: str
-    keyed: bool = False
-
-
-@dataclasses.dataclass
-class Work:
-    """One request being worked on at a fake backend server."""
-
-    hosted: int
-    kind: str
-    key: str
-    span: str
-    path: str
-    method: str
-    steps: list[str]
-    began: float
-    root: int = 0
-    waiting_child: int = 0
-    started: bool = False
-    cancelled: bool = False
-    done: bool = False
-
-
-@dataclasses.dataclass
-class FakeBackend:
-    """A backend server with slots; what it is given beyond them waits inside.
-
-    :param slow: factor on the time of work.
-    """
-
-    spec: ServiceSpec
-    slow: float = 1.0
-    paused: bool = False
-    up: bool = True
-    refuse_beyond: bool = False
-    running: int = 0
-    busy_ms: float = 0.0
-    waiting: collections.deque[Work] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    executions: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    executed: int = 0
-
-
-@dataclasses.dataclass
-class Root:
-    """A whole request as its caller sees it."""
-
-    id: int
-    kind: KindSpec
-    sent: float
-    key: str
-    holder: str = ""
-    tries: int = 0
-    answer: str = ""
-    answered: float = 0.0
-    retry_after: float = 0.0
-
-
-@dataclasses.dataclass
-class FakeNode:
-    """A node: the real reducer, and the fake backend server beside it."""
-
-    name: str
-    zone: str
-    state: states.State
-    backend: FakeBackend
-    alive: bool = True
-    paused_until: float = 0.0
-    held: list[events.Event] = dataclasses.field(default_factory=list)
-    works: dict[int, Work] = dataclasses.field(default_factory=dict)
-    terms: dict[int, tuple[str, int, messages.CallTerms]] = dataclasses.field(
-        default_factory=dict
-    )
-    kept: dict[str, int] = dataclasses.field(default_factory=dict)
-    callers: dict[int, typing.Any] = dataclasses.field(default_factory=dict)
-    requests: dict[int, tuple[str, str]] = dataclasses.field(default_factory=dict)
-    statuses: dict[int, int] = dataclasses.field(default_factory=dict)
-    state_status: dict[int, int] = dataclasses.field(default_factory=dict)
-    incarnation: int = 1
-    tick_at: float = math.inf
-
 
 class World:
     """All of it, on one clock.
@@ -150,7 +37,7 @@
         self,
         *,
         seed: int,
-        services: list[ServiceSpec],
+        services: list[parts.ServiceSpec],
         documents: dict[str, str],
         zones: list[str],
         caller_ms: float = 8.0,
@@ -165,21 +52,23 @@
         if table is not None:
             record = messages.encode_record(table)
             self.log.put(streams.ROUTES, "table", record)
-        self.nodes: dict[str, FakeNode] = {}
+        self.nodes: dict[str, parts.FakeNode] = {}
         self.caller_ms = caller_ms
-        self.on_root_end: collections.abc.Callable[[Root], None] = lambda root: None
-        self.on_execution: collections.abc.Callable[[FakeNode, Work], None] = (
-            lambda node, work: None
+        self.on_root_end: collections.abc.Callable[[parts.Root], None] = lambda root: (
+            None
         )
-        self.on_work_end: collections.abc.Callable[[FakeNode, Work, float], None] = (
-            lambda node, work, elapsed: None
-        )
-        self.on_arrival: collections.abc.Callable[[Root, int | None], None] = (
+        self.on_execution: collections.abc.Callable[
+            [parts.FakeNode, parts.Work], None
+        ] = lambda node, work: None
+        self.on_work_end: collections.abc.Callable[
+            [parts.FakeNode, parts.Work, float], None
+        ] = lambda node, work, elapsed: None
+        self.on_arrival: collections.abc.Callable[[parts.Root, int | None], None] = (
             lambda root, hash_: None
         )
-        self.on_effect: collections.abc.Callable[[FakeNode, effects.Effect], None] = (
-            lambda node, effect: None
-        )
+        self.on_effect: collections.abc.Callable[
+            [parts.FakeNode, effects.Effect], None
+        ] = lambda node, effect: None
         self.cut: set[tuple[str, str]] = set()
         self.drop_gossip = 0.0
         self.gossip_on = False
@@ -189,24 +78,26 @@
         self._sequence = 0
         self._numbers = 0
         self._addresses: dict[int, str] = {}
-        self._questions: dict[int, tuple[FakeNode, ids.KindName]] = {}
-        self._homes: dict[tuple[str, int], tuple[FakeNode, int]] = {}
+        self._questions: dict[int, tuple[parts.FakeNode, ids.KindName]] = {}
+        self._homes: dict[tuple[str, int], tuple[parts.FakeNode, int]] = {}
         for spec in services:
             for index in range(spec.upstreams):
                 zone = zones[index % len(zones)]
                 self.add_node(f"{spec.name}-{index + 1}", spec, zone)
         self._introduce()
 
-    def add_node(self, name: str, spec: ServiceSpec, zone: str) -> FakeNode:
+    def add_node(self, name: str, spec: parts.ServiceSpec, zone: str) -> parts.FakeNode:
         """Add a node and the backend server beside it."""
         port = 10_000 + len(self._addresses)
         self._addresses[port] = name
-        node = FakeNode(name=name, zone=zone, state=None, backend=FakeBackend(spec))
+        node = parts.FakeNode(
+            name=name, zone=zone, state=None, backend=parts.FakeBackend(spec)
+        )
         self.nodes[name] = node
         self._boot(node, port)
         return node
 
-    def _boot(self, node: FakeNode, port: int) -> None:
+    def _boot(self, node: parts.FakeNode, port: int) -> None:
         started = events.Started(
             now=self.now,
             seed=self.random.getrandbits(48),
@@ -225,13 +116,13 @@
         node.state.configuration = self.configuration
         node.state.revisions.documents = dict(self._documents)
         node.tick_at = math.inf
-        self._apply(node, started)
+        self.apply_to(node, started)
         self._announce(node)
         self._schedule_tick(node)
 
-    def _announce(self, node: FakeNode) -> None:
+    def _announce(self, node: parts.FakeNode) -> None:
         spec = node.backend.spec
-        self._apply(
+        self.apply_to(
             node,
             events.BackendAnnounced(
                 now=self.now,
@@ -254,7 +145,7 @@
                 revision=ids.Revision(0),
                 members=members,
             )
-            self._apply(
+            self.apply_to(
                 node,
                 events.DatagramReceived(
                     now=self.now,
@@ -284,7 +175,7 @@
     # Callers.
 
     def send(
-        self, root: Root, *, entry: str | None = None, patience: float = 0.0
+        self, root: parts.Root, *, entry: str | None = None, patience: float = 0.0
     ) -> None:
         """Send a whole request, through a random entry if none is named.
 
@@ -298,16 +189,16 @@
         root.tries += 1
         self.at(self.caller_ms, lambda: self._arrive(node, root, patience))
 
-    def _arrive(self, node: FakeNode, root: Root, patience: float) -> None:
+    def _arrive(self, node: parts.FakeNode, root: parts.Root, patience: float) -> None:
         if not node.alive:
             # No process listens there: the connection itself is refused.
             self._answer_root(root, "refused", 0.0)
             return
-        call = self._number()
+        call = self.next_number()
         node.callers[call] = root
         if patience:
             self.at(patience, lambda: self._go_away(node, call, root))
-        self._call(
+        self.call(
             node,
             call,
             root.kind.service,
@@ -321,16 +212,16 @@
         accepted = node.state.calls.get(ids.CallId(call))
         self.on_arrival(root, None if accepted is None else accepted.root)
 
-    def _go_away(self, node: FakeNode, call: int, root: Root) -> None:
+    def _go_away(self, node: parts.FakeNode, call: int, root: parts.Root) -> None:
         if node.callers.pop(call, None) is None:
             return
         node.requests.pop(call, None)
-        self._apply(node, events.CallerGone(now=self.now, call=ids.CallId(call)))
+        self.apply_to(node, events.CallerGone(now=self.now, call=ids.CallId(call)))
         self._answer_root(root, "gone", 0.0)
 
-    def _call(
+    def call(
         self,
-        node: FakeNode,
+        node: parts.FakeNode,
         call: int,
         service: str,
         method: str,
@@ -340,8 +231,9 @@
         sending: int = 0,
         holder: str = "",
     ) -> None:
+        """Let a caller, or the backend server beside a node, call a service."""
         node.requests[call] = (method, path)
-        self._apply(
+        self.apply_to(
             node,
             events.CallArrived(
                 now=self.now,
@@ -357,23 +249,31 @@
             ),
         )
 
-    def _answer_root(self, root: Root, answer: str, retry_after: float) -> None:
+    def _answer_root(self, root: parts.Root, answer: str, retry_after: float) -> None:
         root.answer = answer
         root.retry_after = retry_after
         root.answered = self.now
         self.on_root_end(root)
 
     def _end_call(
-        self, node: FakeNode, call: int, status: int, answer: str, retry_after: float
+        self,
+        node: parts.FakeNode,
+        call: int,
+        status: int,
+        answer: str,
+        retry_after: float,
     ) -> None:
         node.requests.pop(call, None)
         waiting = node.callers.pop(call, None)
-        if isinstance(waiting, Root):
+        if isinstance(waiting, parts.Root):
             self.at(
                 self.caller_ms, lambda: self._answer_root(waiting, answer, retry_after)
             )
-        elif isinstance(waiting, Work):
-            self.at(LOCAL_MS, lambda: self._child_ended(node, waiting, status))
+        elif isinstance(waiting, parts.Work):
+            self.at(
+                backends.LOCAL_MS,
+                lambda: backends.child_ended(self, node, waiting, status),
+            )
 
     # Faults.
 
@@ -408,33 +308,34 @@
         node.paused_until = self.now + duration
         self.at(duration, lambda: self._wake(node))
 
-    def _wake(self, node: FakeNode) -> None:
+    def _wake(self, node: parts.FakeNode) -> None:
         held, node.held = node.held, []
         for event in held:
             # What was in the sockets is read on waking, at the time of waking.
-            self._apply(node, _moved(event, self.now))
+            self.apply_to(node, parts.moved(event, self.now))
 
-    def _lose_attempts(self, node: FakeNode, lost: str) -> None:
+    def _lose_attempts(self, node: parts.FakeNode, lost: str) -> None:
         for attempt in list(node.state.attempts.values()):
             if attempt.node == lost:
                 event = events.AttemptLost(
                     now=self.now, attempt=attempt.id, reached=True
                 )
-                self._apply(node, event)
+                self.apply_to(node, event)
 
-    def _lose_hosted(self, node: FakeNode, lost: str) -> None:
+    def _lose_hosted(self, node: parts.FakeNode, lost: str) -> None:
         for hosted, (sender, _, _) in list(node.terms.items()):
             if sender == lost:
                 event = events.CancelReceived(now=self.now, hosted=ids.HostedId(hosted))
-                self._apply(node, event)
+                self.apply_to(node, event)
 
     def apply(self, name: str, event: events.Event) -> None:
         """Let something happen to a node."""
-        self._apply(self.nodes[name], event)
+        self.apply_to(self.nodes[name], event)
 
     # The core's effects.
 
-    def _apply(self, node: FakeNode, event: events.Event) -> None:
+    def apply_to(self, node: parts.FakeNode, event: events.Event) -> None:
+        """Apply an event to a node and carry out its effects."""
         if not node.alive:
             return
         if self.now < node.paused_until and not isinstance(event, events.Started):
@@ -449,7 +350,7 @@
         if deadlines and deadlines[0][0] < node.tick_at:
             self._schedule_tick(node)
 
-    def _tick(self, node: FakeNode, incarnation: int, due: float) -> None:
+    def _tick(self, node: parts.FakeNode, incarnation: int, due: float) -> None:
         if not node.alive or (node.incarnation, node.tick_at) != (incarnation, due):
             return
         if self.now < node.paused_until:
@@ -457,27 +358,27 @@
             self._tick_later(node)
             return
         node.tick_at = math.inf
-        self._apply(node, events.Tick(now=self.now))
+        self.apply_to(node, events.Tick(now=self.now))
         self._schedule_tick(node)
 
-    def _schedule_tick(self, node: FakeNode) -> None:
+    def _schedule_tick(self, node: parts.FakeNode) -> None:
         due = reducer.next_tick(node.state)
         if due < node.tick_at:
             node.tick_at = due
             self._tick_later(node)
 
-    def _tick_later(self, node: FakeNode) -> None:
+    def _tick_later(self, node: parts.FakeNode) -> None:
         due, incarnation = node.tick_at, node.incarnation
         pause = max(0.0, due - self.now)
         self.at(pause, lambda: self._tick(node, incarnation, due))
 
-    def _delay(self, one: FakeNode, other: FakeNode) -> float:
-        return LOCAL_MS if one.zone == other.zone else ZONE_MS
+    def _delay(self, one: parts.FakeNode, other: parts.FakeNode) -> float:
+        return backends.LOCAL_MS if one.zone == other.zone else ZONE_MS
 
     def _to(
         self,
-        sender: FakeNode,
-        receiver: FakeNode,
+        sender: parts.FakeNode,
+        receiver: parts.FakeNode,
         action: collections.abc.Callable[[], None],
     ) -> None:
         """Deliver between nodes, unless either was replaced meanwhile."""
@@ -490,16 +391,19 @@
         if (sender.name, receiver.name) not in self.cut:
             self.at(self._delay(sender, receiver), deliver)
 
-    def _open_attempt(self, node: FakeNode, effect: effects.OpenAttempt) -> None:
+    def _open_attempt(self, node: parts.FakeNode, effect: effects.OpenAttempt) -> None:
         home = self.nodes[effect.node]
         if not home.alive or (node.name, home.name) in self.cut:
             reached = home.alive
             event = events.AttemptLost(
                 now=self.now, attempt=effect.attempt, reached=reached
             )
-            self.at(LOCAL_MS, lambda: self._apply(node, _moved(event, self.now)))
+            self.at(
+                backends.LOCAL_MS,
+                lambda: self.apply_to(node, parts.moved(event, self.now)),
+            )
             return
-        hosted = self._number()
+        hosted = self.next_number()
         request = node.requests.get(effect.call, ("GET", "/"))
 
         self._homes[(node.name, effect.attempt)] = (home, hosted)
@@ -507,7 +411,7 @@
         def arrive() -> None:
             home.terms[hosted] = (node.name, effect.attempt, effect.terms)
             home.requests[-hosted] = request
-            self._apply(
+            self.apply_to(
                 home,
                 events.OpenReceived(
                     now=self.now,
@@ -519,26 +423,28 @@
 
         self._to(node, home, arrive)
 
-    def _cancel_attempt(self, node: FakeNode, effect: effects.CancelAttempt) -> None:
+    def _cancel_attempt(
+        self, node: parts.FakeNode, effect: effects.CancelAttempt
+    ) -> None:
         known = self._homes.pop((node.name, effect.attempt), None)
         if known is None:
             return
         home, hosted = known
 
         def arrive() -> None:
-            self._apply(
+            self.apply_to(
                 home,
                 events.CancelReceived(now=self.now, hosted=ids.HostedId(hosted)),
             )
 
         self._to(node, home, arrive)
 
-    def _relay(self, node: FakeNode, effect: effects.RelayAnswer) -> None:
+    def _relay(self, node: parts.FakeNode, effect: effects.RelayAnswer) -> None:
         status = node.state_status.pop(effect.attempt, 200)
         answer = "ok" if status == 200 else f"status-{status}"
         self._end_call(node, effect.call, status, answer, 0.0)
 
-    def _refuse(self, node: FakeNode, effect: effects.RefuseCall) -> None:
+    def _refuse(self, node: parts.FakeNode, effect: effects.RefuseCall) -> None:
         self._end_call(
             node,
             effect.call,
@@ -547,14 +453,18 @@
             effect.retry_after_ms,
         )
 
-    def _send_answer(self, node: FakeNode, effect: effects.SendAnswer) -> None:
+    def _send_answer(self, node: parts.FakeNode, effect: effects.SendAnswer) -> None:
         self._answer_back(node, effect.hosted, effect.tokens, effect.report)
 
-    def _send_kept(self, node: FakeNode, effect: effects.SendKeptAnswer) -> None:
+    def _send_kept(self, node: parts.FakeNode, effect: effects.SendKeptAnswer) -> None:
         self._answer_back(node, effect.hosted, effect.tokens, effect.report)
 
     def _answer_back(
-        self, node: FakeNode, hosted: int, tokens: int, report: messages.LoadReport
+        self,
+        node: parts.FakeNode,
+        hosted: int,
+        tokens: int,
+        report: messages.LoadReport,
     ) -> None:
         known = node.terms.pop(hosted, None)
         if known is None:
@@ -566,7 +476,7 @@
 
         def arrive() -> None:
             entry.state_status[attempt] = status
-            self._apply(
+            self.apply_to(
                 entry,
                 events.AttemptAnswered(
                     now=self.now,
@@ -579,7 +489,7 @@
 
         self._to(node, entry, arrive)
 
-    def _send_refusal(self, node: FakeNode, effect: effects.SendRefusal) -> None:
+    def _send_refusal(self, node: parts.FakeNode, effect: effects.SendRefusal) -> None:
         known = node.terms.pop(effect.hosted, None)
         if known is None:
             return
@@ -588,7 +498,7 @@
         self._homes.pop((sender, attempt), None)
 
         def arrive() -> None:
-            self._apply(
+            self.apply_to(
                 entry,
                 events.AttemptRefused(
                     now=self.now,
@@ -601,20 +511,20 @@
 
         self._to(node, entry, arrive)
 
-    def _ask_level(self, node: FakeNode, effect: effects.AskLevel) -> None:
+    def _ask_level(self, node: parts.FakeNode, effect: effects.AskLevel) -> None:
         home = self.nodes[effect.node]
-        question = self._number()
+        question = self.next_number()
         self._questions[question] = (node, effect.kind)
 
         def arrive() -> None:
-            self._apply(
+            self.apply_to(
                 home,
                 events.LevelAsked(now=self.now, question=question, kind=effect.kind),
             )
 
         self._to(node, home, arrive)
 
-    def _tell_level(self, node: FakeNode, effect: effects.TellLevel) -> None:
+    def _tell_level(self, node: parts.FakeNode, effect: effects.TellLevel) -> None:
         asker, kind = self._questions.pop(effect.question)
 
         def arrive() -> None:
@@ -624,11 +534,11 @@
                 kind=kind,
                 report=effect.report,
             )
-            self._apply(asker, told)
+            self.apply_to(asker, told)
 
         self._to(node, asker, arrive)
 
-    def _gossip(self, node: FakeNode, effect: effects.SendGossip) -> None:
+    def _gossip(self, node: parts.FakeNode, effect: effects.SendGossip) -> None:
         if not self.gossip_on:
             self._gossip_quietly(node, effect)
             return
@@ -640,7 +550,7 @@
         self._to(
             node,
             receiver,
-            lambda: self._apply(
+            lambda: self.apply_to(
                 receiver,
                 events.DatagramReceived(
                     now=self.now,
@@ -652,7 +562,7 @@
             ),
         )
 
-    def _gossip_quietly(self, node: FakeNode, effect: effects.SendGossip) -> None:
+    def _gossip_quietly(self, node: parts.FakeNode, effect: effects.SendGossip) -> None:
         """Acknowledge pings without the other's reducer, while membership is not
         what a run is about: it saves half of the run's time."""
         if effect.message.kind is not messages.GossipKind.PING:
@@ -672,149 +582,37 @@
             port=effect.port,
             message=message,
         )
-        self.at(LOCAL_MS, lambda: self._apply(node, _moved(event, self.now)))
+        self.at(
+            backends.LOCAL_MS, lambda: self.apply_to(node, parts.moved(event, self.now))
+        )
 
-    def _fetch_routes(self, node: FakeNode, effect: effects.FetchRoutes) -> None:
+    def _fetch_routes(self, node: parts.FakeNode, effect: effects.FetchRoutes) -> None:
         peer = self.nodes[effect.node]
 
         def arrive() -> None:
             index = peer.state.routes
             if index is not None and peer.alive:
-                self._apply(
+                self.apply_to(
                     node, events.RoutesReceived(now=self.now, table=index.table)
                 )
 
         self._to(peer, node, arrive)
 
-    # The fake backend servers.
-
-    def _hand_over(self, node: FakeNode, effect: effects.HandOver) -> None:
-        known = node.terms.get(effect.hosted)
-        terms = node.state.hosted[effect.hosted].terms if known is None else known[2]
-        method, path = node.requests.pop(-effect.hosted, ("GET", "/"))
-        work = Work(
-            hosted=effect.hosted,
-            kind=terms.kind,
-            key=terms.key,
-            span=effect.span,
-            path=path,
-            method=method,
-            root=terms.root,
-            steps=list(node.backend.spec.calls.get(terms.kind, [])),
-            began=self.now,
-        )
-        if not node.backend.up:
-            event = events.BackendFailed(
-                now=self.now, hosted=effect.hosted, handed=False
-            )
-            self.at(LOCAL_MS, lambda: self._apply(node, _moved(event, self.now)))
-            return
-        node.works[effect.hosted] = work
-        self.at(LOCAL_MS, lambda: self._begin(node, work))
-
-    def _begin(self, node: FakeNode, work: Work) -> None:
-        if work.cancelled or node.works.get(work.hosted) is not work:
-            return
-        backend = node.backend
-        if backend.running >= backend.spec.slots:
-            if backend.refuse_beyond:
-                self._end_work(node, work, 503, held=False)
-                return
-            backend.waiting.append(work)
-            return
-        backend.running += 1
-        backend.executed += 1
-        work.began = self.now
-        work.started = True
-        if work.key:
-            backend.executions[work.key] += 1
-        self.on_execution(node, work)
-        mean = backend.spec.service_ms.get(work.kind, 10.0) * backend.slow
-        self.at(
-            mean * self.random.uniform(0.7, 1.3), lambda: self._next_step(node, work)
-        )
-
-    def _next_step(self, node: FakeNode, work: Work) -> None:
-        if work.done or node.works.get(work.hosted) is not work:
-            return
-        if not work.steps:
-            self._end_work(node, work, 200)
-            return
-        service, _, rest = work.steps.pop(0).partition(" ")
-        method, _, path = rest.partition(" ")
-        call = self._number()
-        node.callers[call] = work
-        work.waiting_child = call
-        self._call(node, call, service, method, path, work.span)
-
-    def _child_ended(self, node: FakeNode, work: Work, status: int) -> None:
-        if work.done or node.works.get(work.hosted) is not work:
-            return
-        work.waiting_child = 0
-        if status != 200:
-            self._end_work(node, work, 503)
-            return
-        self._next_step(node, work)
-
-    def _end_work(
-        self, node: FakeNode, work: Work, status: int, *, held: bool = True
-    ) -> None:
-        work.done = True
-        node.works.pop(work.hosted, None)
-        node.statuses[work.hosted] = status
-        event = events.BackendAnswered(
-            now=self.now, hosted=ids.HostedId(work.hosted), status=status
-        )
-        self.at(LOCAL_MS, lambda: self._apply(node, _moved(event, self.now)))
-        if held:
-            self._free(node, work)
-
-    def _free(self, node: FakeNode, work: Work) -> None:
-        backend = node.backend
-        backend.running -= 1
-        backend.busy_ms += self.now - work.began
-        self.on_work_end(node, work, self.now - work.began)
-        while backend.waiting and backend.running < backend.spec.slots:
-            following = backend.waiting.popleft()
-            if not following.cancelled:
-                self._begin(node, following)
-
-    def _cancel_backend(self, node: FakeNode, effect: effects.CancelBackend) -> None:
-        node.terms.pop(effect.hosted, None)
-        work = node.works.pop(effect.hosted, None)
-        if work is None:
-            return
-        work.cancelled = True
-        work.done = True
-        if not work.started:
-            if work in node.backend.waiting:
-                node.backend.waiting.remove(work)
-            return
-        if work.waiting_child:
-            gone = events.CallerGone(now=self.now, call=ids.CallId(work.waiting_child))
-            node.callers.pop(work.waiting_child, None)
-            self.at(LOCAL_MS, lambda: self._apply(node, _moved(gone, self.now)))
-        self._free(node, work)
-
-    def _number(self) -> int:
+    def next_number(self) -> int:
+        """Return a number that was never given before."""
         self._numbers += 1
         return self._numbers
 
 
-def _moved(event: events.Event, now: float) -> events.Event:
-    """Return an event as it is seen later."""
-    fields = {name: getattr(event, name) for name in event.__struct_fields__}
-    fields["now"] = now
-    return type(event)(**fields)
-
-
-_HANDLERS: dict[type, collections.abc.Callable[[World, FakeNode, typing.Any], None]] = {
+_HANDLERS: dict[
+    type, collections.abc.Callable[[World, parts.FakeNode, typing.Any], None]
+] = {
     effects.OpenAttempt: World._open_attempt,
     effects.CancelAttempt: World._cancel_attempt,
     effects.RelayAnswer: World._relay,
     effects.RefuseCall: World._refuse,
-    effects.HandOver: World._hand_over,
-    effects.CancelBackend: World._cancel_backend,
+    effects.HandOver: backends.hand_over,
+    effects.CancelBackend: backends.cancel_backend,
     effects.SendAnswer: World._send_answer,
     effects.SendKeptAnswer: World._send_kept,
     effects.SendRefusal: World._send_refusal,
