Let calls wait a moment for the first upstream right after a start

Change: within 3 s of its own start a node lets a call of a running request wait for the first upstream of its service for up to a second, and a new request for a quarter of its target; what is refused then is told to come back within half of the target. Weighed and not built: keeping the backend server's instance as a record, to be believed after a restart; one that had just said that it leaves could then get work.

Tests failed before, and fail with each part out.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -18,6 +18,7 @@
     refusals,
     route_table,
     routing,
+    settling,
     state as states,
 )
 
@@ -324,7 +325,8 @@
         return
     nodes = routing.candidates(state, call.service)
     if not nodes:
-        refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+        if not settling.hold(state, call):
+            refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
         return
     refused = (call.service, call.rule.name, call.rank & ranks.DEEP_BIT)
     if state.now - state.refused_since > REFUSED_KEPT_MS:
@@ -343,6 +345,17 @@
     _send(state, call, node, out)
 
 
+def place_waiting(state: states.State, out: states.Effects) -> None:
+    """Send the calls that waited for an upstream of their service, or give them up."""
+    services = state.membership.by_service
+    placeable = {ids.ServiceName(name) for name, nodes in services.items() if nodes}
+    ready, over = settling.take_due(state, placeable)
+    for call in ready:
+        _send_first(state, call, out)
+    for call in over:
+        refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+
+
 def _send_to_holder(
     state: states.State, call: states.Call, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -82,6 +82,7 @@
 def _on_started(
     state: states.State, event: events.Started, out: states.Effects
 ) -> None:
+    state.started = event.now
     state.incarnation = event.incarnation
     state.zone = event.zone
     state.region = event.region
@@ -277,6 +278,8 @@
     membership.on_gossip(
         state, event.sender, event.host, event.port, event.message, out
     )
+    if state.waiting:
+        calls.place_waiting(state, out)
 
 
 def _on_snapshot(
@@ -303,6 +306,8 @@
             slots=backend.slots,
             member_state=messages.MemberState.ALIVE,
         )
+    if state.waiting:
+        calls.place_waiting(state, out)
     _follow_claims(state, out)
 
 
@@ -393,6 +398,8 @@
         elif routing.is_silent(state, node):
             doubted.discard(node)
             calls.on_node_silent(state, node, out)
+    if state.waiting:
+        calls.place_waiting(state, out)
 
 
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -5,6 +5,7 @@
     decisions,
     effects,
     messages,
+    settling,
     state as states,
 )
 
@@ -130,7 +131,10 @@
     # Where a home node refused, its decision tells more than that it did.
     decision = (remote.decision if remote else "") or own
     wait = retry_after or (remote.retry_after_ms if remote else 0.0)
-    if rule in _SHED_RULES and call.rule.target_ms:
+    soon = rule in _SHED_RULES or (
+        rule is decisions.Rule.NO_UPSTREAM and settling.is_settling(state)
+    )
+    if soon and call.rule.target_ms:
         wait = _in_time_again(state, call)
     if not wait and rule not in _NO_USE_COMING_BACK:
         wait = _COME_BACK_MS * (1.0 + state.random.random())
--- /dev/null
+++ b/src/gingerturn/internal/core/settling.py
@@ -0,0 +1,65 @@
+"""Calls that come before this node knows who offers their service.
+
+After all nodes were restarted each learns of the upstreams with their next heartbeats,
+a second or so later. A call of a backend server that is refused until then fails the
+whole request, whose work is lost; so for a moment such calls wait.
+"""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import state as states
+
+SETTLE_MS = 3_000.0
+"""From the start of a node: two heartbeats of a backend server, at the 1.5 s of today's
+deployments."""
+
+DEEP_HELD_MS = 1_000.0
+"""Most of that time is over by the next heartbeat, and little is left of most deadlines
+after more."""
+
+ROOT_HELD_SHARE = 0.25
+"""Of the route's target: a request refused that early can still have its full worth
+when it comes back."""
+
+
+def is_settling(state: states.State) -> bool:
+    """Tell whether this node started so lately that it may not know all upstreams."""
+    return state.now < state.started + SETTLE_MS and not state.stopping
+
+
+def hold(state: states.State, call: states.Call) -> bool:
+    """Let a call wait for the first upstream of its service.
+
+    :return: whether it waits; otherwise there is no use in it.
+    """
+    if not is_settling(state):
+        return False
+    deep = call.depth > 0
+    most = DEEP_HELD_MS if deep else ROOT_HELD_SHARE * call.rule.target_ms
+    until = call.arrived + most
+    if until <= state.now:
+        return False
+    state.waiting[call.id] = until
+    return True
+
+
+def take_due(
+    state: states.State, placeable: set[ids.ServiceName]
+) -> tuple[list[states.Call], list[states.Call]]:
+    """Take out the calls that wait no longer.
+
+    :param placeable: services of which an upstream is known.
+    :return: those that can be sent, and those that have waited long enough.
+    """
+    ready: list[states.Call] = []
+    over: list[states.Call] = []
+    for number, until in list(state.waiting.items()):
+        call = state.calls.get(number)
+        if call is None:
+            del state.waiting[number]
+        elif call.service in placeable:
+            ready.append(call)
+            del state.waiting[number]
+        elif state.now >= until:
+            over.append(call)
+            del state.waiting[number]
+    return ready, over
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -371,6 +371,9 @@
         self.refused_since: ids.Milliseconds = 0.0
         self.budgets: dict[ids.ServiceName, allowance.Budget] = {}
         self.children_of: dict[str, dict[tuple[str, str], ids.Milliseconds]] = {}
+        # Calls that wait for the first upstream of their service, and until when.
+        self.waiting: dict[ids.CallId, ids.Milliseconds] = {}
+        self.started: ids.Milliseconds = 0.0
         self.deadlines: list[tuple[ids.Milliseconds, int, int]] = []
         self.membership = Membership()
         self.streams: dict[str, Stream] = {}
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -11,6 +11,7 @@
     events,
     messages,
     reducer,
+    settling,
     state as states,
 )
 
@@ -91,9 +92,10 @@
 def node_state(
     name: str = "n1", *, service: str = "", slots: int = 4, now: float = START
 ) -> states.State:
-    """Return a started node with the configuration in force."""
+    """Return a node with the configuration in force, some time after its start."""
     state = reducer.new_state(started(name, now=now))
     reducer.reduce(state, started(name, now=now))
+    state.started = now - settling.SETTLE_MS
     state.configuration = configured()
     if service:
         reducer.reduce(state, announced(service, slots=slots, now=now))
--- a/tests/common/routed.py
+++ b/tests/common/routed.py
@@ -10,6 +10,7 @@
     events,
     messages,
     reducer,
+    settling,
     state as states,
 )
 from tests.common import builders
@@ -65,10 +66,11 @@
     slots: int = 4,
     retry_bound: allowance.Bound | None = None,
 ) -> states.State:
-    """Return a started node with a route table in force."""
+    """Return a node with a route table in force, some time after its start."""
     begin = started(name, retry_bound=retry_bound)
     state = reducer.new_state(begin)
     reducer.reduce(state, begin)
+    state.started = begin.now - settling.SETTLE_MS
     reducer.reduce(state, events.RoutesReceived(now=begin.now, table=table(*listed)))
     if service:
         reducer.reduce(state, announced(service, slots=slots))
--- /dev/null
+++ b/tests/cover/test_settling.py
@@ -0,0 +1,105 @@
+"""Calls that come right after a start, before upstreams are known, wait a moment."""
+
+from gingerturn import routes
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    events,
+    reducer,
+    settling,
+    state as states,
+)
+from tests.common import builders, routed
+
+TARGET_MS = routed.route().target_ms
+CHECK_MS = 120.0
+"""Calls that have waited long enough are found by a check each 100 ms."""
+
+
+def _fresh() -> states.State:
+    """Return a node that has just started, with a route for its backend server."""
+    table = (
+        routed.route(),
+        routed.route("below", prefix="/b/", shares=(("stock", 1),)),
+    )
+    state = routed.node_state(*table, service="plans", slots=9)
+    state.started = state.now
+    return state
+
+
+def _call_of_a_running_request(state: states.State) -> list[effects.Effect]:
+    """Let the backend server, at work on a request, call the service below."""
+    terms = builders.call_terms(kind="lookup", trace="r1", deadline_ms=900.0)
+    reducer.reduce(state, builders.opened(1, terms))
+    return reducer.reduce(state, routed.arrived(7, path="/b/x", request="r1.c1"))
+
+
+def test_a_call_of_a_running_request_waits_for_the_first_upstream() -> None:
+    # 288 requests failed in the first second after all nodes were restarted, since the
+    # calls made for them were refused: no upstream had sent its next heartbeat yet.
+    state = _fresh()
+    out = _call_of_a_running_request(state)
+    assert not builders.all_of(out, effects.RefuseCall)
+    assert not builders.all_of(builders.passed(state, 500.0), effects.RefuseCall)
+    message = builders.gossip(members=(builders.member("n2", "stock"),))
+    out = reducer.reduce(state, builders.datagram("n2", message, now=state.now))
+    assert routed.sent_to(out).node == "n2"
+    assert not state.waiting
+
+
+def test_it_is_sent_once_only() -> None:
+    state = _fresh()
+    _call_of_a_running_request(state)
+    builders.add_members(state, builders.member("n2", "stock"))
+    out = builders.passed(state, 300.0)
+    builders.add_members(state, builders.member("n3", "stock"))
+    assert not builders.all_of(out, effects.OpenAttempt)
+    assert len(state.attempts) == 1
+
+
+def test_it_is_refused_when_it_has_waited_long_enough() -> None:
+    state = _fresh()
+    terms = builders.call_terms(kind="lookup", trace="r1", deadline_ms=4_000.0)
+    reducer.reduce(state, builders.opened(1, terms))
+    reducer.reduce(state, routed.arrived(7, path="/b/x", request="r1.c1"))
+    out = builders.passed(state, settling.DEEP_HELD_MS - 20.0)
+    assert not builders.all_of(out, effects.RefuseCall)
+    refusal = builders.only(builders.passed(state, CHECK_MS), effects.RefuseCall)
+    assert refusal.status == 503
+    assert not state.waiting
+
+
+def test_a_new_request_waits_a_quarter_of_its_target_and_may_soon_come_back() -> None:
+    state = _fresh()
+    out = reducer.reduce(state, routed.arrived(1, path="/b/x"))
+    out += builders.passed(state, settling.ROOT_HELD_SHARE * TARGET_MS - 20.0)
+    assert not builders.all_of(out, effects.RefuseCall)
+    refusal = builders.only(builders.passed(state, CHECK_MS), effects.RefuseCall)
+    assert 0 < refusal.retry_after_ms <= TARGET_MS / 2
+
+
+def test_a_node_that_has_settled_refuses_at_once() -> None:
+    state = _fresh()
+    state.started = state.now - settling.SETTLE_MS
+    refusal = builders.only(_call_of_a_running_request(state), effects.RefuseCall)
+    assert refusal.title == "no upstream"
+
+
+def test_a_waiting_call_whose_caller_leaves_is_forgotten() -> None:
+    state = _fresh()
+    reducer.reduce(state, routed.arrived(1, path="/b/x"))
+    reducer.reduce(state, events.CallerGone(now=state.now, call=ids.CallId(1)))
+    builders.add_members(state, builders.member("n2", "stock"))
+    assert not state.attempts and not state.waiting
+
+
+def test_a_waiting_call_that_may_not_repeat_is_told_not_to_have_run() -> None:
+    route = routed.route(
+        prefix="/b/", kind=routes.RouteType.UNREPEATABLE, shares=(("stock", 1),)
+    )
+    state = routed.node_state(route)
+    state.started = state.now
+    reducer.reduce(state, routed.arrived(1, path="/b/x"))
+    refusal = builders.only(builders.passed(state, TARGET_MS), effects.RefuseCall)
+    assert refusal.status == 503
+    assert refusal.title == "no upstream"
