Revert "Keep calls in the zone while its upstreams are free (under measurement)"

Seen as the cause, not shown: an upstream of 20 slots that is filled to 75 % before its zone spills has no room for what arrives at once by chance.

--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -29,19 +29,10 @@
 """An answer counts against a suspicion for as long as a probe waits before it raises
 one: a node that froze is passed over no later than by the next suspicion."""
 
-FREE_SHARE = 0.6
-"""Share of the limit up to which an upstream counts as free: a call waits there no
-longer than at an idle one, so bytes between zones would buy nothing. The rest of the
-slots takes what arrives at once by chance."""
-
-BELOW_FREE = 0.1
-"""Weight of the occupancy below that share, by which the less busy of one zone is
-chosen."""
-
 ZONE_PENALTY = 0.15
 """Added to the occupancy of an upstream in another zone: calls stay in the zone
-until its upstreams are busier by 15 % of their limit than what counts as free, which
-bounds both the traffic between zones and the imbalance that staying may cause."""
+until its upstreams are busier by 15 % of their limit, which bounds both the
+traffic between zones and the imbalance that staying may cause."""
 
 ERROR_WEIGHT = 0.05
 """Weight of one answer in the share of failures: the memory is some twenty answers."""
@@ -315,5 +306,4 @@
         return penalty
     penalty += ERROR_PENALTY * upstream.error
     limit = upstream.limit or (member.slots if member else 0) or 1
-    occupied = (upstream.load + upstream.since_report) / limit
-    return max(BELOW_FREE * occupied, occupied - FREE_SHARE) + penalty
+    return (upstream.load + upstream.since_report) / limit + penalty
