Soak: a step at a backend server that does not listen yet is void; tell seeds first

Cause: of fifty runs the 27th ended with a connection refused: a step spoke to a backend server that another step had started a moment before. Its seed was printed only with the verdict, so it is lost. The 26 runs before it kept every promise.

--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -25,19 +25,22 @@
     # Ended by a signal too, a run ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
     chosen = seeds or [random.SystemRandom().randrange(1 << 31) for _ in range(runs)]
-    failed = [seed for seed in chosen if not _play(seed, machines, length)]
+    failed = [seed for seed in chosen if not play(seed, machines, length)]
     click.echo(f"{len(chosen)} runs, {len(failed)} with a promise broken: {failed}")
     sys.exit(bool(failed))
 
 
-def _play(seed: int, machines: int, length: float) -> bool:
+def play(seed: int, machines: int, length: float) -> bool:
+    """Play a run and print its verdict; tell whether every promise was kept."""
+    # Told first: a run that ends with a fault of the soak itself can be played again.
+    click.echo(f"seed {seed}: ", nl=False)
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         verdict = run.play(
             seed, folder, machines=machines, length_s=length, timing=True
         )
         click.echo(
-            f"seed {seed}: {verdict.served} of {verdict.attempts} served,"
+            f"{verdict.served} of {verdict.attempts} served,"
             f" {len(verdict.steps)} steps, {len(verdict.broken)} broken"
         )
         if not verdict.broken:
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import pathlib
 import signal
 import subprocess
 
+import httpx
 import msgspec
 
 from gingerturn_soak import callers, checks, ledger, proxy, schedule
@@ -162,7 +164,7 @@
     async def _backend_drain(self, step: schedule.Step, fault: checks.Fault) -> None:
         """Let a backend server leave, serve on for a while, and be replaced."""
         machine = self._machine(step.target)
-        await self._tell(machine, state="draining")
+        await self.tell(machine, state="draining")
         await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.lasts)
         await self._backend_kill(step, fault)
 
@@ -221,14 +223,18 @@
 
     async def _tell_for(self, step: schedule.Step, **what: object) -> None:
         machine = self._machine(step.target)
-        await self._tell(machine, **what)
+        await self.tell(machine, **what)
         await asyncio.sleep(step.lasts)
-        await self._tell(machine, **dict.fromkeys(what, False))
+        await self.tell(machine, **dict.fromkeys(what, False))
 
-    async def _tell(self, machine: platform_processes.Machine, **what: object) -> None:
-        """Tell a backend server what to do, if it runs and is not paused."""
+    async def tell(self, machine: platform_processes.Machine, **what: object) -> None:
+        """Tell a backend server what to do, if it runs.
+
+        One that was started a moment ago may not listen yet; then the step is void.
+        """
         if machine.upstream.poll() is None:
-            await asyncio.to_thread(machine.tell_upstream, **what)
+            with contextlib.suppress(httpx.TransportError):
+                await asyncio.to_thread(machine.tell_upstream, **what)
 
     async def _pause(self, process: subprocess.Popen[bytes], lasts: float) -> None:
         if process.poll() is None:
