Split the table of members from the protocol that fills it

membership.py had grown to 541 lines and held both the beliefs (put, rumours, who is reachable) and the messages.

--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -7,6 +7,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
+    member_table,
     membership,
     messages,
     state as states,
@@ -31,7 +32,7 @@
 def start(state: states.State, me: messages.Member, out: states.Effects) -> None:
     """Enter the membership as its only member and tell the log."""
     state.membership.me = me
-    membership.put(state, me, out)
+    member_table.put(state, me, out)
     if state.keyed_log:
         put_join_record(state, out)
         return
@@ -143,7 +144,7 @@
     if view.join_put and now >= view.join_retry_at:
         put_join_record(state, out)
     contact_unmet(state, now, out)
-    if state.keyed_log and not membership.reachable(state) and view.listed:
+    if state.keyed_log and not member_table.reachable(state) and view.listed:
         # Alone: the others may have been replaced while this node was cut off.
         streams.reread(state, streams.MEMBERS)
 
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -6,13 +6,12 @@
 whatever the size: one probe a period, a bounded number of updates each.
 """
 
-import math
-
 import msgspec
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
+    member_table,
     messages,
     outbox,
     revisions,
@@ -30,22 +29,13 @@
 and what it finds spreads by gossip."""
 
 GONE_AFTER_MS = 4_000.0
-FORGET_AFTER_MS = 300_000.0
 INDIRECT_PROBES = 2
-UPDATES_PER_MESSAGE = 5
-"""About 70 bytes each, packed. With 6 a node sent 2.2 kB/s while the news of a lost
-zone spread, with 5 it stays under the 2 kB/s that control may use."""
-
 SYNC_PAGE = 8
 PUSH_EVERY_MS = 250.0
 URGENT_FANOUT = 4
 """Members told at once of a departure or a new revision; each passes news on to
 as many, so that a few rounds reach all even where a tenth is lost."""
 
-SMALL = 64
-"""Below this size the few members that are not gone are listed before drawing, so
-that a draw cannot miss all of them."""
-
 ISOLATED_SHARE = 0.5
 """Where more than half of the members seem unreachable, the fault is more likely
 this node's own network: nobody is declared gone until some answer again."""
@@ -54,15 +44,6 @@
 _OF_MEMBERS = frozenset({messages.GossipKind.PING, messages.GossipKind.ACK})
 """Kinds of messages that a node gets only from one that takes it for a member."""
 
-_STATE_WORDS = {
-    messages.MemberState.ALIVE: "is alive",
-    messages.MemberState.SUSPECT: "is suspected",
-    messages.MemberState.LEAVING: "is leaving",
-    messages.MemberState.GONE: "is gone",
-}
-
-_BAD_STATES = frozenset({messages.MemberState.SUSPECT, messages.MemberState.GONE})
-
 
 def change_self(
     state: states.State,
@@ -88,7 +69,7 @@
         state=me.state if member_state is None else member_state,
     )
     state.membership.me = changed
-    put(state, changed, out)
+    member_table.put(state, changed, out)
     if urgent:
         push(state, out)
 
@@ -105,7 +86,7 @@
         return
     membership.next_push = state.now + PUSH_EVERY_MS
     membership.push_waits = False
-    for node in _some(state, URGENT_FANOUT):
+    for node in member_table.some(state, URGENT_FANOUT):
         ping(state, node, out)
 
 
@@ -113,7 +94,7 @@
     """Ping the next member of a shuffled round."""
     membership = state.membership
     if not membership.order:
-        membership.order = [str(node) for node in reachable(state)]
+        membership.order = [str(node) for node in member_table.reachable(state)]
         state.random.shuffle(membership.order)
     while membership.order:
         node = membership.order.pop()
@@ -148,7 +129,7 @@
         push(state, out)
     if not _isolated(state):
         _declare_gone(state, now, out)
-    _forget_gone(state, now)
+    member_table.forget_gone(state, now)
     return suspected
 
 
@@ -192,7 +173,7 @@
     """
     membership = state.membership
     if sender in membership.suspected or sender in membership.gone:
-        membership.rumours[sender] = _rumour_count(state)
+        membership.rumours[sender] = member_table.rumour_count(state)
 
 
 def _merge(
@@ -209,14 +190,16 @@
     if heard.node == state.node and me is not None:
         return _hear_of_self(state, me, heard, out)
     known = state.membership.members.get(heard.node)
-    if known is not None and _precedence(heard) <= _precedence(known):
+    if known is not None and member_table.precedence(heard) <= member_table.precedence(
+        known
+    ):
         return False
     if known is None and heard.state is messages.MemberState.GONE:
         return False
     if known is not None and heard.incarnation > known.incarnation:
         # A restarted instance: nothing that the old one told counts any more.
         state.upstreams.pop(heard.node, None)
-    put(state, heard, out, source=sender)
+    member_table.put(state, heard, out, source=sender)
     return True
 
 
@@ -234,127 +217,13 @@
         state.membership.me = msgspec.structs.replace(me, incarnation=state.incarnation)
         change_self(state, out)
         return False
-    if _precedence(heard) > _precedence(me):
+    if member_table.precedence(heard) > member_table.precedence(me):
         version = max(me.version, heard.version)
         state.membership.me = msgspec.structs.replace(me, version=version)
         change_self(state, out, urgent=False)
     return False
 
 
-def _precedence(member: messages.Member) -> tuple[int, int, int]:
-    return (member.incarnation, member.version, member.state)
-
-
-def put(
-    state: states.State,
-    member: messages.Member,
-    out: states.Effects,
-    *,
-    source: str = "its silence",
-) -> None:
-    """Take what is known of a member, and let it be passed on.
-
-    :param source: who or what tells it, for the log.
-    """
-    membership = state.membership
-    old = membership.members.get(member.node)
-    if member.node != state.node:
-        _log_change(old, member, source, out)
-    membership.members[member.node] = member
-    membership.rumours[member.node] = _rumour_count(state)
-    if member.state is messages.MemberState.SUSPECT:
-        membership.suspected.setdefault(member.node, state.now)
-    else:
-        membership.suspected.pop(member.node, None)
-    if member.state is messages.MemberState.GONE:
-        membership.gone[member.node] = state.now
-    else:
-        membership.gone.pop(member.node, None)
-    if old is not None:
-        _unlist(state, old)
-    if member.service and member.state < messages.MemberState.LEAVING:
-        membership.by_service.setdefault(member.service, []).append(member.node)
-
-
-def _log_change(
-    old: messages.Member | None,
-    member: messages.Member,
-    source: str,
-    out: states.Effects,
-) -> None:
-    """Write what this node believes from now on, if that is another thing."""
-    offers_other = old is None or old.service != member.service
-    anew = old is not None and old.incarnation != member.incarnation
-    if old is not None and old.state is member.state and not offers_other and not anew:
-        return
-    words = _STATE_WORDS[member.state]
-    if old is None:
-        words = "is known from now on"
-    elif anew:
-        words = "started anew"
-    elif member.state is messages.MemberState.ALIVE and old.state is not member.state:
-        words = "is alive again"
-    offer = f", offers {member.service or 'nothing'}" if offers_other else ""
-    text = f"{member.node} {words}, version {member.version}{offer}, as {source} tells."
-    if member.state in _BAD_STATES:
-        outbox.warn(out, "membership", text)
-    else:
-        outbox.info(out, "membership", text)
-
-
-def _unlist(state: states.State, member: messages.Member) -> None:
-    nodes = state.membership.by_service.get(member.service)
-    if nodes and member.node in nodes:
-        nodes.remove(member.node)
-
-
-def _rumour_count(state: states.State) -> int:
-    return 3 * math.ceil(math.log2(len(state.membership.members) + 2))
-
-
-def reachable(state: states.State) -> list[ids.NodeId]:
-    """Return the other members that are not held for gone."""
-    return [
-        member.node
-        for member in state.membership.members.values()
-        if member.node != state.node and member.state < messages.MemberState.GONE
-    ]
-
-
-def _some(state: states.State, count: int) -> list[ids.NodeId]:
-    """Return some random members that are not gone.
-
-    Drawn by index: shuffling all of 4,200 took 4 ms at each push.
-    """
-    members = state.membership.members
-    if len(members) < SMALL:
-        pool = sorted(reachable(state))
-        return state.random.sample(pool, min(count, len(pool)))
-    drawn = state.random.sample(list(members), 2 * count)
-    return [
-        ids.NodeId(name)
-        for name in drawn
-        if name != state.node and members[name].state < messages.MemberState.GONE
-    ][:count]
-
-
-def _updates(state: states.State) -> tuple[messages.Member, ...]:
-    """Return the updates that were passed on least often so far."""
-    membership = state.membership
-    if not membership.rumours:
-        return ()
-    chosen = sorted(membership.rumours, key=lambda node: -membership.rumours[node])[
-        :UPDATES_PER_MESSAGE
-    ]
-    for node in chosen:
-        membership.rumours[node] -= 1
-        if membership.rumours[node] <= 0:
-            del membership.rumours[node]
-    return tuple(
-        membership.members[node] for node in chosen if node in membership.members
-    )
-
-
 def ping(
     state: states.State,
     node: ids.NodeId,
@@ -391,7 +260,7 @@
         sequence=sequence,
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
-        members=_updates(state),
+        members=member_table.updates(state),
     )
 
 
@@ -444,7 +313,11 @@
     """Ping a member that has not answered once more, and through others: one lost
     datagram in ten must not make suspects of a tenth of all members."""
     _ping(state, node, sequence, out)
-    helpers = [other for other in _some(state, INDIRECT_PROBES + 1) if other != node]
+    helpers = [
+        other
+        for other in member_table.some(state, INDIRECT_PROBES + 1)
+        if other != node
+    ]
     for helper in helpers[:INDIRECT_PROBES]:
         member = state.membership.members[helper]
         message = messages.Gossip(
@@ -465,15 +338,9 @@
     member = state.membership.members.get(node)
     if member is None or member.state is not messages.MemberState.ALIVE:
         if member is not None and member.state is messages.MemberState.LEAVING:
-            put(state, _with_state(member, messages.MemberState.GONE), out)
+            member_table.set_state(state, member, messages.MemberState.GONE, out)
         return
-    put(state, _with_state(member, messages.MemberState.SUSPECT), out)
-
-
-def _with_state(
-    member: messages.Member, new_state: messages.MemberState
-) -> messages.Member:
-    return msgspec.structs.replace(member, state=new_state)
+    member_table.set_state(state, member, messages.MemberState.SUSPECT, out)
 
 
 def _isolated(state: states.State) -> bool:
@@ -489,18 +356,7 @@
         if now - since < GONE_AFTER_MS:
             continue
         member = state.membership.members[node]
-        put(state, _with_state(member, messages.MemberState.GONE), out)
-
-
-def _forget_gone(state: states.State, now: ids.Milliseconds) -> None:
-    membership = state.membership
-    for node, since in list(membership.gone.items()):
-        if now - since < FORGET_AFTER_MS:
-            continue
-        del membership.gone[node]
-        membership.members.pop(node, None)
-        membership.rumours.pop(node, None)
-        state.upstreams.pop(ids.NodeId(node), None)
+        member_table.set_state(state, member, messages.MemberState.GONE, out)
 
 
 def sync(
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -7,6 +7,7 @@
 from gingerturn.internal.core import (
     effects,
     events,
+    member_table,
     membership,
     messages,
     reducer,
@@ -156,7 +157,7 @@
     )
     out = reducer.reduce(state, events.Tick(now=state.now + 5_000))
     for effect in builders.all_of(out, effects.SendGossip):
-        assert len(effect.message.members) <= membership.UPDATES_PER_MESSAGE
+        assert len(effect.message.members) <= member_table.UPDATES_PER_MESSAGE
 
 
 def _told(state: states.State, member: messages.Member) -> list[str]:
