Let a second SIGTERM change nothing during a planned stop

Cause: soak (two planned stops of one machine, 1.2 s apart): the second SIGTERM ended the process at once with status 3. A planned stop must cut nothing, and whatever plans stops may plan two that overlap.

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -21,7 +21,7 @@
 """An address that the settings name is taken, or not one of this machine."""
 
 EXIT_DRAIN_CUT = 3
-"""The drain took longer than allowed, or a second signal ended it."""
+"""The drain took longer than allowed, or an interrupt ended it."""
 
 
 WATCH_S = 1.0
@@ -71,16 +71,16 @@
 
     SIGHUP, or a change of the file, reads the settings again; bad ones change nothing.
 
-    SIGTERM or SIGINT begins the planned stop; a second one, or the drain's time
-    limit, ends the process at once.
+    SIGTERM or SIGINT begins the planned stop. SIGINT during a stop, or the drain's
+    time limit, ends the process at once; SIGTERM during a stop changes nothing.
 
     :return: the exit status.
     """
     stopping = asyncio.Event()
     cut = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _on_signal, node, stopping, cut)
+    loop.add_signal_handler(signal.SIGTERM, _begin_stop, node, stopping)
+    loop.add_signal_handler(signal.SIGINT, _on_interrupt, node, stopping, cut)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, source)
     loop.set_exception_handler(_on_fault)
     place = node.settings.node
@@ -152,9 +152,21 @@
     logs.write("ERROR", "node", f"Fault: {context['message']}.", trace=trace)
 
 
-def _on_signal(node: nodes.Node, stopping: asyncio.Event, cut: asyncio.Event) -> None:
+def _on_interrupt(
+    node: nodes.Node, stopping: asyncio.Event, cut: asyncio.Event
+) -> None:
+    """Begin a planned stop, or end the one that is under way."""
     if node.stopping:
         cut.set()
+    else:
+        _begin_stop(node, stopping)
+
+
+def _begin_stop(node: nodes.Node, stopping: asyncio.Event) -> None:
+    """Begin a planned stop. Whatever plans stops may plan two that overlap: a second
+    one must not cut what the first one lets finish."""
+    if node.stopping:
+        logs.write("INFO", "node", "A planned stop is under way already.")
         return
     grace_ms = float(node.settings.node.drain_timeout_ms)
     node.apply(events.StopRequested(now=clock.now(), grace_ms=grace_ms))
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -12,10 +12,12 @@
     hosting,
     instances,
     joining,
+    membership,
     reducer,
     route_table,
     routing,
     streams,
+    timers,
 )
 from gingerturn.internal.shell import backend_http, caller_limits
 from tests.cover import (
@@ -24,9 +26,12 @@
     test_caller_limits as limits,
     test_decisions_under_load as under_load,
     test_keyed_members as members,
+    test_membership as members_told,
     test_routed_attempts as attempts,
     test_routes as of_routes,
+    test_settling as settling,
     test_silent_nodes as silent,
+    test_ticks as ticks,
 )
 
 Proof = collections.abc.Callable[[], None]
@@ -145,6 +150,48 @@
         _nothing,
         members.test_members_are_read_again_if_a_read_was_under_way_when_the_own_record_came,
     ),
+    (
+        "RECOVER, right after a start",
+        calls.settling,
+        "hold",
+        _false,
+        settling.test_a_call_of_a_running_request_waits_for_the_first_upstream,
+    ),
+    (
+        "a suspected upstream that answers stays in use",
+        routing,
+        "ANSWERED_LATELY_MS",
+        -1.0,
+        silent.test_a_suspected_upstream_that_answers_calls_is_not_passed_over,
+    ),
+    (
+        "a lost probe is repeated",
+        membership,
+        "INDIRECT_AFTER_MS",
+        membership.GONE_AFTER_MS,
+        silent.test_a_probe_that_was_lost_is_repeated_by_the_node_itself,
+    ),
+    (
+        "a node ticks when something is due",
+        ticks.reducer,
+        "next_tick",
+        lambda state: state.now + timers.TICK_MS,
+        ticks.test_a_node_at_rest_ticks_seldom,
+    ),
+    (
+        "each change of belief is told",
+        membership.member_table,
+        "_log_change",
+        _nothing,
+        members_told.test_each_change_of_belief_about_a_member_is_told_with_its_source,
+    ),
+    (
+        "a deeper call with a free slot is tried",
+        hosting,
+        "SUNK_SHARE",
+        1.0,
+        under_load.test_a_deeper_call_that_finds_a_free_slot_is_tried_with_less_time,
+    ),
     (
         "request limits",
         caller_limits,
