--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -30,6 +30,11 @@
 """One without a key, which nobody can ask about again, keeps its slot only this long:
 an answer that was lost on its way would otherwise hold the slot for a minute."""
 
+SUNK_SHARE = 0.5
+"""A call deeper in a tree that finds a free slot is begun if half of the usual time is
+left: refusing it loses for certain what its parents have spent, and trying costs a slot
+that nobody waits for."""
+
 
 def on_open(
     state: states.State, event: events.OpenReceived, out: states.Effects
@@ -574,12 +579,6 @@
     return None
 
 
-SUNK_SHARE = 0.5
-"""A call deeper in a tree that finds a free slot is begun if half of the usual time is
-left: refusing it loses for certain what its parents have spent, and trying costs a slot
-that nobody waits for."""
-
-
 def _worth_starting(
     state: states.State, hosted: states.Hosted, out: states.Effects
 ) -> bool:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -226,6 +226,8 @@
         """Close everything; what is in flight is cut."""
         if self._ticker is not None:
             self._ticker.cancel()
+        # Earlier than any tick that an event may still ask for.
+        self._tick_at = -math.inf
         for server in self._servers:
             server.close()
         for connection in list(self.caller_connections):
@@ -413,7 +415,7 @@
         self._schedule_tick()
 
     def _schedule_tick(self) -> None:
-        """Tick when the core is next due, unless that is as early as it is now."""
+        """Tick when the core is next due, unless a tick is due as early already."""
         due = reducer.next_tick(self.state)
         if due >= self._tick_at:
             # Never put off: a deadline that has just passed would be, by each event.
