Do not let SIGHUP end a node that is starting

Cause: soak: after a planned stop m3 was started anew and got SIGHUP 0.4 s later, while it was importing.

The test holds the start up by a pipe that nobody writes to; it failed for both commands before.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import difflib
 import pathlib
+import signal
 import sys
 import typing
 
@@ -55,6 +56,8 @@
 )
 def node(path: pathlib.Path, record: typing.BinaryIO | None) -> None:
     """Run a node beside a backend server."""
+    # Until the node handles it, the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported here, so that the other commands do not load the daemon's libraries.
     import uvloop
 
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -17,6 +17,9 @@
     # at once. What CI can hold of it on any machine; the rest is
     # test_a_second_planned_stop_does_not_end_the_first.
     2140459980: (4, 12.0),
+    # SIGHUP ended a node that was starting anew, so a quarter of the requests found
+    # none; test_sighup_does_not_end_a_node_that_is_starting.
+    835031927: (4, 12.0),
 }
 """Seeds that CI plays, with machines and seconds: one for a start, and each that ever
 broke a promise, with a line on the cause."""
--- a/tests/nocover/test_start_of_a_node.py
+++ b/tests/nocover/test_start_of_a_node.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
 
 import msgspec
+import pytest
 
 from gingerturn import announcements, errors, log_service, settings
 from gingerturn.internal.shell import node as nodes, side_http
@@ -92,3 +99,54 @@
 
 def test_a_backend_server_announced_during_the_start_is_told_to_members() -> None:
     assert asyncio.run(_start_between_announcements()) == "plans"
+
+
+EXIT_SETTINGS = 2
+START_S = 30.0
+COMMANDS = {
+    "platform": (str(processes.ROOT / "platform" / "node.py"),),
+    "own": ("-m", "gingerturn", "node"),
+}
+
+
+def _ignores_sighup(process: subprocess.Popen[bytes]) -> bool:
+    """Tell whether a process leaves SIGHUP without effect at the moment."""
+    text = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    (line,) = [line for line in text.splitlines() if line.startswith("SigIgn:")]
+    return bool(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+
+
+def _feed(path: pathlib.Path, process: subprocess.Popen[bytes]) -> None:
+    """Let a process read bad settings from a pipe, as often as it opens it."""
+    while process.poll() is None:
+        with contextlib.suppress(OSError):
+            descriptor = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            os.write(descriptor, b"{")
+            os.close(descriptor)
+        time.sleep(0.02)
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_sighup_does_not_end_a_node_that_is_starting(
+    command: str, tmp_path: pathlib.Path
+) -> None:
+    # Seed 835031927 of the soak: settings were changed while a node started anew, and
+    # it was ended by the signal. A pipe that nobody writes to holds the start up here.
+    path = tmp_path / "settings"
+    os.mkfifo(path)
+    arguments = [sys.executable, *COMMANDS[command]]
+    if command == "own":
+        arguments += ["--settings", str(path)]
+    environment = {**os.environ, "GINGERTURN_BOOT": str(path)}
+    environment["PYTHONPATH"] = str(processes.ROOT / "src")
+    process = subprocess.Popen(arguments, env=environment, stderr=subprocess.DEVNULL)
+    try:
+        deadline = time.monotonic() + START_S
+        while not _ignores_sighup(process) and time.monotonic() < deadline:
+            time.sleep(0.02)
+        process.send_signal(signal.SIGHUP)
+        _feed(path, process)
+        assert process.wait(timeout=START_S) == EXIT_SETTINGS
+    finally:
+        process.kill()
+        process.wait()
