--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -11,7 +11,10 @@
 import msgspec
 
 import gingerturn
-from gingerturn import configuration, errors, explain, settings
+from gingerturn import configuration, errors, explain, metrics_text, settings
+
+if typing.TYPE_CHECKING:
+    import httpx
 
 EXIT_USAGE = 2
 EXIT_REFUSED = 4
@@ -269,10 +272,24 @@
 
 
 @cli.command()
+@click.option(
+    "--metrics",
+    "sources",
+    multiple=True,
+    metavar="URL|FILE",
+    help="Read this metrics address, or a page saved from it; may be repeated.",
+)
 @_ADMIN
 @_JSON
-def status(admin: str, as_json: bool) -> None:
-    """Show a node, its backend server and the members that it knows."""
+def status(sources: tuple[str, ...], admin: str, as_json: bool) -> None:
+    """Show a node, its backend server and the members that it knows.
+
+    With --metrics: what the metrics of nodes say, where they serve no administration
+    API.
+    """
+    if sources:
+        _show_metrics(sources, as_json)
+        return
     found = _get(admin, "/status")
     if as_json:
         _echo_json(found)
@@ -294,6 +311,26 @@
         )
 
 
+def _show_metrics(sources: tuple[str, ...], as_json: bool) -> None:
+    found = {
+        source: metrics_text.parse(_page(source), origin=source) for source in sources
+    }
+    if as_json:
+        _echo_json(msgspec.to_builtins(found))
+        return
+    for source, metrics in found.items():
+        click.echo(source)
+        for line in metrics_text.words(metrics):
+            click.echo(f"  {line}")
+
+
+def _page(source: str) -> str:
+    """Return a metrics page, from a node or from a file."""
+    if not source.startswith(("http://", "https://")):
+        return _read(pathlib.Path(source))
+    return _send("GET", source).text
+
+
 def main() -> None:
     """Run the command; errors are one line that says what to do."""
     try:
@@ -317,18 +354,26 @@
 
 
 def _request(admin: str, method: str, path: str, **options: typing.Any) -> typing.Any:
+    hint = "is the node running, and is --admin its admin_port?"
+    return _send(method, admin.rstrip("/") + path, hint=hint, **options).json()
+
+
+def _send(
+    method: str,
+    url: str,
+    *,
+    hint: str = "is the node running?",
+    **options: typing.Any,
+) -> "httpx.Response":
+    """Send a request, and end the command with a line if that fails."""
     # Imported here: it takes 9 MB, and `gingerturn node` has no use for it.
     import httpx
 
     try:
         with httpx.Client(timeout=ADMIN_TIMEOUT_S, trust_env=False) as client:
-            reply = client.request(method, admin.rstrip("/") + path, **options)
+            reply = client.request(method, url, **options)
     except httpx.HTTPError as error:
-        click.echo(
-            f"gingerturn: {admin} cannot be reached ({error}); is the node running,"
-            " and is --admin its admin_port?",
-            err=True,
-        )
+        click.echo(f"gingerturn: {url} cannot be reached ({error}); {hint}", err=True)
         sys.exit(EXIT_UNREACHABLE)
     if reply.status_code >= 400:
         try:
@@ -337,7 +382,7 @@
             title = reply.text
         click.echo(f"gingerturn: {title}", err=True)
         sys.exit(EXIT_REFUSED)
-    return reply.json()
+    return reply
 
 
 def _explain(wanted: str, logs: tuple[typing.BinaryIO, ...], as_json: bool) -> None:
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -9,8 +9,10 @@
 
 import httpx
 import pytest
+from click import testing
 
 from gingerturn import explain
+from gingerturn.cli import main
 from gingerturn.internal.core import trace
 from gingerturn_standins import platform_processes
 
@@ -230,6 +232,22 @@
     assert (status, cause.rule, cause.node) == (504, "deadline_passed", "porting-1")
 
 
+def test_the_command_line_tells_what_the_metrics_say(
+    platform: platform_processes.Platform, tmp_path: pathlib.Path
+) -> None:
+    machine = platform.machines["plans-1"]
+    assert _ask(machine, "st1").status_code == 200
+    saved = tmp_path / "page"
+    saved.write_text(machine.metrics())
+    told = testing.CliRunner().invoke(
+        main.cli,
+        ["status", "--metrics", machine.metrics_url, "--metrics", str(saved)],
+    )
+    assert told.exit_code == 0, told.output
+    assert told.output.count("ready, routes version 3, 3 members, 3 upstreams") == 2
+    assert "answered 1," in told.output
+
+
 def test_a_recorded_node_replays_to_the_same_effects(
     platform: platform_processes.Platform,
 ) -> None:
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -50,10 +50,14 @@
         except httpx.HTTPError:
             return False
 
+    @property
+    def metrics_url(self) -> str:
+        """Address of the node's metrics."""
+        return f"http://127.0.0.1:{self.ports['gossip'] + 1}/metrics"
+
     def metrics(self) -> str:
         """Return the node's metrics."""
-        url = f"http://127.0.0.1:{self.ports['gossip'] + 1}/metrics"
-        return httpx.get(url, timeout=1.0, trust_env=False).text
+        return httpx.get(self.metrics_url, timeout=1.0, trust_env=False).text
 
     def tell_upstream(self, **what: object) -> None:
         """Set what the upstream does."""
