Write head and body of a message in one call of the system

Cause: an answer to a caller and a request to the backend server were each written in two pieces, and each piece costs a call of the system of 18 to 25 us of a call's 200 at a node (cProfile, 6,400 calls). Ruled out: joining the two into one buffer; a long body would be copied. Change: writelines() with head, empty line and body. Conclusion: kept; one call of the system less at each node.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -120,6 +120,9 @@
         self._written = True
         self._answered = False
         self._rested_ms = clock.now() - self.idle_since if self.idle_since else 0.0
+        if body and not self._chunked:
+            self._transport.writelines((head, b"\r\n", body))
+            return
         self._transport.write(head + b"\r\n")
         if body:
             self.write(body)
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -217,9 +217,8 @@
         if b"\ncontent-length:" not in head:
             # An answer to HEAD keeps the length that the backend server told.
             head += b"content-length: %d\r\n" % len(body)
-        self._write_head(request, head)
-        if request.method != b"HEAD":
-            self._transport.write(body)
+        without_body = request.method == b"HEAD"
+        self._write_head(request, head, b"" if without_body else body)
         self._finish(request)
 
     def send_streaming(
@@ -404,13 +403,17 @@
         )
         self.send_problem(request, refusal)
 
-    def _write_head(self, request: caller_requests.Request, head: bytes) -> None:
+    def _write_head(
+        self, request: caller_requests.Request, head: bytes, body: bytes = b""
+    ) -> None:
         request.answered = True
         if not request.complete:
             request.close_after = True
         if request.close_after:
             head += b"connection: close\r\n"
-        self._transport.write(head + b"\r\n")
+        # One call of the system for both: each costs as much as a tenth of the rest
+        # of a call here.
+        self._transport.writelines((head, b"\r\n", body))
 
     def _finish(self, request: caller_requests.Request) -> None:
         request.answered = True
