Split the home side: what an entry node is told, and whether the backend server is there

Change: core.replies (refusals, answers, repeats of a key) and core.presence (announced, withdrawn, expired) beside core.hosting, moved as they were; only names that others use lost their underscore, and refuse(forget=) is ended=. Conclusion: no change of behaviour.

--- a/src/gingerturn/internal/core/claims.py
+++ b/src/gingerturn/internal/core/claims.py
@@ -7,6 +7,7 @@
     hosting,
     keys,
     messages,
+    replies,
     state as states,
 )
 
@@ -124,7 +125,7 @@
     if hosted is not None:
         hosting.withdraw(state, hosted, decisions.Rule.CLAIM_LOST, out, holder=holder)
     for waiter in waiters:
-        hosting.refuse_waiter(
+        replies.refuse_waiter(
             state, waiter, decisions.Rule.CLAIM_LOST, out, holder=holder
         )
 
@@ -142,4 +143,4 @@
     if hosted is not None:
         hosting.withdraw(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
     for waiter in waiters:
-        hosting.refuse_waiter(state, waiter, decisions.Rule.LOG_UNAVAILABLE, out)
+        replies.refuse_waiter(state, waiter, decisions.Rule.LOG_UNAVAILABLE, out)
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -15,6 +15,7 @@
     messages,
     outbox,
     ranks,
+    replies,
     state as states,
 )
 
@@ -56,13 +57,13 @@
     state.hosted[hosted.id] = hosted
     if terms.ticket and terms.ticket != keys.own_name(state):
         # A ticket of an earlier incarnation, which may have run it.
-        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
+        replies.refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
         return
-    if terms.key and _is_repeat(state, hosted, out):
+    if terms.key and replies.is_repeat(state, hosted, out):
         return
     rule = _unfit(state, hosted)
     if rule is not None:
-        refuse(state, hosted, rule, out)
+        replies.refuse(state, hosted, rule, out)
         return
     admission.note_arrival(state, hosted.rank)
     if not _worth_starting(state, hosted, out):
@@ -98,9 +99,9 @@
     out.append(effects.CancelBackend(hosted=hosted.id))
     if hosted.state is states.HostedState.QUEUED:
         admission.remove(state, hosted.id)
-        _forget(state, hosted)
+        replies.forget(state, hosted)
     elif hosted.state is states.HostedState.WAITING:
-        _forget(state, hosted)
+        replies.forget(state, hosted)
     else:
         if hosted.state is states.HostedState.CLAIMING:
             keys.detach(state, hosted)
@@ -129,9 +130,9 @@
         _end_slot(state, hosted, out, pump=False)
     else:
         hosted.state = states.HostedState.STREAMING
-    _send_answer(state, hosted, out, whole=event.whole)
+    replies.send_answer(state, hosted, out, whole=event.whole)
     if hosted.terms.key:
-        _end_key(state, hosted, out, kept=event.whole, certain=True)
+        replies.end_key(state, hosted, out, kept=event.whole, certain=True)
     if event.whole:
         fill(state, out)
 
@@ -164,9 +165,9 @@
         state.backend.unreachable_until = event.now + UNREACHABLE_MS
     _end_slot(state, hosted, out, pump=False)
     if hosted.terms.key:
-        _fail_key(state, hosted, out, handed=event.handed)
+        replies.fail_key(state, hosted, out, handed=event.handed)
     if not hosted.orphaned:
-        refuse(state, hosted, rule, out, handed=event.handed)
+        replies.refuse(state, hosted, rule, out, handed=event.handed)
     fill(state, out)
 
 
@@ -184,15 +185,15 @@
     """Take in that the backend server said that it did not run a call."""
     _end_slot(state, hosted, out, pump=False)
     if hosted.terms.key:
-        _fail_key(state, hosted, out, handed=False)
+        replies.fail_key(state, hosted, out, handed=False)
     if status == messages.MISDIRECTED:
         # Another instance has the address now; the announced one is gone.
         _lose_backend(state, out)
-        refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
+        replies.refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
         return
     admission.note_backend_refusal(state)
     if not hosted.orphaned:
-        refuse(state, hosted, decisions.Rule.BACKEND_REFUSED, out, arrived=True)
+        replies.refuse(state, hosted, decisions.Rule.BACKEND_REFUSED, out, arrived=True)
     fill(state, out)
 
 
@@ -203,75 +204,15 @@
         outbox.warn(out, "backend", text)
     backend.present = False
     instances.note_left(backend, backend.instance)
-    refuse_queue(state, decisions.Rule.NO_BACKEND, out)
-
-
-def on_announced(
-    state: states.State, event: events.BackendAnnounced, out: states.Effects
-) -> None:
-    """Take in the announcement or the renewal of the backend server."""
-    backend = state.backend
-    declared = state.configuration.service(event.service).slots
-    slots = event.slots if declared is None else min(declared, event.slots)
-    if event.instance and event.instance != backend.instance:
-        instances.begin(backend, event.instance)
-    backend.sequence = max(backend.sequence, event.sequence)
-    if backend.present and backend.service != event.service:
-        outbox.warn(out, "backend", f"Service changed to {event.service}.")
-    admission.announce(state, event.now, slots=max(1, slots), cold=event.cold)
-    if not backend.present:
-        text = f"{event.service} announced, {slots} slots."
-        outbox.info(out, "backend", text)
-    backend.service = event.service
-    backend.host = event.host
-    backend.port = event.port
-    backend.present = True
-    backend.leaving = False
-    backend.expires = event.now + event.ttl_ms
-    fill(state, out)
-
-
-def on_withdrawn(
-    state: states.State, event: events.BackendWithdrawn, out: states.Effects
-) -> bool:
-    """Stop giving work to a backend server that leaves; at once, not by gossip.
-
-    :return: whether it was the present one, which did not leave before.
-    """
-    backend = state.backend
-    if event.instance and event.instance != backend.instance:
-        instances.note_left(backend, event.instance)
-        return False
-    instances.note_left(backend, event.instance)
-    if not backend.present or backend.leaving:
-        return False
-    backend.leaving = True
-    outbox.info(out, "backend", f"{backend.service} {backend.instance} is leaving.")
-    refuse_queue(state, decisions.Rule.LEAVING, out)
-    return True
-
-
-def refuse_queue(
-    state: states.State, rule: decisions.Rule, out: states.Effects
-) -> None:
-    """Refuse every queued call; other upstreams can still take them."""
-    while (hosted_id := admission.dequeue(state)) is not None:
-        refuse(state, state.hosted[hosted_id], rule, out)
+    replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
 
 
 def shed_overdue(state: states.State, out: states.Effects) -> None:
     """Refuse queued calls that waited for too long."""
     for hosted_id in admission.overdue(state):
-        refuse(state, state.hosted[hosted_id], decisions.Rule.QUEUE_EXPIRED, out)
-
-
-def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
-    """Withdraw a backend server that stopped renewing."""
-    backend = state.backend
-    if backend.present and now >= backend.expires:
-        backend.present = False
-        outbox.warn(out, "backend", f"{backend.service} stopped renewing.")
-        refuse_queue(state, decisions.Rule.NO_BACKEND, out)
+        replies.refuse(
+            state, state.hosted[hosted_id], decisions.Rule.QUEUE_EXPIRED, out
+        )
 
 
 def on_deadline(
@@ -283,14 +224,14 @@
         return
     if hosted.state is states.HostedState.QUEUED:
         admission.remove(state, hosted.id)
-        refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
+        replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
     elif hosted.state is states.HostedState.CLAIMING:
         keys.detach(state, hosted)
         _end_slot(state, hosted, out, pump=False)
-        refuse(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
+        replies.refuse(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
         fill(state, out)
     elif hosted.state is states.HostedState.WAITING:
-        refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out, handed=True)
+        replies.refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out, handed=True)
     elif hosted.state is states.HostedState.RUNNING:
         _end_running(state, hosted, out)
 
@@ -300,7 +241,7 @@
 ) -> None:
     if not hosted.orphaned:
         rule = decisions.Rule.DEADLINE_PASSED
-        refuse(state, hosted, rule, out, handed=True, forget=False)
+        replies.refuse(state, hosted, rule, out, handed=True, ended=False)
     if hosted.terms.repeatable:
         out.append(effects.CancelBackend(hosted=hosted.id))
         _end_slot(state, hosted, out)
@@ -309,7 +250,7 @@
     if hosted.orphaned and state.now >= hosted.deadline + keep_ms:
         out.append(effects.CancelBackend(hosted=hosted.id))
         if hosted.terms.key:
-            _fail_key(state, hosted, out, handed=True)
+            replies.fail_key(state, hosted, out, handed=True)
         _end_slot(state, hosted, out)
         return
     # An unrepeatable call that has begun is not cancelled: its answer is kept
@@ -355,7 +296,7 @@
     if entry.phase is states.KeyPhase.CLAIMING and entry.hosted is None:
         return False
     admission.free_slot(state)
-    _is_repeat(state, hosted, out)
+    replies.is_repeat(state, hosted, out)
     fill(state, out)
     return True
 
@@ -374,7 +315,7 @@
         float(len(backend.queue)),
         state.now - hosted.arrived,
     )
-    hosted.decision = _decide(state, hosted, decisions.Rule.RUN, out, figures)
+    hosted.decision = replies.decide(state, hosted, decisions.Rule.RUN, out, figures)
     out.append(
         effects.HandOver(
             hosted=hosted.id,
@@ -396,7 +337,7 @@
         hosted = state.hosted[hosted_id]
         needed = admission.service_time(state, hosted.terms.kind)
         if state.now + needed > hosted.deadline:
-            refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
+            replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
             continue
         start(state, hosted, out)
 
@@ -412,162 +353,12 @@
     """Refuse a call that holds a slot and was not handed over."""
     admission.free_slot(state)
     if hosted.orphaned:
-        _forget(state, hosted)
+        replies.forget(state, hosted)
     else:
-        refuse(state, hosted, rule, out, holder=holder)
+        replies.refuse(state, hosted, rule, out, holder=holder)
     fill(state, out)
 
 
-def refuse_waiter(
-    state: states.State,
-    hosted_id: ids.HostedId,
-    rule: decisions.Rule,
-    out: states.Effects,
-    *,
-    holder: str = "",
-    handed: bool = False,
-    outcome: messages.Outcome | None = None,
-) -> None:
-    """Refuse a repeat that waited for the first call of its key."""
-    hosted = state.hosted.get(hosted_id)
-    if hosted is None or hosted.state is not states.HostedState.WAITING:
-        return
-    refuse(state, hosted, rule, out, holder=holder, handed=handed, outcome=outcome)
-
-
-def refuse(
-    state: states.State,
-    hosted: states.Hosted,
-    rule: decisions.Rule,
-    out: states.Effects,
-    *,
-    handed: bool = False,
-    outcome: messages.Outcome | None = None,
-    holder: str = "",
-    forget: bool = True,
-    figures: tuple[float, ...] | None = None,
-    arrived: bool = False,
-) -> None:
-    """Refuse a call towards its entry node.
-
-    :param handed: the call may have been run by the backend server.
-    :param arrived: the backend server turned the call away.
-    """
-    backend = state.backend
-    if figures is None:
-        figures = (
-            float(backend.running),
-            backend.limit,
-            float(len(backend.queue)),
-            state.now - hosted.arrived,
-        )
-    decision = _decide(state, hosted, rule, out, figures)
-    if outcome is None:
-        outcome = messages.Outcome.UNKNOWN if handed else messages.Outcome.NOT_RUN
-    report = admission.report(state, hosted.terms.kind)
-    level = max(report.level, report.tree_level)
-    out.append(
-        effects.SendRefusal(
-            hosted=hosted.id,
-            refusal=messages.Refusal(
-                rule=int(rule),
-                outcome=outcome,
-                retry_after_ms=admission.come_back_after(state, hosted.rank, level),
-                decision=decision,
-                holder=holder,
-                arrived=arrived,
-            ),
-            tokens=hosted.tokens,
-            report=report,
-        )
-    )
-    if forget:
-        _forget(state, hosted)
-
-
-def _is_repeat(state: states.State, hosted: states.Hosted, out: states.Effects) -> bool:
-    """Answer, or let wait, a call whose key is known here.
-
-    :return: ``False`` when the call is to go on to admission.
-    """
-    entry = state.keys.get(hosted.terms.key)
-    if entry is None or entry.phase is states.KeyPhase.OURS_IDLE:
-        return False
-    if entry.phase is states.KeyPhase.FOREIGN:
-        rule = decisions.Rule.CLAIM_LOST
-        refuse(state, hosted, rule, out, holder=entry.holder)
-        return True
-    if entry.phase is states.KeyPhase.OURS_DONE:
-        _answer_done(state, hosted, entry, out)
-        return True
-    if entry.hosted is None:
-        return False
-    hosted.state = states.HostedState.WAITING
-    entry.waiters.append(hosted.id)
-    _decide(state, hosted, decisions.Rule.JOINED_FIRST, out, ())
-    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
-    return True
-
-
-def _answer_done(
-    state: states.State,
-    hosted: states.Hosted,
-    entry: states.KeyEntry,
-    out: states.Effects,
-) -> None:
-    if not entry.certain:
-        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
-        return
-    if not entry.kept:
-        outcome = messages.Outcome.ALREADY_RUN
-        refuse(state, hosted, decisions.Rule.ALREADY_RUN, out, outcome=outcome)
-        return
-    decision = _decide(state, hosted, decisions.Rule.ALREADY_RUN, out, ())
-    out.append(
-        effects.SendKeptAnswer(
-            hosted=hosted.id,
-            key=entry.key,
-            tokens=hosted.tokens,
-            report=admission.report(state, hosted.terms.kind),
-            decision=decision,
-        )
-    )
-    _forget(state, hosted)
-
-
-def _end_key(
-    state: states.State,
-    hosted: states.Hosted,
-    out: states.Effects,
-    *,
-    kept: bool,
-    certain: bool,
-) -> None:
-    """Enter the last phase of a key and tell the repeats that waited."""
-    entry = state.keys[hosted.terms.key]
-    keys.mark_done(entry, kept=kept, certain=certain)
-    waiters = list(entry.waiters)
-    entry.waiters.clear()
-    for waiter_id in waiters:
-        waiter = state.hosted.get(waiter_id)
-        if waiter is not None:
-            _answer_done(state, waiter, entry, out)
-
-
-def _fail_key(
-    state: states.State, hosted: states.Hosted, out: states.Effects, *, handed: bool
-) -> None:
-    if handed:
-        _end_key(state, hosted, out, kept=False, certain=False)
-        return
-    entry = state.keys[hosted.terms.key]
-    keys.mark_not_handed(entry)
-    waiters = list(entry.waiters)
-    entry.waiters.clear()
-    for waiter in waiters:
-        refuse_waiter(state, waiter, decisions.Rule.BACKEND_UNREACHABLE, out)
-
-
 def _unfit(state: states.State, hosted: states.Hosted) -> decisions.Rule | None:
     backend = state.backend
     if backend.leaving or state.departed:
@@ -591,7 +382,7 @@
         needed *= SUNK_SHARE
     if left <= 0 or needed + wait > left:
         rule = decisions.Rule.NOT_IN_TIME
-        refuse(state, hosted, rule, out, figures=(left, needed, wait))
+        replies.refuse(state, hosted, rule, out, figures=(left, needed, wait))
         return False
     below = admission.tree_level(state, kind)
     if below > ranks.LOWEST:
@@ -599,7 +390,7 @@
     spared = state.routed and hosted.terms.depth > 0
     if not spared and ranks.deep_rank(hosted.rank) < below:
         figures = (float(below), float(ranks.deep_rank(hosted.rank)))
-        refuse(state, hosted, decisions.Rule.TREE_LEVEL, out, figures=figures)
+        replies.refuse(state, hosted, decisions.Rule.TREE_LEVEL, out, figures=figures)
         return False
     return True
 
@@ -607,27 +398,7 @@
 def _enqueue(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
     dropped = admission.enqueue(state, hosted)
     if dropped is not None:
-        refuse(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
-
-
-def _send_answer(
-    state: states.State, hosted: states.Hosted, out: states.Effects, *, whole: bool
-) -> None:
-    keep = hosted.terms.key if whole else ""
-    if hosted.orphaned:
-        if keep:
-            out.append(effects.KeepAnswer(hosted=hosted.id, key=keep))
-        return
-    out.append(
-        effects.SendAnswer(
-            hosted=hosted.id,
-            tokens=hosted.tokens,
-            report=admission.report(state, hosted.terms.kind),
-            decision=hosted.decision,
-            keep_as=keep,
-            child_failed=hosted.child_failed,
-        )
-    )
+        replies.refuse(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
 
 
 def _end_slot(
@@ -638,44 +409,6 @@
     pump: bool = True,
 ) -> None:
     admission.free_slot(state)
-    _forget(state, hosted)
+    replies.forget(state, hosted)
     if pump:
         fill(state, out)
-
-
-def _forget(state: states.State, hosted: states.Hosted) -> None:
-    state.hosted.pop(hosted.id, None)
-    state.spans.pop(hosted.span, None)
-
-
-def _decide(
-    state: states.State,
-    hosted: states.Hosted,
-    rule: decisions.Rule,
-    out: states.Effects,
-    figures: tuple[float, ...],
-) -> str:
-    """Keep a decision, let it be logged, and return its id."""
-    decision = state.decisions.record(
-        rule,
-        now=state.now,
-        root=hosted.terms.root,
-        kind=hosted.terms.kind,
-        rank=hosted.rank,
-        revision=state.revisions.revision,
-        figures=figures,
-    )
-    out.append(
-        effects.LogDecision(
-            part="home",
-            request=hosted.terms.trace,
-            decision=decision,
-            rule=int(rule),
-            kind=hosted.terms.kind,
-            upstream=hosted.sender,
-            figures=figures,
-            version=state.version,
-            waited_ms=state.now - hosted.arrived,
-        )
-    )
-    return decision
--- /dev/null
+++ b/src/gingerturn/internal/core/presence.py
@@ -0,0 +1,67 @@
+"""Whether the backend server beside this node is there, and takes new work."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    decisions,
+    events,
+    hosting,
+    instances,
+    outbox,
+    replies,
+    state as states,
+)
+
+
+def on_announced(
+    state: states.State, event: events.BackendAnnounced, out: states.Effects
+) -> None:
+    """Take in the announcement or the renewal of the backend server."""
+    backend = state.backend
+    declared = state.configuration.service(event.service).slots
+    slots = event.slots if declared is None else min(declared, event.slots)
+    if event.instance and event.instance != backend.instance:
+        instances.begin(backend, event.instance)
+    backend.sequence = max(backend.sequence, event.sequence)
+    if backend.present and backend.service != event.service:
+        outbox.warn(out, "backend", f"Service changed to {event.service}.")
+    admission.announce(state, event.now, slots=max(1, slots), cold=event.cold)
+    if not backend.present:
+        text = f"{event.service} announced, {slots} slots."
+        outbox.info(out, "backend", text)
+    backend.service = event.service
+    backend.host = event.host
+    backend.port = event.port
+    backend.present = True
+    backend.leaving = False
+    backend.expires = event.now + event.ttl_ms
+    hosting.fill(state, out)
+
+
+def on_withdrawn(
+    state: states.State, event: events.BackendWithdrawn, out: states.Effects
+) -> bool:
+    """Stop giving work to a backend server that leaves; at once, not by gossip.
+
+    :return: whether it was the present one, which did not leave before.
+    """
+    backend = state.backend
+    if event.instance and event.instance != backend.instance:
+        instances.note_left(backend, event.instance)
+        return False
+    instances.note_left(backend, event.instance)
+    if not backend.present or backend.leaving:
+        return False
+    backend.leaving = True
+    outbox.info(out, "backend", f"{backend.service} {backend.instance} is leaving.")
+    replies.refuse_queue(state, decisions.Rule.LEAVING, out)
+    return True
+
+
+def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Withdraw a backend server that stopped renewing."""
+    backend = state.backend
+    if backend.present and now >= backend.expires:
+        backend.present = False
+        outbox.warn(out, "backend", f"{backend.service} stopped renewing.")
+        replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -26,6 +26,8 @@
     membership,
     messages,
     outbox,
+    presence,
+    replies,
     revisions,
     route_table,
     routing,
@@ -296,7 +298,7 @@
     if instances.is_late(state, event.instance, event.sequence):
         return
     before = (backend.service, backend.slots, backend.present, backend.leaving)
-    hosting.on_announced(state, event, out)
+    presence.on_announced(state, event, out)
     after = (backend.service, backend.slots, backend.present, backend.leaving)
     if after != before and not state.stopping:
         membership.change_self(
@@ -323,7 +325,7 @@
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
-    if not hosting.on_withdrawn(state, event, out):
+    if not presence.on_withdrawn(state, event, out):
         return
     membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
 
@@ -346,7 +348,7 @@
     """Take no more work for the backend server, and tell the members."""
     state.departed = True
     outbox.info(out, "node", "No more calls are taken for the backend server.")
-    hosting.refuse_queue(state, decisions.Rule.STOPPING, out)
+    replies.refuse_queue(state, decisions.Rule.STOPPING, out)
     membership.change_self(state, out, member_state=messages.MemberState.LEAVING)
     if state.keyed_log:
         out.append(
@@ -406,7 +408,7 @@
     hosting.shed_overdue(state, out)
     admission.control(state, now, out)
     present = state.backend.present
-    hosting.expire(state, now, out)
+    presence.expire(state, now, out)
     if present and not state.backend.present:
         membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
 
--- /dev/null
+++ b/src/gingerturn/internal/core/replies.py
@@ -0,0 +1,239 @@
+"""What the entry node of a hosted call is told: an answer, a refusal, or what became of
+the first call of its key."""
+
+import heapq
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    calls,
+    decisions,
+    effects,
+    keys,
+    messages,
+    state as states,
+)
+
+
+def refuse(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    handed: bool = False,
+    outcome: messages.Outcome | None = None,
+    holder: str = "",
+    ended: bool = True,
+    figures: tuple[float, ...] | None = None,
+    arrived: bool = False,
+) -> None:
+    """Refuse a call towards its entry node.
+
+    :param handed: the call may have been run by the backend server.
+    :param ended: nothing of it is left here; one that the backend server still works
+        on keeps its slot.
+    :param arrived: the backend server turned the call away.
+    """
+    backend = state.backend
+    if figures is None:
+        figures = (
+            float(backend.running),
+            backend.limit,
+            float(len(backend.queue)),
+            state.now - hosted.arrived,
+        )
+    decision = decide(state, hosted, rule, out, figures)
+    if outcome is None:
+        outcome = messages.Outcome.UNKNOWN if handed else messages.Outcome.NOT_RUN
+    report = admission.report(state, hosted.terms.kind)
+    level = max(report.level, report.tree_level)
+    out.append(
+        effects.SendRefusal(
+            hosted=hosted.id,
+            refusal=messages.Refusal(
+                rule=int(rule),
+                outcome=outcome,
+                retry_after_ms=admission.come_back_after(state, hosted.rank, level),
+                decision=decision,
+                holder=holder,
+                arrived=arrived,
+            ),
+            tokens=hosted.tokens,
+            report=report,
+        )
+    )
+    if ended:
+        forget(state, hosted)
+
+
+def refuse_waiter(
+    state: states.State,
+    hosted_id: ids.HostedId,
+    rule: decisions.Rule,
+    out: states.Effects,
+    *,
+    holder: str = "",
+    handed: bool = False,
+    outcome: messages.Outcome | None = None,
+) -> None:
+    """Refuse a repeat that waited for the first call of its key."""
+    hosted = state.hosted.get(hosted_id)
+    if hosted is None or hosted.state is not states.HostedState.WAITING:
+        return
+    refuse(state, hosted, rule, out, holder=holder, handed=handed, outcome=outcome)
+
+
+def refuse_queue(
+    state: states.State, rule: decisions.Rule, out: states.Effects
+) -> None:
+    """Refuse every queued call; other upstreams can still take them."""
+    while (hosted_id := admission.dequeue(state)) is not None:
+        refuse(state, state.hosted[hosted_id], rule, out)
+
+
+def send_answer(
+    state: states.State, hosted: states.Hosted, out: states.Effects, *, whole: bool
+) -> None:
+    """Send the backend server's answer, and keep a whole one for repeats of its key."""
+    keep = hosted.terms.key if whole else ""
+    if hosted.orphaned:
+        if keep:
+            out.append(effects.KeepAnswer(hosted=hosted.id, key=keep))
+        return
+    out.append(
+        effects.SendAnswer(
+            hosted=hosted.id,
+            tokens=hosted.tokens,
+            report=admission.report(state, hosted.terms.kind),
+            decision=hosted.decision,
+            keep_as=keep,
+            child_failed=hosted.child_failed,
+        )
+    )
+
+
+def decide(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    out: states.Effects,
+    figures: tuple[float, ...],
+) -> str:
+    """Keep a decision, let it be logged, and return its id."""
+    decision = state.decisions.record(
+        rule,
+        now=state.now,
+        root=hosted.terms.root,
+        kind=hosted.terms.kind,
+        rank=hosted.rank,
+        revision=state.revisions.revision,
+        figures=figures,
+    )
+    out.append(
+        effects.LogDecision(
+            part="home",
+            request=hosted.terms.trace,
+            decision=decision,
+            rule=int(rule),
+            kind=hosted.terms.kind,
+            upstream=hosted.sender,
+            figures=figures,
+            version=state.version,
+            waited_ms=state.now - hosted.arrived,
+        )
+    )
+    return decision
+
+
+def forget(state: states.State, hosted: states.Hosted) -> None:
+    """Forget a call that was answered or refused."""
+    state.hosted.pop(hosted.id, None)
+    state.spans.pop(hosted.span, None)
+
+
+def is_repeat(state: states.State, hosted: states.Hosted, out: states.Effects) -> bool:
+    """Answer, or let wait, a call whose key is known here.
+
+    :return: ``False`` when the call is to go on to admission.
+    """
+    entry = state.keys.get(hosted.terms.key)
+    if entry is None or entry.phase is states.KeyPhase.OURS_IDLE:
+        return False
+    if entry.phase is states.KeyPhase.FOREIGN:
+        rule = decisions.Rule.CLAIM_LOST
+        refuse(state, hosted, rule, out, holder=entry.holder)
+        return True
+    if entry.phase is states.KeyPhase.OURS_DONE:
+        _answer_done(state, hosted, entry, out)
+        return True
+    if entry.hosted is None:
+        return False
+    hosted.state = states.HostedState.WAITING
+    entry.waiters.append(hosted.id)
+    decide(state, hosted, decisions.Rule.JOINED_FIRST, out, ())
+    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
+    return True
+
+
+def _answer_done(
+    state: states.State,
+    hosted: states.Hosted,
+    entry: states.KeyEntry,
+    out: states.Effects,
+) -> None:
+    if not entry.certain:
+        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, handed=True)
+        return
+    if not entry.kept:
+        outcome = messages.Outcome.ALREADY_RUN
+        refuse(state, hosted, decisions.Rule.ALREADY_RUN, out, outcome=outcome)
+        return
+    decision = decide(state, hosted, decisions.Rule.ALREADY_RUN, out, ())
+    out.append(
+        effects.SendKeptAnswer(
+            hosted=hosted.id,
+            key=entry.key,
+            tokens=hosted.tokens,
+            report=admission.report(state, hosted.terms.kind),
+            decision=decision,
+        )
+    )
+    forget(state, hosted)
+
+
+def end_key(
+    state: states.State,
+    hosted: states.Hosted,
+    out: states.Effects,
+    *,
+    kept: bool,
+    certain: bool,
+) -> None:
+    """Enter the last phase of a key and tell the repeats that waited."""
+    entry = state.keys[hosted.terms.key]
+    keys.mark_done(entry, kept=kept, certain=certain)
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    for waiter_id in waiters:
+        waiter = state.hosted.get(waiter_id)
+        if waiter is not None:
+            _answer_done(state, waiter, entry, out)
+
+
+def fail_key(
+    state: states.State, hosted: states.Hosted, out: states.Effects, *, handed: bool
+) -> None:
+    """Take in that the call that holds a key failed.
+
+    :param handed: the backend server may have run it.
+    """
+    if handed:
+        end_key(state, hosted, out, kept=False, certain=False)
+        return
+    entry = state.keys[hosted.terms.key]
+    keys.mark_not_handed(entry)
+    waiters = list(entry.waiters)
+    entry.waiters.clear()
+    for waiter in waiters:
+        refuse_waiter(state, waiter, decisions.Rule.BACKEND_UNREACHABLE, out)
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -22,6 +22,7 @@
     ranks,
     reducer,
     refusals,
+    replies,
     revisions,
     routing,
     state as states,
@@ -79,7 +80,7 @@
 
 
 def _repeats_not_known(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(hosting, "_is_repeat", lambda state, hosted, out: False)
+    patch.setattr(replies, "is_repeat", lambda state, hosted, out: False)
     patch.setattr(hosting, "_settled", lambda state, hosted, entry, out: False)
     _no_claims(patch)
 
