Split the entry side: where a call is sent, and whether again

Change: core.sending (first sending, redirects, repeats, the budget) beside core.calls (a call from its arrival to its end), moved as they were; can_go_elsewhere asks may_repeat itself. The patches of moved names in tests and benchmarks follow them.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -17,6 +17,7 @@
     hosting,
     ranks,
     routing,
+    sending,
 )
 
 _PER_HOP_ATTEMPTS = 4
@@ -45,10 +46,10 @@
     _no_admission()
     _random_choice()
     _no_cancellation()
-    _set(calls, "_retry", _retry_per_hop)
-    _set(calls, "_may_repeat", lambda call: call.rule.repeatable)
+    _set(sending, "retry", _retry_per_hop)
+    _set(sending, "may_repeat", lambda call: call.rule.repeatable)
     _set(calls, "_DEADLINE_RULES", frozenset())
-    original = calls._send
+    original = sending._send
 
     def send(
         state: typing.Any, call: typing.Any, node: typing.Any, out: typing.Any
@@ -59,7 +60,7 @@
         terms = msgspec.structs.replace(opened.terms, deadline_ms=left)
         out[-1] = msgspec.structs.replace(opened, terms=terms)
 
-    _set(calls, "_send", send)
+    _set(sending, "_send", send)
 
 
 def static_limits() -> None:
@@ -125,7 +126,7 @@
 
 def no_redirects() -> None:
     """A refused call is not offered to another upstream."""
-    _set(calls, "_redirect", lambda state, call, out: False)
+    _set(sending, "redirect", lambda state, call, out: False)
 
 
 def no_retries() -> None:
@@ -192,7 +193,7 @@
 
 
 def _no_retries() -> None:
-    _set(calls, "_retry", lambda state, call, out, *, ran=True: False)
+    _set(sending, "retry", lambda state, call, out, *, ran=True: False)
 
 
 def _no_cancellation() -> None:
@@ -219,5 +220,5 @@
     node = routing.choose(state, nodes, call.rule.name, call.rank)
     if node is None:
         return False
-    calls._send(state, call, node, out)
+    sending._send(state, call, node, out)
     return True
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -31,6 +31,7 @@
     revisions,
     route_table,
     routing,
+    sending,
     state as states,
     streams,
     timers,
@@ -281,7 +282,7 @@
         state, event.sender, event.host, event.port, event.message, out
     )
     if state.waiting:
-        calls.place_waiting(state, out)
+        sending.place_waiting(state, out)
 
 
 def _on_snapshot(
@@ -309,7 +310,7 @@
             member_state=messages.MemberState.ALIVE,
         )
     if state.waiting:
-        calls.place_waiting(state, out)
+        sending.place_waiting(state, out)
     _follow_claims(state, out)
 
 
@@ -401,7 +402,7 @@
             doubted.discard(node)
             calls.on_node_silent(state, node, out)
     if state.waiting:
-        calls.place_waiting(state, out)
+        sending.place_waiting(state, out)
 
 
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
--- /dev/null
+++ b/src/gingerturn/internal/core/sending.py
@@ -0,0 +1,268 @@
+"""Where a call is sent first, and whether it is sent again."""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    admission,
+    allowance,
+    decisions,
+    effects,
+    keys,
+    messages,
+    ranks,
+    refusals,
+    routing,
+    settling,
+    state as states,
+)
+
+MAX_REDIRECTS = 2
+"""Times that a call which was certainly not run is offered to another upstream
+without a token. Nothing ran, so this is no retry in the sense of the allowance;
+two are enough to pass a full and a leaving upstream."""
+
+REFUSED_KEPT_MS = 10.0
+"""A rank that no upstream took is not tried again for this long: under a flood that
+saves weighing every upstream for each call."""
+
+
+def send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
+    """Send a call for the first time, let it wait for an upstream, or refuse it."""
+    if call.holder:
+        _send_to_holder(state, call, out)
+        return
+    nodes = routing.candidates(state, call.service)
+    if not nodes:
+        if not settling.hold(state, call):
+            refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+        return
+    refused = (call.service, call.rule.name, call.rank & ranks.DEEP_BIT)
+    if state.now - state.refused_since > REFUSED_KEPT_MS:
+        state.refused.clear()
+    if not call.key and call.rank <= state.refused.get(refused, -1):
+        _refuse_by_level(state, call, out)
+        return
+    node = _pick(state, call, nodes)
+    if node is None:
+        if not state.refused:
+            state.refused_since = state.now
+        state.refused[refused] = call.rank
+        routing.ask_levels(state, call.service, call.rule.name, out)
+        _refuse_by_level(state, call, out)
+        return
+    _send(state, call, node, out)
+
+
+def place_waiting(state: states.State, out: states.Effects) -> None:
+    """Send the calls that waited for an upstream of their service, or give them up."""
+    services = state.membership.by_service
+    placeable = {ids.ServiceName(name) for name, nodes in services.items() if nodes}
+    ready, over = settling.take_due(state, placeable)
+    for call in ready:
+        send_first(state, call, out)
+    for call in over:
+        refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
+
+
+def may_repeat(call: states.Call) -> bool:
+    """Tell whether a call may be sent again though it may have run."""
+    return call.rule.repeatable and call.replayable
+
+
+def can_go_elsewhere(state: states.State, call: states.Call) -> bool:
+    """Tell whether a call that may have run can be sent to another upstream now."""
+    if not may_repeat(call):
+        return False
+    if call.tokens < 1 or _budget(state, call.service).held < 1.0:
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    return node is not None and state.now < call.deadline
+
+
+def redirect(state: states.State, call: states.Call, out: states.Effects) -> bool:
+    """Offer a call that was certainly not run to another upstream."""
+    if call.redirects >= MAX_REDIRECTS or not call.replayable or call.holder:
+        return False
+    if state.now >= call.deadline:
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    if node is None:
+        return False
+    _offer(state, call, node, out)
+    return True
+
+
+def go_to_holder(
+    state: states.State,
+    call: states.Call,
+    refusal: messages.Refusal,
+    out: states.Effects,
+) -> None:
+    """Follow a key's claim to the node that holds it."""
+    call.first = False
+    member = _holding_member(state, refusal.holder)
+    known = member is not None and member.node not in call.tried and call.replayable
+    if member is None or not known or call.redirects >= MAX_REDIRECTS:
+        refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        return
+    _offer(state, call, member.node, out)
+
+
+def retry(
+    state: states.State, call: states.Call, out: states.Effects, *, ran: bool = True
+) -> bool:
+    """Send a call again, for a token and out of the budget.
+
+    :param ran: the last attempt may have run, so that only a repeatable call goes
+        again.
+    """
+    budget = _budget(state, call.service)
+    figures = (float(call.tokens), budget.held, float(call.attempts))
+    allowed = may_repeat(call) if ran else call.replayable and not call.holder
+    if not allowed or state.now >= call.deadline:
+        return False
+    if call.tokens < 1:
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
+        return False
+    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    if node is None:
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
+        return False
+    if not allowance.spend(budget):
+        refusals.decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
+        return False
+    call.tokens -= 1
+    call.repeat = True
+    refusals.decide(state, call, decisions.Rule.RETRIED, out, figures)
+    _send(state, call, node, out)
+    return True
+
+
+def earn(state: states.State, call: states.Call) -> None:
+    """Let a first attempt earn its share of the service's retry budget."""
+    budget = _budget(state, call.service)
+    share = state.configuration.service(call.service).retry_share
+    most = allowance.MAX_BUDGET
+    bound = state.retry_bound
+    if bound is not None:
+        share = min(share, allowance.EARNED_SHARE * bound.ratio)
+        allowance.count_first(budget, state.now, bound)
+        nodes = len(state.membership.members) - len(state.membership.gone)
+        most = allowance.shared_cap(budget, bound, nodes=nodes)
+    if call.repeat:
+        allowance.draw(budget)
+    else:
+        allowance.earn(budget, share, most=most)
+
+
+def _budget(state: states.State, service: ids.ServiceName) -> allowance.Budget:
+    budget = state.budgets.get(service)
+    if budget is None:
+        budget = allowance.Budget()
+        if state.retry_bound is not None:
+            # A node that has just started does not know how many others there are,
+            # and when all start at once all would spend a share too large.
+            budget.held = 0.0
+        state.budgets[service] = budget
+    return budget
+
+
+def _send_to_holder(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    """Send a call with a ticket to the one node that may run it.
+
+    Where that incarnation is gone nobody can tell whether it ran.
+    """
+    member = _holding_member(state, call.holder)
+    if member is None:
+        refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+        return
+    _send(state, call, member.node, out)
+
+
+def _holding_member(state: states.State, holder: str) -> messages.Member | None:
+    name, _, incarnation = holder.rpartition("/")
+    member = state.membership.members.get(name)
+    if member is None or member.state is messages.MemberState.GONE:
+        return None
+    return member if str(member.incarnation) == incarnation else None
+
+
+def _pick(
+    state: states.State, call: states.Call, nodes: list[ids.NodeId]
+) -> ids.NodeId | None:
+    if call.key:
+        # All sendings of one key meet at one node, where the second is told of
+        # the first without the log. Safety does not rest on this.
+        return keys.preferred(call.key, nodes)
+    return routing.choose(state, nodes, call.rule.name, call.rank)
+
+
+def _refuse_by_level(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    lowest = routing.service_level(state, call.service, call.rule.name)
+    retry_after = admission.come_back_after(state, call.rank, lowest)
+    figures = (float(lowest), 0.0, float(call.rank))
+    refusals.refuse(
+        state, call, decisions.Rule.LEVEL, out, retry_after=retry_after, figures=figures
+    )
+
+
+def _others(state: states.State, call: states.Call) -> list[ids.NodeId]:
+    nodes = routing.candidates(state, call.service)
+    return [node for node in nodes if node not in call.tried]
+
+
+def _offer(
+    state: states.State, call: states.Call, node: ids.NodeId, out: states.Effects
+) -> None:
+    """Send a call that was not run where it was to another node."""
+    call.redirects += 1
+    rule = decisions.Rule.REDIRECTED
+    refusals.decide(state, call, rule, out, upstream=call.tried[-1])
+    _send(state, call, node, out)
+
+
+def _send(
+    state: states.State, call: states.Call, node: ids.NodeId, out: states.Effects
+) -> None:
+    member = state.membership.members[node]
+    attempt = ids.AttemptId(state.next_number())
+    tokens = allowance.part_for_attempt(call.tokens)
+    call.tokens -= tokens
+    call.attempt = attempt
+    call.attempts += 1
+    call.cleared = False
+    state.attempts[attempt] = states.Attempt(
+        id=attempt, call=call.id, node=node, tokens=tokens
+    )
+    upstream = routing.upstream_of(state, node)
+    upstream.outstanding += 1
+    upstream.since_report += 1
+    terms = messages.CallTerms(
+        service=call.service,
+        kind=call.rule.name,
+        importance=call.importance,
+        depth=call.depth,
+        root=call.root,
+        trace=call.trace,
+        deadline_ms=max(0.0, call.deadline - state.now),
+        tokens=tokens,
+        repeatable=call.rule.repeatable,
+        key=call.key,
+        key_derived=call.key_derived,
+        first=call.first,
+        ticket=call.holder,
+        repeat=call.repeat,
+    )
+    out.append(
+        effects.OpenAttempt(
+            attempt=attempt,
+            call=call.id,
+            node=node,
+            host=member.host,
+            port=member.peers_port,
+            terms=terms,
+        )
+    )
--- a/tests/quality/test_proofs_can_fail.py
+++ b/tests/quality/test_proofs_can_fail.py
@@ -25,6 +25,7 @@
     replies,
     revisions,
     routing,
+    sending,
     state as states,
 )
 from tests.common import scenario
@@ -100,6 +101,7 @@
         MemberState = messages.MemberState
 
     patch.setattr(calls, "messages", _Messages)
+    patch.setattr(sending, "messages", _Messages)
     patch.setattr(refusals, "messages", _Messages)
 
 
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -16,6 +16,7 @@
     reducer,
     route_table,
     routing,
+    sending,
     streams,
     timers,
 )
@@ -61,8 +62,8 @@
 OUT: list[tuple[str, typing.Any, typing.Any, object, Proof]] = [
     (
         "TWICE",
-        calls,
-        "_may_repeat",
+        sending,
+        "may_repeat",
         _true,
         attempts.test_an_unrepeatable_call_whose_end_is_unclear_is_never_sent_again,
     ),
@@ -152,7 +153,7 @@
     ),
     (
         "RECOVER, right after a start",
-        calls.settling,
+        sending.settling,
         "hold",
         _false,
         settling.test_a_call_of_a_running_request_waits_for_the_first_upstream,
