Bound the connections that a node compresses

Cause: both streams of one connection take 24.6 kB (2,000 pairs); at the design size some 200 connections lead to other zones, 4.9 MB, and 4.5 MB are left of the 64. Ruled out: smaller streams (a window of 1 kB: 82 and 192 bytes in place of 74 and 182). Change: at most 100 connections of a node are compressed; frames on the others are plain, which the receiver sees from each frame. docs/CAPACITY.md counts the memory. Test: test_a_node_compresses_on_a_bounded_number_of_connections failed without it. Conclusion: 2.5 MB at most.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,6 +9,7 @@
 import typing
 
 from benchmarks import cost
+from gingerturn.internal.shell import peers
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CAPACITY.md"
 
@@ -30,6 +31,11 @@
 DECISIONS = 32_768
 CLAIM_BUDGET = 200.0
 CLAIM_RECORD_BYTES = 130.0
+COMPRESSED_PAIR_MB = 0.0246
+"""Both streams of a connection to another zone; measured over 2,000 pairs, see
+docs/design/codecs.md."""
+
+COMPRESSION_MB = peers.MAX_COMPRESSING * COMPRESSED_PAIR_MB
 KEY_WINDOW_S = 900.0
 
 
@@ -63,6 +69,7 @@
     control_bytes = gossip_bytes + config_bytes
     decision_rate = 2 * calls_per_node
     admissions_s = DECISIONS / decision_rate
+    key_mb = slopes["key_bytes"] * KEY_WINDOW_S / 1e6
     joins = 2 * (REPLACED + FAILED) / DAY_S
     publishes = 2 * CHANGES / DAY_S
     appends = joins + publishes + CLAIM_BUDGET
@@ -200,7 +207,7 @@
             f"{CLAIM_BUDGET:.0f} appends/s by all; each tails its own service's claims",
             "read with the stream",
             f"{CLAIM_RECORD_BYTES:.0f} B/s and"
-            f" {slopes['key_bytes'] * KEY_WINDOW_S / 1e6:.2f} MB for each claim a"
+            f" {key_mb:.2f} MB for each claim a"
             " second of the service",
             "first claim in offset order; batches",
         ),
@@ -290,8 +297,9 @@
         f" {CLAIM_BUDGET * 2:.0f} nodes together, a node's part of the budget is one"
         " append each 2 s, the time after which a claim is given up. Tickets need no"
         " append and are the way out for callers that can fetch one.",
-        f"3. Memory: {CONTROL_MB - rss:.1f} MB are left. A service with more than"
-        f" {(CONTROL_MB - rss) / (slopes['key_bytes'] * KEY_WINDOW_S / 1e6):.0f}"
+        f"3. Memory: {CONTROL_MB - rss:.1f} MB are left, of which compression between"
+        f" zones takes {COMPRESSION_MB:.1f}. A service with more than"
+        f" {(CONTROL_MB - rss - COMPRESSION_MB) / key_mb:.0f}"
         " claims a second exceeds it by its keys alone.",
         f"4. Decisions: at {calls_per_node:.0f} calls/s an admission can be asked"
         f" about for {admissions_s:.0f} s; a refusal for as long as"
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -95,6 +95,7 @@
         self._started = self._started_event()
         self.state = reducer.new_state(self._started)
         self.accepted: set[peers.Accepted] = set()
+        self.compressing: set[peers.FrameProtocol] = set()
         self.caller_connections: set[ingress.CallerConnection] = set()
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -20,6 +20,11 @@
 MAX_UNPROVEN = 4_096
 """Bytes that a stranger may make a node buffer before it has proved itself."""
 
+MAX_COMPRESSING = 100
+"""Connections whose frames a node compresses. Both streams of one take 25 kB together;
+at the design size some 200 connections lead to other zones and 4.5 MB are left. Frames
+on the others are plain, which the receiver sees from each."""
+
 _PART = "peers"
 
 
@@ -68,6 +73,10 @@
             logs.write("WARNING", _PART, f"Connection of {self._where()}: {error}.")
             self._transport.abort()
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Leave the compression to another connection."""
+        self._node.compressing.discard(self)
+
     def send(self, frame: frames.Frame) -> None:
         """Write a frame."""
         if not self._transport.is_closing():
@@ -128,9 +137,10 @@
         self.peer = ids.NodeId(hello.node)
         own = self._node.settings.node.zone
         if own and hello.zone and hello.zone != own:
-            # Both ends see the same two zones and decide alike.
-            self._deflater = compression.Deflater()
             self._inflater = compression.Inflater()
+            if len(self._node.compressing) < MAX_COMPRESSING:
+                self._node.compressing.add(self)
+                self._deflater = compression.Deflater()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -169,6 +179,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the link."""
+        super().connection_lost(error)
         self._lost()
 
     def on_frame(self, frame: frames.Frame) -> None:
@@ -206,6 +217,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel what the peer waited for."""
+        super().connection_lost(error)
         self._node.accepted.discard(self)
         for hosted in list(self.hosted.values()):
             self._node.home.on_cancelled(hosted)
--- a/tests/cover/test_greeting.py
+++ b/tests/cover/test_greeting.py
@@ -118,3 +118,17 @@
 def test_an_earlier_version_that_tells_no_zone_gets_plain_frames() -> None:
     written, plain = _exchange(zone="")
     assert written == plain
+
+
+def test_a_node_compresses_on_a_bounded_number_of_connections() -> None:
+    node, accepted, transport = _accepted()
+    others = [peers.Accepted(node) for _ in range(peers.MAX_COMPRESSING)]
+    node.compressing.update(others)
+    dialler, theirs = _dialled(accepted, transport, zone="bne-b")
+    accepted.data_received(bytes(theirs.written))
+    assert accepted not in node.compressing
+    answer = frame_sizes.answers(1)[0]
+    accepted.send(answer)
+    assert bytes(transport.written) == frames.encode(answer)
+    others[0].connection_lost(None)
+    assert len(node.compressing) == peers.MAX_COMPRESSING - 1
