Say in one place that no backend server takes work here

Cause: the same change of the own member stood three times in the reducer. Change: _offer_nothing; presence.expire tells whether it withdrew.

--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -58,10 +58,12 @@
     return True
 
 
-def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
-    """Withdraw a backend server that stopped renewing."""
+def expire(state: states.State, now: ids.Milliseconds, out: states.Effects) -> bool:
+    """Withdraw a backend server that stopped renewing; return whether it did."""
     backend = state.backend
-    if backend.present and now >= backend.expires:
-        backend.present = False
-        outbox.warn(out, "backend", f"{backend.service} stopped renewing.")
-        replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
+    if not backend.present or now < backend.expires:
+        return False
+    backend.present = False
+    outbox.warn(out, "backend", f"{backend.service} stopped renewing.")
+    replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
+    return True
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -320,14 +320,18 @@
     present = state.backend.present
     hosting.on_backend_answered(state, event, out)
     if present and not state.backend.present:
-        membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
+        _offer_nothing(state, out)
 
 
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
-    if not presence.on_withdrawn(state, event, out):
-        return
+    if presence.on_withdrawn(state, event, out):
+        _offer_nothing(state, out)
+
+
+def _offer_nothing(state: states.State, out: states.Effects) -> None:
+    """Tell the members that no backend server takes work here any more."""
     membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
 
 
@@ -408,10 +412,8 @@
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     hosting.shed_overdue(state, out)
     admission.control(state, now, out)
-    present = state.backend.present
-    presence.expire(state, now, out)
-    if present and not state.backend.present:
-        membership.change_self(state, out, service=ids.ServiceName(""), slots=0)
+    if presence.expire(state, now, out):
+        _offer_nothing(state, out)
 
 
 def _check_slowly(
