--- a/benchmarks/graphs.py
+++ b/benchmarks/graphs.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from gingerturn_fakes import parts, world
+from gingerturn_fakes import links, parts, world
 
 BROLGA_DOCUMENT = """
 [[importance]]
@@ -201,7 +201,7 @@
         for step in spec.calls.get(kind, []):
             child = step.split(" ")[0]
             child_kind = _CHILD_KINDS[step]
-            spent += self._add(child, child_kind, found) + 2 * world.ZONE_MS
+            spent += self._add(child, child_kind, found) + 2 * links.ZONE_MS
         found[service] = found.get(service, 0.0) + spent
         return spent
 
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -16,11 +16,9 @@
     reducer,
     streams,
 )
-from gingerturn_fakes import backends, fake_log, parts
+from gingerturn_fakes import backends, fake_log, links, parts
 
 START = 1_800_000_000_000.0
-ZONE_MS = 1.0
-"""One way between availability zones, as the brief gives it."""
 
 
 class World:
@@ -77,9 +75,11 @@
         self._queue: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
         self._sequence = 0
         self._numbers = 0
-        self._addresses: dict[int, str] = {}
-        self._questions: dict[int, tuple[parts.FakeNode, ids.KindName]] = {}
-        self._homes: dict[tuple[str, int], tuple[parts.FakeNode, int]] = {}
+        # Kept for what is under way: names of nodes by port, who asked which question,
+        # and which call at which home an attempt is.
+        self.addresses: dict[int, str] = {}
+        self.questions: dict[int, tuple[parts.FakeNode, ids.KindName]] = {}
+        self.homes: dict[tuple[str, int], tuple[parts.FakeNode, int]] = {}
         for spec in services:
             for index in range(spec.upstreams):
                 zone = zones[index % len(zones)]
@@ -88,8 +88,8 @@
 
     def add_node(self, name: str, spec: parts.ServiceSpec, zone: str) -> parts.FakeNode:
         """Add a node and the backend server beside it."""
-        port = 10_000 + len(self._addresses)
-        self._addresses[port] = name
+        port = 10_000 + len(self.addresses)
+        self.addresses[port] = name
         node = parts.FakeNode(
             name=name, zone=zone, state=None, backend=parts.FakeBackend(spec)
         )
@@ -298,7 +298,7 @@
         node.alive = True
         node.terms.clear()
         node.kept.clear()
-        port = next(p for p, n in self._addresses.items() if n == name)
+        port = next(p for p, n in self.addresses.items() if n == name)
         self._boot(node, port)
         self._introduce()
 
@@ -372,73 +372,6 @@
         pause = max(0.0, due - self.now)
         self.at(pause, lambda: self._tick(node, incarnation, due))
 
-    def _delay(self, one: parts.FakeNode, other: parts.FakeNode) -> float:
-        return backends.LOCAL_MS if one.zone == other.zone else ZONE_MS
-
-    def _to(
-        self,
-        sender: parts.FakeNode,
-        receiver: parts.FakeNode,
-        action: collections.abc.Callable[[], None],
-    ) -> None:
-        """Deliver between nodes, unless either was replaced meanwhile."""
-        before = (sender.incarnation, receiver.incarnation)
-
-        def deliver() -> None:
-            if (sender.incarnation, receiver.incarnation) == before:
-                action()
-
-        if (sender.name, receiver.name) not in self.cut:
-            self.at(self._delay(sender, receiver), deliver)
-
-    def _open_attempt(self, node: parts.FakeNode, effect: effects.OpenAttempt) -> None:
-        home = self.nodes[effect.node]
-        if not home.alive or (node.name, home.name) in self.cut:
-            reached = home.alive
-            event = events.AttemptLost(
-                now=self.now, attempt=effect.attempt, reached=reached
-            )
-            self.at(
-                backends.LOCAL_MS,
-                lambda: self.apply_to(node, parts.moved(event, self.now)),
-            )
-            return
-        hosted = self.next_number()
-        request = node.requests.get(effect.call, ("GET", "/"))
-
-        self._homes[(node.name, effect.attempt)] = (home, hosted)
-
-        def arrive() -> None:
-            home.terms[hosted] = (node.name, effect.attempt, effect.terms)
-            home.requests[-hosted] = request
-            self.apply_to(
-                home,
-                events.OpenReceived(
-                    now=self.now,
-                    hosted=ids.HostedId(hosted),
-                    sender=ids.NodeId(node.name),
-                    call=effect.terms,
-                ),
-            )
-
-        self._to(node, home, arrive)
-
-    def _cancel_attempt(
-        self, node: parts.FakeNode, effect: effects.CancelAttempt
-    ) -> None:
-        known = self._homes.pop((node.name, effect.attempt), None)
-        if known is None:
-            return
-        home, hosted = known
-
-        def arrive() -> None:
-            self.apply_to(
-                home,
-                events.CancelReceived(now=self.now, hosted=ids.HostedId(hosted)),
-            )
-
-        self._to(node, home, arrive)
-
     def _relay(self, node: parts.FakeNode, effect: effects.RelayAnswer) -> None:
         status = node.state_status.pop(effect.attempt, 200)
         answer = "ok" if status == 200 else f"status-{status}"
@@ -453,151 +386,6 @@
             effect.retry_after_ms,
         )
 
-    def _send_answer(self, node: parts.FakeNode, effect: effects.SendAnswer) -> None:
-        self._answer_back(node, effect.hosted, effect.tokens, effect.report)
-
-    def _send_kept(self, node: parts.FakeNode, effect: effects.SendKeptAnswer) -> None:
-        self._answer_back(node, effect.hosted, effect.tokens, effect.report)
-
-    def _answer_back(
-        self,
-        node: parts.FakeNode,
-        hosted: int,
-        tokens: int,
-        report: messages.LoadReport,
-    ) -> None:
-        known = node.terms.pop(hosted, None)
-        if known is None:
-            return
-        sender, attempt, _ = known
-        entry = self.nodes[sender]
-        self._homes.pop((sender, attempt), None)
-        status = node.statuses.pop(hosted, 200)
-
-        def arrive() -> None:
-            entry.state_status[attempt] = status
-            self.apply_to(
-                entry,
-                events.AttemptAnswered(
-                    now=self.now,
-                    attempt=ids.AttemptId(attempt),
-                    status=status,
-                    tokens=tokens,
-                    report=report,
-                ),
-            )
-
-        self._to(node, entry, arrive)
-
-    def _send_refusal(self, node: parts.FakeNode, effect: effects.SendRefusal) -> None:
-        known = node.terms.pop(effect.hosted, None)
-        if known is None:
-            return
-        sender, attempt, _ = known
-        entry = self.nodes[sender]
-        self._homes.pop((sender, attempt), None)
-
-        def arrive() -> None:
-            self.apply_to(
-                entry,
-                events.AttemptRefused(
-                    now=self.now,
-                    attempt=ids.AttemptId(attempt),
-                    refusal=effect.refusal,
-                    tokens=effect.tokens,
-                    report=effect.report,
-                ),
-            )
-
-        self._to(node, entry, arrive)
-
-    def _ask_level(self, node: parts.FakeNode, effect: effects.AskLevel) -> None:
-        home = self.nodes[effect.node]
-        question = self.next_number()
-        self._questions[question] = (node, effect.kind)
-
-        def arrive() -> None:
-            self.apply_to(
-                home,
-                events.LevelAsked(now=self.now, question=question, kind=effect.kind),
-            )
-
-        self._to(node, home, arrive)
-
-    def _tell_level(self, node: parts.FakeNode, effect: effects.TellLevel) -> None:
-        asker, kind = self._questions.pop(effect.question)
-
-        def arrive() -> None:
-            told = events.LevelTold(
-                now=self.now,
-                node=ids.NodeId(node.name),
-                kind=kind,
-                report=effect.report,
-            )
-            self.apply_to(asker, told)
-
-        self._to(node, asker, arrive)
-
-    def _gossip(self, node: parts.FakeNode, effect: effects.SendGossip) -> None:
-        if not self.gossip_on:
-            self._gossip_quietly(node, effect)
-            return
-        name = self._addresses.get(effect.port)
-        if name is None or self.random.random() < self.drop_gossip:
-            return
-        receiver = self.nodes[name]
-        port = node.state.membership.me.gossip_port
-        self._to(
-            node,
-            receiver,
-            lambda: self.apply_to(
-                receiver,
-                events.DatagramReceived(
-                    now=self.now,
-                    sender=ids.NodeId(node.name),
-                    host="127.0.0.1",
-                    port=port,
-                    message=effect.message,
-                ),
-            ),
-        )
-
-    def _gossip_quietly(self, node: parts.FakeNode, effect: effects.SendGossip) -> None:
-        """Acknowledge pings without the other's reducer, while membership is not
-        what a run is about: it saves half of the run's time."""
-        if effect.message.kind is not messages.GossipKind.PING:
-            return
-        name = self._addresses.get(effect.port)
-        if name is None or not self.nodes[name].alive:
-            return
-        message = messages.Gossip(
-            kind=messages.GossipKind.ACK,
-            sequence=effect.message.sequence,
-            revision=ids.Revision(0),
-        )
-        event = events.DatagramReceived(
-            now=self.now,
-            sender=ids.NodeId(name),
-            host="127.0.0.1",
-            port=effect.port,
-            message=message,
-        )
-        self.at(
-            backends.LOCAL_MS, lambda: self.apply_to(node, parts.moved(event, self.now))
-        )
-
-    def _fetch_routes(self, node: parts.FakeNode, effect: effects.FetchRoutes) -> None:
-        peer = self.nodes[effect.node]
-
-        def arrive() -> None:
-            index = peer.state.routes
-            if index is not None and peer.alive:
-                self.apply_to(
-                    node, events.RoutesReceived(now=self.now, table=index.table)
-                )
-
-        self._to(peer, node, arrive)
-
     def next_number(self) -> int:
         """Return a number that was never given before."""
         self._numbers += 1
@@ -607,21 +395,21 @@
 _HANDLERS: dict[
     type, collections.abc.Callable[[World, parts.FakeNode, typing.Any], None]
 ] = {
-    effects.OpenAttempt: World._open_attempt,
-    effects.CancelAttempt: World._cancel_attempt,
+    effects.OpenAttempt: links.open_attempt,
+    effects.CancelAttempt: links.cancel_attempt,
     effects.RelayAnswer: World._relay,
     effects.RefuseCall: World._refuse,
     effects.HandOver: backends.hand_over,
     effects.CancelBackend: backends.cancel_backend,
-    effects.SendAnswer: World._send_answer,
-    effects.SendKeptAnswer: World._send_kept,
-    effects.SendRefusal: World._send_refusal,
-    effects.AskLevel: World._ask_level,
-    effects.TellLevel: World._tell_level,
-    effects.SendGossip: World._gossip,
+    effects.SendAnswer: links.send_answer,
+    effects.SendKeptAnswer: links.send_kept,
+    effects.SendRefusal: links.send_refusal,
+    effects.AskLevel: links.ask_level,
+    effects.TellLevel: links.tell_level,
+    effects.SendGossip: links.gossip,
     effects.Append: fake_log.append,
     effects.PutRecord: fake_log.put,
     effects.ReadLog: fake_log.read,
     effects.ReadNewest: fake_log.read_newest,
-    effects.FetchRoutes: World._fetch_routes,
+    effects.FetchRoutes: links.fetch_routes,
 }
