--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -213,12 +213,7 @@
 @_JSON
 def history(admin: str, as_json: bool) -> None:
     """Show the publications that the node saw decided."""
-    rows = _get(admin, "/config/history")
-    if as_json:
-        _echo_json(rows)
-        return
-    for row in rows:
-        click.echo(_audit_line(row))
+    _echo_trail(_get(admin, "/config/history"), as_json)
 
 
 @cli.command()
@@ -263,12 +258,7 @@
 @_JSON
 def audit(team: str, admin: str, as_json: bool) -> None:
     """Show the trail of changes."""
-    rows = _get(admin, "/audit", params={"team": team})
-    if as_json:
-        _echo_json(rows)
-        return
-    for row in rows:
-        click.echo(_audit_line(row))
+    _echo_trail(_get(admin, "/audit", params={"team": team}), as_json)
 
 
 @cli.command()
@@ -407,6 +397,15 @@
         click.echo(f"Cause: {cause.text} At {cause.node}, for {cause.request}.")
 
 
+def _echo_trail(rows: typing.Any, as_json: bool) -> None:
+    """Print entries of the trail of changes, one a line."""
+    if as_json:
+        _echo_json(rows)
+        return
+    for row in rows:
+        click.echo(_audit_line(row))
+
+
 def _audit_line(row: dict[str, typing.Any]) -> str:
     return (
         f"{row['at']:.0f} {row['who']} {row['what']} {row['subject']}:"
