--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 RUN := PYTHONPATH=src:tooling:. $(PYTHON)
 
-.PHONY: demo demo-coopcarga test test-slow lint format soak bench bench-cost capacity clean
+.PHONY: demo demo-coopcarga test test-slow lint format soak bench bench-long bench-cost capacity clean
 
 $(VENV)/ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -30,6 +30,9 @@
 	$(VENV)/bin/ruff format .
 
 bench: $(VENV)/ready
+	$(RUN) -m benchmarks.sites
+
+bench-long: $(VENV)/ready
 	$(RUN) -m benchmarks.overload
 
 soak: $(VENV)/ready
--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -75,7 +75,7 @@
 
 def no_levels() -> None:
     """Without the home node's level riding on answers."""
-    _set(admission, "_raised", lambda backend: ranks.LOWEST)
+    _set(admission, "_raised", lambda backend, overage: ranks.LOWEST)
 
 
 def no_tree_levels() -> None:
@@ -124,6 +124,17 @@
     _set(admission, "queue_bound", lambda state, kind: 0)
 
 
+def leaf_roots_last() -> None:
+    """Roots that call nobody wait behind every deeper call of their class."""
+    _set(
+        hosting,
+        "_rank",
+        lambda state, terms: ranks.rank_of(
+            importance=terms.importance, depth=terms.depth, root=terms.root
+        ),
+    )
+
+
 def no_redirects() -> None:
     """A refused call is not offered to another upstream."""
     _set(sending, "redirect", lambda state, call, out: False)
@@ -165,6 +176,7 @@
     "no-common-order": no_common_order,
     "no-classes": no_classes,
     "no-queue": no_queue,
+    "leaf-roots-last": leaf_roots_last,
     "no-redirects": no_redirects,
     "no-retries": no_retries,
     "no-budget": no_budget,
--- /dev/null
+++ b/tests/cover/test_site_model.py
@@ -0,0 +1,20 @@
+"""The model of the users' sites: a calm one serves all, and a run repeats."""
+
+import pytest
+
+from benchmarks import sites
+
+
+@pytest.mark.parametrize("site", sites.SITES.values(), ids=list(sites.SITES))
+def test_a_calm_site_serves_everybody(site: sites.Site) -> None:
+    result = sites.Run(site, seed=1, seconds=6.5).play()
+    for tally in result.tallies.values():
+        assert tally.asked > 0
+        assert tally.share == 1.0
+    assert result.worth > 0.98
+
+
+def test_the_same_seed_gives_the_same_figures() -> None:
+    first, second = (sites.overloaded(seconds=4.5).play() for _ in range(2))
+    assert first == second
+    assert first.worth < 0.8
--- a/tests/quality/test_variants_can_be_taken_out.py
+++ b/tests/quality/test_variants_can_be_taken_out.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from benchmarks import variants
+from benchmarks import sites, variants
 from gingerturn_standins import processes
 
 
@@ -26,3 +26,16 @@
         check=False,
     )
     assert done.returncode == 0, done.stderr[-300:]
+
+
+@pytest.mark.parametrize("name", list(variants.VARIANTS))
+def test_a_variant_plays_through_an_overload(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # One replacement had kept an old parameter list and ended each run that reached it.
+    monkeypatch.setattr(variants, "_set", monkeypatch.setattr)
+    variants.VARIANTS[name]()
+    run = sites.overloaded(seconds=1.5)
+    run.play()
+    arrived = sum(node.backend.executed for node in run.world.nodes.values())
+    assert arrived > 100
