Prove GONE at both ends, and that each proof fails without its mechanism

Cause: the row had a proof of the queue only and none that was shown to fail. Both proofs fail with the mechanism out (tests/quality/test_rules_can_be_broken.py). Conclusion: no row is without one now.

--- a/tests/cover/test_routed_attempts.py
+++ b/tests/cover/test_routed_attempts.py
@@ -259,6 +259,24 @@
     assert not builders.all_of(out, effects.HandOver)
 
 
+def test_a_caller_that_goes_cancels_its_attempt_at_once() -> None:
+    state = _state()
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    gone = events.CallerGone(now=state.now, call=ids.CallId(1))
+    out = reducer.reduce(state, gone)
+    assert builders.only(out, effects.CancelAttempt).attempt == sent.attempt
+    assert not state.calls and not state.attempts
+
+
+def test_a_cancelled_call_that_may_repeat_is_taken_from_the_backend_server() -> None:
+    state = routed.node_state(service="plans", slots=1)
+    reducer.reduce(state, builders.opened(1))
+    cancel = events.CancelReceived(now=state.now, hosted=ids.HostedId(1))
+    out = reducer.reduce(state, cancel)
+    assert builders.all_of(out, effects.CancelBackend)
+    assert state.backend.running == 0
+
+
 def test_an_eighth_of_every_kind_goes_with_the_first_priority() -> None:
     # With one of three upstreams left, the first priority took all of it and three in
     # four callers got nothing.
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -193,6 +193,20 @@
         1.0,
         under_load.test_a_deeper_call_that_finds_a_free_slot_is_tried_with_less_time,
     ),
+    (
+        "GONE, entry",
+        calls,
+        "_cancel_attempt",
+        _nothing,
+        attempts.test_a_caller_that_goes_cancels_its_attempt_at_once,
+    ),
+    (
+        "GONE, home",
+        reducer._HANDLERS,
+        events.CancelReceived,
+        _nothing,
+        attempts.test_a_cancelled_call_that_may_repeat_is_taken_from_the_backend_server,
+    ),
     (
         "request limits",
         caller_limits,
