Model of the sites: one way to set the speed of a service

Cause: read again, the model set speeds in three places (at its start, in the slow scenario, for the overloaded run) and walked the kinds of a service twice. Change: Run.slow_down; the kinds of a service are gathered once.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -209,24 +209,21 @@
 
 
 def _services(site: Site) -> list[parts.ServiceSpec]:
-    return [
-        parts.ServiceSpec(
-            name=service.name,
-            upstreams=len(service.speeds),
-            slots=service.slots,
-            service_ms={
-                kind.name: kind.work_ms
-                for kind in site.kinds
-                if kind.service == service.name
-            },
-            calls={
-                kind.name: [f"{HOST} GET /{called}/x" for called in kind.calls]
-                for kind in site.kinds
-                if kind.service == service.name
-            },
-        )
-        for service in site.services
-    ]
+    return [_service(site, service) for service in site.services]
+
+
+def _service(site: Site, service: Service) -> parts.ServiceSpec:
+    kinds = [kind for kind in site.kinds if kind.service == service.name]
+    return parts.ServiceSpec(
+        name=service.name,
+        upstreams=len(service.speeds),
+        slots=service.slots,
+        service_ms={kind.name: kind.work_ms for kind in kinds},
+        calls={
+            kind.name: [f"{HOST} GET /{called}/x" for called in kind.calls]
+            for kind in kinds
+        },
+    )
 
 
 @dataclasses.dataclass
@@ -285,15 +282,16 @@
         self._earned = 0.0
         self._owed = 0.0
         for service in site.services:
-            for number, speed in enumerate(service.speeds, 1):
-                self.upstream(service.name, number).slow = 1.0 / speed
+            self.slow_down(service.name, 1.0)
         self.world.on_execution = self._on_execution
         self.world.on_arrival = self._on_arrival
         self.world.on_root_end = self._on_end
 
-    def upstream(self, service: str, number: int) -> parts.FakeBackend:
-        """Return an upstream of a service, the first of which is number 1."""
-        return self.world.nodes[f"{service}-{number}"].backend
+    def slow_down(self, service: str, factor: float) -> None:
+        """Let the upstreams of a service take so many times as long as they do."""
+        speeds = next(s.speeds for s in self.site.services if s.name == service)
+        for number, speed in enumerate(speeds, 1):
+            self.world.nodes[f"{service}-{number}"].backend.slow = factor / speed
 
     def play(self) -> Result:
         """Run it."""
@@ -370,8 +368,7 @@
 def overloaded(*, seconds: float) -> Run:
     """Return a run of brolga whose scarcest service is slow from its start."""
     run = Run(BROLGA, seed=1, seconds=seconds)
-    for number in range(1, 1 + len(_scarce(BROLGA).speeds)):
-        run.upstream(BROLGA.scarce, number).slow = 8.0
+    run.slow_down(BROLGA.scarce, 8.0)
     return run
 
 
@@ -395,13 +392,9 @@
 
 def _slow(run: Run) -> None:
     """The scarcest service runs at a fifth of its speed for a while."""
-
-    def set_slow(factor: float) -> None:
-        for number, speed in enumerate(_scarce(run.site).speeds, 1):
-            run.upstream(run.site.scarce, number).slow = factor / speed
-
-    run.world.at(TROUBLE_AT_MS, lambda: set_slow(5.0))
-    run.world.at(TROUBLE_ENDS_MS, lambda: set_slow(1.0))
+    scarce = run.site.scarce
+    run.world.at(TROUBLE_AT_MS, lambda: run.slow_down(scarce, 5.0))
+    run.world.at(TROUBLE_ENDS_MS, lambda: run.slow_down(scarce, 1.0))
 
 
 def _scarce(site: Site) -> Service:
