Model of the sites: a third site, upstreams that turn calls away with room

Change: the site's shape (trees of 4 and 8 calls in a row) in benchmarks/deployments.py, where the two others are now too; fake backend servers turn a share of their calls away; nodes of the model get the bound on repeats that they have on the platform; a backend server behind routes whose call failed answers 500 as it does there (it said 503, which made entries send such requests again); child_failed goes with the answer. The model prints the worth refused a second time and the repeats at the scarcest service.

--- /dev/null
+++ b/benchmarks/deployments.py
@@ -0,0 +1,227 @@
+"""The users' deployments as the model plays them: services, kinds of request, load."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request and its route.
+
+    :param per_s: requests a second; 0 for one that only upstreams make.
+    :param aim_ms: time within which an answer has its full worth.
+    :param budget_ms: time after which a caller gives up.
+    """
+
+    name: str
+    service: str
+    work_ms: float
+    calls: tuple[str, ...] = ()
+    per_s: float = 0.0
+    aim_ms: int = 1_000
+    budget_ms: int = 5_000
+    timeout_ms: int = 5_000
+    worth: float = 0.0
+    late_worth: float = 0.3
+    priority: int = 2
+    safe: bool = True
+
+    @property
+    def path(self) -> str:
+        """Path of a request."""
+        return f"/{self.name}/x"
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A service; one entry of ``speeds`` for each upstream."""
+
+    name: str
+    slots: int
+    speeds: tuple[float, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """A deployment.
+
+    :param scarce: the service that every tree ends at.
+    :param retry_slack: repeats that are allowed in a window beside their ratio.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    caller_ms: float
+    services: tuple[Service, ...]
+    kinds: tuple[Kind, ...]
+    scarce: str
+    retry_slack: float = 49.0
+
+
+BROLGA = Site(
+    name="brolga",
+    zones=("bne-a", "bne-b", "tsv"),
+    caller_ms=8.0,
+    services=(
+        Service("plans", 89, (0.5, 1.0, 1.0, 1.5, 1.0)),
+        Service("porting", 112, (0.5, 1.0, 1.0, 1.5)),
+        Service("profiles", 149, (0.5, 1.0, 1.5)),
+        Service("provisioning", 20, (0.7, 0.7, 1.6)),
+    ),
+    kinds=(
+        Kind("plan-lookup", "plans", 90.0, ("account-state",), 196.0, 1_200, worth=1.0),
+        Kind(
+            "number-port",
+            "porting",
+            120.0,
+            ("imsi-range", "imsi-range"),
+            82.5,
+            1_500,
+            timeout_ms=800,
+            worth=3.0,
+            late_worth=0.6,
+            priority=0,
+            safe=False,
+        ),
+        Kind("esim-profile", "profiles", 72.0, (), 29.8, 300, 1_200, worth=1.0),
+        Kind(
+            "sim-provision",
+            "provisioning",
+            72.0,
+            (),
+            22.4,
+            250,
+            1_000,
+            worth=1.0,
+            safe=False,
+        ),
+        Kind("account-state", "porting", 15.0, ("imsi-range",), timeout_ms=2_500),
+        Kind("imsi-range", "profiles", 15.0, ("stock-check",) * 4, timeout_ms=2_000),
+        Kind("stock-check", "provisioning", 22.0, timeout_ms=700),
+    ),
+    scarce="provisioning",
+)
+
+COOPCARGA = Site(
+    name="coopcarga",
+    zones=("guararapes", "boa-viagem", "suape"),
+    caller_ms=3.0,
+    services=(
+        Service("manifesto", 168, (0.7, 0.7, 1.6, 0.7, 1.6)),
+        Service("balanca", 281, (0.6, 1.0, 1.4)),
+        Service("despacho", 281, (0.6, 1.0, 1.4)),
+        Service("paletes", 63, (0.6, 1.0, 1.4)),
+    ),
+    kinds=(
+        Kind(
+            "manifest-lookup",
+            "manifesto",
+            120.0,
+            ("trim-table",),
+            373.0,
+            1_500,
+            6_000,
+            timeout_ms=800,
+            worth=1.0,
+        ),
+        Kind(
+            "signoff",
+            "balanca",
+            160.0,
+            ("tariff",),
+            153.0,
+            1_500,
+            6_000,
+            timeout_ms=1_000,
+            worth=3.0,
+            late_worth=0.6,
+            priority=0,
+            safe=False,
+        ),
+        Kind("customs-pack", "despacho", 96.0, (), 38.0, 400, 1_500, worth=1.0),
+        Kind(
+            "uld-booking",
+            "paletes",
+            96.0,
+            (),
+            42.6,
+            300,
+            1_200,
+            worth=1.0,
+            safe=False,
+        ),
+        Kind("trim-table", "balanca", 15.0, ("tariff",), timeout_ms=3_000),
+        Kind("tariff", "despacho", 15.0, ("dg-code",) * 4, timeout_ms=2_500),
+        Kind("dg-code", "paletes", 30.0, timeout_ms=700),
+    ),
+    scarce="paletes",
+)
+
+MAWID = Site(
+    name="mawid",
+    zones=("cairo-a", "cairo-b", "cairo-c"),
+    caller_ms=1.0,
+    services=(
+        Service("calendar", 87, (0.6, 1.0, 1.4, 0.6, 1.0)),
+        Service("payments", 145, (0.6, 1.0, 1.4)),
+        Service("booking", 145, (0.7, 0.7, 1.6)),
+        Service("tracker", 36, (0.5, 1.0, 1.5)),
+    ),
+    kinds=(
+        Kind(
+            "slot-view",
+            "calendar",
+            120.0,
+            ("fee-lookup",),
+            198.0,
+            1_500,
+            timeout_ms=800,
+            worth=1.0,
+            late_worth=0.5,
+        ),
+        Kind(
+            "fee-pay",
+            "payments",
+            160.0,
+            ("quota-read", "quota-read"),
+            72.8,
+            1_500,
+            timeout_ms=1_000,
+            worth=3.0,
+            late_worth=1.0,
+            priority=0,
+            safe=False,
+        ),
+        Kind(
+            "slot-book",
+            "booking",
+            84.0,
+            (),
+            49.6,
+            250,
+            1_000,
+            timeout_ms=1_000,
+            worth=3.0,
+            late_worth=1.5,
+            priority=0,
+            safe=False,
+        ),
+        Kind(
+            "status-check",
+            "tracker",
+            480.0,
+            (),
+            31.1,
+            1_200,
+            timeout_ms=2_500,
+            worth=1.0,
+            late_worth=0.5,
+        ),
+        Kind("fee-lookup", "payments", 15.0, ("quota-read",), timeout_ms=2_500),
+        Kind("quota-read", "booking", 15.0, ("case-fetch",) * 4, timeout_ms=2_000),
+        Kind("case-fetch", "tracker", 30.0, timeout_ms=700),
+    ),
+    scarce="tracker",
+    retry_slack=50.0,
+)
+
+SITES = {site.name: site for site in (BROLGA, COOPCARGA, MAWID)}
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -16,8 +16,9 @@
 
 import click
 
-from benchmarks import variants
+from benchmarks import deployments, variants
 from gingerturn import routes
+from gingerturn.internal.core import allowance, effects
 from gingerturn_fakes import parts, world
 
 HOST = "mesh.example"
@@ -31,161 +32,7 @@
 """Callers wait at most this part of the time that they have left."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """A kind of request and its route.
-
-    :param per_s: requests a second; 0 for one that only upstreams make.
-    :param aim_ms: time within which an answer has its full worth.
-    :param budget_ms: time after which a caller gives up.
-    """
-
-    name: str
-    service: str
-    work_ms: float
-    calls: tuple[str, ...] = ()
-    per_s: float = 0.0
-    aim_ms: int = 1_000
-    budget_ms: int = 5_000
-    timeout_ms: int = 5_000
-    worth: float = 0.0
-    late_worth: float = 0.3
-    priority: int = 2
-    safe: bool = True
-
-    @property
-    def path(self) -> str:
-        """Path of a request."""
-        return f"/{self.name}/x"
-
-
-@dataclasses.dataclass(frozen=True)
-class Service:
-    """A service; one entry of ``speeds`` for each upstream."""
-
-    name: str
-    slots: int
-    speeds: tuple[float, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Site:
-    """A deployment.
-
-    :param scarce: the service that every tree ends at.
-    """
-
-    name: str
-    zones: tuple[str, ...]
-    caller_ms: float
-    services: tuple[Service, ...]
-    kinds: tuple[Kind, ...]
-    scarce: str
-
-
-BROLGA = Site(
-    name="brolga",
-    zones=("bne-a", "bne-b", "tsv"),
-    caller_ms=8.0,
-    services=(
-        Service("plans", 89, (0.5, 1.0, 1.0, 1.5, 1.0)),
-        Service("porting", 112, (0.5, 1.0, 1.0, 1.5)),
-        Service("profiles", 149, (0.5, 1.0, 1.5)),
-        Service("provisioning", 20, (0.7, 0.7, 1.6)),
-    ),
-    kinds=(
-        Kind("plan-lookup", "plans", 90.0, ("account-state",), 196.0, 1_200, worth=1.0),
-        Kind(
-            "number-port",
-            "porting",
-            120.0,
-            ("imsi-range", "imsi-range"),
-            82.5,
-            1_500,
-            timeout_ms=800,
-            worth=3.0,
-            late_worth=0.6,
-            priority=0,
-            safe=False,
-        ),
-        Kind("esim-profile", "profiles", 72.0, (), 29.8, 300, 1_200, worth=1.0),
-        Kind(
-            "sim-provision",
-            "provisioning",
-            72.0,
-            (),
-            22.4,
-            250,
-            1_000,
-            worth=1.0,
-            safe=False,
-        ),
-        Kind("account-state", "porting", 15.0, ("imsi-range",), timeout_ms=2_500),
-        Kind("imsi-range", "profiles", 15.0, ("stock-check",) * 4, timeout_ms=2_000),
-        Kind("stock-check", "provisioning", 22.0, timeout_ms=700),
-    ),
-    scarce="provisioning",
-)
-
-COOPCARGA = Site(
-    name="coopcarga",
-    zones=("guararapes", "boa-viagem", "suape"),
-    caller_ms=3.0,
-    services=(
-        Service("manifesto", 168, (0.7, 0.7, 1.6, 0.7, 1.6)),
-        Service("balanca", 281, (0.6, 1.0, 1.4)),
-        Service("despacho", 281, (0.6, 1.0, 1.4)),
-        Service("paletes", 63, (0.6, 1.0, 1.4)),
-    ),
-    kinds=(
-        Kind(
-            "manifest-lookup",
-            "manifesto",
-            120.0,
-            ("trim-table",),
-            373.0,
-            1_500,
-            6_000,
-            timeout_ms=800,
-            worth=1.0,
-        ),
-        Kind(
-            "signoff",
-            "balanca",
-            160.0,
-            ("tariff",),
-            153.0,
-            1_500,
-            6_000,
-            timeout_ms=1_000,
-            worth=3.0,
-            late_worth=0.6,
-            priority=0,
-            safe=False,
-        ),
-        Kind("customs-pack", "despacho", 96.0, (), 38.0, 400, 1_500, worth=1.0),
-        Kind(
-            "uld-booking",
-            "paletes",
-            96.0,
-            (),
-            42.6,
-            300,
-            1_200,
-            worth=1.0,
-            safe=False,
-        ),
-        Kind("trim-table", "balanca", 15.0, ("tariff",), timeout_ms=3_000),
-        Kind("tariff", "despacho", 15.0, ("dg-code",) * 4, timeout_ms=2_500),
-        Kind("dg-code", "paletes", 30.0, timeout_ms=700),
-    ),
-    scarce="paletes",
-)
-
-SITES = {site.name: site for site in (BROLGA, COOPCARGA)}
-
-
-def table(site: Site) -> routes.RouteTable:
+def table(site: deployments.Site) -> routes.RouteTable:
     """Return the routes of a site, one for each kind."""
     return routes.RouteTable(
         version=1,
@@ -208,11 +55,11 @@
     )
 
 
-def _services(site: Site) -> list[parts.ServiceSpec]:
+def _services(site: deployments.Site) -> list[parts.ServiceSpec]:
     return [_service(site, service) for service in site.services]
 
 
-def _service(site: Site, service: Service) -> parts.ServiceSpec:
+def _service(site: deployments.Site, service: deployments.Service) -> parts.ServiceSpec:
     kinds = [kind for kind in site.kinds if kind.service == service.name]
     return parts.ServiceSpec(
         name=service.name,
@@ -228,11 +75,15 @@
 
 @dataclasses.dataclass
 class Tally:
-    """What became of the requests of one kind."""
+    """What became of the requests of one kind.
+
+    :param again: came back after a refusal and were not served then either.
+    """
 
     asked: int = 0
     in_aim: int = 0
     late: int = 0
+    again: int = 0
 
     @property
     def share(self) -> float:
@@ -245,13 +96,19 @@
     """What one run measured.
 
     :param worth: of the worth that was asked for, before any price.
+    :param again: of the worth that was asked for, that of callers who came back after
+        a refusal and were not served then either.
     :param useful: share of the calls that ran at the scarcest service for requests that
         were served.
+    :param repeats: calls of the scarcest service that went to an upstream again, over
+        all its calls; operators allow a fifth.
     """
 
     tallies: dict[str, Tally]
     worth: float
+    again: float
     useful: float
+    repeats: float
 
 
 class Run:
@@ -260,7 +117,9 @@
     :param seconds: how long it is played.
     """
 
-    def __init__(self, site: Site, *, seed: int, seconds: float = SECONDS) -> None:
+    def __init__(
+        self, site: deployments.Site, *, seed: int, seconds: float = SECONDS
+    ) -> None:
         self.site = site
         self.demand = 1.0
         self._end_ms = seconds * 1000.0
@@ -271,20 +130,24 @@
             zones=list(site.zones),
             caller_ms=site.caller_ms,
             table=table(site),
+            retry_bound=allowance.Bound(site.retry_slack),
         )
         self._kinds = {kind.name: kind for kind in site.kinds}
         self._random = random.Random(seed)
         self._tallies = {k.name: Tally() for k in site.kinds if k.per_s}
         self._numbers = 0
         self._runs: collections.Counter[int] = collections.Counter()
+        self._sent: collections.Counter[int] = collections.Counter()
         self._hashes: dict[int, list[int]] = {}
         self._served: set[int] = set()
         self._earned = 0.0
+        self._again = 0.0
         self._owed = 0.0
         for service in site.services:
             self.slow_down(service.name, 1.0)
         self.world.on_execution = self._on_execution
         self.world.on_arrival = self._on_arrival
+        self.world.on_effect = self._on_effect
         self.world.on_root_end = self._on_end
 
     def slow_down(self, service: str, factor: float) -> None:
@@ -293,6 +156,12 @@
         for number, speed in enumerate(speeds, 1):
             self.world.nodes[f"{service}-{number}"].backend.slow = factor / speed
 
+    def turn_away(self, service: str, share: float) -> None:
+        """Let the upstreams of a service turn calls away though they have room."""
+        for node in self.world.nodes.values():
+            if node.backend.spec.name == service:
+                node.backend.turned_away = share
+
     def play(self) -> Result:
         """Run it."""
         for kind in self.site.kinds:
@@ -303,14 +172,16 @@
         return Result(
             tallies=self._tallies,
             worth=self._earned / max(1.0, self._owed),
+            again=self._again / max(1.0, self._owed),
             useful=useful / max(1, sum(self._runs.values())),
+            repeats=sum(self._sent.values()) / max(1, len(self._sent)) - 1.0,
         )
 
-    def _schedule(self, kind: Kind) -> None:
+    def _schedule(self, kind: deployments.Kind) -> None:
         delay = self._random.expovariate(kind.per_s * self.demand) * 1000.0
         self.world.at(delay, lambda: self._offer(kind))
 
-    def _offer(self, kind: Kind) -> None:
+    def _offer(self, kind: deployments.Kind) -> None:
         self._schedule(kind)
         self._numbers += 1
         spec = parts.KindSpec(kind.name, HOST, "GET", kind.path)
@@ -340,6 +211,11 @@
         if node.backend.spec.name == self.site.scarce:
             self._runs[work.root] += 1
 
+    def _on_effect(self, node: parts.FakeNode, effect: effects.Effect) -> None:
+        sent = isinstance(effect, effects.OpenAttempt)
+        if sent and effect.terms.service == self.site.scarce:
+            self._sent[effect.call] += 1
+
     def _on_end(self, root: parts.Root) -> None:
         kind = self._kinds[root.kind.name]
         if root.answer == "ok":
@@ -349,11 +225,14 @@
         promised = root.answer == "not-run"
         if root.tries > 1 or root.answer == "gone" or not (promised or kind.safe):
             self._hashes.pop(root.id, None)
+            if root.tries > 1 and self._counts(root):
+                self._tallies[kind.name].again += 1
+                self._again += kind.worth
             return
         wait = min(root.retry_after, self._left(root) * COME_BACK_SHARE)
         self.world.at(wait, lambda: self._send(root))
 
-    def _note_served(self, root: parts.Root, kind: Kind) -> None:
+    def _note_served(self, root: parts.Root, kind: deployments.Kind) -> None:
         if not self._counts(root):
             return
         tally = self._tallies[kind.name]
@@ -367,8 +246,8 @@
 
 def overloaded(*, seconds: float) -> Run:
     """Return a run of brolga whose scarcest service is slow from its start."""
-    run = Run(BROLGA, seed=1, seconds=seconds)
-    run.slow_down(BROLGA.scarce, 8.0)
+    run = Run(deployments.BROLGA, seed=1, seconds=seconds)
+    run.slow_down(deployments.BROLGA.scarce, 8.0)
     return run
 
 
@@ -397,15 +276,24 @@
     run.world.at(TROUBLE_ENDS_MS, lambda: run.slow_down(scarce, 1.0))
 
 
-def _scarce(site: Site) -> Service:
+def _scarce(site: deployments.Site) -> deployments.Service:
     return next(s for s in site.services if s.name == site.scarce)
 
 
+def _turning_away(run: Run) -> None:
+    """Every upstream of the scarcest service turns away over half of its calls for a
+    while, though it has room."""
+    scarce = run.site.scarce
+    run.world.at(TROUBLE_AT_MS, lambda: run.turn_away(scarce, 0.55))
+    run.world.at(TROUBLE_ENDS_MS, lambda: run.turn_away(scarce, 0.0))
+
+
 SCENARIOS: dict[str, collections.abc.Callable[[Run], None]] = {
     "calm": _calm,
     "burst": _burst,
     "scarcer": _scarcer,
     "slow": _slow,
+    "turning-away": _turning_away,
 }
 
 
@@ -422,7 +310,7 @@
 def run_case(case: Case) -> Result:
     """Make one run; in a process of its own, since variants change it."""
     variants.VARIANTS[case.variant]()
-    run = Run(SITES[case.site], seed=case.seed)
+    run = Run(deployments.SITES[case.site], seed=case.seed)
     SCENARIOS[case.scenario](run)
     return run.play()
 
@@ -432,12 +320,15 @@
     shares = ", ".join(f"{k} {t.share:.3f}" for k, t in result.tallies.items())
     return (
         f"{case.site:<10} {case.scenario:<8} {case.variant:<14} {case.seed:>4}"
-        f"  worth {result.worth:.3f}, useful {result.useful:.3f}; {shares}"
+        f"  worth {result.worth:.3f}, again {result.again:.3f},"
+        f" useful {result.useful:.3f}, repeats {result.repeats:.3f}; {shares}"
     )
 
 
 @click.command()
-@click.option("--site", "sites", multiple=True, type=click.Choice(list(SITES)))
+@click.option(
+    "--site", "sites", multiple=True, type=click.Choice(list(deployments.SITES))
+)
 @click.option("--scenario", "chosen", multiple=True, type=click.Choice(list(SCENARIOS)))
 @click.option("--variant", "names", multiple=True, default=("gingerturn",))
 @click.option("--seed", "seeds", multiple=True, type=int, default=(1,))
@@ -452,7 +343,7 @@
     """Play scenarios and print a line for each."""
     cases = [
         Case(site, scenario, name, seed)
-        for site in sites or SITES
+        for site in sites or deployments.SITES
         for scenario in chosen or SCENARIOS
         for name in names
         for seed in seeds
--- a/tests/cover/test_site_model.py
+++ b/tests/cover/test_site_model.py
@@ -2,11 +2,13 @@
 
 import pytest
 
-from benchmarks import sites
+from benchmarks import deployments, sites
 
 
-@pytest.mark.parametrize("site", sites.SITES.values(), ids=list(sites.SITES))
-def test_a_calm_site_serves_everybody(site: sites.Site) -> None:
+@pytest.mark.parametrize(
+    "site", deployments.SITES.values(), ids=list(deployments.SITES)
+)
+def test_a_calm_site_serves_everybody(site: deployments.Site) -> None:
     result = sites.Run(site, seed=1, seconds=6.5).play()
     for tally in result.tallies.values():
         assert tally.asked > 0
--- a/tooling/gingerturn_fakes/backends.py
+++ b/tooling/gingerturn_fakes/backends.py
@@ -43,6 +43,9 @@
     if work.cancelled or node.works.get(work.hosted) is not work:
         return
     backend = node.backend
+    if backend.turned_away and made.random.random() < backend.turned_away:
+        _end_work(made, node, work, 503, held=False, executed=False)
+        return
     if backend.running >= backend.spec.slots:
         if backend.refuse_beyond:
             _end_work(made, node, work, 503, held=False)
@@ -82,7 +85,7 @@
         return
     work.waiting_child = 0
     if status != 200:
-        _end_work(made, node, work, 503)
+        _end_work(made, node, work, made.child_failed_status)
         return
     _next_step(made, node, work)
 
@@ -94,12 +97,16 @@
     status: int,
     *,
     held: bool = True,
+    executed: bool = True,
 ) -> None:
     work.done = True
     node.works.pop(work.hosted, None)
     node.statuses[work.hosted] = status
     event = events.BackendAnswered(
-        now=made.now, hosted=ids.HostedId(work.hosted), status=status
+        now=made.now,
+        hosted=ids.HostedId(work.hosted),
+        status=status,
+        executed=executed,
     )
     made.at(LOCAL_MS, lambda: made.apply_to(node, parts.moved(event, made.now)))
     if held:
--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -72,7 +72,14 @@
     world: "worlds.World", node: parts.FakeNode, effect: effects.SendAnswer
 ) -> None:
     """Carry an answer back to its entry node."""
-    _answer_back(world, node, effect.hosted, effect.tokens, effect.report)
+    _answer_back(
+        world,
+        node,
+        effect.hosted,
+        effect.tokens,
+        effect.report,
+        child_failed=effect.child_failed,
+    )
 
 
 def send_kept(
@@ -88,6 +95,8 @@
     hosted: int,
     tokens: int,
     report: messages.LoadReport,
+    *,
+    child_failed: bool = False,
 ) -> None:
     known = node.terms.pop(hosted, None)
     if known is None:
@@ -107,6 +116,7 @@
                 status=status,
                 tokens=tokens,
                 report=report,
+                child_failed=child_failed,
             ),
         )
 
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -59,10 +59,12 @@
     """A backend server with slots; what it is given beyond them waits inside.
 
     :param slow: factor on the time of work.
+    :param turned_away: share of the calls that it turns away though it has room.
     """
 
     spec: ServiceSpec
     slow: float = 1.0
+    turned_away: float = 0.0
     paused: bool = False
     up: bool = True
     refuse_beyond: bool = False
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -10,6 +10,7 @@
 from gingerturn import configuration, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    allowance,
     effects,
     events,
     messages,
@@ -29,6 +30,7 @@
     :param documents: the configuration in force from the start.
     :param caller_ms: one way between callers and nodes.
     :param table: callers are served by this route table; then the log keeps keys.
+    :param retry_bound: on the repeats of each service by all nodes together.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         zones: list[str],
         caller_ms: float = 8.0,
         table: routes.RouteTable | None = None,
+        retry_bound: allowance.Bound | None = None,
     ) -> None:
         self.now = START
         self.random = random.Random(seed)
@@ -47,6 +50,10 @@
         self.configuration = configuration.Configuration(documents)
         self.log = fake_log.FakeLog()
         self._routed = table is not None
+        # What a backend server answers whose own call failed. Those behind routes say
+        # that they failed, others pass on that they could not be served.
+        self.child_failed_status = 500 if self._routed else 503
+        self._retry_bound = retry_bound
         if table is not None:
             record = messages.encode_record(table)
             self.log.put(streams.ROUTES, "table", record)
@@ -111,6 +118,7 @@
             decisions=1024,
             routed=self._routed,
             keyed_log=self._routed,
+            retry_bound=self._retry_bound,
         )
         node.state = reducer.new_state(started)
         node.state.configuration = self.configuration
