Ration a short retry budget by rank; calls turned away with room go back

Repeats were spent in the order in which calls came, so on requests that failed at their next call (334 of 891 logged refusals found no budget), and a call that had met as many upstreams as its route allows gave up with budget left (91).

Change: calls that want a repeat are ordered by rank, which every hop of a request knows, and the budget goes to as many from the top as it carries (core.rationing). A call that an upstream turned away with slots free may go back to an upstream that it has met; that costs budget and no token. A decision line tells the cut.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -221,13 +221,19 @@
     return (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
 
 
+def has_room(state: states.State) -> bool:
+    """Tell whether a backend server that turns a call away does so with slots free."""
+    backend = state.backend
+    return backend.running < FULL_SHARE * backend.slots
+
+
 def note_backend_refusal(state: states.State) -> None:
     """Cut the limit: the backend server itself shed a call."""
     backend = state.backend
     backend.slow_start = False
     if state.now - backend.last_cut < LIMIT_CUT_EVERY_MS:
         return
-    if state.routed and backend.running < FULL_SHARE * backend.slots:
+    if state.routed and has_room(state):
         return
     backend.last_cut = state.now
     backend.limit = max(1.0, min(backend.limit, float(backend.running)) * LIMIT_CUT)
--- a/src/gingerturn/internal/core/allowance.py
+++ b/src/gingerturn/internal/core/allowance.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from gingerturn.internal.core import rationing
+
 MAX_BUDGET = 10.0
 """Cap of the budget: a burst of ten retries after a quiet time does no harm at
 the smallest declared upstream (20 slots), and more would arrive as one load."""
@@ -27,6 +29,9 @@
 """Part of the allowed ratio, of the first attempts of one window, that a node may save
 up for a burst. Together with what is earned it stays a quarter below the bound."""
 
+WINDOW_MS = 10_000.0
+"""Where no bound over all nodes is set, first attempts are counted over 10 s."""
+
 SLACK_USED = 0.4
 """Share of the declared slack that the caps of all nodes' budgets add up to. A node
 may spend its cap twice within one window, when the window's start empties a budget
@@ -41,7 +46,7 @@
 
     slack: float
     ratio: float = 0.2
-    window_ms: float = 10_000.0
+    window_ms: float = WINDOW_MS
 
 
 class Budget(msgspec.Struct):
@@ -50,20 +55,29 @@
     Invariant: ``held <= most`` after each first attempt. It is below zero while calls
     of repeated requests, which count as repeats too, have drawn more than there was.
 
-    :param recent: first attempts of about the last window.
+    :param recent: first attempts of about the last window, a rate.
+    :param share: what the last of them earned.
+    :param wants: the repeats that calls have wanted of late.
     :param counted: when ``recent`` was last brought up to date.
     """
 
     held: float = MAX_BUDGET
     recent: float = 0.0
     counted: float = 0.0
+    share: float = 0.0
+    wants: rationing.Wants = msgspec.field(default_factory=rationing.Wants)
 
 
-def count_first(budget: Budget, now: float, bound: Bound) -> None:
+def count_first(budget: Budget, now: float, window_ms: float) -> None:
     """Count a first attempt; earlier ones fade over the window."""
     elapsed = max(0.0, now - budget.counted)
     budget.counted = now
-    budget.recent = budget.recent * math.exp(-elapsed / bound.window_ms) + 1.0
+    budget.recent = budget.recent * math.exp(-elapsed / window_ms) + 1.0
+
+
+def supply(budget: Budget, duration: float, window_ms: float) -> float:
+    """Return the repeats that are held and will be earned in so many ms."""
+    return budget.held + budget.share * budget.recent * duration / window_ms
 
 
 def shared_cap(budget: Budget, bound: Bound, *, nodes: int) -> float:
@@ -79,6 +93,7 @@
 
 def earn(budget: Budget, share: float, *, most: float = MAX_BUDGET) -> None:
     """Add what one first attempt earns."""
+    budget.share = share
     budget.held = min(most, budget.held + share)
 
 
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -155,7 +155,8 @@
         if hopeless or not sending.retry(state, call, out):
             refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.arrived:
-        if not sending.retry(state, call, out, ran=False):
+        room = event.refusal.room
+        if not sending.retry(state, call, out, ran=False, room=room):
             refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif rule in _FINAL_RULES or not sending.redirect(state, call, out):
         refusals.refuse(state, call, rule, out, remote=event.refusal)
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -54,6 +54,7 @@
     BACKEND_REFUSED = 33
     NO_ROUTE = 34
     NO_CONFIGURATION = 35
+    RETRY_RATIONED = 36
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -86,6 +87,7 @@
     Rule.RETRIED: ("tokens left", "service budget left", "attempts so far", ""),
     Rule.RETRY_NO_ALLOWANCE: ("tokens left", "service budget", "attempts so far", ""),
     Rule.RETRY_NO_BUDGET: ("tokens left", "service budget left", "attempts so far", ""),
+    Rule.RETRY_RATIONED: ("service budget left", "least rank", "own rank", ""),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
     Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
@@ -111,6 +113,10 @@
         "Not sent again: the whole request has used up its retry allowance."
     ),
     Rule.RETRY_NO_BUDGET: "Not sent again: the service's retry budget is used up.",
+    Rule.RETRY_RATIONED: (
+        "Not sent again: the service's retry budget is short and goes to calls of"
+        " higher rank."
+    ),
     Rule.RETRY_NO_UPSTREAM: "Not sent again: no other upstream would take it.",
     Rule.OUTCOME_UNKNOWN: (
         "Answered as unknown: it was handed over and nothing is known of its end;"
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -196,6 +196,7 @@
     state: states.State, hosted: states.Hosted, status: int, out: states.Effects
 ) -> None:
     """Take in that the backend server said that it did not run a call."""
+    room = admission.has_room(state)
     _end_slot(state, hosted, out, pump=False)
     if hosted.terms.key:
         replies.fail_key(state, hosted, out, handed=False)
@@ -206,7 +207,8 @@
         return
     admission.note_backend_refusal(state)
     if not hosted.orphaned:
-        replies.refuse(state, hosted, decisions.Rule.BACKEND_REFUSED, out, arrived=True)
+        rule = decisions.Rule.BACKEND_REFUSED
+        replies.refuse(state, hosted, rule, out, arrived=True, room=room)
     fill(state, out)
 
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -76,6 +76,7 @@
     :param holder: node that holds the claim of the key, if another does.
     :param arrived: the backend server itself turned the call away. Nothing ran, but
         the call reached an upstream and counts as an attempt.
+    :param room: it did so with slots free.
     """
 
     rule: int
@@ -84,6 +85,7 @@
     decision: str
     holder: str = ""
     arrived: bool = False
+    room: bool = False
 
 
 class MemberState(enum.IntEnum):
--- /dev/null
+++ b/src/gingerturn/internal/core/rationing.py
@@ -0,0 +1,84 @@
+"""Which calls may draw on a retry budget that is short.
+
+A request that ends in many calls in a row needs a repeat for nearly each of them where
+upstreams turn away a good part of what comes. Spent in the order in which calls come,
+a short budget goes to requests that fail at the next call. So the calls that want a
+repeat are ordered by rank, which every hop of a request knows, and the budget goes to
+as many from the top as it can carry: a request that is carried at one call is carried
+at all of them.
+"""
+
+import math
+
+import msgspec
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import ranks
+
+HORIZON_MS = 500.0
+"""The budget of this span is divided: what is held now and what will be earned. With
+1,000 and 2,000 ms a part of it stayed unspent. Worth in the model, mean of three seeds,
+upstreams that turn away 15 % and 25 % of what comes, then 25 % from a later moment on:
+0.974, 0.809, 0.844 with 500 ms; 0.962, 0.782, 0.834 with 2,000 ms; 0.944, 0.784, 0.812
+with no rationing. At 50 % nothing moves it (0.641, 0.642, 0.636)."""
+
+LOOK_BACK_MS = 1_000.0
+"""What was wanted in this span tells what will be wanted."""
+
+MOST_KEPT = 512
+"""Wants looked back on, a bound on memory and on the work of sorting them."""
+
+RENEW_MS = 50.0
+"""The cut is worked out anew after this time: sorting for each want would cost more
+than the call."""
+
+
+class Wants(msgspec.Struct):
+    """The repeats of one service that calls of this node have wanted of late.
+
+    :param seen: (time, rank) of each, in the order of time.
+    :param cut: calls that rank below it get no repeat.
+    """
+
+    seen: list[tuple[ids.Milliseconds, ids.Rank]] = []
+    cut: ids.Rank = ranks.LOWEST
+    renewed: ids.Milliseconds = -math.inf
+
+
+def note(wants: Wants, rank: ids.Rank, now: ids.Milliseconds) -> None:
+    """Count a call that wants a repeat."""
+    wants.seen.append((now, rank))
+    if len(wants.seen) > 2 * MOST_KEPT:
+        del wants.seen[:-MOST_KEPT]
+
+
+def cut(wants: Wants, supply: float, now: ids.Milliseconds) -> ids.Rank:
+    """Return the rank from which calls may be repeated.
+
+    :param supply: repeats that the budget allows within :data:`HORIZON_MS`.
+    """
+    if now - wants.renewed < RENEW_MS:
+        return wants.cut
+    wants.renewed = now
+    recent = [(at, rank) for at, rank in wants.seen if now - at <= LOOK_BACK_MS]
+    wants.seen = recent
+    wants.cut = _cut(recent[-MOST_KEPT:], supply, now)
+    return wants.cut
+
+
+def _cut(
+    recent: list[tuple[ids.Milliseconds, ids.Rank]],
+    supply: float,
+    now: ids.Milliseconds,
+) -> ids.Rank:
+    span = LOOK_BACK_MS
+    if len(recent) == MOST_KEPT:
+        span = max(1.0, now - recent[0][0])
+    demand = len(recent) * HORIZON_MS / span
+    if demand <= supply:
+        return ranks.LOWEST
+    ordered = sorted(rank for _, rank in recent)
+    carried = int(len(ordered) * max(0.0, supply) / demand)
+    if carried == 0:
+        return ids.Rank(ordered[-1] + 1)
+    return ordered[-carried]
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -27,6 +27,7 @@
     ended: bool = True,
     figures: tuple[float, ...] | None = None,
     arrived: bool = False,
+    room: bool = False,
 ) -> None:
     """Refuse a call towards its entry node.
 
@@ -34,6 +35,7 @@
     :param ended: nothing of it is left here; one that the backend server still works
         on keeps its slot.
     :param arrived: the backend server turned the call away.
+    :param room: it did so with slots free.
     """
     backend = state.backend
     if figures is None:
@@ -58,6 +60,7 @@
                 decision=decision,
                 holder=holder,
                 arrived=arrived,
+                room=room,
             ),
             tokens=hosted.tokens,
             report=report,
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -9,6 +9,7 @@
     keys,
     messages,
     ranks,
+    rationing,
     refusals,
     routing,
     settling,
@@ -20,6 +21,10 @@
 without a token. Nothing ran, so this is no retry in the sense of the allowance;
 two are enough to pass a full and a leaving upstream."""
 
+MAX_TURNED_AWAY = 8
+"""Attempts of one call that upstreams turn away though they have room. Where they turn
+away 55 % of what comes, 8 attempts reach 99 % of it; the budget bounds the sum."""
+
 REFUSED_KEPT_MS = 10.0
 """A rank that no upstream took is not tried again for this long: under a flood that
 saves weighing every upstream for each call."""
@@ -108,44 +113,85 @@
 
 
 def retry(
-    state: states.State, call: states.Call, out: states.Effects, *, ran: bool = True
+    state: states.State,
+    call: states.Call,
+    out: states.Effects,
+    *,
+    ran: bool = True,
+    room: bool = False,
 ) -> bool:
     """Send a call again, for a token and out of the budget.
 
     :param ran: the last attempt may have run, so that only a repeatable call goes
         again.
+    :param room: the upstream turned it away though it had room; then it may take it
+        the next time.
     """
     budget = _budget(state, call.service)
     figures = (float(call.tokens), budget.held, float(call.attempts))
     allowed = may_repeat(call) if ran else call.replayable and not call.holder
     if not allowed or state.now >= call.deadline:
         return False
-    if call.tokens < 1:
+    back = room and call.attempts < MAX_TURNED_AWAY
+    if call.tokens < 1 and not back:
         refusals.decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
         return False
-    node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
+    node = _next_upstream(state, call, back=back)
     if node is None:
         refusals.decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
         return False
+    rationing.note(budget.wants, call.rank, state.now)
+    cut = _retry_cut(state, budget)
+    if call.rank < cut:
+        figures = (budget.held, float(cut), float(call.rank))
+        refusals.decide(state, call, decisions.Rule.RETRY_RATIONED, out, figures)
+        return False
     if not allowance.spend(budget):
         refusals.decide(state, call, decisions.Rule.RETRY_NO_BUDGET, out, figures)
         return False
-    call.tokens -= 1
+    if node not in call.tried:
+        call.tokens -= 1
     call.repeat = True
     refusals.decide(state, call, decisions.Rule.RETRIED, out, figures)
     _send(state, call, node, out)
     return True
 
 
+def _next_upstream(
+    state: states.State, call: states.Call, *, back: bool
+) -> ids.NodeId | None:
+    """Return where to send a call again: to another upstream for a token, or back to
+    one that turned it away though it had room."""
+    kind = call.rule.name
+    if call.tokens >= 1:
+        node = routing.choose(state, _others(state, call), kind, call.rank)
+        if node is not None or not back:
+            return node
+    nodes = [n for n in routing.candidates(state, call.service) if n in call.tried]
+    return routing.choose(state, nodes, kind, call.rank)
+
+
+def _retry_cut(state: states.State, budget: allowance.Budget) -> ids.Rank:
+    """Return the rank from which calls may draw on a budget."""
+    window_ms = _window_ms(state)
+    supply = allowance.supply(budget, rationing.HORIZON_MS, window_ms)
+    return rationing.cut(budget.wants, supply, state.now)
+
+
+def _window_ms(state: states.State) -> float:
+    bound = state.retry_bound
+    return allowance.WINDOW_MS if bound is None else bound.window_ms
+
+
 def earn(state: states.State, call: states.Call) -> None:
     """Let a first attempt earn its share of the service's retry budget."""
     budget = _budget(state, call.service)
     share = state.configuration.service(call.service).retry_share
     most = allowance.MAX_BUDGET
     bound = state.retry_bound
+    allowance.count_first(budget, state.now, _window_ms(state))
     if bound is not None:
         share = min(share, allowance.EARNED_SHARE * bound.ratio)
-        allowance.count_first(budget, state.now, bound)
         nodes = len(state.membership.members) - len(state.membership.gone)
         most = allowance.shared_cap(budget, bound, nodes=nodes)
     if call.repeat:
--- a/tests/common/routed.py
+++ b/tests/common/routed.py
@@ -127,6 +127,7 @@
     *,
     rule: int,
     arrived_there: bool = False,
+    room: bool = False,
     outcome: messages.Outcome = messages.Outcome.NOT_RUN,
     now: float = builders.START,
 ) -> events.AttemptRefused:
@@ -140,6 +141,7 @@
             retry_after_ms=500.0,
             decision="",
             arrived=arrived_there,
+            room=room,
         ),
         tokens=0,
         report=builders.report(),
--- /dev/null
+++ b/tests/cover/test_retry_rationing.py
@@ -0,0 +1,142 @@
+"""A retry budget that is short, and upstreams that turn calls away with slots free.
+
+The pattern: every upstream of a service that trees end at turns away a quarter of
+what comes. A request that ends in eight calls in a row needs some three repeats. The
+figures are those of the model's site with such trees, mean of three seeds: worth 0.784
+where the budget goes to calls in the order in which they come, 0.809 by rank.
+"""
+
+import random
+
+import pytest
+
+from benchmarks import deployments, sites
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    allowance,
+    decisions,
+    effects,
+    ranks,
+    rationing,
+    reducer,
+    state as states,
+)
+from tests.common import builders, routed
+
+REFUSED = decisions.Rule.BACKEND_REFUSED
+
+
+def _wanting(count: int, *, over_ms: float) -> rationing.Wants:
+    wants = rationing.Wants()
+    drawn = random.Random(1)
+    for number in range(count):
+        rank = ids.Rank(drawn.randrange(1000))
+        rationing.note(wants, rank, number * over_ms / count)
+    return wants
+
+
+def test_a_budget_that_carries_all_wants_cuts_nobody_off() -> None:
+    wants = _wanting(100, over_ms=1_000.0)
+    assert rationing.cut(wants, 200.0, 1_000.0) == ranks.LOWEST
+
+
+@pytest.mark.parametrize(("supply", "share"), [(25.0, 0.5), (5.0, 0.1), (0.0, 0.0)])
+def test_a_short_budget_goes_to_the_highest_ranks(supply: float, share: float) -> None:
+    # 100 wants a second are 50 within the half second that a budget is divided over.
+    wants = _wanting(100, over_ms=1_000.0)
+    cut = rationing.cut(wants, supply, 1_000.0)
+    carried = [rank for _, rank in wants.seen if rank >= cut]
+    assert len(carried) == pytest.approx(100 * share, abs=1)
+
+
+def test_wants_of_long_ago_tell_nothing() -> None:
+    wants = _wanting(100, over_ms=1_000.0)
+    assert rationing.cut(wants, 1.0, 60_000.0) == ranks.LOWEST
+
+
+def test_what_is_kept_of_wants_is_bounded() -> None:
+    wants = _wanting(10_000, over_ms=1_000.0)
+    assert len(wants.seen) <= 2 * rationing.MOST_KEPT
+    # The rate is told by what is kept all the same: a tenth of the wants is carried.
+    cut = rationing.cut(wants, 500.0, 1_000.0)
+    assert 850 < cut < 950
+
+
+def _turned_away(
+    state: states.State, attempt: ids.AttemptId, *, room: bool
+) -> list[effects.Effect]:
+    refusal = routed.refused(attempt, rule=REFUSED, arrived_there=True, room=room)
+    return reducer.reduce(state, refusal)
+
+
+def _entry(*upstreams: str) -> states.State:
+    state = routed.node_state(retry_bound=allowance.Bound(50.0))
+    builders.add_members(state, *(builders.member(name, "plans") for name in upstreams))
+    # Some hundred first attempts, so that there is a budget to draw on.
+    for call in range(1_000, 1_300):
+        sent = routed.sent_to(reducer.reduce(state, routed.arrived(call)))
+        reducer.reduce(state, builders.answered(sent.attempt, now=state.now))
+    return state
+
+
+def test_a_call_turned_away_with_room_goes_back_where_no_other_upstream_is_left() -> (
+    None
+):
+    state = _entry("n2")
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    second = routed.sent_to(_turned_away(state, first.attempt, room=True))
+    assert second.node == first.node
+
+
+def test_a_call_turned_away_by_a_full_upstream_does_not_go_back() -> None:
+    state = _entry("n2")
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    out = _turned_away(state, first.attempt, room=False)
+    assert not builders.all_of(out, effects.OpenAttempt)
+
+
+def test_a_call_that_goes_back_meets_no_more_upstreams_than_its_route_allows() -> None:
+    state = _entry("n2", "n3", "n4")
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    met = {sent.node}
+    attempts = 1
+    while True:
+        opened = builders.all_of(
+            _turned_away(state, sent.attempt, room=True), effects.OpenAttempt
+        )
+        if not opened:
+            break
+        sent = opened[0]
+        met.add(sent.node)
+        attempts += 1
+    assert len(met) == 2
+    assert attempts > 2
+
+
+def test_a_call_below_the_cut_is_not_repeated_and_the_log_says_why() -> None:
+    state = _entry("n2", "n3")
+    budget = state.budgets[ids.ServiceName("plans")]
+    for _ in range(2_000):
+        rationing.note(budget.wants, ids.Rank(ranks.HIGHEST), state.now)
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    out = _turned_away(state, first.attempt, room=True)
+    assert not builders.all_of(out, effects.OpenAttempt)
+    rules = [line.rule for line in builders.all_of(out, effects.LogDecision)]
+    assert decisions.Rule.RETRY_RATIONED in rules
+
+
+def _played(share: float, *, seconds: float = 8.0) -> sites.Result:
+    site = deployments.MAWID
+    run = sites.Run(site, seed=1, seconds=seconds)
+    run.world.at(3_000.0, lambda: run.turn_away(site.scarce, share))
+    return run.play()
+
+
+def test_whole_requests_complete_where_a_quarter_of_the_calls_is_turned_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    by_rank = _played(0.25)
+    monkeypatch.setattr(rationing, "cut", lambda wants, supply, now: ranks.LOWEST)
+    by_order = _played(0.25)
+    assert by_rank.worth > by_order.worth + 0.01
+    assert by_rank.repeats <= 0.2
