Refused callers come back by the outlook, not after a share of the target

Cause: Retry-After was drawn as a quarter to a half of the route's target, whatever the outlook. Worth counts from the first try, so that window buys nothing.

Change: core.come_back. Where the level of the service falls, its slope tells when it passes the caller's rank; where it does not, the caller is asked to come as late as an answer on target is still possible, by what such answers take at present. Those refused together are spread over a quarter of the wait. COME_BACK_SHARE goes.

Ruled out: a better place for those who come back. Under a lasting overload whoever is not served in the end is refused twice, in whatever order: with a share x served, 1 - x is refused again either way, and their answers come later.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -7,6 +7,7 @@
 from gingerturn.internal.core import (
     allowance,
     arrivals,
+    come_back,
     decisions,
     effects,
     events,
@@ -122,6 +123,8 @@
         upstream=attempt.node,
         status=event.status,
     )
+    if call.parent is None and not failed:
+        come_back.note_answer(state, call.rule.name, state.now - call.arrived)
     out.append(effects.RelayAnswer(call=call.id, attempt=attempt.id, decision=decision))
     refusals.finish(state, call, failed=event.status >= FIRST_FAILURE_STATUS)
 
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -1,7 +1,7 @@
 """How a call ends without an answer: what its caller is told, and what is kept."""
 
-from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    come_back,
     decisions,
     effects,
     messages,
@@ -9,12 +9,6 @@
     state as states,
 )
 
-COME_BACK_SHARE = 0.25
-"""A refused caller comes back after a quarter to a half of the route's target."""
-
-COME_BACK_LEAST_MS = 100.0
-"""A caller is not sent back sooner than answers with new levels come."""
-
 _SHED_RULES = frozenset(
     {
         decisions.Rule.LEVEL,
@@ -93,17 +87,6 @@
     return decision
 
 
-def _in_time_again(state: states.State, call: states.Call) -> ids.Milliseconds:
-    """Return when to come back so that an answer may still have its full worth.
-
-    Whoever comes back is ranked anew and has the same chance then as later; a quarter
-    to a half of the target leaves time for the work. Where nothing is to be had at all
-    the caller is sent away for longer.
-    """
-    share = COME_BACK_SHARE * (1.0 + state.random.random())
-    return max(COME_BACK_LEAST_MS, share * call.rule.target_ms)
-
-
 def refuse(
     state: states.State,
     call: states.Call,
@@ -135,7 +118,7 @@
         rule is decisions.Rule.NO_UPSTREAM and settling.is_settling(state)
     )
     if soon and call.rule.target_ms:
-        wait = _in_time_again(state, call)
+        wait = come_back.after(state, call)
     if not wait and rule not in _NO_USE_COMING_BACK:
         wait = _COME_BACK_MS * (1.0 + state.random.random())
     out.append(
--- /dev/null
+++ b/tests/cover/test_come_back.py
@@ -0,0 +1,100 @@
+"""When refused callers are told to come back.
+
+The pattern: a service sheds part of what comes, for a moment or for long, and callers
+who are refused twice got nothing for their wait. Nothing here is a share of the target:
+what is told follows from how the level moves and from what answers take.
+"""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    come_back,
+    effects,
+    ranks,
+    reducer,
+    state as states,
+)
+from tests.common import builders, routed
+
+TARGET_MS = 500.0
+FULL = ranks.HIGHEST
+
+
+def _entry(*, level: int) -> states.State:
+    """Return an entry node whose one upstream sheds what ranks below a level."""
+    state = routed.node_state(routed.route(max_attempts=1))
+    builders.add_members(state, builders.member("n2", "plans"))
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    reducer.reduce(state, builders.answered(sent.attempt, level=level, now=state.now))
+    return state
+
+
+def _tell(state: states.State, level: int, *, after_ms: float) -> None:
+    state.now += after_ms
+    upstream = state.upstreams[ids.NodeId("n2")]
+    upstream.own.level = ids.Rank(level)
+    upstream.own.heard = state.now
+
+
+def _refused(state: states.State, call: int) -> float:
+    out = reducer.reduce(state, routed.arrived(call, now=state.now))
+    return builders.only(out, effects.RefuseCall).retry_after_ms
+
+
+def test_under_a_lasting_overload_they_come_while_an_answer_is_on_target() -> None:
+    state = _entry(level=FULL)
+    state.answer_ms["lookup"] = 100.0
+    for call in range(10, 60):
+        wait = _refused(state, call)
+        usual = come_back.USUAL_MARGIN * 100.0
+        assert TARGET_MS / 2 < wait <= TARGET_MS - usual
+
+
+def test_the_longer_answers_take_the_sooner_they_come() -> None:
+    waits = []
+    for usual in (20.0, 200.0):
+        state = _entry(level=FULL)
+        state.answer_ms["lookup"] = usual
+        waits.append(sum(_refused(state, call) for call in range(10, 40)) / 30)
+    assert waits[0] > waits[1] + 100.0
+
+
+def test_where_the_level_falls_they_come_when_it_has_passed_their_rank() -> None:
+    state = _entry(level=FULL)
+    state.answer_ms["lookup"] = 10.0
+    _refused(state, 10)
+    # It falls by 4,000 a millisecond; a call of half that span below has half a
+    # second less to wait.
+    _tell(state, FULL - 4_000 * 300, after_ms=300.0)
+    level = FULL - 4_000 * 300
+    for call in range(11, 30):
+        out = reducer.reduce(state, routed.arrived(call, now=state.now))
+        refusals = builders.all_of(out, effects.RefuseCall)
+        if not refusals:
+            continue
+        rank = next(line for line in builders.all_of(out, effects.LogDecision)).figures
+        room_ms = max(come_back.LEAST_MS, (level - rank[2]) / 4_000)
+        assert refusals[0].retry_after_ms <= room_ms * (1 + come_back.SPREAD) + 1
+
+
+def test_nobody_is_sent_back_before_news_of_levels_can_have_come() -> None:
+    state = _entry(level=FULL)
+    state.answer_ms["lookup"] = 1_000.0
+    for call in range(10, 40):
+        assert _refused(state, call) >= come_back.LEAST_MS
+
+
+def test_callers_refused_at_one_moment_do_not_come_back_at_one() -> None:
+    state = _entry(level=FULL)
+    waits = [_refused(state, call) for call in range(10, 60)]
+    assert max(waits) - min(waits) > 0.1 * min(waits)
+    assert len(set(waits)) > 40
+
+
+def test_the_time_of_answers_follows_what_callers_got() -> None:
+    state = _entry(level=0)
+    for call in range(10, 200):
+        sent = routed.sent_to(reducer.reduce(state, routed.arrived(call)))
+        later = state.now + 80.0
+        reducer.reduce(state, builders.answered(sent.attempt, now=later))
+        state.now = later - 80.0
+    assert 60.0 < state.answer_ms["lookup"] <= 80.0
