A call that gets no repeat stays at a node that falls silent

Cause: by reading. A call at a silent node was cancelled there and then sent again; since the budget is rationed the second step could be refused after the first, and the caller heard nothing until its deadline. The same check stands before both now.

test_a_call_without_a_repeat_is_left_at_a_node_that_falls_silent failed first.

--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -77,7 +77,8 @@
     """Tell whether a call that may have run can be sent to another upstream now."""
     if not may_repeat(call):
         return False
-    if call.tokens < 1 or _budget(state, call.service).held < 1.0:
+    budget = _budget(state, call.service)
+    if call.tokens < 1 or budget.held < 1.0 or call.rank < _retry_cut(state, budget):
         return False
     node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
     return node is not None and state.now < call.deadline
--- a/tests/cover/test_retry_rationing.py
+++ b/tests/cover/test_retry_rationing.py
@@ -14,6 +14,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     allowance,
+    calls,
     decisions,
     effects,
     ranks,
@@ -125,6 +126,20 @@
     assert decisions.Rule.RETRY_RATIONED in rules
 
 
+def test_a_call_without_a_repeat_is_left_at_a_node_that_falls_silent() -> None:
+    # It was cancelled first and then found no budget, and nobody answered its caller.
+    state = _entry("n2", "n3")
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    budget = state.budgets[ids.ServiceName("plans")]
+    assert budget.held >= 1.0
+    for _ in range(2_000):
+        rationing.note(budget.wants, ids.Rank(ranks.HIGHEST), state.now)
+    out: list[effects.Effect] = []
+    calls.on_node_silent(state, sent.node, out)
+    assert not builders.all_of(out, effects.CancelAttempt)
+    assert state.calls[ids.CallId(1)].attempt == sent.attempt
+
+
 def _played(share: float, *, seconds: float = 8.0) -> sites.Result:
     site = deployments.MAWID
     run = sites.Run(site, seed=1, seconds=seconds)
