After a restart new requests wait 0.3 s for an upstream, not a share of the target

Cause: the wait was a quarter of the route's target. What it waits for, that nodes hear of one another's upstreams, takes as long whatever the target is.

So 0.3 s, and a refusal with the time to come back then.

--- a/src/gingerturn/internal/core/settling.py
+++ b/src/gingerturn/internal/core/settling.py
@@ -16,9 +16,10 @@
 """Most of that time is over by the next heartbeat, and little is left of most deadlines
 after more."""
 
-ROOT_HELD_SHARE = 0.25
-"""Of the route's target: a request refused that early can still have its full worth
-when it comes back."""
+ROOT_HELD_MS = 300.0
+"""A whole request, for which nothing has been done yet, waits as long as nodes that
+were all restarted take to know one another: 0.2 to 0.3 s from the first that
+is ready, measured in their logs. It is refused then, with the time to come back."""
 
 
 def is_settling(state: states.State) -> bool:
@@ -34,7 +35,7 @@
     if not is_settling(state):
         return False
     deep = call.depth > 0
-    most = DEEP_HELD_MS if deep else ROOT_HELD_SHARE * call.rule.target_ms
+    most = DEEP_HELD_MS if deep else ROOT_HELD_MS
     until = call.arrived + most
     if until <= state.now:
         return False
