Forget what is known of a kind with its route

Cause: by reading. Costs, times and sizes by kind were kept for good, so each change of routes left some behind, and the order of a request looks through all of them. test_what_is_known_of_a_kind_goes_with_its_route failed first.

--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -1,5 +1,7 @@
 """The route table in force: whole, by version, never back."""
 
+import typing
+
 from gingerturn import configuration, errors, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -7,6 +9,7 @@
     effects,
     events,
     outbox,
+    slot_costs,
     state as states,
 )
 
@@ -35,8 +38,15 @@
         return False
     state.routes = routes.RouteIndex(table)
     names = {route.name for route in table.routes}
-    for name in [name for name in state.turns if name not in names]:
-        del state.turns[name]
+    by_kind: tuple[dict[str, typing.Any], ...] = (
+        state.turns,
+        state.traffic,
+        state.answer_ms,
+        *slot_costs.by_kind(state.costs),
+    )
+    for known in by_kind:
+        for name in [name for name in known if name not in names]:
+            del known[name]
     text = f"Version {table.version} is in force, {len(table.routes)} routes."
     outbox.info(out, _PART, text)
     return True
--- a/src/gingerturn/internal/core/slot_costs.py
+++ b/src/gingerturn/internal/core/slot_costs.py
@@ -12,6 +12,8 @@
 that it makes take together.
 """
 
+import typing
+
 from gingerturn.internal import ids
 from gingerturn.internal.core import messages, routing, state as states
 
@@ -32,6 +34,11 @@
 _HASH_RANGE = float(1 << 64)
 
 
+def by_kind(costs: states.Costs) -> tuple[dict[str, typing.Any], ...]:
+    """Return what is kept by kind, so that kinds that are gone can be forgotten."""
+    return costs.told, costs.own, costs.fanouts, costs.roots
+
+
 def note_run(costs: states.Costs, kind: str) -> None:
     """Count a run of a kind at the backend server here."""
     fanout = costs.fanouts.setdefault(kind, states.Fanout())
--- a/tests/cover/test_order_by_cost.py
+++ b/tests/cover/test_order_by_cost.py
@@ -16,6 +16,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     arrivals,
+    events,
     reducer,
     slot_costs,
     state as states,
@@ -103,6 +104,19 @@
     assert count / fanout.runs == pytest.approx(3.0, rel=0.05)
 
 
+def test_what_is_known_of_a_kind_goes_with_its_route() -> None:
+    state = routed.node_state(routed.route("top"), service="plans")
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    told = builders.report(scarce="tracker", slot_ms=30.0)
+    reducer.reduce(state, builders.answered(sent.attempt, told=told, now=state.now))
+    assert "top" in state.costs.told
+    assert "top" in state.answer_ms
+    table = routed.table(routed.route("other"), version=2)
+    reducer.reduce(state, events.RoutesReceived(now=state.now, table=table))
+    kept = (state.traffic, state.answer_ms, *slot_costs.by_kind(state.costs))
+    assert not any(kept)
+
+
 def test_the_spared_eighth_of_a_dear_kind_still_goes_with_the_first_priority() -> None:
     state = routed.node_state(routed.route(DEAR, priority=5))
     builders.add_members(state, builders.member("n2", "plans"))
