Variants that take the new decisions out, and those that had none

For the ablation on the model: zone preference, error penalty, ejection, knee, spared share and asking for levels had no variant yet.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -12,12 +12,17 @@
 from gingerturn.internal.core import (
     admission,
     allowance,
+    arrivals,
     calls,
+    come_back,
     effects,
     hosting,
+    knee,
     ranks,
+    rationing,
     routing,
     sending,
+    slot_costs,
 )
 
 _PER_HOP_ATTEMPTS = 4
@@ -165,6 +170,61 @@
     _no_cancellation()
 
 
+def no_rationing() -> None:
+    """A short retry budget goes to calls in the order in which they come."""
+    _set(rationing, "cut", lambda wants, supply, now: ranks.LOWEST)
+
+
+def no_going_back() -> None:
+    """A call is not sent back to an upstream that turned it away with slots free."""
+    _set(sending, "MAX_TURNED_AWAY", 0)
+
+
+def no_cost_order() -> None:
+    """Inside a priority the order is by hash alone, whatever a kind costs."""
+    _set(slot_costs, "ordered", lambda costs, kind, importance, root: root)
+
+
+def no_come_back_time() -> None:
+    """Refused callers come back after one second, whatever the outlook."""
+    _set(come_back, "after", lambda state, call: come_back.UNKNOWN_MS)
+
+
+def no_slow_penalty() -> None:
+    """Upstreams are chosen whatever time their answers take."""
+    _set(routing, "SLOW_PENALTY", 0.0)
+
+
+def no_zone_preference() -> None:
+    """Upstreams of other zones are as good as those of the own."""
+    _set(routing, "ZONE_PENALTY", 0.0)
+
+
+def no_error_penalty() -> None:
+    """Upstreams that fail calls are chosen as before."""
+    _set(routing, "ERROR_PENALTY", 0.0)
+
+
+def no_ejection() -> None:
+    """Upstreams that lost calls are not passed over."""
+    _set(routing, "eject", lambda state, upstream, duration: None)
+
+
+def no_knee() -> None:
+    """All slots are used, whatever a full backend server takes."""
+    _set(knee, "usable_slots", lambda state: state.backend.slots)
+
+
+def no_spared_share() -> None:
+    """No part of a kind goes with the first priority."""
+    _set(arrivals, "SPARED_FROM", 1 << 64)
+
+
+def no_asking() -> None:
+    """Levels that are old are not asked for anew."""
+    _set(routing, "ask_levels", lambda state, service, kind, out: None)
+
+
 VARIANTS: dict[str, collections.abc.Callable[[], None]] = {
     "gingerturn": nothing,
     "pass-through": pass_through,
@@ -183,6 +243,17 @@
     "no-deadline-check": no_deadline_check,
     "no-load-choice": no_load_choice,
     "no-cancellation": no_cancellation,
+    "no-rationing": no_rationing,
+    "no-going-back": no_going_back,
+    "no-cost-order": no_cost_order,
+    "no-come-back-time": no_come_back_time,
+    "no-slow-penalty": no_slow_penalty,
+    "no-zone-preference": no_zone_preference,
+    "no-error-penalty": no_error_penalty,
+    "no-ejection": no_ejection,
+    "no-knee": no_knee,
+    "no-spared-share": no_spared_share,
+    "no-asking": no_asking,
 }
 BASELINES = ("pass-through", "per-hop-retries", "static-limits")
 
