--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -1,4 +1,4 @@
-"""The two users' sites on the fake clock: routes, trees, callers that come back.
+"""The users' sites on the fake clock: routes, trees, callers that come back.
 
 ``python -m benchmarks.sites`` plays every scenario in seconds and prints, for each kind
 of request, which share was served, and how much of what reached the scarcest service
