--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -224,4 +224,68 @@
     retry_slack=50.0,
 )
 
-SITES = {site.name: site for site in (BROLGA, COOPCARGA, MAWID)}
+LARGE_NODES = 194
+LARGE_UPSTREAMS = {"plans": 95, "porting": 69, "profiles": 20, "provisioning": 10}
+LARGE_SLOTS = {"plans": 15, "porting": 15, "profiles": 34, "provisioning": 18}
+
+
+def large(nodes: int = LARGE_NODES) -> Site:
+    """Return Brolga Connect on many nodes, under its load of a quiet day.
+
+    :param nodes: the load, the services' shares of the nodes and the slots of each
+        service as a whole stay the same, and upstreams are alike: with more nodes an
+        entry sends less, and hears each of more upstreams less often.
+    """
+    ratio = nodes / LARGE_NODES
+    services = []
+    for name, count in LARGE_UPSTREAMS.items():
+        upstreams = max(1, round(count * ratio))
+        slots = max(1, round(LARGE_SLOTS[name] * count / upstreams))
+        services.append(Service(name, slots, (1.0,) * upstreams))
+    return Site(
+        name="large" if nodes == LARGE_NODES else f"large-{nodes}",
+        zones=("bne-a", "bne-b", "tsv", "cns", "mky"),
+        caller_ms=3.0,
+        services=tuple(services),
+        kinds=_LARGE_KINDS,
+        scarce="provisioning",
+        retry_slack=213.0,
+    )
+
+
+_LARGE_KINDS = (
+    Kind("plan-lookup", "plans", 220.0, ("account-state",), 278.0, 1_500, worth=1.0),
+    Kind(
+        "number-port",
+        "porting",
+        280.0,
+        ("imsi-range", "imsi-range"),
+        117.0,
+        2_000,
+        worth=3.0,
+        late_worth=0.6,
+        priority=0,
+        safe=False,
+    ),
+    Kind("esim-profile", "profiles", 173.0, (), 42.0, 1_200, worth=1.0),
+    Kind(
+        "sim-provision",
+        "provisioning",
+        175.0,
+        (),
+        31.7,
+        600,
+        2_500,
+        worth=1.0,
+        safe=False,
+    ),
+    Kind("account-state", "porting", 15.0, ("imsi-range",), timeout_ms=2_500),
+    Kind("imsi-range", "profiles", 15.0, ("stock-check",) * 4, timeout_ms=2_000),
+    Kind("stock-check", "provisioning", 56.0, timeout_ms=700),
+)
+
+LARGE = large()
+
+SITES = {
+    site.name: site for site in (BROLGA, COOPCARGA, MAWID, large(10), LARGE, large(400))
+}
