A new start under the same id, and the words of other writers

Here a restarted upstream was late until its sequence caught up; what was measured of the start before held; a report of an unknown service put the upstream out; an item whose base64 was cut, or a page cut short, ended the read with an error that nothing handled (tried on: struct.error, binascii.Error).

Heartbeats and leavings carry the start (core.instances orders starts of one id by it; without it all is as before). Calls of the start before end unclear and free their slots; times, level, knee, errors, ejection and load are forgotten, by the members too, who hear of it in the member's gossip. Entries are read one by one; what cannot be read names nothing, with a bounded line of key and reason. Reports of a state or a service that the configuration does not name are refused. Join records are checked for an IP number, a port and numbers that fit. Versions too. The calls on a log service over HTTP stood twice: now shell.http_calls.

Found on the way, by reading: a home that refused a running call at its deadline dropped the exchange before the effect that closes its connection, so the backend server worked on. Refused exchanges that the core has forgotten are closed; a stream that is abandoned says that it is broken.

Ruled out: ordering starts of different ids by their times (the clocks may be set back; today's rule stands); believing an earlier start once the later one is silent.

Changed: the test of a bad configuration calls the function that took over from the private method.

--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -49,3 +49,9 @@
 def check_port(field: str, value: int) -> int:
     """Check a TCP or UDP port."""
     return int(check_range(field, value, 1, MAX_PORT))
+
+
+def port_of(address: str) -> int:
+    """Return the port of ``IP:PORT``; 0 for what is no address."""
+    port = address.rpartition(":")[2]
+    return int(port) if port.isascii() and port.isdigit() else 0
--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -104,6 +104,14 @@
     backend.limit = min(backend.limit, float(slots))
 
 
+def forget(state: states.State) -> None:
+    """Forget what was measured of the backend server before a new start of it."""
+    backend = state.backend
+    backend.level = ranks.LOWEST
+    backend.windows = [states.Window()]
+    backend.last_cut = 0.0
+
+
 def queue_bound(state: states.State, kind: str) -> int:
     """Return how many calls may wait, from the observed service time."""
     backend = state.backend
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -187,6 +187,7 @@
 
     :param instance: id of this start of the backend server, if it tells one.
     :param sequence: grows with each announcement of one instance.
+    :param started_ms: Unix time of this start; 0 when it tells none.
     """
 
     service: ids.ServiceName
@@ -199,15 +200,18 @@
     ttl_ms: float = 10_000
     instance: str = ""
     sequence: int = 0
+    started_ms: int = 0
 
 
 class BackendWithdrawn(Event, frozen=True):
     """The backend server is leaving: it drains and takes no new work.
 
-    :param instance: which start of it leaves; empty for whatever runs there.
+    :param instance: which one leaves; empty for whatever runs there.
+    :param started_ms: Unix time of the start that leaves; 0 when it tells none.
     """
 
     instance: str = ""
+    started_ms: int = 0
 
 
 class LogRead(Event, frozen=True):
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -219,10 +219,30 @@
         text = f"{backend.service} {backend.instance} no longer has its address."
         outbox.warn(out, "backend", text)
     backend.present = False
-    instances.note_left(backend, backend.instance)
+    instances.note_left(state, backend.instance)
     replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
 
 
+def end_running(state: states.State, out: states.Effects) -> None:
+    """End the calls that the backend server had when it started anew.
+
+    It knows nothing of them. They may have run, so that none is said not to have, and
+    the entry node sends only repeatable ones again.
+    """
+    rule = decisions.Rule.OUTCOME_UNKNOWN
+    for hosted in list(state.hosted.values()):
+        if hosted.state is states.HostedState.STREAMING:
+            out.append(effects.CancelBackend(hosted=hosted.id))
+            _end_slot(state, hosted, out, pump=False)
+        elif hosted.state is states.HostedState.RUNNING:
+            if hosted.terms.key:
+                replies.fail_key(state, hosted, out, handed=True)
+            if not hosted.orphaned:
+                replies.refuse(state, hosted, rule, out, handed=True, ended=False)
+            out.append(effects.CancelBackend(hosted=hosted.id))
+            _end_slot(state, hosted, out, pump=False)
+
+
 def shed_overdue(state: states.State, out: states.Effects) -> None:
     """Refuse queued calls that waited for too long."""
     for hosted_id in admission.overdue(state):
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -1,12 +1,16 @@
 """Which start of the backend server is meant, and whose word is late.
 
-Invariant: an instance that left is never believed again. One that was only replaced may
+A backend server may start again under the id that it had. The time of its start tells
+the starts of one id apart, and that alone: its sequence begins anew.
+
+Invariant: a start that left is never believed again, and neither is an earlier start of
+an instance than the latest that was heard of. An instance that was only replaced may
 be: its successor may have been a late word of an older one.
 """
 
 import typing
 
-from gingerturn.internal.core import state as states
+from gingerturn.internal.core import admission, state as states
 
 _T = typing.TypeVar("_T")
 
@@ -15,28 +19,67 @@
 another on an instance within any delay."""
 
 
-def is_late(state: states.State, instance: str, sequence: int) -> bool:
+def is_late(
+    state: states.State, instance: str, sequence: int, started_ms: int = 0
+) -> bool:
     """Tell whether an announcement was overtaken by a later one, by the instance's
-    own leaving, or by its successor."""
+    own leaving, by a later start of it, or by its successor.
+
+    :param started_ms: when it had started; 0 where it tells none.
+    """
     backend = state.backend
     if not instance:
         return False
     if instance in backend.left:
-        return True
+        return not started_ms or started_ms <= backend.left[instance]
     if instance == backend.instance:
+        if _tells_apart(started_ms, backend.started_ms):
+            return started_ms < backend.started_ms
         return 0 < sequence <= backend.sequence
     if instance not in backend.replaced:
         return False
+    before = backend.replaced[instance]
+    if _tells_apart(started_ms, before.started_ms):
+        return started_ms < before.started_ms
     # Which of two is alive no announcement tells for certain: after a restart of this
     # node a late word of an instance long gone looks like a new start. The later one
     # is believed until a call finds another at its address, or it falls silent.
-    return backend.present or sequence <= backend.replaced[instance]
+    return backend.present or sequence <= before.sequence
+
+
+def _tells_apart(started_ms: int, other_ms: int) -> bool:
+    return bool(started_ms and other_ms) and started_ms != other_ms
+
+
+def is_new_start(backend: states.Backend, instance: str, started_ms: int) -> bool:
+    """Tell whether an announcement that is not late is of another start than the
+    present one."""
+    if not instance:
+        return False
+    if instance != backend.instance or instance in backend.left:
+        return True
+    return _tells_apart(started_ms, backend.started_ms)
+
+
+def is_of_earlier_start(
+    backend: states.Backend, instance: str, started_ms: int
+) -> bool:
+    """Tell whether the word of an instance is one of a start before its present one."""
+    return instance == backend.instance and 0 < started_ms < backend.started_ms
 
 
-def note_left(backend: states.Backend, instance: str) -> None:
-    """Take in that an instance takes no more work; it is never heard again."""
-    if instance:
-        _remember(backend.left, instance, True)
+def note_left(state: states.State, instance: str, started_ms: int = 0) -> None:
+    """Take in that an instance takes no more work; that start is never heard again.
+
+    :param started_ms: when it had started; 0 where it tells none.
+    """
+    backend = state.backend
+    if not instance:
+        return
+    if not started_ms and instance == backend.instance:
+        started_ms = backend.started_ms
+    # Of an instance that told no start only what starts from now on is another.
+    _remember(backend.left, instance, started_ms or int(state.now))
 
 
 def _remember(table: dict[str, _T], instance: str, what: _T) -> None:
@@ -45,14 +88,19 @@
         del table[next(iter(table))]
 
 
-def begin(backend: states.Backend, instance: str) -> None:
+def begin(state: states.State, instance: str) -> None:
     """Start afresh for a new start of the backend server: nothing measured of the
     one before holds for it."""
-    if backend.instance:
-        _remember(backend.replaced, backend.instance, backend.sequence)
+    backend = state.backend
+    if backend.instance and backend.instance != instance:
+        heard = states.Heard(backend.started_ms, backend.sequence)
+        _remember(backend.replaced, backend.instance, heard)
+    backend.left.pop(instance, None)
     backend.instance = instance
     backend.sequence = 0
+    backend.started_ms = 0
     backend.present = False
     backend.times.clear()
     backend.knee = states.Knee()
     backend.unreachable_until = 0.0
+    admission.forget(state)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -51,6 +51,7 @@
     *,
     service: ids.ServiceName | None = None,
     slots: int | None = None,
+    backend_started_ms: int | None = None,
     member_state: messages.MemberState | None = None,
     urgent: bool = True,
 ) -> None:
@@ -66,6 +67,9 @@
         version=me.version + 1,
         service=me.service if service is None else service,
         slots=me.slots if slots is None else slots,
+        backend_started_ms=me.backend_started_ms
+        if backend_started_ms is None
+        else backend_started_ms,
         state=me.state if member_state is None else member_state,
     )
     state.membership.me = changed
@@ -196,13 +200,31 @@
         return False
     if known is None and heard.state is messages.MemberState.GONE:
         return False
-    if known is not None and heard.incarnation > known.incarnation:
-        # A restarted instance: nothing that the old one told counts any more.
-        state.upstreams.pop(heard.node, None)
+    if known is not None and _started_anew(known, heard):
+        # Nothing that the old one told counts any more.
+        _forget_upstream(state, heard.node)
     member_table.put(state, heard, out, source=sender)
     return True
 
 
+def _started_anew(known: messages.Member, heard: messages.Member) -> bool:
+    """Tell whether a member, or the backend server beside it, is another start."""
+    if heard.incarnation > known.incarnation:
+        return True
+    before, now = known.backend_started_ms, heard.backend_started_ms
+    return bool(before and now) and before != now
+
+
+def _forget_upstream(state: states.State, node: ids.NodeId) -> None:
+    known = state.upstreams.pop(node, None)
+    if known is None:
+        return
+    # Attempts that are under way there still end.
+    state.upstreams[node] = states.Upstream(
+        node=node, own=states.UNHEARD, outstanding=known.outstanding
+    )
+
+
 def _hear_of_self(
     state: states.State,
     me: messages.Member,
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -1,17 +1,23 @@
 """Typed messages that events and effects carry between nodes and to the log."""
 
 import enum
+import ipaddress
+import typing
 
 import msgspec
 
 from gingerturn import routes
-from gingerturn.internal import ids
+from gingerturn.internal import checks, ids
 
 MISDIRECTED = 421
 """Status of a backend server that is not the one meant; it has run nothing
 (RFC 9110, 15.5.20)."""
 
 
+MAX_INCARNATION = (1 << 63) - 1
+"""Incarnations travel as numbers of 64 bits."""
+
+
 class Outcome(enum.Enum):
     """What a caller is told when it gets no answer of the backend server."""
 
@@ -109,6 +115,8 @@
     """One node as the others know it.
 
     :param version: raised by the member itself with each change that it tells.
+    :param backend_started_ms: when its backend server started; 0 where that is not
+        known.
     """
 
     node: ids.NodeId
@@ -121,6 +129,7 @@
     zone: str
     service: ids.ServiceName = ids.ServiceName("")
     slots: int = 0
+    backend_started_ms: int = 0
 
 
 class GossipKind(enum.Enum):
@@ -153,15 +162,23 @@
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
-    """A node tells on the log where it can be found."""
+    """A node tells on the log where it can be found.
 
-    node: str
-    incarnation: int
+    Others may write to the log; a record that names no place is none.
+
+    :raises ValueError: for a host that is no IP number.
+    """
+
+    node: typing.Annotated[str, msgspec.Meta(min_length=1)]
+    incarnation: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
     host: str
-    gossip_port: int
+    gossip_port: typing.Annotated[int, msgspec.Meta(ge=1, le=checks.MAX_PORT)]
     zone: str
     at: float
 
+    def __post_init__(self) -> None:
+        ipaddress.ip_address(self.host)
+
 
 class LeaveRecord(msgspec.Struct, frozen=True, tag="leave"):
     """A node left by a planned stop."""
--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -20,8 +20,13 @@
     backend = state.backend
     declared = state.configuration.service(event.service).slots
     slots = event.slots if declared is None else min(declared, event.slots)
-    if event.instance and event.instance != backend.instance:
-        instances.begin(backend, event.instance)
+    if instances.is_new_start(backend, event.instance, event.started_ms):
+        if event.instance == backend.instance:
+            text = f"{event.service} {event.instance} started anew."
+            outbox.info(out, "backend", text)
+            hosting.end_running(state, out)
+        instances.begin(state, event.instance)
+    backend.started_ms = event.started_ms or backend.started_ms
     backend.sequence = max(backend.sequence, event.sequence)
     if backend.present and backend.service != event.service:
         outbox.warn(out, "backend", f"Service changed to {event.service}.")
@@ -46,10 +51,11 @@
     :return: whether it was the present one, which did not leave before.
     """
     backend = state.backend
+    if instances.is_of_earlier_start(backend, event.instance, event.started_ms):
+        return False
+    instances.note_left(state, event.instance, event.started_ms)
     if event.instance and event.instance != backend.instance:
-        instances.note_left(backend, event.instance)
         return False
-    instances.note_left(backend, event.instance)
     if not backend.present or backend.leaving:
         return False
     backend.leaving = True
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -296,17 +296,19 @@
     state: states.State, event: events.BackendAnnounced, out: states.Effects
 ) -> None:
     backend = state.backend
-    if instances.is_late(state, event.instance, event.sequence):
+    told = (event.instance, event.sequence, event.started_ms)
+    if instances.is_late(state, *told):
         return
-    before = (backend.service, backend.slots, backend.present, backend.leaving)
+    before = _offered(backend)
     presence.on_announced(state, event, out)
-    after = (backend.service, backend.slots, backend.present, backend.leaving)
+    after = _offered(backend)
     if after != before and not state.stopping:
         membership.change_self(
             state,
             out,
             service=backend.service,
             slots=backend.slots,
+            backend_started_ms=backend.started_ms,
             member_state=messages.MemberState.ALIVE,
         )
     if state.waiting:
@@ -314,6 +316,17 @@
     _follow_claims(state, out)
 
 
+def _offered(backend: states.Backend) -> tuple[object, ...]:
+    """Return what the other members are told of the backend server."""
+    return (
+        backend.service,
+        backend.slots,
+        backend.present,
+        backend.leaving,
+        backend.started_ms,
+    )
+
+
 def _on_backend_answered(
     state: states.State, event: events.BackendAnswered, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -47,6 +47,9 @@
     for known in by_kind:
         for name in [name for name in known if name not in names]:
             del known[name]
+    for service, kind in list(state.levels):
+        if kind and kind not in names:
+            del state.levels[(service, kind)]
     text = f"Version {table.version} is in force, {len(table.routes)} routes."
     outbox.info(out, _PART, text)
     return True
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -137,6 +137,16 @@
     held_until: ids.Milliseconds = 0.0
 
 
+class Heard(msgspec.Struct, frozen=True):
+    """The latest announcement of an instance.
+
+    :param started_ms: when it had started; 0 where it tells none.
+    """
+
+    started_ms: int
+    sequence: int
+
+
 class Backend(msgspec.Struct):
     """The backend server beside this node, and admission to it.
 
@@ -144,10 +154,11 @@
     only longer than zero while ``running >= limit``.
 
     :param queue: (rank, negative arrival number, hosted id), lowest first.
+    :param started_ms: when the present instance started; 0 where it tells none.
     :param left: instances that left, or that a call did not find any more; what still
-        arrives from them is late.
-    :param replaced: instances that another one took the place of, and the last
-        sequence number heard from each.
+        arrives from the start that did is late.
+    :param replaced: instances that another one took the place of, and what was heard
+        last from each.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -167,8 +178,9 @@
     last_cut: ids.Milliseconds = 0.0
     instance: str = ""
     sequence: int = 0
-    left: dict[str, bool] = {}
-    replaced: dict[str, int] = {}
+    started_ms: int = 0
+    left: dict[str, int] = {}
+    replaced: dict[str, Heard] = {}
     times: dict[str, ServiceTime] = {}
     knee: Knee = msgspec.field(default_factory=Knee)
     unreachable_until: ids.Milliseconds = 0.0
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -156,11 +156,25 @@
     return budget.take(time.monotonic())
 
 
+SHOWN_KEY_BYTES = 64
+"""Enough to know a name by; the rest may be any bytes of others."""
+
+
 def may_write_change() -> bool:
     """Take the line of a change of belief out of the second's budget."""
     return _state.changes.take(time.monotonic())
 
 
+def pass_over(what: str, key: bytes, problem: str) -> None:
+    """Write that a word of another writer is of no use; bounded as changes are.
+
+    :param key: what it is called, of which the beginning is shown.
+    """
+    if may_write_change():
+        shown = key[:SHOWN_KEY_BYTES].decode(errors="replace")
+        write("WARNING", "words", f"{what} {shown!r} passed over: {problem}.")
+
+
 def report_left_out() -> int:
     """Write how many lines were left out since the last time, and return it."""
     budgets = (_state.failures, _state.successes, _state.changes)
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -97,6 +97,9 @@
     def abandon(self) -> None:
         """Close the exchange with the backend server."""
         self._abandoned = True
+        if self._streaming:
+            self._send(frames.Broken(call=self._opened.call))
+            self._open = False
         if self._connection is not None:
             self._connection.abandon()
             self._connection = None
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -139,4 +139,6 @@
             return
         exchange.refuse(effect)
         if effect.hosted not in self._node.state.hosted:
+            # Nobody waits for what the backend server may still be doing for it.
+            exchange.abandon()
             self.drop_exchange(effect.hosted)
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -1,30 +1,16 @@
-"""The client of the platform's log service, over HTTP.
-
-It is written on httpcore, the transport under httpx: importing httpx itself takes
-9 MB of the 64 that a node may use, for what a node does not need.
-"""
+"""The client of the platform's log service, over HTTP."""
 
 import base64
-import typing
 import urllib.parse
 
-import httpcore
 import msgspec
 
-from gingerturn import errors, log_service, settings
-from gingerturn.internal.shell import sockets
+from gingerturn import log_service, settings
+from gingerturn.internal.shell import http_calls
 
 MAX_RECORDS = 500
 """Records asked for in one read."""
 
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
-)
-_NEVER_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
-
 
 class Reply(msgspec.Struct):
     """What the log service answers to a read of the newest records."""
@@ -55,18 +41,9 @@
     """
 
     def __init__(self, chosen: settings.Log) -> None:
-        self._url = chosen.url.rstrip("/")
         self._poll_ms = chosen.poll_ms
-        patience = (chosen.timeout_ms + chosen.poll_ms) / 1000.0
-        timeouts = {
-            "connect": chosen.timeout_ms / 1000.0,
-            "read": patience,
-            "write": patience,
-            "pool": patience,
-        }
-        self._extensions: dict[str, typing.Any] = {"timeout": timeouts}
-        self._pool = httpcore.AsyncConnectionPool(
-            max_keepalive_connections=8, socket_options=sockets.OPTIONS
+        self._peer = http_calls.Peer(
+            chosen.url.rstrip("/"), timeout_ms=chosen.timeout_ms, connections=8
         )
 
     async def read(
@@ -76,41 +53,31 @@
 
         :raises LogServiceError: when the log service does not answer as it should.
         """
+        step = f"read {stream}"
         wait_ms = self._poll_ms if wait else 0
         query = f"from={offset}&max={MAX_RECORDS}&wait_ms={wait_ms}"
-        try:
-            response = await self._pool.request(
-                "GET",
-                f"{self._url}/streams/{stream}/records?{query}",
-                extensions=self._extensions,
-            )
-            _check_status(response.status)
-            reply = msgspec.json.decode(response.content, type=ReadReply)
-            return log_service.Records(
-                first=reply.first,
-                oldest=reply.oldest,
-                end=reply.end,
-                contents=tuple(base64.b64decode(r) for r in reply.records),
-            )
-        except (*_FAILURES, msgspec.MsgspecError, ValueError) as error:
-            raise self._error(f"read {stream}", error, took_effect=False) from None
+        resource = f"/streams/{stream}/records?{query}"
+        answer = await self._peer.call("GET", resource, step=step, wait_ms=wait_ms)
+        self._peer.check(answer, step)
+        reply = self._peer.decode(answer, ReadReply, step)
+        return log_service.Records(
+            first=reply.first,
+            oldest=reply.oldest,
+            end=reply.end,
+            contents=self._contents(reply.records, step),
+        )
 
     async def newest(self, stream: str) -> log_service.Newest:
         """Read the newest record of each key.
 
         :raises LogServiceError: when the log service does not answer as it should.
         """
-        try:
-            response = await self._pool.request(
-                "GET",
-                f"{self._url}/streams/{stream}/newest",
-                extensions=self._extensions,
-            )
-            _check_status(response.status)
-            reply = msgspec.json.decode(response.content, type=Reply)
-            contents = tuple(base64.b64decode(r) for r in reply.records)
-        except (*_FAILURES, msgspec.MsgspecError, ValueError) as error:
-            raise self._error(f"newest {stream}", error, took_effect=False) from None
+        step = f"newest {stream}"
+        resource = f"/streams/{stream}/newest"
+        answer = await self._peer.call("GET", resource, step=step)
+        self._peer.check(answer, step)
+        reply = self._peer.decode(answer, Reply, step)
+        contents = self._contents(reply.records, step)
         return log_service.Newest(contents=contents, end=reply.end)
 
     async def put(self, stream: str, key: str, record: bytes) -> None:
@@ -136,41 +103,19 @@
 
     async def _append(self, resource: str, record: bytes) -> int:
         step = f"append to {resource}"
-        try:
-            response = await self._pool.request(
-                "POST",
-                f"{self._url}/streams/{resource}",
-                content=record,
-                extensions=self._extensions,
-            )
-        except _NEVER_CONNECTED as error:
-            raise self._error(step, error, took_effect=False) from None
-        except _FAILURES as error:
-            raise self._error(step, error, took_effect=None) from None
-        if response.status == 503 or 400 <= response.status < 500:
-            refused = ValueError(f"status {response.status}")
-            raise self._error(step, refused, took_effect=False)
-        try:
-            _check_status(response.status)
-            return msgspec.json.decode(response.content, type=AppendReply).offset
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise self._error(step, error, took_effect=None) from None
+        answer = await self._peer.call(
+            "POST", f"/streams/{resource}", step=step, body=record
+        )
+        refused = answer.status == 503 or 400 <= answer.status < 500
+        self._peer.check(answer, step, took_effect=False if refused else None)
+        return self._peer.decode(answer, AppendReply, step).offset
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
-
-    def _error(
-        self, step: str, error: Exception, *, took_effect: bool | None
-    ) -> errors.LogServiceError:
-        return errors.LogServiceError(
-            f"{type(error).__name__}: {error}",
-            step=step,
-            peer=self._url,
-            took_effect=took_effect,
-        )
+        await self._peer.close()
 
-
-def _check_status(status: int) -> None:
-    if status != 200:
-        raise ValueError(f"status {status}")
+    def _contents(self, records: list[str], step: str) -> tuple[bytes, ...]:
+        try:
+            return tuple(base64.b64decode(record) for record in records)
+        except ValueError as error:
+            raise self._peer.error(step, str(error), took_effect=False) from None
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -178,8 +178,9 @@
         :raises InvalidArgument: for a value that is not allowed.
         """
         announcements.check_announcement(announcement)
+        self._check_service(announcement)
         if announcement.leaving:
-            self.withdraw(announcement.instance)
+            self.withdraw(announcement.instance, announcement.started_ms)
             return
         self.apply(
             events.BackendAnnounced(
@@ -194,9 +195,24 @@
                 ttl_ms=announcement.ttl_ms,
                 instance=announcement.instance,
                 sequence=announcement.sequence,
+                started_ms=announcement.started_ms,
             )
         )
 
+    def _check_service(self, announcement: announcements.Announcement) -> None:
+        """Refuse the word of others than the backend servers of this graph.
+
+        Taken for a new start it would put the backend server out.
+        """
+        table = self.state.routes
+        if table is None or table.table.names_service(announcement.service):
+            return
+        raise errors.InvalidArgument(
+            f"service is {announcement.service!r}; allowed is one of the configuration",
+            step="take an announcement",
+            peer=announcement.instance,
+        )
+
     def reload(self, chosen: settings.Settings) -> None:
         """Take settings that were read again.
 
@@ -219,9 +235,13 @@
             text += f" Changes of {', '.join(later)} wait for the next start."
         logs.write("INFO", "node", text)
 
-    def withdraw(self, instance: str = "") -> None:
+    def withdraw(self, instance: str = "", started_ms: int = 0) -> None:
         """Take that the backend server, or one start of it, takes no new work."""
-        self.apply(events.BackendWithdrawn(now=clock.now(), instance=instance))
+        self.apply(
+            events.BackendWithdrawn(
+                now=clock.now(), instance=instance, started_ms=started_ms
+            )
+        )
 
     async def close(self) -> None:
         """Close everything; what is in flight is cut."""
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -57,6 +57,7 @@
         slot.zone = member.zone
         slot.service = member.service
         slot.slots = member.slots
+        slot.backendStartedMs = member.backend_started_ms
     content: bytes = part.to_bytes_packed()
     return mac(secret, content) + content
 
@@ -106,6 +107,7 @@
         zone=slot.zone,  # type: ignore[attr-defined]
         service=ids.ServiceName(slot.service),  # type: ignore[attr-defined]
         slots=slot.slots,  # type: ignore[attr-defined]
+        backend_started_ms=slot.backendStartedMs,  # type: ignore[attr-defined]
     )
 
 
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -13,6 +13,7 @@
   zone @7 :Text;
   service @8 :Text;
   slots @9 :UInt32;
+  backendStartedMs @10 :UInt64;
 }
 
 struct Gossip {
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -34,6 +34,17 @@
     end: int
 
 
+class Entry(msgspec.Struct, frozen=True):
+    """One entry of a keyed stream.
+
+    :param problem: why it is of no use; empty where it can be read.
+    """
+
+    key: bytes
+    value: bytes = b""
+    problem: str = ""
+
+
 class LogService(typing.Protocol):
     """An append-only log with streams, offsets and, on some, keys."""
 
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -19,6 +19,9 @@
 """Priorities from 0 (goes first) to this one have an importance class of their own;
 later ones share the lowest."""
 
+MAX_VERSION = (1 << 63) - 1
+"""Versions travel as numbers of 64 bits."""
+
 MAX_ATTEMPTS = 16
 MAX_WEIGHT = 1_000_000
 
@@ -74,11 +77,21 @@
     """A whole configuration of routes.
 
     :param version: greater than that of every table before it.
+    :param services: every service there is; empty where the table does not say.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits = RequestLimits()
+    services: tuple[str, ...] = ()
+
+    def names_service(self, service: str) -> bool:
+        """Tell whether there is such a service, as far as the table says."""
+        if not self.services or service in self.services:
+            return True
+        return any(
+            share.service == service for route in self.routes for share in route.shares
+        )
 
 
 def check_table(table: RouteTable, *, origin: str) -> RouteTable:
@@ -89,8 +102,9 @@
     """
     problems: list[str] = []
     seen: set[tuple[str, str]] = set()
-    if table.version < 1:
-        problems.append(f"version is {table.version}; allowed is 1 or more")
+    if not 1 <= table.version <= MAX_VERSION:
+        allowed = f"allowed is 1 to {MAX_VERSION}"
+        problems.append(f"version is {table.version}; {allowed}")
     for field, value in msgspec.structs.asdict(table.limits).items():
         if value < 1:
             problems.append(f"limits: {field} is {value}; allowed is 1 or more")
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -19,6 +19,9 @@
     current = "a long random text"
 """
 
+import collections.abc
+import contextlib
+import math
 import pathlib
 import tomllib
 import urllib.parse
@@ -295,3 +298,27 @@
         raise errors.InvalidArgument(
             f"peers holds {peer!r}; allowed is IP:PORT of a node's gossip port"
         )
+
+
+def numbers_of(
+    told: collections.abc.Mapping[str, float | bool | str], *, origin: str
+) -> dict[str, float]:
+    """Return the values that are numbers, also where they are written as text.
+
+    Names may come that mean something to others; their values are not looked at
+    until one is used.
+
+    :raises InvalidDocument: for a number that is not finite.
+    """
+    numbers: dict[str, float] = {}
+    for name, value in told.items():
+        with contextlib.suppress(ValueError):
+            numbers[name] = float(value)
+    problems = [
+        f"{name} is {value!r}; allowed is a finite number"
+        for name, value in numbers.items()
+        if not math.isfinite(value)
+    ]
+    if problems:
+        raise errors.InvalidDocument(problems, step="read settings", peer=origin)
+    return numbers
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from gingerturn import errors, routes
-from gingerturn_platform import beats, boot, configs, names, start, store
+from gingerturn import errors, log_service, routes
+from gingerturn.internal.shell import process
+from gingerturn_platform import beats, boot, configs, store
 
 CONFIG = {
     "version": "0000001c",
@@ -90,14 +91,12 @@
         configs.decode(content)
 
 
-def test_a_bad_configuration_on_the_log_is_skipped(tmp_path: pathlib.Path) -> None:
-    chosen = boot.to_settings(boot.load(_written(tmp_path, BOOT)))
-    client = store.Store(chosen.log)
-    assert client._value("routes", b"config", b"{") == b""
-    assert client._value("routes", b"else", json.dumps(CONFIG).encode()) == b""
-    assert b'"version":28' in client._value(
-        "routes", b"config", json.dumps(CONFIG).encode()
-    )
+def test_a_bad_configuration_on_the_log_is_skipped() -> None:
+    whole = json.dumps(CONFIG).encode()
+    assert store._content("routes", log_service.Entry(b"config", b"{")) == b""
+    assert store._content("routes", log_service.Entry(b"else", whole)) == b""
+    taken = store._content("routes", log_service.Entry(b"config", whole))
+    assert b'"version":28' in taken
 
 
 def test_a_heartbeat_becomes_an_announcement() -> None:
@@ -161,18 +160,18 @@
 def test_a_bad_advertised_port_names_variable_and_value(
     value: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setenv(names.ADVERTISE_VARIABLE, value)
+    monkeypatch.setenv(process.ADVERTISE_VARIABLE, value)
     with pytest.raises(errors.InvalidDocument, match=f"{value!r}; allowed is 0 to"):
-        start.advertised_port()
+        process.advertised_port()
 
 
 def test_the_advertised_port_is_taken_from_its_variable(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setenv(names.ADVERTISE_VARIABLE, "7001")
-    assert start.advertised_port() == 7001
-    monkeypatch.delenv(names.ADVERTISE_VARIABLE)
-    assert start.advertised_port() == 0
+    monkeypatch.setenv(process.ADVERTISE_VARIABLE, "7001")
+    assert process.advertised_port() == 7001
+    monkeypatch.delenv(process.ADVERTISE_VARIABLE)
+    assert process.advertised_port() == 0
 
 
 def test_a_settings_file_without_a_field_names_it(tmp_path: pathlib.Path) -> None:
