Metrics: how old the word was that decided on whole requests

A histogram (level_age_ms_bucket), with a place for requests of whose service nothing was ever told.

--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -41,6 +41,10 @@
 
 FADE_MAX_STEPS = 16
 
+AGE_BOUNDS_MS = (50.0, 100.0, 200.0, 500.0, 1_000.0)
+"""Bounds of the histogram of ages: a loop that words of over half a second steer swings,
+and past a second they fade."""
+
 _OWN = ""
 """In place of a kind: what upstreams shed themselves, whichever kind they answered."""
 
@@ -99,6 +103,15 @@
     return _median(state, service, kind)
 
 
+def note_age(state: states.State, known: states.HeardLevel) -> None:
+    """Count how old the word is that decides on a whole request; in the last place
+    those of which nothing was ever told."""
+    place = len(AGE_BOUNDS_MS) + 1
+    if known.heard:
+        place = bisect.bisect_left(AGE_BOUNDS_MS, state.now - known.heard)
+    state.level_ages[place] += 1
+
+
 def told_of(state: states.State, service: ids.ServiceName) -> states.HeardLevel:
     """Return the latest word on a service: of this node where it is a home of it, from
     its upstreams, or from nodes that call it."""
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -277,7 +277,10 @@
     """
     if state.routed and ranks.is_deep(rank):
         return True
-    return ranks.deep_rank(rank) >= levels.below(state, service, kind).level
+    known = levels.below(state, service, kind)
+    if not ranks.is_deep(rank):
+        levels.note_age(state, known)
+    return ranks.deep_rank(rank) >= known.level
 
 
 def _taking(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -193,6 +193,9 @@
     heard: ids.Milliseconds
 
 
+AGE_PLACES = 7
+"""Five bounded ages, older ones, and no word at all."""
+
 UNHEARD = HeardLevel(level=ranks.LOWEST, heard=0.0)
 """Nothing was ever told."""
 
@@ -477,6 +480,8 @@
         self.upstreams: dict[ids.NodeId, Upstream] = {}
         # Told levels by service and kind; with no kind, the service's own.
         self.levels: dict[tuple[str, str], ServiceLevel] = {}
+        # Whole requests by the age of the word that decided on them.
+        self.level_ages = [0] * AGE_PLACES
         # The latest word on a service that nodes passed on which call it.
         self.relayed: dict[ids.ServiceName, HeardLevel] = {}
         # Mean occupancy that upstreams told, by service and whether of the own zone.
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gingerturn.internal.core import readiness
+from gingerturn.internal.core import levels, readiness, state as states
 from gingerturn.internal.shell import side_http
 
 if typing.TYPE_CHECKING:
@@ -23,6 +23,17 @@
     return handle
 
 
+def _level_ages(state: states.State) -> list[tuple[str, float]]:
+    """Return how many whole requests were decided by a word of up to each age."""
+    bounds = [f"{bound:g}" for bound in levels.AGE_BOUNDS_MS] + ["+Inf", "none"]
+    rows: list[tuple[str, float]] = []
+    total = 0
+    for bound, count in zip(bounds, state.level_ages, strict=True):
+        total += count
+        rows.append((f'{{le="{bound}"}}', float(count if bound == "none" else total)))
+    return rows
+
+
 def metrics(node: "nodes.Node") -> bytes:
     """Return counters, gauges and latencies in the Prometheus text format."""
     state = node.state
@@ -51,6 +62,7 @@
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
+    add("level_age_ms_bucket", "counter", *_level_ages(state))
     version = 0 if state.routes is None else state.routes.version
     add("route_version", "gauge", ("", version))
     quantiles = [
--- a/tests/cover/test_levels_at_size.py
+++ b/tests/cover/test_levels_at_size.py
@@ -141,6 +141,14 @@
     assert named["age in ms of that word"] == 100.0
 
 
+def test_the_ages_of_words_that_decided_are_counted() -> None:
+    state = _entry(95)
+    _refused(state, 1)
+    _hear(state, 0, _word(0, age_ms=70.0))
+    _refused(state, 2)
+    assert state.level_ages == [0, 1, 0, 0, 0, 0, 1]
+
+
 def test_a_word_fades_like_a_level() -> None:
     state = _entry(95)
     _hear(state, 0, _word(HIGH, age_ms=0.0))
