--- a/benchmarks/reducer_rate.py
+++ b/benchmarks/reducer_rate.py
@@ -3,13 +3,17 @@
 import gc
 import time
 
+import msgspec
+
 from benchmarks import control
 from gingerturn import configuration
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
     events,
+    member_table,
     messages,
+    ranks,
     reducer,
     routing,
     state as states,
@@ -20,6 +24,11 @@
 UPSTREAMS = 38
 """Upstreams of an average service at the design size: 4,200 over 110."""
 
+SIZES = (4, 19, 38, 95, 400)
+SIZED_CALLS = 5_000
+HALF_OF_A_KIND = ranks.BAND // 2
+"""A level through the middle of the lowest class."""
+
 REPORT = messages.LoadReport(
     level=ids.Rank(0), tree_level=ids.Rank(0), load=3, limit=100
 )
@@ -147,6 +156,76 @@
     return (control.rss_mb() - before) * 1e6 / count
 
 
+def _entry_of(upstreams: int, *, level: int, suspected: bool) -> states.State:
+    """Return an entry of a service with so many upstreams that all told a level."""
+    state = control.node_with(4)
+    state.configuration = configuration.Configuration(control.documents())
+    members = [
+        messages.Member(
+            node=ids.NodeId(f"u{number}"),
+            incarnation=ids.Incarnation(1),
+            version=1,
+            state=messages.MemberState.SUSPECT
+            if suspected and number == 1
+            else messages.MemberState.ALIVE,
+            host="127.0.0.1",
+            peers_port=1,
+            gossip_port=1,
+            zone=f"z{number % 5}",
+            service=ids.ServiceName("service-7"),
+            slots=100,
+        )
+        for number in range(upstreams)
+    ]
+    for member in members:
+        member_table.put(state, member, [])
+        report = msgspec.structs.replace(REPORT, level=ids.Rank(level))
+        routing.hear(state, member.node, "kind-7-3", report)
+    return state
+
+
+def arrival_us(upstreams: int, *, level: int, suspected: bool) -> float:
+    """Return the time of a call's arrival in microseconds.
+
+    :param level: a level in force lets the kind's half pass.
+    """
+    state = _entry_of(upstreams, level=level, suspected=suspected)
+    spent = 0.0
+    for number in range(1, SIZED_CALLS + 1):
+        arrival = _arrival(number, state.now)
+        begun = time.perf_counter()
+        out = reducer.reduce(state, arrival)
+        spent += time.perf_counter() - begun
+        for opened in out:
+            if isinstance(opened, effects.OpenAttempt):
+                told = msgspec.structs.replace(REPORT, level=ids.Rank(level))
+                answer = events.AttemptAnswered(
+                    now=state.now,
+                    attempt=opened.attempt,
+                    status=200,
+                    tokens=0,
+                    report=told,
+                )
+                reducer.reduce(state, answer)
+        state.deadlines.clear()
+    return 1e6 * spent / SIZED_CALLS
+
+
+def print_sizes() -> None:
+    """Print what a call's arrival costs by the number of its service's upstreams."""
+    print("us a CallArrived, by upstreams of the service")
+    print(f"{'':>10} {'calm':>8} {'level':>8} {'suspect':>8} {'both':>8}")
+    for upstreams in SIZES:
+        cells = [
+            arrival_us(upstreams, level=level, suspected=suspected)
+            for suspected in (False, True)
+            for level in (0, HALF_OF_A_KIND)
+        ]
+        calm, level, suspect, both = cells
+        figures = (calm, level, suspect, both)
+        print(f"{upstreams:>10} " + " ".join(f"{cell:>8.1f}" for cell in figures))
+
+
 def measure() -> dict[str, float]:
     """Return events a second by kind."""
     return {**entry_rate(), **home_rate(), **refusal_rate(), **tick_rate()}
@@ -156,3 +235,4 @@
     for name, rate in measure().items():
         print(f"{name:<32} {rate:>10.0f} /s")
     print(f"one upstream called before: {upstream_bytes():.0f} B")
+    print_sizes()
