--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -42,8 +42,8 @@
 FADE_MAX_STEPS = 16
 
 AGE_BOUNDS_MS = (50.0, 100.0, 200.0, 500.0, 1_000.0)
-"""Bounds of the histogram of ages. Words of over half a second make the level swing, past
-a second they fade."""
+"""Bounds of the histogram of ages. Words of over half a second make the level swing,
+past a second they fade."""
 
 _OWN = ""
 """In place of a kind: what upstreams shed themselves, whichever kind they answered."""
