--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -107,7 +107,8 @@
         zone=event.zone,
     )
     for name, (period, _) in _TIMERS.items():
-        timers.subscribe(state, name=name, period=period, now=event.now)
+        if event.routed or name not in _ROUTED_ONLY:
+            timers.subscribe(state, name=name, period=period, now=event.now)
     joining.start(state, me, out)
     if event.routed:
         # Whether to wait for the next table is decided once members are known.
@@ -472,6 +473,9 @@
     "prune": (PRUNE_MS, _prune),
     "pollers": (pollers.CHECK_MS, pollers.check),
 }
+_ROUTED_ONLY = frozenset({"pollers"})
+"""Parts that nodes without a route table have no use for."""
+
 _TIMER_HANDLERS = {name: handler for name, (_, handler) in _TIMERS.items()}
 
 _HANDLERS: dict[type[events.Event], Handler] = {
