--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -23,6 +23,8 @@
     routing,
     sending,
     slot_costs,
+    upstream_costs,
+    upstreams,
 )
 
 _PER_HOP_ATTEMPTS = 4
@@ -192,22 +194,22 @@
 
 def no_slow_penalty() -> None:
     """Upstreams are chosen whatever time their answers take."""
-    _set(routing, "SLOW_PENALTY", 0.0)
+    _set(upstream_costs, "SLOW_PENALTY", 0.0)
 
 
 def no_zone_preference() -> None:
     """Upstreams of other zones are as good as those of the own."""
-    _set(routing, "ZONE_PENALTY", 0.0)
+    _set(upstream_costs, "ZONE_PENALTY", 0.0)
 
 
 def no_error_penalty() -> None:
     """Upstreams that fail calls are chosen as before."""
-    _set(routing, "ERROR_PENALTY", 0.0)
+    _set(upstream_costs, "ERROR_PENALTY", 0.0)
 
 
 def no_ejection() -> None:
     """Upstreams that lost calls are not passed over."""
-    _set(routing, "eject", lambda state, upstream, duration: None)
+    _set(upstreams, "eject", lambda state, upstream, duration: None)
 
 
 def no_knee() -> None:
@@ -272,7 +274,7 @@
 
 
 def _random_choice() -> None:
-    _set(routing, "_cost", lambda state, node, apart: state.random.random())
+    _set(upstream_costs, "cost_of", lambda state, node, apart: state.random.random())
 
 
 def _no_retries() -> None:
@@ -304,7 +306,7 @@
         return False
     if call.attempts >= _PER_HOP_ATTEMPTS:
         return False
-    nodes = routing.candidates(state, call.service)
+    nodes = upstreams.candidates(state, call.service)
     node = routing.choose(state, nodes, call.rule.name, call.rank)
     if node is None:
         return False
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -20,6 +20,8 @@
     sending,
     slot_costs,
     state as states,
+    upstream_costs,
+    upstreams,
 )
 
 GRACE_MS = 100.0
@@ -106,13 +108,13 @@
         return
     call = _returned(state, attempt, event.tokens, event.report)
     failed = event.status >= FIRST_FAILURE_STATUS and not event.child_failed
-    routing.note_answer(state, attempt.node, failed=failed)
+    upstreams.note_answer(state, attempt.node, failed=failed)
     if call is None:
         return
     if event.status < FIRST_FAILURE_STATUS:
         elapsed = state.now - attempt.sent
         kind = call.rule.name
-        routing.note_traffic(state, attempt.node, kind, elapsed, event.size)
+        upstream_costs.note_traffic(state, attempt.node, kind, elapsed, event.size)
     call.attempt = None
     if _worth_repeating(state, call, event):
         call.first = False
@@ -143,11 +145,11 @@
     call = _returned(state, attempt, event.tokens, event.report)
     rule = decisions.Rule(event.refusal.rule)
     own_failure = event.refusal.arrived or rule is decisions.Rule.OUTCOME_UNKNOWN
-    routing.note_answer(state, attempt.node, failed=own_failure)
+    upstreams.note_answer(state, attempt.node, failed=own_failure)
     if rule in _ABSENT_RULES:
-        upstream = routing.upstream_of(state, attempt.node)
+        upstream = upstreams.upstream_of(state, attempt.node)
         avoid = AVOID_LEAVING_MS if event.report.leaving else AVOID_MS
-        routing.eject(state, upstream, avoid)
+        upstreams.eject(state, upstream, avoid)
     if call is None:
         return
     call.attempt = None
@@ -178,7 +180,7 @@
     if attempt is None:
         return
     _note_returned(state, attempt)
-    if routing.note_failure(state, attempt.node):
+    if upstreams.note_failure(state, attempt.node):
         outbox.warn(out, "routing", f"Upstream {attempt.node} ejected after losses.")
     call = state.calls.get(attempt.call)
     if call is None:
@@ -231,7 +233,7 @@
     state: states.State, event: events.LevelTold, out: states.Effects
 ) -> None:
     """Take in an upstream's answer to a question about its level."""
-    upstream = routing.upstream_of(state, event.node)
+    upstream = upstreams.upstream_of(state, event.node)
     sent = upstream.since_report
     _hear(state, event.node, event.kind, event.report)
     # What was sent meanwhile may not be in the load that was told.
@@ -246,7 +248,7 @@
     attempt = None if call.attempt is None else state.attempts.get(call.attempt)
     if attempt is not None:
         call.first = False
-        routing.note_failure(state, attempt.node)
+        upstreams.note_failure(state, attempt.node)
     _cancel_attempt(state, call, out)
     refusals.refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
 
@@ -316,7 +318,7 @@
 
 
 def _note_returned(state: states.State, attempt: states.Attempt) -> None:
-    upstream = routing.upstream_of(state, attempt.node)
+    upstream = upstreams.upstream_of(state, attempt.node)
     upstream.outstanding -= 1
 
 
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -31,11 +31,11 @@
     replies,
     revisions,
     route_table,
-    routing,
     sending,
     state as states,
     streams,
     timers,
+    upstreams,
 )
 
 SLOW_CHECK_MS = 1_000.0
@@ -418,7 +418,7 @@
     for node in sorted(doubted):
         if node not in state.membership.suspected:
             doubted.discard(node)
-        elif routing.is_silent(state, node):
+        elif upstreams.is_silent(state, node):
             doubted.discard(node)
             calls.on_node_silent(state, node, out)
     if state.waiting:
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -15,6 +15,7 @@
     routing,
     settling,
     state as states,
+    upstreams,
 )
 
 MAX_REDIRECTS = 2
@@ -36,7 +37,7 @@
     if call.holder:
         _send_to_holder(state, call, out)
         return
-    nodes = routing.candidates(state, call.service)
+    nodes = upstreams.candidates(state, call.service)
     if not nodes:
         if not settling.hold(state, call):
             refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
@@ -169,7 +170,7 @@
         node = routing.choose(state, _others(state, call), kind, call.rank)
         if node is not None or not back:
             return node
-    nodes = [n for n in routing.candidates(state, call.service) if n in call.tried]
+    nodes = [n for n in upstreams.candidates(state, call.service) if n in call.tried]
     return routing.choose(state, nodes, kind, call.rank)
 
 
@@ -258,7 +259,7 @@
 
 
 def _others(state: states.State, call: states.Call) -> list[ids.NodeId]:
-    nodes = routing.candidates(state, call.service)
+    nodes = upstreams.candidates(state, call.service)
     return [node for node in nodes if node not in call.tried]
 
 
@@ -285,7 +286,7 @@
     state.attempts[attempt] = states.Attempt(
         id=attempt, call=call.id, node=node, tokens=tokens, sent=state.now
     )
-    upstream = routing.upstream_of(state, node)
+    upstream = upstreams.upstream_of(state, node)
     upstream.outstanding += 1
     upstream.since_report += 1
     terms = messages.CallTerms(
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -15,10 +15,11 @@
     membership,
     reducer,
     route_table,
-    routing,
     sending,
     streams,
     timers,
+    upstream_costs,
+    upstreams,
 )
 from gingerturn.internal.shell import backend_http, caller_limits
 from tests.cover import (
@@ -160,7 +161,7 @@
     ),
     (
         "a suspected upstream that answers stays in use",
-        routing,
+        upstreams,
         "ANSWERED_LATELY_MS",
         -1.0,
         silent.test_a_suspected_upstream_that_answers_calls_is_not_passed_over,
@@ -216,7 +217,7 @@
     ),
     (
         "calls stay in their zone",
-        routing,
+        upstream_costs,
         "ZONE_PENALTY",
         0.0,
         under_load.test_of_many_upstreams_too_calls_stay_in_the_zone_until_it_is_busier,
