--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -26,7 +26,6 @@
 all entries would choose the same one by the same old reports."""
 
 NEAR_DRAWN = 3
-
 ANY_DRAWN = 2
 """Drawn of many: three in the own zone, and two anywhere, by which a zone whose
 upstreams are all busy spills. Of two drawn anywhere, in three zones, both are in other
--- /dev/null
+++ b/tests/cover/test_exchanges_that_nobody_waits_for.py
@@ -0,0 +1,88 @@
+"""What the home does with an exchange whose call it refuses or gives up.
+
+The pattern: a backend server is slow, calls are refused at their deadlines, and it
+would go on working for callers who have their answer.
+"""
+
+import pytest
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import effects, events
+from gingerturn.internal.shell import exchanges, node as nodes
+from gingerturn.internal.wire import frames
+from tests.common import builders
+
+
+class _Channel:
+    """The way back to an entry node."""
+
+    peer = ids.NodeId("entry")
+
+    def __init__(self) -> None:
+        self.hosted: dict[int, ids.HostedId] = {}
+        self.sent: list[frames.Frame] = []
+
+    def send(self, frame: frames.Frame) -> None:
+        self.sent.append(frame)
+
+
+class _Connection:
+    """An exchange with the backend server that is under way."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def abandon(self) -> None:
+        self.closed = True
+
+
+@pytest.fixture
+def connection(monkeypatch: pytest.MonkeyPatch) -> _Connection:
+    made = _Connection()
+
+    def hand_over(exchange: exchanges.HostedExchange, effect: effects.HandOver) -> None:
+        exchange._connection = made  # type: ignore[assignment]
+
+    monkeypatch.setattr(exchanges.HostedExchange, "hand_over", hand_over)
+    return made
+
+
+def _home_with_a_call(channel: _Channel, *, repeatable: bool) -> nodes.Node:
+    node = nodes.Node(builders.settings("home"))
+    node.apply(builders.announced("plans", now=builders.START))
+    terms = builders.call_terms(deadline_ms=700.0, repeatable=repeatable)
+    opened = frames.Open(
+        call=7, terms=terms, head=b"GET / HTTP/1.1\r\n", body=b"", whole=True
+    )
+    node.home.on_frame(channel, opened)  # type: ignore[arg-type]
+    return node
+
+
+def test_a_call_refused_at_its_deadline_is_worked_on_no_longer(
+    connection: _Connection,
+) -> None:
+    channel = _Channel()
+    node = _home_with_a_call(channel, repeatable=True)
+    node.apply(events.Tick(now=node.state.now + 701.0))
+    assert [type(frame) for frame in channel.sent] == [frames.Refuse]
+    assert connection.closed
+
+
+def test_one_that_may_run_once_is_let_finish(connection: _Connection) -> None:
+    channel = _Channel()
+    node = _home_with_a_call(channel, repeatable=False)
+    node.apply(events.Tick(now=node.state.now + 701.0))
+    assert [type(frame) for frame in channel.sent] == [frames.Refuse]
+    assert not connection.closed
+
+
+def test_a_stream_that_ends_with_its_start_is_said_to_be_broken(
+    connection: _Connection,
+) -> None:
+    channel = _Channel()
+    node = _home_with_a_call(channel, repeatable=True)
+    (exchange,) = node.home._exchanges.values()
+    exchange._streaming = True
+    exchange.abandon()
+    assert channel.sent == [frames.Broken(call=7)]
+    assert connection.closed
