Test of exchanges: the node's own clock

With the node's clock all three pass, and without exchange.abandon() in the home's refusals the first fails.

--- a/tests/cover/test_exchanges_that_nobody_waits_for.py
+++ b/tests/cover/test_exchanges_that_nobody_waits_for.py
@@ -8,7 +8,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import exchanges, node as nodes
+from gingerturn.internal.shell import clock, exchanges, node as nodes
 from gingerturn.internal.wire import frames
 from tests.common import builders
 
@@ -49,7 +49,7 @@
 
 def _home_with_a_call(channel: _Channel, *, repeatable: bool) -> nodes.Node:
     node = nodes.Node(builders.settings("home"))
-    node.apply(builders.announced("plans", now=builders.START))
+    node.apply(builders.announced("plans", now=clock.now()))
     terms = builders.call_terms(deadline_ms=700.0, repeatable=repeatable)
     opened = frames.Open(
         call=7, terms=terms, head=b"GET / HTTP/1.1\r\n", body=b"", whole=True
