--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -18,6 +18,7 @@
     effects,
     hosting,
     knee,
+    level_control,
     ranks,
     rationing,
     routing,
@@ -82,7 +83,7 @@
 
 def no_levels() -> None:
     """Without the home node's level riding on answers."""
-    _set(admission, "_raised", lambda backend, overage: ranks.LOWEST)
+    _set(level_control, "_raised", lambda backend, overage: ranks.LOWEST)
 
 
 def no_tree_levels() -> None:
--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -1,8 +1,8 @@
-"""Admission to the backend server: limit, queue and shedding level.
+"""Admission to the backend server: limit and queue.
 
 The limit is the concurrency handed to the backend server. The queue is short,
-ordered by rank, and holds only what can still be run in time. The level is what
-callers' nodes are told: calls of lower rank are not worth sending.
+ordered by rank, and holds only what can still be run in time. What cannot be carried
+raises the level that callers' nodes are told (:mod:`.level_control`).
 """
 
 import bisect
@@ -19,44 +19,14 @@
     state as states,
 )
 
-WINDOW_MS = 100.0
-"""Length of a control window; some tens of calls at the sizes of today."""
-
-WINDOWS = 32
-MIN_WINDOWS = 8
-ENOUGH_HANDED = 40
-"""The level looks back on as many windows as handed over 40 calls, at least 8 and
-at most 32. Calls that run for seconds free few slots in a window; a level from 13
-calls jumped by a quarter of a band for no reason but chance."""
-
 QUEUE_MS = 400.0
-"""The queue holds what starts within this time. Chosen with the gains below by a
+"""The queue holds what starts within this time. Chosen with the gains of the level by a
 sweep over 150 to 600 ms on three seeds (docs/design/levels.md): shorter queues lose
 bursts, longer ones add to what must be shed once they are full."""
 
 MIN_QUEUE = 4
 """Room for the chance meetings of calls where few slots turn over slowly."""
 
-OVERAGE = 1.05
-"""Admit 5 % more than was handed over, so that the queue never runs dry."""
-
-ROUTED_OVERAGE = 1.0
-"""On routes no more than that: where a tree calls a service several times in a row
-inside a timeout of less than a second, each 5 % too many wait in every one of the
-queues, and whole requests time out."""
-
-RAISE_GAIN = 0.25
-ONSET_GAIN = 0.75
-LOWER_GAIN = 0.04
-IDLE_GAIN = 0.8
-MUCH_IDLE = 0.3
-"""The part of a correction made in one window. A root admitted now reaches the
-deepest service about a second, ten windows, later; larger gains correct the same
-error several times over and the level swings, which wastes work below."""
-
-IDLE_HELD = 0.02
-"""Idle shares up to 2 % are noise of a few slots and move no level."""
-
 ROOT_WAIT_FACTOR = 2
 """A root leaves the queue after twice the time that the queue is meant to hold."""
 
@@ -86,9 +56,6 @@
 MAX_SAMPLES = 4_096
 """Arrivals kept of one window, a bound on memory: 40,000 calls a second."""
 
-MIN_NEAR = 3
-"""Fewer arrivals above the level tell no density; the step is then a fixed one."""
-
 
 def announce(
     state: states.State, now: ids.Milliseconds, *, slots: int, cold: bool
@@ -171,14 +138,14 @@
 
 def take_slot(state: states.State) -> None:
     """Occupy a slot."""
-    _account(state)
+    account(state)
     state.backend.running += 1
     state.backend.windows[-1].handed += 1
 
 
 def free_slot(state: states.State) -> None:
     """Give a slot back."""
-    _account(state)
+    account(state)
     state.backend.running -= 1
 
 
@@ -281,29 +248,6 @@
     return found
 
 
-def control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
-    """Close a control window and move the level."""
-    backend = state.backend
-    if not backend.present:
-        backend.level = ranks.LOWEST
-        return
-    _account(state)
-    closed = backend.windows[-1]
-    if closed.shed or closed.least_queue >= closed.target_queue:
-        overage = ROUTED_OVERAGE if state.routed else OVERAGE
-        backend.level = _raised(backend, overage)
-    elif closed.least_queue == 0:
-        backend.level = _lowered(backend, closed)
-    backend.windows.append(
-        states.Window(
-            ranks=[],
-            least_queue=len(backend.queue),
-            target_queue=closed.target_queue,
-        )
-    )
-    del backend.windows[:-WINDOWS]
-
-
 def tree_level(state: states.State, kind: str) -> ids.Rank:
     """Return the level of the services that calls of a kind go on to."""
     children = state.children_of.get(kind)
@@ -351,75 +295,8 @@
     return base * (1.0 + state.random.random())
 
 
-def _recent(backend: states.Backend) -> list[states.Window]:
-    """Return the latest windows that tell enough."""
-    handed = 0
-    count = 0
-    for window in reversed(backend.windows):
-        handed += window.handed
-        count += 1
-        if count >= MIN_WINDOWS and handed >= ENOUGH_HANDED:
-            break
-    return backend.windows[-count:]
-
-
-def _raised(backend: states.Backend, overage: float) -> ids.Rank:
-    """Return the level raised so far that a part of the excess ranks below it.
-
-    By number of calls and not by distance in rank: half of all ranks belong to classes
-    that no kind here has, and the way through them took 1.5 s, in which every request
-    too many failed after its work.
-    """
-    above: list[int] = []
-    handed = 0
-    recent = _recent(backend)
-    for window in recent:
-        above.extend(rank for rank in window.ranks if rank >= backend.level)
-        handed += window.handed
-    excess = len(above) - int(handed * overage) - 1
-    if excess <= 0:
-        return backend.level
-    closed = backend.windows[-1]
-    gain = ONSET_GAIN if closed.shed > closed.handed else RAISE_GAIN
-    gain *= MIN_WINDOWS / max(MIN_WINDOWS, len(recent))
-    above.sort()
-    return ids.Rank(max(backend.level + 1, above[math.ceil(gain * excess)]))
-
-
-def _lowered(backend: states.Backend, closed: states.Window) -> ids.Rank:
-    if backend.level <= 0 or backend.queue:
-        return backend.level
-    used = closed.busy_ms / (WINDOW_MS * max(1.0, backend.limit))
-    idle = max(0.0, 1.0 - used)
-    if idle <= IDLE_HELD:
-        return backend.level
-    return ids.Rank(max(0, int(backend.level - _lowering(backend, idle))))
-
-
-def _lowering(backend: states.Backend, idle: float) -> float:
-    """Return by how much to lower the level so as to fill the idle slots.
-
-    Calls below the level do not arrive, so how many there are is taken from the
-    density of those just above it.
-    """
-    band_end = (backend.level // ranks.BAND + 1) * ranks.BAND
-    recent = _recent(backend)
-    handed = sum(window.handed for window in recent)
-    near = sum(
-        1
-        for window in recent
-        for rank in window.ranks
-        if backend.level <= rank < band_end
-    )
-    if near < MIN_NEAR:
-        return ranks.BAND * max(1.0 / 16, idle)
-    density = near / (band_end - backend.level)
-    missing = handed * idle / max(0.2, 1.0 - idle)
-    gain = LOWER_GAIN + IDLE_GAIN * max(0.0, idle - MUCH_IDLE)
-    return min(float(ranks.BAND), max(1.0, gain * missing / density))
-
-
-def _account(state: states.State) -> None:
+def account(state: states.State) -> None:
+    """Count the slot time since it was last counted to the present window."""
     backend = state.backend
     elapsed = state.now - backend.running_since
     backend.windows[-1].busy_ms += elapsed * backend.running
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -13,7 +13,6 @@
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
-    admission,
     calls,
     claims,
     decisions,
@@ -23,6 +22,7 @@
     instances,
     joining,
     keys,
+    level_control,
     membership,
     messages,
     outbox,
@@ -427,7 +427,7 @@
 
 def _control(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     hosting.shed_overdue(state, out)
-    admission.control(state, now, out)
+    level_control.control(state, now, out)
     if presence.expire(state, now, out):
         _offer_nothing(state, out)
 
@@ -465,7 +465,7 @@
 Handler = collections.abc.Callable[[states.State, typing.Any, states.Effects], None]
 
 _TIMERS: dict[str, tuple[ids.Milliseconds, timers.Handler]] = {
-    "admission": (admission.WINDOW_MS, _control),
+    "admission": (level_control.WINDOW_MS, _control),
     "probe": (membership.PROBE_MS, membership.probe),
     "membership": (membership.CHECK_MS, _check_members),
     "slow": (SLOW_CHECK_MS, _check_slowly),
--- a/tests/cover/test_levels_at_size.py
+++ b/tests/cover/test_levels_at_size.py
@@ -14,6 +14,7 @@
     admission,
     decisions,
     effects,
+    level_control,
     levels,
     messages,
     ranks,
@@ -196,7 +197,7 @@
     low = 5 << ranks.CLASS_SHIFT
     window.ranks = [ids.Rank(low + n) for n in range(100)]
     window.handed = 60
-    level = admission._raised(state.backend, admission.ROUTED_OVERAGE)
+    level = level_control._raised(state.backend, level_control.ROUTED_OVERAGE)
     assert low < level < low + 40
 
 
