--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -2,21 +2,21 @@
 
 A service's level is one piece of knowledge, renewed by an answer of any of its
 upstreams: an entry that spreads two requests a second over a hundred upstreams hears
-from each once in a minute, but from the service each half second. Kept by upstream, the
-unheard counted as free, and a fifth of the requests of an overloaded deployment of 194
-nodes failed after their work in place of being refused.
+from each once in a minute, but from the service each half second. Kept by upstream,
+with the unheard taken for free, a fifth of the requests of an overloaded deployment of
+194 nodes fail after their work in place of being refused.
 
 Answers also carry the latest word on the service that sheds most on the way of the
 answered kind, with its age: from nodes that call that service to those that called
 them, and so on up the trees. Each node keeps the latest word of all, so it reaches the
 roots' entries by whichever answers come first and is not averaged anew at each hop.
-With 194 nodes and trees of four hops that took the onset of shedding from over six
-seconds to two.
+With 194 nodes and trees of four hops shedding reaches the roots 0.3 s after it begins;
+by means of means it takes over three seconds.
 
 A service's level is the median of what its upstreams told. The lowest would let in
 what only one upstream takes, and all of that would meet there. The mean follows the
 one that is slow or badly placed: deeper calls come to it whatever it tells, so its
-level climbs into the classes above, and a tenth of that lifted the mean by a whole
+level climbs into the classes above, and one such among ten lifts the mean by a whole
 class.
 
 Invariant: ``ranked`` holds the levels of ``told``, which is ordered by when it was
--- a/src/gingerturn/internal/core/member_table.py
+++ b/src/gingerturn/internal/core/member_table.py
@@ -18,9 +18,9 @@
 zone spread, with 5 it stays under the 2 kB/s that control may use."""
 
 LISTED_PART = 3
-"""What came with a list of all members is passed on a third as often: after 194 nodes
-had started at once each told of all the others 24 times, for two and a half minutes, in
-messages five times as long as otherwise."""
+"""What came with a list of all members is passed on a third as often. After 194 nodes
+have started at once each would tell of all the others 24 times, for two and a half
+minutes, in messages five times as long as otherwise."""
 
 SMALL = 64
 """Below this size the few members that are not gone are listed before drawing, so
--- a/src/gingerturn/internal/core/pollers.py
+++ b/src/gingerturn/internal/core/pollers.py
@@ -2,9 +2,10 @@
 from them.
 
 A call on the log costs its owners as much as some requests, and each change of the
-table ended the waiting read of every node: 1,760 calls for 194 nodes in 42 s, 31 a
-second at three changes. Members tell one another the version in force with every
-datagram, and one that hears of a later one fetches it, so a few that wait are enough.
+table ends every waiting read: were all 194 nodes of a deployment to wait, they would
+make 1,760 calls in 42 s with three changes, in place of some 650. Members tell one
+another the version in force with every datagram, and one that hears of a later one
+fetches it, so a few that wait are enough.
 The spread takes some tenths of a second, of the two that operators allow.
 
 Two a zone, so that one may die and a zone may be cut off from the others. A node that
--- a/src/gingerturn/internal/core/rumour_queue.py
+++ b/src/gingerturn/internal/core/rumour_queue.py
@@ -1,8 +1,8 @@
 """Which members' updates are still passed on, those passed on least often first.
 
 Kept by how often each may still be told: taking the five that come first costs the same
-with four members and with four thousand. Ranking all of them for each message took
-0.2 ms with 194, some hundredth of a core of every node for minutes after a start.
+with four members and with four thousand. Ranking all of them for each message takes
+0.2 ms with 194, for minutes after a start.
 """
 
 import itertools
--- a/src/gingerturn/internal/core/upstream_costs.py
+++ b/src/gingerturn/internal/core/upstream_costs.py
@@ -42,9 +42,9 @@
 LOAD_FRESH_MS = 1_000.0
 """A load counts as told for this long; after it an upstream is taken to be as busy as
 others of its service on the same side, in the own zone or out of it. By loads of half
-a minute ago, as an entry has them of 95 upstreams, far ones that were idle then were
-preferred to near ones: 0.44 of the calls of one service left their zone in the model of
-194 nodes under a burst, 0.14 since."""
+a minute ago, as an entry has them of 95 upstreams, far ones that were idle then would
+be preferred to near ones: in the model of 194 nodes under a burst 0.44 of the calls
+of one service leave their zone by such loads, 0.14 by the mean."""
 
 OCCUPANCY_WEIGHT = 0.2
 """Of one report in the mean occupancy of a side, over some five: few calls leave the
