--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -66,9 +66,9 @@
     report: messages.LoadReport,
 ) -> None:
     """Take in what an upstream of a service told with its answer to a kind."""
-    _note(_known(state, service, _OWN), node, report.level, state.now)
+    _note(known_of(state, service, _OWN), node, report.level, state.now)
     if kind:
-        _note(_known(state, service, kind), node, report.tree_level, state.now)
+        _note(known_of(state, service, kind), node, report.tree_level, state.now)
     if report.scarce and report.scarce != service:
         _relay(state, report)
 
@@ -143,9 +143,10 @@
     return ids.Rank(known.ranked[0]) if known.ranked else known.level
 
 
-def _known(
+def known_of(
     state: states.State, service: ids.ServiceName, kind: str
 ) -> states.ServiceLevel:
+    """Return what is kept of a service's level; starts afresh for an unknown one."""
     known = state.levels.get((service, kind))
     if known is None:
         known = state.levels[(service, kind)] = states.ServiceLevel(told={}, ranked=[])
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -201,9 +201,7 @@
     held = levels.of_service(state, service, kind)
     if held.level <= 0 or state.now - held.heard < ASK_AFTER_MS:
         return
-    known = state.levels.get((service, kind))
-    if known is None:
-        known = state.levels[(service, kind)] = states.ServiceLevel(told={}, ranked=[])
+    known = levels.known_of(state, service, kind)
     if state.now - known.asked < ASK_AFTER_MS:
         return
     known.asked = state.now
