--- /dev/null
+++ b/benchmarks/regress.py
@@ -0,0 +1,123 @@
+"""Plays the regression sites with the users' bench, one after the other, against the
+last landing.
+
+``make regress BENCH=PROGRAM SITES="FILE FILE"`` plays a full score of each site, by
+default one day at a time, since a large one takes some gigabytes, and prints a line a
+site: score, gate, mean worth of the days with trouble, each beside the last landing's.
+``--record`` keeps what was printed as the next comparison.
+"""
+
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+import click
+import msgspec
+
+LANDED = pathlib.Path(__file__).with_name("landed.json")
+MOST_FALL = 0.03
+"""A site that falls by more has lost something; less is the spread of a score."""
+
+_SCORE = re.compile(
+    r"score on the standard days of (?P<site>\S+) \(.*?\): (?P<score>[\d.]+)"
+)
+_DAY = re.compile(
+    r"(?P<day>\S+) +\d+/\d+ +[\d.]+ +(?P<worth>-?[\d.]+) .*?(?P<broken>BROKEN)?\s*$"
+)
+
+
+class Played(msgspec.Struct, frozen=True):
+    """What one score of a site told.
+
+    :param mean_worth: of the standard days with trouble.
+    :param broken: days that broke a rule or were given up.
+    """
+
+    site: str
+    score: float
+    gate: bool
+    mean_worth: float
+    broken: tuple[str, ...] = ()
+
+
+def parse(text: str) -> Played:
+    """Return what the output of a score says.
+
+    :raises ValueError: for an output without a score.
+    """
+    found = _SCORE.search(text)
+    if found is None:
+        raise ValueError("no score in the output: " + text[-200:])
+    days = [match for line in text.splitlines() if (match := _DAY.match(line))]
+    worth = [float(day["worth"]) for day in days if _is_of_trouble(day["day"])]
+    return Played(
+        site=found["site"],
+        score=float(found["score"]),
+        gate="GATE passed" in text,
+        mean_worth=round(sum(worth) / max(1, len(worth)), 4),
+        broken=tuple(day["day"] for day in days if day["broken"]),
+    )
+
+
+def _is_of_trouble(day: str) -> bool:
+    return day.startswith(("trouble-", "scale-"))
+
+
+def line(played: Played, before: Played | None) -> str:
+    """Return one site's line."""
+    gate = "passed" if played.gate else "FAILED"
+    told = (
+        f"{played.site:<24} score {played.score:.3f}, gate {gate},"
+        f" mean worth {played.mean_worth:.3f}"
+    )
+    if played.broken:
+        told += f", broken: {', '.join(played.broken)}"
+    if before is None:
+        return told + "; not played at the last landing"
+    fall = before.score - played.score
+    mark = f"; FELL by {fall:.3f}" if fall > MOST_FALL else ""
+    return f"{told}; before {before.score:.3f}, {before.mean_worth:.3f}{mark}"
+
+
+def landed() -> dict[str, Played]:
+    """Return what the sites scored at the last landing."""
+    kept = msgspec.json.decode(LANDED.read_bytes(), type=list[Played])
+    return {played.site: played for played in kept}
+
+
+def keep(played: Played) -> None:
+    """Keep a site's score for the next comparison."""
+    all_sites = {**landed(), played.site: played}
+    told = [msgspec.to_builtins(all_sites[site]) for site in sorted(all_sites)]
+    LANDED.write_text(json.dumps(told, indent=2) + "\n")
+
+
+@click.command()
+@click.option("--bench", required=True, help="The users' bench program.")
+@click.option("--jobs", default=1, help="Days played at once.")
+@click.option("--record", is_flag=True, help="Keep the scores for the next time.")
+@click.argument("sites", nargs=-1, required=True)
+def main(bench: str, jobs: int, record: bool, sites: tuple[str, ...]) -> None:
+    """Score each site file in turn."""
+    failed = False
+    for site in sites:
+        ended = subprocess.run(
+            [bench, "score", site, "--jobs", str(jobs), "--why", "regression"],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        played = parse(ended.stdout)
+        before = landed().get(played.site)
+        click.echo(line(played, before))
+        failed |= not played.gate
+        failed |= before is not None and before.score - played.score > MOST_FALL
+        if record:
+            keep(played)
+    sys.exit(int(failed))
+
+
+if __name__ == "__main__":
+    main()
