Sight: the end of a backend server, and what it was at

When a connection breaks under a call, the home tries a new one, which serves the next call where it opens; refused means ended. The entry node hears which of the two it was (rule backend_ended) after that check instead of before it, 50 ms later at most. One log line an end names the fingerprints under way, a metric counts ends. Ruled out: probing by the health check, which lags and takes a slot. The fake world plays requests that end backend servers.

--- a/src/gingerturn/internal/core/arrivals.py
+++ b/src/gingerturn/internal/core/arrivals.py
@@ -59,6 +59,7 @@
         arrived=event.now,
         first=not event.key or rule.repeatable or event.sending == 1,
         holder="" if rule.repeatable else event.holder,
+        fingerprint=event.fingerprint,
         tried=[],
     )
 
@@ -120,6 +121,7 @@
         parent=parent.id,
         first=terms.first and (not event.key or event.sending == 1),
         holder="" if rule.repeatable else event.holder,
+        fingerprint=event.fingerprint,
         tried=[],
     )
 
--- /dev/null
+++ b/src/gingerturn/internal/core/backend_ends.py
@@ -0,0 +1,63 @@
+"""Whether the backend server beside this node ended, and which calls it was at.
+
+A connection breaks for many reasons; the backend server has ended only if nothing
+listens at its address any more. The calls that it was at then are remembered by what is
+the same whenever they are sent, since one of them may be why it ended.
+"""
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import effects, outbox, state as states
+
+TOGETHER_MS = 100.0
+"""Connections that break within this time break together: those of a process that
+ends are closed by one system, and are read one after the other."""
+
+TOLD = 16
+"""Fingerprints named in the log line of an end."""
+
+_AT_WORK = frozenset({states.HostedState.RUNNING, states.HostedState.STREAMING})
+
+
+def note_broken(
+    state: states.State, hosted: states.Hosted, out: states.Effects
+) -> None:
+    """Remember a call whose connection broke, and find out why it did."""
+    backend = state.backend
+    horizon = state.now - TOGETHER_MS
+    broken = [call for call in backend.broken if call.at >= horizon]
+    backend.broken = [*broken, states.BrokenCall(hosted.terms.fingerprint, state.now)]
+    if not backend.checking:
+        backend.checking = True
+        out.append(effects.CheckBackend(host=backend.host, port=backend.port))
+
+
+def on_checked(state: states.State, *, refused: bool, out: states.Effects) -> bool:
+    """Take in whether the backend server still listens.
+
+    :return: whether it ended by itself.
+    """
+    backend = state.backend
+    backend.checking = False
+    if not refused or not backend.broken:
+        return False
+    at_work = _under_way(state)
+    backend.broken = []
+    backend.ends += 1
+    told = " ".join(f"{fingerprint:012x}" for fingerprint in at_work[:TOLD])
+    text = (
+        f"{backend.service} {backend.instance} ended with {len(at_work)} requests"
+        f" under way: {told}."
+    )
+    outbox.warn(out, "backend", text)
+    return True
+
+
+def _under_way(state: states.State) -> list[ids.Fingerprint]:
+    """Return the requests that the backend server was at when it ended, each once."""
+    fingerprints = [call.fingerprint for call in state.backend.broken]
+    fingerprints += [
+        hosted.terms.fingerprint
+        for hosted in state.hosted.values()
+        if hosted.state in _AT_WORK
+    ]
+    return [found for found in dict.fromkeys(fingerprints) if found]
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -52,8 +52,12 @@
         decisions.Rule.STOPPING,
         decisions.Rule.NO_BACKEND,
         decisions.Rule.BACKEND_UNREACHABLE,
+        decisions.Rule.BACKEND_ENDED,
     }
 )
+_UNCLEAR_RULES = frozenset(
+    {decisions.Rule.OUTCOME_UNKNOWN, decisions.Rule.BACKEND_ENDED}
+)
 _FINAL_RULES = frozenset({decisions.Rule.KEY_INVALID, decisions.Rule.NOT_IN_TIME})
 
 
@@ -144,7 +148,7 @@
         return
     call = _returned(state, attempt, event.tokens, event.report)
     rule = decisions.Rule(event.refusal.rule)
-    own_failure = event.refusal.arrived or rule is decisions.Rule.OUTCOME_UNKNOWN
+    own_failure = event.refusal.arrived or rule in _UNCLEAR_RULES
     upstreams.note_answer(state, attempt.node, failed=own_failure)
     if rule in _ABSENT_RULES:
         upstream = upstreams.upstream_of(state, attempt.node)
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -55,6 +55,7 @@
     NO_ROUTE = 34
     NO_CONFIGURATION = 35
     RETRY_RATIONED = 36
+    BACKEND_ENDED = 37
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -149,6 +150,9 @@
     Rule.BACKEND_REFUSED: (
         "Refused: the backend server turned the call away without running it."
     ),
+    Rule.BACKEND_ENDED: (
+        "Answered as unknown: the backend server ended while it worked on the call."
+    ),
     Rule.NO_ROUTE: "Refused: the route table has no route for this host and path.",
     Rule.NO_CONFIGURATION: "Refused: this node has no configuration yet.",
 }
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -70,6 +70,13 @@
     hosted: ids.HostedId
 
 
+class CheckBackend(Effect, frozen=True):
+    """Find out whether the backend server still listens."""
+
+    host: str
+    port: int
+
+
 class SendAnswer(Effect, frozen=True):
     """Send the backend server's answer to the entry node.
 
@@ -256,6 +263,7 @@
     | RefuseCall
     | HandOver
     | CancelBackend
+    | CheckBackend
     | SendAnswer
     | SendKeptAnswer
     | KeepAnswer
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -60,6 +60,7 @@
         its key is a ticket.
     :param sending: 1 when the caller says that it sends this request for the first
         time, higher for a repeat, 0 when it says nothing.
+    :param fingerprint: what is the same whenever this request is sent; 0 if not known.
     """
 
     call: ids.CallId
@@ -74,6 +75,7 @@
     body_digest: str = ""
     sending: int = 0
     holder: str = ""
+    fingerprint: ids.Fingerprint = ids.Fingerprint(0)
 
 
 class CallerGone(Event, frozen=True):
@@ -182,6 +184,15 @@
     handed: bool
 
 
+class BackendChecked(Event, frozen=True):
+    """A new connection to the backend server was tried after one broke under a call.
+
+    :param refused: nothing listens there any more: the backend server has ended.
+    """
+
+    refused: bool
+
+
 class BackendAnnounced(Event, frozen=True):
     """The backend server beside this node announces itself, or renews.
 
@@ -339,6 +350,7 @@
     | BackendAnswered
     | BackendFinished
     | BackendFailed
+    | BackendChecked
     | BackendAnnounced
     | BackendWithdrawn
     | LogRead
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -5,6 +5,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
+    backend_ends,
     calls,
     decisions,
     effects,
@@ -37,6 +38,8 @@
 left: refusing it loses for certain what its parents have spent, and trying costs a slot
 that nobody waits for."""
 
+_SLOTLESS_STATES = frozenset({states.HostedState.WAITING, states.HostedState.CHECKING})
+
 
 def on_open(
     state: states.State, event: events.OpenReceived, out: states.Effects
@@ -107,6 +110,10 @@
     if hosted is None or hosted.orphaned:
         return
     hosted.orphaned = True
+    if hosted.state is states.HostedState.CHECKING:
+        out.append(effects.CancelBackend(hosted=hosted.id))
+        replies.forget(state, hosted)
+        return
     running = states.HostedState.RUNNING
     if hosted.state is running and not hosted.terms.repeatable:
         return
@@ -169,22 +176,51 @@
     if hosted is None:
         return
     if hosted.state is states.HostedState.STREAMING:
+        backend_ends.note_broken(state, hosted, out)
         _end_slot(state, hosted, out)
         return
     if hosted.state is not states.HostedState.RUNNING:
         return
-    rule = decisions.Rule.OUTCOME_UNKNOWN
-    if not event.handed:
-        rule = decisions.Rule.BACKEND_UNREACHABLE
-        state.backend.unreachable_until = event.now + UNREACHABLE_MS
+    if event.handed:
+        _on_broken(state, hosted, out)
+        return
+    state.backend.unreachable_until = event.now + UNREACHABLE_MS
     _end_slot(state, hosted, out, pump=False)
     if hosted.terms.key:
-        replies.fail_key(state, hosted, out, handed=event.handed)
+        replies.fail_key(state, hosted, out, handed=False)
     if not hosted.orphaned:
-        replies.refuse(state, hosted, rule, out, handed=event.handed)
+        replies.refuse(state, hosted, decisions.Rule.BACKEND_UNREACHABLE, out)
     fill(state, out)
 
 
+def _on_broken(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
+    """Take in that the connection under a call broke.
+
+    What its entry node is told waits for the answer to whether the backend server
+    ended: a call that ended it should not be sent to the next one as any other is.
+    """
+    backend_ends.note_broken(state, hosted, out)
+    if hosted.terms.key:
+        replies.fail_key(state, hosted, out, handed=True)
+    _end_slot(state, hosted, out, pump=False)
+    if not hosted.orphaned:
+        hosted.state = states.HostedState.CHECKING
+        state.hosted[hosted.id] = hosted
+    fill(state, out)
+
+
+def on_backend_checked(
+    state: states.State, event: events.BackendChecked, out: states.Effects
+) -> None:
+    """Tell the entry nodes of broken calls what became of the backend server."""
+    rule = decisions.Rule.OUTCOME_UNKNOWN
+    if backend_ends.on_checked(state, refused=event.refused, out=out):
+        rule = decisions.Rule.BACKEND_ENDED
+    for hosted in list(state.hosted.values()):
+        if hosted.state is states.HostedState.CHECKING:
+            replies.refuse(state, hosted, rule, out, handed=True)
+
+
 def _note_times(
     state: states.State, hosted: states.Hosted, elapsed: ids.Milliseconds
 ) -> None:
@@ -265,7 +301,7 @@
         _end_slot(state, hosted, out, pump=False)
         replies.refuse(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
         fill(state, out)
-    elif hosted.state is states.HostedState.WAITING:
+    elif hosted.state in _SLOTLESS_STATES:
         replies.refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out, handed=True)
     elif hosted.state is states.HostedState.RUNNING:
         _end_running(state, hosted, out)
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -65,6 +65,7 @@
         key is a ticket; then no claim is needed.
     :param first: no earlier sending of this request, or of the one that it serves,
         can have run; only then may a refusal say ``not-run``.
+    :param fingerprint: what is the same whenever this request is sent; 0 if not known.
     """
 
     service: ids.ServiceName
@@ -81,6 +82,7 @@
     first: bool = True
     ticket: str = ""
     repeat: bool = False
+    fingerprint: ids.Fingerprint = ids.Fingerprint(0)
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -493,6 +493,7 @@
     events.BackendAnswered: _on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
+    events.BackendChecked: hosting.on_backend_checked,
     events.BackendAnnounced: _on_announced,
     events.BackendWithdrawn: _on_withdrawn,
     events.LogRead: _on_log_read,
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -304,6 +304,7 @@
         first=call.first,
         ticket=call.holder,
         repeat=call.repeat,
+        fingerprint=call.fingerprint,
     )
     out.append(
         effects.OpenAttempt(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -57,6 +57,7 @@
     first: bool = True
     cleared: bool = True
     holder: str = ""
+    fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     tried: list[ids.NodeId] = []
 
 
@@ -77,6 +78,7 @@
     CLAIMING = "claiming"
     RUNNING = "running"
     STREAMING = "streaming"
+    CHECKING = "checking"
     WAITING = "waiting"
 
 
@@ -84,7 +86,8 @@
     """A call at its home node.
 
     Invariant: it occupies a slot exactly in the states CLAIMING, RUNNING and
-    STREAMING.
+    STREAMING. In CHECKING its connection broke, and its answer waits until it is
+    known whether the backend server ended.
 
     :param occupancy: share of the slots in use when it was handed over.
     :param orphaned: the entry node gave up, but the call may not be cancelled.
@@ -155,6 +158,13 @@
     rests_until: ids.Milliseconds = 0.0
 
 
+class BrokenCall(msgspec.Struct, frozen=True):
+    """A call whose connection to the backend server broke before its answer."""
+
+    fingerprint: ids.Fingerprint
+    at: ids.Milliseconds
+
+
 class Heard(msgspec.Struct, frozen=True):
     """The latest announcement of an instance.
 
@@ -177,6 +187,9 @@
         arrives from the start that did is late.
     :param replaced: instances that another one took the place of, and what was heard
         last from each.
+    :param checking: whether it still listens is being found out.
+    :param broken: calls that broke a moment ago.
+    :param ends: how often it ended by itself while this node ran.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -202,6 +215,9 @@
     times: dict[str, ServiceTime] = {}
     knee: Knee = msgspec.field(default_factory=Knee)
     unreachable_until: ids.Milliseconds = 0.0
+    checking: bool = False
+    broken: list[BrokenCall] = []
+    ends: int = 0
 
 
 class HeardLevel(msgspec.Struct, frozen=True, gc=False):
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -19,6 +19,9 @@
 RootHash = typing.NewType("RootHash", int)
 """64 bits that are the same at every hop of one whole request."""
 
+Fingerprint = typing.NewType("Fingerprint", int)
+"""48 bits that are the same whenever a request is sent, under whatever id."""
+
 SpanId = typing.NewType("SpanId", str)
 """The 16 hexadecimal digits of a span in a W3C ``traceparent``."""
 
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -110,14 +110,16 @@
         if found := _KEEP_ALIVE.search(told):
             self._told_ms = TOLD_SHARE * 1000.0 * int(found[1])
 
-    async def connect(self) -> backend_http.Connection:
+    async def connect(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> backend_http.Connection:
         """Open a connection.
 
         :raises OSError: when it cannot be opened in time.
         """
         loop = asyncio.get_running_loop()
         host, port = self._address
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
                 lambda: backend_http.Connection(self), host, port
             )
--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -16,6 +16,14 @@
 WINDOW = 262_144
 """Bytes of a streamed body that may be under way without the receiver's word."""
 
+FINGERPRINT_BYTES = 6
+"""Bytes of a fingerprint. Of a thousand remembered, 530,000 calls a second meet one by
+chance once in six days."""
+
+FINGERPRINT_BODY_BYTES = 4_096
+"""Of a body that is not held whole this much tells requests apart; as much is always
+held when a request is sent on."""
+
 BodySink = collections.abc.Callable[[bytes, bool], None]
 """Takes a piece of a body and whether it is the last."""
 
@@ -140,6 +148,29 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
+def fingerprint(request: Request, service: str, body_digest: str) -> ids.Fingerprint:
+    """Return what is the same whenever a request is sent: by any caller's connection,
+    through any node, under any id.
+
+    Who is asked, for what, with which body, in whose name. Headers that change from
+    one sending to the next are left out, as is the entry node.
+    """
+    body = body_digest
+    if not request.complete:
+        # How much of a long body has come in by now is chance.
+        body = digest(request.body[:FINGERPRINT_BODY_BYTES])
+    parts = (
+        request.method,
+        service.encode(),
+        request.target,
+        request.values.get(b"authorization", b""),
+        request.values.get(b"content-length", b""),
+        body.encode(),
+    )
+    found = hashlib.blake2b(b"\0".join(parts), digest_size=FINGERPRINT_BYTES)
+    return ids.Fingerprint(int.from_bytes(found.digest()))
+
+
 def request_head(request: Request, target: bytes, node: "nodes.Node") -> bytes:
     """Return the head that goes to the backend server, without its end.
 
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -213,7 +213,8 @@
         self._node.apply(
             events.BackendFailed(now=clock.now(), hosted=self._hosted, handed=handed)
         )
-        self._node.home.drop_exchange(self._hosted)
+        if self._hosted not in self._node.state.hosted:
+            self._node.home.drop_exchange(self._hosted)
 
     @property
     def call(self) -> int:
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -13,6 +13,10 @@
 
 MAX_KEPT_BYTES = 65_536
 
+CHECK_TIMEOUT_S = 0.05
+"""Nothing that listens on the same instance takes longer to accept a connection; what
+hangs has not ended. Entry nodes wait for the answer as long."""
+
 
 class HomeSide:
     """Exchanges with the backend server, and answers kept for repeats.
@@ -31,6 +35,7 @@
         return {
             effects.HandOver: self._hand_over,
             effects.CancelBackend: self._cancel_backend,
+            effects.CheckBackend: self._check_backend,
             effects.SendAnswer: self._send_answer,
             effects.SendKeptAnswer: self._send_kept_answer,
             effects.KeepAnswer: self._keep_answer,
@@ -92,6 +97,22 @@
             exchange.abandon()
             self.drop_exchange(effect.hosted)
 
+    def _check_backend(self, effect: effects.CheckBackend) -> None:
+        self._node.spawn(self._check(effect))
+
+    async def _check(self, effect: effects.CheckBackend) -> None:
+        """Try a new connection; one that opens serves the next call."""
+        self.pool.use(effect.host, effect.port)
+        refused = False
+        try:
+            self.pool.put(await self.pool.connect(CHECK_TIMEOUT_S))
+        except ConnectionRefusedError:
+            refused = True
+        except (OSError, TimeoutError):
+            # Neither word: it may be full, or stand still.
+            pass
+        self._node.apply(events.BackendChecked(now=clock.now(), refused=refused))
+
     def _send_answer(self, effect: effects.SendAnswer) -> None:
         exchange = self._exchanges[effect.hosted]
         if effect.keep_as:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -359,6 +359,7 @@
                 self._reject(400, error.message, request)
                 return
         trace, span = caller_requests.trace_of(request, dialect)
+        digest = caller_requests.digest(request.body) if request.body else ""
         request.head = caller_requests.request_head(request, target, self._node)
         arrival = events.CallArrived(
             now=clock.now(),
@@ -372,8 +373,9 @@
             holder=holder,
             timeout_ms=caller_requests.number_header(request, dialect.timeout),
             replayable=request.complete,
-            body_digest=caller_requests.digest(request.body) if request.body else "",
+            body_digest=digest,
             sending=int(caller_requests.number_header(request, heads.SENDING_HEADER)),
+            fingerprint=caller_requests.fingerprint(request, service, digest),
         )
         self._node.entry.begin_request(request, arrival)
 
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -59,6 +59,7 @@
     add("backend_limit", "gauge", ("", backend.limit))
     add("backend_queue", "gauge", ("", len(backend.queue)))
     add("backend_level", "gauge", ("", backend.level))
+    add("backend_ends_total", "counter", ("", backend.ends))
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
--- a/tooling/gingerturn_fakes/backends.py
+++ b/tooling/gingerturn_fakes/backends.py
@@ -15,6 +15,12 @@
 LOCAL_MS = 0.1
 """One way inside a zone or an instance; the brief gives none, chosen small."""
 
+DEADLY_SHARE = 0.6
+"""A request that ends its backend server does so after this part of its work."""
+
+RESTART_MS = 1_500.0
+"""A backend server that ended by itself is back after this time."""
+
 
 def hand_over(
     made: "worlds.World", node: parts.FakeNode, effect: effects.HandOver
@@ -63,11 +69,63 @@
         backend.executions[work.key] += 1
     made.on_execution(node, work)
     mean = backend.spec.service_ms.get(work.kind, 10.0) * backend.slow
+    if work.path in made.deadly_paths:
+        made.at(mean * DEADLY_SHARE, lambda: _end_by(made, node, work))
+        return
     if backend.running >= CROWDED_SHARE * backend.spec.slots:
         mean *= backend.spec.crowded
     made.at(mean * made.random.uniform(0.7, 1.3), lambda: _next_step(made, node, work))
 
 
+def _end_by(made: "worlds.World", node: parts.FakeNode, work: parts.Work) -> None:
+    """End the backend server that still works on a deadly request."""
+    if not work.done and node.works.get(work.hosted) is work:
+        end(made, node)
+
+
+def end(made: "worlds.World", node: parts.FakeNode) -> None:
+    """End a backend server with all that it holds, and start it anew later."""
+    backend = node.backend
+    backend.up = False
+    backend.ends += 1
+    backend.running = 0
+    backend.waiting.clear()
+    for work in list(node.works.values()):
+        work.done = work.cancelled = True
+        if work.waiting_child:
+            _drop_child(made, node, work)
+        _fail(made, node, work.hosted)
+    node.works.clear()
+    made.at(RESTART_MS, lambda: _start_anew(made, node))
+
+
+def _fail(made: "worlds.World", node: parts.FakeNode, hosted: int) -> None:
+    event = events.BackendFailed(now=made.now, hosted=ids.HostedId(hosted), handed=True)
+    made.at(LOCAL_MS, lambda: made.apply_to(node, parts.moved(event, made.now)))
+
+
+def check(
+    made: "worlds.World", node: parts.FakeNode, effect: effects.CheckBackend
+) -> None:
+    """Tell a node whether its backend server takes a new connection."""
+    refused = not node.backend.up
+    event = events.BackendChecked(now=made.now, refused=refused)
+    made.at(LOCAL_MS, lambda: made.apply_to(node, parts.moved(event, made.now)))
+
+
+def _start_anew(made: "worlds.World", node: parts.FakeNode) -> None:
+    if node.alive:
+        node.backend.up = True
+        made.announce(node)
+
+
+def _drop_child(made: "worlds.World", node: parts.FakeNode, work: parts.Work) -> None:
+    """Break off the call that a request waits for."""
+    gone = events.CallerGone(now=made.now, call=ids.CallId(work.waiting_child))
+    node.callers.pop(work.waiting_child, None)
+    made.at(LOCAL_MS, lambda: made.apply_to(node, parts.moved(gone, made.now)))
+
+
 def _next_step(made: "worlds.World", node: parts.FakeNode, work: parts.Work) -> None:
     if work.done or node.works.get(work.hosted) is not work:
         return
@@ -144,7 +202,5 @@
             node.backend.waiting.remove(work)
         return
     if work.waiting_child:
-        gone = events.CallerGone(now=made.now, call=ids.CallId(work.waiting_child))
-        node.callers.pop(work.waiting_child, None)
-        made.at(LOCAL_MS, lambda: made.apply_to(node, parts.moved(gone, made.now)))
+        _drop_child(made, node, work)
     _free(made, node, work)
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -4,7 +4,9 @@
 import dataclasses
 import math
 import typing
+import zlib
 
+from gingerturn.internal import ids
 from gingerturn.internal.core import events, messages, state as states
 
 
@@ -62,6 +64,7 @@
 
     :param slow: factor on the time of work.
     :param turned_away: share of the calls that it turns away though it has room.
+    :param ends: how often it has ended by itself so far.
     """
 
     spec: ServiceSpec
@@ -79,6 +82,7 @@
         default_factory=collections.Counter
     )
     executed: int = 0
+    ends: int = 0
 
 
 @dataclasses.dataclass
@@ -120,6 +124,11 @@
     tick_at: float = math.inf
 
 
+def fingerprint(service: str, method: str, path: str) -> ids.Fingerprint:
+    """Return what is the same whenever a request is sent."""
+    return ids.Fingerprint(zlib.crc32(f"{service} {method} {path}".encode()))
+
+
 def moved(event: events.Event, now: float) -> events.Event:
     """Return an event as it is seen later."""
     fields = {name: getattr(event, name) for name in event.__struct_fields__}
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -76,6 +76,8 @@
         ] = lambda node, effect: None
         self.cut: set[tuple[str, str]] = set()
         self.drop_gossip = 0.0
+        # A request for one of these ends each backend server that works on it.
+        self.deadly_paths: set[str] = set()
         self.gossip_on = False
         self._documents = documents
         self._zones = zones
@@ -125,10 +127,11 @@
         node.state.revisions.documents = dict(self._documents)
         node.tick_at = math.inf
         self.apply_to(node, started)
-        self._announce(node)
+        self.announce(node)
         self._schedule_tick(node)
 
-    def _announce(self, node: parts.FakeNode) -> None:
+    def announce(self, node: parts.FakeNode) -> None:
+        """Let the backend server beside a node announce itself."""
         spec = node.backend.spec
         self.apply_to(
             node,
@@ -140,6 +143,8 @@
                 slots=spec.slots,
                 connections=spec.slots * 7,
                 ttl_ms=1e12,
+                instance=f"{node.name}/{node.backend.ends}",
+                sequence=1,
             ),
         )
 
@@ -254,6 +259,7 @@
                 key=key,
                 sending=sending,
                 holder=holder,
+                fingerprint=parts.fingerprint(service, method, path),
             ),
         )
 
@@ -409,6 +415,7 @@
     effects.RefuseCall: World._refuse,
     effects.HandOver: backends.hand_over,
     effects.CancelBackend: backends.cancel_backend,
+    effects.CheckBackend: backends.check,
     effects.SendAnswer: links.send_answer,
     effects.SendKeptAnswer: links.send_kept,
     effects.SendRefusal: links.send_refusal,
