--- a/tests/cover/test_deadly_requests.py
+++ b/tests/cover/test_deadly_requests.py
@@ -85,6 +85,34 @@
     made.at(pause, send)
 
 
+def _storm(seed: int) -> tuple[world.World, Watch]:
+    """Play calm, then a deadly request that comes again and again."""
+    made = deadly_world(seed=seed)
+    watch = Watch(made)
+    send_every(made, small.KINDS["plan-status"], pause=10.0, until=made.now + 20_000)
+    made.run(2_000)
+    send_every(made, DEADLY, pause=150.0, until=made.now + 16_000)
+    made.run(18_000)
+    return made, watch
+
+
+def test_a_request_that_ends_backend_servers_stops_reaching_them() -> None:
+    for seed in (1, 2, 3):
+        _, watch = _storm(seed)
+        assert len(watch.runs) >= ENDS_ALLOWED
+        assert watch.late_runs <= LATE_SENDINGS, seed
+
+
+def test_other_requests_are_served_while_it_comes_again() -> None:
+    for seed in (1, 2, 3):
+        made, watch = _storm(seed)
+        known = watch.runs[ENDS_ALLOWED - 1] + KNOWN_AFTER_MS
+        roots = [root for root in watch.answers if root.sent > known]
+        others = [root for root in roots if root.kind.path not in made.deadly_paths]
+        served = sum(1 for root in others if root.answer == "ok")
+        assert served >= 0.99 * len(others), seed
+
+
 def test_what_was_under_way_at_each_end_tells_the_request() -> None:
     made = deadly_world(seed=1)
     lines: list[str] = []
