Quarantine: a request that ends backend servers is kept out everywhere

Cause: a node knew a request by the id of its sending alone. Each node that met it took it for new, held the lost run against the upstream, and sent it on; so one request under many ids ended all upstreams of its service again and again. Change: a home tells all nodes by gossip what was under way at each end; each works out the one request that explains most of them; what explains three is refused at the entries, and at the homes for entries that have not heard. A run to an answer clears it, a trial at one home after 30 s, 2 min, 8 min tells for what is kept out; the log holds what is kept out over a loss of all nodes at once.

--- a/src/gingerturn/internal/core/backend_ends.py
+++ b/src/gingerturn/internal/core/backend_ends.py
@@ -6,7 +6,7 @@
 """
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import effects, outbox, state as states
+from gingerturn.internal.core import effects, outbox, quarantine, state as states
 
 TOGETHER_MS = 100.0
 """Connections that break within this time break together: those of a process that
@@ -40,16 +40,30 @@
     backend.checking = False
     if not refused or not backend.broken:
         return False
+    _note_end(state, out)
+    return True
+
+
+def on_started_anew(state: states.State, out: states.Effects) -> None:
+    """Take in that the backend server started anew under the calls that it was at."""
+    if _under_way(state):
+        _note_end(state, out)
+
+
+def _note_end(state: states.State, out: states.Effects) -> None:
+    """Hold an end against what was under way; a planned one is no fault of it."""
+    backend = state.backend
     at_work = _under_way(state)
     backend.broken = []
     backend.ends += 1
-    told = " ".join(f"{fingerprint:012x}" for fingerprint in at_work[:TOLD])
+    told = " ".join(f"{request:012x}" for request in at_work[:TOLD])
     text = (
         f"{backend.service} {backend.instance} ended with {len(at_work)} requests"
         f" under way: {told}."
     )
     outbox.warn(out, "backend", text)
-    return True
+    if not backend.leaving:
+        quarantine.note_end(state, at_work, out)
 
 
 def _under_way(state: states.State) -> list[ids.Fingerprint]:
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -46,6 +46,7 @@
 _DEADLINE_RULES = frozenset(
     {decisions.Rule.DEADLINE_PASSED, decisions.Rule.QUEUE_EXPIRED}
 )
+_NO_REPEAT_RULES = _DEADLINE_RULES | {decisions.Rule.QUARANTINED}
 _ABSENT_RULES = frozenset(
     {
         decisions.Rule.LEAVING,
@@ -56,9 +57,19 @@
     }
 )
 _UNCLEAR_RULES = frozenset(
-    {decisions.Rule.OUTCOME_UNKNOWN, decisions.Rule.BACKEND_ENDED}
+    {
+        decisions.Rule.OUTCOME_UNKNOWN,
+        decisions.Rule.BACKEND_ENDED,
+        decisions.Rule.QUARANTINED,
+    }
+)
+_FINAL_RULES = frozenset(
+    {
+        decisions.Rule.KEY_INVALID,
+        decisions.Rule.NOT_IN_TIME,
+        decisions.Rule.QUARANTINED,
+    }
 )
-_FINAL_RULES = frozenset({decisions.Rule.KEY_INVALID, decisions.Rule.NOT_IN_TIME})
 
 
 def on_call_arrived(
@@ -165,7 +176,7 @@
         refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.outcome is messages.Outcome.UNKNOWN:
         call.first = False
-        hopeless = rule in _DEADLINE_RULES or not sending.may_repeat(call)
+        hopeless = rule in _NO_REPEAT_RULES or not sending.may_repeat(call)
         if hopeless or not sending.retry(state, call, out):
             refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.arrived:
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -56,6 +56,7 @@
     NO_CONFIGURATION = 35
     RETRY_RATIONED = 36
     BACKEND_ENDED = 37
+    QUARANTINED = 38
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -89,6 +90,12 @@
     Rule.RETRY_NO_ALLOWANCE: ("tokens left", "service budget", "attempts so far", ""),
     Rule.RETRY_NO_BUDGET: ("tokens left", "service budget left", "attempts so far", ""),
     Rule.RETRY_RATIONED: ("service budget left", "least rank", "own rank", ""),
+    Rule.QUARANTINED: (
+        "backend servers ended",
+        "s since the last",
+        "s until a trial",
+        "",
+    ),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
     Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
@@ -153,6 +160,10 @@
     Rule.BACKEND_ENDED: (
         "Answered as unknown: the backend server ended while it worked on the call."
     ),
+    Rule.QUARANTINED: (
+        "Kept out: backend servers ended while they ran this very request, under"
+        " whatever id."
+    ),
     Rule.NO_ROUTE: "Refused: the route table has no route for this host and path.",
     Rule.NO_CONFIGURATION: "Refused: this node has no configuration yet.",
 }
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -15,6 +15,7 @@
     knee,
     messages,
     outbox,
+    quarantine,
     ranks,
     replies,
     slot_costs,
@@ -64,6 +65,8 @@
     if terms.key and replies.is_repeat(state, hosted, out):
         return
     rule = _unfit(state, hosted)
+    if rule is None and not quarantine.admits(state, hosted):
+        rule = decisions.Rule.QUARANTINED
     if rule is not None:
         replies.refuse(state, hosted, rule, out)
         return
@@ -147,6 +150,8 @@
     else:
         _note_times(state, hosted, event.now - hosted.started)
         admission.note_backend_success(state)
+    if event.whole and event.status < calls.FIRST_FAILURE_STATUS:
+        quarantine.note_run(state, hosted.terms.fingerprint, out)
     if event.whole:
         _end_slot(state, hosted, out, pump=False)
     else:
@@ -165,6 +170,7 @@
     hosted = state.hosted.get(event.hosted)
     if hosted is None or hosted.state is not states.HostedState.STREAMING:
         return
+    quarantine.note_run(state, hosted.terms.fingerprint, out)
     _end_slot(state, hosted, out)
 
 
@@ -211,14 +217,22 @@
 
 def on_backend_checked(
     state: states.State, event: events.BackendChecked, out: states.Effects
-) -> None:
-    """Tell the entry nodes of broken calls what became of the backend server."""
-    rule = decisions.Rule.OUTCOME_UNKNOWN
-    if backend_ends.on_checked(state, refused=event.refused, out=out):
-        rule = decisions.Rule.BACKEND_ENDED
+) -> bool:
+    """Tell the entry nodes of broken calls what became of the backend server.
+
+    :return: whether it ended by itself.
+    """
+    ended = backend_ends.on_checked(state, refused=event.refused, out=out)
     for hosted in list(state.hosted.values()):
-        if hosted.state is states.HostedState.CHECKING:
-            replies.refuse(state, hosted, rule, out, handed=True)
+        if hosted.state is not states.HostedState.CHECKING:
+            continue
+        rule = decisions.Rule.OUTCOME_UNKNOWN
+        if quarantine.word_on(state, hosted.terms.fingerprint):
+            rule = decisions.Rule.QUARANTINED
+        elif ended:
+            rule = decisions.Rule.BACKEND_ENDED
+        replies.refuse(state, hosted, rule, out, handed=True)
+    return ended
 
 
 def _note_times(
@@ -407,6 +421,9 @@
         if hosted_id is None:
             return
         hosted = state.hosted[hosted_id]
+        if not quarantine.admits(state, hosted):
+            replies.refuse(state, hosted, decisions.Rule.QUARANTINED, out)
+            continue
         needed = admission.service_time(state, hosted.terms.kind)
         if state.now + needed > hosted.deadline:
             replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -14,6 +14,7 @@
     member_table,
     messages,
     outbox,
+    quarantine,
     revisions,
     route_table,
     state as states,
@@ -165,7 +166,10 @@
         _send_page(state, host, port, message, out)
     elif message.kind is kinds.SYNC_PAGE and message.cursor:
         sync(state, host, port, message.cursor, out)
-    if any(member.state is messages.MemberState.LEAVING for member in news):
+    urgent = any(member.state is messages.MemberState.LEAVING for member in news)
+    if message.kind in _OF_MEMBERS:
+        urgent |= quarantine.hear(state, message.quarantine, out)
+    if urgent:
         push(state, out)
     if sender not in state.membership.members and message.kind in _OF_MEMBERS:
         # A node that was restarted while the log was away hears from peers that it
@@ -293,6 +297,7 @@
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
         members=member_table.updates(state),
+        quarantine=quarantine.news(state),
     )
 
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -144,6 +144,51 @@
     SYNC_PAGE = "sync-page"
 
 
+class BackendEnd(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A backend server ended by itself.
+
+    :param node: the node beside it.
+    :param number: counts the ends there in this incarnation of the node.
+    :param part: an end with many requests is told in several parts.
+    :param requests: fingerprints of what was under way there.
+    :param age_ms: how long ago, so that clocks need not agree.
+    """
+
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    number: int
+    part: int
+    requests: tuple[int, ...]
+    age_ms: ids.Milliseconds = 0.0
+
+
+class QuarantineWord(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a node holds a request for.
+
+    :param request: its fingerprint.
+    :param ends: backend servers that ended under it; 0 when it ran to an answer.
+    :param age_ms: how long ago the latest of them ended, or it was answered.
+    """
+
+    request: int
+    ends: int
+    age_ms: ids.Milliseconds
+
+
+class QuarantineNews(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What rides on a membership message about requests that end backend servers.
+
+    :param digest: of the requests that the sender keeps out, 32 bits.
+    """
+
+    ends: tuple[BackendEnd, ...] = ()
+    words: tuple[QuarantineWord, ...] = ()
+    digest: int = 0
+
+
+NO_QUARANTINE_NEWS = QuarantineNews()
+
+
 class Gossip(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One membership message, with member updates riding on it.
 
@@ -161,6 +206,7 @@
     target: str = ""
     cursor: str = ""
     route_version: int = 0
+    quarantine: QuarantineNews = NO_QUARANTINE_NEWS
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
@@ -190,6 +236,22 @@
     at: float
 
 
+MAX_FINGERPRINT = (1 << 48) - 1
+MAX_ENDS = 0xFFFF
+
+
+class QuarantineRecord(msgspec.Struct, frozen=True, tag="quarantine"):
+    """A request that ends backend servers is kept out.
+
+    :param ends: how many ended under it; 0 when it is kept out no more.
+    :param at: when the latest of them ended.
+    """
+
+    request: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_FINGERPRINT)]
+    ends: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ENDS)]
+    at: float
+
+
 class ClaimRecord(msgspec.Struct, frozen=True, tag="claim"):
     """The first claim of a key in offset order wins the right to run it."""
 
@@ -246,6 +308,7 @@
     | PublishRecord
     | ConfigSnapshot
     | AuditRecord
+    | QuarantineRecord
     | routes.RouteTable
 )
 
--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -3,6 +3,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
+    backend_ends,
     decisions,
     events,
     hosting,
@@ -24,6 +25,7 @@
         if event.instance == backend.instance:
             text = f"{event.service} {event.instance} started anew."
             outbox.info(out, "backend", text)
+            backend_ends.on_started_anew(state, out)
             hosting.end_running(state, out)
         instances.begin(state, event.instance)
     backend.started_ms = event.started_ms or backend.started_ms
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -28,6 +28,7 @@
     outbox,
     pollers,
     presence,
+    quarantine,
     replies,
     revisions,
     route_table,
@@ -190,7 +191,10 @@
     out: states.Effects,
 ) -> None:
     changed = False
-    if isinstance(record, messages.ClaimBatch):
+    if isinstance(record, messages.QuarantineRecord):
+        if stream == streams.MEMBERS:
+            quarantine.on_record(state, record, out)
+    elif isinstance(record, messages.ClaimBatch):
         if stream == keys.stream_name(state.backend.service):
             claims.on_record(state, record, out)
     elif isinstance(record, routes.RouteTable) and stream == streams.ROUTES:
@@ -216,15 +220,16 @@
     if event.stream == streams.MEMBERS:
         joins = [r for r in decoded if isinstance(r, messages.JoinRecord)]
         joining.on_listed(state, joins, out)
-    else:
-        for record in decoded:
-            _on_record(state, event.stream, event.end, record, out)
+        decoded = [r for r in decoded if not isinstance(r, messages.JoinRecord)]
+    for record in decoded:
+        _on_record(state, event.stream, event.end, record, out)
     streams.resume(state, out)
 
 
 def _on_put_done(
     state: states.State, event: events.PutDone, out: states.Effects
 ) -> None:
+    quarantine.on_saved(state, event.put, done=True)
     joining.on_put_ended(state, event.put, out, done=True)
     streams.resume(state, out)
 
@@ -232,6 +237,7 @@
 def _on_put_failed(
     state: states.State, event: events.PutFailed, out: states.Effects
 ) -> None:
+    quarantine.on_saved(state, event.put, done=False)
     joining.on_put_ended(state, event.put, out, done=False)
 
 
@@ -266,12 +272,15 @@
 ) -> None:
     # The acknowledgement decides nothing: claims and publications count when they
     # are read back in the log's order.
+    quarantine.on_saved(state, event.append, done=True)
     state.appends.pop(event.append, None)
 
 
 def _on_append_failed(
     state: states.State, event: events.AppendFailed, out: states.Effects
 ) -> None:
+    if quarantine.on_saved(state, event.append, done=False):
+        return
     if event.append in state.appends:
         claims.on_append_failed(state, event.append, event.certain, out)
     elif event.certain:
@@ -339,6 +348,13 @@
         _offer_nothing(state, out)
 
 
+def _on_backend_checked(
+    state: states.State, event: events.BackendChecked, out: states.Effects
+) -> None:
+    if hosting.on_backend_checked(state, event, out):
+        membership.push(state, out)
+
+
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
@@ -440,6 +456,7 @@
     revisions.check_waits(state, now, out)
     revisions.keep_alive(state, now, out)
     joining.contact_seeds(state, now, out)
+    quarantine.check(state, now, out)
     _follow_claims(state, out)
 
 
@@ -493,7 +510,7 @@
     events.BackendAnswered: _on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
-    events.BackendChecked: hosting.on_backend_checked,
+    events.BackendChecked: _on_backend_checked,
     events.BackendAnnounced: _on_announced,
     events.BackendWithdrawn: _on_withdrawn,
     events.LogRead: _on_log_read,
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -11,6 +11,7 @@
     effects,
     keys,
     messages,
+    quarantine,
     state as states,
 )
 
@@ -38,6 +39,8 @@
     :param room: it did so with slots free.
     """
     backend = state.backend
+    if rule is decisions.Rule.QUARANTINED:
+        figures = quarantine.figures_on(state, hosted.terms.fingerprint)
     if figures is None:
         figures = (
             float(backend.running),
@@ -50,13 +53,16 @@
         outcome = messages.Outcome.UNKNOWN if handed else messages.Outcome.NOT_RUN
     report = admission.report(state, hosted.terms.kind)
     level = max(report.level, report.tree_level)
+    retry_after_ms = admission.come_back_after(state, hosted.rank, level)
+    if rule is decisions.Rule.QUARANTINED:
+        retry_after_ms += quarantine.trial_due_in(state, hosted.terms.fingerprint)
     out.append(
         effects.SendRefusal(
             hosted=hosted.id,
             refusal=messages.Refusal(
                 rule=int(rule),
                 outcome=outcome,
-                retry_after_ms=admission.come_back_after(state, hosted.rank, level),
+                retry_after_ms=retry_after_ms,
                 decision=decision,
                 holder=holder,
                 arrived=arrived,
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -9,6 +9,7 @@
     keys,
     levels,
     messages,
+    quarantine,
     ranks,
     rationing,
     refusals,
@@ -27,6 +28,10 @@
 """Attempts of one call that upstreams turn away though they have room. Where they turn
 away 55 % of what comes, 8 attempts reach 99 % of it; the budget bounds the sum."""
 
+COME_BACK_SPREAD_MS = 1_000.0
+"""Callers of a request that is kept out come back one to two seconds after it may be
+tried, so that they do not come together."""
+
 REFUSED_KEPT_MS = 10.0
 """A rank that no upstream took is not tried again for this long: under a flood that
 saves weighing every upstream for each call."""
@@ -37,6 +42,9 @@
     if call.holder:
         _send_to_holder(state, call, out)
         return
+    if quarantine.word_on(state, call.fingerprint) is not None:
+        _try_or_refuse(state, call, out)
+        return
     nodes = upstreams.candidates(state, call.service)
     if not nodes:
         if not settling.hold(state, call):
@@ -59,6 +67,28 @@
     _send(state, call, node, out)
 
 
+def _try_or_refuse(state: states.State, call: states.Call, out: states.Effects) -> None:
+    """Refuse a call that is kept out, or send it to the home that is to try it."""
+    node = quarantine.trial_node(state, call)
+    if node is not None:
+        _send(state, call, node, out)
+        return
+    _keep_out(state, call, out)
+
+
+def _keep_out(state: states.State, call: states.Call, out: states.Effects) -> None:
+    """Refuse a call that is kept out; its callers hear when it may be tried again."""
+    wait = quarantine.trial_due_in(state, call.fingerprint)
+    refusals.refuse(
+        state,
+        call,
+        decisions.Rule.QUARANTINED,
+        out,
+        retry_after=wait + COME_BACK_SPREAD_MS * (1.0 + state.random.random()),
+        figures=quarantine.figures_on(state, call.fingerprint),
+    )
+
+
 def place_waiting(state: states.State, out: states.Effects) -> None:
     """Send the calls that waited for an upstream of their service, or give them up."""
     services = state.membership.by_service
@@ -77,7 +107,7 @@
 
 def can_go_elsewhere(state: states.State, call: states.Call) -> bool:
     """Tell whether a call that may have run can be sent to another upstream now."""
-    if not may_repeat(call):
+    if not may_repeat(call) or quarantine.word_on(state, call.fingerprint):
         return False
     budget = _budget(state, call.service)
     if call.tokens < 1 or budget.held < 1.0 or call.rank < _retry_cut(state, budget):
@@ -90,7 +120,7 @@
     """Offer a call that was certainly not run to another upstream."""
     if call.redirects >= MAX_REDIRECTS or not call.replayable or call.holder:
         return False
-    if state.now >= call.deadline:
+    if state.now >= call.deadline or quarantine.word_on(state, call.fingerprint):
         return False
     node = routing.choose(state, _others(state, call), call.rule.name, call.rank)
     if node is None:
@@ -135,6 +165,10 @@
     allowed = may_repeat(call) if ran else call.replayable and not call.holder
     if not allowed or state.now >= call.deadline:
         return False
+    if quarantine.word_on(state, call.fingerprint):
+        found = quarantine.figures_on(state, call.fingerprint)
+        refusals.decide(state, call, decisions.Rule.QUARANTINED, out, found)
+        return False
     back = room and call.attempts < MAX_TURNED_AWAY
     if call.tokens < 1 and not back:
         refusals.decide(state, call, decisions.Rule.RETRY_NO_ALLOWANCE, out, figures)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -455,6 +455,63 @@
     certain: bool = True
 
 
+class KnownEnd(msgspec.Struct, frozen=True):
+    """A backend server that ended by itself, and when."""
+
+    end: messages.BackendEnd
+    at: ids.Milliseconds
+
+    @property
+    def requests(self) -> tuple[int, ...]:
+        """Fingerprints of what was under way there."""
+        return self.end.requests
+
+
+class Word(msgspec.Struct, frozen=True):
+    """Why a request is kept out.
+
+    :param ends: backend servers that ended under it.
+    :param at: when the latest of them did.
+    """
+
+    ends: int
+    at: ids.Milliseconds
+
+
+class Quarantine(msgspec.Struct):
+    """What is known of requests, by fingerprint, that end backend servers.
+
+    :param ends: by node, incarnation, number and part.
+    :param told: kept out by the word of other nodes or of the log.
+    :param cleared: when each was last known to have run to an answer.
+    :param kept_out: what follows from these.
+    :param suspects: under way in more than one end, and not cleared since.
+    :param digest: of ``kept_out``, to be compared with other nodes.
+    :param runs: what ran to an answer here lately, the longest ago first.
+    :param trials: when each that is kept out was last tried here.
+    :param saving: by the number of the record that is being put on the log.
+    :param unsaved: those whose record the log did not take.
+    """
+
+    ends: dict[str, KnownEnd] = {}
+    told: dict[int, Word] = {}
+    cleared: dict[int, ids.Milliseconds] = {}
+    kept_out: dict[int, Word] = {}
+    suspects: set[int] = set()
+    digest: int = 0
+    ends_to_tell: rumour_queue.Rumours = msgspec.field(
+        default_factory=rumour_queue.Rumours
+    )
+    words_to_tell: rumour_queue.Rumours = msgspec.field(
+        default_factory=rumour_queue.Rumours
+    )
+    tell_again_at: ids.Milliseconds = 0.0
+    runs: dict[int, None] = {}
+    trials: dict[int, ids.Milliseconds] = {}
+    saving: dict[int, int] = {}
+    unsaved: set[int] = set()
+
+
 class Publication(msgspec.Struct):
     """A publication that this node appended and whose fate is not yet read."""
 
@@ -547,6 +604,7 @@
         self.next_claim: ids.Milliseconds = 0.0
         self.claim_gap: ids.Milliseconds = 0.0
         self.revisions = Revisions()
+        self.quarantine = Quarantine()
         self.routed = False
         self.keyed_log = False
         self.lineage = False
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -6,6 +6,7 @@
 """
 
 import hmac
+import typing
 
 from gingerturn import errors
 from gingerturn.internal import ids
@@ -21,6 +22,8 @@
 """Datagrams of one sender may overtake one another by this much, and a sender whose
 clock was set back while it restarted is not shut out for as long as that took."""
 
+FINGERPRINT_BYTES = 6
+_MAX_AGE = (1 << 32) - 1
 _KINDS = list(messages.GossipKind)
 
 
@@ -45,6 +48,7 @@
     part.target = message.target
     part.cursor = message.cursor
     part.routeVersion = message.route_version
+    _put_news(part, message.quarantine)
     members = part.init("members", len(message.members))
     for slot, member in zip(members, message.members, strict=True):
         slot.node = member.node
@@ -86,6 +90,7 @@
             target=part.target,
             cursor=part.cursor,
             route_version=part.routeVersion,
+            quarantine=_news(part),
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
     except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
@@ -111,6 +116,61 @@
     )
 
 
+def _put_news(part: typing.Any, news: messages.QuarantineNews) -> None:
+    """Write what rides along on requests that end backend servers."""
+    if news is messages.NO_QUARANTINE_NEWS:
+        return
+    part.quarantineDigest = news.digest
+    ends = part.init("ends", len(news.ends))
+    for slot, end in zip(ends, news.ends, strict=True):
+        slot.node = end.node
+        slot.incarnation = end.incarnation
+        slot.number = end.number
+        slot.part = end.part
+        slot.ageMs = _age(end.age_ms)
+        slot.requests = b"".join(
+            request.to_bytes(FINGERPRINT_BYTES) for request in end.requests
+        )
+    words = part.init("words", len(news.words))
+    for slot, word in zip(words, news.words, strict=True):
+        slot.request = word.request
+        slot.ends = min(word.ends, messages.MAX_ENDS)
+        slot.ageMs = _age(word.age_ms)
+
+
+def _news(part: typing.Any) -> messages.QuarantineNews:
+    if not (part.quarantineDigest or len(part.ends) or len(part.words)):
+        return messages.NO_QUARANTINE_NEWS
+    return messages.QuarantineNews(
+        ends=tuple(_end(slot) for slot in part.ends),
+        words=tuple(
+            messages.QuarantineWord(slot.request, slot.ends, float(slot.ageMs))
+            for slot in part.words
+        ),
+        digest=part.quarantineDigest,
+    )
+
+
+def _end(slot: typing.Any) -> messages.BackendEnd:
+    content = slot.requests
+    requests = tuple(
+        int.from_bytes(content[first : first + FINGERPRINT_BYTES])
+        for first in range(0, len(content), FINGERPRINT_BYTES)
+    )
+    return messages.BackendEnd(
+        node=ids.NodeId(slot.node),
+        incarnation=ids.Incarnation(slot.incarnation),
+        number=slot.number,
+        part=slot.part,
+        requests=requests,
+        age_ms=float(slot.ageMs),
+    )
+
+
+def _age(age_ms: ids.Milliseconds) -> int:
+    return max(0, min(int(age_ms), _MAX_AGE))
+
+
 class ReplayGuard:
     """Remembers the latest time of sending of each sender."""
 
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -16,6 +16,21 @@
   backendStartedMs @10 :UInt64;
 }
 
+struct BackendEnd {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt32;
+  part @3 :UInt8;
+  requests @4 :Data;
+  ageMs @5 :UInt32;
+}
+
+struct QuarantineWord {
+  request @0 :UInt64;
+  ends @1 :UInt16;
+  ageMs @2 :UInt32;
+}
+
 struct Gossip {
   sender @0 :Text;
   sentAtMs @1 :Float64;
@@ -26,4 +41,7 @@
   target @6 :Text;
   cursor @7 :Text;
   routeVersion @8 :UInt64;
+  ends @9 :List(BackendEnd);
+  words @10 :List(QuarantineWord);
+  quarantineDigest @11 :UInt32;
 }
