Clock that counts on in a suspended machine; what a standstill proves; tests of quarantine

Cause: the node's time came from the monotonic clock, which stands still while a machine is suspended: deadlines lasted longer by that time, old words counted as fresh, and after 30 s in all each datagram of the node was taken for a replay until it started anew. And a node that stood still, by suspension or a stopped process, held the silence of others against them at once: it waits anew. Quarantine: each home that saw one of the ends puts the record on the log; before, none did where the third end came before the news of the two others. Found by test_it_stays_kept_out_when_all_nodes_start_anew_at_once, which failed first. A trial is known by the call, not by its time of arrival: two could come in the same tick. Found by the trial's test, which failed first.

--- a/src/gingerturn/internal/core/quarantine.py
+++ b/src/gingerturn/internal/core/quarantine.py
@@ -93,7 +93,6 @@
         recurring = [found for found in suspects if found in known.suspects]
         others = [found for found in suspects if found not in known.suspects]
         suspects = [*recurring, *state.random.sample(others, len(others))][:most]
-    before = dict(known.kept_out)
     number = state.backend.ends
     for part, first in enumerate(range(0, len(suspects), REQUESTS_AN_END)):
         end = messages.BackendEnd(
@@ -105,9 +104,6 @@
         )
         _keep_end(state, end)
     _judge(state, out)
-    for found, word in known.kept_out.items():
-        if found not in before or before[found].ends < word.ends:
-            _save(state, found, out)
 
 
 def note_run(state: states.State, request: int, out: states.Effects) -> None:
@@ -133,7 +129,8 @@
     """Return how long it takes until a request that is kept out is tried again."""
     known = state.quarantine
     word = known.kept_out[request]
-    last = max(word.at, known.trials.get(request, 0.0))
+    trial = known.trials.get(request)
+    last = word.at if trial is None else max(word.at, trial.at)
     return max(0.0, last + _pause(word.ends) - state.now)
 
 
@@ -150,13 +147,14 @@
     request = hosted.terms.fingerprint
     if request not in known.kept_out:
         return True
-    if known.trials.get(request) == hosted.arrived:
+    trial = known.trials.get(request)
+    if trial is not None and trial.hosted == hosted.id:
         return True
     if trial_due_in(state, request) > 0.0:
         return False
     if _trial_home(state, request, hosted.terms.service) != state.node:
         return False
-    known.trials[request] = hosted.arrived
+    known.trials[request] = states.Trial(hosted=hosted.id, at=state.now)
     return True
 
 
@@ -289,13 +287,30 @@
         outbox.warn(out, PART, text)
     for request in known.kept_out.keys() - found.keys():
         outbox.info(out, PART, f"Request {request:012x} is kept out no more.")
+    before = known.kept_out
     latest = sorted(found, key=lambda request: -found[request].at)[:MAX_KEPT_OUT]
     known.kept_out = {request: found[request] for request in sorted(latest)}
     known.digest = _digest(known.kept_out)
+    own = _own_requests(state)
+    for request, word in known.kept_out.items():
+        worse = request not in before or before[request].ends < word.ends
+        if worse and request in own:
+            _save(state, request, out)
     for request in known.trials.keys() - known.kept_out.keys():
         del known.trials[request]
 
 
+def _own_requests(state: states.State) -> set[int]:
+    """Return what was under way when backend servers ended beside this node.
+
+    Each home that saw one of the ends puts the record: which one hears of the third
+    end first, and whether it lives on, is chance.
+    """
+    ends = state.quarantine.ends.values()
+    own = [end.requests for end in ends if end.end.node == state.node]
+    return {request for requests in own for request in requests}
+
+
 class _SharedEnd:
     """One end with the requests that it may be held against.
 
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -33,6 +33,7 @@
     revisions,
     route_table,
     sending,
+    standstill,
     state as states,
     streams,
     timers,
@@ -122,6 +123,7 @@
 
 def _on_tick(state: states.State, event: events.Tick, out: states.Effects) -> None:
     now = state.now
+    standstill.check(state, now, out)
     while state.deadlines and state.deadlines[0][0] <= now:
         _, which, number = heapq.heappop(state.deadlines)
         if which == calls.CALL_DEADLINE:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -478,6 +478,13 @@
     at: ids.Milliseconds
 
 
+class Trial(msgspec.Struct, frozen=True):
+    """The one call of a request that is kept out which ran all the same, and when."""
+
+    hosted: ids.HostedId
+    at: ids.Milliseconds
+
+
 class Quarantine(msgspec.Struct):
     """What is known of requests, by fingerprint, that end backend servers.
 
@@ -488,7 +495,7 @@
     :param suspects: under way in more than one end, and not cleared since.
     :param digest: of ``kept_out``, to be compared with other nodes.
     :param runs: what ran to an answer here lately, the longest ago first.
-    :param trials: when each that is kept out was last tried here.
+    :param trials: the latest one here of each that is kept out.
     :param saving: by the number of the record that is being put on the log.
     :param unsaved: those whose record the log did not take.
     """
@@ -507,7 +514,7 @@
     )
     tell_again_at: ids.Milliseconds = 0.0
     runs: dict[int, None] = {}
-    trials: dict[int, ids.Milliseconds] = {}
+    trials: dict[int, Trial] = {}
     saving: dict[int, int] = {}
     unsaved: set[int] = set()
 
@@ -594,6 +601,8 @@
         # Calls that wait for the first upstream of their service, and until when.
         self.waiting: dict[ids.CallId, ids.Milliseconds] = {}
         self.started: ids.Milliseconds = 0.0
+        # When the timer service last ran.
+        self.ticked: ids.Milliseconds = 0.0
         self.deadlines: list[tuple[ids.Milliseconds, int, int]] = []
         self.membership = Membership()
         self.streams: dict[str, Stream] = {}
--- a/tests/cover/test_deadly_requests.py
+++ b/tests/cover/test_deadly_requests.py
@@ -12,7 +12,7 @@
 """
 
 from gingerturn.internal.core import effects
-from gingerturn_fakes import parts, world
+from gingerturn_fakes import backends, parts, world
 from tests.common import small
 
 DEADLY = parts.KindSpec("plan-status", "plans", "GET", "/status/9c2f")
@@ -113,6 +113,18 @@
         assert served >= 0.99 * len(others), seed
 
 
+def test_homes_of_a_large_service_know_of_each_others_ends() -> None:
+    # Each of the 15 homes alone would wait for a third end of its own.
+    made = deadly_world(seed=1, upstreams=15)
+    watch = Watch(made)
+    send_every(made, small.KINDS["plan-status"], pause=10.0, until=made.now + 9_000)
+    made.run(1_000)
+    send_every(made, DEADLY, pause=300.0, until=made.now + 7_000)
+    made.run(8_000)
+    assert len(watch.runs) >= ENDS_ALLOWED
+    assert watch.late_runs <= LATE_SENDINGS
+
+
 def test_what_was_under_way_at_each_end_tells_the_request() -> None:
     made = deadly_world(seed=1)
     lines: list[str] = []
@@ -128,3 +140,120 @@
     told = parts.fingerprint(DEADLY.service, DEADLY.method, DEADLY.path)
     assert len(lines) >= ENDS_ALLOWED
     assert all(f"{told:012x}" in line for line in lines)
+
+
+def _send_through(made: world.World, entry: str) -> parts.Root:
+    """Send one deadly request through a node and wait for its answer."""
+    root = parts.Root(id=made.next_number(), kind=DEADLY, sent=made.now, key="")
+    made.send(root, entry=entry)
+    made.run(2_000)
+    return root
+
+
+def test_a_node_that_was_cut_off_meanwhile_keeps_it_out() -> None:
+    made = deadly_world(seed=4)
+    watch = Watch(made)
+    apart = "porting-1"
+    others = [name for name in made.nodes if name != apart]
+    made.cut = {(apart, name) for name in others} | {(name, apart) for name in others}
+    made.run(1_000)
+    for entry in ("porting-2", "porting-3", "porting-4"):
+        _send_through(made, entry)
+    made.run(10_000)
+    made.cut = set()
+    made.run(5_000)
+    before = len(watch.runs)
+    assert before >= ENDS_ALLOWED
+    assert _send_through(made, apart).answer == "not-run"
+    assert len(watch.runs) == before
+
+
+def test_a_node_that_started_since_keeps_it_out() -> None:
+    made = deadly_world(seed=5)
+    watch = Watch(made)
+    for entry in ("porting-1", "porting-2", "porting-3"):
+        _send_through(made, entry)
+    before = len(watch.runs)
+    made.kill("porting-1")
+    made.run(1_000)
+    made.restart("porting-1")
+    made.run(3_000)
+    assert _send_through(made, "porting-1").answer == "not-run"
+    assert len(watch.runs) == before
+
+
+def test_it_stays_kept_out_when_all_nodes_start_anew_at_once() -> None:
+    made = deadly_world(seed=6)
+    watch = Watch(made)
+    for entry in ("porting-1", "porting-2", "porting-3"):
+        _send_through(made, entry)
+    before = len(watch.runs)
+    for name in made.nodes:
+        made.kill(name)
+    made.run(1_000)
+    for name in made.nodes:
+        made.restart(name)
+    made.run(KNOWN_AFTER_MS)
+    assert _send_through(made, "porting-1").answer == "not-run"
+    assert len(watch.runs) == before
+
+
+def test_a_service_lost_at_once_comes_back_whatever_was_under_way() -> None:
+    # All that was ever sent is one popular request, and it is under way in every end.
+    made = deadly_world(seed=7)
+    made.deadly_paths.clear()
+    watch = Watch(made)
+    popular = small.KINDS["plan-status"]
+
+    def send() -> None:
+        made.send(
+            parts.Root(id=made.next_number(), kind=popular, sent=made.now, key="")
+        )
+        made.at(10.0, send)
+
+    made.at(1.0, send)
+    made.run(3_000)
+    for name in ("plans-1", "plans-2", "plans-3", "plans-4", "plans-5"):
+        backends.end(made, made.nodes[name])
+    made.run(2_000)
+    watch.answers.clear()
+    made.run(2_000)
+    served = sum(1 for root in watch.answers if root.answer == "ok")
+    assert served >= 0.99 * len(watch.answers)
+
+
+def test_several_deadly_requests_at_a_time_are_kept_out_each() -> None:
+    made = deadly_world(seed=8)
+    runs: dict[str, list[float]] = {}
+
+    def note(node: parts.FakeNode, work: parts.Work) -> None:
+        if work.path in made.deadly_paths:
+            runs.setdefault(work.path, []).append(made.now)
+
+    made.on_execution = note
+    send_every(made, small.KINDS["plan-status"], pause=10.0, until=made.now + 20_000)
+    made.run(1_000)
+    for number in range(3):
+        path = f"/status/deadly-{number}"
+        made.deadly_paths.add(path)
+        kind = parts.KindSpec("plan-status", "plans", "GET", path)
+        send_every(made, kind, pause=400.0, until=made.now + 15_000)
+    made.run(19_000)
+    for found in runs.values():
+        late = [run for run in found if run > found[ENDS_ALLOWED - 1] + KNOWN_AFTER_MS]
+        assert len(late) <= LATE_SENDINGS
+
+
+def test_a_deadly_call_deeper_in_the_tree_leaves_its_callers_service_alone() -> None:
+    made = small.new_world(seed=9, gossip=True)
+    made.deadly_paths.add("/view/9c2f")
+    spec = made.services["plans"]
+    spec.calls["plan-status"] = ["provisioning GET /view/9c2f"]
+    watch = Watch(made)
+    root = small.KINDS["plan-status"]
+    send_every(made, root, pause=200.0, until=made.now + 10_000)
+    made.run(11_000)
+    assert watch.late_runs <= LATE_SENDINGS
+    ends = {name: node.backend.ends for name, node in made.nodes.items()}
+    assert not any(count for name, count in ends.items() if name.startswith("plans"))
+    assert sum(ends.values()) <= ENDS_ALLOWED + LATE_SENDINGS
--- a/tests/cover/test_reducer_properties.py
+++ b/tests/cover/test_reducer_properties.py
@@ -39,10 +39,11 @@
     repeatable=st.booleans(),
     key=KEYS,
     first=st.booleans(),
+    fingerprint=st.integers(0, 3),
 )
 REFUSALS = st.builds(
     messages.Refusal,
-    rule=st.sampled_from([3, 13, 22, 24, 26, 29]),
+    rule=st.sampled_from([3, 13, 22, 24, 26, 29, 37, 38]),
     outcome=st.sampled_from(list(messages.Outcome)),
     retry_after_ms=st.floats(0, 5_000),
     decision=st.just("x:1"),
@@ -61,6 +62,31 @@
     service=st.sampled_from(["", "plans", "porting"]),
     slots=st.integers(0, 20),
 )
+QUARANTINE_NEWS = st.builds(
+    messages.QuarantineNews,
+    ends=st.lists(
+        st.builds(
+            messages.BackendEnd,
+            node=st.sampled_from(["n2", "n3"]),
+            incarnation=st.integers(1, 2),
+            number=st.integers(1, 3),
+            part=st.integers(0, 1),
+            requests=st.lists(st.integers(1, 3), max_size=3).map(tuple),
+            age_ms=st.integers(0, 100).map(float),
+        ),
+        max_size=2,
+    ).map(tuple),
+    words=st.lists(
+        st.builds(
+            messages.QuarantineWord,
+            request=st.integers(1, 3),
+            ends=st.integers(0, 4),
+            age_ms=st.integers(0, 100).map(float),
+        ),
+        max_size=2,
+    ).map(tuple),
+    digest=st.integers(0, 3),
+)
 GOSSIP = st.builds(
     messages.Gossip,
     kind=st.sampled_from(list(messages.GossipKind)),
@@ -69,6 +95,7 @@
     members=st.lists(MEMBERS, max_size=3).map(tuple),
     target=st.sampled_from(["", "n2"]),
     cursor=st.sampled_from(["", "n1"]),
+    quarantine=st.one_of(st.just(messages.NO_QUARANTINE_NEWS), QUARANTINE_NEWS),
 )
 RECORDS = st.one_of(
     st.binary(max_size=20),
@@ -84,6 +111,12 @@
             max_size=2,
         ).map(tuple),
     ).map(messages.encode_record),
+    st.builds(
+        messages.QuarantineRecord,
+        request=st.integers(1, 3),
+        ends=st.integers(0, 4),
+        at=st.sampled_from([0.0, builders.START]),
+    ).map(messages.encode_record),
     st.builds(
         messages.PublishRecord,
         id=st.sampled_from(["a", "b"]),
@@ -115,6 +148,7 @@
         key=KEYS,
         replayable=st.booleans(),
         sending=st.integers(0, 2),
+        fingerprint=st.integers(0, 3),
     ),
     _event(events.CallerGone, call=SMALL),
     _event(
@@ -147,6 +181,7 @@
     ),
     _event(events.BackendFinished, hosted=st.integers(100, 110)),
     _event(events.BackendFailed, hosted=st.integers(100, 110), handed=st.booleans()),
+    _event(events.BackendChecked, refused=st.booleans()),
     _event(
         events.BackendAnnounced,
         service=st.just("porting"),
@@ -227,6 +262,8 @@
     assert all(call.tokens >= 0 for call in state.calls.values())
     assert all(h.tokens >= 0 for h in state.hosted.values())
     assert all(u.outstanding >= 0 for u in state.upstreams.values())
+    known = state.quarantine
+    assert all(known.kept_out[r].at > known.cleared.get(r, 0.0) for r in known.kept_out)
     for nodes in state.membership.by_service.values():
         assert len(nodes) == len(set(nodes))
 
--- /dev/null
+++ b/tests/cover/test_standstill.py
@@ -0,0 +1,103 @@
+"""A machine that is suspended, a process that is stopped: time that a node misses.
+
+The pattern: a virtual machine is moved or paused for seconds. The monotonic clock does
+not count that time, callers and peers do.
+"""
+
+import time
+
+import pytest
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    events,
+    membership,
+    reducer,
+    standstill,
+    state as states,
+    timers,
+)
+from gingerturn.internal.shell import clock
+from tests.common import builders, routed
+
+SUSPENDED_MS = 8_000.0
+
+
+def test_time_goes_on_while_the_machine_is_suspended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    before = clock.now()
+    real = time.clock_gettime
+    stood_s = SUSPENDED_MS / 1000.0
+
+    def after(which: int) -> float:
+        return real(which) + (stood_s if which == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", after)
+    assert clock.now() - before >= SUSPENDED_MS
+
+
+def test_a_correction_of_the_wall_clock_moves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    before = clock.now()
+    monkeypatch.setattr(time, "time", lambda: 0.0)
+    assert 0.0 <= clock.now() - before < SUSPENDED_MS
+
+
+def _probing() -> states.State:
+    """Return a node that has just probed a member."""
+    state = routed.node_state(routed.route(timeout_ms=5_000))
+    builders.add_members(
+        state, builders.member("n2", "plans"), builders.member("n3", "plans")
+    )
+    while not state.membership.probes:
+        builders.passed(state, 10.0)
+    return state
+
+
+def _stand_still(state: states.State) -> list[effects.Effect]:
+    return reducer.reduce(state, events.Tick(now=state.now + SUSPENDED_MS))
+
+
+def test_a_node_that_stood_still_suspects_nobody_for_it() -> None:
+    state = _probing()
+    _stand_still(state)
+    assert not state.membership.suspected
+    builders.passed(state, membership.SUSPECT_AFTER_MS + timers.GRID_MS)
+    assert state.membership.suspected
+
+
+def test_whom_it_suspected_before_is_not_gone_for_it() -> None:
+    state = _probing()
+    builders.passed(state, membership.SUSPECT_AFTER_MS + timers.GRID_MS)
+    suspected = set(state.membership.suspected)
+    _stand_still(state)
+    assert suspected
+    assert not suspected & set(state.membership.gone)
+
+
+def test_callers_deadlines_have_passed_meanwhile() -> None:
+    state = _probing()
+    reducer.reduce(state, routed.arrived(1, now=state.now))
+    out = _stand_still(state)
+    assert builders.only(out, effects.RefuseCall).status == 504
+
+
+def test_the_backend_server_beside_it_is_still_there() -> None:
+    state = routed.node_state(service="plans")
+    builders.passed(state, 5_000.0)
+    _stand_still(state)
+    assert state.backend.present
+    builders.passed(state, 5_000.0 + 2 * timers.GRID_MS)
+    assert not state.backend.present
+
+
+def test_a_busy_node_that_ticks_late_is_none_that_stood_still() -> None:
+    state = _probing()
+    late = state.now + standstill.STOOD_STILL_MS - 1.0
+    out = reducer.reduce(state, events.Tick(now=late))
+    told = builders.all_of(out, effects.WriteLog)
+    assert not any("stood still" in line.text for line in told)
+    assert ids.Milliseconds(late) == state.ticked
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -1,6 +1,9 @@
 """For each rule of the users' platform: its proof fails when its mechanism is out."""
 
+import collections
 import collections.abc
+import functools
+import time
 import typing
 
 import pytest
@@ -13,26 +16,33 @@
     instances,
     joining,
     membership,
+    quarantine,
     reducer,
     route_table,
     sending,
+    standstill,
+    state as states,
     streams,
     timers,
     upstream_costs,
     upstreams,
 )
-from gingerturn.internal.shell import backend_http, caller_limits
+from gingerturn.internal.shell import backend_http, caller_limits, clock
+from tests.common import builders
 from tests.cover import (
     test_announcements as announcements,
     test_backend_answers as answers,
     test_caller_limits as limits,
+    test_deadly_requests as deadly,
     test_decisions_under_load as under_load,
     test_keyed_members as members,
     test_membership as members_told,
+    test_quarantine as of_quarantine,
     test_routed_attempts as attempts,
     test_routes as of_routes,
     test_settling as settling,
     test_silent_nodes as silent,
+    test_standstill as stood_still,
     test_ticks as ticks,
 )
 
@@ -51,6 +61,16 @@
     return True
 
 
+def _all_blamed(ends: dict[str, typing.Any]) -> dict[int, states.Word]:
+    """Blame all that was under way in three ends, whatever explains them."""
+    counts = collections.Counter(r for end in ends.values() for r in end.requests)
+    return {
+        request: states.Word(ends=times, at=builders.START)
+        for request, times in counts.items()
+        if times >= quarantine.ENDS_TO_KEEP_OUT
+    }
+
+
 def _no_route(*arguments: typing.Any) -> decisions.Rule:
     return decisions.Rule.NO_ROUTE
 
@@ -131,6 +151,65 @@
         _any_table,
         of_routes.test_the_version_in_force_never_goes_down,
     ),
+    (
+        "BUDGET, requests that end backend servers: the entries",
+        sending.quarantine,
+        "word_on",
+        _nothing,
+        functools.partial(
+            of_quarantine.test_an_entry_refuses_it_before_any_work_and_says_when_to_come_back,
+            of_routes.routes.RouteType.SAFE,
+        ),
+    ),
+    (
+        "BUDGET, requests that end backend servers: the homes",
+        hosting.quarantine,
+        "admits",
+        _true,
+        of_quarantine.test_a_queued_call_is_refused_once_it_is_kept_out,
+    ),
+    (
+        "BUDGET, requests that end backend servers: the news",
+        membership.quarantine,
+        "hear",
+        _false,
+        deadly.test_homes_of_a_large_service_know_of_each_others_ends,
+    ),
+    (
+        "BUDGET, requests that end backend servers: a loss of all nodes",
+        quarantine,
+        "_save",
+        _nothing,
+        deadly.test_it_stays_kept_out_when_all_nodes_start_anew_at_once,
+    ),
+    (
+        "what is popular is not kept out",
+        quarantine,
+        "RUNS_KEPT",
+        0,
+        of_quarantine.test_a_popular_request_under_way_in_every_end_is_not_kept_out,
+    ),
+    (
+        "what another request explains is not kept out",
+        quarantine,
+        "_blamed",
+        _all_blamed,
+        of_quarantine.test_a_request_that_was_sent_on_into_three_ends_is_not_blamed,
+    ),
+    (
+        "what is kept out by mistake is tried",
+        quarantine,
+        "_trial_home",
+        _nothing,
+        of_quarantine.test_a_request_that_is_kept_out_by_mistake_is_tried_and_cleared,
+    ),
+    (
+        "a node that stood still suspects nobody",
+        standstill,
+        "STOOD_STILL_MS",
+        1e12,
+        stood_still.test_a_node_that_stood_still_suspects_nobody_for_it,
+    ),
     (
         "DENIED",
         route_table,
@@ -245,3 +324,11 @@
             patch.setattr(owner, name, replacement)
         with pytest.raises(AssertionError):
             proof()
+
+
+def test_the_proof_of_a_suspended_machine_fails_on_the_monotonic_clock(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clock, "_SOURCE", time.CLOCK_MONOTONIC)
+    with pytest.raises(AssertionError):
+        stood_still.test_time_goes_on_while_the_machine_is_suspended(monkeypatch)
