Quarantine for operators: command line, administration, audit trail, metrics; real processes

gingerturn quarantine show and clear; a clearing is on the audit trail and reaches all nodes. The stand-in of a backend server can be ended by a request: on real processes one request ended three backend servers, was then refused at another entry with 503, not run, and time to come back, and could be cleared. Backend servers killed nine times in turn keep nothing out.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -261,6 +261,38 @@
     _echo_trail(_get(admin, "/audit", params={"team": team}), as_json)
 
 
+@cli.group()
+def quarantine() -> None:
+    """Requests that end backend servers, and are kept out."""
+
+
+@quarantine.command("show")
+@_ADMIN
+@_JSON
+def show_quarantine(admin: str, as_json: bool) -> None:
+    """Show the requests that a node keeps out."""
+    found = _get(admin, "/quarantine")
+    if as_json:
+        _echo_json(found)
+        return
+    for row in found:
+        click.echo(
+            f"{row['request']}: {row['ends']} backend servers ended, the last"
+            f" {row['last_end_s']:.0f} s ago; tried again in {row['trial_in_s']:.0f} s"
+        )
+
+
+@quarantine.command("clear")
+@click.argument("request")
+@click.option("--author", required=True, help="Who does it, for the audit trail.")
+@_ADMIN
+def clear_quarantine(request: str, author: str, admin: str) -> None:
+    """Let a request that is kept out run again, at all nodes."""
+    path = f"/quarantine/{request}"
+    _send("DELETE", admin.rstrip("/") + path, params={"author": author})
+    click.echo(f"{request} may run again")
+
+
 @cli.command()
 @click.option(
     "--metrics",
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -304,6 +304,16 @@
     text: str
 
 
+class RequestCleared(Event, frozen=True):
+    """An operator lets a request that is kept out run again.
+
+    :param request: its fingerprint.
+    """
+
+    request: ids.Fingerprint
+    author: str
+
+
 class SnapshotReceived(Event, frozen=True):
     """A peer sent the configuration that it has in force."""
 
@@ -364,6 +374,7 @@
     | AppendFailed
     | DatagramReceived
     | PublishRequested
+    | RequestCleared
     | SnapshotReceived
     | StopRequested
 )
--- a/src/gingerturn/internal/core/quarantine.py
+++ b/src/gingerturn/internal/core/quarantine.py
@@ -23,6 +23,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
+    events,
     keys,
     member_table,
     messages,
@@ -220,16 +221,28 @@
             _judge(state, out)
 
 
-def clear(state: states.State, request: int, out: states.Effects) -> bool:
-    """Let a request run again, since an operator says so.
-
-    :return: whether it was kept out.
-    """
-    if request not in state.quarantine.kept_out:
-        return False
-    _clear(state, request, state.now, out)
-    _save(state, request, out)
-    return True
+def on_cleared(
+    state: states.State, event: events.RequestCleared, out: states.Effects
+) -> None:
+    """Let a request run again, since an operator says so."""
+    kept_out = event.request in state.quarantine.kept_out
+    if kept_out:
+        _clear(state, event.request, state.now, out)
+        _save(state, event.request, out)
+    record = messages.AuditRecord(
+        at=state.now,
+        who=event.author,
+        what="clear",
+        subject=f"{event.request:012x}",
+        outcome="accepted" if kept_out else "not kept out",
+    )
+    out.append(
+        effects.Append(
+            append=state.next_number(),
+            stream=streams.AUDIT,
+            record=messages.encode_record(record),
+        )
+    )
 
 
 def on_saved(state: states.State, number: int, *, done: bool) -> bool:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -357,6 +357,13 @@
         membership.push(state, out)
 
 
+def _on_request_cleared(
+    state: states.State, event: events.RequestCleared, out: states.Effects
+) -> None:
+    quarantine.on_cleared(state, event, out)
+    membership.push(state, out)
+
+
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
@@ -526,6 +533,7 @@
     events.AppendFailed: _on_append_failed,
     events.DatagramReceived: _on_datagram,
     events.PublishRequested: revisions.publish,
+    events.RequestCleared: _on_request_cleared,
     events.SnapshotReceived: _on_snapshot,
     events.StopRequested: _on_stop_requested,
 }
--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -23,6 +23,7 @@
     events,
     levels,
     messages,
+    quarantine,
     ranks,
 )
 from gingerturn.internal.shell import clock, node as nodes
@@ -105,6 +106,19 @@
     changed: dict[str, int]
 
 
+class KeptOutRow(msgspec.Struct):
+    """A request that is kept out since backend servers ended under it.
+
+    :param request: its fingerprint, 12 hexadecimal digits.
+    :param trial_in_s: until it is tried again, at one backend server.
+    """
+
+    request: str
+    ends: int
+    last_end_s: float
+    trial_in_s: float
+
+
 class Administration:
     """The handlers of one node's API.
 
@@ -123,6 +137,10 @@
             litestar.get("/config", sync_to_thread=False)(self.config),
             litestar.get("/config/history", sync_to_thread=False)(self.history),
             litestar.post("/config/{team:str}", status_code=200)(self.publish),
+            litestar.get("/quarantine", sync_to_thread=False)(self.kept_out),
+            litestar.delete("/quarantine/{request_id:str}", sync_to_thread=False)(
+                self.clear
+            ),
             litestar.put("/backend", sync_to_thread=False, status_code=204)(
                 self.announce
             ),
@@ -230,6 +248,35 @@
             accepted=ended.accepted, revision=ended.revision, problem=ended.problem
         )
 
+    def kept_out(self) -> list[KeptOutRow]:
+        """Return the requests that this node keeps out."""
+        state = self._node.state
+        rows = []
+        for request in state.quarantine.kept_out:
+            ends, last_end_s, trial_in_s = quarantine.figures_on(state, request)
+            name = f"{request:012x}"
+            rows.append(KeptOutRow(name, int(ends), last_end_s, trial_in_s))
+        return rows
+
+    def clear(
+        self,
+        request_id: str,
+        request: litestar.Request[typing.Any, typing.Any, typing.Any],
+        author: str = "",
+    ) -> None:
+        """Let a request that is kept out run again, everywhere."""
+        self._check_beside(request)
+        known = self._node.state.quarantine.kept_out
+        found = [r for r in known if f"{r:012x}" == request_id]
+        if not found:
+            raise exceptions.NotFoundException(
+                f"request {request_id!r} is not kept out here"
+            )
+        cleared = events.RequestCleared(
+            now=clock.now(), request=ids.Fingerprint(found[0]), author=author
+        )
+        self._node.apply(cleared)
+
     def announce(
         self,
         data: announcements.Announcement,
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -60,6 +60,7 @@
     add("backend_queue", "gauge", ("", len(backend.queue)))
     add("backend_level", "gauge", ("", backend.level))
     add("backend_ends_total", "counter", ("", backend.ends))
+    add("requests_kept_out", "gauge", ("", len(state.quarantine.kept_out)))
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -67,6 +67,11 @@
     if found.refused:
         most = sorted(found.refused.items(), key=lambda item: -item[1])
         lines.append("refused: " + ", ".join(f"{rule} {n:.0f}" for rule, n in most))
+    if plain.get("backend_ends_total") or plain.get("requests_kept_out"):
+        lines.append(
+            f"backend server ended by itself {_count(plain, 'backend_ends_total')}"
+            f" times, {_count(plain, 'requests_kept_out')} requests kept out"
+        )
     if plain.get("log_lines_dropped_total"):
         lines.append(f"{_count(plain, 'log_lines_dropped_total')} log lines left out")
     return lines
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -444,11 +444,17 @@
     home = _home()
     hear(home, _end(DEADLY, node="h1"), _end(DEADLY, node="h2"))
     put = builders.only(_ends_under(home, 1, DEADLY), effects.PutRecord)
-    out: list[effects.Effect] = []
-    assert quarantine.clear(home, DEADLY, out)
+    cleared = events.RequestCleared(now=home.now, request=DEADLY, author="me")
+    out = reducer.reduce(home, cleared)
+    assert kept_out(home) == set()
     dropped = builders.only(out, effects.PutRecord)
     assert (dropped.key, dropped.record) == (put.key, b"")
-    assert not quarantine.clear(home, DEADLY, out)
+    trail = builders.only(out, effects.Append)
+    assert trail.stream == streams.AUDIT
+    assert b'"who":"me"' in trail.record
+    # A second time there is nothing to clear.
+    out = reducer.reduce(home, cleared)
+    assert not builders.all_of(out, effects.PutRecord)
 
 
 def test_a_word_that_clears_reaches_nodes_that_keep_it_out() -> None:
--- /dev/null
+++ b/tests/nocover/test_deadly_requests_for_real.py
@@ -0,0 +1,94 @@
+"""A request that ends backend servers, on real processes.
+
+What the fakes cannot show: that the connections of a process that ends break, that
+nothing listens at its address any more, and that its node tells the two apart.
+"""
+
+import collections.abc
+import time
+
+import httpx
+
+from gingerturn_standins import backend, processes
+from tests.nocover import test_command_line as command_line
+
+WAIT_S = 20.0
+DEADLY = f"{backend.DEADLY_PATH}/9c2f"
+
+
+def _get(node: processes.NodeProcess, path: str) -> httpx.Response:
+    headers = {"host": "plans"}
+    return httpx.get(node.entry + path, headers=headers, trust_env=False, timeout=10.0)
+
+
+def _until(holds: collections.abc.Callable[[], bool]) -> None:
+    deadline = time.monotonic() + WAIT_S
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+
+
+def _upstreams(cluster: processes.Cluster) -> list[processes.NodeProcess]:
+    return [n for name, n in cluster.nodes.items() if name.startswith("plans")]
+
+
+def _ended(node: processes.NodeProcess) -> bool:
+    return node.backend is not None and node.backend.poll() is not None
+
+
+def _kept_out(node: processes.NodeProcess) -> list[str]:
+    rows = httpx.get(f"{node.admin}/quarantine", trust_env=False).json()
+    return [row["request"] for row in rows]
+
+
+def test_a_request_that_ends_backend_servers_is_kept_out_until_it_is_cleared(
+    fresh: processes.Cluster,
+) -> None:
+    fresh.add("plans-3", service="plans", zone="tsv", service_ms=5.0)
+    fresh.wait_ready(members=4)
+    entry = fresh.nodes["porting-1"]
+    # Its two repeats go to the other upstreams.
+    answer = _get(entry, DEADLY)
+    assert answer.headers["gingerturn-outcome"] == "unknown"
+    assert all(_ended(node) for node in _upstreams(fresh))
+    for node in _upstreams(fresh):
+        fresh.start_backend(node)
+    _until(lambda: all(_kept_out(node) for node in fresh.nodes.values()))
+    _until(lambda: _get(entry, "/status").status_code == 200)
+
+    refused = _get(entry, DEADLY)
+    assert refused.status_code == 503
+    assert refused.headers["gingerturn-outcome"] == "not-run"
+    assert int(refused.headers["retry-after"]) > 1
+    told = command_line._run(
+        "why", refused.headers["gingerturn-decision"], "--admin", entry.admin
+    )
+    assert "Kept out" in told.stdout
+    assert not any(_ended(node) for node in _upstreams(fresh))
+
+    (request,) = _kept_out(entry)
+    shown = command_line._run("quarantine", "show", "--admin", entry.admin)
+    assert f"{request}: 3 backend servers ended" in shown.stdout
+    other = command_line._run(
+        "quarantine", "clear", "0" * 12, "--author", "me", "--admin", entry.admin
+    )
+    assert (other.returncode, "not kept out" in other.stderr) == (4, True)
+    cleared = command_line._run(
+        "quarantine", "clear", request, "--author", "me", "--admin", entry.admin
+    )
+    assert cleared.returncode == 0
+    _until(lambda: not any(_kept_out(node) for node in fresh.nodes.values()))
+
+
+def test_a_killed_backend_server_keeps_nothing_harmless_out(
+    fresh: processes.Cluster,
+) -> None:
+    entry = fresh.nodes["porting-1"]
+    for _ in range(3):
+        for node in _upstreams(fresh):
+            assert node.backend is not None
+            node.backend.kill()
+            node.backend.wait(timeout=WAIT_S)
+            fresh.start_backend(node)
+            _until(lambda: _get(entry, "/status").status_code == 200)
+    assert not any(_kept_out(node) for node in fresh.nodes.values())
--- a/tooling/gingerturn_standins/backend.py
+++ b/tooling/gingerturn_standins/backend.py
@@ -4,14 +4,16 @@
 slots), ``slow`` (factor on the service time), ``load_lag_s``. ``GET /counts`` tells
 how often each ``Idempotency-Key`` or ``X-Request-Id`` was executed, and for how many
 whole requests; ``GET /load`` tells its load as it was some time ago. A closed
-connection cancels; a passed deadline ends the work with 504. After a cold start the
-work takes three times as long at first.
+connection cancels; a passed deadline ends the work with 504. A request under
+``/deadly`` ends the process once its work is done, without an answer. After a cold
+start the work takes three times as long at first.
 """
 
 import asyncio
 import collections
 import contextlib
 import json
+import os
 import random
 import signal
 import time
@@ -28,6 +30,8 @@
 
 COLD_S = 5.0
 LOAD_KEPT = 1_000
+DEADLY_PATH = "/deadly"
+DEADLY_EXIT = 70
 
 
 class BackendServer:
@@ -103,6 +107,8 @@
                     self.executions[name] += 1
                 self._roots.add(request.headers.get("traceparent", "--")[3:35])
                 await asyncio.sleep(self._work_ms() / 1000.0)
+                if request.target.startswith(DEADLY_PATH):
+                    os._exit(DEADLY_EXIT)
                 status = await self._call_on(request)
         except TimeoutError:
             self.expired += 1
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -72,6 +72,7 @@
     backend_port: int
     node: subprocess.Popen[bytes]
     backend: subprocess.Popen[bytes] | None = None
+    backend_arguments: tuple[str, ...] = ()
 
     @property
     def entry(self) -> str:
@@ -153,18 +154,22 @@
         self.nodes[name] = started
         if not backend:
             return started
-        started.backend = self._spawn(
-            f"{name}.backend",
+        started.backend_arguments = (
             *("-m", "gingerturn_standins.backend", "--service", service),
             *("--port", str(backend_port), "--slots", str(slots)),
             *("--service-ms", str(service_ms)),
             *("--entry", started.entry, "--admin", started.admin),
             *[part for call in calls for part in ("--call", call)],
         )
+        self.start_backend(started)
         if wait:
             self.wait_up(started)
         return started
 
+    def start_backend(self, node: NodeProcess) -> None:
+        """Start the backend server beside a node, also one that has ended."""
+        node.backend = self._spawn(f"{node.name}.backend", *node.backend_arguments)
+
     def wait_up(self, node: NodeProcess, timeout: float = 15.0) -> None:
         """Wait until a node answers.
 
