--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -5,10 +5,12 @@
 """
 
 import json
+import math
 import pathlib
 import typing
 
 from benchmarks import cost
+from gingerturn.internal.core import quarantine
 from gingerturn.internal.shell import peers
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CAPACITY.md"
@@ -35,6 +37,13 @@
 """Both streams of a connection to another zone; measured over 2,000 pairs, see
 docs/design/codecs.md."""
 
+END_BYTES = 244.0
+"""News of the end of a backend server in a membership message; measured with 32
+requests under way."""
+
+END_TOLD = 3 * math.ceil(math.log2(MEMBERS + 2)) // quarantine.END_TOLD_PART
+"""How often each node passes it on, by ``core.member_table.rumour_count``."""
+
 COMPRESSION_MB = peers.MAX_COMPRESSING * COMPRESSED_PAIR_MB
 KEY_WINDOW_S = 900.0
 
@@ -278,6 +287,14 @@
         f"- The same zone starting again within a minute: {525 / 60:.1f} appends/s"
         f" more, {appends + 525 / 60:.1f} in all"
         f" ({_mark(appends + 525 / 60, LOG_APPENDS)}).",
+        f"- Backend servers that end by themselves: news of one with"
+        f" {quarantine.REQUESTS_AN_END} requests under way takes {END_BYTES:.0f} B and"
+        f" is passed on {END_TOLD} times by each node. {FAILED} a day are"
+        f" {FAILED * END_BYTES * END_TOLD / DAY_S:.1f} B/s; ten within ten seconds"
+        f" {END_BYTES * END_TOLD:,.0f} B/s"
+        f" ({_mark(gossip_bytes + END_BYTES * END_TOLD, CONTROL_BYTES)} in those"
+        " seconds). At 194 nodes on the fakes all keep a deadly request out 0.54 s"
+        " after the third end (docs/design/deadly-requests.md). Not run at size.",
         "- Regions apart for minutes: each side goes on with what it sees. Members"
         " declared gone are remembered for 5 minutes and come back with a higher"
         " version; the merge is bounded by 5 updates a message. Not run at size.",
