Quarantine: an end also shows by the next start of the backend server

Where something between node and backend server takes connections for one that has ended, or the connections of before just fall silent, no refused connection told of the end. A start that no planned stop came before tells it now, for calls that broke and after which the former start answered nothing more, and for those it was still at.

--- a/src/gingerturn/internal/core/backend_ends.py
+++ b/src/gingerturn/internal/core/backend_ends.py
@@ -45,7 +45,14 @@
 
 
 def on_started_anew(state: states.State, out: states.Effects) -> None:
-    """Take in that the backend server started anew under the calls that it was at."""
+    """Take in that the backend server started anew under the calls that it was at.
+
+    It tells of ends that no connection told: something between node and backend server
+    still takes connections, or those of before fell silent. Calls that broke before the
+    former start answered again were lost for another reason.
+    """
+    backend = state.backend
+    backend.broken = [call for call in backend.broken if call.at > backend.answered]
     if _under_way(state):
         _note_end(state, out)
 
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -144,6 +144,7 @@
     if not event.executed:
         _on_turned_away(state, hosted, event.status, out)
         return
+    state.backend.answered = event.now
     if event.status in calls.OVERLOAD_STATUSES:
         # A backend server passes on that a service below it shed. Taken for its
         # own shedding, that cut the limits of every service above the full one.
--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -22,10 +22,10 @@
     declared = state.configuration.service(event.service).slots
     slots = event.slots if declared is None else min(declared, event.slots)
     if instances.is_new_start(backend, event.instance, event.started_ms):
+        backend_ends.on_started_anew(state, out)
         if event.instance == backend.instance:
             text = f"{event.service} {event.instance} started anew."
             outbox.info(out, "backend", text)
-            backend_ends.on_started_anew(state, out)
             hosting.end_running(state, out)
         instances.begin(state, event.instance)
     backend.started_ms = event.started_ms or backend.started_ms
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -188,7 +188,8 @@
     :param replaced: instances that another one took the place of, and what was heard
         last from each.
     :param checking: whether it still listens is being found out.
-    :param broken: calls that broke a moment ago.
+    :param broken: calls that broke together, the last time that any did.
+    :param answered: when it last answered a call.
     :param ends: how often it ended by itself while this node ran.
     """
 
@@ -217,6 +218,7 @@
     unreachable_until: ids.Milliseconds = 0.0
     checking: bool = False
     broken: list[BrokenCall] = []
+    answered: ids.Milliseconds = 0.0
     ends: int = 0
 
 
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -386,6 +386,37 @@
     assert [end.requests for end in home.quarantine.ends.values()] == [(DEADLY,)]
 
 
+def _broken_then(home: states.State, *, answered: bool) -> list[tuple[int, ...]]:
+    """Let a connection break though a new one opens, and another start follow."""
+    _opens(home, 1, DEADLY)
+    _opens(home, 2, OTHERS[0])
+    failed = events.BackendFailed(now=home.now, hosted=ids.HostedId(1), handed=True)
+    reducer.reduce(home, failed)
+    reducer.reduce(home, events.BackendChecked(now=home.now, refused=False))
+    if answered:
+        now = home.now + 1.0
+        event = events.BackendAnswered(now=now, hosted=ids.HostedId(2), status=200)
+        reducer.reduce(home, event)
+    reducer.reduce(home, routed.announced(instance="i-2", now=home.now + 1_000.0))
+    return [end.requests for end in home.quarantine.ends.values()]
+
+
+def test_an_end_that_something_in_between_hides_shows_by_the_next_start() -> None:
+    assert _broken_then(_home(), answered=False) == [(DEADLY, OTHERS[0])]
+
+
+def test_a_call_lost_before_the_former_start_answered_again_is_no_part_of_it() -> None:
+    assert _broken_then(_home(), answered=True) == []
+
+
+def test_a_start_after_a_planned_stop_tells_of_no_end() -> None:
+    home = _home()
+    _opens(home, 1, DEADLY)
+    reducer.reduce(home, events.BackendWithdrawn(now=home.now, instance="i-1"))
+    reducer.reduce(home, routed.announced(instance="i-2", now=home.now))
+    assert not home.quarantine.ends
+
+
 # How it spreads and how long it lasts.
 
 
