Soak: requests that end backend servers; what broke first is held against them

Found by the soak's first run with a deadly request (seed 3, proxies between nodes and backend servers): calls that broke while the backend server was down pushed the one that ended it out of what was remembered, so that three ends were told without it. What broke since the last answer is remembered now, what broke first. The soak draws deadly requests apart, so that seeds of before keep their schedules, and checks that at most three runs come later than 3 s after the third.

--- a/src/gingerturn/internal/core/backend_ends.py
+++ b/src/gingerturn/internal/core/backend_ends.py
@@ -8,9 +8,8 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, outbox, quarantine, state as states
 
-TOGETHER_MS = 100.0
-"""Connections that break within this time break together: those of a process that
-ends are closed by one system, and are read one after the other."""
+MAX_BROKEN = 128
+"""Broken calls remembered, those that broke first: as many as news of an end tells."""
 
 TOLD = 16
 """Fingerprints named in the log line of an end."""
@@ -23,9 +22,10 @@
 ) -> None:
     """Remember a call whose connection broke, and find out why it did."""
     backend = state.backend
-    horizon = state.now - TOGETHER_MS
-    broken = [call for call in backend.broken if call.at >= horizon]
-    backend.broken = [*broken, states.BrokenCall(hosted.terms.fingerprint, state.now)]
+    backend.broken = _since_answered(backend)
+    if len(backend.broken) < MAX_BROKEN:
+        call = states.BrokenCall(hosted.terms.fingerprint, state.now)
+        backend.broken.append(call)
     if not backend.checking:
         backend.checking = True
         out.append(effects.CheckBackend(host=backend.host, port=backend.port))
@@ -52,11 +52,20 @@
     former start answered again were lost for another reason.
     """
     backend = state.backend
-    backend.broken = [call for call in backend.broken if call.at > backend.answered]
+    backend.broken = _since_answered(backend)
     if _under_way(state):
         _note_end(state, out)
 
 
+def _since_answered(backend: states.Backend) -> list[states.BrokenCall]:
+    """Return the broken calls after which the backend server answered none.
+
+    Those that broke later than the first ones stay behind them: where something in
+    between takes connections for a backend server that is down, all calls break.
+    """
+    return [call for call in backend.broken if call.at >= backend.answered]
+
+
 def _note_end(state: states.State, out: states.Effects) -> None:
     """Hold an end against what was under way; a planned one is no fault of it."""
     backend = state.backend
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -188,7 +188,7 @@
     :param replaced: instances that another one took the place of, and what was heard
         last from each.
     :param checking: whether it still listens is being found out.
-    :param broken: calls that broke together, the last time that any did.
+    :param broken: calls that broke since it last answered one.
     :param answered: when it last answered a call.
     :param ends: how often it ended by itself while this node ran.
     """
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -405,6 +405,21 @@
     assert _broken_then(_home(), answered=False) == [(DEADLY, OTHERS[0])]
 
 
+def test_calls_that_break_while_it_is_down_do_not_hide_what_ended_it() -> None:
+    home = _home()
+    for number, request in enumerate([DEADLY, *OTHERS[:3]], 1):
+        _opens(home, number, request)
+        event = events.BackendFailed(
+            now=home.now, hosted=ids.HostedId(number), handed=True
+        )
+        reducer.reduce(home, event)
+        reducer.reduce(home, events.BackendChecked(now=home.now, refused=False))
+        home.now += 300.0
+    reducer.reduce(home, routed.announced(instance="i-2", now=home.now))
+    (end,) = home.quarantine.ends.values()
+    assert DEADLY in end.requests
+
+
 def test_a_call_lost_before_the_former_start_answered_again_is_no_part_of_it() -> None:
     assert _broken_then(_home(), answered=True) == []
 
--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -150,6 +150,25 @@
     assert not _broken(checks.serves_again, _seen(tmp_path, failed))
 
 
+@pytest.mark.parametrize(("late", "broken"), [(3, False), (4, True)])
+def test_a_deadly_request_that_goes_on_running_is_told(
+    tmp_path: pathlib.Path, late: int, broken: bool
+) -> None:
+    first = [START + 10.0 * number for number in range(checks.ENDS)]
+    after = first[-1] + checks.TOUCH_MS + 1.0
+    runs = [*first, *(after + 10.0 * number for number in range(late))]
+    entries = tuple(_entry("run", f"{callers.DEADLY_IDS}{at}", at) for at in runs)
+    seen = _seen(tmp_path, entries=entries)
+    assert bool(_broken(checks.deadly_requests_are_kept_out, seen)) is broken
+
+
+def test_a_schedule_without_deadly_requests_is_what_it_was() -> None:
+    plain = schedule.draw(3, machines=4, length_s=5.0)
+    deadly = schedule.draw(3, machines=4, length_s=5.0, deadly=True)
+    kinds = [step.kind for step in deadly if step not in plain]
+    assert kinds == [schedule.Kind.DEADLY]
+
+
 def test_a_seed_gives_the_same_schedule_again() -> None:
     first = schedule.draw(7, machines=4, length_s=10.0)
     assert first == schedule.draw(7, machines=4, length_s=10.0)
@@ -161,7 +180,7 @@
     drawn = {
         step.kind
         for seed in range(100)
-        for step in schedule.draw(seed, machines=4, length_s=10.0)
+        for step in schedule.draw(seed, machines=4, length_s=10.0, deadly=True)
     }
     assert drawn == set(schedule.Kind)
 
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gingerturn_soak import run
+from gingerturn_soak import run, schedule
 
 SEEDS = {
     # The first that was played.
@@ -24,6 +24,9 @@
 """Seeds that CI plays, with machines and seconds: one for a start, and each that ever
 broke a promise, with a line on the cause."""
 
+DEADLY_SEED = 3
+"""The first whose schedule has a request that ends backend servers."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_promises_hold_under_a_seeded_schedule(
@@ -35,3 +38,14 @@
     )
     assert verdict.broken == []
     assert verdict.served > 0
+
+
+def test_a_deadly_request_of_a_seeded_schedule_breaks_no_promise(
+    tmp_path: pathlib.Path,
+) -> None:
+    verdict = run.play(
+        DEADLY_SEED, tmp_path, machines=4, length_s=5.0, timing=False, deadly=True
+    )
+    assert any(schedule.Kind.DEADLY.value in step for step in verdict.steps)
+    assert verdict.broken == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/callers.py
+++ b/tooling/gingerturn_soak/callers.py
@@ -1,13 +1,18 @@
 """Callers: they keep their connections open and write down what they got."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 
 import httpx
 import msgspec
 
+from gingerturn_standins import platform_upstream
+
 HOST = "shop.example"
+DEADLY_PATH = f"/a{platform_upstream.DEADLY_PATH}"
+DEADLY_IDS = "deadly-"
 DEADLINE_MS = 2_000
 TIMEOUT_S = 6.0
 """A caller waits this long for an answer although it told the node 2 s: nodes must
@@ -89,6 +94,17 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def send_deadly(self, number: int) -> None:
+        """Send a request that ends backend servers; nobody misses its answer."""
+        headers = {
+            "Host": HOST,
+            "Request-Id": f"{DEADLY_IDS}{number}",
+            "Deadline-Ms": str(DEADLINE_MS),
+        }
+        url = f"http://127.0.0.1:{self._port}{DEADLY_PATH}"
+        with contextlib.suppress(httpx.HTTPError):
+            await self._client.get(url, headers=headers)
+
     async def _ask(
         self, attempt: Attempt, method: str, path: str, service: str
     ) -> None:
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -20,6 +20,9 @@
 WINDOW_MS = 10_000.0
 RATIO = 0.2
 SLACK = 49.0
+ENDS = 3
+"""Ends under one request until it is kept out, and runs that are borne after it."""
+
 SERVED_AGAIN = 0.95
 """Share of the requests that is served once all faults are over."""
 
@@ -160,6 +163,20 @@
                 break
 
 
+def deadly_requests_are_kept_out(seen: Seen) -> collections.abc.Iterator[str]:
+    """A request under which three backend servers ended reaches at most three more,
+    once nodes had time to hear of the third."""
+    runs = [e.at for e in seen.ledger.of("run") if e.id.startswith(callers.DEADLY_IDS)]
+    if len(runs) < ENDS:
+        return
+    third = runs[ENDS - 1]
+    late = [at for at in runs if at > third + TOUCH_MS]
+    others = [f for f in seen.faults if f.kind is not schedule.Kind.DEADLY]
+    near = any(_touches(f, third - TOUCH_MS, runs[-1]) for f in others)
+    if len(late) > ENDS and not near:
+        yield f"a deadly request ran {len(late)} times more"
+
+
 def serves_again(seen: Seen) -> collections.abc.Iterator[str]:
     """Once the faults are over, requests are served."""
     if not seen.healed:
@@ -184,6 +201,7 @@
     stops_cut_nothing,
     configuration_in_time,
     retries_are_bounded,
+    deadly_requests_are_kept_out,
     serves_again,
 )
 """These hold on a machine that gives the processes their time."""
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -11,7 +11,11 @@
 import msgspec
 
 from gingerturn_soak import callers, checks, ledger, proxy, schedule
-from gingerturn_standins import platform_processes, processes
+from gingerturn_standins import (
+    platform_processes,
+    platform_upstream,
+    processes,
+)
 
 SERVICES = ("plans", "porting")
 EXIT_WAIT_S = 8.0
@@ -19,6 +23,7 @@
 """From the end of the last fault until all are expected to be served again."""
 
 AFTER_S = 2.0
+DEADLY_PAUSE_S = 0.15
 ROUTES_KEPT = 6
 """Versions whose routes a configuration still has."""
 
@@ -207,6 +212,22 @@
     async def _change(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._configure()
 
+    async def _deadly(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Send one request again and again, each time to another machine, and start
+        the backend servers that end under it."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < begun + step.lasts:
+                each = self._callers[number % len(self._callers)]
+                group.create_task(each.send_deadly(number))
+                number += 1
+                await asyncio.sleep(DEADLY_PAUSE_S)
+                for machine in self._platform.machines.values():
+                    if machine.upstream.poll() == platform_upstream.DEADLY_EXIT:
+                        self._platform.restart_upstream(machine)
+
     async def _disturb(self, link: proxy.Proxy, step: schedule.Step) -> None:
         """Disturb a link in the way that the length of the step picks."""
         modes = (proxy.Mode.DELAY, proxy.Mode.SILENT, proxy.Mode.ONE_WAY)
@@ -299,6 +320,7 @@
     schedule.Kind.LOG_LOSES: Run._log_loses,
     schedule.Kind.LOG_LINK: Run._log_on_link,
     schedule.Kind.CONFIGURE: Run._change,
+    schedule.Kind.DEADLY: Run._deadly,
 }
 
 
@@ -316,10 +338,16 @@
 
 
 def play(
-    seed: int, folder: pathlib.Path, *, machines: int, length_s: float, timing: bool
+    seed: int,
+    folder: pathlib.Path,
+    *,
+    machines: int,
+    length_s: float,
+    timing: bool,
+    deadly: bool = False,
 ) -> Verdict:
     """Play the run of a seed."""
-    steps = schedule.draw(seed, machines=machines, length_s=length_s)
+    steps = schedule.draw(seed, machines=machines, length_s=length_s, deadly=deadly)
     run = Run(folder, machines=machines)
     seen = asyncio.run(run.play(steps))
     return Verdict(
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -29,8 +29,19 @@
     PEERS_RESET = "peers-reset"
     CALLER_RESET = "caller-reset"
     CONFIGURE = "configure"
+    DEADLY = "deadly"
 
 
+DRAWN = [kind for kind in Kind if kind is not Kind.DEADLY]
+"""Deadly requests are drawn apart, so that the seeds that once broke a promise keep
+their schedules."""
+
+DEADLY_SHARE = 0.3
+"""Of the runs that may have one."""
+
+DEADLY_S = 9.0
+"""A deadly request comes for longer than all nodes may take to hear of its ends."""
+
 PLANNED = frozenset(
     {Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.BACKEND_DRAIN, Kind.CONFIGURE}
 )
@@ -57,12 +68,17 @@
     lasts: float
 
 
-def draw(seed: int, *, machines: int, length_s: float) -> list[Step]:
-    """Return the steps of a run, in order of time."""
+def draw(
+    seed: int, *, machines: int, length_s: float, deadly: bool = False
+) -> list[Step]:
+    """Return the steps of a run, in order of time.
+
+    :param deadly: there may be a request that ends backend servers.
+    """
     chance = random.Random(seed)
     steps: list[Step] = []
     for _ in range(chance.randint(4, 8)):
-        kind = chance.choice(list(Kind))
+        kind = chance.choice(DRAWN)
         at = chance.uniform(QUIET_S, length_s)
         times = chance.randint(2, 4) if kind in SERIES else 1
         gap = chance.uniform(0.2, 1.5)
@@ -75,4 +91,7 @@
                     lasts=round(chance.uniform(0.3, 4.0), 3),
                 )
             )
+    if deadly and chance.random() < DEADLY_SHARE:
+        at = round(chance.uniform(QUIET_S, length_s), 3)
+        steps.append(Step(at=at, kind=Kind.DEADLY, target=0, lasts=DEADLY_S))
     return sorted(steps, key=lambda step: step.at)
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import json
+import os
 import signal
 import time
 
@@ -21,6 +22,9 @@
 from gingerturn_standins import http_server
 
 BEAT_S = 0.2
+DEADLY_PATH = "/deadly"
+DEADLY_EXIT = 70
+"""A request with this in its path ends the process once its work is done."""
 
 
 class Upstream:
@@ -74,6 +78,8 @@
         self._write("run", number)
         self.last = {**request.headers, "target": request.target}
         await asyncio.sleep(self.work_ms / 1000.0)
+        if DEADLY_PATH in request.target:
+            os._exit(DEADLY_EXIT)
         body = request.body or f"{self.service} {request.target}".encode()
         headers = {**echoed, "Response-Signature": f"signed.{number}"}
         return http_server.Response(200, body, headers, cut=self.cut)
