Quarantine in four modules: what to do, what is known, how it spreads, who is to blame

core.quarantine had grown to 500 lines. No behaviour changes; the tests of quarantine, deadly requests, frames, properties and quality pass.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,7 +10,7 @@
 import typing
 
 from benchmarks import cost
-from gingerturn.internal.core import quarantine
+from gingerturn.internal.core import quarantine, quarantine_table
 from gingerturn.internal.shell import peers
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CAPACITY.md"
@@ -41,7 +41,7 @@
 """News of the end of a backend server in a membership message; measured with 32
 requests under way."""
 
-END_TOLD = 3 * math.ceil(math.log2(MEMBERS + 2)) // quarantine.END_TOLD_PART
+END_TOLD = 3 * math.ceil(math.log2(MEMBERS + 2)) // quarantine_table.END_TOLD_PART
 """How often each node passes it on, by ``core.member_table.rumour_count``."""
 
 COMPRESSION_MB = peers.MAX_COMPRESSING * COMPRESSED_PAIR_MB
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -14,7 +14,7 @@
     member_table,
     messages,
     outbox,
-    quarantine,
+    quarantine_news,
     revisions,
     route_table,
     state as states,
@@ -168,7 +168,7 @@
         sync(state, host, port, message.cursor, out)
     urgent = any(member.state is messages.MemberState.LEAVING for member in news)
     if message.kind in _OF_MEMBERS:
-        urgent |= quarantine.hear(state, message.quarantine, out)
+        urgent |= quarantine_news.hear(state, message.quarantine, out)
     if urgent:
         push(state, out)
     if sender not in state.membership.members and message.kind in _OF_MEMBERS:
@@ -297,7 +297,7 @@
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
         members=member_table.updates(state),
-        quarantine=quarantine.news(state),
+        quarantine=quarantine_news.news(state),
     )
 
 
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -29,6 +29,7 @@
     pollers,
     presence,
     quarantine,
+    quarantine_news,
     replies,
     revisions,
     route_table,
@@ -195,7 +196,7 @@
     changed = False
     if isinstance(record, messages.QuarantineRecord):
         if stream == streams.MEMBERS:
-            quarantine.on_record(state, record, out)
+            quarantine_news.on_record(state, record, out)
     elif isinstance(record, messages.ClaimBatch):
         if stream == keys.stream_name(state.backend.service):
             claims.on_record(state, record, out)
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -7,11 +7,14 @@
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    blame,
     decisions,
     effects,
     events,
     messages,
     quarantine,
+    quarantine_news,
+    quarantine_table,
     reducer,
     state as states,
     streams,
@@ -155,7 +158,7 @@
 ) -> None:
     state = _entry()
     others = st.lists(st.sampled_from(OTHERS), max_size=12, unique=True)
-    count = data.draw(st.integers(quarantine.ENDS_TO_KEEP_OUT, 12))
+    count = data.draw(st.integers(blame.ENDS_TO_KEEP_OUT, 12))
     for number in range(count):
         end = _end(DEADLY, *data.draw(others), node=f"h{number}")
         hear(state, end)
@@ -439,10 +442,11 @@
     informed, late = _entry(), _entry()
     hear(informed, *(_end(DEADLY, node=node) for node in ("h1", "h2", "h3")))
     for _ in range(200):
-        quarantine.news(informed)  # The news has gone round, without the late node.
-    informed.now += quarantine.TELL_AGAIN_MS
+        # The news has gone round, without the late node.
+        quarantine_news.news(informed)
+    informed.now += quarantine_news.TELL_AGAIN_MS
     hear(informed, digest=late.quarantine.digest)
-    told = quarantine.news(informed)
+    told = quarantine_news.news(informed)
     message = messages.Gossip(
         kind=messages.GossipKind.ACK,
         sequence=0,
@@ -527,11 +531,11 @@
     state = routed.node_state()
     hear(state, *(_end(DEADLY, node=node) for node in ("h1", "h2", "h3")))
     hear(state, _end(OTHERS[0], node="h4"))
-    state.now += quarantine.KEPT_MS
+    state.now += quarantine_news.KEPT_MS
     builders.passed(state, 2_000.0)
     assert not state.quarantine.ends
     assert kept_out(state) == {DEADLY}
-    state.now += quarantine.FORGOTTEN_MS
+    state.now += quarantine_news.FORGOTTEN_MS
     out = builders.passed(state, 2_000.0)
     assert kept_out(state) == set()
     # Of the nodes that are left one takes it off the log.
@@ -540,15 +544,15 @@
 
 def test_a_table_that_fills_up_drops_the_oldest() -> None:
     state = _entry()
-    for request in range(1, quarantine.MAX_KEPT_OUT + 50):
+    for request in range(1, quarantine_table.MAX_KEPT_OUT + 50):
         state.now += 1.0
         hear(state, _word(3, request=request))
     known = state.quarantine
-    assert len(known.kept_out) == quarantine.MAX_KEPT_OUT
+    assert len(known.kept_out) == quarantine_table.MAX_KEPT_OUT
     assert 1 not in known.kept_out
-    for number in range(quarantine.MAX_ENDS + 20):
+    for number in range(quarantine_table.MAX_ENDS + 20):
         hear(state, _end(1_000 + number, node="h9", number=number))
-    assert len(known.ends) == quarantine.MAX_ENDS
+    assert len(known.ends) == quarantine_table.MAX_ENDS
 
 
 def test_more_requests_than_one_message_takes_travel_in_parts() -> None:
@@ -565,9 +569,9 @@
     members = tuple(builders.member(f"service-{n}-node-{n}", "s") for n in range(5))
     words = tuple(
         messages.QuarantineWord((1 << 47) + n, 3, 1e9)
-        for n in range(quarantine.WORDS_A_MESSAGE)
+        for n in range(quarantine_news.WORDS_A_MESSAGE)
     )
-    told = quarantine.news(home)
+    told = quarantine_news.news(home)
     message = messages.Gossip(
         kind=messages.GossipKind.PING,
         sequence=1 << 31,
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gingerturn.internal.core import (
+    blame,
     calls,
     decisions,
     events,
@@ -17,6 +18,7 @@
     joining,
     membership,
     quarantine,
+    quarantine_table,
     reducer,
     route_table,
     sending,
@@ -67,7 +69,7 @@
     return {
         request: states.Word(ends=times, at=builders.START)
         for request, times in counts.items()
-        if times >= quarantine.ENDS_TO_KEEP_OUT
+        if times >= blame.ENDS_TO_KEEP_OUT
     }
 
 
@@ -170,15 +172,15 @@
     ),
     (
         "BUDGET, requests that end backend servers: the news",
-        membership.quarantine,
+        membership.quarantine_news,
         "hear",
         _false,
         deadly.test_homes_of_a_large_service_know_of_each_others_ends,
     ),
     (
         "BUDGET, requests that end backend servers: a loss of all nodes",
-        quarantine,
-        "_save",
+        quarantine_table,
+        "save",
         _nothing,
         deadly.test_it_stays_kept_out_when_all_nodes_start_anew_at_once,
     ),
@@ -191,8 +193,8 @@
     ),
     (
         "what another request explains is not kept out",
-        quarantine,
-        "_blamed",
+        blame,
+        "blamed_for",
         _all_blamed,
         of_quarantine.test_a_request_that_was_sent_on_into_three_ends_is_not_blamed,
     ),
