Quarantine: an answer read among the connections that break hides nothing

By reading: an answer that was on its way when the backend server ended is read between two broken connections, and took the calls that broke before it off the list, so that an end could be told without the one that caused it. Answers count against a break only 100 ms after it now. test_an_answer_read_among_the_connections_that_break_hides_nothing fails without that.

--- a/src/gingerturn/internal/core/backend_ends.py
+++ b/src/gingerturn/internal/core/backend_ends.py
@@ -11,6 +11,10 @@
 MAX_BROKEN = 128
 """Broken calls remembered, those that broke first: as many as news of an end tells."""
 
+TOGETHER_MS = 100.0
+"""Answers that were on their way when a backend server ended are read among the
+connections that break: one read this long after a break says nothing of it."""
+
 TOLD = 16
 """Fingerprints named in the log line of an end."""
 
@@ -58,12 +62,13 @@
 
 
 def _since_answered(backend: states.Backend) -> list[states.BrokenCall]:
-    """Return the broken calls after which the backend server answered none.
+    """Return the broken calls after which the backend server answered no more.
 
     Those that broke later than the first ones stay behind them: where something in
     between takes connections for a backend server that is down, all calls break.
     """
-    return [call for call in backend.broken if call.at >= backend.answered]
+    horizon = backend.answered - TOGETHER_MS
+    return [call for call in backend.broken if call.at >= horizon]
 
 
 def _note_end(state: states.State, out: states.Effects) -> None:
