--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -25,7 +25,9 @@
 broke a promise, with a line on the cause."""
 
 DEADLY_SEED = 3
-"""The first whose schedule has a request that ends backend servers."""
+"""The first whose schedule has a request that ends backend servers. Three of its ends
+were told without it: calls that broke while the backend server was down took its place;
+test_calls_that_break_while_it_is_down_do_not_hide_what_ended_it."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
