--- a/tests/cover/test_pollers.py
+++ b/tests/cover/test_pollers.py
@@ -20,6 +20,8 @@
 from tests.common import builders, routed
 
 ZONES = ["a", "b", "c", "d", "e"]
+IN_FORCE_MS = 2_000.0
+"""Operators expect a change to be in force by then."""
 
 
 def _node(name: str, *others: messages.Member) -> states.State:
@@ -107,6 +109,26 @@
     assert len(readers) == pollers.A_ZONE * len(ZONES)
 
 
+def test_a_change_made_while_the_log_is_silent_is_in_force_soon_after() -> None:
+    """Seen: a configuration was unknown to all nodes 11 s after it was published and 8 s
+    after the log spoke again. The log took reads for 3.6 s and answered none; all nodes
+    that wait had begun one then, and each shows only when its wait of 15 s is over."""
+    spec = parts.ServiceSpec("plans", 15, 4, {"lookup": 5.0})
+    table = routed.table(routed.route())
+    made = world.World(seed=3, services=[spec], documents={}, zones=ZONES, table=table)
+    made.gossip_on = True
+    made.run(4_000.0)
+    made.log.silent = True
+    made.run(1_000.0)
+    later = routes.RouteTable(version=2, routes=table.routes)
+    made.log.put(streams.ROUTES, "table", messages.encode_record(later))
+    made.run(2_600.0)
+    made.log.silent = False
+    made.run(IN_FORCE_MS)
+    versions = {node.state.version for node in made.nodes.values()}
+    assert versions == {2}
+
+
 def test_ids_decide_and_not_the_order_in_which_members_came() -> None:
     members = _members(10)
     one = _node("a3", *members)
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -12,6 +12,9 @@
 if typing.TYPE_CHECKING:
     from gingerturn_fakes import world as worlds
 
+GIVEN_UP_MS = 17_000.0
+"""The longest wait of a read and the time that an answer may take."""
+
 Replier = collections.abc.Callable[[events.Event], None]
 
 POLL_MS = 20.0
@@ -23,12 +26,15 @@
     """The log service.
 
     :param down: nothing is taken or read.
+    :param silent: reads are taken and never answered; readers give up after
+        :data:`GIVEN_UP_MS`.
     :param lose_acks: the next so many appends take effect but fail.
     """
 
     streams: dict[str, list[bytes]] = dataclasses.field(default_factory=dict)
     newest: dict[str, dict[str, bytes]] = dataclasses.field(default_factory=dict)
     down: bool = False
+    silent: bool = False
     lose_acks: int = 0
     delay_ms: float = 2.0
     appends: int = 0
@@ -140,10 +146,18 @@
 ) -> None:
     incarnation = node.incarnation
 
+    def give_up() -> None:
+        if node.incarnation == incarnation:
+            event = events.LogReadFailed(now=world.now, stream=stream)
+            world.apply(node.name, event)
+
     def arrive() -> None:
         if node.incarnation != incarnation:
             return
         event: events.Event
+        if world.log.silent:
+            world.at(GIVEN_UP_MS, give_up)
+            return
         if world.log.down:
             event = events.LogReadFailed(now=world.now, stream=stream)
         else:
