--- a/tests/cover/test_pollers.py
+++ b/tests/cover/test_pollers.py
@@ -110,9 +110,9 @@
 
 
 def test_a_change_made_while_the_log_is_silent_is_in_force_soon_after() -> None:
-    """Seen: a configuration was unknown to all nodes 11 s after it was published and 8 s
-    after the log spoke again. The log took reads for 3.6 s and answered none; all nodes
-    that wait had begun one then, and each shows only when its wait of 15 s is over."""
+    """Seen: a configuration was unknown to all nodes 11 s after it was published and
+    8 s after the log spoke again. The log took reads for 3.6 s and answered none; all
+    nodes that wait had begun one then, which each gives up only after 17 s."""
     spec = parts.ServiceSpec("plans", 15, 4, {"lookup": 5.0})
     table = routed.table(routed.route())
     made = world.World(seed=3, services=[spec], documents={}, zones=ZONES, table=table)
