--- /dev/null
+++ b/benchmarks/workspaces.py
@@ -0,0 +1,285 @@
+"""Ways to hold caps over all nodes, and ways to know that keys still hold, compared.
+
+``python -m benchmarks.workspaces [NODES...]`` prints two tables, on the fake clock. The
+kept way of each is the product's; the others are made from it by taking parts out.
+"""
+
+import collections.abc
+import contextlib
+import sys
+import time
+import typing
+import unittest.mock
+
+from gingerturn import routes
+from gingerturn.internal.core import (
+    cap_keeper,
+    caps,
+    effects,
+    freshness,
+    freshness_renewal,
+    member_order,
+    state as states,
+)
+from gingerturn.internal.wire import datagrams
+from gingerturn_fakes import capped, parts, world as worlds
+
+Patches = list[tuple[typing.Any, str, object]]
+
+RATE = 50.0
+USUAL = RATE / 1.6
+SECONDS = 8
+REVOKE_MS = 5_000.0
+
+
+def _nothing(*arguments: object) -> None:
+    """Stand in for a part that is taken out."""
+
+
+CAP_WAYS: dict[str, Patches] = {
+    "equal parts": [(caps, "ask", _nothing), (caps, "HOLD_MS", 0.0)],
+    "each request counted at the keeper": [(cap_keeper, "LEASED_SHARE", 0.0)],
+    "leases and single tokens (kept)": [],
+}
+
+KEY_WAYS: dict[str, Patches] = {
+    "own reads": [
+        (freshness_renewal, "_ask", _nothing),
+        (freshness_renewal, "READ_FROM_MS", freshness_renewal.ASK_FROM_MS),
+        (freshness_renewal, "LAST_READ_FROM_MS", freshness_renewal.ASK_FROM_MS),
+    ],
+    "members only": [(freshness_renewal, "_read", _nothing)],
+    "both (kept)": [],
+}
+
+
+@contextlib.contextmanager
+def _without(patches: Patches) -> collections.abc.Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for owner, name, replacement in patches:
+            patch = unittest.mock.patch.object(owner, name, replacement)
+            stack.enter_context(patch)
+        yield
+
+
+def _deployment(nodes: int, *, rate: float = RATE) -> capped.Deployment:
+    cap = routes.workspace("shop", ["shop"], rate=rate, burst=rate)
+    return capped.Deployment(cap, nodes=nodes)
+
+
+def _served(made: capped.Deployment) -> float:
+    return len(made.passed["shop"]) / max(1, made.sent["shop"])
+
+
+def _calm(nodes: int) -> float:
+    made = _deployment(nodes)
+    made.load("shop", made.names, rate=USUAL, duration_ms=1_000.0 * SECONDS)
+    made.world.run(1_000.0 * SECONDS + 500.0)
+    return _served(made)
+
+
+def _skewed(nodes: int) -> float:
+    made = _deployment(nodes)
+    made.load("shop", made.names[:2], rate=USUAL, duration_ms=1_000.0 * SECONDS)
+    made.world.run(1_000.0 * SECONDS + 500.0)
+    return _served(made)
+
+
+def _moving(nodes: int) -> float:
+    made = _deployment(nodes)
+    for second in range(SECONDS):
+        node = made.names[second % nodes]
+        made.load("shop", [node], rate=USUAL, duration_ms=1_000.0)
+        made.world.run(1_000.0)
+    return _served(made)
+
+
+def _parted(nodes: int) -> float:
+    made = _deployment(nodes)
+    made.load("shop", made.names, rate=USUAL, duration_ms=1_000.0 * SECONDS)
+    made.world.run(1_000.0)
+    made.part(set(made.names[: max(1, nodes * 2 // 5)]))
+    made.world.run(1_000.0 * SECONDS)
+    return _served(made)
+
+
+def _restarted(nodes: int) -> float:
+    made = _deployment(nodes)
+    made.world.run(3_000.0)
+    for name in made.names:
+        made.world.kill(name)
+    made.world.run(1_000.0)
+    for name in made.names:
+        made.world.restart(name)
+    made.world.run(1_000.0)
+    made.load("shop", made.names, rate=USUAL, duration_ms=1_000.0 * SECONDS)
+    made.world.run(1_000.0 * SECONDS + 500.0)
+    return _served(made)
+
+
+def _flooded(nodes: int) -> tuple[float, float]:
+    """Return the most in a window over the bound, and what was let pass of the cap."""
+    made = _deployment(nodes)
+    made.load("shop", made.names, rate=4.7 * RATE, duration_ms=1_000.0 * SECONDS)
+    made.world.run(1_000.0 * SECONDS)
+    window = RATE * 5.0 + RATE
+    most = made.most_in("shop", 5_000.0)
+    return most / (1.1 * window + 20.0), most / window
+
+
+def _cost(nodes: int, workspaces: int) -> tuple[float, float, float]:
+    """Return microseconds a request at its node, and bytes a second sent for caps by a
+    node and by the keeper."""
+    names = [f"w{number}" for number in range(workspaces)]
+    listed = [routes.workspace(name, [name], rate=RATE, burst=RATE) for name in names]
+    made = capped.Deployment(*listed, nodes=nodes)
+    sent: dict[str, int] = {}
+    inner = made.world.on_effect
+
+    def count(node: parts.FakeNode, effect: effects.Effect) -> None:
+        inner(node, effect)
+        if isinstance(effect, effects.SendGossip) and effect.message.caps is not None:
+            data = datagrams.encode(b"s", "n", made.world.now, effect.message)
+            sent[node.name] = sent.get(node.name, 0) + len(data)
+
+    made.world.on_effect = count
+    spent = 0.0
+    admitted = 0
+    admit = caps.admit
+
+    def timed(*arguments: typing.Any) -> bool:
+        nonlocal spent, admitted
+        begun = time.perf_counter()
+        passed = admit(*arguments)
+        spent += time.perf_counter() - begun
+        admitted += 1
+        return passed
+
+    rate = min(20.0 * nodes, 2_000.0) / workspaces
+    for index, name in enumerate(names):
+        at = [made.names[(index * 7 + step) % nodes] for step in range(min(nodes, 10))]
+        made.load(name, at, rate=rate, duration_ms=4_000.0)
+    with unittest.mock.patch.object(caps, "admit", timed):
+        made.world.run(4_000.0)
+    keeper = next(iter(made.world.nodes.values())).state.caps.keeper
+    others = [count / 4.0 for name, count in sent.items() if name != keeper]
+    usual = sum(others) / max(1, len(others))
+    return 1e6 * spent / max(1, admitted), usual, sent.get(keeper, 0) / 4.0
+
+
+def compare_caps(sizes: list[int]) -> None:
+    """Print what each way lets pass, by number of nodes."""
+    print("way | nodes | calm | skewed | moving | parted | restarted | most of bound")
+    for way, patches in CAP_WAYS.items():
+        for nodes in sizes:
+            with _without(patches):
+                row = [_calm, _skewed, _moving, _parted, _restarted]
+                shares = " | ".join(f"{measure(nodes):.3f}" for measure in row)
+                most, _ = _flooded(nodes)
+            print(f"{way} | {nodes} | {shares} | {most:.2f}", flush=True)
+    print("way | nodes | workspaces | us a request | bytes/s a node | at the keeper")
+    for way, patches in CAP_WAYS.items():
+        for nodes in sizes:
+            for workspaces in (76, 2_000):
+                with _without(patches):
+                    us, usual, kept = _cost(nodes, workspaces)
+                row = f"{way} | {nodes} | {workspaces} | {us:.1f}"
+                print(f"{row} | {usual:.0f} | {kept:.0f}", flush=True)
+
+
+def _keyed_world(nodes: int) -> worlds.World:
+    spec = parts.ServiceSpec(capped.SERVICE, nodes, 100, {"lookup": 5.0})
+    made = worlds.World(
+        seed=3,
+        services=[spec],
+        documents={},
+        zones=["a", "b", "c"],
+        table=capped.table(routes.workspace("shop", ["shop"])),
+        revoke_ms=REVOKE_MS,
+    )
+    made.gossip_on = True
+    made.run(5_000.0)
+    return made
+
+
+def _watch(made: worlds.World, duration_ms: float) -> tuple[float, float]:
+    """Return the oldest evidence, and node-seconds in which keys were refused."""
+    oldest = closed = 0.0
+    for _ in range(int(duration_ms / 50.0)):
+        made.run(50.0)
+        for node in made.nodes.values():
+            oldest = max(oldest, made.now - node.state.freshness.proven)
+            closed += 0.05 * _is_stale(node.state, made.now)
+    return oldest, closed
+
+
+def _is_stale(state: states.State, now: float) -> bool:
+    return now - state.freshness.proven > freshness.allowed_ms(state)
+
+
+def compare_keys(sizes: list[int]) -> None:
+    """Print what each way of knowing that keys still hold costs."""
+    print(
+        "way | nodes | reads/s | bytes/s a node | oldest ms | heads refused: closed"
+        " node-s | silent: all closed after ms | open again after ms"
+    )
+    for way, patches in KEY_WAYS.items():
+        for nodes in sizes:
+            with _without(patches):
+                _print_keys(way, nodes)
+
+
+def _print_keys(way: str, nodes: int) -> None:
+    made = _keyed_world(nodes)
+    reads = sent = 0
+
+    def count(node: parts.FakeNode, effect: effects.Effect) -> None:
+        nonlocal reads, sent
+        if isinstance(effect, effects.ReadLog):
+            reads += 1
+        elif isinstance(effect, effects.SendGossip):
+            sent += len(datagrams.encode(b"s", "n", made.now, effect.message))
+
+    made.on_effect = count
+    oldest, _ = _watch(made, 6_000.0)
+    calm_reads, calm_sent = reads / 6.0, sent / 6.0 / nodes
+    made.log.refuses = {
+        n.name for n in made.nodes.values() if member_order.is_head(n.state)
+    }
+    _, closed = _watch(made, 6_000.0)
+    made.log.refuses = set()
+    made.run(3_000.0)
+    made.log.silent = True
+    all_closed = _until(made, lambda age: age > freshness_limit())
+    made.log.silent = False
+    opened = _until(made, lambda age: age <= freshness_limit())
+    row = f"{way} | {nodes} | {calm_reads:.1f} | {calm_sent:.0f} | {oldest:.0f}"
+    print(f"{row} | {closed:.1f} | {all_closed:.0f} | {opened:.0f}", flush=True)
+
+
+def freshness_limit() -> float:
+    """Return the oldest evidence by which keys are let in."""
+    return REVOKE_MS - freshness.MARGIN_MS
+
+
+def _until(
+    made: worlds.World, wanted: collections.abc.Callable[[float], bool]
+) -> float:
+    begun = made.now
+    while made.now - begun < 20_000.0:
+        made.run(50.0)
+        ages = [made.now - n.state.freshness.proven for n in made.nodes.values()]
+        if all(map(wanted, ages)):
+            break
+    return made.now - begun
+
+
+def main() -> None:
+    """Print both tables."""
+    sizes = [int(word) for word in sys.argv[1:]] or [4, 68]
+    compare_caps(sizes)
+    compare_keys(sizes)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -333,6 +333,32 @@
         )
 
 
+@cli.command()
+@click.option(
+    "--metrics",
+    "sources",
+    multiple=True,
+    required=True,
+    metavar="URL|FILE",
+    help="Read this metrics address, or a page saved from it; may be repeated.",
+)
+@_JSON
+def workspaces(sources: tuple[str, ...], as_json: bool) -> None:
+    """Show what workspaces used at some nodes together, and what was refused for their
+    caps."""
+    pages = [metrics_text.parse(_page(source), origin=source) for source in sources]
+    found = metrics_text.workspaces(pages)
+    if as_json:
+        _echo_json(msgspec.to_builtins(found))
+        return
+    click.echo(f"{'workspace':<24} {'passed':>10} {'refused':>10} {'cap a second':>13}")
+    for use in found:
+        cap = f"{use.cap:g}" if use.cap else "-"
+        click.echo(
+            f"{use.workspace:<24} {use.passed:>10.0f} {use.refused:>10.0f} {cap:>13}"
+        )
+
+
 def _show_metrics(sources: tuple[str, ...], as_json: bool) -> None:
     found = {
         source: metrics_text.parse(_page(source), origin=source) for source in sources
--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -17,6 +17,8 @@
     :param deadline: to backend servers: milliseconds that are left.
     :param request_id: id of a request, which backend servers repeat in answers, so
         that an answer to another request is told by it.
+    :param api_key: from callers: the API key, and nothing else; it goes no further.
+    :param workspace: to backend servers: whose API key the request came with.
     :param caller_service: to backend servers: service beside the entry node.
     :param instance: to backend servers: the start of it that is meant.
     :param not_executed: from backend servers: present when the request did not run.
@@ -31,6 +33,8 @@
     timeout: bytes = b"gingerturn-timeout-ms"
     deadline: bytes = b"gingerturn-deadline-ms"
     request_id: bytes = b""
+    api_key: bytes = b"gingerturn-api-key"
+    workspace: bytes = b"gingerturn-workspace"
     caller_service: bytes = b""
     instance: bytes = b""
     not_executed: bytes = b""
@@ -42,6 +46,7 @@
     def written_by_nodes(self) -> frozenset[bytes]:
         """Return the headers that nodes write anew; a sender's own are dropped."""
         names = {self.timeout, self.deadline, self.caller_service, self.instance}
+        names |= {self.api_key, self.workspace}
         if self.trace:
             names.add(TRACEPARENT)
         return frozenset(name for name in names if name)
--- a/src/gingerturn/errors.py
+++ b/src/gingerturn/errors.py
@@ -30,8 +30,8 @@
     """An argument at a public boundary has a value that is not allowed."""
 
 
-class InvalidDocument(GingerturnError):
-    """A settings or configuration file is refused as a whole.
+class InvalidDocument(InvalidArgument):
+    """A settings or configuration file, or another message, is refused as a whole.
 
     :param problems: every problem found, each with its file and line.
     """
--- a/src/gingerturn/explain.py
+++ b/src/gingerturn/explain.py
@@ -41,6 +41,7 @@
     figures: dict[str, float] = {}
     version: int = 0
     waited_ms: float = 0.0
+    workspace: str = ""
     decision: str = ""
 
 
--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -5,10 +5,16 @@
 """
 
 import ipaddress
+import pathlib
 import re
+import typing
+
+import msgspec
 
 from gingerturn import errors
 
+_T = typing.TypeVar("_T")
+
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
 """Names stand in Host headers and in log streams, hence the narrow alphabet."""
 
@@ -55,3 +61,42 @@
     """Return the port of ``IP:PORT``; 0 for what is no address."""
     port = address.rpartition(":")[2]
     return int(port) if port.isascii() and port.isdigit() else 0
+
+
+def decode_json(content: bytes, kind: type[_T], *, step: str, peer: str) -> _T:
+    """Return what JSON from outside says.
+
+    :param step: what is done, such as ``read settings``.
+    :raises InvalidDocument: naming the field that is missing or wrong.
+    """
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        what = step.partition(" ")[2]
+        problem = f"no {what}: {error}"
+        raise errors.InvalidDocument([problem], step=step, peer=peer) from None
+
+
+def hexadecimal(field: str, text: str, *, step: str, peer: str) -> int:
+    """Return a number written in hexadecimal digits.
+
+    :raises InvalidDocument: for anything else.
+    """
+    try:
+        return int(text, 16)
+    except ValueError:
+        problem = f"{field} is {text!r}; allowed are hexadecimal digits"
+        raise errors.InvalidDocument([problem], step=step, peer=peer) from None
+
+
+def read_bytes(path: pathlib.Path, *, step: str) -> bytes:
+    """Return the content of a file.
+
+    :raises InvalidDocument: when it cannot be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise errors.InvalidDocument(
+            [f"{path}: {error}"], step=step, peer=str(path)
+        ) from None
--- a/src/gingerturn/internal/core/arrivals.py
+++ b/src/gingerturn/internal/core/arrivals.py
@@ -22,7 +22,12 @@
 
 
 def parent_of(state: states.State, event: events.CallArrived) -> states.Hosted | None:
-    """Return the call that runs here on whose behalf a request comes, if any."""
+    """Return the call that runs here on whose behalf a request comes, if any.
+
+    A request with an API key is one of its own, whatever its id says.
+    """
+    if event.key_digest:
+        return None
     hosted = state.spans.get(event.span)
     return None if hosted is None else state.hosted.get(hosted)
 
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -7,6 +7,7 @@
 from gingerturn.internal.core import (
     allowance,
     arrivals,
+    caps,
     come_back,
     decisions,
     effects,
@@ -22,6 +23,7 @@
     state as states,
     upstream_costs,
     upstreams,
+    workspaces,
 )
 
 GRACE_MS = 100.0
@@ -76,21 +78,21 @@
     state: states.State, event: events.CallArrived, out: states.Effects
 ) -> None:
     """Classify a call, tie it to its parent, and send it or refuse it."""
-    rule: configuration.KindRule | decisions.Rule
+    parent = arrivals.parent_of(state, event)
+    workspace = ids.WorkspaceName("")
     if state.routed:
-        rule = route_table.resolve(state, event)
-        if isinstance(rule, decisions.Rule):
-            refusals.refuse(
-                state, arrivals.root_call(state, event, arrivals.UNROUTED), rule, out
-            )
+        resolved = route_table.resolve(state, event, parent)
+        if isinstance(resolved, decisions.Rule):
+            _refuse_unresolved(state, event, resolved, out)
             return
+        rule, workspace = resolved.rule, resolved.workspace
     else:
         rule = state.configuration.classify(event.service, event.method, event.path)
-    parent = arrivals.parent_of(state, event)
     if parent is None:
         call = arrivals.root_call(state, event, rule)
     else:
         call = arrivals.child_call(state, event, rule, parent)
+    call.workspace = workspace
     state.calls[call.id] = call
     if state.stopping and parent is None and not _served_while_stopping(state):
         refusals.refuse(state, call, decisions.Rule.STOPPING, out)
@@ -98,8 +100,25 @@
     if not _key_fits(state, call, event, out):
         return
     heapq.heappush(state.deadlines, (call.deadline + GRACE_MS, CALL_DEADLINE, call.id))
-    sending.earn(state, call)
-    sending.send_first(state, call, out)
+    if parent is not None or caps.admit(state, call, out):
+        sending.begin(state, call, out)
+
+
+def _refuse_unresolved(
+    state: states.State,
+    event: events.CallArrived,
+    rule: decisions.Rule,
+    out: states.Effects,
+) -> None:
+    """Refuse a request that the configuration does not allow, or may not."""
+    refusals.refuse(
+        state,
+        arrivals.root_call(state, event, arrivals.UNROUTED),
+        rule,
+        out,
+        retry_after=workspaces.come_back_after(state, rule),
+        figures=workspaces.figures(state, rule),
+    )
 
 
 def on_caller_gone(
--- /dev/null
+++ b/src/gingerturn/internal/core/cap_window.py
@@ -0,0 +1,98 @@
+"""What was let pass of a cap in the last window, counted in slices of time."""
+
+from gingerturn import routes
+from gingerturn.internal import ids
+from gingerturn.internal.core import state as states
+
+SLICES = 20
+"""Of a window; what was used leaves it a twentieth at a time."""
+
+
+TOLERANCE_USED = 0.5
+"""Part of what operators let a cap be passed by that is let pass: a request refused
+below that is lost for nothing. The rest is for what buckets hold and for moments in
+which a keeper is replaced."""
+
+MOST_UNSEEN = 6
+"""Slices without a word of any node after which its loan counts as lent all the while:
+a small deployment has few that could speak."""
+
+
+def allowed(state: states.State, cap: routes.Workspace) -> float:
+    """Return how many requests a cap lets pass in a window."""
+    tolerance = state.cap_tolerance
+    named = cap.rate * tolerance.window_ms / 1_000.0 + cap.burst
+    return named + TOLERANCE_USED * tolerance.beyond(cap)
+
+
+def left(state: states.State, window: states.CapWindow, cap: routes.Workspace) -> float:
+    """Return how many requests this node may still let be passed now."""
+    # The present slice has only begun, so that a whole one more belongs to the window.
+    oldest = slice_at(state) - SLICES
+    for number in [n for n in window.slices if n < oldest]:
+        del window.slices[number]
+    total = allowed(state, cap)
+    if window.total > total:
+        # What was let pass by a higher cap would leave nothing of the lower one.
+        for number in window.slices:
+            window.slices[number] *= total / window.total
+    window.total = total
+    return total * state.cap_keeper.share - sum(window.slices.values())
+
+
+def note_share(state: states.State, lent: float) -> None:
+    """Take in which share of all caps is lent to this node at present.
+
+    It may give that share, but at most what it was lent in the mean of the window: what
+    others let pass by loans to them a moment ago still counts.
+    """
+    keeper = state.cap_keeper
+    now = slice_at(state)
+    shares = keeper.shares
+    for number in [n for n in shares if n < now - SLICES]:
+        del shares[number]
+    last = max(shares, default=now)
+    if now - last <= MOST_UNSEEN:
+        between = min(lent, shares.get(last, lent))
+        shares.update(dict.fromkeys(range(last + 1, now), between))
+    shares[now] = min(lent, shares.get(now, lent))
+    lately = sum(share for number, share in shares.items() if number < now)
+    keeper.share = min(lent, lately / SLICES)
+
+
+def charge(state: states.State, window: states.CapWindow, requests: float) -> None:
+    """Count requests as let pass now; a negative number is taken back."""
+    _add(window, slice_at(state), requests)
+
+
+def charge_lease(
+    state: states.State,
+    window: states.CapWindow,
+    rate_milli: int,
+    until: ids.Milliseconds,
+) -> None:
+    """Count what a lease lets pass from now on, each part when it comes in.
+
+    :param rate_milli: thousandths of a request a second; a negative number takes the
+        rest of a lease back.
+    """
+    width = _slice_ms(state)
+    begin = state.now
+    while begin < until:
+        number = int(begin / width)
+        end = min(until, (number + 1) * width)
+        _add(window, number, rate_milli * (end - begin) / 1e6)
+        begin = end
+
+
+def _add(window: states.CapWindow, number: int, requests: float) -> None:
+    window.slices[number] = window.slices.get(number, 0.0) + requests
+
+
+def _slice_ms(state: states.State) -> ids.Milliseconds:
+    return state.cap_tolerance.window_ms / SLICES
+
+
+def slice_at(state: states.State) -> int:
+    """Return the number of the present slice."""
+    return int(state.now / _slice_ms(state))
--- /dev/null
+++ b/src/gingerturn/internal/core/caps.py
@@ -0,0 +1,397 @@
+"""What workspaces may use over all nodes, at the node that a caller sends to.
+
+A request takes a token from the node's own bucket, so that none waits for another node
+as long as demand goes on as before. Where demand begins the node asks the keeper at
+once, and the request waits for that answer, some milliseconds.
+
+Not chosen: equal parts of a cap at each node refuse most of what callers at few nodes
+may use; counting each request at the keeper adds its round trip to every request.
+"""
+
+import collections
+import collections.abc
+
+from gingerturn import routes
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    cap_buckets,
+    cap_keeper,
+    decisions,
+    effects,
+    member_order,
+    messages,
+    outbox,
+    refusals,
+    sending,
+    settling,
+    state as states,
+)
+
+CHECK_MS = 100.0
+
+ASK_EVERY_MS = 400.0
+"""Twice within a term, so that one datagram may be lost."""
+
+ASK_AGAIN_MS = 100.0
+"""Pause until a question without an answer is put again."""
+
+ASK_AT_ONCE_MS = 10.0
+"""Pause between two questions for requests that wait: longer than an answer takes, so
+that those which come meanwhile are asked for together."""
+
+SILENT_MS = 300.0
+"""A keeper that has not answered for so long, three questions, is passed over."""
+
+NEVER_HEARD_MS = 90.0
+"""So is one sooner that has not answered the first: where a network is parted, half of
+those that could keep the caps are on the other side."""
+
+OPEN_MS = 500.0
+"""An answer that takes longer is of no use: its leases have ended nearly."""
+
+PASSED_OVER_MS = 3_000.0
+"""A node that did not answer is not asked as keeper for this long."""
+
+HOLD_MS = 300.0
+"""A request waits at most so long for a token; callers wait for seconds, but one that
+is refused soon can come back in time."""
+
+HOLD_SETTLING_MS = 1_000.0
+"""The same right after a start, while nodes agree on a keeper: told to come back, a
+caller would wait as long."""
+
+MEET_MS = 500.0
+"""A node that has just started waits so long to hear from the members that the log
+lists. It would take itself for the keeper, and be bound to that for a term."""
+
+MAX_HELD = 256
+"""Requests that wait at one node; there is no queue for a workspace that floods."""
+
+MAX_COUNTED = 200
+"""Workspaces that are counted one by one for the metrics, of a node's first ones."""
+
+OTHERS = "(others)"
+"""Stands for all others; no name of a workspace, since these are sent in headers."""
+
+ENTRIES = 40
+"""Workspaces in one question: about 1,000 bytes, one packet."""
+
+
+def admit(state: states.State, call: states.Call, out: states.Effects) -> bool:
+    """Tell whether a whole request may begin now; if not, it waits or is refused."""
+    cap = _cap_of(state, call)
+    if cap is None:
+        if call.workspace:
+            _use_of(state, call.workspace).passed += 1
+        return True
+    bucket = cap_buckets.bucket_of(state, cap.name)
+    bucket.count += 1
+    bucket.drawn = state.now
+    if _draw(state, call, cap):
+        return True
+    leased = bucket.lease_until > state.now
+    if (leased and bucket.short) or len(state.caps.held) >= MAX_HELD:
+        _refuse(state, call, cap, out)
+        return False
+    wait = HOLD_SETTLING_MS if settling.is_settling(state) else HOLD_MS
+    state.caps.held[call.id] = state.now + wait
+    _ask_for_held(state, out)
+    return False
+
+
+def check(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    """Renew loan and leases, and end waits that are over."""
+    if not _has_caps(state) or not _knows_members(state):
+        return
+    caps = state.caps
+    _give_up_silent(state)
+    pause = ASK_AGAIN_MS if caps.silent_since else ASK_EVERY_MS
+    if now - caps.renewed >= pause:
+        _drop_idle(state)
+        cap_keeper.forget(state, now)
+        ask(state, list(caps.buckets), out)
+    place_held(state, out)
+    _ask_for_held(state, out)
+
+
+def ask(state: states.State, names: list[str], out: states.Effects) -> None:
+    """Tell the keeper what is wanted here, and lend it the own parts.
+
+    :param names: the workspaces to ask for.
+    """
+    caps = state.caps
+    _choose_keeper(state, out)
+    if len(names) == len(caps.buckets):
+        caps.renewed = state.now
+    caps.asked = state.now
+    caps.silent_since = caps.silent_since or state.now
+    demands = _demands(state, names)
+    for first in range(0, max(1, len(demands)), ENTRIES):
+        # One goes out in any case, for the loan.
+        _ask_page(state, tuple(demands[first : first + ENTRIES]), out)
+
+
+def _ask_page(
+    state: states.State,
+    demands: tuple[messages.CapDemand, ...],
+    out: states.Effects,
+) -> None:
+    caps = state.caps
+    keeper = caps.keeper
+    lends = caps.stamp > 0.0 and _may_lend(state)
+    if lends:
+        caps.lent_to = keeper
+        caps.lent_until = state.now + cap_keeper.TERM_MS
+    caps.number += 1
+    caps.open[caps.number] = state.now
+    message = messages.CapAsk(
+        number=caps.number,
+        stamp=caps.stamp if lends else 0.0,
+        inherited=caps.leased_by not in {"", keeper},
+        demands=demands,
+    )
+    if keeper == state.node:
+        _take_answer(state, cap_keeper.answer(state, keeper, message), keeper)
+    else:
+        _send(state, keeper, message, out)
+
+
+def _choose_keeper(state: states.State, out: states.Effects) -> None:
+    caps = state.caps
+    keeper = member_order.keeper(state, passed_over=_passed_over(state))
+    if keeper != caps.keeper:
+        before = f", no longer {caps.keeper}" if caps.keeper else ""
+        outbox.info(out, "caps", f"{keeper} keeps the caps of workspaces{before}.")
+        caps.keeper = keeper
+        caps.stamp = 0.0
+        caps.silent_since = 0.0
+        caps.open.clear()
+    if keeper == state.node:
+        caps.stamp = state.now
+
+
+def _ask_for_held(state: states.State, out: states.Effects) -> None:
+    """Ask at once for the workspaces whose requests wait."""
+    caps = state.caps
+    if not _knows_members(state):
+        return
+    if not caps.held or state.now - caps.asked < ASK_AT_ONCE_MS:
+        return
+    waiting = {state.calls[call].workspace for call in caps.held if call in state.calls}
+    ask(state, sorted(waiting), out)
+    place_held(state, out)
+
+
+def on_ask(
+    state: states.State,
+    sender: ids.NodeId,
+    host: str,
+    port: int,
+    message: messages.CapAsk,
+    out: states.Effects,
+) -> None:
+    """Answer a node that takes this one for the keeper."""
+    told = cap_keeper.answer(state, sender, message)
+    gossip = messages.Gossip(
+        kind=messages.GossipKind.CAPS,
+        sequence=0,
+        revision=state.revisions.revision,
+        caps=told,
+    )
+    out.append(effects.SendGossip(host=host, port=port, message=gossip))
+
+
+def on_answer(
+    state: states.State,
+    sender: ids.NodeId,
+    message: messages.CapAnswer,
+    out: states.Effects,
+) -> None:
+    """Take in the keeper's leases; requests that waited for them begin."""
+    if sender != state.caps.keeper or message.number not in state.caps.open:
+        return
+    first = state.caps.stamp == 0.0
+    _take_answer(state, message, sender)
+    if first and _may_lend(state):
+        # The stamp is known now: without the loan there is nothing to be leased yet.
+        ask(state, list(state.caps.buckets), out)
+    place_held(state, out)
+    # Some may have come after the question, and are not refused by its answer.
+    _ask_for_held(state, out)
+
+
+def place_held(state: states.State, out: states.Effects) -> None:
+    """Let requests begin that waited for a token, or refuse them."""
+    held = state.caps.held
+    for call_id, until in list(held.items()):
+        call = state.calls.get(call_id)
+        cap = None if call is None else _cap_of(state, call)
+        if call is None:
+            del held[call_id]
+        elif cap is None or _draw(state, call, cap):
+            del held[call_id]
+            sending.begin(state, call, out)
+        elif state.now >= until or _is_short(state, call, cap):
+            del held[call_id]
+            _refuse(state, call, cap, out)
+
+
+def _draw(state: states.State, call: states.Call, cap: routes.Workspace) -> bool:
+    """Take a token for a call, if there is one."""
+    if not cap_buckets.take(state, cap):
+        return False
+    call.drew = True
+    _use_of(state, cap.name).passed += 1
+    return True
+
+
+def _use_of(state: states.State, workspace: str) -> states.WorkspaceUse:
+    """Return what is counted of a workspace; of those beyond the bound, together."""
+    use = state.caps.use
+    if workspace not in use and len(use) >= MAX_COUNTED:
+        workspace = OTHERS
+    return use.setdefault(workspace, states.WorkspaceUse())
+
+
+def _take_answer(
+    state: states.State, message: messages.CapAnswer, keeper: ids.NodeId
+) -> None:
+    caps = state.caps
+    asked = caps.open.pop(message.number)
+    caps.silent_since = 0.0
+    caps.stamp = message.stamp
+    caps.leased_by = keeper
+    for leased in message.leases:
+        cap = None if state.routes is None else state.routes.workspace(leased.workspace)
+        if cap is None:
+            continue
+        bucket = cap_buckets.bucket_of(state, cap.name)
+        bucket.short = leased.short
+        bucket.told = state.now
+        cap_buckets.lease(
+            state,
+            bucket,
+            cap,
+            rate_milli=leased.rate_milli,
+            tokens=leased.tokens,
+            until=asked + cap_keeper.TERM_MS,
+        )
+
+
+def _may_lend(state: states.State) -> bool:
+    caps = state.caps
+    return caps.lent_to == caps.keeper or caps.lent_until <= state.now
+
+
+def _demands(state: states.State, names: list[str]) -> list[messages.CapDemand]:
+    held = (state.calls.get(call_id) for call_id in state.caps.held)
+    needs = collections.Counter(call.workspace for call in held if call is not None)
+    found = []
+    for name in names:
+        cap = None if state.routes is None else state.routes.workspace(name)
+        bucket = state.caps.buckets.get(name)
+        if cap is None or bucket is None:
+            continue
+        cap_buckets.refill(state, bucket, cap)
+        rate = cap_buckets.note_demand(state, bucket)
+        lease = bucket.rate_milli if bucket.lease_until > state.now else 0
+        # Where callers are refused at once none wait, though there may be tokens.
+        need = max(
+            needs[ids.WorkspaceName(name)], int(bucket.short and bucket.tokens < 1.0)
+        )
+        spilled = int(1_000.0 * bucket.spilled)
+        bucket.spilled -= spilled / 1_000.0
+        rate_milli = int(1_000.0 * rate)
+        demand = messages.CapDemand(name, rate_milli, lease, need, spilled)
+        found.append(demand)
+    return found
+
+
+def _send(
+    state: states.State,
+    node: ids.NodeId,
+    message: messages.CapAsk,
+    out: states.Effects,
+) -> None:
+    member = state.membership.members.get(node)
+    if member is None:
+        return
+    gossip = messages.Gossip(
+        kind=messages.GossipKind.CAPS,
+        sequence=0,
+        revision=state.revisions.revision,
+        caps=message,
+    )
+    out.append(
+        effects.SendGossip(host=member.host, port=member.gossip_port, message=gossip)
+    )
+
+
+def _give_up_silent(state: states.State) -> None:
+    """Pass a keeper over that does not answer."""
+    caps = state.caps
+    for number in [n for n, at in caps.open.items() if state.now - at > OPEN_MS]:
+        del caps.open[number]
+    patience = SILENT_MS if caps.stamp else NEVER_HEARD_MS
+    silent = caps.silent_since and state.now - caps.silent_since >= patience
+    if silent and caps.keeper != state.node:
+        caps.passed_over[caps.keeper] = state.now + PASSED_OVER_MS
+
+
+def _passed_over(state: states.State) -> frozenset[ids.NodeId]:
+    known = state.caps.passed_over
+    for node in [node for node, until in known.items() if until <= state.now]:
+        del known[node]
+    return frozenset(known)
+
+
+def _drop_idle(state: states.State) -> None:
+    buckets = state.caps.buckets
+    index = state.routes
+    for name, bucket in list(buckets.items()):
+        idle = state.now - bucket.drawn > cap_buckets.IDLE_MS
+        if idle or index is None or index.workspace(name) is None:
+            del buckets[name]
+
+
+def _is_short(state: states.State, call: states.Call, cap: routes.Workspace) -> bool:
+    """Tell whether an answer since a call came left no hope for a token soon."""
+    bucket = cap_buckets.bucket_of(state, cap.name)
+    return bucket.short and bucket.told >= call.arrived
+
+
+def _knows_members(state: states.State) -> bool:
+    view = state.membership
+    met = view.listed and not view.unmet
+    return met or state.now - state.started > MEET_MS
+
+
+def _has_caps(state: states.State) -> bool:
+    return state.routes is not None and state.routes.has_caps
+
+
+def _cap_of(state: states.State, call: states.Call) -> routes.Workspace | None:
+    """Return the workspace of a call, if there is a cap on it."""
+    if not call.workspace or state.routes is None:
+        return None
+    workspace = state.routes.workspace(call.workspace)
+    return workspace if workspace is not None and workspace.rate > 0.0 else None
+
+
+def _refuse(
+    state: states.State,
+    call: states.Call,
+    cap: routes.Workspace,
+    out: states.Effects,
+) -> None:
+    _use_of(state, cap.name).refused += 1
+    bucket = cap_buckets.bucket_of(state, cap.name)
+    wait = cap_buckets.come_back_after(state, cap)
+    refusals.refuse(
+        state,
+        call,
+        decisions.Rule.OVER_CAP,
+        out,
+        retry_after=wait,
+        figures=(bucket.tokens, bucket.rate_milli / 1_000.0, cap.rate, wait),
+    )
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -57,6 +57,11 @@
     RETRY_RATIONED = 36
     BACKEND_ENDED = 37
     QUARANTINED = 38
+    KEY_UNKNOWN = 39
+    KEY_UNSETTLED = 40
+    KEYS_STALE = 41
+    PARENT_UNKNOWN = 42
+    OVER_CAP = 43
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -96,6 +101,9 @@
         "s until a trial",
         "",
     ),
+    Rule.KEY_UNSETTLED: ("version in force", "version heard of", "", ""),
+    Rule.KEYS_STALE: ("ms since the version was the newest", "ms allowed", "", ""),
+    Rule.OVER_CAP: ("requests left", "requests a second here", "cap", "ms to wait"),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
     Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
@@ -166,6 +174,22 @@
     ),
     Rule.NO_ROUTE: "Refused: the route table has no route for this host and path.",
     Rule.NO_CONFIGURATION: "Refused: this node has no configuration yet.",
+    Rule.KEY_UNKNOWN: (
+        "Refused: the request came with no API key, or with one that no workspace has."
+    ),
+    Rule.KEY_UNSETTLED: (
+        "Refused: no workspace has its API key, but a later configuration, which this"
+        " node is fetching, may."
+    ),
+    Rule.KEYS_STALE: (
+        "Refused: this node has not heard for too long that its configuration is the"
+        " newest; API keys may have been taken away."
+    ),
+    Rule.PARENT_UNKNOWN: (
+        "Refused: it says that it is part of a request that does not run here, and came"
+        " with no API key of its own."
+    ),
+    Rule.OVER_CAP: "Refused: the workspace has used what it may use at present.",
 }
 
 
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -144,11 +144,15 @@
     """Read a stream from an offset.
 
     :param wait: wait a while for new records if there are none.
+    :param hold_ms: how long; 0 leaves it to the settings.
+    :param extra: beside the reads by which the stream is followed.
     """
 
     stream: str
     offset: int
     wait: bool
+    hold_ms: int = 0
+    extra: bool = False
 
 
 class ReadNewest(Effect, frozen=True):
@@ -238,6 +242,7 @@
     :param version: version of the routes, or revision of the documents, in force.
     :param waited_ms: age of the request when it was decided.
     :param status: status of the answer, 0 when there is none yet.
+    :param workspace: whose request it is; empty where nobody's.
     """
 
     part: str
@@ -250,6 +255,7 @@
     version: int
     waited_ms: float
     status: int = 0
+    workspace: str = ""
 
 
 class Stopped(Effect, frozen=True):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -28,6 +28,8 @@
     :param keyed_log: the log keeps the newest record of each key.
     :param retry_bound: on the retries of each service by all nodes together.
     :param lineage: calls are tied to their parents by the ids of requests.
+    :param revoke_ms: within this time an API key that was taken away must cease to
+        work; 0 for no bound.
     """
 
     seed: int
@@ -44,6 +46,7 @@
     keyed_log: bool = False
     retry_bound: allowance.Bound | None = None
     lineage: bool = False
+    revoke_ms: ids.Milliseconds = 0.0
 
 
 class Tick(Event, frozen=True):
@@ -61,6 +64,7 @@
     :param sending: 1 when the caller says that it sends this request for the first
         time, higher for a repeat, 0 when it says nothing.
     :param fingerprint: what is the same whenever this request is sent; 0 if not known.
+    :param key_digest: of the API key that came with it; empty where none did.
     """
 
     call: ids.CallId
@@ -76,6 +80,7 @@
     sending: int = 0
     holder: str = ""
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
+    key_digest: str = ""
 
 
 class CallerGone(Event, frozen=True):
@@ -230,6 +235,9 @@
 
     :param oldest: the oldest offset that the log still holds.
     :param end: the offset after the newest record at the time of the read.
+    :param asked: when the read began; 0 if not known.
+    :param held_ms: for how long the log surely held it open, without news.
+    :param extra: it was made beside the reads by which the stream is followed.
     """
 
     stream: str
@@ -237,17 +245,22 @@
     records: tuple[bytes, ...]
     oldest: int
     end: int
+    asked: ids.Milliseconds = 0.0
+    held_ms: ids.Milliseconds = 0.0
+    extra: bool = False
 
 
 class NewestRead(Event, frozen=True):
     """The newest record of each key of a stream was read.
 
     :param end: the offset from which to read on.
+    :param asked: when the read began; 0 if not known.
     """
 
     stream: str
     records: tuple[bytes, ...]
     end: int
+    asked: ids.Milliseconds = 0.0
 
 
 class PutDone(Event, frozen=True):
@@ -263,9 +276,13 @@
 
 
 class LogReadFailed(Event, frozen=True):
-    """A stream could not be read."""
+    """A stream could not be read.
+
+    :param extra: as in :class:`LogRead`.
+    """
 
     stream: str
+    extra: bool = False
 
 
 class AppendDone(Event, frozen=True):
--- a/src/gingerturn/internal/core/member_table.py
+++ b/src/gingerturn/internal/core/member_table.py
@@ -70,6 +70,8 @@
         membership.gone[member.node] = state.now
     else:
         membership.gone.pop(member.node, None)
+    if member.state is messages.MemberState.LEAVING:
+        membership.left[member.node] = member.incarnation
     if old is not None:
         _unlist(state, old)
     if member.service and member.state < messages.MemberState.LEAVING:
@@ -167,5 +169,6 @@
         del membership.gone[node]
         membership.version += 1
         membership.members.pop(node, None)
+        membership.left.pop(ids.NodeId(node), None)
         membership.rumours.drop(node)
         state.upstreams.pop(ids.NodeId(node), None)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -11,6 +11,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
+    freshness,
     member_table,
     messages,
     outbox,
@@ -274,7 +275,9 @@
     membership = state.membership
     membership.sequence += 1
     if track:
-        membership.probes[membership.sequence] = states.Probe(node=node, sent=state.now)
+        membership.probes[membership.sequence] = states.Probe(
+            node=node, sent=state.now, asked=state.now
+        )
     _ping(state, node, membership.sequence, out)
 
 
@@ -298,6 +301,7 @@
         route_version=0 if state.routes is None else state.routes.version,
         members=member_table.updates(state),
         quarantine=quarantine_news.news(state),
+        proven_age_ms=freshness.word(state),
     )
 
 
@@ -317,6 +321,7 @@
     probed = state.membership.probes.pop(message.sequence, None)
     if probed is None:
         return
+    freshness.note_word(state, probed.asked, message)
     if probed.for_sequence:
         _answer(
             state,
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -66,6 +66,7 @@
     :param first: no earlier sending of this request, or of the one that it serves,
         can have run; only then may a refusal say ``not-run``.
     :param fingerprint: what is the same whenever this request is sent; 0 if not known.
+    :param workspace: whose request it is; empty where nobody's.
     """
 
     service: ids.ServiceName
@@ -83,6 +84,7 @@
     ticket: str = ""
     repeat: bool = False
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
+    workspace: ids.WorkspaceName = ids.WorkspaceName("")
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -142,6 +144,7 @@
     PING_REQUEST = "ping-request"
     SYNC_REQUEST = "sync-request"
     SYNC_PAGE = "sync-page"
+    CAPS = "caps"
 
 
 class BackendEnd(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -189,6 +192,65 @@
 NO_QUARANTINE_NEWS = QuarantineNews()
 
 
+class CapDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a node is asked for in the name of a workspace with a cap.
+
+    Numbers are thousandths: whole numbers take a third of the bytes, and some hundred
+    such entries come to one node each second.
+
+    :param rate_milli: requests a second.
+    :param held_milli: requests a second that it may let pass by its present lease.
+    :param need: requests that wait for a token.
+    :param spilled_milli: tokens that came in by the lease since the last question, and
+        found the bucket full.
+    """
+
+    workspace: str
+    rate_milli: int
+    held_milli: int
+    need: int
+    spilled_milli: int
+
+
+class CapAsk(msgspec.Struct, frozen=True, array_like=True, tag=True, gc=False):
+    """A node lends its parts of all caps to the keeper, and asks for leases.
+
+    :param number: pairs the answer with it.
+    :param stamp: the keeper's, from when on the loan counts; 0 lends nothing.
+    :param inherited: the sender's leases are of another keeper.
+    """
+
+    number: int
+    stamp: ids.Milliseconds
+    inherited: bool
+    demands: tuple[CapDemand, ...]
+
+
+class CapLease(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a node may let pass of a workspace for one term.
+
+    :param rate_milli: thousandths of a request a second.
+    :param tokens: for requests that wait.
+    :param short: nothing is left for now.
+    """
+
+    workspace: str
+    rate_milli: int
+    tokens: int
+    short: bool
+
+
+class CapAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True, gc=False):
+    """The keeper's leases.
+
+    :param stamp: of its own clock, to be sent back with the next question.
+    """
+
+    number: int
+    stamp: ids.Milliseconds
+    leases: tuple[CapLease, ...]
+
+
 class Gossip(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One membership message, with member updates riding on it.
 
@@ -197,6 +259,8 @@
     :param cursor: last node of a synchronisation page; empty at the end.
     :param revision: revision of the configuration that the sender has in force.
     :param route_version: version of the route table that it has in force.
+    :param proven_age_ms: how long ago that was certainly the newest; -1 if not known.
+    :param caps: a question to the keeper of caps, or its answer.
     """
 
     kind: GossipKind
@@ -207,6 +271,8 @@
     cursor: str = ""
     route_version: int = 0
     quarantine: QuarantineNews = NO_QUARANTINE_NEWS
+    proven_age_ms: ids.Milliseconds = -1.0
+    caps: CapAsk | CapAnswer | None = None
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
--- a/src/gingerturn/internal/core/pollers.py
+++ b/src/gingerturn/internal/core/pollers.py
@@ -13,10 +13,15 @@
 other zones hear of the change.
 """
 
-import zlib
-
 from gingerturn.internal import ids
-from gingerturn.internal.core import messages, state as states, streams
+from gingerturn.internal.core import (
+    freshness,
+    freshness_renewal,
+    member_order,
+    messages,
+    state as states,
+    streams,
+)
 
 CHECK_MS = 500.0
 """How often a node asks itself; a dead one is noticed in about two seconds, in which
@@ -29,6 +34,10 @@
 """After its start a node has read the table and soon knows the members; before, each
 would take itself for the only one."""
 
+FIRST_HOLD_MS = 4_000
+"""How long the first of all nodes lets the log hold a read open, where nothing asks for
+evidence more often. It finds out after a second more that the log has fallen silent."""
+
 ALONE_MS = 1_500.0
 """Three periods of probes: a node that got no datagram for so long may be cut off."""
 
@@ -39,23 +48,31 @@
     if stream is None or now - state.started < SETTLED_MS:
         return
     stream.followed = waits(state, now)
+    stream.hold_ms = _hold_ms(state)
     streams.resume(state, out)
 
 
+def _hold_ms(state: states.State) -> int:
+    """Return for how long the log is to hold a read open; 0 leaves it to the settings.
+
+    A read that the log never answers hangs for that time and longer. Were all to wait
+    for long, a log that falls silent for a moment would leave all of them in the dark.
+    """
+    if not member_order.is_first(state):
+        return 0
+    return freshness_renewal.HOLD_MS if freshness.is_bounded(state) else FIRST_HOLD_MS
+
+
 def waits(state: states.State, now: ids.Milliseconds) -> bool:
     """Tell whether this node is one of those that wait at the log."""
     if now - state.membership.heard > ALONE_MS:
         return True
     before = 0
-    own = _order(state.node)
+    own = member_order.place(state.node)
     for member in state.membership.members.values():
         if member.zone != state.zone or member.state is not messages.MemberState.ALIVE:
             continue
-        before += _order(member.node) < own
+        before += member_order.place(member.node) < own
         if before >= A_ZONE:
             return False
     return True
-
-
-def _order(node: str) -> tuple[int, str]:
-    return zlib.crc32(node.encode()), node
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -14,10 +14,13 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     calls,
+    caps,
     claims,
     decisions,
     effects,
     events,
+    freshness,
+    freshness_renewal,
     hosting,
     instances,
     joining,
@@ -57,6 +60,10 @@
 """Before the end of its grace a node answers what it still holds: a caller that is
 told that the end is unclear knows more than one whose connection breaks."""
 
+FIRST_SEQUENCES = 1 << 30
+"""Numbers of pings begin below this, by the time of the start in ms: no node sends a
+thousand a second."""
+
 PRUNE_MS = 30_000.0
 CHILDREN_FORGOTTEN_MS = 60_000.0
 """Which services calls of a kind go on to is remembered for a minute."""
@@ -98,6 +105,9 @@
     state.keyed_log = event.keyed_log
     state.lineage = event.lineage
     state.retry_bound = event.retry_bound
+    state.freshness.revoke_ms = event.revoke_ms
+    # A late answer to an earlier start of this node must not pass for one to this.
+    state.membership.sequence = event.incarnation % FIRST_SEQUENCES
     state.revisions.snapshot_at = event.now
     me = messages.Member(
         node=event.node,
@@ -168,7 +178,10 @@
         first=event.first,
         count=len(event.records),
         end=event.end,
+        extra=event.extra,
     )
+    if event.extra:
+        freshness_renewal.on_read_ended(state)
     if event.stream == streams.CONFIG:
         revisions.on_read(state, first=event.first, oldest=event.oldest, gap=gap)
     joins: list[messages.JoinRecord] = []
@@ -183,6 +196,9 @@
             _on_record(state, event.stream, offset, record, out)
     if joins:
         joining.on_join_records(state, joins, out)
+    reached = event.first + len(event.records) >= event.end
+    if event.stream == streams.ROUTES and reached and not gap and event.asked:
+        freshness.note_read(state, event.asked, held_ms=event.held_ms)
     streams.resume(state, out)
 
 
@@ -226,6 +242,8 @@
         decoded = [r for r in decoded if not isinstance(r, messages.JoinRecord)]
     for record in decoded:
         _on_record(state, event.stream, event.end, record, out)
+    if event.stream == streams.ROUTES and event.asked:
+        freshness.note_read(state, event.asked)
     streams.resume(state, out)
 
 
@@ -265,6 +283,9 @@
 def _on_log_read_failed(
     state: states.State, event: events.LogReadFailed, out: states.Effects
 ) -> None:
+    if event.extra:
+        freshness_renewal.on_read_ended(state)
+        return
     stream = state.streams.get(event.stream)
     if stream is not None:
         streams.failed(state, stream, out)
@@ -293,6 +314,13 @@
 def _on_datagram(
     state: states.State, event: events.DatagramReceived, out: states.Effects
 ) -> None:
+    told = event.message.caps
+    if isinstance(told, messages.CapAsk):
+        caps.on_ask(state, event.sender, event.host, event.port, told, out)
+        return
+    if isinstance(told, messages.CapAnswer):
+        caps.on_answer(state, event.sender, told, out)
+        return
     membership.on_gossip(
         state, event.sender, event.host, event.port, event.message, out
     )
@@ -499,8 +527,10 @@
     "revive": (joining.REVIVE_MS, joining.revive),
     "prune": (PRUNE_MS, _prune),
     "pollers": (pollers.CHECK_MS, pollers.check),
+    "freshness": (freshness_renewal.CHECK_MS, freshness_renewal.check),
+    "caps": (caps.CHECK_MS, caps.check),
 }
-_ROUTED_ONLY = frozenset({"pollers"})
+_ROUTED_ONLY = frozenset({"pollers", "freshness", "caps"})
 """Parts that nodes without a route table have no use for."""
 
 _TIMER_HANDLERS = {name: handler for name, (_, handler) in _TIMERS.items()}
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -1,6 +1,7 @@
 """How a call ends without an answer: what its caller is told, and what is kept."""
 
 from gingerturn.internal.core import (
+    cap_buckets,
     come_back,
     decisions,
     effects,
@@ -24,6 +25,8 @@
     decisions.Rule.ALREADY_RUN: 409,
     decisions.Rule.DEADLINE_PASSED: 504,
     decisions.Rule.NO_ROUTE: 404,
+    decisions.Rule.KEY_UNKNOWN: 401,
+    decisions.Rule.OVER_CAP: 429,
 }
 _COME_BACK_MS = 1_000.0
 """After one to two seconds where nothing better is known."""
@@ -34,6 +37,7 @@
         decisions.Rule.KEY_INVALID,
         decisions.Rule.ALREADY_RUN,
         decisions.Rule.NO_ROUTE,
+        decisions.Rule.KEY_UNKNOWN,
     }
 )
 
@@ -82,6 +86,7 @@
             version=state.version,
             waited_ms=state.now - call.arrived,
             status=status,
+            workspace=call.workspace,
         )
     )
     return decision
@@ -109,6 +114,11 @@
     status = _STATUS.get(rule, 503 if not_run else 502)
     if status == 504 and not_run:
         status = 503
+    if status == 429 and not not_run:
+        status = 502
+    if not_run and call.drew:
+        # Another request of the workspace may have what this one did not use.
+        cap_buckets.give_back(state, call.workspace)
     upstream = call.tried[-1] if call.tried else ""
     own = decide(state, call, rule, out, figures, upstream=upstream, status=status)
     # Where a home node refused, its decision tells more than that it did.
--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from gingerturn import configuration, errors, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -11,6 +13,7 @@
     outbox,
     slot_costs,
     state as states,
+    workspaces,
 )
 
 FETCH_EVERY_MS = 300.0
@@ -21,6 +24,13 @@
 _PART = "routes"
 
 
+class Resolved(msgspec.Struct, frozen=True, gc=False):
+    """By which rule a request is treated, and in whose name it runs."""
+
+    rule: configuration.KindRule
+    workspace: ids.WorkspaceName
+
+
 def put(state: states.State, table: routes.RouteTable, out: states.Effects) -> bool:
     """Put a table in force if it is later than the present one.
 
@@ -59,6 +69,7 @@
     state: states.State, node: ids.NodeId, version: int, out: states.Effects
 ) -> None:
     """Fetch the table from a peer that has a later one."""
+    state.routes_heard = max(state.routes_heard, version)
     present = 0 if state.routes is None else state.routes.version
     if version <= present or state.now - state.routes_fetched_at < FETCH_EVERY_MS:
         return
@@ -70,15 +81,30 @@
 
 
 def resolve(
-    state: states.State, event: events.CallArrived
-) -> configuration.KindRule | decisions.Rule:
-    """Return the rule for a request, or why there is none."""
-    if state.routes is None:
+    state: states.State, event: events.CallArrived, parent: states.Hosted | None
+) -> Resolved | decisions.Rule:
+    """Return the rule for a request and whose it is, or why it has none.
+
+    :param parent: the request that runs here which it is part of, if any.
+    """
+    index = state.routes
+    if index is None:
         return decisions.Rule.NO_CONFIGURATION
-    route = state.routes.match(event.service, event.path)
+    route = index.match(event.service, event.path)
     if route is None:
         return decisions.Rule.NO_ROUTE
-    return state.routes.rule(route, _service(state, route))
+    name = ids.WorkspaceName("")
+    workspace = None
+    if parent is None:
+        found = workspaces.of_request(state, event, route)
+        if isinstance(found, decisions.Rule):
+            return found
+        workspace = found
+        name = ids.WorkspaceName("" if found is None else found.name)
+    elif index.needs_keys and not route.public:
+        name = parent.terms.workspace
+    rule = index.rule(route, _service(state, route), workspace)
+    return Resolved(rule=rule, workspace=name)
 
 
 def _service(state: states.State, route: routes.Route) -> str:
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -37,6 +37,12 @@
 saves weighing every upstream for each call."""
 
 
+def begin(state: states.State, call: states.Call, out: states.Effects) -> None:
+    """Let a call begin."""
+    earn(state, call)
+    send_first(state, call, out)
+
+
 def send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
     """Send a call for the first time, let it wait for an upstream, or refuse it."""
     if call.holder:
@@ -339,6 +345,7 @@
         ticket=call.holder,
         repeat=call.repeat,
         fingerprint=call.fingerprint,
+        workspace=call.workspace,
     )
     out.append(
         effects.OpenAttempt(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -33,6 +33,8 @@
     :param cleared: no sending of it is open: none was made, or the last one was
         certainly not run. Only then may a caller be told so, whatever else the state
         says: a fault that lost an attempt must not turn into a promise.
+    :param workspace: whose request it is; empty where nobody's.
+    :param drew: it took a token of the workspace's cap.
     """
 
     id: ids.CallId
@@ -58,6 +60,8 @@
     cleared: bool = True
     holder: str = ""
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
+    workspace: ids.WorkspaceName = ids.WorkspaceName("")
+    drew: bool = False
     tried: list[ids.NodeId] = []
 
 
@@ -352,16 +356,193 @@
 
 
 class Probe(msgspec.Struct):
-    """A ping whose acknowledgement is awaited."""
+    """A ping whose acknowledgement is awaited.
+
+    :param sent: from when its answer is missed; later than ``asked`` where this node
+        stood still meanwhile.
+    :param asked: when it was sent.
+    """
 
     node: ids.NodeId
     sent: ids.Milliseconds
+    asked: ids.Milliseconds
     indirect: bool = False
     for_host: str = ""
     for_port: int = 0
     for_sequence: int = 0
 
 
+class MemberOrder(msgspec.Struct):
+    """The members that are not suspected, by :func:`.member_order.place`.
+
+    :param owners: all members that did not leave, also those that cannot be reached.
+    :param keepers: the first ones by another order.
+
+    :param zone: those in the own zone, with this node.
+    :param index: of this node among them.
+    :param version: of the membership that it was made from.
+    """
+
+    first: ids.NodeId
+    zone: list[ids.NodeId]
+    index: int
+    owners: int
+    keepers: list[ids.NodeId]
+    version: int
+
+
+class Freshness(msgspec.Struct):
+    """What proves that the route table in force is the newest; see :mod:`.freshness`.
+
+    :param revoke_ms: within this time a key that was taken away must cease to work;
+        0 where operators set no bound.
+    :param proven: when the table in force was certainly the newest; 0 if never.
+    :param asked: when a member was last asked.
+    :param questions: how often one was.
+    :param closed: it was written that no key is let in.
+    :param reading: an extra read of the log is under way.
+    :param read_again: not before this.
+    """
+
+    revoke_ms: ids.Milliseconds = 0.0
+    proven: ids.Milliseconds = 0.0
+    asked: ids.Milliseconds = 0.0
+    questions: int = 0
+    closed: bool = False
+    reading: bool = False
+    read_again: ids.Milliseconds = 0.0
+
+
+class Bucket(msgspec.Struct):
+    """Tokens of a workspace at this node; see :mod:`.cap_buckets`.
+
+    :param filled: up to when what came in has been added.
+    :param rate_milli: thousandths of a token a second, by the lease.
+    :param lease_until: when the lease ends; 0 where there never was one.
+    :param short: the keeper had no token left.
+    :param told: when it last said whether it had.
+    :param spilled: tokens of the lease that found it full.
+    :param demand: requests a second asked for here.
+    :param count: requests since ``counted_from``.
+    :param drawn: when the latest came.
+    :param promised: when the token comes in that the last refused caller was told of.
+    """
+
+    filled: ids.Milliseconds
+    counted_from: ids.Milliseconds
+    tokens: float = 0.0
+    rate_milli: int = 0
+    lease_until: ids.Milliseconds = 0.0
+    short: bool = False
+    told: ids.Milliseconds = 0.0
+    spilled: float = 0.0
+    demand: float = 0.0
+    count: int = 0
+    drawn: ids.Milliseconds = 0.0
+    promised: ids.Milliseconds = 0.0
+
+
+class WorkspaceUse(msgspec.Struct):
+    """Whole requests of a workspace at this node, since its start."""
+
+    passed: int = 0
+    refused: int = 0
+
+
+class Caps(msgspec.Struct):
+    """What this node uses of workspaces' caps; see :mod:`.caps`.
+
+    :param keeper: node that was asked last.
+    :param stamp: the latest of that keeper; 0 before its first answer.
+    :param number: of the latest question.
+    :param open: questions without an answer, and when they were put.
+    :param asked: when the latest question was put.
+    :param renewed: when it was last asked for all workspaces.
+    :param silent_since: when the first was put that the keeper has not answered; 0 if
+        it has answered since.
+    :param lent_to: keeper to whom the own parts are lent until ``lent_until``.
+    :param leased_by: keeper whose answer came last.
+    :param passed_over: nodes that are not asked, and until when.
+    :param held: calls that wait for a token, and until when.
+    :param use: by workspace, for the metrics; bounded.
+    """
+
+    buckets: dict[str, Bucket] = {}
+    keeper: ids.NodeId = ids.NodeId("")
+    stamp: ids.Milliseconds = 0.0
+    number: int = 0
+    open: dict[int, ids.Milliseconds] = {}
+    asked: ids.Milliseconds = 0.0
+    renewed: ids.Milliseconds = 0.0
+    silent_since: ids.Milliseconds = 0.0
+    lent_to: ids.NodeId = ids.NodeId("")
+    lent_until: ids.Milliseconds = 0.0
+    leased_by: ids.NodeId = ids.NodeId("")
+    passed_over: dict[ids.NodeId, ids.Milliseconds] = {}
+    held: dict[ids.CallId, ids.Milliseconds] = {}
+    use: dict[str, WorkspaceUse] = {}
+
+
+class CapGrant(msgspec.Struct, frozen=True):
+    """What the keeper knows of one node's use of a cap.
+
+    :param demand: requests a second asked for there.
+    :param rate_milli: thousandths of a request a second that it is leased.
+    :param depth: requests at once that its bucket holds.
+    """
+
+    demand: float
+    rate_milli: int
+    depth: float
+    until: ids.Milliseconds
+
+
+class CapWindow(msgspec.Struct):
+    """Requests of a cap that were let pass lately, by slice of time.
+
+    :param total: what the cap allowed in a window when it was last looked at.
+    """
+
+    total: float = 0.0
+    slices: dict[int, float] = {}
+
+
+class CapTolerance(msgspec.Struct, frozen=True):
+    """By how much operators let a cap be passed in a window.
+
+    :param over: by this share.
+    :param slack: by so many requests besides.
+    """
+
+    window_ms: ids.Milliseconds = 5_000.0
+    over: float = 0.1
+    slack: float = 20.0
+
+    def beyond(self, cap: routes.Workspace) -> float:
+        """Return by how many requests a cap may be passed."""
+        allowed = cap.rate * self.window_ms / 1_000.0 + cap.burst
+        return self.over * allowed + self.slack
+
+
+class CapKeeper(msgspec.Struct):
+    """What this node leases as the keeper of caps; see :mod:`.cap_keeper`.
+
+    :param loans: nodes that lent it their parts, and until when.
+    :param grants: by workspace and node.
+    :param windows: by workspace, what was let pass.
+    :param share: of every cap that it may give.
+    :param shares: share that was lent to it, by slice of time.
+    :param renews_until: before that, leases of another keeper are only renewed.
+    """
+
+    loans: dict[ids.NodeId, ids.Milliseconds] = {}
+    grants: dict[str, dict[ids.NodeId, CapGrant]] = {}
+    windows: dict[str, CapWindow] = {}
+    share: float = 0.0
+    shares: dict[int, float] = {}
+    renews_until: ids.Milliseconds = 0.0
+
+
 class Membership(msgspec.Struct):
     """The members as this node knows them.
 
@@ -375,6 +556,8 @@
         is acknowledged.
     :param listed: the members on the log have been read.
     :param heard: when the last datagram of a member came.
+    :param left: members that left by a planned stop, by incarnation.
+    :param ordered: what follows from all this, until it changes.
     """
 
     me: messages.Member | None = None
@@ -395,6 +578,8 @@
     join_retry_at: ids.Milliseconds = 0.0
     listed: bool = False
     heard: ids.Milliseconds = 0.0
+    left: dict[ids.NodeId, ids.Incarnation] = {}
+    ordered: MemberOrder | None = None
 
 
 class Stream(msgspec.Struct):
@@ -408,6 +593,8 @@
     :param based: those have been read.
     :param followed: records are read as they come.
     :param outdated: the read under way began too early to tell what is asked for.
+    :param hold_ms: how long the log holds a read open for news; 0 leaves it to the
+        settings.
     """
 
     name: str
@@ -415,6 +602,7 @@
     based: bool = False
     followed: bool = True
     outdated: bool = False
+    hold_ms: int = 0
     offset: int = 0
     reading: bool = False
     failures: int = 0
@@ -622,6 +810,12 @@
         self.retry_bound: allowance.Bound | None = None
         self.routes: routes.RouteIndex | None = None
         self.routes_fetched_at: ids.Milliseconds = 0.0
+        # The latest version that a member told of.
+        self.routes_heard = 0
+        self.freshness = Freshness()
+        self.caps = Caps()
+        self.cap_keeper = CapKeeper()
+        self.cap_tolerance = CapTolerance()
         # Credit of each service of a split route, for the weighted turn.
         self.turns: dict[str, dict[str, float]] = {}
         self.decisions = decisions.DecisionLog(node=node, size=decision_count)
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -51,15 +51,18 @@
     first: int,
     count: int,
     end: int,
+    extra: bool = False,
 ) -> bool:
     """Take in where a read ended.
 
+    :param extra: it was made beside those by which the stream is followed.
     :return: whether records were missed since the last read.
     """
     _note_regained(stream, out)
     gap = stream.caught_up and first > stream.offset
-    stream.reading = False
-    stream.failures = 0
+    if not extra:
+        stream.reading = False
+        stream.failures = 0
     stream.offset = max(stream.offset, first + count)
     stream.fresh = state.now
     if stream.offset >= end:
@@ -68,8 +71,8 @@
         stream.covered_from = state.now
         # Of a keyed stream nothing was missed that its newest records do not tell.
         stream.based = False
-    pause = _pause(state, stream)
-    stream.retry_at = state.now + pause
+    if not extra:
+        stream.retry_at = state.now + _pause(state, stream)
     return gap
 
 
@@ -160,7 +163,13 @@
     # Until the end was seen once, an empty stream must say so at once: claims are
     # refused for as long as that is not known.
     out.append(
-        effects.ReadLog(stream=stream.name, offset=stream.offset, wait=stream.caught_up)
+        effects.ReadLog(
+            stream=stream.name,
+            offset=stream.offset,
+            # After a failure the question is whether the log answers at all.
+            wait=stream.caught_up and not stream.failures,
+            hold_ms=stream.hold_ms,
+        )
     )
 
 
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -6,6 +6,7 @@
 ServiceName = typing.NewType("ServiceName", str)
 KindName = typing.NewType("KindName", str)
 TeamName = typing.NewType("TeamName", str)
+WorkspaceName = typing.NewType("WorkspaceName", str)
 
 CallId = typing.NewType("CallId", int)
 """A call that a node accepted from a caller; unique within one incarnation."""
--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -6,7 +6,7 @@
 import typing
 import urllib.parse
 
-from gingerturn import dialect as dialects
+from gingerturn import dialect as dialects, routes
 from gingerturn.internal import ids
 from gingerturn.internal.shell import heads
 
@@ -62,11 +62,13 @@
         return f"Request({self.method!r}, {self.target!r}, call={self.call})"
 
 
-def framing_problem(request: Request, version: str) -> str:
+def framing_problem(request: Request, version: str, *, api_key: bytes = b"") -> str:
     """Return what is wrong with a head, or an empty string.
 
     A request whose length two parties could read differently is refused: that is
-    how requests are smuggled past one of them.
+    how requests are smuggled past one of them. So is one with two API keys.
+
+    :param api_key: name of the header that holds the API key.
     """
     if version != "1.1":
         return f"HTTP/{version} is not served; use HTTP/1.1"
@@ -77,6 +79,8 @@
             return "Content-Length is given more than once"
         if names.count(b"host") > 1:
             return "Host must be given exactly once"
+        if api_key and names.count(api_key) > 1:
+            return f"{api_key.decode()} is given more than once"
     if b"host" not in values:
         return "Host must be given exactly once"
     if b"transfer-encoding" not in values:
@@ -144,7 +148,15 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-def fingerprint(request: Request, service: str, body_digest: str) -> ids.Fingerprint:
+def api_key_digest(request: Request, dialect: dialects.Dialect) -> str:
+    """Return the digest of the API key in the head; empty where there is none."""
+    key = request.values.get(dialect.api_key)
+    return "" if key is None else routes.key_digest(key.strip())
+
+
+def fingerprint(
+    request: Request, service: str, body_digest: str, key_digest: str = ""
+) -> ids.Fingerprint:
     """Return what is the same whenever a request is sent: by any caller's connection,
     through any node, under any id.
 
@@ -160,6 +172,7 @@
         service.encode(),
         request.target,
         request.values.get(b"authorization", b""),
+        key_digest.encode(),
         request.values.get(b"content-length", b""),
         body.encode(),
     )
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -138,7 +138,7 @@
             frames.Open(
                 call=effect.attempt,
                 terms=effect.terms,
-                head=request.head,
+                head=request.head + self._workspace_line(effect.terms.workspace),
                 body=bytes(request.body),
                 whole=request.complete,
             )
@@ -148,6 +148,12 @@
                 request, self._upload_sink(effect.attempt, carrier)
             )
 
+    def _workspace_line(self, workspace: ids.WorkspaceName) -> bytes:
+        name = self._node.dialect.workspace
+        if not (workspace and name):
+            return b""
+        return b"%b: %b\r\n" % (name, workspace.encode("ascii"))
+
     def _upload_sink(
         self, attempt: int, carrier: links.Carrier
     ) -> caller_requests.BodySink:
--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -4,6 +4,7 @@
 9 MB of the 64 that a node may use, for what a node does not need.
 """
 
+import math
 import typing
 
 import httpcore
@@ -53,17 +54,20 @@
         step: str,
         body: bytes = b"",
         wait_ms: float = 0.0,
+        timeout_ms: float = math.inf,
     ) -> Answer:
         """Make a call.
 
         :param resource: path and query.
+        :param timeout_ms: within which it is answered, if that is sooner than usual.
         :param wait_ms: time for which the service was asked to wait for news.
         :raises LogServiceError: when there is no answer, saying whether the call can
             have taken effect.
         """
-        patience = self._timeout_s + wait_ms / 1000.0
+        timeout_s = min(self._timeout_s, timeout_ms / 1000.0)
+        patience = timeout_s + wait_ms / 1000.0
         timeouts = dict.fromkeys(("read", "write", "pool"), patience)
-        timeouts["connect"] = self._timeout_s
+        timeouts["connect"] = timeout_s
         try:
             answer = await self._pool.request(
                 method,
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -142,7 +142,9 @@
         request.close_after = not self._parser.should_keep_alive()
         self._requests.append(request)
         version = self._parser.get_http_version()
-        problem = caller_requests.framing_problem(request, version)
+        problem = caller_requests.framing_problem(
+            request, version, api_key=self._node.dialect.api_key
+        )
         if problem:
             self._reject(400, problem)
             return
@@ -360,6 +362,7 @@
                 return
         trace, span = caller_requests.trace_of(request, dialect)
         digest = caller_requests.digest(request.body) if request.body else ""
+        key_digest = caller_requests.api_key_digest(request, dialect)
         request.head = caller_requests.request_head(request, target, self._node)
         arrival = events.CallArrived(
             now=clock.now(),
@@ -375,7 +378,10 @@
             replayable=request.complete,
             body_digest=digest,
             sending=int(caller_requests.number_header(request, heads.SENDING_HEADER)),
-            fingerprint=caller_requests.fingerprint(request, service, digest),
+            fingerprint=caller_requests.fingerprint(
+                request, service, digest, key_digest
+            ),
+            key_digest=key_digest,
         )
         self._node.entry.begin_request(request, arrival)
 
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -47,17 +47,24 @@
         )
 
     async def read(
-        self, stream: str, offset: int, *, wait: bool = True
+        self, stream: str, offset: int, *, wait: bool = True, hold_ms: int = 0
     ) -> log_service.Records:
         """Read from an offset, waiting a while for new records if there are none.
 
+        :param hold_ms: how long; 0 leaves it to the settings.
         :raises LogServiceError: when the log service does not answer as it should.
         """
         step = f"read {stream}"
-        wait_ms = self._poll_ms if wait else 0
+        wait_ms = (hold_ms or self._poll_ms) if wait else 0
         query = f"from={offset}&max={MAX_RECORDS}&wait_ms={wait_ms}"
         resource = f"/streams/{stream}/records?{query}"
-        answer = await self._peer.call("GET", resource, step=step, wait_ms=wait_ms)
+        answer = await self._peer.call(
+            "GET",
+            resource,
+            step=step,
+            wait_ms=wait_ms,
+            timeout_ms=log_service.READ_TIMEOUT_MS,
+        )
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, ReadReply, step)
         return log_service.Records(
@@ -65,6 +72,7 @@
             oldest=reply.oldest,
             end=reply.end,
             contents=self._contents(reply.records, step),
+            held_ms=wait_ms,
         )
 
     async def newest(self, stream: str) -> log_service.Newest:
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -3,7 +3,7 @@
 import typing
 
 from gingerturn import errors, log_service
-from gingerturn.internal import logs
+from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages
 from gingerturn.internal.shell import clock
 
@@ -55,20 +55,29 @@
 
     async def _read_stream(self, effect: effects.ReadLog) -> None:
         stream = effect.stream
+        asked = clock.now()
         try:
-            reply = await self._service.read(stream, effect.offset, wait=effect.wait)
+            reply = await self._service.read(
+                stream, effect.offset, wait=effect.wait, hold_ms=effect.hold_ms
+            )
         except errors.LogServiceError as error:
             logs.write("INFO", "log", f"{error}.")
-            self._node.apply(events.LogReadFailed(now=clock.now(), stream=stream))
+            self._node.apply(
+                events.LogReadFailed(now=clock.now(), stream=stream, extra=effect.extra)
+            )
             return
+        now = clock.now()
         self._node.apply(
             events.LogRead(
-                now=clock.now(),
+                now=now,
                 stream=stream,
                 first=reply.first,
                 records=reply.contents,
                 oldest=reply.oldest,
                 end=reply.end,
+                asked=asked,
+                held_ms=_held_ms(reply, now - asked),
+                extra=effect.extra,
             )
         )
 
@@ -76,6 +85,7 @@
         self._node.spawn(self._newest(effect.stream))
 
     async def _newest(self, stream: str) -> None:
+        asked = clock.now()
         try:
             reply = await self._service.newest(stream)
         except errors.LogServiceError as error:
@@ -84,7 +94,11 @@
             return
         self._node.apply(
             events.NewestRead(
-                now=clock.now(), stream=stream, records=reply.contents, end=reply.end
+                now=clock.now(),
+                stream=stream,
+                records=reply.contents,
+                end=reply.end,
+                asked=asked,
             )
         )
 
@@ -118,3 +132,14 @@
         self._node.apply(
             events.AppendDone(now=clock.now(), append=effect.append, offset=offset)
         )
+
+
+def _held_ms(reply: log_service.Records, elapsed: ids.Milliseconds) -> ids.Milliseconds:
+    """Return for how long the log surely held a read open.
+
+    One that brings no records was held for as long as was asked for, unless it came
+    back sooner.
+    """
+    if reply.contents or elapsed < reply.held_ms:
+        return 0.0
+    return reply.held_ms
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -399,6 +399,7 @@
             figures=decisions.named(rule, effect.figures),
             version=effect.version,
             waited_ms=round(effect.waited_ms, 1),
+            workspace=effect.workspace,
             decision=effect.decision,
         )
 
@@ -423,6 +424,7 @@
             keyed_log=self.settings.log.keyed,
             retry_bound=_retry_bound(self.settings.retries),
             lineage=bool(self.dialect.lineage),
+            revoke_ms=float(self.settings.workspaces.revoke_ms),
         )
 
     def _tick(self) -> None:
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gingerturn.internal.core import levels, readiness, state as states
+from gingerturn.internal.core import freshness, levels, readiness, state as states
 from gingerturn.internal.shell import side_http
 
 if typing.TYPE_CHECKING:
@@ -34,6 +34,28 @@
     return rows
 
 
+def _workspaces(
+    state: states.State,
+) -> list[tuple[str, str, list[tuple[str, float]]]]:
+    """Return what workspaces used here, and their caps; as many as are counted."""
+    use = sorted(state.caps.use.items())
+    passed = [(_label(name), float(counted.passed)) for name, counted in use]
+    refused = [(_label(name), float(counted.refused)) for name, counted in use]
+    index = state.routes
+    known = [] if index is None else [index.workspace(name) for name, _ in use]
+    caps = [(_label(w.name), w.rate) for w in known if w is not None and w.rate > 0]
+    return [
+        ("workspace_passed_total", "counter", passed),
+        ("workspace_refused_total", "counter", refused),
+        ("workspace_cap", "gauge", caps),
+    ]
+
+
+def _label(workspace: str) -> str:
+    escaped = workspace.replace("\\", r"\\").replace('"', r"\"")
+    return f'{{workspace="{escaped}"}}'
+
+
 def metrics(node: "nodes.Node") -> bytes:
     """Return counters, gauges and latencies in the Prometheus text format."""
     state = node.state
@@ -67,6 +89,12 @@
     add("level_age_ms_bucket", "counter", *_level_ages(state))
     version = 0 if state.routes is None else state.routes.version
     add("route_version", "gauge", ("", version))
+    add("requests_held", "gauge", ("", len(state.caps.held)))
+    add("cap_share_kept", "gauge", ("", state.cap_keeper.share))
+    add("keys_proven_age_ms", "gauge", ("", freshness.word(state)))
+    add("keys_closed", "gauge", ("", freshness.is_stale(state)))
+    for name, kind, rows in _workspaces(state):
+        add(name, kind, *rows)
     quantiles = [
         (f'{{quantile="{q / 100:g}"}}', node.durations.get_value_at_percentile(q) / 1e6)
         for q in (50.0, 90.0, 99.0)
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -8,6 +8,8 @@
 import hmac
 import typing
 
+import msgspec
+
 from gingerturn import errors
 from gingerturn.internal import ids
 from gingerturn.internal.core import messages
@@ -24,6 +26,9 @@
 
 _MAX_AGE = (1 << 32) - 1
 _KINDS = list(messages.GossipKind)
+_CAPS_DECODER: msgspec.msgpack.Decoder[messages.CapAsk | messages.CapAnswer] = (
+    msgspec.msgpack.Decoder(messages.CapAsk | messages.CapAnswer)
+)
 
 
 def mac(secret: bytes, content: bytes) -> bytes:
@@ -47,6 +52,9 @@
     part.target = message.target
     part.cursor = message.cursor
     part.routeVersion = message.route_version
+    part.provenAgeMs = message.proven_age_ms
+    if message.caps is not None:
+        part.caps = msgspec.msgpack.encode(message.caps)
     _put_news(part, message.quarantine)
     members = part.init("members", len(message.members))
     for slot, member in zip(members, message.members, strict=True):
@@ -90,6 +98,8 @@
             cursor=part.cursor,
             route_version=part.routeVersion,
             quarantine=_news(part),
+            proven_age_ms=part.provenAgeMs,
+            caps=_CAPS_DECODER.decode(part.caps) if part.caps else None,
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
     except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -44,4 +44,6 @@
   ends @9 :List(BackendEnd);
   words @10 :List(QuarantineWord);
   quarantineDigest @11 :UInt32;
+  provenAgeMs @12 :Float32 = -1;
+  caps @13 :Data;
 }
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -10,6 +10,11 @@
 
 import msgspec
 
+READ_TIMEOUT_MS = 1_000.0
+"""A read that is not answered within this time, and that for which it waits for news,
+belongs to a log that is silent: the sooner one is begun again, the sooner a node knows
+what the log says when it speaks."""
+
 
 class Records(msgspec.Struct, frozen=True):
     """What a read found.
@@ -19,12 +24,14 @@
     :param end: the offset after the newest record.
     :param contents: records from ``first`` on; empty where a record is of no use to
         a node, so that offsets stay in step.
+    :param held_ms: how long the service was asked to hold the read open for news.
     """
 
     first: int
     oldest: int
     end: int
     contents: tuple[bytes, ...]
+    held_ms: float = 0.0
 
 
 class Newest(msgspec.Struct, frozen=True):
@@ -48,8 +55,13 @@
 class LogService(typing.Protocol):
     """An append-only log with streams, offsets and, on some, keys."""
 
-    async def read(self, stream: str, offset: int, *, wait: bool = True) -> Records:
-        """Read from an offset, waiting a while for new records if there are none."""
+    async def read(
+        self, stream: str, offset: int, *, wait: bool = True, hold_ms: int = 0
+    ) -> Records:
+        """Read from an offset, waiting a while for new records if there are none.
+
+        :param hold_ms: how long; 0 leaves it to the settings.
+        """
 
     async def append(
         self, stream: str, record: bytes, *, expected_end: int | None = None
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -2,6 +2,7 @@
 administration API.
 """
 
+import collections.abc
 import re
 
 import msgspec
@@ -10,7 +11,7 @@
 
 _LINE = re.compile(
     r"gingerturn_(?P<name>\w+)"
-    r"(?:\{(?P<label>\w+)=\"(?P<value>[^\"]*)\"\})?"
+    r"(?:\{(?P<label>\w+)=\"(?P<value>(?:[^\"\\]|\\.)*)\"\})?"
     r" (?P<number>\S+)"
 )
 """One sample of the Prometheus text format, as a node writes it: one label at most."""
@@ -22,11 +23,13 @@
     :param plain: samples without a label, by name.
     :param refused: requests refused or failed, by rule.
     :param answer_seconds: time to the answer, by quantile.
+    :param workspaces: by workspace, what is told of it by name of the sample.
     """
 
     plain: dict[str, float] = {}
     refused: dict[str, float] = {}
     answer_seconds: dict[str, float] = {}
+    workspaces: dict[str, dict[str, float]] = {}
 
 
 def parse(text: str, *, origin: str) -> NodeMetrics:
@@ -72,11 +75,37 @@
             f"backend server ended by itself {_count(plain, 'backend_ends_total')}"
             f" times, {_count(plain, 'requests_kept_out')} requests kept out"
         )
+    if plain.get("keys_closed"):
+        lines.append("requests with API keys are refused: keys_stale")
     if plain.get("log_lines_dropped_total"):
         lines.append(f"{_count(plain, 'log_lines_dropped_total')} log lines left out")
     return lines
 
 
+class WorkspaceUse(msgspec.Struct):
+    """Whole requests of a workspace at some nodes since their starts.
+
+    :param cap: requests a second by all nodes; 0 for any number.
+    """
+
+    workspace: str
+    passed: float = 0.0
+    refused: float = 0.0
+    cap: float = 0.0
+
+
+def workspaces(pages: collections.abc.Iterable[NodeMetrics]) -> list[WorkspaceUse]:
+    """Return the use of each workspace over some nodes, most refused first."""
+    found: dict[str, WorkspaceUse] = {}
+    for page in pages:
+        for name, told in page.workspaces.items():
+            use = found.setdefault(name, WorkspaceUse(name))
+            use.passed += told.get("workspace_passed_total", 0.0)
+            use.refused += told.get("workspace_refused_total", 0.0)
+            use.cap = max(use.cap, told.get("workspace_cap", 0.0))
+    return sorted(found.values(), key=lambda use: (-use.refused, -use.passed))
+
+
 def _add(found: NodeMetrics, line: str, *, where: str) -> None:
     match = _LINE.fullmatch(line)
     try:
@@ -93,6 +122,9 @@
         found.refused[match["value"]] = number
     elif match["label"] == "quantile":
         found.answer_seconds[match["value"]] = number
+    elif match["label"] == "workspace":
+        name = match["value"].replace(r"\"", '"').replace(r"\\", "\\")
+        found.workspaces.setdefault(name, {})[match["name"]] = number
     elif match["label"] is None:
         found.plain[match["name"]] = number
 
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import enum
+import hashlib
 
 import msgspec
 
@@ -22,6 +23,10 @@
 MAX_VERSION = (1 << 63) - 1
 """Versions travel as numbers of 64 bits."""
 
+MAX_WORKSPACE_PRIORITY = 1_000
+MAX_RATE = 1e9
+_HEX_DIGITS = frozenset("0123456789abcdef")
+
 MAX_ATTEMPTS = 16
 MAX_WEIGHT = 1_000_000
 
@@ -48,6 +53,7 @@
     :param target_ms: time within which an answer has its full worth.
     :param priority: rank among the routes, 0 goes first.
     :param max_attempts: upstreams that one request may reach.
+    :param public: requests need no API key.
     """
 
     name: str
@@ -59,6 +65,58 @@
     shares: tuple[Share, ...]
     priority: int = 0
     max_attempts: int = 1
+    public: bool = False
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """Whose requests they are that carry one of its API keys.
+
+    :param key_digests: of its API keys, by :func:`key_digest`; the keys themselves are
+        kept nowhere.
+    :param priority: goes before the priorities of routes, 0 first; ``None`` leaves it
+        to these.
+    :param rate: requests a second that all nodes together let pass; 0 for any number.
+    :param burst: requests that may come at once on top.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+def workspace(
+    name: str,
+    keys: collections.abc.Sequence[str],
+    *,
+    priority: int | None = None,
+    rate: float = 0.0,
+    burst: float = 0.0,
+) -> Workspace:
+    """Return a workspace by its API keys themselves.
+
+    :param burst: means nothing without a rate.
+    """
+    return Workspace(
+        name=name,
+        key_digests=tuple(key_digest(key.encode()) for key in keys),
+        priority=priority,
+        rate=rate,
+        burst=burst if rate > 0 else 0.0,
+    )
+
+
+KEY_DIGEST_BYTES = 16
+
+
+def key_digest(key: bytes) -> str:
+    """Return what stands for an API key everywhere behind the edge.
+
+    API keys are random, so that nothing is found by trying likely ones; a slow hash
+    would cost each request more than everything else that is done for it.
+    """
+    return hashlib.blake2b(key, digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
@@ -78,12 +136,14 @@
 
     :param version: greater than that of every table before it.
     :param services: every service there is; empty where the table does not say.
+    :param workspaces: ``None`` where requests carry no API keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits = RequestLimits()
     services: tuple[str, ...] = ()
+    workspaces: tuple[Workspace, ...] | None = None
 
     def names_service(self, service: str) -> bool:
         """Tell whether there is such a service, as far as the table says."""
@@ -114,11 +174,60 @@
         if place in seen:
             problems.append(f"route {route.name!r}: {place} has a route already")
         seen.add(place)
+    problems += _workspace_problems(table.workspaces or ())
     if problems:
         raise errors.InvalidDocument(problems, step="check routes", peer=origin)
     return table
 
 
+def _workspace_problems(
+    workspaces: tuple[Workspace, ...],
+) -> collections.abc.Iterator[str]:
+    names: set[str] = set()
+    holders: dict[str, str] = {}
+    for workspace in workspaces:
+        where = f"workspace {workspace.name!r}"
+        if workspace.name in names:
+            yield f"{where}: the name is taken; allowed is one of each name"
+        names.add(workspace.name)
+        for digest in workspace.key_digests:
+            holder = holders.setdefault(digest, workspace.name)
+            if holder != workspace.name:
+                yield (
+                    f"{where}: key_digests holds {digest!r}, which {holder!r} has too;"
+                    " allowed is one workspace for each key"
+                )
+        for problem in _value_problems(workspace):
+            yield f"{where}: {problem}"
+
+
+def _value_problems(workspace: Workspace) -> collections.abc.Iterator[str]:
+    if not _is_header_text(workspace.name):
+        yield f"name is {workspace.name!r}; allowed are printable ASCII characters"
+    for digest in workspace.key_digests:
+        if len(digest) != 2 * KEY_DIGEST_BYTES or not set(digest) <= _HEX_DIGITS:
+            allowed = f"allowed are digests of {2 * KEY_DIGEST_BYTES} digits"
+            yield f"key_digests holds {digest!r}; {allowed}"
+    bounds = [
+        ("rate", workspace.rate, 0, MAX_RATE),
+        ("burst", workspace.burst, 0, MAX_RATE),
+    ]
+    if workspace.priority is not None:
+        bounds.append(("priority", workspace.priority, 0, MAX_WORKSPACE_PRIORITY))
+    for field, value, low, high in bounds:
+        try:
+            checks.check_range(field, value, low, high)
+        except errors.InvalidArgument as error:
+            yield error.message
+    if workspace.burst > 0 and workspace.rate == 0:
+        yield f"burst is {workspace.burst} without a rate; allowed is a rate above 0"
+
+
+def _is_header_text(text: str) -> bool:
+    """Tell whether a name can stand in a header of its own."""
+    return bool(text) and text.isascii() and text.isprintable() and text == text.strip()
+
+
 def _route_problems(route: Route) -> collections.abc.Iterator[str]:
     prefix = route.path_prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
@@ -148,9 +257,17 @@
     def __init__(self, table: RouteTable) -> None:
         self.table = table
         self._by_host: dict[str, dict[str, Route]] = {}
-        self._rules: dict[tuple[str, str], configuration.KindRule] = {}
+        self._rules: dict[tuple[str, str, int | None], configuration.KindRule] = {}
+        self._importance = _importance_of(table)
+        self._by_digest: dict[str, Workspace] = {}
+        self._by_name: dict[str, Workspace] = {}
+        self.has_caps = any(w.rate > 0 for w in table.workspaces or ())
         for route in table.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+        for workspace in table.workspaces or ():
+            self._by_name[workspace.name] = workspace
+            for digest in workspace.key_digests:
+                self._by_digest[digest] = workspace
 
     def __repr__(self) -> str:
         return f"RouteIndex(version={self.version}, routes={len(self.table.routes)})"
@@ -174,21 +291,74 @@
                 return route
         return None
 
-    def rule(self, route: Route, service: str) -> configuration.KindRule:
-        """Return the rule by which the core treats a request of a route."""
-        key = (route.name, service)
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests carry API keys, but for those on public routes."""
+        return self.table.workspaces is not None
+
+    def workspace_of(self, digest: str) -> Workspace | None:
+        """Return whose API key it is that has a digest."""
+        return self._by_digest.get(digest)
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return the workspace of a name."""
+        return self._by_name.get(name)
+
+    def rule(
+        self, route: Route, service: str, workspace: Workspace | None = None
+    ) -> configuration.KindRule:
+        """Return the rule by which the core treats a request of a route.
+
+        :param workspace: whose request it is.
+        """
+        priority = None if workspace is None else workspace.priority
+        key = (route.name, service, priority)
         rule = self._rules.get(key)
         if rule is None:
-            rule = _rule(route, service)
+            rule = _rule(route, service, self._importance(route, priority))
             self._rules[key] = rule
         return rule
 
 
-def _rule(route: Route, service: str) -> configuration.KindRule:
+Importance = collections.abc.Callable[[Route, int | None], int]
+"""Gives the class of a request by its route and its workspace's priority."""
+
+
+def _importance_of(table: RouteTable) -> Importance:
+    """Return how a table orders its requests: by the priority of the workspace, then
+    by that of the route.
+
+    Where all workspaces have the same priority it tells nothing, and each priority of
+    the routes keeps a class of its own.
+    """
+    priorities = {workspace.priority for workspace in table.workspaces or ()}
+    if len(priorities) <= 1:
+        return lambda route, _: _class_at(route.priority)
+    order = sorted(
+        {
+            _order(route, priority)
+            for route in table.routes
+            for priority in {*priorities, None}
+        }
+    )
+    classes = {place: _class_at(index) for index, place in enumerate(order)}
+    return lambda route, priority: classes[_order(route, priority)]
+
+
+def _order(route: Route, priority: int | None) -> tuple[int, int]:
+    return (route.priority if priority is None else priority, route.priority)
+
+
+def _class_at(place: int) -> int:
+    """Return the class of what has so many before it; later ones share the lowest."""
+    return MAX_PRIORITY - min(MAX_PRIORITY, place)
+
+
+def _rule(route: Route, service: str, importance: int) -> configuration.KindRule:
     return configuration.KindRule(
         name=ids.KindName(route.name),
         service=ids.ServiceName(service),
-        importance=MAX_PRIORITY - min(MAX_PRIORITY, route.priority),
+        importance=importance,
         path_prefix=route.path_prefix,
         methods=(),
         repeatable=route.type is not RouteType.UNREPEATABLE,
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -107,6 +107,22 @@
     window_ms: int = 10_000
 
 
+class Workspaces(msgspec.Struct, forbid_unknown_fields=True):
+    """Bounds on API keys, and on what workspaces with a cap may use.
+
+    :param revoke_ms: a key that was taken away ceases to work within this time at each
+        node, also at one that nobody can reach; 0 lets a node that is cut off go on.
+    :param cap_window_ms: a cap holds in each window of this length.
+    :param cap_over: share by which it may be passed.
+    :param cap_slack: requests by which it may be passed besides.
+    """
+
+    revoke_ms: int = 0
+    cap_window_ms: int = 5_000
+    cap_over: float = 0.1
+    cap_slack: float = 20.0
+
+
 class Secret(msgspec.Struct, forbid_unknown_fields=True):
     """The secret that nodes share; two are accepted during a rotation."""
 
@@ -141,6 +157,17 @@
 RETRY_RANGES = {"ratio": (0.0, 1.0), "window_ms": (100, 3_600_000)}
 """Least and most allowed of the bound on retries."""
 
+WORKSPACE_RANGES = {
+    "cap_window_ms": (1_000, 3_600_000),
+    "cap_over": (0.0, 1.0),
+    "cap_slack": (0.0, 1e6),
+}
+"""Least and most allowed of the bounds on workspaces."""
+
+LEAST_REVOKE_MS = 4_000
+"""News of a configuration takes up to three seconds to the farthest node, and another
+second is left for what was let in before."""
+
 LIMIT_RANGES = {
     "body_buffer": (1_024, MAX_BODY_BUFFER),
     "decisions": (1_024, 1_048_576),
@@ -183,6 +210,7 @@
     backend: Backend = msgspec.field(default_factory=Backend)
     routing: Routing = msgspec.field(default_factory=Routing)
     retries: Retries = msgspec.field(default_factory=Retries)
+    workspaces: Workspaces = msgspec.field(default_factory=Workspaces)
     team: list[Team] = []
     peers: list[str] = []
 
@@ -281,6 +309,13 @@
     for field, (lowest, highest) in RETRY_RANGES.items():
         chosen = getattr(settings.retries, field)
         check(f"$.retries.{field}", checks.check_range, field, chosen, lowest, highest)
+    for field, (lowest, highest) in WORKSPACE_RANGES.items():
+        chosen = getattr(settings.workspaces, field)
+        where = f"$.workspaces.{field}"
+        check(where, checks.check_range, field, chosen, lowest, highest)
+    if settings.workspaces.revoke_ms:
+        bounds = (settings.workspaces.revoke_ms, LEAST_REVOKE_MS, 3_600_000)
+        check("$.workspaces.revoke_ms", checks.check_range, "revoke_ms", *bounds)
     for peer in settings.peers:
         check("$.peers", _check_peer, peer)
     return problems
--- /dev/null
+++ b/tests/common/keyed.py
@@ -0,0 +1,96 @@
+"""Short ways to nodes whose callers carry API keys."""
+
+import msgspec
+
+from gingerturn import routes
+from gingerturn.internal import ids
+from gingerturn.internal.core import events, reducer, state as states, streams
+from tests.common import builders, routed
+
+REVOKE_MS = 5_000.0
+"""Operators want a key that was taken away to cease to work within this time."""
+
+
+def workspace(
+    name: str = "shop",
+    *keys: str,
+    priority: int | None = None,
+    rate: float = 0.0,
+    burst: float = 0.0,
+) -> routes.Workspace:
+    """Return a workspace; its one key is its name unless others are given."""
+    return routes.workspace(
+        name, keys or (name,), priority=priority, rate=rate, burst=burst
+    )
+
+
+def table(
+    *workspaces: routes.Workspace,
+    version: int = 1,
+    listed: tuple[routes.Route, ...] = (),
+) -> routes.RouteTable:
+    """Return a table of routes and workspaces."""
+    return routes.RouteTable(
+        version=version,
+        routes=listed or (routed.route(),),
+        workspaces=workspaces or (workspace(),),
+    )
+
+
+def node_state(
+    *workspaces: routes.Workspace,
+    name: str = "n1",
+    listed: tuple[routes.Route, ...] = (),
+    revoke_ms: float = 0.0,
+    upstream: bool = True,
+) -> states.State:
+    """Return a node with a table of workspaces in force that was just proven."""
+    begin = msgspec.structs.replace(routed.started(name), revoke_ms=revoke_ms)
+    state = reducer.new_state(begin)
+    reducer.reduce(state, begin)
+    state.started = begin.now - 10_000.0
+    record = table(*workspaces, listed=listed)
+    prove(state, record)
+    if upstream:
+        builders.add_members(state, builders.member("home", "plans"))
+    return state
+
+
+def prove(
+    state: states.State,
+    *tables: routes.RouteTable,
+    asked: float | None = None,
+) -> None:
+    """Let a node read the newest of the log."""
+    from gingerturn.internal.core import messages
+
+    reducer.reduce(
+        state,
+        events.NewestRead(
+            now=state.now,
+            stream=streams.ROUTES,
+            records=tuple(messages.encode_record(table) for table in tables),
+            end=1,
+            asked=state.now if asked is None else asked,
+        ),
+    )
+
+
+def arrived(
+    call: int,
+    key: str = "shop",
+    *,
+    path: str = "/a/x",
+    request: str = "",
+    now: float = builders.START,
+    sent_by: str = "",
+) -> events.CallArrived:
+    """Return the arrival of a request with a key; none where it is empty."""
+    plain = routed.arrived(call, path=path, request=request, now=now)
+    digest = routes.key_digest(key.encode()) if key else ""
+    return msgspec.structs.replace(plain, key_digest=digest)
+
+
+def span(name: str) -> ids.SpanId:
+    """Return the id of a request that runs at a node, as its calls name it."""
+    return ids.SpanId(name)
--- /dev/null
+++ b/tests/cover/test_caps.py
@@ -0,0 +1,361 @@
+"""What workspaces may use over all nodes together.
+
+The pattern: seventy workspaces, a few of them large, at dozens of nodes. Most are far
+below their caps, unevenly spread over the nodes, and move; one sends many times its
+usual, while nodes are parted, end, start anew and stand still.
+"""
+
+import collections.abc
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from gingerturn import routes
+from gingerturn.internal.core import (
+    cap_buckets,
+    cap_keeper,
+    effects,
+    events,
+    member_order,
+    messages,
+    reducer,
+    state as states,
+)
+from gingerturn_fakes import capped
+from tests.common import builders, keyed, routed
+
+WINDOW_MS = 5_000.0
+OVER = 0.1
+SLACK = 20.0
+"""Operators let a cap be passed by this in a window."""
+
+USUAL_SHARE = 1 / 1.6
+"""Of its cap a workspace usually asks for this much."""
+
+SERVED_BELOW = 0.98
+SERVED_PARTED = 0.90
+
+
+def bound(cap: routes.Workspace) -> float:
+    """Return how many requests may be let pass in a window."""
+    return (cap.rate * WINDOW_MS / 1_000.0 + cap.burst) * (1.0 + OVER) + SLACK
+
+
+def _workspace(rate: float, burst: float | None = None) -> routes.Workspace:
+    return keyed.workspace("shop", rate=rate, burst=rate if burst is None else burst)
+
+
+def _check_bound(made: capped.Deployment, cap: routes.Workspace) -> None:
+    assert made.most_in(cap.name, WINDOW_MS) <= bound(cap)
+
+
+def _served(made: capped.Deployment) -> float:
+    return len(made.passed["shop"]) / made.sent["shop"]
+
+
+@pytest.mark.parametrize("nodes", [1, 4, 68])
+@pytest.mark.parametrize("rate", [12.0, 50.0, 156.0])
+def test_nearly_all_is_let_pass_below_the_cap(nodes: int, rate: float) -> None:
+    made = capped.Deployment(_workspace(rate), nodes=nodes)
+    made.load("shop", made.names, rate=rate * USUAL_SHARE, duration_ms=10_000.0)
+    made.world.run(11_000.0)
+    assert _served(made) >= SERVED_BELOW
+
+
+@pytest.mark.parametrize("rate", [50.0, 156.0])
+def test_nearly_all_is_let_pass_where_all_demand_is_at_two_nodes(rate: float) -> None:
+    made = capped.Deployment(_workspace(rate), nodes=68)
+    made.load("shop", made.names[:2], rate=rate * USUAL_SHARE, duration_ms=10_000.0)
+    made.world.run(11_000.0)
+    assert _served(made) >= SERVED_BELOW
+
+
+def test_demand_that_moves_to_other_nodes_each_second_is_followed() -> None:
+    made = capped.Deployment(_workspace(50.0), nodes=68)
+    for second in range(10):
+        node = made.names[3 * second]
+        made.load("shop", [node], rate=50.0 * USUAL_SHARE, duration_ms=1_000.0)
+        made.world.run(1_000.0)
+    assert _served(made) >= SERVED_BELOW
+
+
+@pytest.mark.parametrize("nodes", [4, 68])
+def test_a_workspace_far_above_its_cap_gets_the_cap(nodes: int) -> None:
+    cap = _workspace(100.0)
+    made = capped.Deployment(cap, nodes=nodes)
+    made.load("shop", made.names, rate=470.0, duration_ms=8_000.0)
+    made.world.run(8_000.0)
+    _check_bound(made, cap)
+    assert made.most_in("shop", WINDOW_MS) >= 0.75 * cap.rate * WINDOW_MS / 1_000.0
+
+
+def test_those_who_are_refused_come_back_at_the_pace_of_the_cap() -> None:
+    made = capped.Deployment(_workspace(20.0, burst=0.0), nodes=1)
+    made.load("shop", made.names, rate=200.0, duration_ms=1_000.0)
+    made.world.run(1_000.0)
+    waits = sorted(made.waits)
+    assert len(waits) > 100
+    # Not a wave at one moment: in each second only as many as may be let pass then.
+    second = [wait for wait in waits if 2_000.0 <= wait < 3_000.0]
+    assert len(second) <= 2 * 20.0
+    assert waits[-1] <= cap_buckets.MOST_WAIT_MS * 1.25
+
+
+def test_a_workspace_without_a_cap_is_never_held() -> None:
+    state = keyed.node_state(keyed.workspace("shop"), keyed.workspace("b", rate=1.0))
+    for call in range(50):
+        out = reducer.reduce(state, keyed.arrived(call + 1))
+        assert builders.only(out, effects.OpenAttempt)
+
+
+def test_what_was_refused_for_another_reason_is_given_back() -> None:
+    state = keyed.node_state(_workspace(10.0), upstream=False)
+    reducer.reduce(state, events.Tick(now=state.now + 1_000.0))
+    for call in range(30):
+        reducer.reduce(state, keyed.arrived(call + 1, now=state.now))
+        builders_tick(state, 30.0)
+    bucket = state.caps.buckets["shop"]
+    assert not state.caps.held
+    assert bucket.tokens >= 1.0
+
+
+def builders_tick(state: states.State, pause: float) -> None:
+    """Let time pass at a node."""
+    reducer.reduce(state, events.Tick(now=state.now + pause))
+
+
+@pytest.mark.parametrize("rate", [50.0, 156.0])
+def test_parted_sides_go_on_below_the_cap_and_hold_it_together(rate: float) -> None:
+    cap = _workspace(rate)
+    made = capped.Deployment(cap, nodes=15)
+    made.load("shop", made.names, rate=rate * USUAL_SHARE, duration_ms=12_000.0)
+    made.world.run(2_000.0)
+    made.part(set(made.names[:6]))
+    made.world.run(10_000.0)
+    assert _served(made) >= SERVED_PARTED
+    _check_bound(made, cap)
+
+
+def _flood(made: capped.Deployment, cap: routes.Workspace, seconds: float) -> None:
+    made.load(cap.name, made.names, rate=5 * cap.rate, duration_ms=seconds * 1_000.0)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_parted_sides_hold_the_cap_under_a_flood(seed: int) -> None:
+    cap = _workspace(60.0)
+    made = capped.Deployment(cap, nodes=12, seed=seed)
+    _flood(made, cap, 14.0)
+    made.world.run(4_000.0)
+    made.part(set(random.Random(seed).sample(made.names, 6)))
+    made.world.run(5_000.0)
+    made.world.cut.clear()
+    made.world.run(5_000.0)
+    _check_bound(made, cap)
+
+
+def test_nodes_that_start_anew_and_forgot_what_they_let_pass_hold_the_cap() -> None:
+    cap = _workspace(60.0)
+    made = capped.Deployment(cap, nodes=9)
+    _flood(made, cap, 12.0)
+    for name in made.names:
+        made.world.run(500.0)
+        made.world.kill(name)
+        made.world.run(500.0)
+        made.world.restart(name)
+    made.world.run(3_000.0)
+    _check_bound(made, cap)
+
+
+def test_all_nodes_that_start_anew_at_once_hold_the_cap() -> None:
+    cap = _workspace(60.0)
+    made = capped.Deployment(cap, nodes=9)
+    _flood(made, cap, 10.0)
+    made.world.run(4_000.0)
+    for name in made.names:
+        made.world.kill(name)
+    made.world.run(500.0)
+    for name in made.names:
+        made.world.restart(name)
+    made.world.run(5_500.0)
+    _check_bound(made, cap)
+
+
+def test_a_lower_cap_binds_a_window_after_it_is_in_force() -> None:
+    made = capped.Deployment(_workspace(100.0), nodes=9)
+    made.load("shop", made.names, rate=150.0, duration_ms=15_000.0)
+    made.world.run(5_000.0)
+    lower = _workspace(10.0)
+    table = capped.table(lower, version=2)
+    for name in made.names:
+        event = events.RoutesReceived(now=made.world.now, table=table)
+        made.world.apply(name, event)
+    made.world.run(2_000.0)
+    in_force = made.world.now
+    made.world.run(8_000.0)
+    made.passed["shop"] = [at for at in made.passed["shop"] if at >= in_force]
+    _check_bound(made, lower)
+
+
+def several_keepers_hold_the_cap() -> None:
+    """Whatever nodes believe: each lends its part to one keeper at a time."""
+
+    def by_name(state: states.State, *, passed_over: object) -> str:
+        return "plans-1" if sum(state.node.encode()) % 2 else "plans-2"
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(member_order, "keeper", by_name)
+        cap = _workspace(60.0)
+        made = capped.Deployment(cap, nodes=10)
+        _flood(made, cap, 8.0)
+        made.world.run(8_000.0)
+    _check_bound(made, cap)
+
+
+def test_two_nodes_that_each_take_themselves_for_the_keeper_hold_the_cap() -> None:
+    several_keepers_hold_the_cap()
+
+
+def _keeper() -> states.State:
+    state = keyed.node_state(_workspace(10.0))
+    builders.add_members(state, builders.member("a", "plans"))
+    return state
+
+
+def _asked(number: int, stamp: float) -> messages.CapAsk:
+    return messages.CapAsk(number=number, stamp=stamp, inherited=False, demands=())
+
+
+def test_a_question_of_before_a_standstill_of_the_keeper_lends_nothing() -> None:
+    state = _keeper()
+    stamp = cap_keeper.answer(state, "a", _asked(1, 0.0)).stamp
+    state.now += cap_keeper.TERM_MS + 1.0
+    cap_keeper.answer(state, "a", _asked(2, stamp))
+    assert cap_keeper.lent_share(state) == 0.0
+
+
+def test_a_member_that_is_gone_still_owns_its_part() -> None:
+    """It may be at work on the other side of a parted network."""
+    state = _keeper()
+    before = member_order.owners(state)
+    gone = builders.member("a", "plans")
+    fields = {name: getattr(gone, name) for name in gone.__struct_fields__}
+    fields |= {"state": messages.MemberState.GONE, "version": 2}
+    builders.add_members(state, messages.Member(**fields))
+    assert member_order.owners(state) == before
+
+
+def test_a_member_that_left_owns_nothing() -> None:
+    state = _keeper()
+    before = member_order.owners(state)
+    leaving = builders.member("a", "plans")
+    fields = {name: getattr(leaving, name) for name in leaving.__struct_fields__}
+    fields |= {"state": messages.MemberState.LEAVING, "version": 2}
+    builders.add_members(state, messages.Member(**fields))
+    assert member_order.owners(state) == before - 1
+
+
+def test_leases_of_a_suspended_node_have_ended_when_it_wakes() -> None:
+    state = keyed.node_state(_workspace(10.0), upstream=False)
+    for _ in range(20):
+        builders_tick(state, 100.0)
+        reducer.reduce(state, keyed.arrived(state.next_number(), now=state.now))
+    bucket = state.caps.buckets["shop"]
+    assert bucket.lease_until > state.now
+    tokens = bucket.tokens
+    state.caps.lent_until = state.now + 120_000.0
+    state.now += 60_000.0
+    cap_buckets.refill(state, bucket, _workspace(10.0))
+    most = tokens + bucket.rate_milli * cap_keeper.TERM_MS / 1e6
+    assert bucket.tokens <= max(most, cap_buckets.depth_of(bucket.rate_milli))
+
+
+Step = collections.abc.Callable[[capped.Deployment, random.Random], None]
+
+
+def _part(made: capped.Deployment, chance: random.Random) -> None:
+    made.part(set(chance.sample(made.names, chance.randint(1, len(made.names) - 1))))
+
+
+def _merge(made: capped.Deployment, chance: random.Random) -> None:
+    made.world.cut.clear()
+
+
+def _restart(made: capped.Deployment, chance: random.Random) -> None:
+    name = chance.choice(made.names)
+    if made.world.nodes[name].alive:
+        made.world.kill(name)
+        made.world.at(600.0, lambda: made.world.restart(name))
+
+
+def _stand_still(made: capped.Deployment, chance: random.Random) -> None:
+    made.world.pause(chance.choice(made.names), chance.uniform(200.0, 3_000.0))
+
+
+def _move(made: capped.Deployment, chance: random.Random) -> None:
+    nodes = chance.sample(made.names, chance.randint(1, 3))
+    made.load("shop", nodes, rate=120.0, duration_ms=1_500.0)
+
+
+def _spread(made: capped.Deployment, chance: random.Random) -> None:
+    made.load("shop", made.names, rate=200.0, duration_ms=1_500.0)
+
+
+STEPS: dict[str, Step] = {
+    "part": _part,
+    "merge": _merge,
+    "restart": _restart,
+    "stand still": _stand_still,
+    "move": _move,
+    "spread": _spread,
+}
+
+
+def check_random_troubles(seed: int, steps: list[str], *, rate: float) -> None:
+    """Play troubles and floods at random moments; the cap holds in each window."""
+    chance = random.Random(seed)
+    cap = _workspace(rate)
+    made = capped.Deployment(cap, nodes=6, seed=seed)
+    for name in steps:
+        STEPS[name](made, chance)
+        made.world.run(chance.uniform(100.0, 1_500.0))
+    made.world.run(2_000.0)
+    _check_bound(made, cap)
+
+
+@hypothesis.given(
+    seed=st.integers(0, 1 << 32),
+    steps=st.lists(st.sampled_from(sorted(STEPS)), min_size=4, max_size=14),
+    rate=st.sampled_from([8.0, 30.0, 60.0]),
+)
+@hypothesis.settings(max_examples=40, deadline=None, derandomize=True)
+def test_the_cap_holds_under_random_troubles(
+    seed: int, steps: list[str], rate: float
+) -> None:
+    check_random_troubles(seed, steps, rate=rate)
+
+
+def flood_over_lost_keepers() -> None:
+    """A flood at nodes that are parted again and again."""
+    check_random_troubles(
+        7, ["spread", "move", "spread", "part", "spread", "move"] * 2, rate=30.0
+    )
+
+
+def test_the_cap_holds_where_keepers_are_lost_in_a_flood() -> None:
+    flood_over_lost_keepers()
+
+
+def routed_only() -> None:
+    """Nodes without workspaces ask nobody."""
+    state = routed.node_state()
+    builders.add_members(state, builders.member("a", "plans"))
+    for _ in range(20):
+        out = reducer.reduce(state, events.Tick(now=state.now + 100.0))
+        for sent in builders.all_of(out, effects.SendGossip):
+            assert sent.message.caps is None
+
+
+def test_without_caps_nobody_is_asked() -> None:
+    routed_only()
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -129,7 +129,9 @@
 
 
 def test_that_proof_fails_without_the_check(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(caller_requests, "framing_problem", lambda request, version: "")
+    monkeypatch.setattr(
+        caller_requests, "framing_problem", lambda request, version, **_: ""
+    )
     with pytest.raises(AssertionError):
         check_only_clear_framing_is_dispatched(
             b"PUT /x HTTP/1.1\r\nhost: a\r\nhost: b\r\ncontent-length: 3\r\n\r\nabc"
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -8,15 +8,22 @@
 
 import pytest
 
+from gingerturn import dialect
 from gingerturn.internal.core import (
     blame,
     calls,
+    cap_keeper,
     decisions,
     events,
+    freshness,
+    freshness_renewal,
     hosting,
     instances,
     joining,
+    member_order,
     membership,
+    messages,
+    pollers,
     quarantine,
     quarantine_table,
     reducer,
@@ -28,6 +35,7 @@
     timers,
     upstream_costs,
     upstreams,
+    workspaces,
 )
 from gingerturn.internal.shell import backend_http, caller_limits, clock
 from tests.common import builders
@@ -35,10 +43,13 @@
     test_announcements as announcements,
     test_backend_answers as answers,
     test_caller_limits as limits,
+    test_caps as of_caps,
     test_deadly_requests as deadly,
     test_decisions_under_load as under_load,
+    test_freshness as fresh,
     test_keyed_members as members,
     test_membership as members_told,
+    test_pollers as waiting,
     test_quarantine as of_quarantine,
     test_routed_attempts as attempts,
     test_routes as of_routes,
@@ -46,6 +57,7 @@
     test_silent_nodes as silent,
     test_standstill as stood_still,
     test_ticks as ticks,
+    test_workspaces as of_workspaces,
 )
 
 Proof = collections.abc.Callable[[], None]
@@ -77,12 +89,108 @@
     return decisions.Rule.NO_ROUTE
 
 
+def _unasked_for(state: states.State, asked: float, message: messages.Gossip) -> None:
+    """Take a member's word for as young as its arrival."""
+    if message.proven_age_ms >= 0:
+        state.freshness.proven = state.now - message.proven_age_ms
+
+
+def _answering(state: states.State) -> int:
+    """Count those members only that can be reached."""
+    view = state.membership
+    return max(1, len(view.members) - len(view.gone) - len(view.suspected))
+
+
+def _all_lent(state: states.State) -> float:
+    return 1.0
+
+
+def _nobodys(*arguments: typing.Any) -> None:
+    """Let a request in without a look at its key."""
+
+
 def _any_table(state: typing.Any, table: typing.Any, out: typing.Any) -> bool:
     state.routes = of_routes.routes.RouteIndex(table)
     return True
 
 
 OUT: list[tuple[str, typing.Any, typing.Any, object, Proof]] = [
+    (
+        "UNASKED: whose a request is",
+        workspaces,
+        "of_request",
+        _nobodys,
+        of_workspaces.test_a_request_goes_on_in_the_name_of_the_workspace_that_has_its_key,
+    ),
+    (
+        "UNASKED: the key itself",
+        dialect.Dialect,
+        "written_by_nodes",
+        lambda self: frozenset(),
+        of_workspaces.test_neither_the_key_nor_a_named_workspace_goes_on_to_the_backend_server,
+    ),
+    (
+        "ROUTE: a key that never was",
+        workspaces,
+        "of_request",
+        _nobodys,
+        functools.partial(
+            of_workspaces.test_a_key_that_no_workspace_has_is_refused_before_any_work,
+            "never",
+        ),
+    ),
+    (
+        "CONFIG: keys at a node that hears nothing",
+        freshness,
+        "is_stale",
+        _false,
+        fresh.test_a_node_that_hears_nothing_lets_no_key_in_after_the_time_allowed,
+    ),
+    (
+        "CONFIG: words that were under way",
+        freshness,
+        "note_word",
+        _unasked_for,
+        fresh.test_a_members_word_counts_from_the_question_however_late_it_comes,
+    ),
+    (
+        "CONFIG: nodes that the log refuses",
+        freshness,
+        "note_word",
+        _nothing,
+        fresh.test_a_node_refused_by_the_log_lives_by_what_members_tell,
+    ),
+    (
+        "CONFIG: heads that the log refuses",
+        freshness_renewal,
+        "_read",
+        _nothing,
+        fresh.test_when_all_heads_are_refused_by_the_log_the_others_read_it,
+    ),
+    (
+        "CONFIG: a log that falls silent",
+        pollers,
+        "_hold_ms",
+        lambda state: 0,
+        waiting.test_a_change_made_while_the_log_is_silent_is_in_force_soon_after,
+    ),
+    (
+        "QUOTA: parted sides",
+        member_order,
+        "owners",
+        _answering,
+        functools.partial(
+            of_caps.test_parted_sides_hold_the_cap_under_a_flood,
+            1,
+        ),
+    ),
+    (
+        "QUOTA: several keepers",
+        cap_keeper,
+        "lent_share",
+        _all_lent,
+        of_caps.several_keepers_hold_the_cap,
+    ),
     (
         "TWICE",
         sending,
--- /dev/null
+++ b/tooling/gingerturn_fakes/capped.py
@@ -0,0 +1,111 @@
+"""A deployment whose workspaces have caps, and what is let pass of them.
+
+Only entries matter here: backend servers have room for everything.
+"""
+
+import collections
+import random
+
+from gingerturn import routes
+from gingerturn.internal.core import effects
+from gingerturn_fakes import parts, world as worlds
+
+HOST = "shop.example"
+PATH = "/a/x"
+SERVICE = "plans"
+
+
+def table(*workspaces: routes.Workspace, version: int = 1) -> routes.RouteTable:
+    """Return a table with one route and some workspaces."""
+    route = routes.Route(
+        name="lookup",
+        host=HOST,
+        path_prefix="/a/",
+        type=routes.RouteType.SAFE,
+        timeout_ms=5_000,
+        target_ms=1_000,
+        shares=(routes.Share(SERVICE),),
+    )
+    return routes.RouteTable(version=version, routes=(route,), workspaces=workspaces)
+
+
+class Deployment:
+    """Nodes in three availability zones, and requests by workspace and node.
+
+    :param passed: when requests of each workspace were let pass.
+    :param refused: how many were refused for the cap.
+    """
+
+    def __init__(
+        self, *workspaces: routes.Workspace, nodes: int, seed: int = 1
+    ) -> None:
+        spec = parts.ServiceSpec(SERVICE, nodes, 1_000, {"lookup": 5.0})
+        self.world = worlds.World(
+            seed=seed,
+            services=[spec],
+            documents={},
+            zones=["a", "b", "c"],
+            table=table(*workspaces),
+        )
+        self.world.gossip_on = True
+        self.random = random.Random(seed)
+        self.passed: dict[str, list[float]] = collections.defaultdict(list)
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.waits: list[float] = []
+        self.sent: collections.Counter[str] = collections.Counter()
+        self._workspace_of: dict[int, str] = {}
+        self.world.on_effect = self._note
+        self.world.run(3_000.0)
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the nodes."""
+        return list(self.world.nodes)
+
+    def ask(self, workspace: str, node: str) -> None:
+        """Send one request of a workspace, by the key of its own name."""
+        made = self.world
+        fake = made.nodes[node]
+        if not fake.alive:
+            return
+        call = made.next_number()
+        self.sent[workspace] += 1
+        self._workspace_of[call] = workspace
+        digest = routes.key_digest(workspace.encode())
+        made.call(fake, call, HOST, "GET", PATH, f"{call:016x}", key_digest=digest)
+
+    def load(
+        self, workspace: str, nodes: list[str], *, rate: float, duration_ms: float
+    ) -> None:
+        """Send requests at random moments to random ones of some nodes."""
+        at = 0.0
+        while (at := at + self.random.expovariate(rate / 1_000.0)) < duration_ms:
+            node = self.random.choice(nodes)
+            self.world.at(at, lambda node=node: self.ask(workspace, node))
+
+    def part(self, side: set[str]) -> None:
+        """Part some nodes from all others."""
+        for one in side:
+            for other in set(self.names) - side:
+                self.world.cut |= {(one, other), (other, one)}
+
+    def most_in(self, workspace: str, window_ms: float) -> int:
+        """Return the most requests that were let pass in any such window."""
+        times = sorted(self.passed[workspace])
+        most = first = 0
+        for last, time in enumerate(times):
+            while times[first] <= time - window_ms:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    def _note(self, node: parts.FakeNode, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.OpenAttempt):
+            workspace = self._workspace_of.pop(effect.call, "")
+            if workspace:
+                self.passed[workspace].append(self.world.now)
+        elif isinstance(effect, effects.RefuseCall):
+            workspace = self._workspace_of.pop(effect.call, "")
+            if effect.status == 429:
+                self.refused[workspace] += 1
+                self.waits.append(effect.retry_after_ms)
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -6,19 +6,25 @@
 
 import msgspec
 
+from gingerturn import log_service
 from gingerturn.internal.core import effects, events
 from gingerturn_fakes import parts
 
 if typing.TYPE_CHECKING:
     from gingerturn_fakes import world as worlds
 
-GIVEN_UP_MS = 17_000.0
-"""The longest wait of a read and the time that an answer may take."""
+HOLD_MS = 1_000.0
+KEYED_HOLD_MS = 15_000.0
+"""What a read asks for that does not say how long it is to wait, by the settings of a
+node with a log of its own form and of one whose log keeps keys."""
 
 Replier = collections.abc.Callable[[events.Event], None]
 
-POLL_MS = 20.0
-"""A read that waits polls: this delay stands for the long poll."""
+NEWS_EVERY_MS = 20.0
+"""How often a read that the log holds open is looked at."""
+
+Finder = collections.abc.Callable[[float], events.Event]
+"""Returns what a read finds, given how long it was surely held open."""
 
 
 @dataclasses.dataclass
@@ -26,8 +32,9 @@
     """The log service.
 
     :param down: nothing is taken or read.
-    :param silent: reads are taken and never answered; readers give up after
-        :data:`GIVEN_UP_MS`.
+    :param silent: reads are taken and never answered; readers give up in the end.
+    :param hold_ms: how long reads ask it to wait for news that do not say so.
+    :param refuses: nodes whose reads fail while those of others are served.
     :param lose_acks: the next so many appends take effect but fail.
     """
 
@@ -35,6 +42,8 @@
     newest: dict[str, dict[str, bytes]] = dataclasses.field(default_factory=dict)
     down: bool = False
     silent: bool = False
+    hold_ms: float = HOLD_MS
+    refuses: set[str] = dataclasses.field(default_factory=set)
     lose_acks: int = 0
     delay_ms: float = 2.0
     appends: int = 0
@@ -106,8 +115,9 @@
 
 def read(world: "worlds.World", node: parts.FakeNode, effect: effects.ReadLog) -> None:
     """Read records from an offset."""
+    asked = world.now
 
-    def found() -> events.Event:
+    def found(held_ms: float) -> events.Event:
         stream = world.log.streams.get(effect.stream, [])
         return events.LogRead(
             now=world.now,
@@ -116,52 +126,68 @@
             records=tuple(stream[effect.offset : effect.offset + 500]),
             oldest=0,
             end=len(stream),
+            asked=asked,
+            held_ms=held_ms,
+            extra=effect.extra,
         )
 
-    _read(world, node, effect.stream, found, POLL_MS if effect.wait else 0.0)
+    hold_ms = (effect.hold_ms or world.log.hold_ms) if effect.wait else 0.0
+    _read(world, node, effect, found, hold_ms=hold_ms)
 
 
 def read_newest(
     world: "worlds.World", node: parts.FakeNode, effect: effects.ReadNewest
 ) -> None:
     """Read the newest record of each key."""
+    asked = world.now
 
-    def found() -> events.Event:
+    def found(_: float) -> events.Event:
         return events.NewestRead(
             now=world.now,
             stream=effect.stream,
             records=tuple(world.log.newest.get(effect.stream, {}).values()),
             end=len(world.log.streams.get(effect.stream, [])),
+            asked=asked,
         )
 
-    _read(world, node, effect.stream, found, 0.0)
+    _read(world, node, effect, found)
 
 
 def _read(
     world: "worlds.World",
     node: parts.FakeNode,
-    stream: str,
-    found: collections.abc.Callable[[], events.Event],
-    poll_ms: float,
+    effect: effects.ReadLog | effects.ReadNewest,
+    found: Finder,
+    *,
+    hold_ms: float = 0.0,
 ) -> None:
+    """Answer a read: at once, or with news while the log holds it open for them."""
+    log = world.log
     incarnation = node.incarnation
+    extra = isinstance(effect, effects.ReadLog) and effect.extra
+    until = world.now + log.delay_ms + hold_ms
 
-    def give_up() -> None:
+    def fail() -> None:
         if node.incarnation == incarnation:
-            event = events.LogReadFailed(now=world.now, stream=stream)
+            event = events.LogReadFailed(
+                now=world.now, stream=effect.stream, extra=extra
+            )
             world.apply(node.name, event)
 
     def arrive() -> None:
         if node.incarnation != incarnation:
             return
-        event: events.Event
-        if world.log.silent:
-            world.at(GIVEN_UP_MS, give_up)
+        if log.silent:
+            world.at(max(0.0, until - world.now) + log_service.READ_TIMEOUT_MS, fail)
+            return
+        if log.down or node.name in log.refuses:
+            fail()
+            return
+        event = found(hold_ms if world.now >= until else 0.0)
+        no_news = isinstance(event, events.LogRead) and not event.records
+        if no_news and world.now < until:
+            world.at(min(NEWS_EVERY_MS, until - world.now), arrive)
             return
-        if world.log.down:
-            event = events.LogReadFailed(now=world.now, stream=stream)
-        else:
-            event = found()
         world.apply(node.name, event)
 
-    world.at(world.log.delay_ms + poll_ms, arrive)
+    world.at(log.delay_ms, arrive)
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -31,6 +31,7 @@
     :param caller_ms: one way between callers and nodes.
     :param table: callers are served by this route table; then the log keeps keys.
     :param retry_bound: on the repeats of each service by all nodes together.
+    :param revoke_ms: within this time a key that was taken away must cease to work.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         caller_ms: float = 8.0,
         table: routes.RouteTable | None = None,
         retry_bound: allowance.Bound | None = None,
+        revoke_ms: float = 0.0,
     ) -> None:
         self.now = START
         self.random = random.Random(seed)
@@ -54,7 +56,9 @@
         # that they failed, others pass on that they could not be served.
         self.child_failed_status = 500 if self._routed else 503
         self._retry_bound = retry_bound
+        self._revoke_ms = revoke_ms
         if table is not None:
+            self.log.hold_ms = fake_log.KEYED_HOLD_MS
             record = messages.encode_record(table)
             self.log.put(streams.ROUTES, "table", record)
         self.nodes: dict[str, parts.FakeNode] = {}
@@ -121,6 +125,7 @@
             routed=self._routed,
             keyed_log=self._routed,
             retry_bound=self._retry_bound,
+            revoke_ms=self._revoke_ms,
         )
         node.state = reducer.new_state(started)
         node.state.configuration = self.configuration
@@ -243,6 +248,7 @@
         key: str = "",
         sending: int = 0,
         holder: str = "",
+        key_digest: str = "",
     ) -> None:
         """Let a caller, or the backend server beside a node, call a service."""
         node.requests[call] = (method, path)
@@ -260,6 +266,7 @@
                 sending=sending,
                 holder=holder,
                 fingerprint=parts.fingerprint(service, method, path),
+                key_digest=key_digest,
             ),
         )
 
