History names a publication that a peer told of first

Ruled out: the audit trail, which that test waits for. Change: it is noted as accepted where its own revision is in force. Before: test_history_names_a_publication_that_a_peer_told_of_first fails; after: passes.

--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -292,6 +292,7 @@
     """Tell an author whose record was decided by the sender of a snapshot."""
     changed = state.revisions.changed.get(record.team, 0)
     if changed == offset + 1:
+        _note(state, offset, record, "accepted")
         _end_pending(state, record.id, True, ids.Revision(changed), "", out)
         return
     problem = f"conflict or overtaken: {record.team} changed at revision {changed}"
--- a/tests/cover/test_revisions.py
+++ b/tests/cover/test_revisions.py
@@ -229,3 +229,21 @@
     assert other.revisions.revision == whole.revisions.revision
     assert other.revisions.documents == whole.revisions.documents
     assert other.configuration.digest == whole.configuration.digest
+
+
+def test_history_names_a_publication_that_a_peer_told_of_first() -> None:
+    """Seen once, on a busy machine: another node read the record earlier and told its
+    peers, and the node at which it was published did not list it."""
+    teller = _fresh("n2")
+    record = _record("a", "shop", 0, "one")
+    _read(teller, record)
+    state = _fresh("n1")
+    told = events.SnapshotReceived(
+        now=state.now, snapshot=revisions.snapshot(teller, since=0)
+    )
+    reducer.reduce(state, told)
+    assert state.revisions.revision == 1
+    _read(state, record)
+    assert [(h.subject, h.outcome) for h in state.revisions.history] == [
+        ("shop", "accepted")
+    ]
