Caps: a keeper that stops leaves them to none that stops too; workspaces on real nodes

Change: who has handed over begins anew with a share of 0; a stopping node passes a handover on, and is never its own keeper; loans go over with the time that is left of them; what is handed over is added to what the successor counted itself; a loan to another than the sender stays.

--- a/src/gingerturn/internal/core/cap_keeper.py
+++ b/src/gingerturn/internal/core/cap_keeper.py
@@ -78,13 +78,16 @@
     cap_window.note_share(state, lent_share(state))
     message = messages.CapHandover(
         share=keeper.share,
-        loans=tuple(keeper.loans),
+        loans=tuple((node, until - state.now) for node, until in keeper.loans.items()),
         used=tuple(
             cap_window.use_of(state, name, window)
             for name, window in keeper.windows.items()
         ),
     )
     keeper.handed = False
+    # Should it keep the caps once more, it begins like one that knows nothing.
+    keeper.share = 0.0
+    keeper.shares.clear()
     keeper.loans.clear()
     keeper.windows.clear()
     keeper.grants.clear()
@@ -95,8 +98,10 @@
     """Go on as the keeper where another one stops."""
     cap_window.inherit(state, message)
     state.cap_keeper.handed = True
-    for node in message.loans:
-        state.cap_keeper.loans[ids.NodeId(node)] = state.now + TERM_MS
+    loans = state.cap_keeper.loans
+    for node, left_ms in message.loans:
+        until = state.now + min(left_ms, TERM_MS)
+        loans[ids.NodeId(node)] = max(until, loans.get(ids.NodeId(node), 0.0))
 
 
 def forget(state: states.State, now: ids.Milliseconds) -> None:
--- a/src/gingerturn/internal/core/cap_window.py
+++ b/src/gingerturn/internal/core/cap_window.py
@@ -75,14 +75,16 @@
 
 
 def inherit(state: states.State, message: messages.CapHandover) -> None:
-    """Go on with the windows of a keeper that stops."""
+    """Go on with the windows of a keeper that stops, beside those of the own."""
     keeper = state.cap_keeper
     now = slice_at(state)
-    keeper.shares = dict.fromkeys(range(now - SLICES, now), message.share)
+    for number in range(now - SLICES, now):
+        own = keeper.shares.get(number, 0.0)
+        keeper.shares[number] = min(1.0, own + message.share)
     for use in message.used:
         window = keeper.windows.setdefault(use.workspace, states.CapWindow())
         for index, milli in enumerate(use.slices_milli):
-            window.slices[now + use.first + index] = milli / 1_000.0
+            _add(window, now + use.first + index, milli / 1_000.0)
 
 
 def charge(state: states.State, window: states.CapWindow, requests: float) -> None:
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -174,7 +174,7 @@
     passed_over = _passed_over(state)
     known = caps.keeper
     if not known or known in passed_over or not member_order.is_live(state, known):
-        if state.now - state.started < YOUNG_MS:
+        if state.stopping or state.now - state.started < YOUNG_MS:
             # The others may have a keeper already, and lead this node to it.
             passed_over |= {state.node}
         _follow(state, member_order.keeper(state, passed_over=passed_over), out)
@@ -269,9 +269,14 @@
     """Ask another node, as the one asked tells that it does not keep the caps."""
     caps = state.caps
     keeper = ids.NodeId(message.keeper)
-    if message.released:
+    if message.released and caps.lent_to == caps.keeper:
         caps.lent_until = 0.0
-    if keeper in _passed_over(state) or not member_order.is_live(state, keeper):
+    unfit = keeper == state.node and state.stopping
+    if (
+        unfit
+        or keeper in _passed_over(state)
+        or not member_order.is_live(state, keeper)
+    ):
         # It is known here for one that does not answer; so is who leads to it.
         caps.passed_over[caps.keeper] = state.now + LED_ASTRAY_MS
         caps.keeper = ids.NodeId("")
@@ -288,6 +293,11 @@
 ) -> None:
     """Keep the caps from now on, where another node did that stops."""
     if state.stopping:
+        # The sender could not know. Who comes next can go on as well.
+        passed_over = _passed_over(state) | {state.node, sender}
+        successor = member_order.keeper(state, passed_over=passed_over)
+        if successor != state.node:
+            _send(state, successor, message, out)
         return
     cap_keeper.inherit(state, message)
     _follow(state, state.node, out)
@@ -306,7 +316,8 @@
     whole = cap_keeper.hand_over(state)
     for first in range(0, max(1, len(whole.used)), USES):
         page = whole.used[first : first + USES]
-        message = messages.CapHandover(whole.share, whole.loans, page)
+        share, loans = (whole.share, whole.loans) if not first else (0.0, ())
+        message = messages.CapHandover(share, loans, page)
         _send(state, successor, message, out)
     _follow(state, successor, out)
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -271,12 +271,12 @@
     """What a keeper that stops leaves to the next one.
 
     :param share: of every cap that was lent to it, in the mean of the window.
-    :param loans: nodes that lent it their parts.
+    :param loans: nodes that lent it their parts, and for how many ms more.
     :param used: by workspace.
     """
 
     share: float
-    loans: tuple[str, ...]
+    loans: tuple[tuple[str, ids.Milliseconds], ...]
     used: tuple[CapUse, ...]
 
 
--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -343,8 +343,9 @@
 
 
 def _stop_keeper(made: capped.Deployment, chance: random.Random) -> None:
-    name = _of_keeper(made)
-    if made.world.nodes[name].alive:
+    keeping = [n for n in made.world.nodes.values() if n.state.cap_keeper.loans]
+    name = keeping[0].name if keeping else ""
+    if keeping and keeping[0].alive:
         made.world.apply(name, events.StopRequested(now=made.world.now))
         made.world.at(3_200.0, lambda: made.world.kill(name))
         made.world.at(4_000.0, lambda: made.world.restart(name))
@@ -398,6 +399,31 @@
     check_random_troubles(seed, steps, rate=rate)
 
 
+@pytest.mark.parametrize(
+    ("seed", "rate", "steps"),
+    [
+        (
+            65,
+            8.0,
+            "restart,restart,restart,stop the keeper,stand still,merge,spread,"
+            "stand still,stop the keeper,stop the keeper,spread",
+        ),
+        (
+            98,
+            30.0,
+            "move,stop the keeper,spread,stop the keeper,restart,stand still,merge,"
+            "stop the keeper,merge,spread",
+        ),
+    ],
+)
+def test_the_cap_holds_where_keepers_stop_one_after_the_other(
+    seed: int, rate: float, steps: str
+) -> None:
+    """Seen: a keeper left the caps to a node that was stopping as well, which took them
+    up again without what had been let pass."""
+    check_random_troubles(seed, steps.split(","), rate=rate)
+
+
 def flood_over_lost_keepers() -> None:
     """A flood at nodes that are parted again and again."""
     check_random_troubles(
--- a/tests/cover/test_days_of_our_own.py
+++ b/tests/cover/test_days_of_our_own.py
@@ -43,12 +43,15 @@
         "platform_lost",
         "platform_compact",
         "config_change",
+        "revoke",
+        "hot_tenant",
         "big_config",
     ]
 )
 PLANNED = frozenset(
     [
         "release",
+        "revoke",
         "scale_out",
         "scale_in",
         "roll_term",
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -16,6 +16,9 @@
 
 ROOT = processes.ROOT
 STOP_S = 10.0
+REVOKE_MS = 5_000
+"""Within this time a key that was taken away ceases to work at each node."""
+
 ZONES = ("a", "b")
 """Machines are put into them by turns, so that calls cross zones too."""
 
@@ -177,7 +180,11 @@
         """Version that the next configuration will have."""
         return self._version + 3
 
-    def configure(self, *routes: dict[str, object]) -> int:
+    def configure(
+        self,
+        *routes: dict[str, object],
+        workspaces: list[dict[str, object]] | None = None,
+    ) -> int:
         """Write the next version of the operator's configuration."""
         self._version = self.next_version
         content = {
@@ -186,6 +193,8 @@
             "services": [],
             "limits": {},
         }
+        if workspaces is not None:
+            content["tenants"] = workspaces
         url = f"{self.store_url}/operator"
         httpx.post(url, content=json.dumps(content), trust_env=False)
         return self._version
@@ -239,7 +248,12 @@
                 for key in ("outbound", "inbound", "ready", "control")
             },
             "port_range": [ports["gossip"], ports["gossip"] + 1],
-            "bounds": {"grace_s": 6, "retry_budget_slack": 49},
+            "bounds": {
+                "grace_s": 6,
+                "retry_budget_slack": 49,
+                "fail_closed": True,
+                "revoke_ms": REVOKE_MS,
+            },
             "app_addr": f"127.0.0.1:{ports['app']}",
             "service_name": service,
             "platform_config": {"address": f"127.0.0.1:{self._log_link}"},
