Caps: the operators' window and tolerance reach the decisions

Cause: found while writing the test of bad bounds: the settings were read and checked, and the decisions went by the defaults. Change: core.tolerance, in the start of a node like the bound on retries. test_a_node_goes_by_the_bounds_of_its_settings: 32 allowed in a window by its settings; by the defaults, as before, the same cap allows 66.7.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -8,7 +8,7 @@
 
 from gingerturn import routes
 from gingerturn.internal import ids
-from gingerturn.internal.core import allowance, messages
+from gingerturn.internal.core import allowance, messages, tolerance
 
 
 class Event(msgspec.Struct, frozen=True, tag=True, array_like=True, gc=False):
@@ -30,6 +30,7 @@
     :param lineage: calls are tied to their parents by the ids of requests.
     :param revoke_ms: within this time an API key that was taken away must cease to
         work; 0 for no bound.
+    :param cap_tolerance: by how much the caps of workspaces may be passed.
     """
 
     seed: int
@@ -47,6 +48,7 @@
     retry_bound: allowance.Bound | None = None
     lineage: bool = False
     revoke_ms: ids.Milliseconds = 0.0
+    cap_tolerance: tolerance.Tolerance = tolerance.USUAL
 
 
 class Tick(Event, frozen=True):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -106,6 +106,7 @@
     state.lineage = event.lineage
     state.retry_bound = event.retry_bound
     state.freshness.revoke_ms = event.revoke_ms
+    state.cap_tolerance = event.cap_tolerance
     # A late answer to an earlier start of this node must not pass for one to this.
     state.membership.sequence = event.incarnation % FIRST_SEQUENCES
     state.revisions.snapshot_at = event.now
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -15,6 +15,7 @@
     messages,
     ranks,
     rumour_queue,
+    tolerance,
 )
 
 
@@ -509,23 +510,6 @@
     slices: dict[int, float] = {}
 
 
-class CapTolerance(msgspec.Struct, frozen=True):
-    """By how much operators let a cap be passed in a window.
-
-    :param over: by this share.
-    :param slack: by so many requests besides.
-    """
-
-    window_ms: ids.Milliseconds = 5_000.0
-    over: float = 0.1
-    slack: float = 20.0
-
-    def beyond(self, cap: routes.Workspace) -> float:
-        """Return by how many requests a cap may be passed."""
-        allowed = cap.rate * self.window_ms / 1_000.0 + cap.burst
-        return self.over * allowed + self.slack
-
-
 class CapKeeper(msgspec.Struct):
     """What this node leases as the keeper of caps; see :mod:`.cap_keeper`.
 
@@ -819,7 +803,7 @@
         self.freshness = Freshness()
         self.caps = Caps()
         self.cap_keeper = CapKeeper()
-        self.cap_tolerance = CapTolerance()
+        self.cap_tolerance = tolerance.USUAL
         # Credit of each service of a split route, for the weighted turn.
         self.turns: dict[str, dict[str, float]] = {}
         self.decisions = decisions.DecisionLog(node=node, size=decision_count)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -27,6 +27,7 @@
     events,
     readiness,
     reducer,
+    tolerance,
     trace,
 )
 from gingerturn.internal.shell import (
@@ -44,6 +45,17 @@
     side_http,
 )
 
+_FIXED_PARTS = (
+    "node",
+    "log",
+    "secret",
+    "backend",
+    "routing",
+    "limits",
+    "workspaces",
+)
+"""Parts of the settings that come into force with a start."""
+
 REPORT_MS = 1_000.0
 """How often it is told what the logs left out."""
 
@@ -221,7 +233,7 @@
         """
         later = [
             part
-            for part in ("node", "log", "secret", "backend", "routing", "limits")
+            for part in _FIXED_PARTS
             if getattr(chosen, part) != getattr(self.settings, part)
         ]
         self.settings.retries = chosen.retries
@@ -425,6 +437,7 @@
             retry_bound=_retry_bound(self.settings.retries),
             lineage=bool(self.dialect.lineage),
             revoke_ms=float(self.settings.workspaces.revoke_ms),
+            cap_tolerance=_cap_tolerance(self.settings.workspaces),
         )
 
     def _tick(self) -> None:
@@ -458,6 +471,14 @@
     return allowance.Bound(chosen.slack, chosen.ratio, float(chosen.window_ms))
 
 
+def _cap_tolerance(chosen: settings.Workspaces) -> tolerance.Tolerance:
+    return tolerance.Tolerance(
+        window_ms=float(chosen.cap_window_ms),
+        over=chosen.cap_over,
+        slack=chosen.cap_slack,
+    )
+
+
 @contextlib.contextmanager
 def listening(host: str, port: int) -> collections.abc.Iterator[None]:
     """Name the address that cannot be bound.
--- /dev/null
+++ b/tests/cover/test_workspace_settings.py
@@ -0,0 +1,20 @@
+"""The operators' bounds on workspaces reach the decisions."""
+
+from gingerturn import settings
+from gingerturn.internal.core import cap_window, reducer
+from gingerturn.internal.shell import node as nodes
+from tests.common import builders, keyed
+
+
+def test_a_node_goes_by_the_bounds_of_its_settings() -> None:
+    chosen = builders.settings()
+    chosen.workspaces = settings.Workspaces(
+        revoke_ms=6_000, cap_window_ms=2_000, cap_over=0.5, cap_slack=4.0
+    )
+    begin = nodes.Node(chosen)._started_event()
+    state = reducer.new_state(begin)
+    reducer.reduce(state, begin)
+    assert state.freshness.revoke_ms == 6_000.0
+    cap = keyed.workspace("shop", rate=10.0, burst=4.0)
+    # 24 in a window, 16 by which that may be passed, half of which is used.
+    assert cap_window.allowed(state, cap) == 32.0
