--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -189,3 +189,85 @@
     path = folder / "boot.json"
     path.write_text(json.dumps(told))
     return path
+
+
+def _with_workspaces(*told: object) -> bytes:
+    return json.dumps({**CONFIG, "tenants": list(told)}).encode()
+
+
+def test_workspaces_are_taken_with_digests_of_their_keys() -> None:
+    content = _with_workspaces(
+        {"name": "shop", "api_keys": ["k1", "k2"], "rate_per_s": 5, "burst": 9},
+        {"name": "depot", "api_keys": [], "priority": 2, "burst": 4},
+    )
+    table = routes.check_table(configs.decode(content), origin="op")
+    assert table.workspaces is not None
+    shop, depot = table.workspaces
+    assert shop.key_digests == (routes.key_digest(b"k1"), routes.key_digest(b"k2"))
+    assert (shop.rate, shop.burst, shop.priority) == (5.0, 9.0, None)
+    # A burst without a rate bounds nothing on the platform.
+    assert (depot.rate, depot.burst, depot.priority) == (0.0, 0.0, 2)
+
+
+def test_no_workspaces_is_another_thing_than_none_that_has_a_key() -> None:
+    assert configs.decode(json.dumps(CONFIG).encode()).workspaces is None
+    assert configs.decode(_with_workspaces()).workspaces == ()
+
+
+@pytest.mark.parametrize(
+    ("told", "named"),
+    [
+        ({"name": "shop", "api_keys": "k1"}, r"tenants\[0\].api_keys"),
+        ({"name": "shop", "api_keys": [""]}, r"api_keys\[0\]"),
+        ({"name": "shop", "api_keys": [5]}, r"api_keys\[0\]"),
+        ({"api_keys": ["k1"]}, "name"),
+        ({"name": "shop", "rate_per_s": "much"}, "rate_per_s"),
+    ],
+)
+def test_a_bad_workspace_names_what_is_wrong(told: object, named: str) -> None:
+    with pytest.raises(errors.InvalidDocument, match=named):
+        configs.decode(_with_workspaces(told))
+
+
+def test_five_thousand_workspaces_are_taken() -> None:
+    told = [{"name": f"w{n}", "api_keys": [f"k{n}", f"l{n}"]} for n in range(5_000)]
+    table = routes.check_table(configs.decode(_with_workspaces(*told)), origin="op")
+    index = routes.RouteIndex(table)
+    found = index.workspace_of(routes.key_digest(b"l4999"))
+    assert found is not None
+    assert found.name == "w4999"
+
+
+def test_bounds_on_workspaces_come_from_the_settings(tmp_path: pathlib.Path) -> None:
+    bounds = {
+        "fail_closed": True,
+        "revoke_ms": 5_000,
+        "quota_window_s": 4,
+        "quota_over": 0.2,
+        "quota_slack": 7,
+    }
+    chosen = boot.to_settings(
+        boot.load(_written(tmp_path, {**BOOT, "bounds": bounds}))
+    ).workspaces
+    assert chosen.revoke_ms == 5_000
+    assert (chosen.cap_window_ms, chosen.cap_over, chosen.cap_slack) == (4_000, 0.2, 7)
+    open_ = {**bounds, "fail_closed": False}
+    told = {**BOOT, "bounds": open_}
+    assert (
+        boot.to_settings(boot.load(_written(tmp_path, told))).workspaces.revoke_ms == 0
+    )
+
+
+@pytest.mark.parametrize(
+    ("bounds", "named"),
+    [
+        ({"fail_closed": True, "revoke_ms": 900}, "revoke_ms is 900; allowed is 4000"),
+        ({"quota_over": 3}, "cap_over is 3"),
+        ({"quota_window_s": 0}, "cap_window_ms is 0"),
+    ],
+)
+def test_a_bad_bound_on_workspaces_is_named(
+    bounds: dict[str, object], named: str, tmp_path: pathlib.Path
+) -> None:
+    with pytest.raises(errors.InvalidDocument, match=named):
+        boot.to_settings(boot.load(_written(tmp_path, {**BOOT, "bounds": bounds})))
