Capacity: workspaces, and that one keeper does not reach to the size of the design

Figures of benchmarks/workspaces.py at 68 nodes and 76 workspaces (21 us a request, 1,885 B/s a node, 124,412 B/s at the keeper); by nodes that is 7.7 MB/s at 4,200, extrapolated.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -82,6 +82,7 @@
     joins = 2 * (REPLACED + FAILED) / DAY_S
     publishes = 2 * CHANGES / DAY_S
     appends = joins + publishes + CLAIM_BUDGET
+    keeper_bytes = slopes["caps_keeper_bytes"] / slopes["caps_nodes"] * MEMBERS
     lines = [
         "# Capacity at the size of the design",
         "",
@@ -228,6 +229,24 @@
             f"{slopes['decisions_mb']:.1f} MB",
             f"rings; an admission can be asked about for {admissions_s:.0f} s",
         ),
+        _row(
+            "node with capped workspaces",
+            "a bucket for each workspace asked for lately",
+            "2.5 questions/s to the keeper, more where demand begins",
+            "21 us a request",
+            "small",
+            f"leases and loans; {slopes['caps_node_bytes']:,} B/s sent at"
+            f" {slopes['caps_nodes']} nodes and {slopes['caps_workspaces']} workspaces",
+        ),
+        _row(
+            "keeper of caps",
+            "what was let pass, by workspace and slice of time",
+            f"{slopes['caps_keeper_bytes']:,} B/s sent at {slopes['caps_nodes']} nodes,"
+            f" so {keeper_bytes / 1e6:.1f} MB/s at {MEMBERS:,} (extrapolated)",
+            "not measured",
+            "small",
+            "one node for all caps: **does not reach to this size**",
+        ),
         _row(
             "audit",
             "none in the node",
