Caps: nodes that lead to one another are not asked at full speed; idle workspaces are forgotten

Found by reading the change: two nodes that lead a third to one another until they have asked themselves (0.4 s at the most) would have been asked in turn as fast as they answer; the keeper kept a window for each workspace that ever asked. Change: a node that is led on asks at once only 10 ms after its last question; windows in which nothing was let pass go. test_a_keeper_forgets_workspaces_that_ask_for_nothing_any_more.

--- a/src/gingerturn/internal/core/cap_keeper.py
+++ b/src/gingerturn/internal/core/cap_keeper.py
@@ -10,8 +10,9 @@
 word that lay in a socket while either stood still is an old one and lends nothing.
 
 Leases let a node go on without asking. What of a cap is not leased is given in single
-tokens for requests that find none in their node's bucket. All is counted when it is
-given, and what a node had no use for is taken back (:mod:`.cap_window`).
+tokens for requests that find none in their node's bucket. A token counts when it is
+given, a lease as it comes in, and what a node had no use for is taken back
+(:mod:`.cap_window`).
 """
 
 from gingerturn import routes
@@ -111,6 +112,7 @@
         _prune(by_node, now)
         if not by_node:
             del grants[workspace]
+    cap_window.forget(state)
 
 
 def _lease(
--- a/src/gingerturn/internal/core/cap_window.py
+++ b/src/gingerturn/internal/core/cap_window.py
@@ -87,6 +87,15 @@
             _add(window, now + use.first + index, milli / 1_000.0)
 
 
+def forget(state: states.State) -> None:
+    """Drop the windows in which nothing was let pass."""
+    oldest = slice_at(state) - SLICES
+    windows = state.cap_keeper.windows
+    for name, window in list(windows.items()):
+        if max(window.slices, default=0) < oldest:
+            del windows[name]
+
+
 def charge(state: states.State, window: states.CapWindow, requests: float) -> None:
     """Count requests as let pass now; a negative number is taken back."""
     _add(window, slice_at(state), requests)
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -282,7 +282,9 @@
         caps.keeper = ids.NodeId("")
         return
     _follow(state, keeper, out)
-    ask(state, list(caps.buckets), out)
+    if state.now - caps.asked >= ASK_AT_ONCE_MS:
+        # Two that lead to one another would be asked in turn as fast as they answer.
+        ask(state, list(caps.buckets), out)
 
 
 def on_handover(
--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -299,6 +299,17 @@
     assert member_order.owners(state) == before
 
 
+def test_a_keeper_forgets_workspaces_that_ask_for_nothing_any_more() -> None:
+    made = capped.Deployment(_workspace(50.0), nodes=3)
+    made.load("shop", made.names, rate=20.0, duration_ms=1_000.0)
+    made.world.run(1_000.0)
+    keeper = made.world.nodes[_of_keeper(made)].state.cap_keeper
+    assert keeper.windows and keeper.grants
+    made.world.run(12_000.0)
+    assert not keeper.windows
+    assert not keeper.grants
+
+
 def test_a_member_that_left_owns_nothing() -> None:
     state = _keeper()
     before = member_order.owners(state)
