--- a/tests/common/keyed.py
+++ b/tests/common/keyed.py
@@ -3,8 +3,13 @@
 import msgspec
 
 from gingerturn import routes
-from gingerturn.internal import ids
-from gingerturn.internal.core import events, reducer, state as states, streams
+from gingerturn.internal.core import (
+    events,
+    messages,
+    reducer,
+    state as states,
+    streams,
+)
 from tests.common import builders, routed
 
 REVOKE_MS = 5_000.0
@@ -62,8 +67,6 @@
     asked: float | None = None,
 ) -> None:
     """Let a node read the newest of the log."""
-    from gingerturn.internal.core import messages
-
     reducer.reduce(
         state,
         events.NewestRead(
@@ -83,14 +86,8 @@
     path: str = "/a/x",
     request: str = "",
     now: float = builders.START,
-    sent_by: str = "",
 ) -> events.CallArrived:
     """Return the arrival of a request with a key; none where it is empty."""
     plain = routed.arrived(call, path=path, request=request, now=now)
     digest = routes.key_digest(key.encode()) if key else ""
     return msgspec.structs.replace(plain, key_digest=digest)
-
-
-def span(name: str) -> ids.SpanId:
-    """Return the id of a request that runs at a node, as its calls name it."""
-    return ids.SpanId(name)
--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -117,13 +117,13 @@
     reducer.reduce(state, events.Tick(now=state.now + 1_000.0))
     for call in range(30):
         reducer.reduce(state, keyed.arrived(call + 1, now=state.now))
-        builders_tick(state, 30.0)
+        _tick(state, 30.0)
     bucket = state.caps.buckets["shop"]
     assert not state.caps.held
     assert bucket.tokens >= 1.0
 
 
-def builders_tick(state: states.State, pause: float) -> None:
+def _tick(state: states.State, pause: float) -> None:
     """Let time pass at a node."""
     reducer.reduce(state, events.Tick(now=state.now + pause))
 
@@ -323,7 +323,7 @@
 def test_leases_of_a_suspended_node_have_ended_when_it_wakes() -> None:
     state = keyed.node_state(_workspace(10.0), upstream=False)
     for _ in range(20):
-        builders_tick(state, 100.0)
+        _tick(state, 100.0)
         reducer.reduce(state, keyed.arrived(state.next_number(), now=state.now))
     bucket = state.caps.buckets["shop"]
     assert bucket.lease_until > state.now
@@ -435,26 +435,15 @@
     check_random_troubles(seed, steps.split(","), rate=rate)
 
 
-def flood_over_lost_keepers() -> None:
-    """A flood at nodes that are parted again and again."""
-    check_random_troubles(
-        7, ["spread", "move", "spread", "part", "spread", "move"] * 2, rate=30.0
-    )
-
-
 def test_the_cap_holds_where_keepers_are_lost_in_a_flood() -> None:
-    flood_over_lost_keepers()
+    steps = ["spread", "move", "spread", "part", "spread", "move"]
+    check_random_troubles(7, steps * 2, rate=30.0)
 
 
-def routed_only() -> None:
-    """Nodes without workspaces ask nobody."""
+def test_without_caps_nobody_is_asked() -> None:
     state = routed.node_state()
     builders.add_members(state, builders.member("a", "plans"))
     for _ in range(20):
         out = reducer.reduce(state, events.Tick(now=state.now + 100.0))
         for sent in builders.all_of(out, effects.SendGossip):
             assert sent.message.caps is None
-
-
-def test_without_caps_nobody_is_asked() -> None:
-    routed_only()
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -11,6 +11,7 @@
     effects,
     events,
     freshness,
+    member_order,
     messages,
     reducer,
     state as states,
@@ -198,7 +199,7 @@
     assert numbers[1] - numbers[0] == 2_000
 
 
-def _deployment(count: int, **chosen: object) -> world.World:
+def _deployment(count: int) -> world.World:
     spec = parts.ServiceSpec("plans", count, 4, {"lookup": 5.0})
     made = world.World(
         seed=3,
@@ -258,18 +259,11 @@
 
 def test_a_node_refused_by_the_log_lives_by_what_members_tell() -> None:
     made = _deployment(15)
-    made.log.refuses = {name for name in made.nodes if hash_place(name) % 3 == 0}
+    made.log.refuses = set(sorted(made.nodes)[::3])
     assert _worst(made, 10_000.0) < ALLOWED_MS
 
 
-def hash_place(name: str) -> int:
-    """Return a number that is spread over names."""
-    return sum(name.encode())
-
-
 def test_when_all_heads_are_refused_by_the_log_the_others_read_it() -> None:
-    from gingerturn.internal.core import member_order
-
     made = _deployment(15)
     heads = {n.name for n in made.nodes.values() if member_order.is_head(n.state)}
     assert len(heads) == 3
@@ -301,8 +295,6 @@
 
 
 def test_the_first_node_may_stand_still_or_end() -> None:
-    from gingerturn.internal.core import member_order
-
     made = _deployment(15)
     first = next(n.name for n in made.nodes.values() if member_order.is_first(n.state))
     made.pause(first, 8_000.0)
