Log: reads whose offset the log lacks are counted and written

Change: a read tells that its offset is missing; the first in a row is a log line with both offsets, all are counted (log_reads_missing_total, by stream). No decision depends on it yet.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -240,6 +240,7 @@
     :param asked: when the read began; 0 if not known.
     :param held_ms: for how long the log surely held it open, without news.
     :param extra: it was made beside the reads by which the stream is followed.
+    :param missing: the log does not hold the offset that was asked for.
     """
 
     stream: str
@@ -250,6 +251,7 @@
     asked: ids.Milliseconds = 0.0
     held_ms: ids.Milliseconds = 0.0
     extra: bool = False
+    missing: bool = False
 
 
 class NewestRead(Event, frozen=True):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -172,6 +172,7 @@
     if stream is None:
         return
     start = stream.offset
+    streams.note_missing(stream, event, out)
     gap = streams.advance(
         state,
         stream,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -577,6 +577,8 @@
     :param outdated: the read under way began too early to tell what is asked for.
     :param hold_ms: how long the log holds a read open for news; 0 leaves it to the
         settings.
+    :param missing: reads in a row whose offset the log did not hold.
+    :param missing_total: such reads since the start.
     """
 
     name: str
@@ -592,6 +594,8 @@
     fresh: ids.Milliseconds = -1.0
     caught_up: bool = False
     covered_from: ids.Milliseconds = 0.0
+    missing: int = 0
+    missing_total: int = 0
 
 
 class KeyPhase(enum.Enum):
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -3,7 +3,13 @@
 import math
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import effects, messages, outbox, state as states
+from gingerturn.internal.core import (
+    effects,
+    events,
+    messages,
+    outbox,
+    state as states,
+)
 
 READS_PER_SECOND = 100.0
 """Reads of the configuration and member streams by all nodes together. One node
@@ -92,6 +98,23 @@
         _read(stream, out)
 
 
+def note_missing(
+    stream: states.Stream, event: events.LogRead, out: states.Effects
+) -> None:
+    """Count reads whose offset the log does not hold, and write the first in a row."""
+    if not event.missing:
+        stream.missing = 0
+        return
+    stream.missing += 1
+    stream.missing_total += 1
+    if stream.missing == 1:
+        text = (
+            f"Stream {stream.name} has no offset {stream.offset};"
+            f" the first one that the log holds is {event.first}."
+        )
+        outbox.warn(out, "log", text)
+
+
 def audit(
     state: states.State, record: messages.AuditRecord, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -78,6 +78,7 @@
                 asked=asked,
                 held_ms=_held_ms(reply, now - asked),
                 extra=effect.extra,
+                missing=reply.missing,
             )
         )
 
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -56,6 +56,14 @@
     return f'{{workspace="{escaped}"}}'
 
 
+def _missing(state: states.State) -> list[tuple[str, float]]:
+    """Return how many reads of each stream asked for an offset that the log lacks."""
+    return [
+        (f'{{stream="{name}"}}', stream.missing_total)
+        for name, stream in sorted(state.streams.items())
+    ]
+
+
 def metrics(node: "nodes.Node") -> bytes:
     """Return counters, gauges and latencies in the Prometheus text format."""
     state = node.state
@@ -89,6 +97,7 @@
     add("level_age_ms_bucket", "counter", *_level_ages(state))
     version = 0 if state.routes is None else state.routes.version
     add("route_version", "gauge", ("", version))
+    add("log_reads_missing_total", "counter", *_missing(state))
     add("requests_held", "gauge", ("", len(state.caps.held)))
     add("cap_share_kept", "gauge", ("", state.cap_keeper.share))
     add("keys_proven_age_ms", "gauge", ("", freshness.word(state)))
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -25,6 +25,8 @@
     :param contents: records from ``first`` on; empty where a record is of no use to
         a node, so that offsets stay in step.
     :param held_ms: how long the service was asked to hold the read open for news.
+    :param missing: the service does not hold the offset that was asked for; ``end``
+        is not known then.
     """
 
     first: int
@@ -32,6 +34,7 @@
     end: int
     contents: tuple[bytes, ...]
     held_ms: float = 0.0
+    missing: bool = False
 
 
 class Newest(msgspec.Struct, frozen=True):
--- a/tests/cover/test_gaps_in_the_log.py
+++ b/tests/cover/test_gaps_in_the_log.py
@@ -1,6 +1,6 @@
 """Records of the log that retention drops before a reader has seen them."""
 
-from gingerturn.internal.core import effects, state as states, streams
+from gingerturn.internal.core import effects, events, state as states, streams
 from tests.common import builders
 
 
@@ -52,3 +52,24 @@
     state, stream = _followed()
     streams.advance(state, stream, [], first=2, count=3, end=10)
     assert stream.offset == 10
+
+
+def test_reads_of_an_offset_that_the_log_lacks_are_counted_and_told_once() -> None:
+    state, stream = _followed()
+    refused = events.LogRead(
+        now=state.now,
+        stream=stream.name,
+        first=0,
+        records=(),
+        oldest=0,
+        end=0,
+        missing=True,
+    )
+    out: list[effects.Effect] = []
+    for _ in range(3):
+        streams.note_missing(stream, refused, out)
+    assert stream.missing_total == 3
+    line = builders.only(out, effects.WriteLog)
+    assert line.text == (
+        "Stream claims.porting has no offset 10; the first one that the log holds is 0."
+    )
