--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -27,6 +27,14 @@
 """Returns what a read finds, given how long it was surely held open."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What a log held at some time: records by stream, and the newest of each key."""
+
+    streams: dict[str, list[bytes]]
+    newest: dict[str, dict[str, bytes]]
+
+
 @dataclasses.dataclass
 class FakeLog:
     """The log service.
@@ -35,6 +43,8 @@
     :param silent: reads are taken and never answered; readers give up in the end.
     :param hold_ms: how long reads ask it to wait for news that do not say so.
     :param refuses: nodes whose reads fail while those of others are served.
+    :param era: how often it came back from an older copy; told with each answer.
+    :param keeps_connections: reads that are held open outlast such a return.
     :param lose_acks: the next so many appends take effect but fail.
     """
 
@@ -47,6 +57,9 @@
     lose_acks: int = 0
     delay_ms: float = 2.0
     appends: int = 0
+    reads: int = 0
+    era: int = 1
+    keeps_connections: bool = False
 
     def put(self, stream: str, key: str, record: bytes) -> None:
         """Append a record under a key; an empty one drops the key."""
@@ -56,6 +69,18 @@
         if record:
             keys[key] = record
 
+    def copy(self) -> Copy:
+        """Return what the log holds at present."""
+        streams = {name: list(records) for name, records in self.streams.items()}
+        newest = {name: dict(records) for name, records in self.newest.items()}
+        return Copy(streams, newest)
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy: what was taken since is gone."""
+        self.streams = {name: list(records) for name, records in copy.streams.items()}
+        self.newest = {name: dict(records) for name, records in copy.newest.items()}
+        self.era += 1
+
 
 def append(world: "worlds.World", node: parts.FakeNode, effect: effects.Append) -> None:
     """Append a record."""
@@ -119,6 +144,18 @@
 
     def found(held_ms: float) -> events.Event:
         stream = world.log.streams.get(effect.stream, [])
+        if effect.offset > len(stream):
+            return events.LogRead(
+                now=world.now,
+                stream=effect.stream,
+                first=0,
+                records=(),
+                oldest=0,
+                end=0,
+                asked=asked,
+                extra=effect.extra,
+                missing=True,
+            )
         return events.LogRead(
             now=world.now,
             stream=effect.stream,
@@ -163,6 +200,8 @@
 ) -> None:
     """Answer a read: at once, or with news while the log holds it open for them."""
     log = world.log
+    log.reads += 1
+    era = log.era
     incarnation = node.incarnation
     extra = isinstance(effect, effects.ReadLog) and effect.extra
     until = world.now + log.delay_ms + hold_ms
@@ -180,11 +219,13 @@
         if log.silent:
             world.at(max(0.0, until - world.now) + log_service.READ_TIMEOUT_MS, fail)
             return
-        if log.down or node.name in log.refuses:
+        is_cut = log.era != era and not log.keeps_connections
+        if log.down or is_cut or node.name in log.refuses:
             fail()
             return
         event = found(hold_ms if world.now >= until else 0.0)
-        no_news = isinstance(event, events.LogRead) and not event.records
+        is_read = isinstance(event, events.LogRead) and not event.missing
+        no_news = is_read and not event.records
         if no_news and world.now < until:
             world.at(min(NEWS_EVERY_MS, until - world.now), arrive)
             return
