Log: reads begin anew when the log came back from an older copy

Cause: offsets were taken for positions that stay. A store that comes back from a copy gives them out again. Every reader asked for an offset that the store no longer had, was refused (410), took that for records that expired, kept the higher offset, and asked again without pause: 750 reads a second by six nodes, until enough had been appended. After that it waited at the end for what lay before it. Only the era in each answer tells the last case.

Ruled out: backing off (one call a second at most), news that do not spread (no node had any of the four versions).

Change - Answers tell the era (Store-Era, Log-Era), from reads, appends and refusals; a header that is missing or no number tells none. - core.log_eras: a higher era lets every stream be read anew, keyed ones by their newest records; members pass it on, so a read that is held open need not end first. An answer to a read of before is not used; one of a lower era is asked for again, three in a row mean that the count went back. - A read whose offset is missing is never evidence that the table is the newest. A stream that is shorter than what was read of it counts as a return, also where no era tells so. - expected_end is gone from the log's interface: nobody used it, and a condition on an offset does not hold across eras. - Metrics log_era, log_restores_total.

--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -146,6 +146,8 @@
     :param wait: wait a while for new records if there are none.
     :param hold_ms: how long; 0 leaves it to the settings.
     :param extra: beside the reads by which the stream is followed.
+    :param generation: of the stream; the answer to one of an earlier generation is
+        not used.
     """
 
     stream: str
@@ -153,12 +155,17 @@
     wait: bool
     hold_ms: int = 0
     extra: bool = False
+    generation: int = 0
 
 
 class ReadNewest(Effect, frozen=True):
-    """Read the newest record of each key of a stream."""
+    """Read the newest record of each key of a stream.
+
+    :param generation: as in :class:`ReadLog`.
+    """
 
     stream: str
+    generation: int = 0
 
 
 class PutRecord(Effect, frozen=True):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -241,6 +241,8 @@
     :param held_ms: for how long the log surely held it open, without news.
     :param extra: it was made beside the reads by which the stream is followed.
     :param missing: the log does not hold the offset that was asked for.
+    :param generation: as in the effect that asked for it.
+    :param era: of the log that answered.
     """
 
     stream: str
@@ -252,6 +254,8 @@
     held_ms: ids.Milliseconds = 0.0
     extra: bool = False
     missing: bool = False
+    generation: int = 0
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class NewestRead(Event, frozen=True):
@@ -259,51 +263,73 @@
 
     :param end: the offset from which to read on.
     :param asked: when the read began; 0 if not known.
+    :param generation: as in the effect that asked for it.
+    :param era: of the log that answered.
     """
 
     stream: str
     records: tuple[bytes, ...]
     end: int
     asked: ids.Milliseconds = 0.0
+    generation: int = 0
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class PutDone(Event, frozen=True):
-    """The log acknowledged a record under a key."""
+    """The log acknowledged a record under a key.
+
+    :param era: of the log that took it.
+    """
 
     put: int
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class PutFailed(Event, frozen=True):
-    """A record under a key was not acknowledged; it may have taken effect."""
+    """A record under a key was not acknowledged; it may have taken effect.
+
+    :param era: of the log that refused it, if one did.
+    """
 
     put: int
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class LogReadFailed(Event, frozen=True):
     """A stream could not be read.
 
     :param extra: as in :class:`LogRead`.
+    :param generation: as in the effect that asked for it.
+    :param era: of the log that refused it, if one did.
     """
 
     stream: str
     extra: bool = False
+    generation: int = 0
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class AppendDone(Event, frozen=True):
-    """The log acknowledged an append."""
+    """The log acknowledged an append.
+
+    :param era: of the log that took it.
+    """
 
     append: int
     offset: int
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class AppendFailed(Event, frozen=True):
     """An append was not acknowledged.
 
     :param certain: it is certain that nothing was appended.
+    :param era: of the log that refused it, if one did.
     """
 
     append: int
     certain: bool
+    era: ids.LogEra = ids.LogEra(0)
 
 
 class DatagramReceived(Event, frozen=True):
--- a/src/gingerturn/internal/core/freshness_renewal.py
+++ b/src/gingerturn/internal/core/freshness_renewal.py
@@ -101,11 +101,16 @@
     if stream is None or known.reading or state.now < known.read_again:
         return
     if not stream.caught_up:
-        # The stream's own read of everything is under way, or tried again soon.
+        # Nothing was read since the log came back from a copy, or since the start.
+        streams.reread(state, streams.ROUTES)
         return
     known.reading = True
     out.append(
         effects.ReadLog(
-            stream=streams.ROUTES, offset=stream.offset, wait=False, extra=True
+            stream=streams.ROUTES,
+            offset=stream.offset,
+            wait=False,
+            extra=True,
+            generation=stream.generation,
         )
     )
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -299,6 +299,7 @@
         sequence=sequence,
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
+        log_era=state.log.highest,
         members=member_table.updates(state),
         quarantine=quarantine_news.news(state),
         proven_age_ms=freshness.word(state),
@@ -367,6 +368,7 @@
             sequence=sequence,
             revision=state.revisions.revision,
             route_version=0 if state.routes is None else state.routes.version,
+            log_era=state.log.highest,
             target=node,
         )
         out.append(
@@ -411,6 +413,7 @@
         sequence=0,
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
+        log_era=state.log.highest,
         members=(me,) if me is not None else (),
         cursor=cursor,
     )
@@ -433,6 +436,7 @@
         sequence=0,
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
+        log_era=state.log.highest,
         members=tuple(members[name] for name in page),
         cursor=cursor,
     )
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -291,6 +291,7 @@
     :param route_version: version of the route table that it has in force.
     :param proven_age_ms: how long ago that was certainly the newest; -1 if not known.
     :param caps: between a node and the keeper of caps.
+    :param log_era: the highest era of the log that the sender knows.
     """
 
     kind: GossipKind
@@ -303,6 +304,7 @@
     quarantine: QuarantineNews = NO_QUARANTINE_NEWS
     proven_age_ms: ids.Milliseconds = -1.0
     caps: CapMessage | None = None
+    log_era: ids.LogEra = ids.LogEra(0)
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -26,6 +26,7 @@
     joining,
     keys,
     level_control,
+    log_eras,
     membership,
     messages,
     outbox,
@@ -171,8 +172,51 @@
     stream = state.streams.get(event.stream)
     if stream is None:
         return
-    start = stream.offset
+    if event.extra:
+        freshness_renewal.on_read_ended(state)
+    if _is_usable(state, stream, event, out):
+        _take_read(state, stream, event, out)
+    streams.resume(state, out)
+
+
+def _is_usable(
+    state: states.State,
+    stream: states.Stream,
+    event: events.LogRead | events.NewestRead,
+    out: states.Effects,
+) -> bool:
+    """Tell whether an answer tells of the log as it is now."""
+    if event.generation != stream.generation:
+        return False
+    if log_eras.accept(state, event.era, out):
+        return True
+    if event.generation == stream.generation and not _is_extra(event):
+        streams.failed(state, stream, out)
+    return False
+
+
+def _is_extra(event: events.LogRead | events.NewestRead) -> bool:
+    return isinstance(event, events.LogRead) and event.extra
+
+
+def _take_read(
+    state: states.State,
+    stream: states.Stream,
+    event: events.LogRead,
+    out: states.Effects,
+) -> None:
+    """Take in records that were read from an offset."""
+    if event.generation != stream.generation:
+        # Read from an offset of the era before.
+        return
     streams.note_missing(stream, event, out)
+    if event.missing:
+        if event.first > stream.offset or stream.missing > 1:
+            streams.skip_missing(state, stream, event.first, out)
+        else:
+            log_eras.on_shorter(state, stream, event.first, out)
+        return
+    start = stream.offset
     gap = streams.advance(
         state,
         stream,
@@ -182,8 +226,6 @@
         end=event.end,
         extra=event.extra,
     )
-    if event.extra:
-        freshness_renewal.on_read_ended(state)
     if event.stream == streams.CONFIG:
         revisions.on_read(state, first=event.first, oldest=event.oldest, gap=gap)
     joins: list[messages.JoinRecord] = []
@@ -201,7 +243,6 @@
     reached = event.first + len(event.records) >= event.end
     if event.stream == streams.ROUTES and reached and not gap and event.asked:
         freshness.note_read(state, event.asked, held_ms=event.held_ms)
-    streams.resume(state, out)
 
 
 def _on_record(
@@ -236,6 +277,9 @@
     stream = state.streams.get(event.stream)
     if stream is None:
         return
+    if not _is_usable(state, stream, event, out):
+        streams.resume(state, out)
+        return
     streams.base(state, stream, end=event.end, out=out)
     decoded = [messages.decode_record(content) for content in event.records]
     if event.stream == streams.MEMBERS:
@@ -252,6 +296,7 @@
 def _on_put_done(
     state: states.State, event: events.PutDone, out: states.Effects
 ) -> None:
+    log_eras.hear(state, event.era, "a put", out)
     quarantine.on_saved(state, event.put, done=True)
     joining.on_put_ended(state, event.put, out, done=True)
     streams.resume(state, out)
@@ -260,6 +305,7 @@
 def _on_put_failed(
     state: states.State, event: events.PutFailed, out: states.Effects
 ) -> None:
+    log_eras.hear(state, event.era, "a put", out)
     quarantine.on_saved(state, event.put, done=False)
     joining.on_put_ended(state, event.put, out, done=False)
 
@@ -285,17 +331,19 @@
 def _on_log_read_failed(
     state: states.State, event: events.LogReadFailed, out: states.Effects
 ) -> None:
+    log_eras.hear(state, event.era, "a refused read", out)
     if event.extra:
         freshness_renewal.on_read_ended(state)
         return
     stream = state.streams.get(event.stream)
-    if stream is not None:
+    if stream is not None and event.generation == stream.generation:
         streams.failed(state, stream, out)
 
 
 def _on_append_done(
     state: states.State, event: events.AppendDone, out: states.Effects
 ) -> None:
+    log_eras.hear(state, event.era, "an append", out)
     # The acknowledgement decides nothing: claims and publications count when they
     # are read back in the log's order.
     quarantine.on_saved(state, event.append, done=True)
@@ -305,6 +353,7 @@
 def _on_append_failed(
     state: states.State, event: events.AppendFailed, out: states.Effects
 ) -> None:
+    log_eras.hear(state, event.era, "an append", out)
     if quarantine.on_saved(state, event.append, done=False):
         return
     if event.append in state.appends:
@@ -326,6 +375,7 @@
     if isinstance(told, messages.CapHandover):
         caps.on_handover(state, event.sender, told, out)
         return
+    log_eras.hear(state, event.message.log_era, event.sender, out)
     membership.on_gossip(
         state, event.sender, event.host, event.port, event.message, out
     )
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -564,6 +564,25 @@
     ordered: MemberOrder | None = None
 
 
+class LogHistory(msgspec.Struct):
+    """What this node knows of the log's era; see :mod:`.log_eras`.
+
+    Invariant: ``highest`` never goes down, and ``era`` is no higher.
+
+    :param era: that of the log as it answers this node; 0 before it told one.
+    :param highest: the highest that the log or a member told.
+    :param lower: answers in a row that told of an earlier one.
+    :param is_unmarked: the log was read from while it told none.
+    :param restores: how often it came back from an older copy while this node ran.
+    """
+
+    era: ids.LogEra = ids.LogEra(0)
+    highest: ids.LogEra = ids.LogEra(0)
+    lower: int = 0
+    is_unmarked: bool = False
+    restores: int = 0
+
+
 class Stream(msgspec.Struct):
     """Where this node stands in a stream of the log.
 
@@ -577,6 +596,8 @@
     :param outdated: the read under way began too early to tell what is asked for.
     :param hold_ms: how long the log holds a read open for news; 0 leaves it to the
         settings.
+    :param generation: how often reading began anew; answers to earlier reads are not
+        used.
     :param missing: reads in a row whose offset the log did not hold.
     :param missing_total: such reads since the start.
     """
@@ -594,6 +615,7 @@
     fresh: ids.Milliseconds = -1.0
     caught_up: bool = False
     covered_from: ids.Milliseconds = 0.0
+    generation: int = 0
     missing: int = 0
     missing_total: int = 0
 
@@ -782,6 +804,7 @@
         self.deadlines: list[tuple[ids.Milliseconds, int, int]] = []
         self.membership = Membership()
         self.streams: dict[str, Stream] = {}
+        self.log = LogHistory()
         self.keys: dict[str, KeyEntry] = {}
         self.claim_keys: dict[str, str] = {}
         self.claim_batch: list[messages.ClaimRecord] = []
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -98,6 +98,37 @@
         _read(stream, out)
 
 
+def restart(state: states.State, stream: states.Stream) -> None:
+    """Read a stream anew: no offset that was known of it holds any more."""
+    stream.generation += 1
+    stream.reading = False
+    stream.caught_up = False
+    stream.offset = 0
+    stream.retry_at = state.now
+    # One that is not followed is read again when it is.
+    stream.based = stream.based and not stream.followed
+    stream.covered_from = state.now
+
+
+def skip_missing(
+    state: states.State, stream: states.Stream, first: int, out: states.Effects
+) -> None:
+    """Read on behind records that the log dropped.
+
+    :param first: the first offset that it holds.
+    """
+    if stream.keyed:
+        # The newest records tell all that was missed.
+        stream.based = False
+    elif stream.caught_up:
+        stream.covered_from = state.now
+    stream.offset = first
+    stream.reading = False
+    # A log that contradicts itself is not asked without pause.
+    pause = 0.0 if stream.missing == 1 else _backoff(state, stream, stream.missing)
+    stream.retry_at = state.now + pause
+
+
 def note_missing(
     stream: states.Stream, event: events.LogRead, out: states.Effects
 ) -> None:
@@ -154,9 +185,15 @@
     stream.failures += 1
     if stream.failures == 1:
         outbox.warn(out, "log", f"Stream {stream.name} cannot be read.")
+    stream.retry_at = state.now + _backoff(state, stream, stream.failures)
+
+
+def _backoff(
+    state: states.State, stream: states.Stream, tries: int
+) -> ids.Milliseconds:
     bound = KEYED_RETRY_MAX_MS if stream.keyed else RETRY_MAX_MS
-    longest = min(bound, RETRY_FIRST_MS * 2 ** min(stream.failures, 8))
-    stream.retry_at = state.now + longest * (0.5 + 0.5 * state.random.random())
+    longest: float = min(bound, RETRY_FIRST_MS * 2 ** min(tries, 8))
+    return longest * (0.5 + 0.5 * state.random.random())
 
 
 def resume(state: states.State, out: states.Effects) -> None:
@@ -180,8 +217,8 @@
 
 def _read(stream: states.Stream, out: states.Effects) -> None:
     stream.reading = True
-    if stream.keyed and not stream.based:
-        out.append(effects.ReadNewest(stream=stream.name))
+    if stream.keyed and not (stream.based and stream.caught_up):
+        out.append(effects.ReadNewest(stream=stream.name, generation=stream.generation))
         return
     # Until the end was seen once, an empty stream must say so at once: claims are
     # refused for as long as that is not known.
@@ -192,6 +229,7 @@
             # After a failure the question is whether the log answers at all.
             wait=stream.caught_up and not stream.failures,
             hold_ms=stream.hold_ms,
+            generation=stream.generation,
         )
     )
 
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -38,6 +38,12 @@
 Revision = typing.NewType("Revision", int)
 """Revision of the configuration; 0 is the state before the first one."""
 
+LogEra = typing.NewType("LogEra", int)
+"""How often the log came back from an older copy of itself, by its own count; 0 where
+it tells none."""
+
+MAX_LOG_ERA = 0xFFFF_FFFF
+
 Rank = typing.NewType("Rank", int)
 """The place of a call in the shedding order; see :mod:`.core.ranks`."""
 
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -12,6 +12,10 @@
 """Records asked for in one read."""
 
 
+ERA_HEADER = b"log-era"
+"""The service counts in it how often it came back from an older copy."""
+
+
 class Reply(msgspec.Struct):
     """What the log service answers to a read of the newest records."""
 
@@ -43,7 +47,10 @@
     def __init__(self, chosen: settings.Log) -> None:
         self._poll_ms = chosen.poll_ms
         self._peer = http_calls.Peer(
-            chosen.url.rstrip("/"), timeout_ms=chosen.timeout_ms, connections=8
+            chosen.url.rstrip("/"),
+            timeout_ms=chosen.timeout_ms,
+            connections=8,
+            era_header=ERA_HEADER,
         )
 
     async def read(
@@ -73,6 +80,7 @@
             end=reply.end,
             contents=self._contents(reply.records, step),
             held_ms=wait_ms,
+            era=answer.era,
         )
 
     async def newest(self, stream: str) -> log_service.Newest:
@@ -86,37 +94,34 @@
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, Reply, step)
         contents = self._contents(reply.records, step)
-        return log_service.Newest(contents=contents, end=reply.end)
+        return log_service.Newest(contents=contents, end=reply.end, era=answer.era)
 
-    async def put(self, stream: str, key: str, record: bytes) -> None:
+    async def put(self, stream: str, key: str, record: bytes) -> log_service.Appended:
         """Append a record under a key; an empty one drops the key.
 
         :raises LogServiceError: as for :meth:`append`.
         """
-        await self._append(f"{stream}/records?key={urllib.parse.quote(key)}", record)
-
-    async def append(
-        self, stream: str, record: bytes, *, expected_end: int | None = None
-    ) -> int:
-        """Append a record and return its offset.
+        resource = f"{stream}/records?key={urllib.parse.quote(key)}"
+        return await self._append(resource, record)
 
-        :param expected_end: append only if the stream ends there.
+    async def append(self, stream: str, record: bytes) -> log_service.Appended:
+        """Append a record.
 
         :raises LogServiceError: with ``took_effect`` ``None`` unless it is certain
             that nothing was appended: the connection was never made, or the log
             service said so itself with a 4xx or 503 status.
         """
-        condition = "" if expected_end is None else f"?expected_end={expected_end}"
-        return await self._append(f"{stream}/records{condition}", record)
+        return await self._append(f"{stream}/records", record)
 
-    async def _append(self, resource: str, record: bytes) -> int:
+    async def _append(self, resource: str, record: bytes) -> log_service.Appended:
         step = f"append to {resource}"
         answer = await self._peer.call(
             "POST", f"/streams/{resource}", step=step, body=record
         )
         refused = answer.status == 503 or 400 <= answer.status < 500
         self._peer.check(answer, step, took_effect=False if refused else None)
-        return self._peer.decode(answer, AppendReply, step).offset
+        offset = self._peer.decode(answer, AppendReply, step).offset
+        return log_service.Appended(offset, answer.era)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -63,7 +63,13 @@
         except errors.LogServiceError as error:
             logs.write("INFO", "log", f"{error}.")
             self._node.apply(
-                events.LogReadFailed(now=clock.now(), stream=stream, extra=effect.extra)
+                events.LogReadFailed(
+                    now=clock.now(),
+                    stream=stream,
+                    extra=effect.extra,
+                    generation=effect.generation,
+                    era=ids.LogEra(error.era),
+                )
             )
             return
         now = clock.now()
@@ -78,20 +84,30 @@
                 asked=asked,
                 held_ms=_held_ms(reply, now - asked),
                 extra=effect.extra,
-                missing=reply.missing,
+                missing=reply.missing or reply.end < effect.offset,
+                generation=effect.generation,
+                era=ids.LogEra(reply.era),
             )
         )
 
     def _read_newest(self, effect: effects.ReadNewest) -> None:
-        self._node.spawn(self._newest(effect.stream))
+        self._node.spawn(self._newest(effect))
 
-    async def _newest(self, stream: str) -> None:
+    async def _newest(self, effect: effects.ReadNewest) -> None:
+        stream = effect.stream
         asked = clock.now()
         try:
             reply = await self._service.newest(stream)
         except errors.LogServiceError as error:
             logs.write("INFO", "log", f"{error}.")
-            self._node.apply(events.LogReadFailed(now=clock.now(), stream=stream))
+            self._node.apply(
+                events.LogReadFailed(
+                    now=clock.now(),
+                    stream=stream,
+                    generation=effect.generation,
+                    era=ids.LogEra(error.era),
+                )
+            )
             return
         self._node.apply(
             events.NewestRead(
@@ -100,6 +116,8 @@
                 records=reply.contents,
                 end=reply.end,
                 asked=asked,
+                generation=effect.generation,
+                era=ids.LogEra(reply.era),
             )
         )
 
@@ -108,30 +126,40 @@
 
     async def _put_record(self, effect: effects.PutRecord) -> None:
         try:
-            await self._service.put(effect.stream, effect.key, effect.record)
+            done = await self._service.put(effect.stream, effect.key, effect.record)
         except errors.LogServiceError as error:
             logs.write("WARNING", "log", f"{error}.")
-            self._node.apply(events.PutFailed(now=clock.now(), put=effect.put))
+            era = ids.LogEra(error.era)
+            self._node.apply(events.PutFailed(now=clock.now(), put=effect.put, era=era))
             return
-        self._node.apply(events.PutDone(now=clock.now(), put=effect.put))
+        era = ids.LogEra(done.era)
+        self._node.apply(events.PutDone(now=clock.now(), put=effect.put, era=era))
 
     def _append(self, effect: effects.Append) -> None:
         self._node.spawn(self._append_record(effect))
 
     async def _append_record(self, effect: effects.Append) -> None:
         try:
-            offset = await self._service.append(effect.stream, effect.record)
+            done = await self._service.append(effect.stream, effect.record)
         except errors.LogServiceError as error:
             logs.write("WARNING", "log", f"{error}.")
             certain = error.took_effect is False
             self._node.apply(
                 events.AppendFailed(
-                    now=clock.now(), append=effect.append, certain=certain
+                    now=clock.now(),
+                    append=effect.append,
+                    certain=certain,
+                    era=ids.LogEra(error.era),
                 )
             )
             return
         self._node.apply(
-            events.AppendDone(now=clock.now(), append=effect.append, offset=offset)
+            events.AppendDone(
+                now=clock.now(),
+                append=effect.append,
+                offset=done.offset,
+                era=ids.LogEra(done.era),
+            )
         )
 
 
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -53,6 +53,7 @@
     part.cursor = message.cursor
     part.routeVersion = message.route_version
     part.provenAgeMs = message.proven_age_ms
+    part.logEra = message.log_era
     if message.caps is not None:
         part.caps = msgspec.msgpack.encode(message.caps)
     _put_news(part, message.quarantine)
@@ -100,6 +101,7 @@
             quarantine=_news(part),
             proven_age_ms=part.provenAgeMs,
             caps=_CAPS_DECODER.decode(part.caps) if part.caps else None,
+            log_era=ids.LogEra(part.logEra),
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
     except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -46,4 +46,5 @@
   quarantineDigest @11 :UInt32;
   provenAgeMs @12 :Float32 = -1;
   caps @13 :Data;
+  logEra @14 :UInt32;
 }
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -4,6 +4,10 @@
 form; a deployment on another platform passes an object with these methods. Every
 method raises :class:`.errors.LogServiceError` when the service does not do what was
 asked, and decides nothing: when to try again is the node's concern.
+
+Answers tell the era of the log: how often it came back from an older copy, which lacks
+records that it had acknowledged. Offsets of different eras cannot be compared. A
+service that never loses records tells 0.
 """
 
 import typing
@@ -25,8 +29,9 @@
     :param contents: records from ``first`` on; empty where a record is of no use to
         a node, so that offsets stay in step.
     :param held_ms: how long the service was asked to hold the read open for news.
-    :param missing: the service does not hold the offset that was asked for; ``end``
-        is not known then.
+    :param missing: the service does not hold the offset that was asked for, and
+        ``first`` and ``end`` are the first one that it holds.
+    :param era: of the log that answered.
     """
 
     first: int
@@ -35,13 +40,36 @@
     contents: tuple[bytes, ...]
     held_ms: float = 0.0
     missing: bool = False
+    era: int = 0
+
+
+def missing(first: int, *, era: int) -> Records:
+    """Return what a read found whose offset the service does not hold.
+
+    :param first: the first offset that it holds.
+    """
+    return Records(first, first, first, (), missing=True, era=era)
 
 
 class Newest(msgspec.Struct, frozen=True):
-    """The newest record of each key, and from where to read on."""
+    """The newest record of each key, and from where to read on.
+
+    :param era: of the log that answered.
+    """
 
     contents: tuple[bytes, ...]
     end: int
+    era: int = 0
+
+
+class Appended(msgspec.Struct, frozen=True):
+    """The acknowledgement of a record.
+
+    :param era: of the log that took it.
+    """
+
+    offset: int
+    era: int = 0
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -66,18 +94,13 @@
         :param hold_ms: how long; 0 leaves it to the settings.
         """
 
-    async def append(
-        self, stream: str, record: bytes, *, expected_end: int | None = None
-    ) -> int:
-        """Append a record and return its offset.
-
-        :param expected_end: append only if the stream ends there.
-        """
+    async def append(self, stream: str, record: bytes) -> Appended:
+        """Append a record."""
 
     async def newest(self, stream: str) -> Newest:
         """Read the newest record of each key."""
 
-    async def put(self, stream: str, key: str, record: bytes) -> None:
+    async def put(self, stream: str, key: str, record: bytes) -> Appended:
         """Append a record under a key; an empty one drops the key."""
 
     async def close(self) -> None:
--- a/tests/cover/test_restored_log.py
+++ b/tests/cover/test_restored_log.py
@@ -5,12 +5,28 @@
 each version to be in force two seconds after its acknowledgement.
 """
 
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
 from gingerturn import routes
-from gingerturn.internal.core import messages, streams
-from gingerturn_fakes import parts, world
-from tests.common import routed
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    events,
+    log_eras,
+    messages,
+    pollers,
+    reducer,
+    state as states,
+    streams,
+)
+from gingerturn.internal.shell import http_calls
+from gingerturn_fakes import fake_log, parts, world
+from tests.common import builders, routed
 
 ZONES = ["a", "b", "c"]
+POLLERS = pollers.A_ZONE * len(ZONES)
 IN_FORCE_MS = 2_000.0
 """Operators expect a change to be in force by then."""
 
@@ -28,24 +44,36 @@
     return made
 
 
-def _publish(made: world.World, version: int) -> None:
-    table = routes.RouteTable(version=version, routes=(routed.route(),))
-    made.log.put(streams.ROUTES, "table", messages.encode_record(table))
+def _publish(made: world.World, *versions: int) -> None:
+    for version in versions:
+        table = routes.RouteTable(version=version, routes=(routed.route(),))
+        made.log.put(streams.ROUTES, "table", messages.encode_record(table))
 
 
 def _versions(made: world.World) -> set[int]:
-    return {node.state.version for node in made.nodes.values()}
+    return {node.state.version for node in made.nodes.values() if node.alive}
 
 
-def _lose(made: world.World, *versions: int, away_ms: float = AWAY_MS) -> None:
-    """Publish versions, and bring the log back from a copy without them."""
+def _publish_and_lose(made: world.World, *versions: int) -> None:
+    """Publish versions that come into force, and bring the log back without them."""
     copy = made.log.copy()
     for version in versions:
         _publish(made, version)
         made.run(1_000.0)
+    _restore(made, copy)
+
+
+def _restore(
+    made: world.World, copy: fake_log.Copy, *, then: tuple[int, ...] = ()
+) -> None:
+    """Bring the log back after some time away.
+
+    :param then: versions that it has taken by the time that nodes can read it.
+    """
     made.log.down = True
     made.log.restore(copy)
-    made.run(away_ms)
+    made.run(AWAY_MS)
+    _publish(made, *then)
     made.log.down = False
 
 
@@ -53,8 +81,392 @@
 # change that was acknowledged was in force nowhere until the log was as long as before.
 def test_a_change_is_in_force_in_time_though_the_log_is_shorter_than_before() -> None:
     made = _world()
-    _lose(made, 2, 3, 4, 5)
+    _publish_and_lose(made, 2, 3, 4, 5)
     made.run(3_000.0)
     _publish(made, 6)
     made.run(IN_FORCE_MS)
     assert _versions(made) == {6}
+
+
+# Guards against readers that wait at the end of a restored log for what they passed.
+@pytest.mark.parametrize("then", [(6,), (6, 7), (6, 7, 8), (6, 7, 8, 9)])
+def test_what_was_published_before_nodes_read_again_is_in_force_in_time(
+    then: tuple[int, ...],
+) -> None:
+    made = _world()
+    copy = made.log.copy()
+    _publish(made, 2, 3)
+    made.run(1_000.0)
+    _restore(made, copy, then=then)
+    made.run(IN_FORCE_MS)
+    assert _versions(made) == {then[-1]}
+
+
+def test_a_log_that_is_longer_by_records_of_others_hides_no_version() -> None:
+    made = _world()
+    copy = made.log.copy()
+    _publish(made, 2)
+    made.run(1_000.0)
+    made.log.down = True
+    made.log.restore(copy)
+    _publish(made, 3)
+    for key in ("quotas", "zones", "owners"):
+        made.log.put(streams.ROUTES, key, b"{}")
+    made.run(AWAY_MS)
+    made.log.down = False
+    made.run(IN_FORCE_MS)
+    assert _versions(made) == {3}
+
+
+@pytest.mark.parametrize("then", [(), (3,), (3, 4)])
+def test_a_read_that_is_held_open_across_the_return_does_not_hide_it(
+    then: tuple[int, ...],
+) -> None:
+    made = _world()
+    made.log.keeps_connections = True
+    copy = made.log.copy()
+    _publish(made, 2)
+    made.run(1_000.0)
+    made.log.restore(copy)
+    _publish(made, *then)
+    made.run(pollers.FIRST_HOLD_MS + IN_FORCE_MS)
+    assert _versions(made) == {then[-1] if then else 2}
+    assert {node.state.log.era for node in made.nodes.values()} == {2}
+
+
+def test_where_nothing_was_lost_each_reader_makes_one_more_read_of_the_newest() -> None:
+    made = _world()
+    newest = 0
+
+    def count(node: parts.FakeNode, effect: effects.Effect) -> None:
+        nonlocal newest
+        newest += isinstance(effect, effects.ReadNewest)
+
+    made.on_effect = count
+    made.log.restore(made.log.copy())
+    made.run(5_000.0)
+    assert newest == POLLERS
+    assert _versions(made) == {1}
+
+
+def test_a_log_that_lacks_offsets_is_not_asked_without_pause() -> None:
+    made = _world()
+    _publish_and_lose(made, 2, 3, 4, 5)
+    before = made.log.reads
+    made.run(3_000.0)
+    # One of the newest records, one that waits, and the short ones of the first node.
+    assert made.log.reads - before <= 4 * POLLERS
+
+
+def test_a_log_that_loses_records_twice_in_a_row_is_followed_all_the_same() -> None:
+    made = _world()
+    copy = made.log.copy()
+    _publish(made, 2)
+    made.run(1_000.0)
+    _restore(made, copy, then=(3,))
+    made.run(500.0)
+    _restore(made, copy, then=(4,))
+    made.run(IN_FORCE_MS)
+    assert _versions(made) == {4}
+    assert {node.state.log.era for node in made.nodes.values()} == {3}
+
+
+def test_a_version_that_the_log_lost_stays_in_force_also_at_a_node_started_since() -> (
+    None
+):
+    made = _world()
+    _publish_and_lose(made, 2)
+    made.run(1_000.0)
+    made.kill("plans-3")
+    made.run(5_000.0)
+    made.restart("plans-3")
+    made.run(IN_FORCE_MS)
+    assert _versions(made) == {2}
+
+
+class _Reader:
+    """A node that follows the route tables of a log, and what it is answered."""
+
+    def __init__(self) -> None:
+        begin = routed.started()
+        self.state = reducer.new_state(begin)
+        self.out = reducer.reduce(self.state, begin)
+        self.state.started = begin.now - 10_000.0
+        self.newest(1, end=4, era=5)
+        self.state.streams[streams.ROUTES].followed = True
+        streams.resume(self.state, self.out)
+
+    @property
+    def stream(self) -> states.Stream:
+        return self.state.streams[streams.ROUTES]
+
+    def _took(self, event: events.Event) -> list[effects.Effect]:
+        self.out = reducer.reduce(self.state, event)
+        return self.out
+
+    def newest(self, version: int, *, end: int, era: int) -> list[effects.Effect]:
+        table = routes.RouteTable(version=version, routes=(routed.route(),))
+        return self._took(
+            events.NewestRead(
+                now=self.state.now,
+                stream=streams.ROUTES,
+                records=(messages.encode_record(table),),
+                end=end,
+                asked=self.state.now,
+                generation=self.stream.generation,
+                era=ids.LogEra(era),
+            )
+        )
+
+    def read(
+        self, *versions: int, era: int, generation: int | None = None
+    ) -> list[effects.Effect]:
+        tables = [
+            routes.RouteTable(version=version, routes=(routed.route(),))
+            for version in versions
+        ]
+        first = self.stream.offset
+        own = self.stream.generation
+        return self._took(
+            events.LogRead(
+                now=self.state.now,
+                stream=streams.ROUTES,
+                first=first,
+                records=tuple(messages.encode_record(table) for table in tables),
+                oldest=0,
+                end=first + len(tables),
+                asked=self.state.now,
+                generation=own if generation is None else generation,
+                era=ids.LogEra(era),
+            )
+        )
+
+    def missing(self, *, era: int = 0, first: int = 0) -> list[effects.Effect]:
+        return self._took(
+            events.LogRead(
+                now=self.state.now,
+                stream=streams.ROUTES,
+                first=first,
+                records=(),
+                oldest=first,
+                end=first,
+                missing=True,
+                asked=self.state.now,
+                generation=self.stream.generation,
+                era=ids.LogEra(era),
+            )
+        )
+
+    def tick(self, after_ms: float = 0.0) -> list[effects.Effect]:
+        self.state.now += after_ms
+        return self._took(events.Tick(now=self.state.now))
+
+    def heard(self, era: int) -> list[effects.Effect]:
+        message = messages.Gossip(
+            kind=messages.GossipKind.PING,
+            sequence=1,
+            revision=ids.Revision(0),
+            log_era=ids.LogEra(era),
+        )
+        return self._took(builders.datagram("n2", message, now=self.state.now))
+
+
+def _reads_newest(out: list[effects.Effect]) -> bool:
+    found = builders.all_of(out, effects.ReadNewest)
+    return any(effect.stream == streams.ROUTES for effect in found)
+
+
+def test_a_higher_era_in_the_answer_to_a_read_lets_the_newest_be_read() -> None:
+    node = _Reader()
+    out = node.read(era=6)
+    assert _reads_newest(out)
+    node.newest(2, end=1, era=6)
+    assert node.stream.offset == 1
+    assert node.state.version == 2
+
+
+def test_an_answer_that_brings_the_newest_and_a_higher_era_is_used_at_once() -> None:
+    node = _Reader()
+    streams.reread(node.state, streams.ROUTES)
+    node.stream.reading = False
+    node.tick()
+    node.newest(2, end=1, era=6)
+    assert node.state.version == 2
+    assert not _reads_newest(node.out)
+    assert builders.only(node.out, effects.ReadLog).offset == 1
+
+
+def test_a_member_tells_the_era_and_the_read_that_is_held_open_is_left() -> None:
+    node = _Reader()
+    node.heard(6)
+    assert _reads_newest(node.tick())
+
+
+def test_members_are_told_the_highest_era() -> None:
+    node = _Reader()
+    builders.add_members(node.state, builders.member("n2", "plans"))
+    node.read(era=6)
+    out = node.tick(600.0)
+    told = {e.message.log_era for e in builders.all_of(out, effects.SendGossip)}
+    assert told == {6}
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        events.PutDone(now=0.0, put=9_999, era=ids.LogEra(6)),
+        events.PutFailed(now=0.0, put=9_999, era=ids.LogEra(6)),
+        events.AppendDone(now=0.0, append=9_999, offset=1, era=ids.LogEra(6)),
+        events.AppendFailed(now=0.0, append=9_999, certain=True, era=ids.LogEra(6)),
+        events.LogReadFailed(now=0.0, stream=streams.MEMBERS, era=ids.LogEra(6)),
+    ],
+    ids=lambda event: type(event).__name__,
+)
+def test_any_answer_may_be_the_first_to_tell_the_era(event: events.Event) -> None:
+    node = _Reader()
+    out = reducer.reduce(node.state, event) + node.tick()
+    assert node.state.log.era == 6
+    assert _reads_newest(out)
+
+
+def test_a_late_answer_to_a_read_of_before_changes_nothing() -> None:
+    node = _Reader()
+    before = node.stream.generation
+    node.heard(6)
+    node.tick()
+    node.newest(2, end=1, era=6)
+    node.read(9, era=5, generation=before)
+    assert node.stream.offset == 1
+    assert node.state.version == 2
+
+
+def test_an_answer_of_an_earlier_era_is_asked_for_again() -> None:
+    node = _Reader()
+    node.heard(6)
+    node.tick()
+    node.newest(2, end=7, era=5)
+    assert node.state.version == 1
+    assert _reads_newest(node.tick(500.0))
+
+
+def test_a_log_whose_count_went_back_is_followed_again_and_told_once() -> None:
+    node = _Reader()
+    for _ in range(log_eras.LOWER_ANSWERS):
+        node.read(era=3)
+        lines = [e.text for e in builders.all_of(node.out, effects.WriteLog)]
+        node.tick(1_000.0)
+    assert [text for text in lines if "count went back" in text]
+    node.newest(2, end=1, era=3)
+    assert node.state.version == 2
+    # Members that still tell the higher one do not start it all over again.
+    node.heard(5)
+    assert node.state.log.era == 3
+    assert _reads_newest(node.read(era=4))
+
+
+def test_a_log_that_tells_no_era_is_known_to_be_shorter_by_its_offsets() -> None:
+    node = _Reader()
+    node.missing()
+    assert _reads_newest(node.out)
+
+
+def test_records_that_expired_are_no_return_of_the_log() -> None:
+    node = _Reader()
+    node.missing(era=5, first=9)
+    assert node.state.log.restores == 0
+    assert _reads_newest(node.out)
+
+
+def test_a_log_that_contradicts_itself_is_asked_ever_less_often() -> None:
+    node = _Reader()
+    asked = 0
+    for _ in range(100):
+        if _reads_newest(node.out):
+            asked += 1
+            node.newest(1, end=4, era=5)
+        if builders.all_of(node.out, effects.ReadLog):
+            node.missing(era=5)
+        else:
+            node.tick(100.0)
+    # Ten seconds, with pauses that grow to a second at most.
+    assert asked <= 30
+
+
+def test_a_header_that_comes_for_the_first_time_may_hide_a_return() -> None:
+    node = _Reader()
+    node.state.log = states.LogHistory(is_unmarked=True)
+    assert _reads_newest(node.read(era=7))
+
+
+@pytest.mark.parametrize(
+    ("headers", "era"),
+    [
+        ([(b"Store-Era", b"12")], 12),
+        ([(b"store-era", b" 7 ")], 7),
+        ([(b"Date", b"12")], 0),
+        ([], 0),
+        ([(b"Store-Era", b"")], 0),
+        ([(b"Store-Era", b"-3")], 0),
+        ([(b"Store-Era", b"0")], 0),
+        ([(b"Store-Era", b"4.5")], 0),
+        ([(b"Store-Era", b"seven")], 0),
+        ([(b"Store-Era", b"4294967296")], 0),
+        ([(b"Store-Era", b"9" * 5_000)], 0),
+        ([(b"Store-Era", "²".encode())], 0),
+    ],
+)
+def test_a_header_that_is_no_era_tells_none(
+    headers: list[tuple[bytes, bytes]], era: int
+) -> None:
+    peer = http_calls.Peer("http://log", timeout_ms=1.0, era_header=b"store-era")
+    assert peer._era(headers) == era
+
+
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("publish"), st.integers(1, 3)),
+        st.tuples(st.just("copy"), st.just(0)),
+        st.tuples(st.just("restore"), st.integers(0, 1)),
+        st.tuples(st.just("wait"), st.integers(1, 2_500)),
+        st.tuples(st.just("kill"), st.integers(1, 6)),
+    ),
+    min_size=2,
+    max_size=12,
+)
+
+
+@hypothesis.settings(max_examples=40)
+@hypothesis.given(steps=_STEPS, seed=st.integers(0, 99))
+def test_whatever_is_lost_no_node_goes_back_and_all_follow(
+    steps: list[tuple[str, int]], seed: int
+) -> None:
+    made = _world(upstreams=6, seed=seed)
+    copy = made.log.copy()
+    version = 1
+    seen: dict[tuple[str, int], int] = {}
+
+    def watch(node: parts.FakeNode, effect: effects.Effect) -> None:
+        start = (node.name, node.incarnation)
+        assert node.state.version >= seen.get(start, 0)
+        seen[start] = node.state.version
+
+    made.on_effect = watch
+    for step, value in steps:
+        if step == "publish":
+            for _ in range(value):
+                version += 1
+                _publish(made, version)
+        elif step == "copy":
+            copy = made.log.copy()
+        elif step == "restore":
+            made.log.keeps_connections = bool(value)
+            made.log.restore(copy)
+        elif step == "wait":
+            made.run(float(value))
+        else:
+            made.kill(f"plans-{value}")
+            made.restart(f"plans-{value}")
+    version += 1
+    _publish(made, version)
+    made.run(pollers.FIRST_HOLD_MS + IN_FORCE_MS)
+    assert _versions(made) == {version}
--- a/tests/cover/test_words_of_other_writers.py
+++ b/tests/cover/test_words_of_other_writers.py
@@ -21,7 +21,7 @@
 
 from gingerturn import errors, log_service, routes
 from gingerturn.internal.core import events, messages, reducer
-from gingerturn.internal.shell import node as nodes, side_http
+from gingerturn.internal.shell import http_calls, node as nodes, side_http
 from gingerturn.internal.wire import datagrams
 from gingerturn_platform import beats, boot, configs, pages, store
 from tests.common import builders, routed
@@ -72,14 +72,7 @@
 
     async def _call(self, *args: typing.Any, **kwargs: typing.Any) -> typing.Any:
         self.queries.append(dict(args[3]))
-        return _Answer(self._contents.pop(0))
-
-
-class _Answer:
-    status = 200
-
-    def __init__(self, content: bytes) -> None:
-        self.content = content
+        return http_calls.Answer(200, self._contents.pop(0))
 
 
 @pytest.mark.parametrize("bad", BAD_VALUES, ids=repr)
--- a/tests/nocover/test_start_of_a_node.py
+++ b/tests/nocover/test_start_of_a_node.py
@@ -33,15 +33,13 @@
     ) -> log_service.Records:
         raise _away("read")
 
-    async def append(
-        self, stream: str, record: bytes, *, expected_end: int | None = None
-    ) -> int:
+    async def append(self, stream: str, record: bytes) -> log_service.Appended:
         raise _away("append")
 
     async def newest(self, stream: str) -> log_service.Newest:
         raise _away("newest")
 
-    async def put(self, stream: str, key: str, record: bytes) -> None:
+    async def put(self, stream: str, key: str, record: bytes) -> log_service.Appended:
         raise _away("put")
 
     async def close(self) -> None:
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gingerturn import log_service
+from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
 from gingerturn_fakes import parts
 
@@ -89,7 +90,10 @@
         stream = world.log.streams.setdefault(effect.stream, [])
         stream.append(effect.record)
         return events.AppendDone(
-            now=world.now, append=effect.append, offset=len(stream) - 1
+            now=world.now,
+            append=effect.append,
+            offset=len(stream) - 1,
+            era=ids.LogEra(world.log.era),
         )
 
     def failed(certain: bool) -> events.Event:
@@ -103,7 +107,8 @@
 
     def done() -> events.Event:
         world.log.put(effect.stream, effect.key, effect.record)
-        return events.PutDone(now=world.now, put=effect.put)
+        era = ids.LogEra(world.log.era)
+        return events.PutDone(now=world.now, put=effect.put, era=era)
 
     def failed(certain: bool) -> events.Event:
         return events.PutFailed(now=world.now, put=effect.put)
@@ -155,6 +160,8 @@
                 asked=asked,
                 extra=effect.extra,
                 missing=True,
+                generation=effect.generation,
+                era=ids.LogEra(world.log.era),
             )
         return events.LogRead(
             now=world.now,
@@ -166,6 +173,8 @@
             asked=asked,
             held_ms=held_ms,
             extra=effect.extra,
+            generation=effect.generation,
+            era=ids.LogEra(world.log.era),
         )
 
     hold_ms = (effect.hold_ms or world.log.hold_ms) if effect.wait else 0.0
@@ -185,6 +194,8 @@
             records=tuple(world.log.newest.get(effect.stream, {}).values()),
             end=len(world.log.streams.get(effect.stream, [])),
             asked=asked,
+            generation=effect.generation,
+            era=ids.LogEra(world.log.era),
         )
 
     _read(world, node, effect, found)
@@ -209,7 +220,10 @@
     def fail() -> None:
         if node.incarnation == incarnation:
             event = events.LogReadFailed(
-                now=world.now, stream=effect.stream, extra=extra
+                now=world.now,
+                stream=effect.stream,
+                extra=extra,
+                generation=effect.generation,
             )
             world.apply(node.name, event)
 
