Quarantine: records are put again when the log came back from a copy

What callers would see: the record of a request that ends backend servers is the one thing that outlasts a loss of power of all nodes; lost by the log seconds after it was put, all nodes let the request in again and three more backend servers end.

Change: a node puts again what the log took from it, once the era rises. Failed before: test_a_record_is_put_again_when_the_log_came_back_from_a_copy.

--- a/src/gingerturn/internal/core/log_eras.py
+++ b/src/gingerturn/internal/core/log_eras.py
@@ -14,6 +14,7 @@
     joining,
     membership,
     outbox,
+    quarantine,
     state as states,
     streams,
 )
@@ -100,4 +101,5 @@
     for stream in state.streams.values():
         streams.restart(state, stream)
     joining.write_again(state)
+    quarantine.write_again(state)
     membership.push(state, out)
--- a/src/gingerturn/internal/core/quarantine.py
+++ b/src/gingerturn/internal/core/quarantine.py
@@ -159,11 +159,22 @@
     request = known.saving.pop(number, None)
     if request is None:
         return False
-    if not done:
-        known.unsaved.add(request)
+    (known.saved if done else known.unsaved).add(request)
     return True
 
 
+def write_again(state: states.State) -> None:
+    """Put again what this node put on the log, as the log may have lost it."""
+    known = state.quarantine
+    known.unsaved |= known.saved & _held(known)
+    known.saved.clear()
+
+
+def _held(known: states.Quarantine) -> set[int]:
+    """Return the requests of which the log is to tell."""
+    return known.kept_out.keys() | known.cleared.keys()
+
+
 def check(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Forget what is old, and put on the log what it did not take."""
     known = state.quarantine
@@ -192,6 +203,7 @@
         if now - at >= quarantine_news.FORGOTTEN_MS:
             del known.cleared[request]
     table.judge(state, out)
+    known.saved &= _held(known)
     for request in old:
         if _drops_record(state, request):
             table.save(state, request, out)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -696,6 +696,7 @@
     :param trials: the latest one here of each that is kept out.
     :param saving: by the number of the record that is being put on the log.
     :param unsaved: those whose record the log did not take.
+    :param saved: those whose record it took from this node.
     """
 
     ends: dict[str, KnownEnd] = {}
@@ -715,6 +716,7 @@
     trials: dict[int, Trial] = {}
     saving: dict[int, int] = {}
     unsaved: set[int] = set()
+    saved: set[int] = set()
 
 
 class Publication(msgspec.Struct):
