Keys: a log that came back from a copy proves nothing until it has shown the latest table

What callers would see: a key that was taken away works again, or goes on working for longer than operators allow (fail closed).

Cause: a read that reached the log's end counted as evidence that the table in force is the newest. A log that lost the latest table ends as well, and nodes that started from it, or that members had told of a later version, took its end for proof. A read that was refused for its offset counted too, until the era was taken in.

Change: what the log has shown in this era has to be as late as what is in force here and as what any member told of. Nothing changes where nothing was lost.

--- a/src/gingerturn/internal/core/freshness.py
+++ b/src/gingerturn/internal/core/freshness.py
@@ -9,6 +9,10 @@
 after that, however long it lay in a socket, a frozen process or a suspended machine; a
 word that comes unasked proves nothing, as it may have been under way for any time.
 
+A log that came back from an older copy may lack the latest tables until operators have
+published them again, so its end proves something only once it has shown one as late as
+any that this node or a member knows.
+
 How it is renewed: :mod:`.freshness_renewal`.
 """
 
@@ -44,12 +48,26 @@
 def note_read(
     state: states.State, asked: ids.Milliseconds, *, held_ms: ids.Milliseconds = 0.0
 ) -> None:
-    """Take in that a read of the log reached its end.
+    """Take in that a read of the log reached its end; it proves nothing while the log
+    lacks the latest table that is known.
 
     :param asked: when the read began.
     :param held_ms: for how long the log surely held it open, without news.
     """
-    _prove(state, asked + held_ms)
+    present = 0 if state.routes is None else state.routes.version
+    if state.freshness.shown >= max(present, state.routes_heard):
+        _prove(state, asked + held_ms)
+
+
+def note_table(state: states.State, version: int) -> None:
+    """Take in that the log holds a table."""
+    known = state.freshness
+    known.shown = max(known.shown, version)
+
+
+def on_log_restored(state: states.State) -> None:
+    """Take in that the log may have lost tables that it held."""
+    state.freshness.shown = 0
 
 
 def note_word(
--- a/src/gingerturn/internal/core/log_eras.py
+++ b/src/gingerturn/internal/core/log_eras.py
@@ -11,6 +11,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    freshness,
     joining,
     membership,
     outbox,
@@ -100,6 +101,7 @@
     state.log.restores += 1
     for stream in state.streams.values():
         streams.restart(state, stream)
+    freshness.on_log_restored(state)
     joining.write_again(state)
     quarantine.write_again(state)
     membership.push(state, out)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -260,6 +260,7 @@
         if stream == keys.stream_name(state.backend.service):
             claims.on_record(state, record, out)
     elif isinstance(record, routes.RouteTable) and stream == streams.ROUTES:
+        freshness.note_table(state, record.version)
         _put_routes(state, record, out)
     elif stream != streams.CONFIG:
         return
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -403,6 +403,8 @@
     :param closed: it was written that no key is let in.
     :param reading: an extra read of the log is under way.
     :param read_again: not before this.
+    :param shown: the latest version that the log showed since it last came back from
+        an older copy.
     """
 
     revoke_ms: ids.Milliseconds = 0.0
@@ -412,6 +414,7 @@
     closed: bool = False
     reading: bool = False
     read_again: ids.Milliseconds = 0.0
+    shown: int = 0
 
 
 class Bucket(msgspec.Struct):
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gingerturn import routes
+from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
     events,
@@ -108,6 +109,73 @@
     assert state.freshness.proven == before
 
 
+def _newest(state: states.State, version: int, *, era: int) -> None:
+    """Let a node read the newest table of a log."""
+    table = keyed.table(version=version)
+    read = events.NewestRead(
+        now=state.now,
+        stream=streams.ROUTES,
+        records=(messages.encode_record(table),),
+        end=version,
+        asked=state.now,
+        generation=state.streams[streams.ROUTES].generation,
+        era=ids.LogEra(era),
+    )
+    reducer.reduce(state, read)
+
+
+# Guards against keys that were taken away and work again, since a log that lost the
+# table without them was believed to hold the newest.
+def test_a_log_that_lost_the_table_in_force_proves_nothing_until_it_has_a_later() -> (
+    None
+):
+    state = _node()
+    _newest(state, 2, era=5)
+    state.now += 1_000.0
+    proven = state.freshness.proven
+    _newest(state, 1, era=6)
+    assert state.freshness.proven == proven
+    state.now += 1_000.0
+    _newest(state, 3, era=6)
+    assert freshness.age(state) == 0.0
+
+
+def test_a_log_that_came_back_and_lost_nothing_proves_as_before() -> None:
+    state = _node()
+    _newest(state, 2, era=5)
+    state.now += 1_000.0
+    _newest(state, 2, era=6)
+    assert freshness.age(state) == 0.0
+
+
+def test_a_log_that_lacks_what_a_member_told_of_proves_nothing() -> None:
+    state = _node()
+    _newest(state, 2, era=5)
+    reducer.reduce(state, builders.datagram("home", _word(0, version=3)))
+    state.now += 1_000.0
+    proven = state.freshness.proven
+    _newest(state, 2, era=6)
+    assert state.freshness.proven == proven
+
+
+def test_an_offset_that_the_log_lacks_proves_nothing() -> None:
+    state = _node()
+    state.now += 1_000.0
+    proven = state.freshness.proven
+    missing = events.LogRead(
+        now=state.now,
+        stream=streams.ROUTES,
+        first=0,
+        records=(),
+        oldest=0,
+        end=0,
+        asked=state.now,
+        missing=True,
+    )
+    reducer.reduce(state, missing)
+    assert state.freshness.proven == proven
+
+
 def _asked(state: states.State) -> int:
     """Let time pass until a member is asked; return the number of the question."""
     for _ in range(30):
