Stand-in of the platform's store and soak: a store that comes back from a copy

- The stand-in goes back to a copy on request, tells its era in every answer, refuses reads from offsets that it does not have and ends those that it held open.
- The soak's step log-restored, up to three in a row, copies 0.2 to 4 s old, 0.5 s away, after which the operator publishes again.

--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -261,6 +261,31 @@
     assert f"digest {replayed}." in platform.log_of("plans-1")
 
 
+# Guards against readers that ask for ever for an offset which a restored store lacks.
+def test_a_store_that_comes_back_from_a_copy_is_followed_and_joined_again(
+    platform: platform_processes.Platform,
+) -> None:
+    platform.copy_store()
+    for _ in range(3):
+        lost = platform.configure(ROUTE, PORT)
+        _wait_version(platform, lost)
+    platform.restore_store()
+    # The store is shorter than before by two records.
+    moved = {**ROUTE, "service_name": "porting"}
+    _wait_version(platform, platform.configure(moved, PORT))
+    for machine in platform.machines.values():
+        assert _ask(machine, f"r-{machine.name}").content.startswith(b"porting")
+        assert "gingerturn_log_era 2\n" in machine.metrics()
+    platform.add("plans-3", service="plans")
+    platform.wait_ready()
+
+
+def _wait_version(platform: platform_processes.Platform, version: int) -> None:
+    line = f"gingerturn_route_version {version}\n"
+    machines = platform.machines.values()
+    platform.wait_until(lambda: all(line in m.metrics() for m in machines))
+
+
 def test_the_store_away_changes_nothing_for_requests_and_is_caught_up_later(
     platform: platform_processes.Platform,
 ) -> None:
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -29,6 +29,9 @@
 were told without it: calls that broke while the backend server was down took its place;
 test_calls_that_break_while_it_is_down_do_not_hide_what_ended_it."""
 
+RESTORED_SEED = 1
+"""The first whose schedule lets the log come back from a copy more than once."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_promises_hold_under_a_seeded_schedule(
@@ -51,3 +54,15 @@
     assert any(schedule.Kind.DEADLY.value in step for step in verdict.steps)
     assert verdict.broken == []
     assert verdict.served > 0
+
+
+def test_a_log_that_comes_back_from_a_copy_breaks_no_promise(
+    tmp_path: pathlib.Path,
+) -> None:
+    verdict = run.play(
+        RESTORED_SEED, tmp_path, machines=3, length_s=5.0, timing=False, restored=True
+    )
+    restored = schedule.Kind.LOG_RESTORED.value
+    assert sum(restored in step for step in verdict.steps) > 1
+    assert verdict.broken == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -37,7 +37,13 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         verdict = run.play(
-            seed, folder, machines=machines, length_s=length, timing=True, deadly=True
+            seed,
+            folder,
+            machines=machines,
+            length_s=length,
+            timing=True,
+            deadly=True,
+            restored=True,
         )
         click.echo(
             f"{verdict.served} of {verdict.attempts} served,"
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -24,6 +24,9 @@
 
 AFTER_S = 2.0
 DEADLY_PAUSE_S = 0.15
+RESTORE_S = 0.5
+"""How long the log is away when it goes back to a copy."""
+
 ROUTES_KEPT = 6
 """Versions whose routes a configuration still has."""
 
@@ -209,6 +212,16 @@
     async def _log_on_link(self, step: schedule.Step, fault: checks.Fault) -> None:
         await self._disturb(self._log_link, step)
 
+    async def _log_restored(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Bring the log back from a copy; the operator publishes again."""
+        await asyncio.to_thread(self._platform.copy_store)
+        await asyncio.sleep(step.lasts)
+        await asyncio.to_thread(self._platform.fault, down=True)
+        await asyncio.to_thread(self._platform.restore_store)
+        await asyncio.sleep(RESTORE_S)
+        await asyncio.to_thread(self._platform.fault, down=False)
+        self._configure()
+
     async def _change(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._configure()
 
@@ -321,6 +334,7 @@
     schedule.Kind.LOG_LINK: Run._log_on_link,
     schedule.Kind.CONFIGURE: Run._change,
     schedule.Kind.DEADLY: Run._deadly,
+    schedule.Kind.LOG_RESTORED: Run._log_restored,
 }
 
 
@@ -345,9 +359,16 @@
     length_s: float,
     timing: bool,
     deadly: bool = False,
+    restored: bool = False,
 ) -> Verdict:
     """Play the run of a seed."""
-    steps = schedule.draw(seed, machines=machines, length_s=length_s, deadly=deadly)
+    steps = schedule.draw(
+        seed,
+        machines=machines,
+        length_s=length_s,
+        deadly=deadly,
+        restored=restored,
+    )
     run = Run(folder, machines=machines)
     seen = asyncio.run(run.play(steps))
     return Verdict(
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -30,12 +30,15 @@
     CALLER_RESET = "caller-reset"
     CONFIGURE = "configure"
     DEADLY = "deadly"
+    LOG_RESTORED = "log-restored"
 
 
-DRAWN = [kind for kind in Kind if kind is not Kind.DEADLY]
-"""Deadly requests are drawn apart, so that the seeds that once broke a promise keep
+DRAWN_APART = frozenset({Kind.DEADLY, Kind.LOG_RESTORED})
+"""Drawn with chances of their own, so that the seeds that once broke a promise keep
 their schedules."""
 
+DRAWN = [kind for kind in Kind if kind not in DRAWN_APART]
+
 DEADLY_SHARE = 0.3
 """Of the runs that may have one."""
 
@@ -50,6 +53,12 @@
 SERIES = frozenset({Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.CONFIGURE})
 """These come in series too, with little time between."""
 
+RESTORED_SHARE = 0.5
+"""Of the runs in which the log may come back from a copy."""
+
+MOST_RESTORES = 3
+"""A log that came back may do so again a moment later."""
+
 QUIET_S = 2.0
 """Before the first step, so that all are ready."""
 
@@ -69,11 +78,17 @@
 
 
 def draw(
-    seed: int, *, machines: int, length_s: float, deadly: bool = False
+    seed: int,
+    *,
+    machines: int,
+    length_s: float,
+    deadly: bool = False,
+    restored: bool = False,
 ) -> list[Step]:
     """Return the steps of a run, in order of time.
 
     :param deadly: there may be a request that ends backend servers.
+    :param restored: the log may come back from a copy.
     """
     chance = random.Random(seed)
     steps: list[Step] = []
@@ -94,4 +109,21 @@
     if deadly and chance.random() < DEADLY_SHARE:
         at = round(chance.uniform(QUIET_S, length_s), 3)
         steps.append(Step(at=at, kind=Kind.DEADLY, target=0, lasts=DEADLY_S))
+    if restored:
+        steps += _restores(random.Random(f"restored {seed}"), length_s)
     return sorted(steps, key=lambda step: step.at)
+
+
+def _restores(chance: random.Random, length_s: float) -> list[Step]:
+    """Return the times at which the log goes back to a copy, and how old that is."""
+    if chance.random() >= RESTORED_SHARE:
+        return []
+    at = chance.uniform(QUIET_S, length_s)
+    steps = []
+    for _ in range(chance.randint(1, MOST_RESTORES)):
+        lasts = round(chance.uniform(0.2, 4.0), 3)
+        steps.append(
+            Step(at=round(at, 3), kind=Kind.LOG_RESTORED, target=0, lasts=lasts)
+        )
+        at += lasts + chance.uniform(0.5, 4.0)
+    return steps
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -203,6 +203,14 @@
         """Set faults of the store."""
         httpx.post(f"{self.store_url}/control", json=faults, trust_env=False)
 
+    def copy_store(self) -> None:
+        """Let the store keep a copy of what it holds."""
+        httpx.post(f"{self.store_url}/copy", trust_env=False)
+
+    def restore_store(self) -> None:
+        """Let the store go back to its copy."""
+        httpx.post(f"{self.store_url}/restore", trust_env=False)
+
     def wait_ready(self, timeout: float = 20.0) -> None:
         """Wait until every node is ready and knows every upstream."""
         wanted = len(self.machines)
--- a/tooling/gingerturn_standins/platform_store.py
+++ b/tooling/gingerturn_standins/platform_store.py
@@ -1,13 +1,16 @@
 """A stand-in for the platform's metadata store: keyed topics, and its faults.
 
 ``POST /control`` sets the faults; ``POST /operator`` writes the operator's
-configuration, which nodes may only read.
+configuration, which nodes may only read. ``POST /copy`` keeps a copy of all topics and
+``POST /restore`` goes back to it: what was written since is gone, and the era that each
+answer tells rises.
 """
 
 import asyncio
 import base64
 import collections
 import contextlib
+import copy
 import dataclasses
 import json
 import struct
@@ -86,10 +89,17 @@
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self._topics: dict[str, Topic] = {}
+        self._copy: dict[str, Topic] = {}
+        self._era = 1
         self._keep_s = keep_s
 
     async def handle(self, request: http_server.Request) -> http_server.Response:
-        """Serve a request."""
+        """Serve a request, and tell the era."""
+        response = await self._serve(request)
+        response.headers["Store-Era"] = str(self._era)
+        return response
+
+    async def _serve(self, request: http_server.Request) -> http_server.Response:
         parts = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         if parts.path == "/control":
@@ -97,6 +107,11 @@
         if parts.path == "/operator":
             self._topic("keyed.op").append(b"\x06config" + request.body, keyed=True)
             return http_server.Response(200, b"{}")
+        if parts.path == "/copy":
+            self._copy = _copied(self._topics)
+            return http_server.Response(200, b"{}")
+        if parts.path == "/restore":
+            return self._restore()
         self.calls[parts.path] += 1
         if self.faults.down:
             return http_server.Response(503, b"{}")
@@ -117,6 +132,14 @@
     def _topic(self, name: str) -> Topic:
         return self._topics.setdefault(name, Topic())
 
+    def _restore(self) -> http_server.Response:
+        before, self._topics = self._topics, _copied(self._copy)
+        self._era += 1
+        for topic in before.values():
+            # Reads that were held open end.
+            topic.changed.set()
+        return http_server.Response(200, b"{}")
+
     def _control(self, request: http_server.Request) -> http_server.Response:
         if request.method == "POST":
             for name, value in json.loads(request.body).items():
@@ -151,12 +174,14 @@
 
     async def _read(self, query: dict[str, str], topic: Topic) -> http_server.Response:
         wanted = int(query["from"])
-        if wanted < topic.first:
+        if not topic.first <= wanted <= topic.end:
             return _json(410, {"first_offset": topic.first})
         if wanted >= topic.end and int(query.get("wait_ms", 0)):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query["wait_ms"]) / 1000.0):
                     await topic.changed.wait()
+        if topic is not self._topics.get(query["topic"]):
+            raise http_server.NoAnswer
         if self.faults.down:
             return http_server.Response(503, b"{}")
         found = topic.records[max(0, wanted - topic.first) :]
@@ -179,6 +204,19 @@
         return _json(200, told)
 
 
+def _copied(topics: dict[str, Topic]) -> dict[str, Topic]:
+    """Return topics with the same records, for which nobody waits yet."""
+    return {
+        name: Topic(
+            first=topic.first,
+            records=list(topic.records),
+            times=list(topic.times),
+            newest=copy.copy(topic.newest),
+        )
+        for name, topic in topics.items()
+    }
+
+
 def _json(status: int, told: dict[str, object]) -> http_server.Response:
     return http_server.Response(status, json.dumps(told).encode())
 
