--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -169,6 +169,13 @@
     assert kinds == [schedule.Kind.DEADLY]
 
 
+def test_a_schedule_without_returns_of_the_log_is_what_it_was() -> None:
+    plain = schedule.draw(1, machines=4, length_s=5.0)
+    restored = schedule.draw(1, machines=4, length_s=5.0, restored=True)
+    kinds = {step.kind for step in restored if step not in plain}
+    assert kinds == {schedule.Kind.LOG_RESTORED}
+
+
 def test_a_seed_gives_the_same_schedule_again() -> None:
     first = schedule.draw(7, machines=4, length_s=10.0)
     assert first == schedule.draw(7, machines=4, length_s=10.0)
@@ -180,7 +187,9 @@
     drawn = {
         step.kind
         for seed in range(100)
-        for step in schedule.draw(seed, machines=4, length_s=10.0, deadly=True)
+        for step in schedule.draw(
+            seed, machines=4, length_s=10.0, deadly=True, restored=True
+        )
     }
     assert drawn == set(schedule.Kind)
 
