Claims: a key whose claim the log may have lost runs no more

What callers would see: an unrepeatable call that runs twice (a log of the product's own form; on the users' platform no claims are appended).

Cause: the right to run a key is won by order in the log. A log that came back from a copy without the claim gives it again: to a node that started since and knows only what the log still holds, and to the second of two claimants whose append arrived after the return. Keys that are derived have no time by which a reader could tell that it may have missed their claims.

Change: what is being claimed when the era rises is given up for good; a node that begins to read in an era after the first takes no key that was minted before; derived keys are refused for as long as the longest request of the configuration may last, also after records that expired unread.

The random test of faults with returns (120 examples) finds no second run; it had found none before either, since none of its examples restarts the home after the return.

--- a/src/gingerturn/internal/core/claims.py
+++ b/src/gingerturn/internal/core/claims.py
@@ -87,6 +87,16 @@
                 _lost(state, entry, claim.node, out)
 
 
+def on_log_restored(state: states.State, out: states.Effects) -> None:
+    """Give up the keys that are being claimed: the log may have lost an earlier claim
+    of another node, which runs the call, and would now put this one first."""
+    state.claim_batch.clear()
+    for entry in state.keys.values():
+        if entry.phase is states.KeyPhase.CLAIMING:
+            _give_up(state, entry, out)
+            entry.phase = states.KeyPhase.FOREIGN
+
+
 def check_waits(
     state: states.State, now: ids.Milliseconds, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/keys.py
+++ b/src/gingerturn/internal/core/keys.py
@@ -76,13 +76,20 @@
 
 def covered(state: states.State, hosted: states.Hosted) -> bool:
     """Tell whether this node has read every claim that could be of this key."""
-    if hosted.terms.key_derived:
-        return True
     stream = state.streams.get(stream_name(state.backend.service))
-    minted = minted_at(hosted.terms.key)
-    if stream is None or minted is None:
-        return False
-    return minted >= stream.covered_from
+    if stream is None:
+        return hosted.terms.key_derived
+    if hosted.terms.key_derived:
+        # It tells no time, but is not used for longer than its whole request lasts.
+        minted: float | None = state.now - _longest_request_ms(state)
+    else:
+        minted = minted_at(hosted.terms.key)
+    return minted is not None and minted >= stream.covered_from
+
+
+def _longest_request_ms(state: states.State) -> ids.Milliseconds:
+    rules = state.configuration.kinds()
+    return max((float(rule.timeout_ms) for rule in rules), default=0.0)
 
 
 def attach(state: states.State, hosted: states.Hosted) -> states.KeyEntry:
--- a/src/gingerturn/internal/core/log_eras.py
+++ b/src/gingerturn/internal/core/log_eras.py
@@ -11,6 +11,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    claims,
     freshness,
     joining,
     membership,
@@ -87,8 +88,11 @@
     before = known.era
     known.era = era
     known.highest = max(known.highest, era)
-    if era == before or not (before or known.is_unmarked):
+    if era == before:
+        return
+    if not before and not known.is_unmarked:
         # Nothing was read in another era. What is under way from one is found late.
+        streams.begin_in(state, era)
         return
     text = f"The log came back from an older copy: era {era} after {before}"
     outbox.warn(out, "log", f"{text}, as {source} tells.")
@@ -101,6 +105,7 @@
     state.log.restores += 1
     for stream in state.streams.values():
         streams.restart(state, stream)
+    claims.on_log_restored(state, out)
     freshness.on_log_restored(state)
     joining.write_again(state)
     quarantine.write_again(state)
--- a/tests/nocover/test_faults_property.py
+++ b/tests/nocover/test_faults_property.py
@@ -5,7 +5,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import events, routing
-from gingerturn_fakes import parts
+from gingerturn_fakes import fake_log, parts
 from tests.common import small
 
 NODES = ["porting-1", "porting-2", "provisioning-1", "plans-1"]
@@ -20,6 +20,7 @@
     st.tuples(st.just("backend"), SECONDS, st.sampled_from(NODES), st.floats(0.1, 3.0)),
     st.tuples(st.just("drain"), SECONDS, st.sampled_from(NODES), st.just(0.0)),
 )
+RESTORES = st.tuples(st.just("restore"), SECONDS, st.just(""), st.floats(0.02, 4.0))
 REQUESTS = st.lists(
     st.tuples(
         SECONDS,
@@ -129,6 +130,10 @@
             backend = made.nodes[name].backend
             made.at(begin, lambda: setattr(backend, "up", False))
             made.at(end, lambda: setattr(backend, "up", True))
+        elif kind == "restore":
+            copies: list[fake_log.Copy] = []
+            made.at(begin, lambda: copies.append(made.log.copy()))
+            made.at(end, lambda: made.log.restore(copies[0]))
         elif kind == "drain":
             made.at(begin, lambda: made.apply(name, events.StopRequested(now=made.now)))
 
@@ -153,3 +158,27 @@
     play.world.run(20_000.0)
     assert play.truth.twice == []
     assert play.truth.false_not_run == []
+
+
+# Guards against keys that run a second time since the log lost the claim of the first.
+@hypothesis.given(
+    seed=st.integers(0, 1000),
+    faults=st.lists(FAULTS, max_size=4),
+    restores=st.lists(RESTORES, min_size=1, max_size=3),
+    requests=REQUESTS,
+)
+@hypothesis.settings(
+    max_examples=120,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+def test_no_key_runs_twice_though_the_log_comes_back_from_copies(
+    seed: int, faults: list, restores: list, requests: list
+) -> None:
+    play = Play(seed)
+    for fault in [*faults, *restores]:
+        play.fault(*fault)
+    for request in requests:
+        play.request(*request)
+    play.world.run(20_000.0)
+    assert play.truth.twice == []
+    assert play.truth.false_not_run == []
