Configuration documents: publications after the log came back are in force, everywhere the same

What callers would see: a document that a team publishes after the return is confirmed nowhere and in force nowhere until the log is as long as before (a log of the product's own form); later, nodes with different documents under one revision.

Cause: the revision was the record's offset plus one, taken to grow for ever. And a set was taken over whole by its number, so that two sets of one revision never met.

Change - A record below the present revision whose base is the present one is new once the log came back; its revision is the present one plus one. - The accepted set is appended again at once by the member that does it anyway, so that a node which starts from the log has what was lost. - After a return gossip tells a digest of the documents (4 bytes, none before); two sets of one revision are merged, the later document of each team, and where those don't fit, one whole set. - A difference that does not lead to its digest is followed by the whole set; it was asked for again and again before.

Failed before: test_configuration_on_a_restored_log.py, among them random losses on both of its kinds of documents.

--- a/src/gingerturn/internal/core/log_eras.py
+++ b/src/gingerturn/internal/core/log_eras.py
@@ -17,6 +17,7 @@
     membership,
     outbox,
     quarantine,
+    revisions,
     state as states,
     streams,
 )
@@ -92,7 +93,7 @@
         return
     if not before and not known.is_unmarked:
         # Nothing was read in another era. What is under way from one is found late.
-        streams.begin_in(state, era)
+        streams.begin(state)
         return
     text = f"The log came back from an older copy: era {era} after {before}"
     outbox.warn(out, "log", f"{text}, as {source} tells.")
@@ -109,4 +110,5 @@
     freshness.on_log_restored(state)
     joining.write_again(state)
     quarantine.write_again(state)
+    revisions.on_log_restored(state)
     membership.push(state, out)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -176,7 +176,7 @@
         # A node that was restarted while the log was away hears from peers that it
         # does not know: their own records have long ceased to ride along.
         sync(state, host, port, "", out)
-    revisions.hear(state, sender, message.revision, out)
+    revisions.hear(state, sender, message.revision, message.config_digest, out)
     route_table.hear(state, sender, message.route_version, out)
 
 
@@ -300,6 +300,7 @@
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
         log_era=state.log.highest,
+        config_digest=revisions.word(state),
         members=member_table.updates(state),
         quarantine=quarantine_news.news(state),
         proven_age_ms=freshness.word(state),
@@ -369,6 +370,7 @@
             revision=state.revisions.revision,
             route_version=0 if state.routes is None else state.routes.version,
             log_era=state.log.highest,
+            config_digest=revisions.word(state),
             target=node,
         )
         out.append(
@@ -414,6 +416,7 @@
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
         log_era=state.log.highest,
+        config_digest=revisions.word(state),
         members=(me,) if me is not None else (),
         cursor=cursor,
     )
@@ -437,6 +440,7 @@
         revision=state.revisions.revision,
         route_version=0 if state.routes is None else state.routes.version,
         log_era=state.log.highest,
+        config_digest=revisions.word(state),
         members=tuple(members[name] for name in page),
         cursor=cursor,
     )
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -292,6 +292,8 @@
     :param proven_age_ms: how long ago that was certainly the newest; -1 if not known.
     :param caps: between a node and the keeper of caps.
     :param log_era: the highest era of the log that the sender knows.
+    :param config_digest: of the documents of that revision; 0 where nobody can have
+        others.
     """
 
     kind: GossipKind
@@ -305,6 +307,7 @@
     proven_age_ms: ids.Milliseconds = -1.0
     caps: CapMessage | None = None
     log_era: ids.LogEra = ids.LogEra(0)
+    config_digest: int = 0
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -3,9 +3,15 @@
 A publication names the revision at which its author saw the team's document
 last change. The first in offset order wins, a later one with the same base is a
 conflict; every reader decides this from the same records. The revision is the
-offset of the accepted record plus one, so it only ever grows.
+offset of the accepted record plus one, so it only ever grows. Where the log came back
+from an older copy and gives offsets out again, it is the present one plus one. Nodes
+that had read different records before may then give one revision to two sets; they
+tell them apart by their digests, and each takes the later document of each team.
 """
 
+import math
+import zlib
+
 from gingerturn import configuration, errors
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -17,6 +23,7 @@
     streams,
 )
 
+NO_REVISION = ids.Revision(0)
 HISTORY = 200
 SEEN = 1_000
 PUBLISH_WAIT_MS = 10_000.0
@@ -103,7 +110,7 @@
     if record.id in revisions.seen:
         return False
     _remember(revisions, record.id)
-    if revisions.revision > offset:
+    if revisions.revision > offset and not _is_new(state, record):
         _end_overtaken(state, offset, record, out)
         return False
     base = revisions.changed.get(record.team, 0)
@@ -112,14 +119,15 @@
     else:
         problem = _problem(state, record.team, record.text)
     if problem:
-        _note(state, offset, record, "refused")
+        _note(state, record, "refused")
         _end_pending(state, record.id, False, ids.Revision(base), problem, out)
         return False
     documents = dict(revisions.documents)
     documents[record.team] = record.text
-    revisions.changed[record.team] = offset + 1
-    _put_in_force(state, documents, ids.Revision(offset + 1), out)
-    _note(state, offset, record, "accepted")
+    revision = ids.Revision(max(offset, revisions.revision) + 1)
+    revisions.changed[record.team] = revision
+    _put_in_force(state, documents, revision, out)
+    _note(state, record, "accepted", revision)
     _end_pending(state, record.id, True, revisions.revision, "", out)
     return True
 
@@ -134,7 +142,7 @@
     revisions = state.revisions
     revisions.snapshot_at = state.now
     changed = False
-    if snapshot.revision > revisions.revision:
+    if _is_later(state, snapshot):
         changed = _adopt(state, snapshot, out)
         if not changed:
             return False
@@ -162,12 +170,28 @@
     )
 
 
+def word(state: states.State) -> int:
+    """Return what tells two sets of one revision apart, 0 where there can be no two."""
+    if not state.log.came_back:
+        return 0
+    return zlib.crc32(state.configuration.digest.encode())
+
+
 def hear(
-    state: states.State, node: ids.NodeId, revision: ids.Revision, out: states.Effects
+    state: states.State,
+    node: ids.NodeId,
+    revision: ids.Revision,
+    digest: int,
+    out: states.Effects,
 ) -> None:
-    """Fetch the configuration from a peer that has a later revision."""
+    """Fetch the configuration from a peer that has a later revision, or another set.
+
+    :param digest: the peer's :func:`word`.
+    """
     revisions = state.revisions
-    if revision <= revisions.revision:
+    own = word(state)
+    differs = revision == revisions.revision and own and digest and own != digest
+    if revision <= revisions.revision and not differs:
         return
     if state.now - revisions.fetched_at < FETCH_EVERY_MS:
         return
@@ -180,7 +204,9 @@
             node=node,
             host=member.host,
             port=member.peers_port,
-            since=revisions.revision,
+            since=NO_REVISION
+            if differs or revisions.fetch_whole
+            else revisions.revision,
         )
     )
 
@@ -232,6 +258,9 @@
     state: states.State, snapshot: messages.ConfigSnapshot, out: states.Effects
 ) -> bool:
     revisions = state.revisions
+    is_whole = snapshot.documents.keys() == snapshot.revisions.keys()
+    if state.log.came_back and is_whole:
+        return _merge(state, snapshot, out)
     documents = {
         team: text
         for team, text in revisions.documents.items()
@@ -240,12 +269,51 @@
     documents.update(snapshot.documents)
     if configuration.digest_of(documents) != snapshot.digest:
         outbox.warn(out, "config", f"Digest of revision {snapshot.revision} differs.")
+        revisions.fetch_whole = True
         return False
     revisions.changed = dict(snapshot.revisions)
     _put_in_force(state, documents, ids.Revision(snapshot.revision), out)
     return True
 
 
+def _is_later(state: states.State, snapshot: messages.ConfigSnapshot) -> bool:
+    """Tell whether a set is later than the present one, or another of its revision."""
+    revisions = state.revisions
+    if snapshot.revision != revisions.revision:
+        return snapshot.revision > revisions.revision
+    return state.log.came_back and snapshot.digest != state.configuration.digest
+
+
+def _merge(
+    state: states.State, snapshot: messages.ConfigSnapshot, out: states.Effects
+) -> bool:
+    """Take the later document of each team; where those don't fit together, one set."""
+    revisions = state.revisions
+    revisions.fetch_whole = False
+    own, told = revisions.documents, snapshot.documents
+    if configuration.digest_of(told) != snapshot.digest:
+        outbox.warn(out, "config", f"Digest of revision {snapshot.revision} differs.")
+        return False
+    documents, changed = dict(own), dict(revisions.changed)
+    for team, text in told.items():
+        at = snapshot.revisions[team]
+        if (at, text) > (changed.get(team, 0), own.get(team, "")):
+            documents[team], changed[team] = text, at
+    try:
+        configuration.Configuration(documents)
+    except errors.InvalidDocument:
+        present = (revisions.revision, state.configuration.digest)
+        if present > (snapshot.revision, snapshot.digest):
+            return False
+        documents, changed = dict(told), dict(snapshot.revisions)
+    revision = ids.Revision(max(snapshot.revision, revisions.revision))
+    if documents == own and revision == revisions.revision:
+        return False
+    revisions.changed = changed
+    _put_in_force(state, documents, revision, out)
+    return True
+
+
 def _put_in_force(
     state: states.State,
     documents: dict[str, str],
@@ -253,8 +321,8 @@
     out: states.Effects,
 ) -> None:
     """Put a set of documents in force as a whole."""
-    if revision <= state.revisions.revision:
-        raise AssertionError(f"revision {revision} is not later than the present one")
+    if revision < state.revisions.revision:
+        raise AssertionError(f"revision {revision} is earlier than the present one")
     state.configuration = configuration.Configuration(documents)
     state.membership.version += 1
     state.revisions.documents = documents
@@ -272,6 +340,19 @@
     return ""
 
 
+def on_log_restored(state: states.State) -> None:
+    """Append the accepted set anew, as the log may have lost a part of it."""
+    state.revisions.snapshot_at = -math.inf
+
+
+def _is_new(state: states.State, record: messages.PublishRecord) -> bool:
+    """Tell whether a record at an offset below the revision was appended after the log
+    came back, and not decided before it. What was decided has another base since."""
+    if not state.log.came_back:
+        return False
+    return record.base == state.revisions.changed.get(record.team, 0)
+
+
 def _is_overtaken(record: messages.PublishRecord, base: int) -> bool:
     return record.base != base
 
@@ -292,7 +373,7 @@
     """Tell an author whose record was decided by the sender of a snapshot."""
     changed = state.revisions.changed.get(record.team, 0)
     if changed == offset + 1:
-        _note(state, offset, record, "accepted")
+        _note(state, record, "accepted", ids.Revision(changed))
         _end_pending(state, record.id, True, ids.Revision(changed), "", out)
         return
     problem = f"conflict or overtaken: {record.team} changed at revision {changed}"
@@ -346,7 +427,10 @@
 
 
 def _note(
-    state: states.State, offset: int, record: messages.PublishRecord, outcome: str
+    state: states.State,
+    record: messages.PublishRecord,
+    outcome: str,
+    revision: ids.Revision = NO_REVISION,
 ) -> None:
     history = state.revisions.history
     history.append(
@@ -357,7 +441,7 @@
             subject=record.team,
             outcome=outcome,
             base=record.base,
-            revision=offset + 1 if outcome == "accepted" else 0,
+            revision=revision,
         )
     )
     del history[:-HISTORY]
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -585,6 +585,11 @@
     is_unmarked: bool = False
     restores: int = 0
 
+    @property
+    def came_back(self) -> bool:
+        """Whether the log came back from a copy, also before this node started."""
+        return self.restores > 0 or self.highest > ids.FIRST_LOG_ERA
+
 
 class Stream(msgspec.Struct):
     """Where this node stands in a stream of the log.
@@ -743,6 +748,7 @@
     :param based: the accepted set is complete up to ``revision``; a reader that
         begins in a log trimmed by retention is not, until it has a snapshot.
     :param undecided: publications read before that, decided after it.
+    :param fetch_whole: a peer's difference did not lead to its digest.
     """
 
     revision: ids.Revision = ids.Revision(0)
@@ -756,6 +762,7 @@
     undecided: list[tuple[int, messages.PublishRecord]] = []
     snapshot_at: ids.Milliseconds = 0.0
     fetched_at: ids.Milliseconds = 0.0
+    fetch_whole: bool = False
 
 
 class State:
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -23,9 +23,6 @@
 """A keyed stream is asked for again each second at the latest: what lapsed while the
 log was away is to be known again within two seconds of its return."""
 
-FIRST_ERA = ids.LogEra(1)
-"""That of a log that never came back from a copy."""
-
 CONFIG = "config"
 MEMBERS = "members"
 AUDIT = "audit"
@@ -49,7 +46,7 @@
         return
     stream = states.Stream(name=name, keyed=keyed, followed=followed)
     state.streams[name] = stream
-    begin_in(state, state.log.era)
+    begin(state)
     _read(stream, out)
 
 
@@ -102,10 +99,10 @@
         _read(stream, out)
 
 
-def begin_in(state: states.State, era: ids.LogEra) -> None:
-    """Take in that the streams that were not read yet begin in an era. A log that came
-    back before may have lost records that were appended until now."""
-    if era <= FIRST_ERA:
+def begin(state: states.State) -> None:
+    """Take in which streams were not read yet: a log that came back from a copy may
+    have lost records that were appended until now."""
+    if not state.log.came_back:
         return
     for stream in state.streams.values():
         if not stream.caught_up and not stream.covered_from:
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -42,6 +42,9 @@
 """How often the log came back from an older copy of itself, by its own count; 0 where
 it tells none."""
 
+FIRST_LOG_ERA = LogEra(1)
+"""That of a log that never came back from a copy."""
+
 MAX_LOG_ERA = 0xFFFF_FFFF
 
 Rank = typing.NewType("Rank", int)
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -54,6 +54,7 @@
     part.routeVersion = message.route_version
     part.provenAgeMs = message.proven_age_ms
     part.logEra = message.log_era
+    part.configDigest = message.config_digest
     if message.caps is not None:
         part.caps = msgspec.msgpack.encode(message.caps)
     _put_news(part, message.quarantine)
@@ -102,6 +103,7 @@
             proven_age_ms=part.provenAgeMs,
             caps=_CAPS_DECODER.decode(part.caps) if part.caps else None,
             log_era=ids.LogEra(part.logEra),
+            config_digest=part.configDigest,
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
     except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -47,4 +47,5 @@
   provenAgeMs @12 :Float32 = -1;
   caps @13 :Data;
   logEra @14 :UInt32;
+  configDigest @15 :UInt32;
 }
--- /dev/null
+++ b/tests/cover/test_configuration_on_a_restored_log.py
@@ -0,0 +1,210 @@
+"""Documents that teams publish on a log which comes back from an older copy.
+
+Revisions are numbered by the log's order, and the log gives its offsets out again. What
+was accepted stays in force, what is published next gets a later revision, and all nodes
+come to the same documents.
+"""
+
+import dataclasses
+import random
+
+import pytest
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    effects,
+    events,
+    messages,
+    reducer,
+    revisions,
+    state as states,
+    streams,
+)
+from tests.common import builders
+
+
+def _text(service: str) -> str:
+    return f'[[service]]\nname = "{service}"\n'
+
+
+def _record(
+    name: str, team: str, base: int, service: str = ""
+) -> messages.PublishRecord:
+    return messages.PublishRecord(
+        id=name,
+        team=team,
+        author="me",
+        base=base,
+        text=_text(service or f"{team}-{name}"),
+        at=builders.START,
+    )
+
+
+@dataclasses.dataclass
+class _Log:
+    """The configuration stream, and in which era it is."""
+
+    records: list[object] = dataclasses.field(default_factory=list)
+    era: int = 1
+
+    def restore(self, count: int) -> None:
+        """Come back with only the first records."""
+        del self.records[count:]
+        self.era += 1
+
+    def read_by(self, state: states.State) -> list[effects.Effect]:
+        """Let a node read to the end; a second time if the era was news."""
+        out: list[effects.Effect] = []
+        for _ in range(2):
+            stream = state.streams[streams.CONFIG]
+            first = stream.offset
+            out += reducer.reduce(
+                state,
+                events.LogRead(
+                    now=state.now,
+                    stream=streams.CONFIG,
+                    first=first,
+                    records=tuple(map(messages.encode_record, self.records[first:])),
+                    oldest=0,
+                    end=len(self.records),
+                    generation=stream.generation,
+                    era=ids.LogEra(self.era),
+                ),
+            )
+        return out
+
+
+def _node(name: str = "n1") -> states.State:
+    return builders.node_state(name)
+
+
+def _publish(
+    log: _Log, name: str, team: str, state: states.State, service: str = ""
+) -> None:
+    """Append a publication of an author who saw what a node has in force."""
+    base = state.revisions.changed.get(team, 0)
+    log.records.append(_record(name, team, base, service))
+
+
+def _fetch(state: states.State, other: states.State) -> None:
+    """Let a node hear of another's revision, and fetch what it lacks."""
+    message = messages.Gossip(
+        kind=messages.GossipKind.ACK,
+        sequence=0,
+        revision=other.revisions.revision,
+        log_era=other.log.highest,
+        config_digest=revisions.word(other),
+    )
+    state.now += revisions.FETCH_EVERY_MS
+    sender = str(other.node)
+    out = reducer.reduce(state, builders.datagram(sender, message, now=state.now))
+    for effect in builders.all_of(out, effects.FetchSnapshot):
+        told = revisions.snapshot(other, since=effect.since)
+        received = events.SnapshotReceived(now=state.now, snapshot=told)
+        reducer.reduce(state, received)
+
+
+# Guards against a publication that nobody puts in force after the log came back, since
+# its offset is lower than the revision in force.
+def test_what_is_published_after_the_return_is_in_force_by_a_later_revision() -> None:
+    log, node = _Log(), _node()
+    for name in ("a", "b", "c"):
+        _publish(log, name, "shop", node)
+        log.read_by(node)
+    assert node.revisions.revision == 3
+    log.restore(1)
+    _publish(log, "d", "shop", node)
+    log.read_by(node)
+    assert node.revisions.revision == 4
+    assert node.revisions.documents == {"shop": _text("shop-d")}
+
+
+def test_what_was_accepted_stays_in_force_and_is_written_again() -> None:
+    log, node = _Log(), _node()
+    for name in ("a", "b"):
+        _publish(log, name, "shop", node)
+        log.read_by(node)
+    log.restore(1)
+    out = log.read_by(node)
+    assert node.revisions.documents == {"shop": _text("shop-b")}
+    out += builders.passed(node, 1_500.0)
+    written = [
+        messages.decode_record(effect.record)
+        for effect in builders.all_of(out, effects.Append)
+        if effect.stream == streams.CONFIG
+    ]
+    assert [record.revision for record in written] == [2]
+    # A node that starts anew has it from there.
+    log.records += written
+    started = _node("n2")
+    log.read_by(started)
+    assert started.revisions.documents == {"shop": _text("shop-b")}
+
+
+def test_an_old_record_that_is_read_again_changes_nothing() -> None:
+    log, node = _Log(), _node()
+    for name in ("a", "b"):
+        _publish(log, name, "shop", node)
+        log.read_by(node)
+    node.revisions.seen.clear()
+    log.restore(2)
+    log.read_by(node)
+    assert node.revisions.revision == 2
+    assert node.revisions.documents == {"shop": _text("shop-b")}
+
+
+def test_a_difference_that_does_not_fit_is_followed_by_the_whole() -> None:
+    log, one, other = _Log(), _node("n1"), _node("n2")
+    builders.add_members(one, builders.member("n2", "plans"))
+    _publish(log, "a", "shop", other)
+    log.read_by(one)
+    log.read_by(other)
+    # The one publication that only the other read is lost; the next has its number.
+    _publish(log, "b", "shop", other)
+    log.read_by(other)
+    log.restore(1)
+    _publish(log, "c", "mill", other)
+    log.read_by(one)
+    log.read_by(other)
+    for _ in range(3):
+        _fetch(one, other)
+    assert one.revisions.documents == other.revisions.documents
+    assert one.revisions.revision == other.revisions.revision
+
+
+@pytest.mark.parametrize("services", [["one", "two"], []], ids=["clash", "apart"])
+@pytest.mark.parametrize("seed", range(60))
+def test_nodes_come_to_the_same_documents_whatever_the_log_loses(
+    seed: int, services: list[str]
+) -> None:
+    """Two documents that name the same service don't fit together."""
+    chance = random.Random(seed)
+    log = _Log()
+    nodes = [_node(f"n{number}") for number in range(3)]
+    for node in nodes:
+        others = [n for n in nodes if n is not node]
+        members = [builders.member(str(other.node), "plans") for other in others]
+        builders.add_members(node, *members)
+    for number in range(30):
+        step = chance.random()
+        node = chance.choice(nodes)
+        if step < 0.4:
+            service = chance.choice(services) if services else ""
+            _publish(log, f"p{number}", chance.choice(["shop", "mill"]), node, service)
+        elif step < 0.5:
+            log.restore(chance.randint(0, len(log.records)))
+        elif step < 0.7:
+            _fetch(node, chance.choice([n for n in nodes if n is not node]))
+        before = node.revisions.revision
+        log.read_by(node)
+        assert node.revisions.revision >= before
+    for _ in range(4):
+        for node in nodes:
+            log.read_by(node)
+            for other in nodes:
+                if other is not node:
+                    _fetch(node, other)
+    revision = {node.revisions.revision for node in nodes}
+    assert len(revision) == 1
+    digests = {node.configuration.digest for node in nodes}
+    assert len(digests) == 1
