--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -127,10 +127,10 @@
             if name.lower() != self._era_header:
                 continue
             text = value.strip()
-            era = int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else 0
-            if 0 < era <= ids.MAX_LOG_ERA:
+            era = int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else -1
+            if 0 <= era <= ids.MAX_LOG_ERA:
                 return era
-            problem = f"{value[:80]!r} is no number from 1 to {ids.MAX_LOG_ERA}"
+            problem = f"{value[:80]!r} is no number from 0 to {ids.MAX_LOG_ERA}"
             logs.pass_over("Header", name, problem)
         return 0
 
