--- a/src/gingerturn/errors.py
+++ b/src/gingerturn/errors.py
@@ -54,7 +54,7 @@
 
     :param took_effect: ``False`` only when it is certain that nothing was
         appended; ``None`` when that cannot be known.
-    :param era: the log's era that the refusal told; 0 where there was none.
+    :param epoch: the log's epoch that the refusal told; 0 where there was none.
     """
 
     def __init__(
@@ -64,11 +64,11 @@
         step: str,
         peer: str,
         took_effect: bool | None,
-        era: int = 0,
+        epoch: int = 0,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.took_effect = took_effect
-        self.era = era
+        self.epoch = epoch
 
 
 class PublishRefused(GingerturnError):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -242,7 +242,7 @@
     :param extra: it was made beside the reads by which the stream is followed.
     :param missing: the log does not hold the offset that was asked for.
     :param generation: as in the effect that asked for it.
-    :param era: of the log that answered.
+    :param epoch: of the log that answered.
     """
 
     stream: str
@@ -255,7 +255,7 @@
     extra: bool = False
     missing: bool = False
     generation: int = 0
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class NewestRead(Event, frozen=True):
@@ -264,7 +264,7 @@
     :param end: the offset from which to read on.
     :param asked: when the read began; 0 if not known.
     :param generation: as in the effect that asked for it.
-    :param era: of the log that answered.
+    :param epoch: of the log that answered.
     """
 
     stream: str
@@ -272,27 +272,27 @@
     end: int
     asked: ids.Milliseconds = 0.0
     generation: int = 0
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class PutDone(Event, frozen=True):
     """The log acknowledged a record under a key.
 
-    :param era: of the log that took it.
+    :param epoch: of the log that took it.
     """
 
     put: int
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class PutFailed(Event, frozen=True):
     """A record under a key was not acknowledged; it may have taken effect.
 
-    :param era: of the log that refused it, if one did.
+    :param epoch: of the log that refused it, if one did.
     """
 
     put: int
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class LogReadFailed(Event, frozen=True):
@@ -300,36 +300,36 @@
 
     :param extra: as in :class:`LogRead`.
     :param generation: as in the effect that asked for it.
-    :param era: of the log that refused it, if one did.
+    :param epoch: of the log that refused it, if one did.
     """
 
     stream: str
     extra: bool = False
     generation: int = 0
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class AppendDone(Event, frozen=True):
     """The log acknowledged an append.
 
-    :param era: of the log that took it.
+    :param epoch: of the log that took it.
     """
 
     append: int
     offset: int
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class AppendFailed(Event, frozen=True):
     """An append was not acknowledged.
 
     :param certain: it is certain that nothing was appended.
-    :param era: of the log that refused it, if one did.
+    :param epoch: of the log that refused it, if one did.
     """
 
     append: int
     certain: bool
-    era: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
 class DatagramReceived(Event, frozen=True):
--- a/src/gingerturn/internal/core/freshness.py
+++ b/src/gingerturn/internal/core/freshness.py
@@ -9,7 +9,7 @@
 after that, however long it lay in a socket, a frozen process or a suspended machine; a
 word that comes unasked proves nothing, as it may have been under way for any time.
 
-A log that came back from an older copy may lack the latest tables until operators have
+A log that was restored from a backup may lack the latest tables until operators have
 published them again, so its end proves something only once it has shown one as late as
 any that this node or a member knows.
 
--- a/src/gingerturn/internal/core/freshness_renewal.py
+++ b/src/gingerturn/internal/core/freshness_renewal.py
@@ -101,7 +101,7 @@
     if stream is None or known.reading or state.now < known.read_again:
         return
     if not stream.caught_up:
-        # Nothing was read since the log came back from a copy, or since the start.
+        # Nothing was read since the log was restored from a backup, or since the start.
         streams.reread(state, streams.ROUTES)
         return
     known.reading = True
--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -25,8 +25,8 @@
 parted network gave each other up, nothing else would bring them together."""
 
 WRITES_PER_SECOND = 100.0
-"""Join records that all nodes together write after the log came back from a copy: a
-quarter of the calls that it takes, at a time when it has just returned."""
+"""Join records that all nodes together write after the log was restored from a backup:
+a quarter of the writes that it takes, at a time when it has just come up."""
 
 RECENT_START_MS = 30_000.0
 """Whoever started longer ago has been heard of by all others."""
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -291,7 +291,7 @@
     :param route_version: version of the route table that it has in force.
     :param proven_age_ms: how long ago that was certainly the newest; -1 if not known.
     :param caps: between a node and the keeper of caps.
-    :param log_era: the highest era of the log that the sender knows.
+    :param log_epoch: the highest epoch of the log that the sender knows.
     :param config_digest: of the documents of that revision; 0 where nobody can have
         others.
     """
@@ -306,7 +306,7 @@
     quarantine: QuarantineNews = NO_QUARANTINE_NEWS
     proven_age_ms: ids.Milliseconds = -1.0
     caps: CapMessage | None = None
-    log_era: ids.LogEra = ids.LogEra(0)
+    log_epoch: ids.LogEpoch = ids.LogEpoch(0)
     config_digest: int = 0
 
 
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -26,7 +26,7 @@
     joining,
     keys,
     level_control,
-    log_eras,
+    log_epochs,
     membership,
     messages,
     outbox,
@@ -188,7 +188,7 @@
     """Tell whether an answer tells of the log as it is now."""
     if event.generation != stream.generation:
         return False
-    if log_eras.accept(state, event.era, out):
+    if log_epochs.accept(state, event.epoch, out):
         return True
     if event.generation == stream.generation and not _is_extra(event):
         streams.failed(state, stream, out)
@@ -207,14 +207,14 @@
 ) -> None:
     """Take in records that were read from an offset."""
     if event.generation != stream.generation:
-        # Read from an offset of the era before.
+        # Read from an offset of the epoch before.
         return
     streams.note_missing(stream, event, out)
     if event.missing:
         if event.first > stream.offset or stream.missing > 1:
-            streams.skip_missing(state, stream, event.first, out)
+            streams.skip_missing(state, stream, event.first)
         else:
-            log_eras.on_shorter(state, stream, event.first, out)
+            log_epochs.on_shorter(state, stream, event.first, out)
         return
     start = stream.offset
     gap = streams.advance(
@@ -297,8 +297,8 @@
 def _on_put_done(
     state: states.State, event: events.PutDone, out: states.Effects
 ) -> None:
-    log_eras.hear(state, event.era, "a put", out)
-    lasts = not log_eras.is_outlived(state, event.era)
+    log_epochs.hear(state, event.epoch, "a put", out)
+    lasts = not log_epochs.is_earlier(state, event.epoch)
     quarantine.on_saved(state, event.put, done=lasts)
     joining.on_put_ended(state, event.put, out, done=lasts)
     streams.resume(state, out)
@@ -307,7 +307,7 @@
 def _on_put_failed(
     state: states.State, event: events.PutFailed, out: states.Effects
 ) -> None:
-    log_eras.hear(state, event.era, "a put", out)
+    log_epochs.hear(state, event.epoch, "a put", out)
     quarantine.on_saved(state, event.put, done=False)
     joining.on_put_ended(state, event.put, out, done=False)
 
@@ -333,7 +333,7 @@
 def _on_log_read_failed(
     state: states.State, event: events.LogReadFailed, out: states.Effects
 ) -> None:
-    log_eras.hear(state, event.era, "a refused read", out)
+    log_epochs.hear(state, event.epoch, "a refused read", out)
     if event.extra:
         freshness_renewal.on_read_ended(state)
         return
@@ -345,7 +345,7 @@
 def _on_append_done(
     state: states.State, event: events.AppendDone, out: states.Effects
 ) -> None:
-    log_eras.hear(state, event.era, "an append", out)
+    log_epochs.hear(state, event.epoch, "an append", out)
     # The acknowledgement decides nothing: claims and publications count when they
     # are read back in the log's order.
     quarantine.on_saved(state, event.append, done=True)
@@ -355,7 +355,7 @@
 def _on_append_failed(
     state: states.State, event: events.AppendFailed, out: states.Effects
 ) -> None:
-    log_eras.hear(state, event.era, "an append", out)
+    log_epochs.hear(state, event.epoch, "an append", out)
     if quarantine.on_saved(state, event.append, done=False):
         return
     if event.append in state.appends:
@@ -377,7 +377,7 @@
     if isinstance(told, messages.CapHandover):
         caps.on_handover(state, event.sender, told, out)
         return
-    log_eras.hear(state, event.message.log_era, event.sender, out)
+    log_epochs.hear(state, event.message.log_epoch, event.sender, out)
     membership.on_gossip(
         state, event.sender, event.host, event.port, event.message, out
     )
--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -3,10 +3,10 @@
 A publication names the revision at which its author saw the team's document
 last change. The first in offset order wins, a later one with the same base is a
 conflict; every reader decides this from the same records. The revision is the
-offset of the accepted record plus one, so it only ever grows. Where the log came back
-from an older copy and gives offsets out again, it is the present one plus one. Nodes
-that had read different records before may then give one revision to two sets; they
-tell them apart by their digests, and each takes the later document of each team.
+offset of the accepted record plus one, so it only ever grows. Where the log was
+restored from a backup and gives offsets out again, it is the present one plus one.
+Nodes that had read different records before may then give one revision to two sets;
+they tell them apart by their digests, and each takes the later document of each team.
 """
 
 import math
@@ -172,7 +172,7 @@
 
 def word(state: states.State) -> int:
     """Return what tells two sets of one revision apart, 0 where there can be no two."""
-    if not state.log.came_back:
+    if not state.log.was_restored:
         return 0
     return zlib.crc32(state.configuration.digest.encode())
 
@@ -259,7 +259,7 @@
 ) -> bool:
     revisions = state.revisions
     is_whole = snapshot.documents.keys() == snapshot.revisions.keys()
-    if state.log.came_back and is_whole:
+    if state.log.was_restored and is_whole:
         return _merge(state, snapshot, out)
     documents = {
         team: text
@@ -281,7 +281,7 @@
     revisions = state.revisions
     if snapshot.revision != revisions.revision:
         return snapshot.revision > revisions.revision
-    return state.log.came_back and snapshot.digest != state.configuration.digest
+    return state.log.was_restored and snapshot.digest != state.configuration.digest
 
 
 def _merge(
@@ -347,8 +347,8 @@
 
 def _is_new(state: states.State, record: messages.PublishRecord) -> bool:
     """Tell whether a record at an offset below the revision was appended after the log
-    came back, and not decided before it. What was decided has another base since."""
-    if not state.log.came_back:
+    was restored, and not decided before. What was decided has another base since."""
+    if not state.log.was_restored:
         return False
     return record.base == state.revisions.changed.get(record.team, 0)
 
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -403,8 +403,8 @@
     :param closed: it was written that no key is let in.
     :param reading: an extra read of the log is under way.
     :param read_again: not before this.
-    :param shown: the latest version that the log showed since it last came back from
-        an older copy.
+    :param shown: the latest version that the log showed since it was last restored from
+        a backup.
     """
 
     revoke_ms: ids.Milliseconds = 0.0
@@ -568,27 +568,27 @@
 
 
 class LogHistory(msgspec.Struct):
-    """What this node knows of the log's era; see :mod:`.log_eras`.
+    """What this node knows of the log's epoch; see :mod:`.log_epochs`.
 
-    Invariant: ``highest`` never goes down, and ``era`` is no higher.
+    Invariant: ``highest`` never goes down, and ``epoch`` is no higher.
 
-    :param era: that of the log as it answers this node; 0 before it told one.
+    :param epoch: that of the log as it answers this node; 0 before it told one.
     :param highest: the highest that the log or a member told.
     :param lower: answers in a row that told of an earlier one.
-    :param is_unmarked: the log was read from while it told none.
-    :param restores: how often it came back from an older copy while this node ran.
+    :param saw_none: the log was read from while it told none.
+    :param restores: how often it was restored from a backup while this node ran.
     """
 
-    era: ids.LogEra = ids.LogEra(0)
-    highest: ids.LogEra = ids.LogEra(0)
+    epoch: ids.LogEpoch = ids.LogEpoch(0)
+    highest: ids.LogEpoch = ids.LogEpoch(0)
     lower: int = 0
-    is_unmarked: bool = False
+    saw_none: bool = False
     restores: int = 0
 
     @property
-    def came_back(self) -> bool:
-        """Whether the log came back from a copy, also before this node started."""
-        return self.restores > 0 or self.highest > ids.FIRST_LOG_ERA
+    def was_restored(self) -> bool:
+        """Whether the log was restored from a backup, also before this node started."""
+        return self.restores > 0 or self.highest > ids.FIRST_LOG_EPOCH
 
 
 class Stream(msgspec.Struct):
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -46,7 +46,7 @@
         return
     stream = states.Stream(name=name, keyed=keyed, followed=followed)
     state.streams[name] = stream
-    begin(state)
+    cover_from_now(state)
     _read(stream, out)
 
 
@@ -99,10 +99,10 @@
         _read(stream, out)
 
 
-def begin(state: states.State) -> None:
-    """Take in which streams were not read yet: a log that came back from a copy may
-    have lost records that were appended until now."""
-    if not state.log.came_back:
+def cover_from_now(state: states.State) -> None:
+    """Count the streams that were not read yet as covered from now on only: a log that
+    was restored from a backup may lack records that were appended before."""
+    if not state.log.was_restored:
         return
     for stream in state.streams.values():
         if not stream.caught_up and not stream.covered_from:
@@ -113,6 +113,7 @@
     """Read a stream anew: no offset that was known of it holds any more."""
     stream.generation += 1
     stream.reading = False
+    stream.outdated = False
     stream.caught_up = False
     stream.offset = 0
     stream.retry_at = state.now
@@ -121,9 +122,7 @@
     stream.covered_from = state.now
 
 
-def skip_missing(
-    state: states.State, stream: states.Stream, first: int, out: states.Effects
-) -> None:
+def skip_missing(state: states.State, stream: states.Stream, first: int) -> None:
     """Read on behind records that the log dropped.
 
     :param first: the first offset that it holds.
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -38,14 +38,14 @@
 Revision = typing.NewType("Revision", int)
 """Revision of the configuration; 0 is the state before the first one."""
 
-LogEra = typing.NewType("LogEra", int)
-"""How often the log came back from an older copy of itself, by its own count; 0 where
+LogEpoch = typing.NewType("LogEpoch", int)
+"""How often the log was restored from a backup, by its own count; 0 where
 it tells none."""
 
-FIRST_LOG_ERA = LogEra(1)
-"""That of a log that never came back from a copy."""
+FIRST_LOG_EPOCH = LogEpoch(1)
+"""That of a log that was never restored from a backup."""
 
-MAX_LOG_ERA = 0xFFFF_FFFF
+MAX_LOG_EPOCH = 0xFFFF_FFFF
 
 Rank = typing.NewType("Rank", int)
 """The place of a call in the shedding order; see :mod:`.core.ranks`."""
--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -15,7 +15,7 @@
 from gingerturn.internal.shell import sockets
 
 HTTP_OK = 200
-MAX_ERA_DIGITS = 10
+MAX_EPOCH_DIGITS = 10
 _FAILURES = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -29,12 +29,12 @@
 class Answer(msgspec.Struct, frozen=True):
     """What the service answered.
 
-    :param era: of the log, 0 where the answer tells none.
+    :param epoch: of the log, 0 where the answer tells none.
     """
 
     status: int
     content: bytes
-    era: int = 0
+    epoch: int = 0
 
 
 class Peer:
@@ -43,14 +43,14 @@
     :param url: scheme and address.
     :param timeout_ms: within which a call that does not wait is answered.
     :param connections: kept open while idle.
-    :param era_header: name of the header with the log's era, in lower case.
+    :param epoch_header: name of the header with the log's epoch, in lower case.
     """
 
     def __init__(
-        self, url: str, *, timeout_ms: float, era_header: bytes, connections: int = 2
+        self, url: str, *, timeout_ms: float, epoch_header: bytes, connections: int = 2
     ) -> None:
         self._url = url
-        self._era_header = era_header
+        self._epoch_header = epoch_header
         self._timeout_s = timeout_ms / 1000.0
         self._pool = httpcore.AsyncConnectionPool(
             max_keepalive_connections=connections, socket_options=sockets.OPTIONS
@@ -89,7 +89,7 @@
             raise self.error(step, repr(error), took_effect=False) from None
         except _FAILURES as error:
             raise self.error(step, repr(error), took_effect=None) from None
-        return Answer(answer.status, answer.content, self._era(answer.headers))
+        return Answer(answer.status, answer.content, self._epoch(answer.headers))
 
     def check(
         self, answer: Answer, step: str, *, took_effect: bool | None = False
@@ -101,7 +101,7 @@
         """
         if answer.status != HTTP_OK:
             text = f"status {answer.status}"
-            raise self.error(step, text, took_effect=took_effect, era=answer.era)
+            raise self.error(step, text, took_effect=took_effect, epoch=answer.epoch)
 
     def decode(self, answer: Answer, kind: type[_T], step: str) -> _T:
         """Return what a JSON answer says.
@@ -114,23 +114,24 @@
             raise self.error(step, str(error), took_effect=None) from None
 
     def error(
-        self, step: str, text: str, *, took_effect: bool | None, era: int = 0
+        self, step: str, text: str, *, took_effect: bool | None, epoch: int = 0
     ) -> errors.LogServiceError:
         """Return the error of a call on this service."""
         return errors.LogServiceError(
-            text, step=step, peer=self._url, took_effect=took_effect, era=era
+            text, step=step, peer=self._url, took_effect=took_effect, epoch=epoch
         )
 
-    def _era(self, headers: list[tuple[bytes, bytes]]) -> int:
-        """Return the log's era; 0 where the header is missing or no whole number."""
+    def _epoch(self, headers: list[tuple[bytes, bytes]]) -> int:
+        """Return the log's epoch; 0 where the header is missing or no whole number."""
         for name, value in headers:
-            if name.lower() != self._era_header:
+            if name.lower() != self._epoch_header:
                 continue
             text = value.strip()
-            era = int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else -1
-            if 0 <= era <= ids.MAX_LOG_ERA:
-                return era
-            problem = f"{value[:80]!r} is no number from 0 to {ids.MAX_LOG_ERA}"
+            is_number = text.isdigit() and len(text) <= MAX_EPOCH_DIGITS
+            epoch = int(text) if is_number else -1
+            if 0 <= epoch <= ids.MAX_LOG_EPOCH:
+                return epoch
+            problem = f"{value[:80]!r} is no number from 0 to {ids.MAX_LOG_EPOCH}"
             logs.pass_over("Header", name, problem)
         return 0
 
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -12,8 +12,8 @@
 """Records asked for in one read."""
 
 
-ERA_HEADER = b"log-era"
-"""The service counts in it how often it came back from an older copy."""
+EPOCH_HEADER = b"log-epoch"
+"""The service counts in it how often it was restored from a backup."""
 
 
 class Reply(msgspec.Struct):
@@ -50,7 +50,7 @@
             chosen.url.rstrip("/"),
             timeout_ms=chosen.timeout_ms,
             connections=8,
-            era_header=ERA_HEADER,
+            epoch_header=EPOCH_HEADER,
         )
 
     async def read(
@@ -80,7 +80,7 @@
             end=reply.end,
             contents=self._contents(reply.records, step),
             held_ms=wait_ms,
-            era=answer.era,
+            epoch=answer.epoch,
         )
 
     async def newest(self, stream: str) -> log_service.Newest:
@@ -94,7 +94,7 @@
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, Reply, step)
         contents = self._contents(reply.records, step)
-        return log_service.Newest(contents=contents, end=reply.end, era=answer.era)
+        return log_service.Newest(contents=contents, end=reply.end, epoch=answer.epoch)
 
     async def put(self, stream: str, key: str, record: bytes) -> log_service.Appended:
         """Append a record under a key; an empty one drops the key.
@@ -121,7 +121,7 @@
         refused = answer.status == 503 or 400 <= answer.status < 500
         self._peer.check(answer, step, took_effect=False if refused else None)
         offset = self._peer.decode(answer, AppendReply, step).offset
-        return log_service.Appended(offset, answer.era)
+        return log_service.Appended(offset, answer.epoch)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -68,7 +68,7 @@
                     stream=stream,
                     extra=effect.extra,
                     generation=effect.generation,
-                    era=ids.LogEra(error.era),
+                    epoch=ids.LogEpoch(error.epoch),
                 )
             )
             return
@@ -86,7 +86,7 @@
                 extra=effect.extra,
                 missing=reply.missing or reply.end < effect.offset,
                 generation=effect.generation,
-                era=ids.LogEra(reply.era),
+                epoch=ids.LogEpoch(reply.epoch),
             )
         )
 
@@ -105,7 +105,7 @@
                     now=clock.now(),
                     stream=stream,
                     generation=effect.generation,
-                    era=ids.LogEra(error.era),
+                    epoch=ids.LogEpoch(error.epoch),
                 )
             )
             return
@@ -117,7 +117,7 @@
                 end=reply.end,
                 asked=asked,
                 generation=effect.generation,
-                era=ids.LogEra(reply.era),
+                epoch=ids.LogEpoch(reply.epoch),
             )
         )
 
@@ -129,11 +129,13 @@
             done = await self._service.put(effect.stream, effect.key, effect.record)
         except errors.LogServiceError as error:
             logs.write("WARNING", "log", f"{error}.")
-            era = ids.LogEra(error.era)
-            self._node.apply(events.PutFailed(now=clock.now(), put=effect.put, era=era))
+            epoch = ids.LogEpoch(error.epoch)
+            self._node.apply(
+                events.PutFailed(now=clock.now(), put=effect.put, epoch=epoch)
+            )
             return
-        era = ids.LogEra(done.era)
-        self._node.apply(events.PutDone(now=clock.now(), put=effect.put, era=era))
+        epoch = ids.LogEpoch(done.epoch)
+        self._node.apply(events.PutDone(now=clock.now(), put=effect.put, epoch=epoch))
 
     def _append(self, effect: effects.Append) -> None:
         self._node.spawn(self._append_record(effect))
@@ -149,7 +151,7 @@
                     now=clock.now(),
                     append=effect.append,
                     certain=certain,
-                    era=ids.LogEra(error.era),
+                    epoch=ids.LogEpoch(error.epoch),
                 )
             )
             return
@@ -158,7 +160,7 @@
                 now=clock.now(),
                 append=effect.append,
                 offset=done.offset,
-                era=ids.LogEra(done.era),
+                epoch=ids.LogEpoch(done.epoch),
             )
         )
 
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -98,7 +98,7 @@
     version = 0 if state.routes is None else state.routes.version
     add("route_version", "gauge", ("", version))
     add("log_reads_missing_total", "counter", *_missing(state))
-    add("log_era", "gauge", ("", state.log.highest))
+    add("log_epoch", "gauge", ("", state.log.highest))
     add("log_restores_total", "counter", ("", state.log.restores))
     add("requests_held", "gauge", ("", len(state.caps.held)))
     add("cap_share_kept", "gauge", ("", state.cap_keeper.share))
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -53,7 +53,7 @@
     part.cursor = message.cursor
     part.routeVersion = message.route_version
     part.provenAgeMs = message.proven_age_ms
-    part.logEra = message.log_era
+    part.logEpoch = message.log_epoch
     part.configDigest = message.config_digest
     if message.caps is not None:
         part.caps = msgspec.msgpack.encode(message.caps)
@@ -102,7 +102,7 @@
             quarantine=_news(part),
             proven_age_ms=part.provenAgeMs,
             caps=_CAPS_DECODER.decode(part.caps) if part.caps else None,
-            log_era=ids.LogEra(part.logEra),
+            log_epoch=ids.LogEpoch(part.logEpoch),
             config_digest=part.configDigest,
         )
         return ids.NodeId(part.sender), part.sentAtMs, message
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -46,6 +46,6 @@
   quarantineDigest @11 :UInt32;
   provenAgeMs @12 :Float32 = -1;
   caps @13 :Data;
-  logEra @14 :UInt32;
+  logEpoch @14 :UInt32;
   configDigest @15 :UInt32;
 }
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -5,8 +5,8 @@
 method raises :class:`.errors.LogServiceError` when the service does not do what was
 asked, and decides nothing: when to try again is the node's concern.
 
-Answers tell the era of the log: how often it came back from an older copy, which lacks
-records that it had acknowledged. Offsets of different eras cannot be compared. A
+Answers tell the epoch of the log: how often it was restored from a backup, which lacks
+records that it had acknowledged. Offsets of different epochs cannot be compared. A
 service that never loses records tells 0.
 """
 
@@ -31,7 +31,7 @@
     :param held_ms: how long the service was asked to hold the read open for news.
     :param missing: the service does not hold the offset that was asked for, and
         ``first`` and ``end`` are the first one that it holds.
-    :param era: of the log that answered.
+    :param epoch: of the log that answered.
     """
 
     first: int
@@ -40,36 +40,36 @@
     contents: tuple[bytes, ...]
     held_ms: float = 0.0
     missing: bool = False
-    era: int = 0
+    epoch: int = 0
 
 
-def missing(first: int, *, era: int) -> Records:
+def missing(first: int, *, epoch: int) -> Records:
     """Return what a read found whose offset the service does not hold.
 
     :param first: the first offset that it holds.
     """
-    return Records(first, first, first, (), missing=True, era=era)
+    return Records(first, first, first, (), missing=True, epoch=epoch)
 
 
 class Newest(msgspec.Struct, frozen=True):
     """The newest record of each key, and from where to read on.
 
-    :param era: of the log that answered.
+    :param epoch: of the log that answered.
     """
 
     contents: tuple[bytes, ...]
     end: int
-    era: int = 0
+    epoch: int = 0
 
 
 class Appended(msgspec.Struct, frozen=True):
     """The acknowledgement of a record.
 
-    :param era: of the log that took it.
+    :param epoch: of the log that took it.
     """
 
     offset: int
-    era: int = 0
+    epoch: int = 0
 
 
 class Entry(msgspec.Struct, frozen=True):
--- a/tests/cover/test_claims_of_a_restored_log.py
+++ b/tests/cover/test_claims_of_a_restored_log.py
@@ -1,7 +1,7 @@
-"""Keys of unrepeatable calls after the log came back from a copy without their claims.
+"""Keys of unrepeatable calls after the log was restored without their claims.
 
 A claim is a right by order in the log. The log gives the same right again to another
-node once it has lost the record, so what was claimed before its return runs no more.
+node once it has lost the record, so what was claimed before that runs no more.
 """
 
 import pytest
@@ -59,10 +59,10 @@
 
 
 def _home() -> states.State:
-    """Return a home whose claims were read from a log that never came back."""
+    """Return a home whose claims were read from a log that was never restored."""
     state = builders.node_state("n1")
     reducer.reduce(state, builders.announced("porting", slots=4, now=state.now))
-    _claims_read(state, era=1)
+    _claims_read(state, epoch=1)
     return state
 
 
@@ -79,18 +79,18 @@
     return reducer.reduce(state, builders.opened(hosted, terms, now=state.now))
 
 
-def _hear_era(state: states.State, era: int) -> list[effects.Effect]:
+def _hear_epoch(state: states.State, epoch: int) -> list[effects.Effect]:
     message = messages.Gossip(
         kind=messages.GossipKind.PING,
         sequence=1,
         revision=ids.Revision(0),
-        log_era=ids.LogEra(era),
+        log_epoch=ids.LogEpoch(epoch),
     )
     return reducer.reduce(state, builders.datagram("n2", message, now=state.now))
 
 
 def _claims_read(
-    state: states.State, *claimed: messages.ClaimRecord, era: int
+    state: states.State, *claimed: messages.ClaimRecord, epoch: int
 ) -> list[effects.Effect]:
     stream = keys.stream_name(state.backend.service)
     batches = [messages.ClaimBatch(claims=(claim,)) for claim in claimed]
@@ -104,40 +104,40 @@
             oldest=0,
             end=len(batches),
             generation=state.streams[stream].generation,
-            era=ids.LogEra(era),
+            epoch=ids.LogEpoch(epoch),
         ),
     )
 
 
 # Guards against a key that runs at the second of two nodes which claimed it, since the
-# log lost the claim of the first and took that of the second after its return.
-def test_a_claim_under_way_when_the_log_came_back_wins_nothing() -> None:
+# log lost the claim of the first and took that of the second afterwards.
+def test_a_claim_under_way_when_the_log_was_restored_wins_nothing() -> None:
     state = _home()
     key = builders.key_at(state.now)
     _open(state, 1, key)
     own = messages.ClaimRecord(
         key=key, claim=state.keys[key].claim, node=keys.own_name(state)
     )
-    out = _hear_era(state, 2)
+    out = _hear_epoch(state, 2)
     assert builders.all_of(out, effects.SendRefusal)
-    out = _claims_read(state, own, era=2)
+    out = _claims_read(state, own, epoch=2)
     out += _open(state, 2, key)
     assert not builders.all_of(out, effects.HandOver)
 
 
 def test_a_derived_key_is_claimed_again_once_no_request_of_before_can_be_left() -> None:
     state = _home()
-    _hear_era(state, 2)
-    _claims_read(state, era=2)
+    _hear_epoch(state, 2)
+    _claims_read(state, epoch=2)
     _open(state, 1, "derived-1", derived=True)
     assert "derived-1" not in state.keys
     state.now += 10_000.0
-    _claims_read(state, era=2)
+    _claims_read(state, epoch=2)
     _open(state, 2, "derived-1", derived=True)
     assert state.keys["derived-1"].phase is states.KeyPhase.CLAIMING
 
 
-def test_on_a_log_that_never_came_back_derived_keys_are_claimed_at_once() -> None:
+def test_on_a_log_that_was_never_restored_derived_keys_are_claimed_at_once() -> None:
     state = _home()
     _open(state, 1, "derived-1", derived=True)
     assert state.keys["derived-1"].phase is states.KeyPhase.CLAIMING
--- a/tests/cover/test_configuration_on_a_restored_log.py
+++ b/tests/cover/test_configuration_on_a_restored_log.py
@@ -1,4 +1,4 @@
-"""Documents that teams publish on a log which comes back from an older copy.
+"""Documents that teams publish on a log which is restored from a backup.
 
 Revisions are numbered by the log's order, and the log gives its offsets out again. What
 was accepted stays in force, what is published next gets a later revision, and all nodes
@@ -42,18 +42,18 @@
 
 @dataclasses.dataclass
 class _Log:
-    """The configuration stream, and in which era it is."""
+    """The configuration stream, and in which epoch it is."""
 
     records: list[object] = dataclasses.field(default_factory=list)
-    era: int = 1
+    epoch: int = 1
 
     def restore(self, count: int) -> None:
         """Come back with only the first records."""
         del self.records[count:]
-        self.era += 1
+        self.epoch += 1
 
     def read_by(self, state: states.State) -> list[effects.Effect]:
-        """Let a node read to the end; a second time if the era was news."""
+        """Let a node read to the end; a second time if the epoch was news."""
         out: list[effects.Effect] = []
         for _ in range(2):
             stream = state.streams[streams.CONFIG]
@@ -68,7 +68,7 @@
                     oldest=0,
                     end=len(self.records),
                     generation=stream.generation,
-                    era=ids.LogEra(self.era),
+                    epoch=ids.LogEpoch(self.epoch),
                 ),
             )
         return out
@@ -92,7 +92,7 @@
         kind=messages.GossipKind.ACK,
         sequence=0,
         revision=other.revisions.revision,
-        log_era=other.log.highest,
+        log_epoch=other.log.highest,
         config_digest=revisions.word(other),
     )
     state.now += revisions.FETCH_EVERY_MS
@@ -104,9 +104,9 @@
         reducer.reduce(state, received)
 
 
-# Guards against a publication that nobody puts in force after the log came back, since
-# its offset is lower than the revision in force.
-def test_what_is_published_after_the_return_is_in_force_by_a_later_revision() -> None:
+# Guards against a publication that nobody puts in force after the log was restored,
+# since its offset is lower than the revision in force.
+def test_what_is_published_afterwards_is_in_force_by_a_later_revision() -> None:
     log, node = _Log(), _node()
     for name in ("a", "b", "c"):
         _publish(log, name, "shop", node)
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -109,7 +109,7 @@
     assert state.freshness.proven == before
 
 
-def _newest(state: states.State, version: int, *, era: int) -> None:
+def _newest(state: states.State, version: int, *, epoch: int) -> None:
     """Let a node read the newest table of a log."""
     table = keyed.table(version=version)
     read = events.NewestRead(
@@ -119,7 +119,7 @@
         end=version,
         asked=state.now,
         generation=state.streams[streams.ROUTES].generation,
-        era=ids.LogEra(era),
+        epoch=ids.LogEpoch(epoch),
     )
     reducer.reduce(state, read)
 
@@ -130,31 +130,31 @@
     None
 ):
     state = _node()
-    _newest(state, 2, era=5)
+    _newest(state, 2, epoch=5)
     state.now += 1_000.0
     proven = state.freshness.proven
-    _newest(state, 1, era=6)
+    _newest(state, 1, epoch=6)
     assert state.freshness.proven == proven
     state.now += 1_000.0
-    _newest(state, 3, era=6)
+    _newest(state, 3, epoch=6)
     assert freshness.age(state) == 0.0
 
 
-def test_a_log_that_came_back_and_lost_nothing_proves_as_before() -> None:
+def test_a_log_that_was_restored_and_lost_nothing_proves_as_before() -> None:
     state = _node()
-    _newest(state, 2, era=5)
+    _newest(state, 2, epoch=5)
     state.now += 1_000.0
-    _newest(state, 2, era=6)
+    _newest(state, 2, epoch=6)
     assert freshness.age(state) == 0.0
 
 
 def test_a_log_that_lacks_what_a_member_told_of_proves_nothing() -> None:
     state = _node()
-    _newest(state, 2, era=5)
+    _newest(state, 2, epoch=5)
     reducer.reduce(state, builders.datagram("home", _word(0, version=3)))
     state.now += 1_000.0
     proven = state.freshness.proven
-    _newest(state, 2, era=6)
+    _newest(state, 2, epoch=6)
     assert state.freshness.proven == proven
 
 
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -514,14 +514,14 @@
 
 
 # Guards against a request that all nodes let in again after a loss of power, since the
-# log came back from a copy without the record of it.
-def test_a_record_is_put_again_when_the_log_came_back_from_a_copy() -> None:
+# log was restored from a backup without the record of it.
+def test_a_record_is_put_again_when_the_log_was_restored() -> None:
     home = _home()
     hear(home, _end(DEADLY, node="h1"), _end(DEADLY, node="h2"))
     put = builders.only(_ends_under(home, 1, DEADLY), effects.PutRecord)
-    done = events.PutDone(now=home.now, put=put.put, era=ids.LogEra(5))
+    done = events.PutDone(now=home.now, put=put.put, epoch=ids.LogEpoch(5))
     reducer.reduce(home, done)
-    told = msgspec.structs.replace(builders.gossip(), log_era=ids.LogEra(6))
+    told = msgspec.structs.replace(builders.gossip(), log_epoch=ids.LogEpoch(6))
     reducer.reduce(home, builders.datagram("h1", told, now=home.now))
     again = builders.all_of(builders.passed(home, 1_200.0), effects.PutRecord)
     assert put.key in [e.key for e in again]
--- a/tests/cover/test_restored_log.py
+++ b/tests/cover/test_restored_log.py
@@ -1,4 +1,4 @@
-"""A log that comes back from an older copy of itself.
+"""A log that is restored from a backup.
 
 Records that it acknowledged are gone then, offsets are given out again, and a read from
 one that it does not have is refused. Operators publish again what was lost, and expect
@@ -15,7 +15,7 @@
     effects,
     events,
     joining,
-    log_eras,
+    log_epochs,
     messages,
     pollers,
     reducer,
@@ -132,7 +132,7 @@
     _publish(made, *then)
     made.run(pollers.FIRST_HOLD_MS + IN_FORCE_MS)
     assert _versions(made) == {then[-1] if then else 2}
-    assert {node.state.log.era for node in made.nodes.values()} == {2}
+    assert {node.state.log.epoch for node in made.nodes.values()} == {2}
 
 
 def test_where_nothing_was_lost_each_reader_makes_one_more_read_of_the_newest() -> None:
@@ -177,7 +177,7 @@
     _restore(made, copy, then=(4,))
     made.run(IN_FORCE_MS)
     assert _versions(made) == {4}
-    assert {node.state.log.era for node in made.nodes.values()} == {3}
+    assert {node.state.log.epoch for node in made.nodes.values()} == {3}
 
 
 def test_a_version_that_the_log_lost_stays_in_force_also_at_a_node_started_since() -> (
@@ -201,7 +201,7 @@
         self.state = reducer.new_state(begin)
         self.out = reducer.reduce(self.state, begin)
         self.state.started = begin.now - 10_000.0
-        self.newest(1, end=4, era=5)
+        self.newest(1, end=4, epoch=5)
         self.state.streams[streams.ROUTES].followed = True
         streams.resume(self.state, self.out)
 
@@ -213,7 +213,7 @@
         self.out = reducer.reduce(self.state, event)
         return self.out
 
-    def newest(self, version: int, *, end: int, era: int) -> list[effects.Effect]:
+    def newest(self, version: int, *, end: int, epoch: int) -> list[effects.Effect]:
         table = routes.RouteTable(version=version, routes=(routed.route(),))
         return self.took(
             events.NewestRead(
@@ -223,12 +223,12 @@
                 end=end,
                 asked=self.state.now,
                 generation=self.stream.generation,
-                era=ids.LogEra(era),
+                epoch=ids.LogEpoch(epoch),
             )
         )
 
     def read(
-        self, *versions: int, era: int, generation: int | None = None
+        self, *versions: int, epoch: int, generation: int | None = None
     ) -> list[effects.Effect]:
         tables = [
             routes.RouteTable(version=version, routes=(routed.route(),))
@@ -246,11 +246,11 @@
                 end=first + len(tables),
                 asked=self.state.now,
                 generation=own if generation is None else generation,
-                era=ids.LogEra(era),
+                epoch=ids.LogEpoch(epoch),
             )
         )
 
-    def missing(self, *, era: int = 0, first: int = 0) -> list[effects.Effect]:
+    def missing(self, *, epoch: int = 0, first: int = 0) -> list[effects.Effect]:
         return self.took(
             events.LogRead(
                 now=self.state.now,
@@ -262,7 +262,7 @@
                 missing=True,
                 asked=self.state.now,
                 generation=self.stream.generation,
-                era=ids.LogEra(era),
+                epoch=ids.LogEpoch(epoch),
             )
         )
 
@@ -270,12 +270,12 @@
         self.state.now += after_ms
         return self.took(events.Tick(now=self.state.now))
 
-    def heard(self, era: int) -> list[effects.Effect]:
+    def heard(self, epoch: int) -> list[effects.Effect]:
         message = messages.Gossip(
             kind=messages.GossipKind.PING,
             sequence=1,
             revision=ids.Revision(0),
-            log_era=ids.LogEra(era),
+            log_epoch=ids.LogEpoch(epoch),
         )
         return self.took(builders.datagram("n2", message, now=self.state.now))
 
@@ -285,56 +285,56 @@
     return any(effect.stream == streams.ROUTES for effect in found)
 
 
-def test_a_higher_era_in_the_answer_to_a_read_lets_the_newest_be_read() -> None:
+def test_a_higher_epoch_in_the_answer_to_a_read_lets_the_newest_be_read() -> None:
     node = _Reader()
-    out = node.read(era=6)
+    out = node.read(epoch=6)
     assert _reads_newest(out)
-    node.newest(2, end=1, era=6)
+    node.newest(2, end=1, epoch=6)
     assert node.stream.offset == 1
     assert node.state.version == 2
 
 
-def test_an_answer_that_brings_the_newest_and_a_higher_era_is_used_at_once() -> None:
+def test_an_answer_that_brings_the_newest_and_a_higher_epoch_is_used_at_once() -> None:
     node = _Reader()
     streams.reread(node.state, streams.ROUTES)
     node.stream.reading = False
     node.tick()
-    node.newest(2, end=1, era=6)
+    node.newest(2, end=1, epoch=6)
     assert node.state.version == 2
     assert not _reads_newest(node.out)
     assert builders.only(node.out, effects.ReadLog).offset == 1
 
 
-def test_a_member_tells_the_era_and_the_read_that_is_held_open_is_left() -> None:
+def test_a_member_tells_the_epoch_and_the_read_that_is_held_open_is_left() -> None:
     node = _Reader()
     node.heard(6)
     assert _reads_newest(node.tick())
 
 
-def test_members_are_told_the_highest_era() -> None:
+def test_members_are_told_the_highest_epoch() -> None:
     node = _Reader()
     builders.add_members(node.state, builders.member("n2", "plans"))
-    node.read(era=6)
+    node.read(epoch=6)
     out = node.tick(600.0)
-    told = {e.message.log_era for e in builders.all_of(out, effects.SendGossip)}
+    told = {e.message.log_epoch for e in builders.all_of(out, effects.SendGossip)}
     assert told == {6}
 
 
 @pytest.mark.parametrize(
     "event",
     [
-        events.PutDone(now=0.0, put=9_999, era=ids.LogEra(6)),
-        events.PutFailed(now=0.0, put=9_999, era=ids.LogEra(6)),
-        events.AppendDone(now=0.0, append=9_999, offset=1, era=ids.LogEra(6)),
-        events.AppendFailed(now=0.0, append=9_999, certain=True, era=ids.LogEra(6)),
-        events.LogReadFailed(now=0.0, stream=streams.MEMBERS, era=ids.LogEra(6)),
+        events.PutDone(now=0.0, put=9_999, epoch=ids.LogEpoch(6)),
+        events.PutFailed(now=0.0, put=9_999, epoch=ids.LogEpoch(6)),
+        events.AppendDone(now=0.0, append=9_999, offset=1, epoch=ids.LogEpoch(6)),
+        events.AppendFailed(now=0.0, append=9_999, certain=True, epoch=ids.LogEpoch(6)),
+        events.LogReadFailed(now=0.0, stream=streams.MEMBERS, epoch=ids.LogEpoch(6)),
     ],
     ids=lambda event: type(event).__name__,
 )
-def test_any_answer_may_be_the_first_to_tell_the_era(event: events.Event) -> None:
+def test_any_answer_may_be_the_first_to_tell_the_epoch(event: events.Event) -> None:
     node = _Reader()
     out = reducer.reduce(node.state, event) + node.tick()
-    assert node.state.log.era == 6
+    assert node.state.log.epoch == 6
     assert _reads_newest(out)
 
 
@@ -343,37 +343,37 @@
     before = node.stream.generation
     node.heard(6)
     node.tick()
-    node.newest(2, end=1, era=6)
-    node.read(9, era=5, generation=before)
+    node.newest(2, end=1, epoch=6)
+    node.read(9, epoch=5, generation=before)
     assert node.stream.offset == 1
     assert node.state.version == 2
 
 
-def test_an_answer_of_an_earlier_era_is_asked_for_again() -> None:
+def test_an_answer_of_an_earlier_epoch_is_asked_for_again() -> None:
     node = _Reader()
     node.heard(6)
     node.tick()
-    node.newest(2, end=7, era=5)
+    node.newest(2, end=7, epoch=5)
     assert node.state.version == 1
     assert _reads_newest(node.tick(500.0))
 
 
 def test_a_log_whose_count_went_back_is_followed_again_and_told_once() -> None:
     node = _Reader()
-    for _ in range(log_eras.LOWER_ANSWERS):
-        node.read(era=3)
+    for _ in range(log_epochs.LOWER_ANSWERS):
+        node.read(epoch=3)
         lines = [e.text for e in builders.all_of(node.out, effects.WriteLog)]
         node.tick(1_000.0)
     assert [text for text in lines if "count went back" in text]
-    node.newest(2, end=1, era=3)
+    node.newest(2, end=1, epoch=3)
     assert node.state.version == 2
     # Members that still tell the higher one do not start it all over again.
     node.heard(5)
-    assert node.state.log.era == 3
-    assert _reads_newest(node.read(era=4))
+    assert node.state.log.epoch == 3
+    assert _reads_newest(node.read(epoch=4))
 
 
-def test_a_log_that_tells_no_era_is_known_to_be_shorter_by_its_offsets() -> None:
+def test_a_log_that_tells_no_epoch_is_known_to_be_shorter_by_its_offsets() -> None:
     node = _Reader()
     node.missing()
     assert _reads_newest(node.out)
@@ -381,7 +381,7 @@
 
 def test_records_that_expired_are_no_return_of_the_log() -> None:
     node = _Reader()
-    node.missing(era=5, first=9)
+    node.missing(epoch=5, first=9)
     assert node.state.log.restores == 0
     assert _reads_newest(node.out)
 
@@ -392,9 +392,9 @@
     for _ in range(100):
         if _reads_newest(node.out):
             asked += 1
-            node.newest(1, end=4, era=5)
+            node.newest(1, end=4, epoch=5)
         if builders.all_of(node.out, effects.ReadLog):
-            node.missing(era=5)
+            node.missing(epoch=5)
         else:
             node.tick(100.0)
     # Ten seconds, with pauses that grow to a second at most.
@@ -403,12 +403,12 @@
 
 def test_a_header_that_comes_for_the_first_time_may_hide_a_return() -> None:
     node = _Reader()
-    node.state.log = states.LogHistory(is_unmarked=True)
-    assert _reads_newest(node.read(era=7))
+    node.state.log = states.LogHistory(saw_none=True)
+    assert _reads_newest(node.read(epoch=7))
 
 
 @pytest.mark.parametrize(
-    ("headers", "era"),
+    ("headers", "epoch"),
     [
         ([(b"Store-Era", b"12")], 12),
         ([(b"store-era", b" 7 ")], 7),
@@ -424,11 +424,11 @@
         ([(b"Store-Era", "²".encode())], 0),
     ],
 )
-def test_a_header_that_is_no_era_tells_none(
-    headers: list[tuple[bytes, bytes]], era: int
+def test_a_header_that_is_no_epoch_tells_none(
+    headers: list[tuple[bytes, bytes]], epoch: int
 ) -> None:
-    peer = http_calls.Peer("http://log", timeout_ms=1.0, era_header=b"store-era")
-    assert peer._era(headers) == era
+    peer = http_calls.Peer("http://log", timeout_ms=1.0, epoch_header=b"store-era")
+    assert peer._epoch(headers) == epoch
 
 
 def _join_puts(out: list[effects.Effect]) -> list[effects.PutRecord]:
@@ -442,29 +442,29 @@
     others = [builders.member(f"m{n}", "plans") for n in range(members)]
     builders.add_members(node.state, *others)
     reducer.reduce(
-        node.state, events.PutDone(now=node.state.now, put=put, era=ids.LogEra(5))
+        node.state, events.PutDone(now=node.state.now, put=put, epoch=ids.LogEpoch(5))
     )
     assert not _join_puts(builders.passed(node.state, 3_000.0))
     return node
 
 
-# Guards against members that a node which starts after the return finds on no log.
-def test_the_own_record_is_written_again_when_the_log_came_back() -> None:
+# Guards against members that a node which starts afterwards finds on no log.
+def test_the_own_record_is_written_again_when_the_log_was_restored() -> None:
     node = _joined()
     node.heard(6)
     (put,) = _join_puts(builders.passed(node.state, 2_500.0))
-    node.took(events.PutDone(now=node.state.now, put=put.put, era=ids.LogEra(6)))
+    node.took(events.PutDone(now=node.state.now, put=put.put, epoch=ids.LogEpoch(6)))
     assert not _join_puts(builders.passed(node.state, 3_000.0))
     node.heard(7)
     assert _join_puts(builders.passed(node.state, 2_500.0))
 
 
-def test_an_acknowledgement_of_an_earlier_era_is_none() -> None:
+def test_an_acknowledgement_of_an_earlier_epoch_is_none() -> None:
     node = _joined()
     node.heard(6)
     (put,) = _join_puts(builders.passed(node.state, 2_500.0))
     node.heard(7)
-    node.took(events.PutDone(now=node.state.now, put=put.put, era=ids.LogEra(6)))
+    node.took(events.PutDone(now=node.state.now, put=put.put, epoch=ids.LogEpoch(6)))
     assert _join_puts(builders.passed(node.state, 2_500.0))
 
 
@@ -499,7 +499,9 @@
     node.heard(6)
     out = builders.passed(node.state, 2_500.0)
     (put,) = _join_puts(out)
-    out += node.took(events.PutDone(now=node.state.now, put=put.put, era=ids.LogEra(6)))
+    out += node.took(
+        events.PutDone(now=node.state.now, put=put.put, epoch=ids.LogEpoch(6))
+    )
     read = [e.stream for e in builders.all_of(out, effects.ReadNewest)]
     assert streams.MEMBERS not in read
 
--- a/tests/nocover/test_faults_property.py
+++ b/tests/nocover/test_faults_property.py
@@ -171,7 +171,7 @@
     max_examples=120,
     suppress_health_check=[hypothesis.HealthCheck.too_slow],
 )
-def test_no_key_runs_twice_though_the_log_comes_back_from_copies(
+def test_no_key_runs_twice_though_the_log_is_restored(
     seed: int, faults: list, restores: list, requests: list
 ) -> None:
     play = Play(seed)
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -262,7 +262,7 @@
 
 
 # Guards against readers that ask for ever for an offset which a restored store lacks.
-def test_a_store_that_comes_back_from_a_copy_is_followed_and_joined_again(
+def test_a_store_that_is_restored_is_followed_and_joined_again(
     platform: platform_processes.Platform,
 ) -> None:
     platform.copy_store()
@@ -275,7 +275,7 @@
     _wait_version(platform, platform.configure(moved, PORT))
     for machine in platform.machines.values():
         assert _ask(machine, f"r-{machine.name}").content.startswith(b"porting")
-        assert "gingerturn_log_era 2\n" in machine.metrics()
+        assert "gingerturn_log_epoch 2\n" in machine.metrics()
     platform.add("plans-3", service="plans")
     platform.wait_ready()
 
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -30,7 +30,7 @@
 test_calls_that_break_while_it_is_down_do_not_hide_what_ended_it."""
 
 RESTORED_SEED = 1
-"""The first whose schedule lets the log come back from a copy more than once."""
+"""The first whose schedule lets the log be restored more than once."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -56,7 +56,7 @@
     assert verdict.served > 0
 
 
-def test_a_log_that_comes_back_from_a_copy_breaks_no_promise(
+def test_a_log_that_is_restored_breaks_no_promise(
     tmp_path: pathlib.Path,
 ) -> None:
     verdict = run.play(
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -44,8 +44,8 @@
     :param silent: reads are taken and never answered; readers give up in the end.
     :param hold_ms: how long reads ask it to wait for news that do not say so.
     :param refuses: nodes whose reads fail while those of others are served.
-    :param era: how often it came back from an older copy; told with each answer.
-    :param keeps_connections: reads that are held open outlast such a return.
+    :param epoch: how often it was restored from a backup; told with each answer.
+    :param keeps_connections: reads that are held open outlast a restoration.
     :param lose_acks: the next so many appends take effect but fail.
     """
 
@@ -58,7 +58,7 @@
     lose_acks: int = 0
     delay_ms: float = 2.0
     appends: int = 0
-    era: int = 1
+    epoch: int = 1
     keeps_connections: bool = False
 
     def put(self, stream: str, key: str, record: bytes) -> None:
@@ -76,10 +76,10 @@
         return Copy(streams, newest)
 
     def restore(self, copy: Copy) -> None:
-        """Come back from a copy: what was taken since is gone."""
+        """Go back to a backup: what was taken since is gone."""
         self.streams = {name: list(records) for name, records in copy.streams.items()}
         self.newest = {name: dict(records) for name, records in copy.newest.items()}
-        self.era += 1
+        self.epoch += 1
 
 
 def append(world: "worlds.World", node: parts.FakeNode, effect: effects.Append) -> None:
@@ -92,7 +92,7 @@
             now=world.now,
             append=effect.append,
             offset=len(stream) - 1,
-            era=ids.LogEra(world.log.era),
+            epoch=ids.LogEpoch(world.log.epoch),
         )
 
     def failed(certain: bool) -> events.Event:
@@ -106,8 +106,8 @@
 
     def done() -> events.Event:
         world.log.put(effect.stream, effect.key, effect.record)
-        era = ids.LogEra(world.log.era)
-        return events.PutDone(now=world.now, put=effect.put, era=era)
+        epoch = ids.LogEpoch(world.log.epoch)
+        return events.PutDone(now=world.now, put=effect.put, epoch=epoch)
 
     def failed(certain: bool) -> events.Event:
         return events.PutFailed(now=world.now, put=effect.put)
@@ -160,7 +160,7 @@
                 extra=effect.extra,
                 missing=True,
                 generation=effect.generation,
-                era=ids.LogEra(world.log.era),
+                epoch=ids.LogEpoch(world.log.epoch),
             )
         return events.LogRead(
             now=world.now,
@@ -173,7 +173,7 @@
             held_ms=held_ms,
             extra=effect.extra,
             generation=effect.generation,
-            era=ids.LogEra(world.log.era),
+            epoch=ids.LogEpoch(world.log.epoch),
         )
 
     hold_ms = (effect.hold_ms or world.log.hold_ms) if effect.wait else 0.0
@@ -194,7 +194,7 @@
             end=len(world.log.streams.get(effect.stream, [])),
             asked=asked,
             generation=effect.generation,
-            era=ids.LogEra(world.log.era),
+            epoch=ids.LogEpoch(world.log.epoch),
         )
 
     _read(world, node, effect, found)
@@ -210,7 +210,7 @@
 ) -> None:
     """Answer a read: at once, or with news while the log holds it open for them."""
     log = world.log
-    era = log.era
+    epoch = log.epoch
     incarnation = node.incarnation
     extra = isinstance(effect, effects.ReadLog) and effect.extra
     until = world.now + log.delay_ms + hold_ms
@@ -231,7 +231,7 @@
         if log.silent:
             world.at(max(0.0, until - world.now) + log_service.READ_TIMEOUT_MS, fail)
             return
-        is_cut = log.era != era and not log.keeps_connections
+        is_cut = log.epoch != epoch and not log.keeps_connections
         if log.down or is_cut or node.name in log.refuses:
             fail()
             return
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -25,7 +25,7 @@
 AFTER_S = 2.0
 DEADLY_PAUSE_S = 0.15
 RESTORE_S = 0.5
-"""How long the log is away when it goes back to a copy."""
+"""How long the log is away when it is restored from a backup."""
 
 ROUTES_KEPT = 6
 """Versions whose routes a configuration still has."""
@@ -213,7 +213,7 @@
         await self._disturb(self._log_link, step)
 
     async def _log_restored(self, step: schedule.Step, fault: checks.Fault) -> None:
-        """Bring the log back from a copy; the operator publishes again."""
+        """Restore the log from a backup; the operator publishes again."""
         await asyncio.to_thread(self._platform.copy_store)
         await asyncio.sleep(step.lasts)
         await asyncio.to_thread(self._platform.fault, down=True)
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -54,10 +54,10 @@
 """These come in series too, with little time between."""
 
 RESTORED_SHARE = 0.5
-"""Of the runs in which the log may come back from a copy."""
+"""Of the runs in which the log may be restored from a backup."""
 
 MOST_RESTORES = 3
-"""A log that came back may do so again a moment later."""
+"""A log that was restored may be restored again a moment later."""
 
 QUIET_S = 2.0
 """Before the first step, so that all are ready."""
@@ -88,7 +88,7 @@
     """Return the steps of a run, in order of time.
 
     :param deadly: there may be a request that ends backend servers.
-    :param restored: the log may come back from a copy.
+    :param restored: the log may be restored from a backup.
     """
     chance = random.Random(seed)
     steps: list[Step] = []
@@ -115,7 +115,7 @@
 
 
 def _restores(chance: random.Random, length_s: float) -> list[Step]:
-    """Return the times at which the log goes back to a copy, and how old that is."""
+    """Return when the log is restored from a backup, and how old that is."""
     if chance.random() >= RESTORED_SHARE:
         return []
     at = chance.uniform(QUIET_S, length_s)
--- a/tooling/gingerturn_standins/platform_store.py
+++ b/tooling/gingerturn_standins/platform_store.py
@@ -1,9 +1,9 @@
 """A stand-in for the platform's metadata store: keyed topics, and its faults.
 
 ``POST /control`` sets the faults; ``POST /operator`` writes the operator's
-configuration, which nodes may only read. ``POST /copy`` keeps a copy of all topics and
-``POST /restore`` goes back to it: what was written since is gone, and the era that each
-answer tells rises.
+configuration, which nodes may only read. ``POST /copy`` makes a backup of all topics,
+and ``POST /restore`` goes back to it: what was written since is gone, and the epoch
+that each answer tells rises.
 """
 
 import asyncio
@@ -90,13 +90,13 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self._topics: dict[str, Topic] = {}
         self._copy: dict[str, Topic] = {}
-        self._era = 1
+        self._epoch = 1
         self._keep_s = keep_s
 
     async def handle(self, request: http_server.Request) -> http_server.Response:
-        """Serve a request, and tell the era."""
+        """Serve a request, and tell the epoch."""
         response = await self._serve(request)
-        response.headers["Store-Era"] = str(self._era)
+        response.headers["Store-Era"] = str(self._epoch)
         return response
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
@@ -134,7 +134,7 @@
 
     def _restore(self) -> http_server.Response:
         before, self._topics = self._topics, _copied(self._copy)
-        self._era += 1
+        self._epoch += 1
         for topic in before.values():
             # Reads that were held open end.
             topic.changed.set()
