--- a/src/gingerturn/internal/core/log_epochs.py
+++ b/src/gingerturn/internal/core/log_epochs.py
@@ -41,6 +41,8 @@
         _adopt(state, epoch, "the log", out)
         return True
     known.lower += 1
+    text = f"An answer of epoch {epoch} is not used, the log was at {known.epoch}."
+    outbox.info(out, "log", text)
     if known.lower >= LOWER_ANSWERS:
         text = f"The log tells epoch {epoch} after {known.epoch}; its count went back."
         outbox.warn(out, "log", text)
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -75,6 +75,11 @@
             f"backend server ended by itself {_count(plain, 'backend_ends_total')}"
             f" times, {_count(plain, 'requests_kept_out')} requests kept out"
         )
+    if plain.get("log_restores_total"):
+        lines.append(
+            f"log restored from a backup {_count(plain, 'log_restores_total')} times,"
+            f" epoch {_count(plain, 'log_epoch')}"
+        )
     if plain.get("keys_closed"):
         lines.append("requests with API keys are refused: keys_stale")
     if plain.get("log_lines_dropped_total"):
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -34,6 +34,12 @@
     ]
 
 
+def test_a_log_that_was_restored_is_told() -> None:
+    told = "gingerturn_log_epoch 6\ngingerturn_log_restores_total 2\n"
+    words = metrics_text.words(metrics_text.parse(PAGE + told, origin="n1"))
+    assert words[-1] == "log restored from a backup 2 times, epoch 6"
+
+
 def test_what_is_not_told_is_not_made_up() -> None:
     found = metrics_text.parse("gingerturn_ready 0\n", origin="n1")
     words = metrics_text.words(found)
