--- a/src/gingerturn/configuration.py
+++ b/src/gingerturn/configuration.py
@@ -151,7 +151,7 @@
     def __repr__(self) -> str:
         return f"Configuration(teams={sorted(self.documents)}, digest={self.digest!r})"
 
-    @property
+    @functools.cached_property
     def digest(self) -> str:
         """Digest of the whole set, equal exactly when every text is equal."""
         return digest_of(self.documents)
--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -51,30 +51,21 @@
     view = state.membership
     if view.me is None:
         return
-    view.join_put = state.next_number()
+    number = state.next_number()
+    record = messages.encode_record(_join_record(state, view.me))
     view.join_retry_at = math.inf
     if not state.keyed_log:
         view.join_put = 0
-        _append_join_record(state, view.me, out)
+        out.append(effects.Append(append=number, stream=streams.MEMBERS, record=record))
         return
+    view.join_put = number
     out.append(
         effects.PutRecord(
-            put=view.join_put,
-            stream=streams.MEMBERS,
-            key=state.node,
-            record=messages.encode_record(_join_record(state, view.me)),
+            put=number, stream=streams.MEMBERS, key=state.node, record=record
         )
     )
 
 
-def _append_join_record(
-    state: states.State, me: messages.Member, out: states.Effects
-) -> None:
-    record = messages.encode_record(_join_record(state, me))
-    append = state.next_number()
-    out.append(effects.Append(append=append, stream=streams.MEMBERS, record=record))
-
-
 def write_again(state: states.State) -> None:
     """Put the join record again, as the log may have lost it; not all nodes at once."""
     view = state.membership
--- a/src/gingerturn/internal/core/keys.py
+++ b/src/gingerturn/internal/core/keys.py
@@ -77,14 +77,14 @@
 def covered(state: states.State, hosted: states.Hosted) -> bool:
     """Tell whether this node has read every claim that could be of this key."""
     stream = state.streams.get(stream_name(state.backend.service))
-    if stream is None:
-        return hosted.terms.key_derived
     if hosted.terms.key_derived:
         # It tells no time, but is not used for longer than its whole request lasts.
-        minted: float | None = state.now - _longest_request_ms(state)
-    else:
-        minted = minted_at(hosted.terms.key)
-    return minted is not None and minted >= stream.covered_from
+        since = 0.0 if stream is None else stream.covered_from
+        return not since or state.now - _longest_request_ms(state) >= since
+    minted = minted_at(hosted.terms.key)
+    if stream is None or minted is None:
+        return False
+    return minted >= stream.covered_from
 
 
 def _longest_request_ms(state: states.State) -> ids.Milliseconds:
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -6,6 +6,8 @@
 whatever the size: one probe a period, a bounded number of updates each.
 """
 
+import typing
+
 import msgspec
 
 from gingerturn.internal import ids
@@ -291,9 +293,16 @@
     )
 
 
-def _message(
-    state: states.State, kind: messages.GossipKind, sequence: int
+def _gossip(
+    state: states.State,
+    kind: messages.GossipKind,
+    sequence: int = 0,
+    **riding: typing.Any,
 ) -> messages.Gossip:
+    """Return a message with what every one tells of its sender.
+
+    :param riding: further fields of the message.
+    """
     return messages.Gossip(
         kind=kind,
         sequence=sequence,
@@ -301,6 +310,17 @@
         route_version=0 if state.routes is None else state.routes.version,
         log_epoch=state.log.highest,
         config_digest=revisions.word(state),
+        **riding,
+    )
+
+
+def _message(
+    state: states.State, kind: messages.GossipKind, sequence: int
+) -> messages.Gossip:
+    return _gossip(
+        state,
+        kind,
+        sequence,
         members=member_table.updates(state),
         quarantine=quarantine_news.news(state),
         proven_age_ms=freshness.word(state),
@@ -364,13 +384,10 @@
     ]
     for helper in helpers[:INDIRECT_PROBES]:
         member = state.membership.members[helper]
-        message = messages.Gossip(
-            kind=messages.GossipKind.PING_REQUEST,
-            sequence=sequence,
-            revision=state.revisions.revision,
-            route_version=0 if state.routes is None else state.routes.version,
-            log_epoch=state.log.highest,
-            config_digest=revisions.word(state),
+        message = _gossip(
+            state,
+            messages.GossipKind.PING_REQUEST,
+            sequence,
             target=node,
         )
         out.append(
@@ -410,13 +427,9 @@
 ) -> None:
     """Ask a node for the members that it knows, by pages, and tell it of this one."""
     me = state.membership.me
-    message = messages.Gossip(
-        kind=messages.GossipKind.SYNC_REQUEST,
-        sequence=0,
-        revision=state.revisions.revision,
-        route_version=0 if state.routes is None else state.routes.version,
-        log_epoch=state.log.highest,
-        config_digest=revisions.word(state),
+    message = _gossip(
+        state,
+        messages.GossipKind.SYNC_REQUEST,
         members=(me,) if me is not None else (),
         cursor=cursor,
     )
@@ -434,13 +447,9 @@
     names = sorted(name for name in members if name > request.cursor)
     page = names[:SYNC_PAGE]
     cursor = page[-1] if len(names) > SYNC_PAGE else ""
-    message = messages.Gossip(
-        kind=messages.GossipKind.SYNC_PAGE,
-        sequence=0,
-        revision=state.revisions.revision,
-        route_version=0 if state.routes is None else state.routes.version,
-        log_epoch=state.log.highest,
-        config_digest=revisions.word(state),
+    message = _gossip(
+        state,
+        messages.GossipKind.SYNC_PAGE,
         members=tuple(members[name] for name in page),
         cursor=cursor,
     )
--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -254,6 +254,11 @@
     )
 
 
+def on_log_restored(state: states.State) -> None:
+    """Append the accepted set anew, as the log may have lost a part of it."""
+    state.revisions.snapshot_at = -math.inf
+
+
 def _adopt(
     state: states.State, snapshot: messages.ConfigSnapshot, out: states.Effects
 ) -> bool:
@@ -340,11 +345,6 @@
     return ""
 
 
-def on_log_restored(state: states.State) -> None:
-    """Append the accepted set anew, as the log may have lost a part of it."""
-    state.revisions.snapshot_at = -math.inf
-
-
 def _is_new(state: states.State, record: messages.PublishRecord) -> bool:
     """Tell whether a record at an offset below the revision was appended after the log
     was restored, and not decided before. What was decided has another base since."""
