Configuration: after the whole set, differences are fetched again

Cause: the note that a difference had not led to its digest was taken back only where the log had been restored; elsewhere every later fetch asked for all documents. Failed before: test_after_the_whole_set_differences_are_fetched_again (0, not 2, in a clone).

--- a/src/gingerturn/internal/core/revisions.py
+++ b/src/gingerturn/internal/core/revisions.py
@@ -276,6 +276,7 @@
         outbox.warn(out, "config", f"Digest of revision {snapshot.revision} differs.")
         revisions.fetch_whole = True
         return False
+    revisions.fetch_whole = False
     revisions.changed = dict(snapshot.revisions)
     _put_in_force(state, documents, ids.Revision(snapshot.revision), out)
     return True
--- a/tests/cover/test_configuration_on_a_restored_log.py
+++ b/tests/cover/test_configuration_on_a_restored_log.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from gingerturn import configuration
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
@@ -172,6 +173,36 @@
     assert one.revisions.revision == other.revisions.revision
 
 
+def test_after_the_whole_set_differences_are_fetched_again() -> None:
+    node = _node()
+    builders.add_members(node, builders.member("n2", "plans"))
+
+    def take(documents: dict[str, str], changed: dict[str, int]) -> None:
+        told = messages.ConfigSnapshot(
+            revision=max(changed.values()),
+            documents=documents,
+            revisions=changed,
+            digest=configuration.digest_of({"shop": _text("a"), "mill": _text("b")}),
+        )
+        reducer.reduce(node, events.SnapshotReceived(now=node.now, snapshot=told))
+
+    take({"mill": _text("b")}, {"shop": 1, "mill": 2})
+    assert _fetched_since(node, 2) == 0
+    take({"shop": _text("a"), "mill": _text("b")}, {"shop": 1, "mill": 2})
+    assert node.revisions.revision == 2
+    assert _fetched_since(node, 3) == 2
+
+
+def _fetched_since(state: states.State, revision: int) -> int:
+    """Return from which revision on a peer's documents are fetched that has a later."""
+    message = messages.Gossip(
+        kind=messages.GossipKind.ACK, sequence=0, revision=ids.Revision(revision)
+    )
+    state.now += revisions.FETCH_EVERY_MS
+    out = reducer.reduce(state, builders.datagram("n2", message, now=state.now))
+    return builders.only(out, effects.FetchSnapshot).since
+
+
 @pytest.mark.parametrize("services", [["one", "two"], []], ids=["clash", "apart"])
 @pytest.mark.parametrize("seed", range(60))
 def test_nodes_come_to_the_same_documents_whatever_the_log_loses(
