Quarantine: an append acknowledged before the log was restored counts as none, as a put does

Cause: the acknowledgement of an earlier epoch was taken for one that lasts where the log has no keys; its twin for keyed logs had been mended alone. Failed before: test_an_acknowledgement_from_before_the_log_was_restored_is_none[appended], in a clone.

--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -348,7 +348,8 @@
     log_epochs.hear(state, event.epoch, "an append", out)
     # The acknowledgement decides nothing: claims and publications count when they
     # are read back in the log's order.
-    quarantine.on_saved(state, event.append, done=True)
+    lasts = not log_epochs.is_earlier(state, event.epoch)
+    quarantine.on_saved(state, event.append, done=lasts)
     state.appends.pop(event.append, None)
 
 
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -527,6 +527,25 @@
     assert put.key in [e.key for e in again]
 
 
+@pytest.mark.parametrize("keyed", [True, False], ids=["keyed", "appended"])
+def test_an_acknowledgement_from_before_the_log_was_restored_is_none(
+    keyed: bool,
+) -> None:
+    home = _home()
+    hear(home, _end(DEADLY, node="h1"), _end(DEADLY, node="h2"))
+    put = builders.only(_ends_under(home, 1, DEADLY), effects.PutRecord)
+    for epoch in (5, 6):
+        told = msgspec.structs.replace(builders.gossip(), log_epoch=ids.LogEpoch(epoch))
+        reducer.reduce(home, builders.datagram("h1", told, now=home.now))
+    before = ids.LogEpoch(5)
+    late: events.Event = events.PutDone(now=home.now, put=put.put, epoch=before)
+    if not keyed:
+        late = events.AppendDone(now=home.now, append=put.put, offset=0, epoch=before)
+    reducer.reduce(home, late)
+    again = builders.all_of(builders.passed(home, 1_200.0), effects.PutRecord)
+    assert put.key in [e.key for e in again]
+
+
 def test_the_log_forgets_what_was_cleared() -> None:
     home = _home()
     hear(home, _end(DEADLY, node="h1"), _end(DEADLY, node="h2"))
