A backend server gets no more than the rate limit it reports

Callers saw nothing; the backend server, in need, got its usual share.

Cause: the header was read nowhere. The node beside it forwarded it, and every entry node went on to choose the backend server as before.

Change: the node beside the backend server, through which every call reaches it, holds a token bucket at the reported rate (core.rate_limits). It applies from the head of the first answer on, to calls, repeats and queued calls alike. Calls beyond it are shed in the order of rank, after 0.1 to 0.2 s in the queue at most, as not run (rule rate_limited), so that they go elsewhere; where all upstreams are limited the level rises and roots are refused before any work. Load reports carry limit and instance; entry nodes return them with each call, so that a home node that has restarted knows the limit before its first dispatch. A limit ends a second after the last answer with it, and the rate then doubles every 0.5 s. A limit below 0.25 a second still gets one call in 4 s, since its end is seen in answers only.

Why it works: a window of 4 s holds at most 4 x limit + depth (0.2 s of it, at least 1), whatever the number of entry nodes; 6 x limit + 5 are allowed.

The mean occupancy of a side no longer includes limited upstreams: full ones kept calls from all others there, also after the limit had ended.

Encoding: load reports and calls have one more field. The recordings' test pins the new form, and that events in the earlier form are still read.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -12,6 +12,7 @@
     levels,
     messages,
     ranks,
+    rate_limits,
     routing,
     saturation,
     slot_costs,
@@ -36,6 +37,10 @@
 """The same on routes, where sequential calls wait in several queues within one timeout;
 see :data:`.level_control.ROUTED_OVERAGE`."""
 
+LIMITED_QUEUE_MS = 100.0
+"""In place of :data:`QUEUE_MS` while the backend server reports a rate limit: another
+upstream may take the call at once."""
+
 SLOW_START_SHARE = 0.2
 """Share of the slots that a cold backend server begins with. The limit grows by one
 with each success, so it doubles each round."""
@@ -85,7 +90,20 @@
     backend = state.backend
     service_ms = max(1.0, service_time(state, kind))
     bound = math.ceil(backend.limit * QUEUE_MS / service_ms)
-    return max(MIN_QUEUE, min(bound, int(backend.limit)))
+    bound = max(MIN_QUEUE, min(bound, int(backend.limit)))
+    if backend.limiter.limited:
+        tokens = rate_limits.tokens_in(backend.limiter, LIMITED_QUEUE_MS, state.now)
+        return min(bound, tokens)
+    return bound
+
+
+def _queue_ms(state: states.State) -> ids.Milliseconds:
+    return LIMITED_QUEUE_MS if state.backend.limiter.limited else QUEUE_MS
+
+
+def _max_wait(state: states.State, *, deep: bool) -> ids.Milliseconds:
+    """Return the maximum wait of a call in the queue."""
+    return _queue_ms(state) * (_deep_factor(state) if deep else ROOT_WAIT_FACTOR)
 
 
 def _record_queue_length(state: states.State, kind: str) -> None:
@@ -133,13 +151,43 @@
 
 def has_slot(state: states.State) -> bool:
     """Whether a call may be dispatched now."""
+    return _has_free_slot(state) and rate_limits.has_token(
+        state.backend.limiter, state.now
+    )
+
+
+def _has_free_slot(state: states.State) -> bool:
     backend = state.backend
     return backend.running < min(int(backend.limit), saturation.usable_slots(state))
 
 
+def is_rate_limited(state: states.State) -> bool:
+    """Whether calls wait only for the rate limit of the backend server."""
+    return state.backend.limiter.limited and _has_free_slot(state)
+
+
+def token_wait(state: states.State, rank: ids.Rank) -> ids.Milliseconds:
+    """Return how long the rate limit delays a call of this rank."""
+    if not state.backend.limiter.limited:
+        return 0.0
+    return rate_limits.wait_ms(state.backend.limiter, _ahead(state, rank), state.now)
+
+
+def exceeds_rate_limit(state: states.State, hosted: states.Hosted) -> bool:
+    """Whether the rate limit delays a call longer than it may be queued."""
+    deep = hosted.metadata.depth > 0
+    return token_wait(state, hosted.rank) > _max_wait(state, deep=deep)
+
+
+def record_shed(state: states.State) -> None:
+    """Count a call that was shed without being queued."""
+    state.backend.windows[-1].shed += 1
+
+
 def take_slot(state: states.State) -> None:
     """Occupy a slot for a dispatched call."""
     accumulate_busy_time(state)
+    rate_limits.take(state.backend.limiter)
     state.backend.running += 1
     state.backend.windows[-1].dispatched += 1
 
@@ -195,8 +243,18 @@
     backend = state.backend
     if has_slot(state):
         return 0.0
-    ahead = len(backend.queue) - bisect.bisect_left(backend.queue, (rank, 0, 0))
-    return (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
+    wait = token_wait(state, rank)
+    if is_rate_limited(state):
+        return wait
+    ahead = _ahead(state, rank)
+    slots_ms = (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
+    return max(wait, slots_ms)
+
+
+def _ahead(state: states.State, rank: ids.Rank) -> int:
+    """Return how many queued calls go before one of this rank."""
+    queue = state.backend.queue
+    return len(queue) - bisect.bisect_left(queue, (rank, 0, 0))
 
 
 def has_room(state: states.State) -> bool:
@@ -241,9 +299,8 @@
     found = []
     for _, _, hosted_id in backend.queue:
         hosted = state.hosted[hosted_id]
-        deep = hosted.metadata.depth > 0
-        factor = _deep_factor(state) if deep else ROOT_WAIT_FACTOR
-        if state.now - hosted.arrived_at > QUEUE_MS * factor:
+        max_wait = _max_wait(state, deep=hosted.metadata.depth > 0)
+        if state.now - hosted.arrived_at > max_wait:
             found.append(hosted_id)
     for hosted_id in found:
         remove(state, hosted_id)
@@ -271,21 +328,52 @@
 def load_report(state: states.State, kind: str) -> messages.LoadReport:
     """Return the load report to attach to an answer."""
     backend = state.backend
+    load, limit = _load_and_limit(state, kind)
     cost = slot_costs.report_of(state, kind)
     bottleneck = levels.latest_report(state, cost.service)
     return messages.LoadReport(
         level=backend.level,
         tree_level=tree_level(state, kind),
-        load=backend.running + len(backend.queue),
-        limit=int(backend.limit),
+        load=load,
+        limit=limit,
         leaving=backend.leaving or state.departed,
         bottleneck=cost.service,
         bottleneck_slot_ms=round(cost.slot_ms),
         bottleneck_level=bottleneck.level,
         bottleneck_age_ms=round(state.now - bottleneck.reported_at),
+        status=status_of(backend),
+    )
+
+
+def status_of(backend: states.Backend) -> messages.BackendStatus | None:
+    """Return what the backend server reported; ``None`` if that is nothing."""
+    if not backend.limiter.limited and not backend.leaving:
+        return None
+    return messages.BackendStatus(
+        instance=backend.instance,
+        rate_limit=backend.limiter.limit,
+        leaving=backend.leaving,
     )
 
 
+def _load_and_limit(state: states.State, kind: str) -> tuple[int, int]:
+    """Return the load and the limit to report.
+
+    A rate limit is reported as the calls that run at that rate on average, and a bucket
+    without tokens as full load.
+    """
+    backend = state.backend
+    load, limit = backend.running + len(backend.queue), int(backend.limit)
+    limiter = backend.limiter
+    if not limiter.limited:
+        return load, limit
+    rate = rate_limits.rate(limiter, state.now)
+    limit = max(1, min(limit, round(rate * service_time(state, kind) / 1_000.0)))
+    if not rate_limits.has_token(limiter, state.now):
+        load = max(load, limit)
+    return load, limit
+
+
 def retry_after_ms(state: states.State, rank: int, level: int) -> float:
     """Return the retry delay of a refused caller in ms.
 
--- a/src/gingerturn/internal/core/backend_reports.py
+++ b/src/gingerturn/internal/core/backend_reports.py
@@ -1,10 +1,18 @@
-"""What a backend server reports of itself in its answers: rate limit and leaving."""
+"""What a backend server reports of itself in its answers.
+
+The node beside it applies a report at once. Load reports carry it to the entry nodes,
+and these return it with their calls: a home node that has restarted knows of it again
+before it dispatches one of them.
+"""
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     events,
+    messages,
     operator_log,
+    rate_limits,
     state as states,
+    upstreams,
 )
 
 LOG_INTERVAL_MS = 1_000.0
@@ -12,24 +20,57 @@
 
 
 def is_limited(state: states.State) -> bool:
-    """Whether the latest answer of the backend server reported a rate limit."""
-    return state.backend.reported_limit >= 0.0
+    """Whether the backend server has a rate limit that an answer may end."""
+    return state.backend.limiter.limited
 
 
 def on_reported(
     state: states.State, event: events.BackendReported, out: states.Effects
 ) -> None:
-    """Record a report in the head of an answer."""
+    """Apply a report in the head of an answer."""
     hosted = state.hosted.get(event.hosted)
     if hosted is None or hosted.instance != state.backend.instance:
         return
-    if event.rate_limit != state.backend.reported_limit:
-        state.backend.reported_limit = event.rate_limit
-        _log_limit(state, event.rate_limit, out)
-    if event.leaving and not state.backend.reported_leaving:
-        state.backend.reported_leaving = True
-        name = f"{state.backend.service} {state.backend.instance}"
-        operator_log.info(out, "backend", f"{name} reports that it is leaving.")
+    state.backend.limiter.observed = True
+    _apply_limit(state, event.rate_limit, out)
+
+
+def on_known_status(
+    state: states.State, status: messages.BackendStatus | None, out: states.Effects
+) -> None:
+    """Apply what an entry node knows, unless an answer arrived here since the start."""
+    backend = state.backend
+    if status is None or status.instance != backend.instance:
+        return
+    if status.rate_limit >= 0.0 and not backend.limiter.observed:
+        _apply_limit(state, status.rate_limit, out)
+
+
+def record_status(
+    state: states.State,
+    node: ids.NodeId,
+    status: messages.BackendStatus | None,
+    *,
+    answered: bool,
+) -> None:
+    """Record the status of an upstream from its load report.
+
+    :param answered: the report came with an answer of the backend server. Only then
+        does a report without a status end the known one.
+    """
+    upstream = upstreams.upstream_of(state, node)
+    if status is not None or answered:
+        upstream.status = status
+
+
+def _apply_limit(
+    state: states.State, limit: ids.RequestsPerSecond, out: states.Effects
+) -> None:
+    limiter = state.backend.limiter
+    before = limiter.limit if not limiter.lifted_at else rate_limits.NO_LIMIT
+    rate_limits.report(limiter, limit, state.now)
+    if limit != before:
+        _log_limit(state, limit, out)
 
 
 def _log_limit(
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -7,6 +7,7 @@
 from gingerturn.internal.core import (
     allowance,
     arrivals,
+    backend_reports,
     caps,
     decisions,
     effects,
@@ -32,6 +33,9 @@
 
 CALL_DEADLINE = 0
 HOSTED_DEADLINE = 1
+TOKEN_DUE = 2
+"""A token of the rate limit is due for a queued call."""
+
 OVERLOAD_STATUSES = frozenset({429, 503})
 FIRST_FAILURE_STATUS = 500
 GATEWAY_TIMEOUT = 504
@@ -140,7 +144,7 @@
     attempt = state.attempts.pop(event.attempt, None)
     if attempt is None:
         return
-    call = _settle_attempt(state, attempt, event.tokens, event.report)
+    call = _settle_attempt(state, attempt, event.tokens, event.report, answered=True)
     failed = event.status >= FIRST_FAILURE_STATUS and not event.child_failed
     upstreams.record_answer(state, attempt.node, failed=failed)
     if call is None:
@@ -178,7 +182,13 @@
     attempt = state.attempts.pop(event.attempt, None)
     if attempt is None:
         return
-    call = _settle_attempt(state, attempt, event.tokens, event.report)
+    call = _settle_attempt(
+        state,
+        attempt,
+        event.tokens,
+        event.report,
+        answered=event.refusal.reached_backend,
+    )
     rule = decisions.Rule(event.refusal.rule)
     own_failure = event.refusal.reached_backend or rule in _UNKNOWN_OUTCOME_RULES
     upstreams.record_answer(state, attempt.node, failed=own_failure)
@@ -279,6 +289,9 @@
     """Record an upstream's response to a level request."""
     upstream = upstreams.upstream_of(state, event.node)
     sent_since_report = upstream.sent_since_report
+    backend_reports.record_status(
+        state, event.node, event.report.status, answered=False
+    )
     _record_report(state, event.node, event.kind, event.report)
     # The reported load may not include attempts sent since the request.
     upstream.sent_since_report = sent_since_report
@@ -343,9 +356,15 @@
     attempt: states.Attempt,
     tokens: int,
     report: messages.LoadReport,
+    *,
+    answered: bool,
 ) -> states.Call | None:
-    """Record an attempt's load report, and return its tokens to the call."""
+    """Record an attempt's load report, and return its tokens to the call.
+
+    :param answered: the backend server itself answered.
+    """
     _release_attempt(state, attempt)
+    backend_reports.record_status(state, attempt.node, report.status, answered=answered)
     call = state.calls.get(attempt.call)
     kind = call.rule.name if call is not None else ""
     _record_report(state, attempt.node, kind, report)
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -60,6 +60,7 @@
     KEYS_STALE = 41
     PARENT_UNKNOWN = 42
     OVER_CAP = 43
+    RATE_LIMITED = 44
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -102,6 +103,7 @@
     Rule.KEY_UNSETTLED: ("version in force", "version heard of", "", ""),
     Rule.KEYS_STALE: ("ms since the version was the newest", "ms allowed", "", ""),
     Rule.OVER_CAP: ("requests left", "requests a second here", "cap", "ms to wait"),
+    Rule.RATE_LIMITED: ("requests a second", "calls left", "queued", "ms of wait"),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
     Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
@@ -188,6 +190,10 @@
         " of its own."
     ),
     Rule.OVER_CAP: "Refused: the workspace has reached its usage cap.",
+    Rule.RATE_LIMITED: (
+        "Shed: the backend server's own rate limit is used up, and this call ranked"
+        " lowest of those that waited for it."
+    ),
 }
 
 
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -6,6 +6,7 @@
 from gingerturn.internal.core import (
     admission,
     backend_crashes,
+    backend_reports,
     calls,
     decisions,
     effects,
@@ -16,6 +17,7 @@
     operator_log,
     quarantine,
     ranks,
+    rate_limits,
     replies,
     saturation,
     slot_costs,
@@ -34,6 +36,9 @@
 """Time after its deadline for which an orphaned call without a key keeps its slot. Its
 answer cannot be requested again, and a lost answer should not hold the slot."""
 
+MIN_TOKEN_WAIT_MS = 1.0
+"""Minimum time until a queued call tries again to get a token of the rate limit."""
+
 MIN_CHILD_TIME_SHARE = 0.5
 """Share of the usual service time that must be left for a child call to start in a free
 slot. Refusing it certainly wastes the work of its parents, and trying it costs only an
@@ -47,6 +52,8 @@
 ) -> None:
     """Start, queue or refuse a call."""
     metadata = event.metadata
+    if metadata.status is not None:
+        backend_reports.on_known_status(state, metadata.status, out)
     hosted = states.Hosted(
         id=event.hosted,
         sender=event.sender,
@@ -75,6 +82,10 @@
         replies.refuse(state, hosted, rule, out)
         return
     admission.record_arrival(state, hosted.rank)
+    if admission.exceeds_rate_limit(state, hosted):
+        admission.record_shed(state)
+        _refuse_shed(state, hosted, decisions.Rule.RATE_LIMITED, out)
+        return
     if not _worth_starting(state, hosted, out):
         return
     heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
@@ -84,6 +95,26 @@
     _enqueue(state, hosted, out)
 
 
+def _refuse_shed(
+    state: states.State,
+    hosted: states.Hosted,
+    rule: decisions.Rule,
+    out: states.Effects,
+) -> None:
+    """Refuse a call that is shed, for the rate limit if only that delays it."""
+    figures = None
+    if admission.is_rate_limited(state):
+        rule = decisions.Rule.RATE_LIMITED
+        limiter = state.backend.limiter
+        figures = (
+            limiter.limit,
+            limiter.tokens,
+            float(len(state.backend.queue)),
+            admission.token_wait(state, hosted.rank),
+        )
+    replies.refuse(state, hosted, rule, out, figures=figures)
+
+
 def _rank(state: states.State, metadata: messages.CallMetadata) -> ids.Rank:
     """Return the rank of a call in the local queue.
 
@@ -315,9 +346,7 @@
 def drop_overdue(state: states.State, out: states.Effects) -> None:
     """Refuse the queued calls that waited too long."""
     for hosted_id in admission.expire_queued(state):
-        replies.refuse(
-            state, state.hosted[hosted_id], decisions.Rule.QUEUE_EXPIRED, out
-        )
+        _refuse_shed(state, state.hosted[hosted_id], decisions.Rule.QUEUE_EXPIRED, out)
 
 
 def on_deadline(
@@ -467,6 +496,7 @@
 ) -> None:
     """Refuse a call that holds a slot and was not dispatched."""
     admission.free_slot(state)
+    rate_limits.refund(state.backend.limiter)
     if hosted.orphaned:
         replies.forget(state, hosted)
     else:
@@ -518,7 +548,27 @@
 def _enqueue(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
     dropped = admission.enqueue(state, hosted)
     if dropped is not None:
-        replies.refuse(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
+        _refuse_shed(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
+    if dropped != hosted.id:
+        _await_token(state, hosted)
+
+
+def _await_token(state: states.State, hosted: states.Hosted) -> None:
+    """Schedule the time at which the rate limit permits a queued call to start."""
+    if state.backend.limiter.limited:
+        wait = max(MIN_TOKEN_WAIT_MS, admission.token_wait(state, hosted.rank))
+        due = state.now + wait
+        heapq.heappush(state.deadlines, (due, calls.TOKEN_DUE, hosted.id))
+
+
+def on_token_due(
+    state: states.State, hosted_id: ids.HostedId, out: states.Effects
+) -> None:
+    """Start queued calls, and wait again for one that was overtaken."""
+    start_queued(state, out)
+    hosted = state.hosted.get(hosted_id)
+    if hosted is not None and hosted.state is states.HostedState.QUEUED:
+        _await_token(state, hosted)
 
 
 def _release_slot(
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -102,6 +102,5 @@
     backend.times.clear()
     backend.saturation = states.Saturation()
     backend.unreachable_until = 0.0
-    backend.reported_limit = rate_limits.NO_LIMIT
-    backend.reported_leaving = False
+    backend.limiter = rate_limits.Limiter()
     admission.reset_measurements(state)
--- a/src/gingerturn/internal/core/level_control.py
+++ b/src/gingerturn/internal/core/level_control.py
@@ -6,7 +6,7 @@
 import math
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import admission, ranks, state as states
+from gingerturn.internal.core import admission, ranks, rate_limits, state as states
 
 WINDOW_MS = 100.0
 """Length of a control window."""
@@ -56,7 +56,7 @@
         overage = ROUTED_OVERAGE if state.routed else OVERAGE
         backend.level = _raised(backend, overage)
     elif closed.least_queue == 0:
-        backend.level = _lowered(backend, closed)
+        backend.level = _lowered(backend, closed, now)
     backend.windows.append(
         states.Window(
             ranks=[],
@@ -101,11 +101,15 @@
     return ids.Rank(max(backend.level + 1, above[math.ceil(gain * excess)]))
 
 
-def _lowered(backend: states.Backend, closed: states.Window) -> ids.Rank:
+def _lowered(
+    backend: states.Backend, closed: states.Window, now: ids.Milliseconds
+) -> ids.Rank:
     if backend.level <= 0 or backend.queue:
         return backend.level
     used = closed.busy_ms / (WINDOW_MS * max(1.0, backend.limit))
     idle = max(0.0, 1.0 - used)
+    if backend.limiter.limited:
+        idle = min(idle, rate_limits.idle_share(backend.limiter, now))
     if idle <= IDLE_DEADBAND:
         return backend.level
     return ids.Rank(max(0, int(backend.level - _lowering_step(backend, idle))))
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -234,8 +234,12 @@
     if known is None:
         return
     # Attempts in flight still complete and are subtracted.
+    # The status names its instance, which may outlive the node beside it.
     state.upstreams[node] = states.Upstream(
-        node=node, own_level=states.NO_REPORTED_LEVEL, outstanding=known.outstanding
+        node=node,
+        own_level=states.NO_REPORTED_LEVEL,
+        outstanding=known.outstanding,
+        status=known.status,
     )
 
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -26,6 +26,20 @@
     ALREADY_RUN = "already-run"
 
 
+class BackendStatus(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a backend server reported of itself in its answers.
+
+    :param instance: the instance that reported it.
+    :param rate_limit: requests a second that it accepts from all nodes together;
+        negative without a limit.
+    :param leaving: it takes no new requests.
+    """
+
+    instance: str
+    rate_limit: ids.RequestsPerSecond = -1.0
+    leaving: bool = False
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load report that every answer of a home node carries.
 
@@ -39,6 +53,7 @@
     :param bottleneck_slot_ms: slot time that such a request needs there.
     :param bottleneck_level: rank below which that service sheds, as far as known.
     :param bottleneck_age_ms: age of that report of its upstreams.
+    :param status: what the backend server reported, unless it is the default.
     """
 
     level: ids.Rank
@@ -50,6 +65,7 @@
     bottleneck_slot_ms: float = 0.0
     bottleneck_level: ids.Rank = ids.Rank(0)
     bottleneck_age_ms: float = 0.0
+    status: BackendStatus | None = None
 
 
 class CallMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -67,6 +83,8 @@
         an upstream; the calls made for it count as repeats too.
     :param fingerprint: equal for every sending of the request; 0 if not known.
     :param workspace: workspace that the request belongs to; empty if none.
+    :param status: what the entry node knows that the backend server reported; the home
+        node may have restarted since.
     """
 
     service: ids.ServiceName
@@ -85,6 +103,7 @@
     repeat: bool = False
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     workspace: ids.WorkspaceName = ids.WorkspaceName("")
+    status: BackendStatus | None = None
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -142,6 +142,8 @@
         _, which, number = heapq.heappop(state.deadlines)
         if which == calls.CALL_DEADLINE:
             calls.on_deadline(state, ids.CallId(number), out)
+        elif which == calls.TOKEN_DUE:
+            hosting.on_token_due(state, ids.HostedId(number), out)
         else:
             hosting.on_deadline(state, ids.HostedId(number), out)
     timers.run_due(state, now, _TIMER_HANDLERS, out)
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -17,6 +17,7 @@
         decisions.Rule.QUEUE_FULL,
         decisions.Rule.QUEUE_EXPIRED,
         decisions.Rule.BACKEND_REFUSED,
+        decisions.Rule.RATE_LIMITED,
     }
 )
 _STATUS = {
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -363,6 +363,7 @@
         repeat=call.repeat,
         fingerprint=call.fingerprint,
         workspace=call.workspace,
+        status=upstream.status,
     )
     out.append(
         effects.OpenAttempt(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -204,8 +204,7 @@
     :param answered_at: when it last answered a call.
     :param crash_count: number of its crashes while this node ran.
     :param dispatch_count: calls dispatched to it while this node ran.
-    :param reported_limit: rate limit in its latest answer; negative if none.
-    :param reported_leaving: an answer of it reported that it is leaving.
+    :param limiter: applies the rate limit that it reports.
     :param limit_logged_at: when a report of its limit was last logged.
     """
 
@@ -237,8 +236,7 @@
     answered_at: ids.Milliseconds = 0.0
     crash_count: int = 0
     dispatch_count: int = 0
-    reported_limit: ids.RequestsPerSecond = rate_limits.NO_LIMIT
-    reported_leaving: bool = False
+    limiter: rate_limits.Limiter = msgspec.field(default_factory=rate_limits.Limiter)
     limit_logged_at: ids.Milliseconds = 0.0
 
 
@@ -336,6 +334,7 @@
     :param error_rate: share of its latest answers that were failures of its own.
     :param slowness: time of its answers over the mean of their kinds.
     :param slowness_measured_at: when ``slowness`` was last measured.
+    :param status: what its backend server reported, as far as known.
     """
 
     node: ids.NodeId
@@ -351,6 +350,7 @@
     slowness_measured_at: ids.Milliseconds = 0.0
     ejections: int = 0
     ejected_until: ids.Milliseconds = 0.0
+    status: messages.BackendStatus | None = None
 
 
 class Occupancy(msgspec.Struct):
--- a/src/gingerturn/internal/core/upstream_costs.py
+++ b/src/gingerturn/internal/core/upstream_costs.py
@@ -58,7 +58,12 @@
 def record_occupancy(
     state: states.State, member: messages.Member, report: messages.LoadReport
 ) -> None:
-    """Record the occupancy that an upstream reported."""
+    """Record the occupancy that an upstream reported.
+
+    That of a rate-limited one is no evidence on the others.
+    """
+    if report.status is not None and report.status.rate_limit >= 0.0:
+        return
     reported = report.load / max(1, report.limit)
     side = (member.service, member.zone == state.zone)
     known = state.occupancies.get(side)
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -90,7 +90,7 @@
     add("backend_queue", "gauge", ("", len(backend.queue)))
     add("backend_level", "gauge", ("", backend.level))
     add("backend_dispatched_total", "counter", ("", backend.dispatch_count))
-    add("backend_rate_limit", "gauge", ("", backend.reported_limit))
+    add("backend_rate_limit", "gauge", ("", backend.limiter.limit))
     add("backend_ends_total", "counter", ("", backend.crash_count))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     add("members", "gauge", ("", len(state.membership.members)))
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -26,6 +26,7 @@
     bottleneck_level=ids.Rank(11),
     bottleneck_age_ms=30.0,
 )
+STATUS = messages.BackendStatus(instance="i", rate_limit=2.5, leaving=True)
 METADATA = messages.CallMetadata(
     service=PLANS,
     kind=KIND,
@@ -118,9 +119,9 @@
         events.OpenReceived(
             now=1.0, hosted=ids.HostedId(8), sender=N2, metadata=METADATA
         ),
-        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0010a570"
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
         "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
-        "a16bc3c2a46e312f31c306a473686f70",
+        "a16bc3c2a46e312f31c306a473686f70c0",
     ),
     (
         events.LevelRequested(now=1.0, request=4, kind=KIND),
@@ -129,16 +130,44 @@
     (
         events.LevelReported(now=1.0, node=N2, kind=KIND, report=REPORT),
         "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
-        "7475739907090304c3a5706c616e73cb40040000000000000bcb403e00000000"
-        "0000",
+        "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "0000c0",
     ),
     (
         events.AttemptRefused(
             now=1.0, attempt=ids.AttemptId(6), refusal=REFUSAL, tokens=2, report=REPORT
         ),
         "96ae417474656d707452656675736564cb3ff000000000000006970da7756e6b"
-        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029907090304c3"
-        "a5706c616e73cb40040000000000000bcb403e000000000000",
+        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029a07090304c3"
+        "a5706c616e73cb40040000000000000bcb403e000000000000c0",
+    ),
+    (
+        events.LevelReported(
+            now=1.0,
+            node=N2,
+            kind=KIND,
+            report=msgspec.structs.replace(REPORT, status=STATUS),
+        ),
+        "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
+        "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "000093a169cb4004000000000000c3",
+    ),
+    (
+        events.OpenReceived(
+            now=1.0,
+            hosted=ids.HostedId(8),
+            sender=N2,
+            metadata=msgspec.structs.replace(METADATA, status=STATUS),
+        ),
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
+        "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
+        "a16bc3c2a46e312f31c306a473686f7093a169cb4004000000000000c3",
+    ),
+    (
+        events.BackendReported(
+            now=1.0, hosted=ids.HostedId(8), rate_limit=2.5, leaving=True
+        ),
+        "95af4261636b656e645265706f72746564cb3ff000000000000008cb4004000000000000c3",
     ),
     (
         events.BackendFailed(now=1.0, hosted=ids.HostedId(8), dispatched=True),
@@ -186,6 +215,28 @@
         "0115",
     ),
 ]
+EARLIER_EVENTS: list[tuple[str, str]] = [
+    (
+        "OpenReceived",
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0010a570"
+        "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
+        "a16bc3c2a46e312f31c306a473686f70",
+    ),
+    (
+        "LevelReported",
+        "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
+        "7475739907090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "0000",
+    ),
+    (
+        "AttemptRefused",
+        "96ae417474656d707452656675736564cb3ff000000000000006970da7756e6b"
+        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029907090304c3"
+        "a5706c616e73cb40040000000000000bcb403e000000000000",
+    ),
+]
+"""The same events as recorded before load reports and calls carried a status."""
+
 EFFECTS: list[tuple[effects.AnyEffect, str]] = [
     (
         effects.OpenAttempt(
@@ -196,9 +247,9 @@
             port=1,
             metadata=METADATA,
         ),
-        "97ab4f70656e417474656d70740605a26e32a16801dc0010a5706c616e73ab70"
+        "97ab4f70656e417474656d70740605a26e32a16801dc0011a5706c616e73ab70"
         "6c616e2d737461747573020105a174cb408900000000000003c3a16bc3c2a46e"
-        "312f31c306a473686f70",
+        "312f31c306a473686f70c0",
     ),
     (
         effects.DispatchCall(
@@ -220,15 +271,15 @@
             store_key="k",
             child_failed=True,
         ),
-        "97aa53656e64416e7377657208029907090304c3a5706c616e73cb4004000000"
-        "0000000bcb403e000000000000a46e323a31a16bc3",
+        "97aa53656e64416e7377657208029a07090304c3a5706c616e73cb4004000000"
+        "0000000bcb403e000000000000c0a46e323a31a16bc3",
     ),
     (
         effects.SendStoredAnswer(
             hosted=ids.HostedId(8), key="k", tokens=2, report=REPORT, decision="n2:1"
         ),
-        "96ae53656e644b657074416e7377657208a16b029907090304c3a5706c616e73"
-        "cb40040000000000000bcb403e000000000000a46e323a31",
+        "96ae53656e644b657074416e7377657208a16b029a07090304c3a5706c616e73"
+        "cb40040000000000000bcb403e000000000000c0a46e323a31",
     ),
     (
         effects.StoreAnswer(hosted=ids.HostedId(8), key="k"),
@@ -244,8 +295,8 @@
     ),
     (
         effects.ReportLevel(request=4, report=REPORT),
-        "93a954656c6c4c6576656c049907090304c3a5706c616e73cb40040000000000"
-        "000bcb403e000000000000",
+        "93a954656c6c4c6576656c049a07090304c3a5706c616e73cb40040000000000"
+        "000bcb403e000000000000c0",
     ),
     (
         effects.ReadLog(
@@ -316,6 +367,14 @@
     assert list(trace.read(io.BytesIO(framed))) == [event]
 
 
+@pytest.mark.parametrize(("name", "recorded"), EARLIER_EVENTS)
+def test_an_event_without_a_status_is_still_read(name: str, recorded: str) -> None:
+    content = bytes.fromhex(recorded)
+    framed = len(content).to_bytes(4, "big") + content
+    expected = next(e for e, _ in EVENTS if type(e).__name__ == name)
+    assert list(trace.read(io.BytesIO(framed))) == [expected]
+
+
 @pytest.mark.parametrize(("effect", "encoded"), EFFECTS, ids=_name)
 def test_an_effect_is_encoded_as_before(
     effect: effects.AnyEffect, encoded: str
