A backend server that reports leaving in an answer gets no new calls

It got calls until it exited: leaving was taken from announcements only, and a backend server that sends none, or whose announcement is late, was chosen as before. Same class as the rate limit: state that a backend server reports in its answers and that nobody applies.

Change: the node beside it withdraws the instance at the head of such an answer, as for an announced drain: queued calls go elsewhere, members are told at once, and no later announcement of that instance brings it back. Load reports carry it with the instance; entry nodes return it with their calls, so that a home node that restarted knows it before its first dispatch, also before the backend server is announced there.

--- a/src/gingerturn/internal/core/backend_reports.py
+++ b/src/gingerturn/internal/core/backend_reports.py
@@ -36,11 +36,12 @@
 
 
 def on_known_status(
-    state: states.State, status: messages.BackendStatus | None, out: states.Effects
+    state: states.State, status: messages.BackendStatus, out: states.Effects
 ) -> None:
-    """Apply what an entry node knows, unless an answer arrived here since the start."""
+    """Apply the limit that an entry node knows, unless an answer arrived here since the
+    start of this node."""
     backend = state.backend
-    if status is None or status.instance != backend.instance:
+    if status.instance != backend.instance:
         return
     if status.rate_limit >= 0.0 and not backend.limiter.observed:
         _apply_limit(state, status.rate_limit, out)
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -6,7 +6,6 @@
 from gingerturn.internal.core import (
     admission,
     backend_crashes,
-    backend_reports,
     calls,
     decisions,
     effects,
@@ -52,8 +51,6 @@
 ) -> None:
     """Start, queue or refuse a call."""
     metadata = event.metadata
-    if metadata.status is not None:
-        backend_reports.on_known_status(state, metadata.status, out)
     hosted = states.Hosted(
         id=event.hosted,
         sender=event.sender,
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -454,6 +454,32 @@
     membership.push(state, out)
 
 
+def _on_backend_reported(
+    state: states.State, event: events.BackendReported, out: states.Effects
+) -> None:
+    backend_reports.on_reported(state, event, out)
+    hosted = state.hosted.get(event.hosted)
+    if event.leaving and hosted is not None:
+        _withdraw(state, hosted.instance, out)
+
+
+def _on_open(
+    state: states.State, event: events.OpenReceived, out: states.Effects
+) -> None:
+    status = event.metadata.status
+    if status is not None:
+        backend_reports.on_known_status(state, status, out)
+        if status.leaving and status.instance:
+            _withdraw(state, status.instance, out)
+    hosting.on_open(state, event, out)
+
+
+def _withdraw(state: states.State, instance: str, out: states.Effects) -> None:
+    """Withdraw an instance that reported in an answer that it is leaving."""
+    withdrawn = events.BackendWithdrawn(now=state.now, instance=instance)
+    _on_withdrawn(state, withdrawn, out)
+
+
 def _on_withdrawn(
     state: states.State, event: events.BackendWithdrawn, out: states.Effects
 ) -> None:
@@ -604,11 +630,11 @@
     events.AttemptAnswered: calls.on_attempt_answered,
     events.AttemptRefused: calls.on_attempt_refused,
     events.AttemptLost: calls.on_attempt_lost,
-    events.OpenReceived: hosting.on_open,
+    events.OpenReceived: _on_open,
     events.LevelRequested: hosting.on_level_requested,
     events.LevelReported: calls.on_level_reported,
     events.CancelReceived: hosting.on_cancel,
-    events.BackendReported: backend_reports.on_reported,
+    events.BackendReported: _on_backend_reported,
     events.BackendAnswered: _on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
--- a/tests/common/reports.py
+++ b/tests/common/reports.py
@@ -58,6 +58,10 @@
         node.backend.rate_limit = rate
         self._limits[self._world.instance_of(node)].append((self._world.now, rate))
 
+    def leave(self, name: str) -> None:
+        """Let a backend server report that it is leaving."""
+        self._world.nodes[name].backend.reports_leaving = True
+
     def excuse(self, entry: str) -> None:
         """Forget what an entry node relayed, since it restarted, paused or was cut."""
         for table in (self._limit_relayed, self._leaving_relayed):
