An entry node avoids an upstream whose answer reports leaving

An entry node acted on leaving in refusals and gossip only, so calls between an answer that reports it and the gossip of the home node were refused there and sent elsewhere. The upstream is now ejected at the answer, for as long as after a refusal.

test_an_entry_node_avoids_an_upstream_whose_answer_reports_leaving fails without.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -147,6 +147,9 @@
     call = _settle_attempt(state, attempt, event.tokens, event.report, answered=True)
     failed = event.status >= FIRST_FAILURE_STATUS and not event.child_failed
     upstreams.record_answer(state, attempt.node, failed=failed)
+    if event.report.leaving:
+        upstream = upstreams.upstream_of(state, attempt.node)
+        upstreams.eject(state, upstream, LEAVING_EJECT_MS)
     if call is None:
         return
     if event.status < FIRST_FAILURE_STATUS:
--- a/tests/cover/test_reported_leaving.py
+++ b/tests/cover/test_reported_leaving.py
@@ -5,16 +5,20 @@
 from benchmarks import deployments, sites
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    calls,
     decisions,
     effects,
     events,
     messages,
     reducer,
     state as states,
+    upstreams,
 )
 from gingerturn_fakes import world
 from tests.common import builders, reports, routed
 
+PLANS = ids.ServiceName("plans")
+
 
 def _run(*, gossip: bool = False) -> tuple[sites.Run, reports.Reports]:
     """Return a run in which a backend server reports from 2 s on that it leaves."""
@@ -122,6 +126,22 @@
     assert _rule(state, 2) is decisions.Rule.NO_BACKEND
 
 
+# Guards against an entry node that acts on leaving in refusals only.
+def test_an_entry_node_avoids_an_upstream_whose_answer_reports_leaving() -> None:
+    state = routed.node_state()
+    builders.add_members(
+        state, builders.member("n2", "plans"), builders.member("n3", "plans")
+    )
+    sent = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    report = messages.LoadReport(
+        level=ids.Rank(0), tree_level=ids.Rank(0), load=0, limit=4, leaving=True
+    )
+    reducer.reduce(state, builders.answered(sent.attempt, load_report=report))
+    assert sent.node not in upstreams.candidates(state, PLANS)
+    state.now += calls.LEAVING_EJECT_MS
+    assert sent.node in upstreams.candidates(state, PLANS)
+
+
 def _leaving_node() -> states.State:
     state = routed.node_state(service="plans")
     reducer.reduce(state, builders.opened(1))
