Stand-in and soak: backend servers that report a rate limit or leaving

Neither the stand-in of an upstream nor the soak could report a limit or leaving in answers, so no run of real processes could show the fault.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -204,7 +204,12 @@
         step.kind
         for seed in range(100)
         for step in schedule.draw(
-            seed, machines=4, length_s=10.0, deadly=True, restored=True
+            seed,
+            machines=4,
+            length_s=10.0,
+            deadly=True,
+            restored=True,
+            reported=True,
         )
     }
     assert drawn == set(schedule.Kind)
@@ -241,3 +246,76 @@
     with pytest.raises(RuntimeError):
         soak.play(7, 4, 12.0)
     assert "seed 7:" in capsys.readouterr().out
+
+
+def _limited(*, count: int, after: float, **fields: object) -> tuple:
+    """Return attempts and entries of a backend server that reports 3.5 a second.
+
+    :param after: ms from the first report to the first of ``count`` more requests.
+    """
+    told = _attempt("m0-0", instance="i-1", limited=True, **fields)
+    attempts = [told]
+    entries = [ledger.Entry("limit", START, "i-1", "porting", "3.5")]
+    for number in range(1, count + 1):
+        at = START + after + 10.0 * number
+        attempts.append(_attempt(f"m0-{number}", began=at, ended=at + 5.0))
+        entries.append(_entry("arrived", f"m0-{number}", at))
+    return attempts, tuple(entries)
+
+
+# 1.5 x 3.5 x 4 s + 5 = 26
+@pytest.mark.parametrize(("count", "violated"), [(26, False), (27, True)])
+def test_more_requests_than_a_reported_limit_allows_are_reported(
+    count: int, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    attempts, entries = _limited(count=count, after=checks.LIMIT_SETTLE_MS)
+    observed = _observe(tmp_path, *attempts, entries=entries)
+    assert _is_violated(checks.limits_are_kept, observed) is violated
+
+
+def test_a_limit_is_checked_from_its_time_on_and_until_it_ends(
+    tmp_path: pathlib.Path,
+) -> None:
+    attempts, entries = _limited(count=60, after=1_000.0)
+    observed = _observe(tmp_path, *attempts, entries=entries)
+    assert not _is_violated(checks.limits_are_kept, observed)
+    attempts, entries = _limited(count=60, after=checks.LIMIT_SETTLE_MS)
+    end = ledger.Entry("limit", START + 2_900.0, "i-1", "porting", "")
+    observed = _observe(tmp_path, *attempts, entries=(*entries, end))
+    assert not _is_violated(checks.limits_are_kept, observed)
+
+
+@pytest.mark.parametrize(
+    ("fields", "faults"),
+    [
+        ({"limited": False}, ()),
+        ({"incarnation": 1}, ()),
+        ({"instance": "i-2"}, ()),
+        ({}, (_fault(schedule.Kind.NODE_PAUSE, began=START + 200.0),)),
+    ],
+)
+def test_only_nodes_that_relayed_a_limit_are_bound_by_it(
+    fields: dict[str, object], faults: tuple, tmp_path: pathlib.Path
+) -> None:
+    attempts, entries = _limited(count=60, after=checks.LIMIT_SETTLE_MS)
+    told = attempts[0]
+    for name, value in fields.items():
+        setattr(told, name, value)
+    if faults:
+        faults[0].ended = START + 300.0
+    observed = _observe(tmp_path, *attempts, entries=entries, faults=faults)
+    assert not _is_violated(checks.limits_are_kept, observed)
+
+
+@pytest.mark.parametrize(
+    ("began", "incarnation", "violated"),
+    [(1_900.0, 0, False), (2_200.0, 0, True), (2_200.0, 1, False)],
+)
+def test_a_request_long_after_a_report_of_leaving_is_reported(
+    began: float, incarnation: int, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    told = _attempt("m0-0", instance="i-1", leaving=True)
+    late = _attempt("m0-1", began=START + began, incarnation=incarnation)
+    entries = (_entry("arrived", "m0-1", START + began + 5.0),)
+    observed = _observe(tmp_path, told, late, entries=entries)
+    assert _is_violated(checks.reported_leaving_gets_no_work, observed) is violated
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -3,9 +3,11 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import itertools
 import json
 import pathlib
 import signal
+import time
 
 import httpx
 import pytest
@@ -128,6 +130,75 @@
     assert sum(leaving.counts()["runs"].values()) == before
 
 
+# Guards against a reported rate limit that no node applies.
+def test_a_rate_limit_in_answers_bounds_what_an_upstream_gets(
+    platform: platform_processes.Platform,
+) -> None:
+    limited, other = platform.machines["plans-1"], platform.machines["plans-2"]
+    limited.tell_upstream(limit="1.5")
+    entry = platform.machines["porting-1"]
+    _serve_until(platform, entry, limited, "limited")
+    assert "reports a rate limit of 1.5" in platform.log_of("plans-1")
+    before = sum(limited.counts()["runs"].values())
+    began = time.monotonic()
+    for number in range(60):
+        assert _request(entry, f"rl{number}").status_code == 200
+    elapsed = time.monotonic() - began
+    assert sum(limited.counts()["runs"].values()) - before <= 1.5 * elapsed + 2
+    assert sum(other.counts()["runs"].values()) >= 40
+    assert "gingerturn_backend_rate_limit 1.5" in limited.metrics()
+
+
+# Guards against a node that forgets the limit of its upstream when it restarts.
+def test_a_restarted_node_is_told_of_the_rate_limit(
+    platform: platform_processes.Platform,
+) -> None:
+    limited, entry = platform.machines["plans-1"], platform.machines["porting-1"]
+    limited.tell_upstream(limit="0")
+    _serve_until(platform, entry, limited, "told")
+    _kill(limited)
+    limited.node = platform.start_node("plans-1")
+    platform.wait_ready()
+    before = sum(limited.counts()["runs"].values())
+    began = time.monotonic()
+    for number in range(60):
+        assert _request(entry, f"rt{number}").status_code == 200
+    # A call in four seconds is still sent, so that the end of the limit is seen.
+    elapsed = time.monotonic() - began
+    assert sum(limited.counts()["runs"].values()) - before <= 0.25 * elapsed + 2
+
+
+# Guards against an upstream that leaves without a heartbeat and still gets calls.
+def test_an_upstream_that_reports_leaving_in_answers_gets_no_new_work(
+    platform: platform_processes.Platform,
+) -> None:
+    leaving, entry = platform.machines["plans-1"], platform.machines["porting-1"]
+    leaving.tell_upstream(leaving=True)
+    _serve_until(platform, entry, leaving, "leaving")
+    before = sum(leaving.counts()["runs"].values())
+    for number in range(20):
+        for machine in platform.machines.values():
+            assert _request(machine, f"lv{number}.{machine.name}").status_code == 200
+    assert sum(leaving.counts()["runs"].values()) == before
+    assert "is leaving" in platform.log_of("plans-1")
+
+
+def _serve_until(
+    made: platform_processes.Platform,
+    entry: platform_processes.Machine,
+    wanted: platform_processes.Machine,
+    prefix: str,
+) -> None:
+    """Send requests until an upstream has answered one."""
+    numbers = itertools.count()
+    made.wait_until(
+        lambda: (
+            _request(entry, f"{prefix}{next(numbers)}").headers.get("Instance-Id")
+            == f"i-{wanted.name}"
+        )
+    )
+
+
 def test_another_instance_at_the_address_runs_nothing(
     platform: platform_processes.Platform,
 ) -> None:
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -21,6 +21,9 @@
 CRASH_SEED = 3
 """Seed whose schedule has a request that crashes backend servers."""
 
+REPORTED_SEED = 22
+"""Seed whose schedule has backend servers that report a rate limit and leaving."""
+
 RESTORED_SEED = 1
 """Seed whose schedule restores the log more than once."""
 
@@ -56,3 +59,15 @@
     assert sum(restored in step for step in verdict.steps) > 1
     assert verdict.violations == []
     assert verdict.served > 0
+
+
+def test_reported_limits_and_leaving_cause_no_violations(
+    tmp_path: pathlib.Path,
+) -> None:
+    verdict = run.play(
+        REPORTED_SEED, tmp_path, machines=4, length_s=5.0, timing=False, reported=True
+    )
+    for kind in (schedule.Kind.BACKEND_LIMIT, schedule.Kind.BACKEND_LEAVING):
+        assert any(kind.value in step for step in verdict.steps)
+    assert verdict.violations == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -48,6 +48,7 @@
             timing=True,
             deadly=True,
             restored=True,
+            reported=True,
         )
         click.echo(
             f"{verdict.served} of {verdict.attempts} served,"
--- a/tooling/gingerturn_soak/callers.py
+++ b/tooling/gingerturn_soak/callers.py
@@ -26,6 +26,9 @@
     """One request and its result.
 
     :param version: configuration version that a probe requests; 0 for no probe.
+    :param instance: the backend server whose answer reported a limit or leaving.
+    :param limited: it reported a rate limit.
+    :param leaving: it reported that it is leaving.
     :param incarnation: number of earlier starts of the node.
     :param status: 0 while there is none.
     :param intact: whether a success had the expected signature and body.
@@ -42,6 +45,9 @@
     intact: bool = True
     error: str = ""
     version: int = 0
+    instance: str = ""
+    limited: bool = False
+    leaving: bool = False
 
 
 def now_ms() -> float:
@@ -120,6 +126,9 @@
                 method, url, headers=headers, content=body
             )
             attempt.status = reply.status_code
+            attempt.instance = reply.headers.get("Instance-Id", "")
+            attempt.limited = "Server-Limit" in reply.headers
+            attempt.leaving = "Server-Leaving" in reply.headers
             if reply.is_success:
                 signature = reply.headers.get("Response-Signature")
                 expected = body or f"{service} {path}".encode()
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -23,6 +23,16 @@
 MAX_CRASHES = 3
 """Crashes under one request until its quarantine, and runs tolerated after it."""
 
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_SETTLE_MS = 3_000.0
+"""Time from the first report of a rate limit until it is checked."""
+
+LIMIT_KNOWN_MS = 500.0
+"""Time from the relay of a report until requests of that node count."""
+
+LIMIT_EXCESS = 1.5
+LIMIT_SLACK = 5.0
+
 MIN_SERVED_SHARE = 0.95
 """Share of the requests that must be served once all faults are over."""
 
@@ -103,6 +113,112 @@
             yield f"{entry.id} reached {entry.instance} {since:.0f} ms after its drain"
 
 
+def limits_are_kept(observed: Observations) -> collections.abc.Iterator[str]:
+    """A backend server gets no more than the rate limit it reports allows, counting the
+    nodes that relayed such an answer."""
+    periods = _limited_periods(observed)
+    relayed = _relays(observed, lambda attempt: attempt.limited)
+    sent = {attempt.id: attempt for attempt in observed.attempts}
+    for instance, begin, end, limit in periods:
+        times = []
+        for entry in observed.ledger.of("arrived"):
+            attempt = sent.get(entry.id)
+            if entry.instance != instance or attempt is None:
+                continue
+            since = relayed.get((attempt.node, attempt.incarnation, instance))
+            if _is_bound(observed, attempt, since, entry.at):
+                times.append(entry.at)
+        allowed = LIMIT_EXCESS * limit * LIMIT_WINDOW_MS / 1000.0 + LIMIT_SLACK
+        for last in times:
+            start = last - LIMIT_WINDOW_MS
+            count = sum(start < at <= last for at in times)
+            checked = begin + LIMIT_SETTLE_MS <= last <= end
+            if checked and count > allowed and not _link_delays(observed, instance):
+                yield f"{instance} got {count} requests in 4 s, allowed {allowed:.1f}"
+                break
+
+
+def reported_leaving_gets_no_work(
+    observed: Observations,
+) -> collections.abc.Iterator[str]:
+    """A node that relayed an answer that reports leaving sends that backend server no
+    request that began later than the time to drain."""
+    relayed = _relays(observed, lambda attempt: attempt.leaving)
+    sent = {attempt.id: attempt for attempt in observed.attempts}
+    for entry in observed.ledger.of("arrived"):
+        attempt = sent.get(entry.id)
+        if attempt is None:
+            continue
+        since = relayed.get((attempt.node, attempt.incarnation, entry.instance))
+        if since is None or attempt.began - since <= APPLY_MS:
+            continue
+        if not _is_paused(observed, attempt.node, since, entry.at):
+            late = attempt.began - since
+            yield f"{entry.id} reached {entry.instance} {late:.0f} ms after its report"
+
+
+def _limited_periods(
+    observed: Observations,
+) -> list[tuple[str, float, float, float]]:
+    """Return instance, begin, end and rate of each limit that was reported."""
+    found = []
+    open_periods: dict[str, tuple[float, float]] = {}
+    for entry in observed.ledger.of("limit"):
+        if entry.instance in open_periods:
+            begin, limit = open_periods.pop(entry.instance)
+            found.append((entry.instance, begin, entry.at, limit))
+        if entry.id:
+            open_periods[entry.instance] = (entry.at, float(entry.id))
+    for instance, (begin, limit) in open_periods.items():
+        found.append((instance, begin, float("inf"), limit))
+    return found
+
+
+def _relays(
+    observed: Observations,
+    reported: collections.abc.Callable[[callers.Attempt], bool],
+) -> dict[tuple[str, int, str], float]:
+    """Return when each start of a node first relayed a report of each instance."""
+    found: dict[tuple[str, int, str], float] = {}
+    for attempt in sorted(observed.attempts, key=lambda a: a.ended):
+        if attempt.instance and reported(attempt):
+            key = (attempt.node, attempt.incarnation, attempt.instance)
+            found.setdefault(key, attempt.ended)
+    return found
+
+
+def _is_bound(
+    observed: Observations, attempt: callers.Attempt, since: float | None, at: float
+) -> bool:
+    """Whether a request counts that arrived at a backend server with a rate limit.
+
+    :param since: when its node first relayed a report of that limit, if it did.
+    """
+    if since is None or since > at - LIMIT_KNOWN_MS:
+        return False
+    return not _is_paused(observed, attempt.node, since, at)
+
+
+def _is_paused(observed: Observations, node: str, begin: float, end: float) -> bool:
+    """Whether a node was paused in a period."""
+    return any(
+        fault.kind is schedule.Kind.NODE_PAUSE
+        and fault.node == node
+        and _overlaps(fault, begin, end)
+        for fault in observed.faults
+    )
+
+
+def _link_delays(observed: Observations, instance: str) -> bool:
+    """Whether requests on the way to an instance were delayed, so that they arrived
+    together."""
+    return any(
+        fault.kind in {schedule.Kind.BACKEND_LINK, schedule.Kind.BACKEND_PAUSE}
+        and instance.startswith(f"i-{fault.node}")
+        for fault in observed.faults
+    )
+
+
 def stops_cut_nothing(observed: Observations) -> collections.abc.Iterator[str]:
     """A planned stop answers all accepted requests, and the node exits in time."""
     for stop in observed.faults:
@@ -208,6 +324,8 @@
 TIMING: tuple[Check, ...] = (
     answers_come_in_time,
     leaving_gets_no_work,
+    limits_are_kept,
+    reported_leaving_gets_no_work,
     stops_cut_nothing,
     configuration_in_time,
     retries_are_bounded,
--- a/tooling/gingerturn_soak/ledger.py
+++ b/tooling/gingerturn_soak/ledger.py
@@ -13,7 +13,8 @@
 class Entry(msgspec.Struct, frozen=True):
     """One line of a backend server's log.
 
-    :param event: ``arrived``, ``run`` or ``acknowledged`` (its drain).
+    :param event: ``arrived``, ``run``, ``acknowledged`` (its drain) or ``limit`` (the
+        rate limit that answers report from then on, as ``id``; empty for none).
     :param at: milliseconds since the epoch.
     """
 
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -27,6 +27,9 @@
 LOG_DOWNTIME_S = 0.5
 """How long the log is down while it is restored from a backup."""
 
+RATE_LIMITS = ("0", "0.4", "3.5", "12")
+"""Limits that a backend server reports, picked by the duration of the step."""
+
 VERSIONED_ROUTES = 6
 """Number of earlier versions that a configuration still has routes for."""
 
@@ -181,6 +184,21 @@
         await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.duration_s)
         await self._backend_kill(step, fault)
 
+    async def _backend_limit(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Let a backend server report a rate limit for a while."""
+        machine = self._machine(step.target)
+        limit = RATE_LIMITS[int(step.duration_s * 1_000) % len(RATE_LIMITS)]
+        await self.control_backend(machine, limit=limit)
+        await asyncio.sleep(step.duration_s)
+        await self.control_backend(machine, limit=None)
+
+    async def _backend_leaving(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Let a backend server report leaving in answers only, and replace it."""
+        machine = self._machine(step.target)
+        await self.control_backend(machine, leaving=True)
+        await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.duration_s)
+        await self._backend_kill(step, fault)
+
     async def _backend_refuse(self, step: schedule.Step, fault: checks.Fault) -> None:
         await self._control_for(step, refuse=True)
 
@@ -342,6 +360,8 @@
     schedule.Kind.CONFIGURE: Run._change,
     schedule.Kind.DEADLY: Run._deadly,
     schedule.Kind.LOG_RESTORED: Run._log_restored,
+    schedule.Kind.BACKEND_LIMIT: Run._backend_limit,
+    schedule.Kind.BACKEND_LEAVING: Run._backend_leaving,
 }
 
 
@@ -367,6 +387,7 @@
     timing: bool,
     deadly: bool = False,
     restored: bool = False,
+    reported: bool = False,
 ) -> Verdict:
     """Play the run of a seed and check it."""
     steps = schedule.draw(
@@ -375,6 +396,7 @@
         length_s=length_s,
         deadly=deadly,
         restored=restored,
+        reported=reported,
     )
     run = Run(folder, machines=machines)
     observed = asyncio.run(run.play(steps))
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -31,9 +31,13 @@
     CONFIGURE = "configure"
     DEADLY = "deadly"
     LOG_RESTORED = "log-restored"
+    BACKEND_LIMIT = "backend-limit"
+    BACKEND_LEAVING = "backend-leaving"
 
 
-SEPARATELY_DRAWN = frozenset({Kind.DEADLY, Kind.LOG_RESTORED})
+SEPARATELY_DRAWN = frozenset(
+    {Kind.DEADLY, Kind.LOG_RESTORED, Kind.BACKEND_LIMIT, Kind.BACKEND_LEAVING}
+)
 """Drawn separately: enabling them leaves the other steps of a seed unchanged."""
 
 COMMON_KINDS = [kind for kind in Kind if kind not in SEPARATELY_DRAWN]
@@ -45,7 +49,14 @@
 """Duration of crashing requests: longer than reports of crashes take to spread."""
 
 PLANNED_KINDS = frozenset(
-    {Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.BACKEND_DRAIN, Kind.CONFIGURE}
+    {
+        Kind.NODE_STOP,
+        Kind.NODE_RELOAD,
+        Kind.BACKEND_DRAIN,
+        Kind.BACKEND_LIMIT,
+        Kind.BACKEND_LEAVING,
+        Kind.CONFIGURE,
+    }
 )
 """Planned operations, which must not cut requests."""
 
@@ -58,6 +69,12 @@
 MAX_RESTORES = 3
 """Most restorations of the log in one run."""
 
+LIMIT_S = 6.0
+"""Minimum duration of a rate limit: longer than until it is checked."""
+
+MAX_REPORTS = 3
+"""Most backend servers that report a limit, or leaving, in one run."""
+
 WARM_UP_S = 2.0
 """Time before the first step, in which all nodes become ready."""
 
@@ -83,11 +100,13 @@
     length_s: float,
     deadly: bool = False,
     restored: bool = False,
+    reported: bool = False,
 ) -> list[Step]:
     """Return the steps of a run, in order of time.
 
     :param deadly: whether requests that crash backend servers may be drawn.
     :param restored: whether restorations of the log may be drawn.
+    :param reported: whether backend servers report limits and leaving in answers.
     """
     rng = random.Random(seed)
     steps: list[Step] = []
@@ -110,9 +129,30 @@
         steps.append(Step(at=at, kind=Kind.DEADLY, target=0, duration_s=DEADLY_S))
     if restored:
         steps += _restores(random.Random(f"restored {seed}"), length_s)
+    if reported:
+        steps += _reports(random.Random(f"reported {seed}"), machines, length_s)
     return sorted(steps, key=lambda step: step.at)
 
 
+def _reports(rng: random.Random, machines: int, length_s: float) -> list[Step]:
+    """Return limits and leavings that backend servers report in answers."""
+    steps = []
+    for target in rng.sample(range(machines), rng.randint(1, MAX_REPORTS)):
+        kind = rng.choice(
+            (Kind.BACKEND_LIMIT, Kind.BACKEND_LIMIT, Kind.BACKEND_LEAVING)
+        )
+        shortest_s = LIMIT_S if kind is Kind.BACKEND_LIMIT else 0.0
+        steps.append(
+            Step(
+                at=round(rng.uniform(WARM_UP_S, length_s), 3),
+                kind=kind,
+                target=target,
+                duration_s=round(shortest_s + rng.uniform(0.5, 4.0), 3),
+            )
+        )
+    return steps
+
+
 def _restores(rng: random.Random, length_s: float) -> list[Step]:
     """Return restorations of the log; the duration of a step is its backup's age."""
     if rng.random() >= RESTORED_SHARE:
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -1,12 +1,13 @@
 """A stand-in for an upstream of the platform, with its heartbeats.
 
 ``POST /control`` sets: ``state`` (``draining``), ``refuse`` (answer 503 with
-``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, and
-``cut`` (break the connection in the middle of each answer). ``GET /counts`` tells how
-often each request id ran, and the headers of the last one.
+``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, ``cut``
+(break the connection in the middle of each answer), ``limit`` (the text of a rate limit
+that each answer reports, ``null`` for none) and ``leaving`` (each answer reports it).
+``GET /counts`` tells how often each request id ran, and the headers of the last one.
 
-Each arrival, run and acknowledged drain is also written to standard output as a line of
-JSON, a run before its work begins.
+Each arrival, run, acknowledged drain and change of the limit is also written to
+standard output as a line of JSON, a run before its work begins.
 """
 
 import asyncio
@@ -42,6 +43,8 @@
         self.refuse = False
         self.silent = False
         self.cut = False
+        self.limit: str | None = None
+        self.leaving = False
         self.work_ms = 5.0
         self.sequence = 0
         self.runs: collections.Counter[str] = collections.Counter()
@@ -51,8 +54,11 @@
     async def handle(self, request: http_server.Request) -> http_server.Response:
         """Serve a request."""
         if request.target == "/control":
-            for name, value in json.loads(request.body).items():
+            changes = json.loads(request.body)
+            for name, value in changes.items():
                 setattr(self, name, value)
+            if "limit" in changes:
+                self._write("limit", self.limit or "")
             return http_server.Response(200, b"{}")
         if request.target == "/counts":
             counts = {
@@ -67,7 +73,7 @@
         number = request.headers.get("request-id", "")
         self._write("arrived", number)
         expected = request.headers.get("expected-instance", self.instance)
-        echoed = {"Request-Id": number}
+        echoed = {"Request-Id": number, **self._reports()}
         if not number or self.refuse:
             status = 503 if number else 400
             headers = {**echoed, "Not-Executed": "1"}
@@ -82,9 +88,21 @@
         if DEADLY_PATH in request.target:
             os._exit(DEADLY_EXIT)
         body = request.body or f"{self.service} {request.target}".encode()
-        headers = {**echoed, "Response-Signature": f"signed.{number}"}
+        signature = f"signed.{number}"
+        headers = {**echoed, **self._reports(), "Response-Signature": signature}
         return http_server.Response(200, body, headers, cut=self.cut)
 
+    def _reports(self) -> dict[str, str]:
+        """Return the headers that report the rate limit and leaving."""
+        headers = {}
+        if self.limit is not None:
+            headers["Server-Limit"] = self.limit
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
+        if headers:
+            headers["Instance-Id"] = self.instance
+        return headers
+
     def on_acknowledged(self, state: str) -> None:
         """Record that a heartbeat with this state was acknowledged."""
         if state == "draining" and state not in self.acknowledged:
