--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -102,6 +102,7 @@
     figures = None
     if admission.is_rate_limited(state):
         rule = decisions.Rule.RATE_LIMITED
+        state.backend.rate_limited_count += 1
         limiter = state.backend.limiter
         figures = (
             limiter.limit,
--- a/src/gingerturn/internal/core/level_control.py
+++ b/src/gingerturn/internal/core/level_control.py
@@ -67,6 +67,12 @@
     del backend.windows[:-MAX_WINDOWS]
 
 
+def dispatch_rate(backend: states.Backend) -> ids.RequestsPerSecond:
+    """Return the calls a second that were dispatched in the latest windows."""
+    dispatched = sum(window.dispatched for window in backend.windows)
+    return 1_000.0 * dispatched / (WINDOW_MS * len(backend.windows))
+
+
 def _recent_windows(backend: states.Backend) -> list[states.Window]:
     """Return the latest windows with enough dispatched calls."""
     dispatched = 0
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -205,6 +205,7 @@
     :param crash_count: number of its crashes while this node ran.
     :param dispatch_count: calls dispatched to it while this node ran.
     :param limiter: applies the rate limit that it reports.
+    :param rate_limited_count: calls shed for that limit while this node ran.
     :param limit_logged_at: when a report of its limit was last logged.
     """
 
@@ -236,6 +237,7 @@
     answered_at: ids.Milliseconds = 0.0
     crash_count: int = 0
     dispatch_count: int = 0
+    rate_limited_count: int = 0
     limiter: rate_limits.Limiter = msgspec.field(default_factory=rate_limits.Limiter)
     limit_logged_at: ids.Milliseconds = 0.0
 
--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -56,6 +56,7 @@
     leaving: bool
     slots: int
     limit: float
+    rate_limit: float
     running: int
     queued: int
     level: int
@@ -176,6 +177,7 @@
                 leaving=backend.leaving,
                 slots=backend.slots,
                 limit=backend.limit,
+                rate_limit=backend.limiter.limit,
                 running=backend.running,
                 queued=len(backend.queue),
                 level=backend.level,
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -2,7 +2,13 @@
 
 import typing
 
-from gingerturn.internal.core import freshness, levels, readiness, state as states
+from gingerturn.internal.core import (
+    freshness,
+    level_control,
+    levels,
+    readiness,
+    state as states,
+)
 from gingerturn.internal.shell import side_http
 
 if typing.TYPE_CHECKING:
@@ -90,7 +96,10 @@
     add("backend_queue", "gauge", ("", len(backend.queue)))
     add("backend_level", "gauge", ("", backend.level))
     add("backend_dispatched_total", "counter", ("", backend.dispatch_count))
+    rate = level_control.dispatch_rate(backend)
+    add("backend_dispatch_rate", "gauge", ("", rate))
     add("backend_rate_limit", "gauge", ("", backend.limiter.limit))
+    add("backend_rate_limited_total", "counter", ("", backend.rate_limited_count))
     add("backend_ends_total", "counter", ("", backend.crash_count))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     add("members", "gauge", ("", len(state.membership.members)))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -65,6 +65,12 @@
         f" level {_count(plain, 'backend_level')}",
         f"answered {_count(plain, 'answered_total')}" + _latencies(found),
     ]
+    if plain.get("backend_rate_limit", -1.0) >= 0.0:
+        lines.append(
+            f"backend server: rate limit {plain['backend_rate_limit']:g} requests a"
+            f" second, {plain.get('backend_dispatch_rate', 0.0):.1f} dispatched,"
+            f" {_count(plain, 'backend_rate_limited_total')} shed for it so far"
+        )
     if found.refused:
         descending = sorted(found.refused.items(), key=lambda item: -item[1])
         lines.append(
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -40,6 +40,18 @@
     assert lines[-1] == "log restored from a backup 2 times, epoch 6"
 
 
+def test_a_rate_limit_is_reported_with_what_it_sheds() -> None:
+    samples = (
+        "gingerturn_backend_rate_limit 11.9\ngingerturn_backend_dispatch_rate 11.25\n"
+        "gingerturn_backend_rate_limited_total 45\n"
+    )
+    lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
+    assert lines[4] == (
+        "backend server: rate limit 11.9 requests a second, 11.2 dispatched,"
+        " 45 shed for it so far"
+    )
+
+
 def test_missing_samples_are_shown_as_unknown() -> None:
     found = metrics_text.parse("gingerturn_ready 0\n", origin="n1")
     lines = metrics_text.summary(found)
