Left behind: make bench-long starts again; a test that could pass without its subject

benchmarks/graphs.py took LOCAL_MS from a module that does not have it; a test asks for the capacity of both graphs now. The test of health look-ups also passed where nothing is looked up.

--- a/benchmarks/graphs.py
+++ b/benchmarks/graphs.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from gingerturn_fakes import links, parts, world
+from gingerturn_fakes import backends, links, parts
 
 BROLGA_DOCUMENT = """
 [[importance]]
@@ -197,7 +197,7 @@
 
     def _add(self, service: str, kind: str, found: dict[str, float]) -> float:
         spec = next(s for s in self.services if s.name == service)
-        spent = spec.service_ms[kind] + 2 * world.LOCAL_MS
+        spent = spec.service_ms[kind] + 2 * backends.LOCAL_MS
         for step in spec.calls.get(kind, []):
             child = step.split(" ")[0]
             child_kind = _CHILD_KINDS[step]
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -51,6 +51,11 @@
 """
 
 
+def service_document(service: str) -> str:
+    """Return a document that declares a service."""
+    return f'[[service]]\nname = "{service}"\n'
+
+
 def configured() -> configuration.Configuration:
     """Return the configuration of :data:`DOCUMENT`."""
     return configuration.Configuration({"shop": DOCUMENT})
--- a/tests/cover/test_configuration_on_a_restored_log.py
+++ b/tests/cover/test_configuration_on_a_restored_log.py
@@ -23,10 +23,6 @@
 from tests.common import builders
 
 
-def _text(service: str) -> str:
-    return f'[[service]]\nname = "{service}"\n'
-
-
 def _record(
     name: str, team: str, base: int, service: str = ""
 ) -> messages.PublishRecord:
@@ -35,7 +31,7 @@
         team=team,
         author="me",
         base=base,
-        text=_text(service or f"{team}-{name}"),
+        text=builders.service_document(service or f"{team}-{name}"),
         at=builders.START,
     )
 
@@ -116,7 +112,7 @@
     _publish(log, "d", "shop", node)
     log.read_by(node)
     assert node.revisions.revision == 4
-    assert node.revisions.documents == {"shop": _text("shop-d")}
+    assert node.revisions.documents == {"shop": builders.service_document("shop-d")}
 
 
 def test_what_was_accepted_stays_in_force_and_is_written_again() -> None:
@@ -126,7 +122,7 @@
         log.read_by(node)
     log.restore(1)
     out = log.read_by(node)
-    assert node.revisions.documents == {"shop": _text("shop-b")}
+    assert node.revisions.documents == {"shop": builders.service_document("shop-b")}
     out += builders.advance(node, 1_500.0)
     written = [
         messages.decode_record(effect.record)
@@ -138,7 +134,7 @@
     log.records += written
     started = _node("n2")
     log.read_by(started)
-    assert started.revisions.documents == {"shop": _text("shop-b")}
+    assert started.revisions.documents == {"shop": builders.service_document("shop-b")}
 
 
 def test_an_old_record_that_is_read_again_changes_nothing() -> None:
@@ -150,7 +146,7 @@
     log.restore(2)
     log.read_by(node)
     assert node.revisions.revision == 2
-    assert node.revisions.documents == {"shop": _text("shop-b")}
+    assert node.revisions.documents == {"shop": builders.service_document("shop-b")}
 
 
 def test_a_difference_that_does_not_fit_is_followed_by_the_whole() -> None:
@@ -181,13 +177,24 @@
             revision=max(changed.values()),
             documents=documents,
             revisions=changed,
-            digest=configuration.digest_of({"shop": _text("a"), "mill": _text("b")}),
+            digest=configuration.digest_of(
+                {
+                    "shop": builders.service_document("a"),
+                    "mill": builders.service_document("b"),
+                }
+            ),
         )
         reducer.reduce(node, events.SnapshotReceived(now=node.now, snapshot=snapshot))
 
-    take({"mill": _text("b")}, {"shop": 1, "mill": 2})
+    take({"mill": builders.service_document("b")}, {"shop": 1, "mill": 2})
     assert _fetched_since(node, 2) == 0
-    take({"shop": _text("a"), "mill": _text("b")}, {"shop": 1, "mill": 2})
+    take(
+        {
+            "shop": builders.service_document("a"),
+            "mill": builders.service_document("b"),
+        },
+        {"shop": 1, "mill": 2},
+    )
     assert node.revisions.revision == 2
     assert _fetched_since(node, 3) == 2
 
--- a/tests/cover/test_levels_at_size.py
+++ b/tests/cover/test_levels_at_size.py
@@ -185,7 +185,7 @@
     monkeypatch.setattr(upstreams, "is_unresponsive", is_unresponsive)
     for _ in range(50):
         assert "u7" not in upstreams.candidates(state, PLANS)
-    assert len(checked) <= 2 * 400
+    assert 0 < len(checked) <= 2 * 400
     _receive(state, 7, builders.report())
     assert "u7" in upstreams.candidates(state, PLANS)
 
--- a/tests/cover/test_revisions.py
+++ b/tests/cover/test_revisions.py
@@ -17,10 +17,6 @@
 from tests.common import builders
 
 
-def _text(service: str) -> str:
-    return f'[[service]]\nname = "{service}"\n'
-
-
 def _record(
     record_id: str, team: str, base: int, service: str
 ) -> messages.PublishRecord:
@@ -29,7 +25,7 @@
         team=team,
         author="me",
         base=base,
-        text=_text(service),
+        text=builders.service_document(service),
         at=builders.START,
     )
 
@@ -70,14 +66,18 @@
     for state in (_new_state("n1"), _new_state("n2")):
         _read(state, first, second)
         assert state.revisions.revision == 1
-        assert state.revisions.documents == {"shop": _text("one")}
+        assert state.revisions.documents == {"shop": builders.service_document("one")}
         assert [h.outcome for h in state.revisions.history] == ["accepted", "refused"]
 
 
 def test_the_author_of_a_conflicting_publication_is_notified() -> None:
     state = _new_state()
     append = builders.only(
-        [e for e in _request(state, "shop", 0, _text("two")) if _on_config(e)],
+        [
+            e
+            for e in _request(state, "shop", 0, builders.service_document("two"))
+            if _on_config(e)
+        ],
         effects.Append,
     )
     mine = messages.decode_record(append.record)
@@ -94,7 +94,9 @@
 
 def test_a_lost_acknowledgement_is_found_out_by_reading_back() -> None:
     state = _new_state()
-    append = builders.only(_request(state, "shop", 0, _text("one")), effects.Append)
+    append = builders.only(
+        _request(state, "shop", 0, builders.service_document("one")), effects.Append
+    )
     lost = events.AppendFailed(now=state.now, append=append.append, certain=False)
     assert reducer.reduce(state, lost) == []
     out = _read(state, messages.decode_record(append.record))
@@ -111,7 +113,9 @@
 
 def test_an_append_that_certainly_failed_is_reported_at_once() -> None:
     state = _new_state()
-    append = builders.only(_request(state, "shop", 0, _text("one")), effects.Append)
+    append = builders.only(
+        _request(state, "shop", 0, builders.service_document("one")), effects.Append
+    )
     failed = events.AppendFailed(now=state.now, append=append.append, certain=True)
     ended = builders.only(reducer.reduce(state, failed), effects.PublishEnded)
     assert ended.accepted is False
@@ -120,7 +124,7 @@
 
 def test_an_unconfirmed_publication_is_reported_as_unknown() -> None:
     state = _new_state()
-    _request(state, "shop", 0, _text("one"))
+    _request(state, "shop", 0, builders.service_document("one"))
     later = state.now + revisions.PUBLISH_TIMEOUT_MS + 2_000
     out = reducer.reduce(state, events.Tick(now=later))
     assert builders.only(out, effects.PublishEnded).accepted is None
@@ -129,7 +133,7 @@
 def test_a_stale_base_and_a_bad_document_are_refused_before_the_log() -> None:
     state = _new_state()
     _read(state, _record("a", "shop", 0, "one"))
-    for base, text in ((0, _text("two")), (1, "not toml [")):
+    for base, text in ((0, builders.service_document("two")), (1, "not toml [")):
         out = _request(state, "shop", base, text)
         assert builders.only(out, effects.PublishEnded).accepted is False
         assert not builders.all_of(out, effects.Append)
@@ -143,12 +147,15 @@
     _read(state, _record("a", "shop", 0, "one"), _record("b", "shop", 1, "two"))
     reducer.reduce(state, events.SnapshotReceived(now=state.now, snapshot=snapshot))
     assert state.revisions.revision == 2
-    assert state.revisions.documents == {"shop": _text("two")}
+    assert state.revisions.documents == {"shop": builders.service_document("two")}
 
 
 def test_a_snapshot_with_a_wrong_digest_is_not_taken() -> None:
     snapshot = messages.ConfigSnapshot(
-        revision=9, documents={"shop": _text("x")}, revisions={"shop": 9}, digest="no"
+        revision=9,
+        documents={"shop": builders.service_document("x")},
+        revisions={"shop": 9},
+        digest="no",
     )
     state = _new_state()
     reducer.reduce(state, events.SnapshotReceived(now=state.now, snapshot=snapshot))
@@ -186,7 +193,7 @@
     ]
     kept = [r for r in records if isinstance(r, messages.ConfigSnapshot)]
     assert len(kept) == 1
-    assert kept[0].documents == {"shop": _text("one")}
+    assert kept[0].documents == {"shop": builders.service_document("one")}
 
 
 RECORDS = st.lists(
--- a/tests/cover/test_site_model.py
+++ b/tests/cover/test_site_model.py
@@ -1,8 +1,10 @@
 """The simulated sites serve every request without overload and are deterministic."""
 
+import collections.abc
+
 import pytest
 
-from benchmarks import deployments, sites
+from benchmarks import deployments, graphs, sites
 
 
 @pytest.mark.parametrize(
@@ -22,3 +24,11 @@
     first, second = (sites.overloaded(seconds=4.5).play() for _ in range(2))
     assert first == second
     assert first.worth < 0.8
+
+
+# Guards against a long benchmark that ends in an error before its first run.
+@pytest.mark.parametrize("graph", [graphs.brolga, graphs.coopcarga])
+def test_the_capacity_of_a_graph_is_known(
+    graph: collections.abc.Callable[[], graphs.Graph],
+) -> None:
+    assert graph().capacity() > 0.0
