--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -304,6 +304,42 @@
     run.world.at(FAULT_END_MS, lambda: setattr(node.backend, "slow", usual))
 
 
+def _limited(run: Run) -> None:
+    """Let two of the upstreams where requests begin report rate limits."""
+    names = [f"{run.site.kinds[0].service}-{number}" for number in (1, 2)]
+    for name, limit in zip(names, (7.4, 11.9), strict=True):
+        backend = run.world.nodes[name].backend
+        run.world.at(
+            FAULT_START_MS,
+            lambda backend=backend, limit=limit: setattr(backend, "rate_limit", limit),
+        )
+        run.world.at(
+            FAULT_END_MS, lambda backend=backend: setattr(backend, "rate_limit", -1.0)
+        )
+
+
+def _all_limited(run: Run) -> None:
+    """Let the upstreams of the bottleneck service accept a third of what they could."""
+    service = _bottleneck_of(run.site)
+    work_ms = min(k.work_ms for k in run.site.kinds if k.service == service.name)
+    for number, speed in enumerate(service.speeds, 1):
+        backend = run.world.nodes[f"{service.name}-{number}"].backend
+        limit = 1_000.0 * service.slots * speed / work_ms / 3.0
+        run.world.at(
+            FAULT_START_MS,
+            lambda backend=backend, limit=limit: setattr(backend, "rate_limit", limit),
+        )
+        run.world.at(
+            FAULT_END_MS, lambda backend=backend: setattr(backend, "rate_limit", -1.0)
+        )
+
+
+def _leaving(run: Run) -> None:
+    """Let an upstream of the bottleneck service report leaving in its answers."""
+    node = run.world.nodes[f"{run.site.bottleneck}-1"]
+    run.world.at(FAULT_START_MS, lambda: setattr(node.backend, "reports_leaving", True))
+
+
 SCENARIOS: dict[str, collections.abc.Callable[[Run], None]] = {
     "calm": _calm,
     "burst": _burst,
@@ -312,6 +348,9 @@
     "one-lost": _one_lost,
     "one-slow": _one_slow,
     "turning-away": _refusing,
+    "limited": _limited,
+    "all-limited": _all_limited,
+    "leaving": _leaving,
 }
 
 
