What is known of an earlier start of a backend server does not bind a later one

An entry node returns what it knows of an upstream by instance id. Where a backend server starts again under its id, a report of the former start would have withdrawn or limited the new one at its node. A status carries the start time, where one is announced, and the node beside the backend server ignores that of an earlier start.

test_what_is_known_of_an_earlier_start_does_not_bind_a_later_one fails where starts are not compared.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -353,6 +353,7 @@
         instance=backend.instance,
         rate_limit=backend.limiter.limit,
         leaving=backend.leaving,
+        started_ms=backend.started_ms,
     )
 
 
--- a/src/gingerturn/internal/core/backend_reports.py
+++ b/src/gingerturn/internal/core/backend_reports.py
@@ -8,6 +8,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     events,
+    instances,
     messages,
     operator_log,
     rate_limits,
@@ -41,7 +42,10 @@
     """Apply the limit that an entry node knows, unless an answer arrived here since the
     start of this node."""
     backend = state.backend
-    if status.instance != backend.instance:
+    started_ms = status.started_ms
+    if status.instance != backend.instance or instances.is_of_earlier_start(
+        backend, status.instance, started_ms
+    ):
         return
     if status.rate_limit >= 0.0 and not backend.limiter.observed:
         _apply_limit(state, status.rate_limit, out)
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -191,8 +191,7 @@
     ),
     Rule.OVER_CAP: "Refused: the workspace has reached its usage cap.",
     Rule.RATE_LIMITED: (
-        "Shed: the backend server's own rate limit is used up, and this call ranked"
-        " lowest of those that waited for it."
+        "Shed: the rate limit that the backend server reports is used up at present."
     ),
 }
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -33,11 +33,13 @@
     :param rate_limit: requests a second that it accepts from all nodes together;
         negative without a limit.
     :param leaving: it takes no new requests.
+    :param started_ms: Unix time of its start; 0 if not announced.
     """
 
     instance: str
     rate_limit: ids.RequestsPerSecond = -1.0
     leaving: bool = False
+    started_ms: int = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -460,7 +460,7 @@
     backend_reports.on_reported(state, event, out)
     hosted = state.hosted.get(event.hosted)
     if event.leaving and hosted is not None:
-        _withdraw(state, hosted.instance, out)
+        _withdraw(state, hosted.instance, 0, out)
 
 
 def _on_open(
@@ -470,13 +470,17 @@
     if status is not None:
         backend_reports.on_known_status(state, status, out)
         if status.leaving and status.instance:
-            _withdraw(state, status.instance, out)
+            _withdraw(state, status.instance, status.started_ms, out)
     hosting.on_open(state, event, out)
 
 
-def _withdraw(state: states.State, instance: str, out: states.Effects) -> None:
-    """Withdraw an instance that reported in an answer that it is leaving."""
-    withdrawn = events.BackendWithdrawn(now=state.now, instance=instance)
+def _withdraw(
+    state: states.State, instance: str, started_ms: int, out: states.Effects
+) -> None:
+    """Withdraw a start that reported in an answer that it is leaving."""
+    withdrawn = events.BackendWithdrawn(
+        now=state.now, instance=instance, started_ms=started_ms
+    )
     _on_withdrawn(state, withdrawn, out)
 
 
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -26,7 +26,9 @@
     bottleneck_level=ids.Rank(11),
     bottleneck_age_ms=30.0,
 )
-STATUS = messages.BackendStatus(instance="i", rate_limit=2.5, leaving=True)
+STATUS = messages.BackendStatus(
+    instance="i", rate_limit=2.5, leaving=True, started_ms=7
+)
 METADATA = messages.CallMetadata(
     service=PLANS,
     kind=KIND,
@@ -150,7 +152,7 @@
         ),
         "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
         "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
-        "000093a169cb4004000000000000c3",
+        "000094a169cb4004000000000000c307",
     ),
     (
         events.OpenReceived(
@@ -161,7 +163,7 @@
         ),
         "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
         "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
-        "a16bc3c2a46e312f31c306a473686f7093a169cb4004000000000000c3",
+        "a16bc3c2a46e312f31c306a473686f7094a169cb4004000000000000c307",
     ),
     (
         events.BackendReported(
--- a/tests/cover/test_reported_leaving.py
+++ b/tests/cover/test_reported_leaving.py
@@ -1,5 +1,6 @@
 """Backend servers that report in their answers that they are leaving."""
 
+import msgspec
 import pytest
 
 from benchmarks import deployments, sites
@@ -118,6 +119,23 @@
     assert _rule(state, 2) is decisions.Rule.LEAVING
 
 
+# Guards against a report of an earlier start that binds a later one of the same id.
+def test_what_is_known_of_an_earlier_start_does_not_bind_a_later_one() -> None:
+    state = routed.node_state()
+    for started_ms in (5, 9):
+        announced = msgspec.structs.replace(
+            routed.announced(sequence=1), started_ms=started_ms
+        )
+        reducer.reduce(state, announced)
+    status = messages.BackendStatus(
+        instance="i-1", rate_limit=0.0, leaving=True, started_ms=5
+    )
+    for hosted in (1, 2):
+        metadata = builders.call_metadata(status=status)
+        out = reducer.reduce(state, builders.opened(hosted, metadata))
+        assert builders.all_of(out, effects.DispatchCall)
+
+
 def test_a_home_node_is_told_before_its_backend_server_is_announced() -> None:
     state = routed.node_state()
     status = messages.BackendStatus(instance="i-1", leaving=True)
