A limited upstream is used up, and decides for its service only where all are limited

Callers could be refused by the level of a service although an upstream without a limit had room, and an upstream with a limit of 60 a second, above its usual 50, got 15.

Cause: the limit was reported as the calls that run at that rate, so entry nodes shared by the part of it in use; and the level of a service is the median of its upstreams, which limited ones raise by calls that others then take. A limited home node also took its own level for that of the service.

test_a_limit_above_the_usual_rate_changes_nothing and test_nothing_is_refused_while_one_upstream_has_room guard it.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -37,7 +37,7 @@
 """The same on routes, where sequential calls wait in several queues within one timeout;
 see :data:`.level_control.ROUTED_OVERAGE`."""
 
-LIMITED_QUEUE_MS = 100.0
+LIMITED_QUEUE_MS = 25.0
 """In place of :data:`QUEUE_MS` while the backend server reports a rate limit: another
 upstream may take the call at once."""
 
@@ -328,14 +328,13 @@
 def load_report(state: states.State, kind: str) -> messages.LoadReport:
     """Return the load report to attach to an answer."""
     backend = state.backend
-    load, limit = _load_and_limit(state, kind)
     cost = slot_costs.report_of(state, kind)
     bottleneck = levels.latest_report(state, cost.service)
     return messages.LoadReport(
         level=backend.level,
         tree_level=tree_level(state, kind),
-        load=load,
-        limit=limit,
+        load=_reported_load(state),
+        limit=int(backend.limit),
         leaving=backend.leaving or state.departed,
         bottleneck=cost.service,
         bottleneck_slot_ms=round(cost.slot_ms),
@@ -357,22 +356,13 @@
     )
 
 
-def _load_and_limit(state: states.State, kind: str) -> tuple[int, int]:
-    """Return the load and the limit to report.
-
-    A rate limit is reported as the calls that run at that rate on average, and a bucket
-    without tokens as full load.
-    """
+def _reported_load(state: states.State) -> int:
+    """Return the load to report; without a token of the rate limit it is full."""
     backend = state.backend
-    load, limit = backend.running + len(backend.queue), int(backend.limit)
-    limiter = backend.limiter
-    if not limiter.limited:
-        return load, limit
-    rate = rate_limits.rate(limiter, state.now)
-    limit = max(1, min(limit, round(rate * service_time(state, kind) / 1_000.0)))
-    if not rate_limits.has_token(limiter, state.now):
-        load = max(load, limit)
-    return load, limit
+    load = backend.running + len(backend.queue)
+    if rate_limits.has_token(backend.limiter, state.now):
+        return load
+    return max(load, int(backend.limit))
 
 
 def retry_after_ms(state: states.State, rank: int, level: int) -> float:
--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -42,6 +42,10 @@
 _OWN_LEVEL = ""
 """Key in place of a kind: the levels of the upstreams themselves, for every kind."""
 
+_LIMITED_LEVEL = "*"
+"""The same of upstreams with a rate limit. They decide for the service only where it
+has no others, since what they shed is sent to the others."""
+
 
 def decayed(reported: states.ReportedLevel, now: ids.Milliseconds) -> ids.Rank:
     """Return a reported level, decayed by its age."""
@@ -63,7 +67,9 @@
 
     :param kind: of the answered call; empty if the report came without one.
     """
-    _record(service_level_of(state, service, _OWN_LEVEL), node, report.level, state.now)
+    is_limited = report.status is not None and report.status.rate_limit >= 0.0
+    own = _LIMITED_LEVEL if is_limited else _OWN_LEVEL
+    _record(service_level_of(state, service, own), node, report.level, state.now)
     if kind:
         _record(
             service_level_of(state, service, kind), node, report.tree_level, state.now
@@ -85,9 +91,21 @@
 
 def own_level(state: states.State, service: ids.ServiceName) -> states.ReportedLevel:
     """Return the rank below which the service itself sheds calls."""
+    if (service, _LIMITED_LEVEL) in state.levels and _all_limited(state, service):
+        return _service_median(state, service, _LIMITED_LEVEL)
     return _service_median(state, service, _OWN_LEVEL)
 
 
+def _all_limited(state: states.State, service: ids.ServiceName) -> bool:
+    """Whether every upstream of a service is known to have a rate limit."""
+    for node in state.membership.by_service.get(service, ()):
+        upstream = state.upstreams.get(node)
+        status = None if upstream is None else upstream.status
+        if status is None or status.rate_limit < 0.0:
+            return False
+    return True
+
+
 def child_level(
     state: states.State, service: ids.ServiceName, kind: str
 ) -> states.ReportedLevel:
@@ -120,10 +138,13 @@
 ) -> states.ReportedLevel:
     """Return the latest level of a service.
 
-    It is that of this node if its backend server offers the service, otherwise the
-    latest one of those reported by upstreams and those relayed by nodes that call it.
+    It is that of this node if its backend server offers the service without a rate
+    limit, otherwise the latest one of those reported by upstreams and those relayed by
+    nodes that call it.
     """
-    if service == state.backend.service and state.backend.present:
+    backend = state.backend
+    is_own = service == backend.service and backend.present
+    if is_own and not backend.limiter.limited:
         return states.ReportedLevel(level=state.backend.level, reported_at=state.now)
     direct = own_level(state, service)
     relayed = state.relayed_levels.get(service, states.NO_REPORTED_LEVEL)
--- a/tests/cover/test_reported_limits.py
+++ b/tests/cover/test_reported_limits.py
@@ -54,8 +54,30 @@
 def test_a_limited_upstream_gets_most_of_what_it_accepts() -> None:
     run, observed = _limited_run({"plans-1": 7.4, "plans-4": 11.9})
     run.play()
-    assert observed.rate("plans-1/0", *_seconds(4.0, 12.0)) > 0.5 * 7.4
-    assert observed.rate("plans-4/0", *_seconds(4.0, 12.0)) > 0.5 * 11.9
+    assert observed.rate("plans-1/0", *_seconds(4.0, 12.0)) > 0.8 * 7.4
+    assert observed.rate("plans-4/0", *_seconds(4.0, 12.0)) > 0.8 * 11.9
+
+
+# Guards against an upstream that is avoided for a limit which it does not reach.
+def test_a_limit_above_the_usual_rate_changes_nothing() -> None:
+    run, observed = _limited_run({"plans-4": 60.0}, seconds=8.0)
+    run.play()
+    before = observed.rate("plans-4/0", *_seconds(0.0, 2.0))
+    assert before < 60.0
+    assert observed.rate("plans-4/0", *_seconds(3.0, 8.0)) > 0.8 * before
+
+
+# Guards against limited upstreams that decide for a service where others have room.
+@pytest.mark.parametrize(("limit", "demand"), [(5.0, 0.6), (125.0, 0.8)])
+def test_nothing_is_refused_while_one_upstream_has_room(
+    limit: float, demand: float
+) -> None:
+    limits = {"provisioning-1": limit, "provisioning-2": limit}
+    run, observed = _limited_run(limits, seconds=8.0)
+    run.demand = demand
+    result = run.play()
+    assert observed.violations() == []
+    assert all(tally.share > 0.995 for tally in result.tallies.values())
 
 
 # Guards against a limit that holds for each entry node by itself.
