A limit that only some answers report is logged once, not for each pair of answers

The end of a limit was logged at the first answer without it, also where the next one reported it again. It is logged once the limit is being lifted.

test_a_limit_that_only_some_answers_report_is_logged_once fails without.

--- a/src/gingerturn/internal/core/backend_reports.py
+++ b/src/gingerturn/internal/core/backend_reports.py
@@ -72,18 +72,20 @@
     state: states.State, limit: ids.RequestsPerSecond, out: states.Effects
 ) -> None:
     limiter = state.backend.limiter
-    before = limiter.limit if not limiter.lifted_at else rate_limits.NO_LIMIT
     rate_limits.report(limiter, limit, state.now)
-    if limit != before:
-        _log_limit(state, limit, out)
+    _log_limit(state, rate_limits.limit_in_force(limiter, state.now), out)
 
 
 def _log_limit(
     state: states.State, limit: ids.RequestsPerSecond, out: states.Effects
 ) -> None:
+    """Log a limit that changed; a change within the interval is logged later."""
     backend = state.backend
-    if limit >= 0.0 and state.now - backend.limit_logged_at < LOG_INTERVAL_MS:
+    if limit == backend.logged_limit:
         return
+    if state.now - backend.limit_logged_at < LOG_INTERVAL_MS:
+        return
+    backend.logged_limit = limit
     backend.limit_logged_at = state.now
     text = f"a rate limit of {limit:g} requests a second"
     if limit < 0.0:
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -103,4 +103,5 @@
     backend.saturation = states.Saturation()
     backend.unreachable_until = 0.0
     backend.limiter = rate_limits.Limiter()
+    backend.logged_limit = rate_limits.NO_LIMIT
     admission.reset_measurements(state)
--- a/src/gingerturn/internal/core/rate_limits.py
+++ b/src/gingerturn/internal/core/rate_limits.py
@@ -110,6 +110,12 @@
     limiter.tokens = min(limiter.tokens, depth(limiter, now))
 
 
+def limit_in_force(limiter: Limiter, now: ids.Milliseconds) -> ids.RequestsPerSecond:
+    """Return the reported limit; :data:`NO_LIMIT` once it is being lifted."""
+    is_lifted = limiter.lifted_at and now >= limiter.lifted_at
+    return NO_LIMIT if is_lifted else limiter.limit
+
+
 def rate(limiter: Limiter, now: ids.Milliseconds) -> ids.RequestsPerSecond:
     """Return the rate at which tokens are added at present."""
     lifted_ms = now - limiter.lifted_at if limiter.lifted_at else 0.0
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -206,7 +206,8 @@
     :param dispatch_count: calls dispatched to it while this node ran.
     :param limiter: applies the rate limit that it reports.
     :param rate_limited_count: calls shed for that limit while this node ran.
-    :param limit_logged_at: when a report of its limit was last logged.
+    :param logged_limit: the limit in the latest log line about it.
+    :param limit_logged_at: when that line was written.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -239,6 +240,7 @@
     dispatch_count: int = 0
     rate_limited_count: int = 0
     limiter: rate_limits.Limiter = msgspec.field(default_factory=rate_limits.Limiter)
+    logged_limit: ids.RequestsPerSecond = rate_limits.NO_LIMIT
     limit_logged_at: ids.Milliseconds = 0.0
 
 
--- a/tests/cover/test_backend_reports.py
+++ b/tests/cover/test_backend_reports.py
@@ -81,6 +81,20 @@
     assert not _lines(reducer.reduce(state, _reported(5.0, now=6_010.0)))
 
 
+# Guards against two log lines for each pair of answers.
+def test_a_limit_that_only_some_answers_report_is_logged_once() -> None:
+    state = routed.node_state(service="plans")
+    reducer.reduce(state, builders.opened(1))
+    lines = []
+    for number in range(100):
+        rate = 7.4 if number % 2 else -1.0
+        lines += _lines(reducer.reduce(state, _reported(rate, now=100.0 * number)))
+    assert lines == ["plans i-1 reports a rate limit of 7.4 requests a second."]
+    ended = _lines(reducer.reduce(state, _reported(-1.0, now=20_000.0)))
+    assert ended == ["plans i-1 reports no rate limit any more."]
+    assert not _lines(reducer.reduce(state, _reported(-1.0, now=30_000.0)))
+
+
 def test_the_report_of_a_former_instance_is_ignored() -> None:
     state = routed.node_state(service="plans")
     reducer.reduce(state, builders.opened(1))
