Soak: only a link that was slow at the time excuses requests that arrive together

A fault of the link at any moment of the run excused an instance from the check of its limit for the whole run.

test_only_a_delay_at_the_time_excuses_requests_that_arrive_together fails without.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -285,6 +285,26 @@
     assert not _is_violated(checks.limits_are_kept, observed)
 
 
+# Guards against a fault at any time that excuses the whole run.
+@pytest.mark.parametrize(
+    ("node", "after", "violated"),
+    [("m0", 3_100.0, False), ("m0", -9_000.0, True), ("m1", 3_100.0, True)],
+)
+def test_only_a_delay_at_the_time_excuses_requests_that_arrive_together(
+    node: str, after: float, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    attempts, entries = _limited(count=60, after=checks.LIMIT_SETTLE_MS)
+    entries = tuple(
+        msgspec.structs.replace(entry, instance="i-m0-2") for entry in entries
+    )
+    attempts[0].instance = "i-m0-2"
+    kind = schedule.Kind.BACKEND_LINK
+    began = START + after
+    fault = _fault(kind, node=node, began=began, ended=began + 500.0)
+    observed = _observe(tmp_path, *attempts, entries=entries, faults=(fault,))
+    assert _is_violated(checks.limits_are_kept, observed) is violated
+
+
 @pytest.mark.parametrize(
     ("fields", "faults"),
     [
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -133,7 +133,9 @@
             start = last - LIMIT_WINDOW_MS
             count = sum(start < at <= last for at in times)
             checked = begin + LIMIT_SETTLE_MS <= last <= end
-            if checked and count > allowed and not _link_delays(observed, instance):
+            if not checked or count <= allowed:
+                continue
+            if not _is_link_delayed(observed, instance, start, last):
                 yield f"{instance} got {count} requests in 4 s, allowed {allowed:.1f}"
                 break
 
@@ -209,12 +211,15 @@
     )
 
 
-def _link_delays(observed: Observations, instance: str) -> bool:
-    """Whether requests on the way to an instance were delayed, so that they arrived
-    together."""
+def _is_link_delayed(
+    observed: Observations, instance: str, begin: float, end: float
+) -> bool:
+    """Whether requests on the way to an instance were delayed in a period, so that they
+    may have arrived together."""
     return any(
         fault.kind in {schedule.Kind.BACKEND_LINK, schedule.Kind.BACKEND_PAUSE}
-        and instance.startswith(f"i-{fault.node}")
+        and f"{instance}-".startswith(f"i-{fault.node}-")
+        and _overlaps(fault, begin - RECOVERY_MS, end)
         for fault in observed.faults
     )
 
