The first answer of an instance goes before what entry nodes know of its limit

A home node that restarted after a limit had ended could be told of it again by an entry node that had missed the end, and kept it for three seconds: an answer that reports nothing was passed to the core only while there was a limit. The first answer of each instance is now always passed on. Found by reading.

test_the_first_answer_of_an_instance_is_expected_to_report fails without.

--- a/src/gingerturn/internal/core/backend_reports.py
+++ b/src/gingerturn/internal/core/backend_reports.py
@@ -20,9 +20,11 @@
 """Minimum time between two log lines about a limit that changes."""
 
 
-def is_limited(state: states.State) -> bool:
-    """Whether the backend server has a rate limit that an answer may end."""
-    return state.backend.limiter.limited
+def expects_report(state: states.State) -> bool:
+    """Whether an answer that reports nothing changes what is known: it may end a limit,
+    and the first one of an instance goes before what entry nodes know."""
+    limiter = state.backend.limiter
+    return limiter.limited or not limiter.observed
 
 
 def on_reported(
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -170,11 +170,8 @@
 
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         """Apply what the backend server reports, before the body is received."""
-        if (
-            rate_limit < 0.0
-            and not leaving
-            and not backend_reports.is_limited(self._node.state)
-        ):
+        reports_nothing = rate_limit < 0.0 and not leaving
+        if reports_nothing and not backend_reports.expects_report(self._node.state):
             return
         self._node.apply(
             events.BackendReported(
--- a/tests/cover/test_reported_limits.py
+++ b/tests/cover/test_reported_limits.py
@@ -157,6 +157,17 @@
     assert _dispatched(state, count=3, status=status) == 3
 
 
+# Guards against a limit that has ended and returns with a call of an entry node.
+def test_the_first_answer_of_an_instance_is_expected_to_report() -> None:
+    state = routed.node_state(service="plans")
+    assert backend_reports.expects_report(state)
+    reducer.reduce(state, builders.opened(1))
+    reducer.reduce(state, _reported(1, -1.0))
+    assert not backend_reports.expects_report(state)
+    reducer.reduce(state, routed.announced(instance="i-2"))
+    assert backend_reports.expects_report(state)
+
+
 def test_a_refusal_does_not_end_what_an_entry_node_knows() -> None:
     # A home node that has restarted reports no limit until it is told.
     state = routed.node_state()
