--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -308,14 +308,14 @@
     """Let two of the upstreams where requests begin report rate limits."""
     names = [f"{run.site.kinds[0].service}-{number}" for number in (1, 2)]
     for name, limit in zip(names, (7.4, 11.9), strict=True):
-        backend = run.world.nodes[name].backend
-        run.world.at(
-            FAULT_START_MS,
-            lambda backend=backend, limit=limit: setattr(backend, "rate_limit", limit),
-        )
-        run.world.at(
-            FAULT_END_MS, lambda backend=backend: setattr(backend, "rate_limit", -1.0)
-        )
+        _limit_during_fault(run, name, limit)
+
+
+def _limit_during_fault(run: Run, name: str, limit: float) -> None:
+    """Let an upstream report a rate limit while the fault lasts."""
+    backend = run.world.nodes[name].backend
+    run.world.at(FAULT_START_MS, lambda: setattr(backend, "rate_limit", limit))
+    run.world.at(FAULT_END_MS, lambda: setattr(backend, "rate_limit", -1.0))
 
 
 def _all_limited(run: Run) -> None:
@@ -323,15 +323,8 @@
     service = _bottleneck_of(run.site)
     work_ms = min(k.work_ms for k in run.site.kinds if k.service == service.name)
     for number, speed in enumerate(service.speeds, 1):
-        backend = run.world.nodes[f"{service.name}-{number}"].backend
         limit = 1_000.0 * service.slots * speed / work_ms / 3.0
-        run.world.at(
-            FAULT_START_MS,
-            lambda backend=backend, limit=limit: setattr(backend, "rate_limit", limit),
-        )
-        run.world.at(
-            FAULT_END_MS, lambda backend=backend: setattr(backend, "rate_limit", -1.0)
-        )
+        _limit_during_fault(run, f"{service.name}-{number}", limit)
 
 
 def _leaving(run: Run) -> None:
