--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -21,6 +21,9 @@
     :param caller_service: to backend servers: service beside the entry node.
     :param instance: to backend servers: instance that the request is meant for.
     :param not_executed: from backend servers: present if the request did not run.
+    :param rate_limit: from backend servers: requests a second that they accept from all
+        nodes together.
+    :param leaving: from backend servers: ``1`` if they take no new requests.
     :param decision: to callers: id of the decision, for ``gingerturn why``.
     :param trace: forward a W3C ``traceparent``, which links calls to their parents.
     :param lineage: separator between the id of a request and the suffix that a
@@ -37,6 +40,8 @@
     caller_service: bytes = b""
     instance: bytes = b""
     not_executed: bytes = b""
+    rate_limit: bytes = b"gingerturn-rate-limit"
+    leaving: bytes = b"gingerturn-leaving"
     decision: bytes = b"gingerturn-decision"
     trace: bool = True
     lineage: bytes = b""
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -175,6 +175,18 @@
     executed: bool = True
 
 
+class BackendReported(Event, frozen=True):
+    """The head of an answer reports the state of the backend server.
+
+    :param rate_limit: requests a second that it accepts; negative without a limit.
+    :param leaving: it takes no new requests.
+    """
+
+    hosted: ids.HostedId
+    rate_limit: float = -1.0
+    leaving: bool = False
+
+
 class BackendFinished(Event, frozen=True):
     """The streaming of a long answer ended."""
 
@@ -405,6 +417,7 @@
     | LevelRequested
     | LevelReported
     | CancelReceived
+    | BackendReported
     | BackendAnswered
     | BackendFinished
     | BackendFailed
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -413,6 +413,8 @@
     backend = state.backend
     hosted.state = states.HostedState.RUNNING
     hosted.started_at = state.now
+    hosted.instance = backend.instance
+    backend.dispatch_count += 1
     slot_costs.record_run(state.costs, hosted.metadata.kind)
     hosted.occupancy = backend.running / max(1, backend.slots)
     hosted.span = (
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -10,7 +10,7 @@
 
 import typing
 
-from gingerturn.internal.core import admission, state as states
+from gingerturn.internal.core import admission, rate_limits, state as states
 
 _T = typing.TypeVar("_T")
 
@@ -102,4 +102,6 @@
     backend.times.clear()
     backend.saturation = states.Saturation()
     backend.unreachable_until = 0.0
+    backend.reported_limit = rate_limits.NO_LIMIT
+    backend.reported_leaving = False
     admission.reset_measurements(state)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -13,6 +13,7 @@
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    backend_reports,
     calls,
     caps,
     claims,
@@ -605,6 +606,7 @@
     events.LevelRequested: hosting.on_level_requested,
     events.LevelReported: calls.on_level_reported,
     events.CancelReceived: hosting.on_cancel,
+    events.BackendReported: backend_reports.on_reported,
     events.BackendAnswered: _on_backend_answered,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -15,6 +15,7 @@
     gossip_queue,
     messages,
     ranks,
+    rate_limits,
     tolerance,
 )
 
@@ -94,6 +95,7 @@
     known whether the backend server crashed.
 
     :param occupancy: share of the slots in use when the call was dispatched.
+    :param instance: the backend server that the call was dispatched to.
     :param orphaned: the entry node gave up, but the call must not be cancelled.
     :param child_failed: a call that the backend server made for this one failed, so
         its own failure is no evidence against the backend server.
@@ -110,6 +112,7 @@
     span: ids.SpanId = ids.SpanId("")
     started_at: ids.Milliseconds = 0.0
     occupancy: float = 0.0
+    instance: str = ""
     orphaned: bool = False
     child_failed: bool = False
     decision: str = ""
@@ -200,6 +203,10 @@
     :param broken_calls: calls that broke since the backend server last answered one.
     :param answered_at: when it last answered a call.
     :param crash_count: number of its crashes while this node ran.
+    :param dispatch_count: calls dispatched to it while this node ran.
+    :param reported_limit: rate limit in its latest answer; negative if none.
+    :param reported_leaving: an answer of it reported that it is leaving.
+    :param limit_logged_at: when a report of its limit was last logged.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -229,6 +236,10 @@
     broken_calls: list[BrokenCall] = []
     answered_at: ids.Milliseconds = 0.0
     crash_count: int = 0
+    dispatch_count: int = 0
+    reported_limit: ids.RequestsPerSecond = rate_limits.NO_LIMIT
+    reported_leaving: bool = False
+    limit_logged_at: ids.Milliseconds = 0.0
 
 
 class ReportedLevel(msgspec.Struct, frozen=True, gc=False):
--- a/src/gingerturn/internal/ids.py
+++ b/src/gingerturn/internal/ids.py
@@ -50,6 +50,8 @@
 Rank = typing.NewType("Rank", int)
 """The position of a call in the shedding order; see :mod:`.core.ranks`."""
 
+RequestsPerSecond = float
+
 Milliseconds = float
 """A duration, or a time since the Unix epoch, in milliseconds."""
 
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -14,10 +14,20 @@
 
 BODILESS = frozenset({204, 304})
 
+LEAVING = b"1"
+"""Value of the header by which a backend server reports that it is leaving."""
+
 
 class Receiver(typing.Protocol):
     """Callbacks of an exchange."""
 
+    def on_report(self, rate_limit: float, *, leaving: bool) -> None:
+        """Handle what the head of the answer reports of the backend server.
+
+        :param rate_limit: requests a second; :data:`rate_limits.NO_LIMIT` if none.
+        :param leaving: it takes no new requests.
+        """
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Handle the head of the answer.
 
@@ -233,6 +243,12 @@
         length = int(lengths[0]) if lengths and not chunked else -1
         not_executed_header = self._pool.dialect.not_executed
         executed = status != messages.MISDIRECTED and not_executed_header not in values
+        if status != messages.MISDIRECTED:
+            # Another instance sends 421, and its limit is not that of the intended one.
+            self._receiver.on_report(
+                self._pool.read_rate_limit(self._headers, values),
+                leaving=values.get(self._pool.dialect.leaving) == LEAVING,
+            )
         self._receiver.on_head(
             status, head, 0 if bodiless else length, executed=executed
         )
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -10,8 +10,9 @@
 import re
 
 from gingerturn import dialect as dialects
-from gingerturn.internal import ids
-from gingerturn.internal.shell import backend_http, clock
+from gingerturn.internal import ids, logs
+from gingerturn.internal.core import rate_limits
+from gingerturn.internal.shell import backend_http, clock, heads
 
 MAX_IDLE_TIMEOUT_MS = 3_000.0
 """Upper limit of the idle timeout, below the 5 s after which common backend servers
@@ -55,6 +56,7 @@
         self._advertised_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_at = clock.now()
+        self._invalid_limit = b""
 
     def set_address(self, host: str, port: int) -> None:
         """Set the address; close idle connections to another one."""
@@ -110,6 +112,27 @@
         if match := _KEEP_ALIVE.search(value):
             self._advertised_ms = KEEP_ALIVE_FRACTION * 1000.0 * int(match[1])
 
+    def read_rate_limit(
+        self, headers: list[heads.Header], values: dict[bytes, bytes]
+    ) -> float:
+        """Return the rate limit in the head of an answer, the lowest of several.
+
+        An invalid value is logged when it first occurs, and counts as no limit.
+
+        :param values: the headers by name.
+        """
+        name = self.dialect.rate_limit
+        if name not in values:
+            return rate_limits.NO_LIMIT
+        found = b",".join(value for other, value in headers if other == name)
+        try:
+            return rate_limits.parse(found)
+        except ValueError as error:
+            if found != self._invalid_limit:
+                self._invalid_limit = found
+                logs.warn_skipped("Header", name, str(error))
+            return rate_limits.NO_LIMIT
+
     async def connect(
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> backend_http.Connection:
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import effects, events
+from gingerturn.internal.core import backend_reports, effects, events
 from gingerturn.internal.shell import backend_http, clock
 from gingerturn.internal.wire import frames
 
@@ -168,6 +168,23 @@
 
     # Called by the connection to the backend server.
 
+    def on_report(self, rate_limit: float, *, leaving: bool) -> None:
+        """Apply what the backend server reports, before the body is received."""
+        if (
+            rate_limit < 0.0
+            and not leaving
+            and not backend_reports.is_limited(self._node.state)
+        ):
+            return
+        self._node.apply(
+            events.BackendReported(
+                now=clock.now(),
+                hosted=self._hosted,
+                rate_limit=rate_limit,
+                leaving=leaving,
+            )
+        )
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Handle the head of the answer."""
         self._status = status
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -18,11 +18,15 @@
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
         self.status = 0
         self.executed = True
+        self.report: tuple[float, bool] | None = None
         self.body = b""
         self.ends = 0
         self.failures = 0
         self.connection.begin(self, HEAD, b"", head_only=False, whole=whole)
 
+    def on_report(self, rate_limit: float, *, leaving: bool) -> None:
+        self.report = (rate_limit, leaving)
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         self.status = status
         self.executed = executed
@@ -137,3 +141,24 @@
     exchange = Exchange()
     exchange.receive(_answer(b"r1", extra=b"Content-Length: 9\r\n"))
     assert (exchange.ends, exchange.failures) == (0, 1)
+
+
+def test_the_head_of_an_answer_reports_limit_and_leaving() -> None:
+    exchange = Exchange()
+    extra = b"Gingerturn-Rate-Limit: 2.5\r\nGingerturn-Leaving: 1\r\n"
+    exchange.receive(_answer(b"r1", extra=extra)[:-2])
+    assert exchange.report == (2.5, True)
+    assert exchange.ends == 0
+
+
+def test_an_answer_to_an_earlier_request_reports_nothing() -> None:
+    exchange = Exchange()
+    exchange.receive(_answer(b"r0", extra=b"Gingerturn-Rate-Limit: 2.5\r\n"))
+    assert exchange.report is None
+
+
+def test_another_instance_at_the_address_reports_nothing() -> None:
+    exchange = Exchange()
+    answer = _answer(b"r1", extra=b"Gingerturn-Rate-Limit: 2.5\r\n")
+    exchange.receive(answer.replace(b"200 OK", b"421 Misdirected Request"))
+    assert exchange.report is None
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -46,6 +46,9 @@
     def rest(self, elapsed_ms: float) -> None:
         self._time.now += elapsed_ms
 
+    def on_report(self, rate_limit: float, *, leaving: bool) -> None:
+        """Ignore the answer."""
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Ignore the answer."""
 
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -1,5 +1,6 @@
 """Parsers of callers' and backend servers' bytes accept arbitrary input."""
 
+import math
 import re
 
 import hypothesis
@@ -51,6 +52,9 @@
         self.ends = 0
         self.failures = 0
 
+    def on_report(self, rate_limit: float, *, leaving: bool) -> None:
+        assert rate_limit == -1.0 or 0.0 <= rate_limit < math.inf
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         assert 200 <= status <= 999
 
--- a/tests/quality/test_platform_boundary.py
+++ b/tests/quality/test_platform_boundary.py
@@ -30,6 +30,8 @@
     "Deadline-Ms",
     "Expected-Instance",
     "Not-Executed",
+    "Server-Limit",
+    "Server-Leaving",
     "Response-Signature",
     "Caller-Service",
     "fleetbench",
--- a/tooling/gingerturn_fakes/backends.py
+++ b/tooling/gingerturn_fakes/backends.py
@@ -177,6 +177,7 @@
     work.done = True
     node.works.pop(work.hosted, None)
     node.statuses[work.hosted] = status
+    _report(world, node, work)
     event = events.BackendAnswered(
         now=world.now,
         hosted=ids.HostedId(work.hosted),
@@ -188,6 +189,21 @@
         _release_slot(world, node, work)
 
 
+def _report(world: "worlds.World", node: parts.FakeNode, work: parts.Work) -> None:
+    """Report the rate limit and leaving in the head of an answer."""
+    backend = node.backend
+    node.reports[work.hosted] = parts.BackendReport(
+        world.instance_of(node), backend.rate_limit, backend.reports_leaving
+    )
+    event = events.BackendReported(
+        now=world.now,
+        hosted=ids.HostedId(work.hosted),
+        rate_limit=backend.rate_limit,
+        leaving=backend.reports_leaving,
+    )
+    world.at(LOCAL_MS, lambda: world.apply_to(node, parts.with_time(event, world.now)))
+
+
 def _release_slot(
     world: "worlds.World", node: parts.FakeNode, work: parts.Work
 ) -> None:
--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -105,9 +105,12 @@
     entry = world.nodes[sender]
     world.homes.pop((sender, attempt), None)
     status = node.statuses.pop(hosted, 200)
+    backend_report = node.reports.pop(hosted, None)
 
     def arrive() -> None:
         entry.attempt_statuses[attempt] = status
+        if backend_report is not None:
+            entry.attempt_reports[attempt] = backend_report
         world.apply_to(
             entry,
             events.AttemptAnswered(
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -58,18 +58,31 @@
     done: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class BackendReport:
+    """What an answer reports of its backend server."""
+
+    instance: str
+    rate_limit: float
+    leaving: bool
+
+
 @dataclasses.dataclass
 class FakeBackend:
     """A backend server with slots; further requests wait in its queue.
 
     :param slow: factor on the service time.
     :param refused_share: share of the calls that it refuses although slots are free.
+    :param rate_limit: requests a second that its answers report; negative for none.
+    :param reports_leaving: its answers report that it is leaving.
     :param crashes: number of crashes so far.
     """
 
     spec: ServiceSpec
     slow: float = 1.0
     refused_share: float = 0.0
+    rate_limit: float = -1.0
+    reports_leaving: bool = False
     paused: bool = False
     up: bool = True
     refuse_when_full: bool = False
@@ -119,6 +132,8 @@
     callers: dict[int, typing.Any] = dataclasses.field(default_factory=dict)
     requests: dict[int, tuple[str, str]] = dataclasses.field(default_factory=dict)
     statuses: dict[int, int] = dataclasses.field(default_factory=dict)
+    reports: dict[int, BackendReport] = dataclasses.field(default_factory=dict)
+    attempt_reports: dict[int, BackendReport] = dataclasses.field(default_factory=dict)
     attempt_statuses: dict[int, int] = dataclasses.field(default_factory=dict)
     incarnation: int = 1
     tick_at: float = math.inf
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -148,11 +148,15 @@
                 slots=spec.slots,
                 connections=spec.slots * 7,
                 ttl_ms=1e12,
-                instance=f"{node.name}/{node.backend.crashes}",
+                instance=self.instance_of(node),
                 sequence=1,
             ),
         )
 
+    def instance_of(self, node: parts.FakeNode) -> str:
+        """Return the id of the present start of a node's backend server."""
+        return f"{node.name}/{node.backend.crashes}"
+
     def _join_members(self) -> None:
         """Add every node to the members of every other."""
         members = tuple(n.state.membership.self_member for n in self.nodes.values())
@@ -401,6 +405,7 @@
 
     def _relay(self, node: parts.FakeNode, effect: effects.RelayAnswer) -> None:
         status = node.attempt_statuses.pop(effect.attempt, 200)
+        node.attempt_reports.pop(effect.attempt, None)
         answer = "ok" if status == 200 else f"status-{status}"
         self._end_call(node, effect.call, status, answer, 0.0)
 
