Fakes: connections that fall silent for good, a log that does not answer some nodes

Cause: the fakes knew a log that is silent for all and one that refuses some nodes; no connection of theirs ever fell silent while new ones worked, and a fetch of a table only looked at one direction of a cut. Change: `links.silence` lets all open connections fall silent: pending reads of the log are never answered, two idle connections to the log stand in the way of later reads, and fetches from peers are lost until TCP reports the loss. `FakeLog.silent_nodes`. A fetch needs both directions.

--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -44,6 +44,7 @@
     :param silent: reads are never answered; readers time out.
     :param long_poll_ms: long poll of reads that name none.
     :param refused_nodes: nodes whose reads fail while those of others are served.
+    :param silent_nodes: nodes whose reads are never answered.
     :param epoch: rises with each restoration from a backup; part of each answer.
     :param keeps_long_polls: long polls outlast a restoration.
     :param lose_acks: number of following writes that take effect and yet fail.
@@ -55,6 +56,7 @@
     silent: bool = False
     long_poll_ms: float = LONG_POLL_MS
     refused_nodes: set[str] = dataclasses.field(default_factory=set)
+    silent_nodes: set[str] = dataclasses.field(default_factory=set)
     lose_acks: int = 0
     delay_ms: float = 2.0
     appends: int = 0
@@ -214,6 +216,10 @@
     log = world.log
     epoch = log.epoch
     incarnation = node.incarnation
+    silences = node.connection_silences
+    # A pooled connection that fell silent is taken before a new one is made.
+    is_on_stale_connection = node.stale_log_connections > 0
+    node.stale_log_connections -= is_on_stale_connection
     extra = isinstance(effect, effects.ReadLog) and effect.extra
     until = world.now + log.delay_ms + long_poll_ms
 
@@ -230,7 +236,12 @@
     def arrive() -> None:
         if node.incarnation != incarnation:
             return
-        if log.silent:
+        if (
+            log.silent
+            or node.name in log.silent_nodes
+            or is_on_stale_connection
+            or node.connection_silences != silences
+        ):
             world.at(max(0.0, until - world.now) + log_service.READ_TIMEOUT_MS, fail)
             return
         is_disconnected = log.epoch != epoch and not log.keeps_long_polls
--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -5,6 +5,7 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events, messages
+from gingerturn.internal.shell import sockets
 from gingerturn_fakes import backends, parts
 
 if typing.TYPE_CHECKING:
@@ -13,6 +14,14 @@
 ZONE_MS = 1.0
 """One-way delay between availability zones."""
 
+IDLE_LOG_CONNECTIONS = 2
+"""Idle connections to the log that a node keeps."""
+
+KEEPALIVE_LOSS_MS = 1_000.0 * (
+    sockets.KEEPALIVE_IDLE_S + sockets.KEEPALIVE_INTERVAL_S * sockets.KEEPALIVE_PROBES
+)
+"""Time after which TCP reports the loss of an idle connection that fell silent."""
+
 
 def open_attempt(
     world: "worlds.World", node: parts.FakeNode, effect: effects.OpenAttempt
@@ -249,8 +258,10 @@
 def fetch_routes(
     world: "worlds.World", node: parts.FakeNode, effect: effects.FetchRoutes
 ) -> None:
-    """Deliver a peer's route table."""
+    """Deliver a peer's route table, unless the connection to it is silent."""
     peer = world.nodes[effect.node]
+    if _is_silent(world, node, peer) or (node.name, peer.name) in world.cut:
+        return
 
     def arrive() -> None:
         index = peer.state.routes
@@ -262,6 +273,27 @@
     _deliver(world, peer, node, arrive)
 
 
+def silence(world: "worlds.World") -> None:
+    """Let all open connections of all nodes fall silent for good; new ones work."""
+    for node in world.nodes.values():
+        node.connection_silences += 1
+        node.stale_log_connections = IDLE_LOG_CONNECTIONS
+        lost_at = world.now + KEEPALIVE_LOSS_MS
+        node.silent_links = dict.fromkeys(world.nodes, lost_at)
+
+
+def _is_silent(
+    world: "worlds.World", node: parts.FakeNode, peer: parts.FakeNode
+) -> bool:
+    """Whether the connection of a node to a peer is silent; bytes sent over it shorten
+    the time until TCP reports its loss."""
+    lost_at = node.silent_links.get(peer.name, 0.0)
+    if world.now >= lost_at:
+        return False
+    node.silent_links[peer.name] = min(lost_at, world.now + sockets.USER_TIMEOUT_MS)
+    return True
+
+
 def _deliver(
     world: "worlds.World",
     sender: parts.FakeNode,
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -115,7 +115,13 @@
 
 @dataclasses.dataclass
 class FakeNode:
-    """A node: the real reducer and its fake backend server."""
+    """A node: the real reducer and its fake backend server.
+
+    :param connection_silences: how often its open connections fell silent for good.
+    :param stale_log_connections: idle connections to the log that fell silent.
+    :param silent_links: peers to which the open connection is silent, with the time at
+        which TCP will report its loss.
+    """
 
     name: str
     zone: str
@@ -136,6 +142,9 @@
     attempt_reports: dict[int, BackendReport] = dataclasses.field(default_factory=dict)
     attempt_statuses: dict[int, int] = dataclasses.field(default_factory=dict)
     incarnation: int = 1
+    connection_silences: int = 0
+    stale_log_connections: int = 0
+    silent_links: dict[str, float] = dataclasses.field(default_factory=dict)
     tick_at: float = math.inf
 
 
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -329,6 +329,10 @@
         node.alive = True
         node.hosted_calls.clear()
         node.stored_answers.clear()
+        node.stale_log_connections = 0
+        node.silent_links.clear()
+        for other in self.nodes.values():
+            other.silent_links.pop(name, None)
         port = next(p for p, n in self.addresses.items() if n == name)
         self._boot(node, port)
         self._join_members()
