--- a/tests/cover/test_days_of_our_own.py
+++ b/tests/cover/test_days_of_our_own.py
@@ -36,6 +36,7 @@
         "after_ack_kill",
         "core_cut",
         "lossy",
+        "link_squeeze",
         "clock_step",
         "hup",
         "platform_down",
@@ -43,6 +44,7 @@
         "platform_lost",
         "platform_compact",
         "config_change",
+        "config_storm",
         "revoke",
         "hot_tenant",
         "big_config",
@@ -56,6 +58,7 @@
         "scale_in",
         "roll_term",
         "config_change",
+        "config_storm",
         "big_config",
         "hup",
     ]
