Logs and metrics tell a version that is known from one that is not, and its source

Cause: a node with an old version told neither whether it had heard of a later one, nor by which way its table came, nor since when its read of the log was pending, so that the hypotheses of the incident could not be told apart. Change: the line of an activated table names its source and for how long the latest version was known; metrics route_version_known, route_verified_age_ms, route_read_pending_ms, and a line of the summary. The variant that activates any table takes the new argument.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -381,9 +381,13 @@
 
 
 class RoutesReceived(Event, frozen=True):
-    """A peer sent its route table in force."""
+    """A peer sent its route table in force.
+
+    :param source: the peer; empty if not known.
+    """
 
     table: routes.RouteTable
+    source: ids.NodeId = ids.NodeId("")
 
 
 class SettingsChanged(Event, frozen=True):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -264,7 +264,7 @@
             claims.on_record(state, record, out)
     elif isinstance(record, routes.RouteTable) and stream == streams.ROUTES:
         freshness.on_table(state, record.version)
-        _apply_routes(state, record, out)
+        _apply_routes(state, record, "the log", out)
     elif stream != streams.CONFIG:
         return
     elif isinstance(record, messages.PublishRecord):
@@ -318,13 +318,13 @@
 def _on_routes(
     state: states.State, event: events.RoutesReceived, out: states.Effects
 ) -> None:
-    _apply_routes(state, event.table, out)
+    _apply_routes(state, event.table, event.source or "a peer", out)
 
 
 def _apply_routes(
-    state: states.State, table: routes.RouteTable, out: states.Effects
+    state: states.State, table: routes.RouteTable, source: str, out: states.Effects
 ) -> None:
-    if route_table.activate(state, table, out):
+    if route_table.activate(state, table, out, source=source):
         membership.push(state, out)
 
 
--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -31,12 +31,17 @@
 
 
 def activate(
-    state: states.State, table: routes.RouteTable, out: states.Effects
+    state: states.State,
+    table: routes.RouteTable,
+    out: states.Effects,
+    *,
+    source: str = "the log",
 ) -> bool:
     """Activate a table if it is later than the active one.
 
     An invalid table is refused as a whole, and the active one stays.
 
+    :param source: origin of the table, for the log.
     :return: whether the table was activated.
     """
     active_version = 0 if state.routes is None else state.routes.version
@@ -61,16 +66,29 @@
     for service, kind in list(state.levels):
         if kind and kind not in names:
             del state.levels[(service, kind)]
-    text = f"Route table {table.version} is active, {len(table.routes)} routes."
+    text = (
+        f"Route table {table.version} is active, {len(table.routes)} routes; source:"
+        f" {source}{_heard_before(state, table.version)}."
+    )
     operator_log.info(out, _PART, text)
     return True
 
 
+def _heard_before(state: states.State, version: int) -> str:
+    """Return how long a version was known of before it was received, for the log."""
+    if not 0 < version <= state.highest_routes_version:
+        return ""
+    waited_ms = state.now - state.routes_announced_at
+    return f"; version {state.highest_routes_version} known for {waited_ms:.0f} ms"
+
+
 def on_peer_version(
     state: states.State, node: ids.NodeId, version: int, out: states.Effects
 ) -> None:
     """Fetch the table from a peer that advertises a later version."""
-    state.highest_routes_version = max(state.highest_routes_version, version)
+    if version > state.highest_routes_version:
+        state.highest_routes_version = version
+        state.routes_announced_at = state.now
     active_version = 0 if state.routes is None else state.routes.version
     if (
         version <= active_version
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -631,6 +631,7 @@
         waited for.
     :param long_poll_ms: how long the log holds a read open for new records; 0 leaves
         that to the settings.
+    :param requested_at: when the latest read that follows the stream was requested.
     :param current_as_of: when the last successful read was answered.
     :param covered_from: keys issued before this may have been claimed in records that
         this node missed.
@@ -650,6 +651,7 @@
     read_pending: bool = False
     failures: int = 0
     retry_at: ids.Milliseconds = 0.0
+    requested_at: ids.Milliseconds = 0.0
     current_as_of: ids.Milliseconds = -1.0
     caught_up: bool = False
     covered_from: ids.Milliseconds = 0.0
@@ -862,8 +864,9 @@
         self.retry_bound: allowance.Bound | None = None
         self.routes: routes.RouteIndex | None = None
         self.routes_fetched_at: ids.Milliseconds = 0.0
-        # Highest version that a member reported.
+        # Highest version that a member reported, and when it did so first.
         self.highest_routes_version = 0
+        self.routes_announced_at: ids.Milliseconds = 0.0
         self.freshness = Freshness()
         self.caps = Caps()
         self.cap_allocator = CapAllocator()
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -47,7 +47,7 @@
     stream = states.Stream(name=name, keyed=keyed, followed=followed)
     state.streams[name] = stream
     reset_coverage(state)
-    _read(stream, out)
+    _read(state, stream, out)
 
 
 def advance(
@@ -96,7 +96,7 @@
     stream.offset = end
     stream.current_as_of = state.now
     if stream.followed:
-        _read(stream, out)
+        _read(state, stream, out)
 
 
 def reset_coverage(state: states.State) -> None:
@@ -216,7 +216,15 @@
     """Read each stream whose next read is due."""
     for stream in state.streams.values():
         if _awaits_next_read(stream) and state.now >= stream.retry_at:
-            _read(stream, out)
+            _read(state, stream, out)
+
+
+def pending_ms(state: states.State, name: str) -> ids.Milliseconds:
+    """Return for how long a read of a stream has been pending; 0 if none is."""
+    stream = state.streams.get(name)
+    if stream is None or not stream.read_pending:
+        return 0.0
+    return max(0.0, state.now - stream.requested_at)
 
 
 def next_retry_at(state: states.State) -> ids.Milliseconds:
@@ -231,8 +239,9 @@
     return not stream.read_pending and not done
 
 
-def _read(stream: states.Stream, out: states.Effects) -> None:
+def _read(state: states.State, stream: states.Stream, out: states.Effects) -> None:
     stream.read_pending = True
+    stream.requested_at = state.now
     if stream.keyed and not (stream.base_read and stream.caught_up):
         out.append(effects.ReadNewest(stream=stream.name, generation=stream.generation))
         return
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -188,7 +188,9 @@
                 "WARNING", "routes", f"No route table from {effect.node}: {error}."
             )
             return
-        self._node.apply(events.RoutesReceived(now=clock.now(), table=table))
+        self._node.apply(
+            events.RoutesReceived(now=clock.now(), table=table, source=effect.node)
+        )
 
     def _fetch_snapshot(self, effect: effects.FetchSnapshot) -> None:
         self._node.spawn(self._request_snapshot(effect))
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -8,6 +8,7 @@
     levels,
     readiness,
     state as states,
+    streams,
 )
 from gingerturn.internal.shell import side_http
 
@@ -108,6 +109,11 @@
     add("level_age_ms_bucket", "counter", *_level_ages(state))
     version = 0 if state.routes is None else state.routes.version
     add("route_version", "gauge", ("", version))
+    known = max(version, state.highest_routes_version)
+    add("route_version_known", "gauge", ("", known))
+    add("route_verified_age_ms", "gauge", ("", freshness.advertised_age_ms(state)))
+    pending_ms = streams.pending_ms(state, streams.ROUTES)
+    add("route_read_pending_ms", "gauge", ("", pending_ms))
     add("log_reads_missing_total", "counter", *_missing_reads(state))
     add("log_epoch", "gauge", ("", state.log.highest))
     add("log_restores_total", "counter", ("", state.log.restores))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -86,6 +86,12 @@
             f"log restored from a backup {_count(plain, 'log_restores_total')} times,"
             f" epoch {_count(plain, 'log_epoch')}"
         )
+    known = plain.get("route_version_known", 0.0)
+    if known > plain.get("route_version", 0.0):
+        lines.append(
+            f"routes version {known:.0f} is known and not active; the active one was"
+            f" last verified {_count(plain, 'route_verified_age_ms')} ms ago"
+        )
     if plain.get("keys_closed"):
         lines.append("requests with API keys are refused: keys_stale")
     if plain.get("log_lines_dropped_total"):
--- a/tests/cover/test_routes.py
+++ b/tests/cover/test_routes.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from gingerturn import errors, routes
+from gingerturn.internal import ids
 from gingerturn.internal.core import decisions, effects, events, reducer
 from tests.common import builders, routed
 
@@ -150,3 +151,18 @@
         out = reducer.reduce(state, routed.arrived(call))
         answers.append(type(out[-1]))
     assert answers.count(effects.RefuseCall) == 5
+
+
+def test_the_log_says_by_which_way_a_table_came_and_how_long_it_was_known() -> None:
+    state = routed.node_state()
+    builders.add_members(state, builders.member("n2", "plans"))
+    message = builders.gossip(route_version=7)
+    reducer.reduce(state, builders.datagram("n2", message, now=state.now))
+    table = routed.table(version=7)
+    received = events.RoutesReceived(
+        now=state.now + 350.0, table=table, source=ids.NodeId("n2")
+    )
+    out = reducer.reduce(state, received)
+    assert builders.only(out, effects.WriteLog).text == (
+        "Route table 7 is active, 1 routes; source: n2; version 7 known for 350 ms."
+    )
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -118,7 +118,9 @@
     """Admit a request without checking its key."""
 
 
-def _activate_any(state: typing.Any, table: typing.Any, out: typing.Any) -> bool:
+def _activate_any(
+    state: typing.Any, table: typing.Any, out: typing.Any, *, source: str = ""
+) -> bool:
     state.routes = of_routes.routes.RouteIndex(table)
     return True
 
--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -266,9 +266,10 @@
     def arrive() -> None:
         index = peer.state.routes
         if index is not None and peer.alive:
-            world.apply_to(
-                node, events.RoutesReceived(now=world.now, table=index.table)
+            event = events.RoutesReceived(
+                now=world.now, table=index.table, source=effect.node
             )
+            world.apply_to(node, event)
 
     _deliver(world, peer, node, arrive)
 
