A node's knowledge of the log is bounded in age, whatever became of its peers

What callers saw: requests handled as an older version allows, seconds after a newer one was acknowledged. Cause: only pollers read the log, and nothing bounded how long ago the latest of them did. A long poll on a connection that fell silent blocks a poller for its hold and time-out, 16 s (4 s at the first node); nodes that hear only one another wait for pollers that neither reaches, as the members that they believe alive are known wrong for a round of probes. Change: what was done for API keys only now holds on each node with a route table. Evidence of how old its knowledge of the log is comes from its own reads and from members' answers to its queries; before it is older than the bound, the node reads the log itself. All times are shares of one bound, `[routing] apply_ms`, and their sum stands in core.version_bound. The age of the knowledge of the log and the evidence for keys are told apart, as a restored log is the former and not the latter; members report both (readAgeMs in datagrams). Queries carry no updates. A read that gives no evidence is repeated with doubling pauses. Why it works: a version acknowledged at T is unknown at T + bound only if no evidence from after T came in, and then the node has read by itself meanwhile. Tests: the recordings' test pins the new forms and reads the former ones, also of datagrams. The bound of a restored log's reads is what it was, plus the first node's short reads; its hold is now 0.5 s in place of 3 s, so two tests wait less. Ages in test_freshness are taken at the world's time, as a node's own clock is its latest event. The variant that had all long polls last 15 s became one without a bound; three more are new.

--- a/benchmarks/workspaces.py
+++ b/benchmarks/workspaces.py
@@ -20,6 +20,7 @@
     freshness_renewal,
     member_order,
     state as states,
+    version_bound,
 )
 from gingerturn.internal.wire import datagrams
 from gingerturn_fakes import capped, parts, world as worlds
@@ -45,8 +46,8 @@
 KEY_VARIANTS: dict[str, Patches] = {
     "own reads": [
         (freshness_renewal, "_query_member", _nothing),
-        (freshness_renewal, "READ_AGE_MS", freshness_renewal.QUERY_AGE_MS),
-        (freshness_renewal, "FALLBACK_READ_AGE_MS", freshness_renewal.QUERY_AGE_MS),
+        (version_bound, "FIRST_READ_AGE_SHARE", version_bound.QUERY_AGE_SHARE),
+        (version_bound, "READ_AGE_SHARE", version_bound.QUERY_AGE_SHARE),
     ],
     "members only": [(freshness_renewal, "_read_log", _nothing)],
     "both (kept)": [],
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -145,6 +145,7 @@
 
     :param wait: long poll for new records if there are none.
     :param long_poll_ms: for how long; 0 leaves that to the settings.
+    :param timeout_ms: time-out beyond that; 0 for the default one.
     :param extra: in addition to the reads that follow the stream.
     :param generation: of the stream; answers to reads of an earlier generation are
         discarded.
@@ -156,6 +157,7 @@
     long_poll_ms: int = 0
     extra: bool = False
     generation: int = 0
+    timeout_ms: int = 0
 
 
 class ReadNewest(Effect, frozen=True):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -30,6 +30,8 @@
     :param lineage: calls are linked to their parents by request ids.
     :param revoke_ms: a revoked API key must cease to work within this time; 0 for no
         bound.
+    :param apply_ms: a confirmed route table must be active within this time; 0 for no
+        bound.
     :param cap_tolerance: by how much the caps of workspaces may be exceeded.
     """
 
@@ -49,6 +51,7 @@
     lineage: bool = False
     revoke_ms: ids.Milliseconds = 0.0
     cap_tolerance: tolerance.Tolerance = tolerance.DEFAULT
+    apply_ms: ids.Milliseconds = 0.0
 
 
 class Tick(Event, frozen=True):
--- a/src/gingerturn/internal/core/freshness.py
+++ b/src/gingerturn/internal/core/freshness.py
@@ -9,8 +9,9 @@
 time in a socket, a paused process or a suspended machine. Unsolicited messages are no
 evidence.
 
-A log restored from a backup may lack the latest tables. It is no evidence until it has
-contained a version as late as any that this node or a member knows.
+A log restored from a backup may lack the latest tables. It is no evidence for keys
+until it has contained a version as late as any that this node or a member knows. It
+does show that there is no later one to activate, so the two ages are kept apart.
 
 :mod:`.freshness_renewal` renews the evidence.
 """
@@ -39,6 +40,11 @@
     return state.now - state.freshness.verified_at
 
 
+def read_age(state: states.State) -> ids.Milliseconds:
+    """Return how long ago the log was known to have no later table."""
+    return state.now - state.freshness.read_at
+
+
 def is_stale(state: states.State) -> bool:
     """Whether the evidence is older than allowed, so that keys must be refused."""
     return is_bounded(state) and age(state) > allowed_ms(state)
@@ -52,11 +58,13 @@
 ) -> None:
     """Record a read that reached the end of the log.
 
-    It is no evidence while the log lacks the latest known table.
+    It is no evidence for keys while the log lacks the latest known table.
 
     :param requested_at: when the read began.
     :param held_open_ms: the minimum time that the log held it open without new records.
     """
+    _mark_read(state, requested_at + held_open_ms)
+    state.freshness.failed_reads = 0
     active_version = 0 if state.routes is None else state.routes.version
     if state.freshness.highest_log_version >= max(
         active_version, state.highest_routes_version
@@ -78,12 +86,16 @@
 def on_peer_age(
     state: states.State, requested_at: ids.Milliseconds, message: messages.Gossip
 ) -> None:
-    """Record the version and the verified age in a member's answer.
+    """Record the version and the ages in a member's answer.
 
     :param requested_at: when the answered request was sent.
     """
     active_version = 0 if state.routes is None else state.routes.version
-    if message.verified_age_ms >= 0 and message.route_version <= active_version:
+    if message.route_version > active_version:
+        return
+    if message.read_age_ms >= 0:
+        _mark_read(state, requested_at - message.read_age_ms)
+    if message.verified_age_ms >= 0:
         _mark_verified(state, requested_at - message.verified_age_ms)
 
 
@@ -94,6 +106,18 @@
     return max(0.0, age(state))
 
 
+def advertised_read_age_ms(state: states.State) -> ids.Milliseconds:
+    """Return the age of the latest knowledge of the log to report to other nodes; -1
+    without any."""
+    if state.routes is None or not state.freshness.read_at:
+        return -1.0
+    return max(0.0, read_age(state))
+
+
+def _mark_read(state: states.State, read_at: ids.Milliseconds) -> None:
+    state.freshness.read_at = max(state.freshness.read_at, min(read_at, state.now))
+
+
 def _mark_verified(state: states.State, verified_at: ids.Milliseconds) -> None:
     state.freshness.verified_at = max(
         state.freshness.verified_at, min(verified_at, state.now)
--- a/src/gingerturn/internal/core/freshness_renewal.py
+++ b/src/gingerturn/internal/core/freshness_renewal.py
@@ -1,11 +1,12 @@
 """Renewal of the evidence that the route table is current.
 
-The first node reads the log each second, the first node of each availability zone
-queries it, and other nodes query their parent in a tree of their zone. A node that gets
-no recent answer reads the log itself.
+The first node reads the log several times in the bound, the first node of each
+availability zone queries it, and other nodes query their parent in a tree of their
+zone. A node that gets no recent answer reads the log itself, and so does one that knows
+of a later version and cannot fetch it.
 
 Thereby the load on the log does not grow with the number of nodes, and the age of the
-evidence is bounded by the depth of the tree.
+evidence is bounded by the depth of the tree. :mod:`.version_bound` has the times.
 """
 
 from gingerturn.internal import ids
@@ -18,47 +19,30 @@
     operator_log,
     state as states,
     streams,
+    version_bound,
 )
 
-CHECK_MS = 100.0
-"""Interval between checks of the age of the evidence."""
-
-LONG_POLL_MS = 1_000
-"""How long the log holds a read of the first node open."""
-
-QUERY_AGE_MS = 900.0
-"""Evidence is renewed by a query from this age on."""
-
-QUERY_INTERVAL_MS = 400.0
-"""Interval between two queries. Each level of the tree adds up to this much to the age;
-a zone of 525 nodes has three levels below its first node."""
-
-READ_AGE_MS = 2_200.0
-"""Age from which the first nodes of zones read the log; all others depend on them."""
-
-FALLBACK_READ_AGE_MS = 3_000.0
-"""Age from which any other node reads the log. In a deployment of the largest supported
-size the evidence of the deepest nodes reaches this age in normal operation."""
-
-READ_INTERVAL_MS = 700.0
-"""Interval between two such reads of one node, before jitter."""
-
 
 def check(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
     """Renew the evidence before it is too old, and log when keys are refused."""
-    freshness_state = state.freshness
-    if not freshness.is_bounded(state) or state.stopping:
+    bound = version_bound.bound_ms(state)
+    if not bound or state.stopping:
         return
-    age = freshness.age(state)
-    _log_change(state, age, out)
-    if age < QUERY_AGE_MS:
+    age = freshness.read_age(state)
+    if freshness.is_bounded(state):
+        age = freshness.age(state)
+        _log_change(state, age, out)
+    if age < version_bound.QUERY_AGE_SHARE * bound:
         return
-    if now - freshness_state.queried_at >= QUERY_INTERVAL_MS:
-        _query_member(state, out)
-    reads_early = member_order.parent(state) is None or member_order.is_zone_first(
-        state
+    interval = version_bound.QUERY_INTERVAL_SHARE * bound
+    if now - state.freshness.queried_at >= interval:
+        _query_member(state, age > version_bound.FIRST_READ_AGE_SHARE * bound, out)
+    share = (
+        version_bound.FIRST_READ_AGE_SHARE
+        if member_order.is_zone_first(state)
+        else version_bound.READ_AGE_SHARE
     )
-    if age >= (READ_AGE_MS if reads_early else FALLBACK_READ_AGE_MS):
+    if age >= share * bound:
         _read_log(state, out)
 
 
@@ -81,27 +65,28 @@
 
 
 def on_read_ended(state: states.State) -> None:
-    """Schedule the next extra read after one was answered or failed."""
+    """Schedule the next extra read after one was answered or failed.
+
+    Evidence from the answer, if there is any, removes the pause again.
+    """
     freshness_state = state.freshness
     freshness_state.extra_read_pending = False
-    pause = READ_INTERVAL_MS * (1.0 + state.random.random())
-    freshness_state.next_read_at = state.now + pause
+    freshness_state.failed_reads += 1
+    freshness_state.next_read_at = state.now + version_bound.pause_ms(state)
 
 
-def _query_member(state: states.State, out: states.Effects) -> None:
+def _query_member(state: states.State, is_old: bool, out: states.Effects) -> None:
     """Query the parent, or every second time a random member if the evidence is old,
     since the parent may be partitioned too."""
     freshness_state = state.freshness
     freshness_state.queried_at = state.now
     freshness_state.query_count += 1
     node = member_order.parent(state)
-    if node is None or (
-        freshness.age(state) > READ_AGE_MS and freshness_state.query_count % 2
-    ):
+    if node is None or (is_old and freshness_state.query_count % 2):
         others = member_table.random_members(state, 1)
         node = others[0] if others else None
     if node is not None:
-        membership.ping(state, node, out, track=True)
+        membership.query(state, node, out)
 
 
 def _read_log(state: states.State, out: states.Effects) -> None:
@@ -117,6 +102,8 @@
         # Nothing was read since the start, or since the log was restored from a backup.
         streams.reread(state, streams.ROUTES)
         return
+    if state.now - freshness_state.next_read_at > version_bound.bound_ms(state):
+        freshness_state.failed_reads = 0
     freshness_state.extra_read_pending = True
     out.append(
         effects.ReadLog(
@@ -125,5 +112,6 @@
             wait=False,
             extra=True,
             generation=stream.generation,
+            timeout_ms=version_bound.read_timeout_ms(state),
         )
     )
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -290,6 +290,30 @@
     _ping(state, node, membership.sequence, out)
 
 
+def query(state: states.State, node: ids.NodeId, out: states.Effects) -> None:
+    """Ping a member for the age of its evidence (:mod:`.freshness`).
+
+    Queries go to the same member again and again, so they carry no updates: these would
+    reach few members before they are not sent any more.
+    """
+    membership = state.membership
+    membership.sequence += 1
+    membership.probes[membership.sequence] = states.Probe(
+        node=node, timeout_base=state.now, sent_at=state.now
+    )
+    message = _gossip(
+        state,
+        messages.GossipKind.PING,
+        membership.sequence,
+        quarantine=quarantine_gossip.without_updates(state),
+        verified_age_ms=freshness.advertised_age_ms(state),
+    )
+    member = membership.members[node]
+    out.append(
+        effects.SendGossip(host=member.host, port=member.gossip_port, message=message)
+    )
+
+
 def _ping(
     state: states.State, node: ids.NodeId, sequence: int, out: states.Effects
 ) -> None:
@@ -317,6 +341,7 @@
         route_version=0 if state.routes is None else state.routes.version,
         log_epoch=state.log.highest,
         config_digest=revisions.config_digest(state),
+        read_age_ms=freshness.advertised_read_age_ms(state),
         **fields,
     )
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -315,6 +315,8 @@
     :param route_version: version of the route table that it has in force.
     :param verified_age_ms: time since that version was last verified to be the newest;
         -1 if not known.
+    :param read_age_ms: time since the log was known to have no later version; -1 if not
+        known.
     :param caps: between a node and a cap allocator.
     :param log_epoch: highest epoch of the log that the sender knows.
     :param config_digest: of the documents of that revision; 0 if no other set of that
@@ -333,6 +335,7 @@
     caps: CapMessage | None = None
     log_epoch: ids.LogEpoch = ids.LogEpoch(0)
     config_digest: int = 0
+    read_age_ms: ids.Milliseconds = -1.0
 
 
 class JoinRecord(msgspec.Struct, frozen=True, tag="join"):
--- a/src/gingerturn/internal/core/pollers.py
+++ b/src/gingerturn/internal/core/pollers.py
@@ -10,12 +10,11 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
-    freshness,
-    freshness_renewal,
     member_order,
     messages,
     state as states,
     streams,
+    version_bound,
 )
 
 CHECK_INTERVAL_MS = 500.0
@@ -29,10 +28,6 @@
 """Time after a start in which no poller is selected, as a node that does not know the
 members yet would select itself."""
 
-FIRST_NODE_LONG_POLL_MS = 3_000
-"""Long poll of the first of all nodes, unless evidence is needed more often. Short, so
-that a log that stopped answering is noticed soon."""
-
 ISOLATED_AFTER_MS = 1_500.0
 """A node that received no datagram for three probe intervals may be cut off."""
 
@@ -43,23 +38,19 @@
     if stream is None or now - state.started_at < STARTUP_MS:
         return
     stream.followed = is_poller(state, now)
-    stream.long_poll_ms = _long_poll_ms(state)
+    set_read_times(state, stream)
     streams.retry_due(state, out)
 
 
-def _long_poll_ms(state: states.State) -> int:
-    """Return the time for which the log holds a read open; 0 for that in the settings.
+def set_read_times(state: states.State, stream: states.Stream) -> None:
+    """Set the duration and the time-out of the next long poll.
 
-    A read that the log never answers blocks for longer than that. One node polls with a
-    shorter time, so that a log which stops answering does not block all pollers.
+    The evidence of all nodes depends on the reads of the first one. Elsewhere both are
+    left to the settings.
     """
-    if not member_order.is_first(state):
-        return 0
-    return (
-        freshness_renewal.LONG_POLL_MS
-        if freshness.is_bounded(state)
-        else FIRST_NODE_LONG_POLL_MS
-    )
+    is_first = member_order.is_first(state)
+    stream.long_poll_ms = version_bound.long_poll_ms(state) if is_first else 0
+    stream.timeout_ms = version_bound.read_timeout_ms(state) if is_first else 0
 
 
 def is_poller(state: states.State, now: ids.Milliseconds) -> bool:
--- a/src/gingerturn/internal/core/quarantine_gossip.py
+++ b/src/gingerturn/internal/core/quarantine_gossip.py
@@ -49,6 +49,14 @@
     )
 
 
+def without_updates(state: states.State) -> messages.QuarantineGossip:
+    """Return the quarantine part of a message that carries no updates."""
+    digest = state.quarantine.digest
+    if not digest:
+        return messages.NO_QUARANTINE_GOSSIP
+    return messages.QuarantineGossip(digest=digest)
+
+
 def on_gossip(
     state: states.State, gossip: messages.QuarantineGossip, out: states.Effects
 ) -> bool:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -44,6 +44,7 @@
     streams,
     timers,
     upstreams,
+    version_bound,
 )
 
 SLOW_CHECK_MS = 1_000.0
@@ -107,6 +108,7 @@
     state.keyed_log = event.keyed_log
     state.lineage = event.lineage
     state.retry_bound = event.retry_bound
+    state.freshness.apply_ms = event.apply_ms
     state.freshness.revoke_ms = event.revoke_ms
     state.cap_tolerance = event.cap_tolerance
     # A late answer to a previous incarnation must not match a ping of this one.
@@ -179,6 +181,8 @@
         freshness_renewal.on_read_ended(state)
     if _is_usable(state, stream, event, out):
         _apply_read(state, stream, event, out)
+    if event.stream == streams.ROUTES:
+        pollers.set_read_times(state, stream)
     streams.retry_due(state, out)
 
 
@@ -618,7 +622,7 @@
     "revive": (joining.GONE_PROBE_INTERVAL_MS, joining.probe_gone_member),
     "prune": (PRUNE_MS, _prune),
     "pollers": (pollers.CHECK_INTERVAL_MS, pollers.check),
-    "freshness": (freshness_renewal.CHECK_MS, freshness_renewal.check),
+    "freshness": (version_bound.CHECK_MS, freshness_renewal.check),
     "caps": (caps.CHECK_MS, caps.check),
 }
 _ROUTED_ONLY = frozenset({"pollers", "freshness", "caps"})
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -418,26 +418,34 @@
 class Freshness(msgspec.Struct):
     """Evidence that the route table is current; see :mod:`.freshness`.
 
+    :param apply_ms: a confirmed table must be active within this time; 0 if operators
+        set no bound.
     :param revoke_ms: a revoked API key must cease to work within this time; 0 if
         operators set no bound.
     :param verified_at: when the table in force was last verified to be the newest; 0 if
         never.
+    :param read_at: when the log was last known to have no version that is later than
+        the active one; 0 if never.
     :param queried_at: when a member was last queried.
     :param query_count: number of such queries.
     :param closed_logged: it has been logged that all API keys are refused.
     :param extra_read_pending: an extra read of the log is under way.
     :param next_read_at: earliest time of the next extra read.
+    :param failed_reads: consecutive extra reads that gave no evidence.
     :param highest_log_version: highest version read from the log since it was last
         restored from a backup.
     """
 
+    apply_ms: ids.Milliseconds = 0.0
     revoke_ms: ids.Milliseconds = 0.0
     verified_at: ids.Milliseconds = 0.0
+    read_at: ids.Milliseconds = 0.0
     queried_at: ids.Milliseconds = 0.0
     query_count: int = 0
     closed_logged: bool = False
     extra_read_pending: bool = False
     next_read_at: ids.Milliseconds = 0.0
+    failed_reads: int = 0
     highest_log_version: int = 0
 
 
@@ -631,6 +639,7 @@
         waited for.
     :param long_poll_ms: how long the log holds a read open for new records; 0 leaves
         that to the settings.
+    :param timeout_ms: time-out of a read beyond that; 0 for the default one.
     :param requested_at: when the latest read that follows the stream was requested.
     :param current_as_of: when the last successful read was answered.
     :param covered_from: keys issued before this may have been claimed in records that
@@ -647,6 +656,7 @@
     followed: bool = True
     outdated: bool = False
     long_poll_ms: int = 0
+    timeout_ms: int = 0
     offset: int = 0
     read_pending: bool = False
     failures: int = 0
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -254,6 +254,7 @@
             # After a failure an immediate answer shows whether the log is available.
             wait=stream.caught_up and not stream.failures,
             long_poll_ms=stream.long_poll_ms,
+            timeout_ms=stream.timeout_ms,
             generation=stream.generation,
         )
     )
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -54,16 +54,18 @@
         )
 
     async def read(
-        self, stream: str, offset: int, *, wait: bool = True, hold_ms: int = 0
+        self,
+        stream: str,
+        offset: int,
+        wait: log_service.Wait = log_service.LONG_POLL,
     ) -> log_service.Records:
         """Read from an offset.
 
-        :param wait: whether to long poll when there are no new records.
-        :param hold_ms: duration of the long poll; 0 for the one in the settings.
+        :param wait: how long to wait for new records and for the answer.
         :raises LogServiceError: when the read fails or its answer is invalid.
         """
         step = f"read {stream}"
-        wait_ms = (hold_ms or self._poll_ms) if wait else 0
+        wait_ms = wait.hold_ms(self._poll_ms)
         query = f"from={offset}&max={MAX_RECORDS}&wait_ms={wait_ms}"
         resource = f"/streams/{stream}/records?{query}"
         answer = await self._peer.call(
@@ -71,7 +73,7 @@
             resource,
             step=step,
             wait_ms=wait_ms,
-            timeout_ms=log_service.READ_TIMEOUT_MS,
+            timeout_ms=wait.timeout_ms,
         )
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, ReadReply, step)
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -43,7 +43,7 @@
         audited: list[messages.AuditRecord] = []
         offset = 0
         while True:
-            reply = await self._service.read("audit", offset, wait=False)
+            reply = await self._service.read("audit", offset, log_service.NO_LONG_POLL)
             decoded = [messages.decode_record(record) for record in reply.contents]
             audited += [r for r in decoded if isinstance(r, messages.AuditRecord)]
             offset = reply.first + len(reply.contents)
@@ -57,9 +57,7 @@
         stream = effect.stream
         requested_at = clock.now()
         try:
-            reply = await self._service.read(
-                stream, effect.offset, wait=effect.wait, hold_ms=effect.long_poll_ms
-            )
+            reply = await self._service.read(stream, effect.offset, _wait(effect))
         except errors.LogServiceError as error:
             logs.write("INFO", "log", f"{error}.")
             self._node.apply(
@@ -165,6 +163,14 @@
         )
 
 
+def _wait(effect: effects.ReadLog) -> log_service.Wait:
+    return log_service.Wait(
+        is_long_poll=effect.wait,
+        long_poll_ms=effect.long_poll_ms,
+        timeout_ms=effect.timeout_ms or log_service.READ_TIMEOUT_MS,
+    )
+
+
 def _held_open_ms(
     reply: log_service.Records, elapsed: ids.Milliseconds
 ) -> ids.Milliseconds:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -440,6 +440,7 @@
             lineage=bool(self.dialect.lineage),
             revoke_ms=float(self.settings.workspaces.revoke_ms),
             cap_tolerance=_cap_tolerance(self.settings.workspaces),
+            apply_ms=float(self.settings.routing.apply_ms),
         )
 
     def _tick(self) -> None:
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -52,6 +52,7 @@
     root.cursor = message.cursor
     root.routeVersion = message.route_version
     root.provenAgeMs = message.verified_age_ms
+    root.readAgeMs = message.read_age_ms
     root.logEpoch = message.log_epoch
     root.configDigest = message.config_digest
     if message.caps is not None:
@@ -100,6 +101,7 @@
             route_version=root.routeVersion,
             quarantine=_decode_quarantine(root),
             verified_age_ms=root.provenAgeMs,
+            read_age_ms=root.readAgeMs,
             caps=_CAPS_DECODER.decode(root.caps) if root.caps else None,
             log_epoch=ids.LogEpoch(root.logEpoch),
             config_digest=root.configDigest,
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -48,4 +48,5 @@
   caps @13 :Data;
   logEpoch @14 :UInt32;
   configDigest @15 :UInt32;
+  readAgeMs @16 :Float32 = -1;
 }
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -18,6 +18,30 @@
 detects lost responses early."""
 
 
+class Wait(msgspec.Struct, frozen=True):
+    """How long a read waits for new records and for its answer.
+
+    :param is_long_poll: whether to wait for new records at all.
+    :param long_poll_ms: for how long; 0 leaves that to the settings.
+    :param timeout_ms: time-out of the answer beyond that.
+    """
+
+    is_long_poll: bool = True
+    long_poll_ms: int = 0
+    timeout_ms: float = READ_TIMEOUT_MS
+
+    def hold_ms(self, default_ms: int) -> int:
+        """Return the duration of the long poll; 0 for an immediate answer.
+
+        :param default_ms: the duration in the settings.
+        """
+        return (self.long_poll_ms or default_ms) if self.is_long_poll else 0
+
+
+LONG_POLL = Wait()
+NO_LONG_POLL = Wait(is_long_poll=False)
+
+
 class Records(msgspec.Struct, frozen=True):
     """The result of a read.
 
@@ -85,13 +109,10 @@
 class LogService(typing.Protocol):
     """An append-only log of streams with offsets, some of which are keyed."""
 
-    async def read(
-        self, stream: str, offset: int, *, wait: bool = True, hold_ms: int = 0
-    ) -> Records:
-        """Read from an offset, by a long poll if there are no new records.
+    async def read(self, stream: str, offset: int, wait: Wait = LONG_POLL) -> Records:
+        """Read from an offset.
 
-        :param wait: whether to wait for new records.
-        :param hold_ms: duration of the long poll; 0 for that of the settings.
+        :param wait: how long to wait for new records and for the answer.
         """
 
     async def append(self, stream: str, record: bytes) -> Appended:
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -89,8 +89,8 @@
     known = plain.get("route_version_known", 0.0)
     if known > plain.get("route_version", 0.0):
         lines.append(
-            f"routes version {known:.0f} is known and not active; the active one was"
-            f" last verified {_count(plain, 'route_verified_age_ms')} ms ago"
+            f"routes version {known:.0f} is known and not active; the log had none"
+            f" later than the active one {_count(plain, 'route_read_age_ms')} ms ago"
         )
     if plain.get("keys_closed"):
         lines.append("requests with API keys are refused: keys_stale")
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -88,9 +88,12 @@
     """How the service of a caller's request is determined.
 
     :param table: by the route table; otherwise ``Host`` names the service.
+    :param apply_ms: time within which a confirmed route table is active at each node
+        that reaches the log; 0 for no bound.
     """
 
     table: bool = False
+    apply_ms: int = 2_000
 
 
 class Retries(msgspec.Struct, forbid_unknown_fields=True):
@@ -168,6 +171,9 @@
 """A configuration takes up to 3 s to reach all nodes; 1 s remains for requests admitted
 before."""
 
+MIN_APPLY_MS = 1_000
+"""The age of a route table is checked each 100 ms, which is to remain a small part."""
+
 LIMIT_RANGES = {
     "body_buffer": (1_024, MAX_BODY_BUFFER),
     "decisions": (1_024, 1_048_576),
@@ -315,6 +321,9 @@
     if settings.workspaces.revoke_ms:
         bounds = (settings.workspaces.revoke_ms, MIN_REVOKE_MS, 3_600_000)
         check("$.workspaces.revoke_ms", checks.check_range, "revoke_ms", *bounds)
+    if settings.routing.apply_ms:
+        bounds = (settings.routing.apply_ms, MIN_APPLY_MS, 600_000)
+        check("$.routing.apply_ms", checks.check_range, "apply_ms", *bounds)
     for peer in settings.peers:
         check("$.peers", _check_peer, peer)
     return problems
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -283,7 +283,8 @@
 
 
 def _ages(made: world.World) -> list[float]:
-    return [freshness.age(n.state) for n in made.nodes.values() if n.alive]
+    nodes = (node for node in made.nodes.values() if node.alive)
+    return [made.now - node.state.freshness.verified_at for node in nodes]
 
 
 def _worst(made: world.World, duration_ms: float) -> float:
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -35,13 +35,11 @@
 
 
 def test_a_known_version_that_is_not_active_is_reported() -> None:
-    samples = (
-        "gingerturn_route_version_known 13\ngingerturn_route_verified_age_ms 840\n"
-    )
+    samples = "gingerturn_route_version_known 13\ngingerturn_route_read_age_ms 840\n"
     lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
     assert lines[-1] == (
-        "routes version 13 is known and not active; the active one was last verified"
-        " 840 ms ago"
+        "routes version 13 is known and not active; the log had none later than the"
+        " active one 840 ms ago"
     )
 
 
--- a/tests/cover/test_pollers.py
+++ b/tests/cover/test_pollers.py
@@ -6,11 +6,13 @@
 from gingerturn.internal.core import (
     effects,
     events,
+    freshness,
     messages,
     pollers,
     reducer,
     state as states,
     streams,
+    version_bound,
 )
 from gingerturn_fakes import parts, world
 from tests.common import builders, routed
@@ -156,3 +158,64 @@
     one = _node("a3", *members)
     other = _node("a3", *reversed(members))
     assert pollers.is_poller(one, one.now) == pollers.is_poller(other, other.now)
+
+
+@pytest.mark.parametrize("upstreams", [15, 60])
+def test_without_faults_the_age_of_what_is_known_of_the_log_stays_below_the_bound(
+    upstreams: int,
+) -> None:
+    spec = parts.ServiceSpec("plans", upstreams, 4, {"lookup": 5.0})
+    table = routed.table(routed.route())
+    made = world.World(
+        seed=3, services=[spec], documents={}, zones=ZONES[:3], table=table
+    )
+    made.gossip_on = True
+    made.run(4_000.0)
+    extra: list[str] = []
+    made.on_effect = lambda node, effect: (
+        extra.append(node.name)
+        if isinstance(effect, effects.ReadLog) and effect.extra
+        else None
+    )
+    worst = 0.0
+    for version in range(2, 10):
+        later = routes.RouteTable(version=version, routes=table.routes)
+        made.log.put(streams.ROUTES, "table", messages.encode_record(later))
+        for _ in range(14):
+            made.run(50.0)
+            ages = (freshness.read_age(n.state) for n in made.nodes.values())
+            worst = max(worst, *ages)
+    assert worst < version_bound.READ_AGE_SHARE * IN_FORCE_MS
+    assert not extra
+
+
+def test_the_times_on_the_way_of_a_version_add_up_to_less_than_the_bound() -> None:
+    shares = (
+        version_bound.READ_AGE_SHARE
+        + version_bound.READ_TIMEOUT_SHARE
+        + version_bound.PAUSE_SHARE
+    )
+    # The age and the end of the pause are checked at the next run of the timer.
+    assert shares * IN_FORCE_MS + 2 * version_bound.CHECK_MS < IN_FORCE_MS
+
+
+def test_a_log_that_answers_nobody_is_not_read_more_often_with_time() -> None:
+    spec = parts.ServiceSpec("plans", 15, 4, {"lookup": 5.0})
+    table = routed.table(routed.route())
+    made = world.World(
+        seed=3, services=[spec], documents={}, zones=ZONES[:3], table=table
+    )
+    made.gossip_on = True
+    made.run(4_000.0)
+    made.log.silent = True
+    made.run(6_000.0)
+    reads = 0
+
+    def count(node: parts.FakeNode, effect: effects.Effect) -> None:
+        nonlocal reads
+        reads += isinstance(effect, effects.ReadLog) and effect.extra
+
+    made.on_effect = count
+    made.run(10_000.0)
+    interval_ms = version_bound.MAX_PAUSE_SHARE * IN_FORCE_MS / 2.0
+    assert 0 < reads <= len(made.nodes) * 10_000.0 / interval_ms
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -99,7 +99,7 @@
 )
 
 
-def _gossip(caps: messages.CapMessage) -> messages.Gossip:
+def _gossip(caps: messages.CapMessage, *, read_age_ms: float = 70.0) -> messages.Gossip:
     return messages.Gossip(
         kind=messages.GossipKind.CAPS,
         sequence=3,
@@ -113,6 +113,7 @@
         caps=caps,
         log_epoch=ids.LogEpoch(1),
         config_digest=21,
+        read_age_ms=read_age_ms,
     )
 
 
@@ -211,10 +212,10 @@
             now=1.0, sender=N2, host="h", port=1, message=_gossip(CAP_REQUEST)
         ),
         "96b0446174616772616d5265636569766564cb3ff0000000000000a26e32a168"
-        "019ca463617073030290a26e32a26e3904939196a26e32010400920608cb4034"
+        "019da463617073030290a26e32a26e3904939196a26e32010400920608cb4034"
         "00000000000091930603cb40440000000000000ccb404e00000000000094a643"
         "617041736b05cb40568000000000009195a473686f70cd05dccd04b002cd012c"
-        "0115",
+        "0115cb4051800000000000",
     ),
 ]
 EARLIER_EVENTS: list[tuple[str, str]] = [
@@ -236,8 +237,17 @@
         "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029907090304c3"
         "a5706c616e73cb40040000000000000bcb403e000000000000",
     ),
+    (
+        "DatagramReceived",
+        "96b0446174616772616d5265636569766564cb3ff0000000000000a26e32a168"
+        "019ca463617073030290a26e32a26e3904939196a26e32010400920608cb4034"
+        "00000000000091930603cb40440000000000000ccb404e00000000000094a643"
+        "617041736b05cb40568000000000009195a473686f70cd05dccd04b002cd012c"
+        "0115",
+    ),
 ]
-"""The same events as recorded before load reports and calls carried a status."""
+"""The same events as recorded before load reports and calls carried a status, and
+membership messages the age of what is known of the log."""
 
 EFFECTS: list[tuple[effects.AnyEffect, str]] = [
     (
@@ -308,8 +318,9 @@
             long_poll_ms=500,
             extra=True,
             generation=7,
+            timeout_ms=300,
         ),
-        "97a7526561644c6f67a76d656d6265727302c3cd01f4c307",
+        "98a7526561644c6f67a76d656d6265727302c3cd01f4c307cd012c",
     ),
 ]
 CAP_MESSAGES: list[tuple[messages.CapMessage, str]] = [
@@ -328,6 +339,33 @@
     ),
 ]
 DATAGRAMS: list[tuple[messages.CapMessage, str]] = [
+    (
+        CAP_REQUEST,
+        "856e9bbd70938840a8dc9aeab8bf5eb01024500707e0408f4011050301020104"
+        "c10cf0fd1101150c0cfd11191a11650711151a11151a11292f114917310d1a01"
+        "036e31036e32036e39ff94a643617041736b001f05cb405680fc9195a473686f"
+        "ff70cd05dccd04b0020007cd012c5104030201010104011411051a110562036e"
+        "32200608081104020106110328500404",
+    ),
+    (
+        CAP_ANSWER,
+        "167809a908a7bacbb8b9d09ebf0855951024500707e0408f4011050301020104"
+        "c10cf0fd1101150c0cfd11191a11650711151a11151a11292f114917310d2a01"
+        "036e31036e32036e39ff96a9436170416e730177657205cb4057c0e09194a4ff"
+        "73686f70cd057801001fc3a26e34c35104030201010104011411051a11056203"
+        "6e32200608081104020106110328500404",
+    ),
+    (
+        CAP_HANDOVER,
+        "c3469fafd4a789728bed8fed199ba3231025500707e0408f4011050301020104"
+        "c10cf0fd1101150c0cfd11191a11690711151a11151a112d2f114d17310d8201"
+        "036e31036e32036e39ff94ab43617048616e01646f766572cb3fe8c091923fa2"
+        "6e35cb4079f09193a473ff686f70089264ccc800510403020101010401141105"
+        "1a110562036e32200608081104020106110328500404",
+    ),
+]
+
+EARLIER_DATAGRAMS: list[tuple[messages.CapMessage, str]] = [
     (
         CAP_REQUEST,
         "5b8bbace7a46bb62bc0820e20d40e24e1023500607e0408f4011050301020104"
@@ -353,6 +391,7 @@
         "62036e32200608081104020106110328500404",
     ),
 ]
+"""The same datagrams, sent before they carried the age of what is known of the log."""
 
 
 def _name(value: object) -> str:
@@ -370,10 +409,13 @@
 
 
 @pytest.mark.parametrize(("name", "recorded"), EARLIER_EVENTS)
-def test_an_event_without_a_status_is_still_read(name: str, recorded: str) -> None:
+def test_an_event_in_an_earlier_form_is_still_read(name: str, recorded: str) -> None:
     content = bytes.fromhex(recorded)
     framed = len(content).to_bytes(4, "big") + content
     expected = next(e for e, _ in EVENTS if type(e).__name__ == name)
+    if isinstance(expected, events.DatagramReceived):
+        earlier = _gossip(CAP_REQUEST, read_age_ms=-1.0)
+        expected = msgspec.structs.replace(expected, message=earlier)
     assert list(trace.read(io.BytesIO(framed))) == [expected]
 
 
@@ -401,3 +443,12 @@
     message = _gossip(caps)
     assert datagrams.encode(b"secret", ids.NodeId("n1"), 1_000.0, message) == content
     assert datagrams.decode([b"secret"], content) == ("n1", 1_000.0, message)
+
+
+@pytest.mark.parametrize(("caps", "datagram"), EARLIER_DATAGRAMS, ids=_name)
+def test_a_datagram_in_an_earlier_form_is_still_read(
+    caps: messages.CapMessage, datagram: str
+) -> None:
+    message = _gossip(caps, read_age_ms=-1.0)
+    decoded = datagrams.decode([b"secret"], bytes.fromhex(datagram))
+    assert decoded == ("n1", 1_000.0, message)
--- a/tests/cover/test_restored_log.py
+++ b/tests/cover/test_restored_log.py
@@ -20,6 +20,7 @@
     reducer,
     state as states,
     streams,
+    version_bound,
 )
 from gingerturn.internal.shell import http_calls
 from gingerturn_fakes import fake_log, parts, world
@@ -28,6 +29,7 @@
 ZONES = ["a", "b", "c"]
 POLLERS = pollers.POLLERS_PER_ZONE * len(ZONES)
 IN_FORCE_MS = 2_000.0
+LONG_POLL_MS = version_bound.LONG_POLL_SHARE * IN_FORCE_MS
 """Time within which a change must be in force."""
 
 AWAY_MS = 2_000.0
@@ -128,7 +130,7 @@
     made.run(1_000.0)
     made.log.restore(copy)
     _publish(made, *then)
-    made.run(pollers.FIRST_NODE_LONG_POLL_MS + IN_FORCE_MS)
+    made.run(LONG_POLL_MS + IN_FORCE_MS)
     assert _versions(made) == {then[-1] if then else 2}
     assert {node.state.log.epoch for node in made.nodes.values()} == {2}
 
@@ -161,8 +163,9 @@
 
     made.on_effect = count
     made.run(3_000.0)
-    # One that failed, one of the newest records, and one that waits.
-    assert reads <= 3 * POLLERS
+    # One that failed, one of the newest records, and one that waits; the first node's
+    # reads wait for a short time only.
+    assert reads <= 3 * POLLERS + 3_000.0 / LONG_POLL_MS
 
 
 def test_a_log_that_loses_records_twice_in_a_row_is_followed_all_the_same() -> None:
@@ -552,5 +555,5 @@
             made.restart(f"plans-{value}")
     version += 1
     _publish(made, version)
-    made.run(pollers.FIRST_NODE_LONG_POLL_MS + IN_FORCE_MS)
+    made.run(LONG_POLL_MS + IN_FORCE_MS)
     assert _versions(made) == {version}
--- a/tests/nocover/test_start_of_a_node.py
+++ b/tests/nocover/test_start_of_a_node.py
@@ -31,7 +31,7 @@
     """A log service that is unavailable."""
 
     async def read(
-        self, stream: str, offset: int, *, wait: bool = True
+        self, stream: str, offset: int, wait: log_service.Wait = log_service.LONG_POLL
     ) -> log_service.Records:
         raise _unavailable("read")
 
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -24,7 +24,6 @@
     membership,
     messages,
     pause_detection,
-    pollers,
     quarantine,
     quarantine_table,
     reducer,
@@ -35,6 +34,7 @@
     timers,
     upstream_costs,
     upstreams,
+    version_bound,
     workspaces,
 )
 from gingerturn.internal.shell import backend_http, caller_limits, clock
@@ -57,6 +57,7 @@
     test_silent_nodes as silent,
     test_startup_waits as startup,
     test_ticks as ticks,
+    test_version_lag as of_lag,
     test_workspaces as of_workspaces,
 )
 
@@ -180,11 +181,32 @@
     ),
     (
         "CONFIG: a log that stops answering",
-        pollers,
-        "_long_poll_ms",
-        lambda state: 0,
+        version_bound,
+        "bound_ms",
+        lambda state: 0.0,
         of_pollers.test_a_change_made_while_the_log_is_silent_is_in_force_soon_after,
     ),
+    (
+        "CONFIG: connections that fell silent",
+        version_bound,
+        "bound_ms",
+        lambda state: 0.0,
+        of_lag.test_a_change_is_active_in_time_though_all_open_connections_are_silent,
+    ),
+    (
+        "CONFIG: parts without a poller",
+        freshness_renewal,
+        "_read_log",
+        _nothing,
+        of_lag.test_a_change_is_active_in_time_at_two_nodes_that_hear_only_each_other,
+    ),
+    (
+        "CONFIG: overlapping faults",
+        freshness_renewal,
+        "_read_log",
+        _nothing,
+        of_lag.test_changes_are_active_in_time_under_overlapping_faults,
+    ),
     (
         "QUOTA: network partition",
         member_order,
--- a/tooling/gingerturn_fakes/fake_log.py
+++ b/tooling/gingerturn_fakes/fake_log.py
@@ -221,6 +221,8 @@
     is_on_stale_connection = node.stale_log_connections > 0
     node.stale_log_connections -= is_on_stale_connection
     extra = isinstance(effect, effects.ReadLog) and effect.extra
+    timeout_ms = isinstance(effect, effects.ReadLog) and effect.timeout_ms
+    timeout_ms = timeout_ms or log_service.READ_TIMEOUT_MS
     until = world.now + log.delay_ms + long_poll_ms
 
     def fail() -> None:
@@ -242,7 +244,7 @@
             or is_on_stale_connection
             or node.connection_silences != silences
         ):
-            world.at(max(0.0, until - world.now) + log_service.READ_TIMEOUT_MS, fail)
+            world.at(max(0.0, until - world.now) + timeout_ms, fail)
             return
         is_disconnected = log.epoch != epoch and not log.keeps_long_polls
         if log.down or is_disconnected or node.name in log.refused_nodes:
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -32,6 +32,7 @@
     :param table: route table for callers; with one, the log keeps keys.
     :param retry_bound: bound on the repeats of each service by all nodes together.
     :param revoke_ms: time within which a revoked key must stop working.
+    :param apply_ms: time within which a confirmed route table must be active.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         table: routes.RouteTable | None = None,
         retry_bound: allowance.Bound | None = None,
         revoke_ms: float = 0.0,
+        apply_ms: float = 2_000.0,
     ) -> None:
         self.now = START
         self.random = random.Random(seed)
@@ -57,6 +59,7 @@
         self.child_failed_status = 500 if self._routed else 503
         self._retry_bound = retry_bound
         self._revoke_ms = revoke_ms
+        self._apply_ms = apply_ms
         if table is not None:
             self.log.long_poll_ms = fake_log.KEYED_LONG_POLL_MS
             record = messages.encode_record(table)
@@ -126,6 +129,7 @@
             keyed_log=self._routed,
             retry_bound=self._retry_bound,
             revoke_ms=self._revoke_ms,
+            apply_ms=self._apply_ms,
         )
         node.state = reducer.new_state(started)
         node.state.configuration = self.configuration
