After a time-out the client of the log uses no idle connection any more

Cause: the pool keeps idle connections, and one that fell silent shows only by a time-out. Each of them cost a call another one: two in a row at the platform's store, and eight with the product's own log. Change: a call that times out retires the pool; later calls use new connections, calls in progress keep theirs, and the retired ones are closed when these have ended.

--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -37,9 +37,57 @@
     epoch: int = 0
 
 
+class _Pool:
+    """A pool of connections that can be retired while calls use it.
+
+    :param connections: largest number of idle connections.
+    """
+
+    def __init__(self, connections: int) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_keepalive_connections=connections, socket_options=sockets.OPTIONS
+        )
+        self._pending = 0
+        self._retired = False
+
+    async def request(
+        self, method: str, url: str, body: bytes, timeouts: dict[str, float]
+    ) -> httpcore.Response:
+        """Make a call.
+
+        :raises Exception: those of the library.
+        """
+        self._pending += 1
+        try:
+            return await self._pool.request(
+                method, url, content=body, extensions={"timeout": timeouts}
+            )
+        finally:
+            self._pending -= 1
+            if self._retired:
+                await self._close_unused()
+
+    async def retire(self) -> None:
+        """Close all connections once their calls have ended."""
+        self._retired = True
+        await self._close_unused()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _close_unused(self) -> None:
+        if not self._pending:
+            await self._pool.aclose()
+
+
 class Client:
     """A client of one service, with a pool of connections.
 
+    After a time-out the idle connections are not used any more: where one connection
+    fell silent, others to the same service often did too, and each would cost the next
+    call another time-out.
+
     :param url: scheme and address.
     :param timeout_ms: timeout of a call, without the waiting time of a long poll.
     :param connections: largest number of idle connections.
@@ -52,9 +100,8 @@
         self._url = url
         self._epoch_header = epoch_header
         self._timeout_s = timeout_ms / 1000.0
-        self._pool = httpcore.AsyncConnectionPool(
-            max_keepalive_connections=connections, socket_options=sockets.OPTIONS
-        )
+        self._connections = connections
+        self._pool = _Pool(connections)
 
     async def call(
         self,
@@ -78,16 +125,16 @@
         answer_timeout_s = timeout_s + wait_ms / 1000.0
         timeouts = dict.fromkeys(("read", "write", "pool"), answer_timeout_s)
         timeouts["connect"] = timeout_s
+        pool = self._pool
         try:
-            answer = await self._pool.request(
-                method,
-                f"{self._url}{resource}",
-                content=body,
-                extensions={"timeout": timeouts},
+            answer = await pool.request(
+                method, f"{self._url}{resource}", body, timeouts
             )
         except _CONNECT_FAILURES as error:
             raise self.error(step, repr(error), took_effect=False) from None
         except _FAILURES as error:
+            if isinstance(error, httpcore.TimeoutException):
+                await self._replace(pool)
             raise self.error(step, repr(error), took_effect=None) from None
         return Answer(answer.status, answer.content, self._epoch(answer.headers))
 
@@ -138,4 +185,10 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        await self._pool.close()
+
+    async def _replace(self, pool: _Pool) -> None:
+        """Use new connections from now on, unless another call has done so."""
+        if pool is self._pool:
+            self._pool = _Pool(self._connections)
+            await pool.retire()
