A query to a peer replaces a connection on which nothing arrives

What callers saw: a version that a node knew of by number late in force, as each fetch of its table was sent over the same silent connection. Cause: only TCP noticed a silent connection between nodes, 3 s after unacknowledged bytes or 4 s when idle; queries waited 2 s, and the next one took the same connection. Change: a link may have more than one connection. A query without an answer after 0.3 s is sent again over a new one if nothing at all arrived on the present one since; calls in progress keep the old one until they end, as their answers may still arrive. Calls that were sent over a silent connection still wait for TCP: not changed here.

--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -16,6 +16,10 @@
 
 
 QUERY_TIMEOUT_S = 2.0
+SILENCE_S = 0.3
+"""Time after which a connection on which nothing arrives is replaced for a query. TCP
+reports the loss of a silent connection after some seconds only."""
+
 _QUERY_ID_BASE = 1 << 62
 """First call id of queries, which share the id space of frames with attempts."""
 
@@ -210,9 +214,13 @@
     async def _query(self, address: ids.Address, query: frames.Query) -> bytes:
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self._queries[query.call] = future
+        sent_at = clock.now()
         self._link(address).send(query)
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_S):
+                await asyncio.wait([future], timeout=SILENCE_S)
+                if not future.done():
+                    self._link(address).resend_if_silent(query, sent_at)
                 return await future
         except (TimeoutError, ConnectionError) as error:
             raise errors.GingerturnError(
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -7,7 +7,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import sockets
+from gingerturn.internal.shell import clock, sockets
 from gingerturn.internal.wire import compression, datagrams, frames
 
 if typing.TYPE_CHECKING:
@@ -176,13 +176,18 @@
         super().__init__(node)
         self._ready = ready
         self._lost = lost
-        self.write_paused = False
+        self.received_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the first hello."""
         super().connection_made(transport)
         self.send(self._hello(b""))
 
+    def data_received(self, data: bytes) -> None:
+        """Note the time, by which a silent connection is detected."""
+        self.received_at = clock.now()
+        super().data_received(data)
+
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the link."""
         super().connection_lost(error)
@@ -249,36 +254,56 @@
         self._set_authenticated(hello)
 
 
-class Link:
-    """The outgoing side to one peer: connects on demand and queues frames meanwhile.
+class _Outgoing:
+    """An outgoing connection, with the calls that were sent over it.
+
+    Frames are queued until the peer is authenticated.
 
     :param node: this node.
     :param address: the peer's address.
+    :param ended: called when the connection is lost or cannot be made.
     """
 
-    def __init__(self, node: "nodes.Node", address: ids.Address) -> None:
+    def __init__(
+        self,
+        node: "nodes.Node",
+        address: ids.Address,
+        ended: typing.Callable[["_Outgoing"], None],
+    ) -> None:
         self._node = node
         self._address = address
+        self._ended = ended
         self._protocol: Dialled | None = None
         self._is_ready = False
+        self._has_ended = False
         self._waiting: list[frames.Frame] = []
         self._sent: set[int] = set()
-        self._dial_task: asyncio.Task[None] | None = None
+        self._dial_task = asyncio.get_running_loop().create_task(self._dial())
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no call is tracked."""
+        return not self._sent and not self._waiting
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame, or queue it until the connection is established."""
         if self._is_ready and self._protocol is not None:
             self._sent.add(frame.call)
             self._protocol.send(frame)
-            return
-        self._waiting.append(frame)
-        if self._dial_task is None:
-            self._dial_task = asyncio.get_running_loop().create_task(self._dial())
+        else:
+            self._waiting.append(frame)
 
     def forget(self, call: int) -> None:
-        """Stop tracking a call that has ended."""
+        """Stop tracking a call."""
         self._sent.discard(call)
 
+    def is_silent_since(self, sent_at: ids.Milliseconds) -> bool:
+        """Whether it is established and nothing has arrived since a time."""
+        protocol = self._protocol
+        return (
+            self._is_ready and protocol is not None and protocol.received_at < sent_at
+        )
+
     def close(self) -> None:
         """Close the connection, if there is one."""
         if self._protocol is not None:
@@ -301,15 +326,16 @@
 
     def _on_ready(self) -> None:
         self._is_ready = True
-        self._dial_task = None
         waiting, self._waiting = self._waiting, []
         for frame in waiting:
             self.send(frame)
 
     def _on_lost(self) -> None:
+        if self._has_ended:
+            return
+        self._has_ended = True
         self._is_ready = False
-        self._protocol = None
-        self._dial_task = None
+        self._ended(self)
         unsent = {frame.call for frame in self._waiting}
         self._waiting.clear()
         sent, self._sent = self._sent, set()
@@ -317,3 +343,59 @@
             self._node.links.on_link_lost(call, reached=False)
         for call in sent:
             self._node.links.on_link_lost(call, reached=True)
+
+
+class Link:
+    """The outgoing side to one peer, which connects on demand.
+
+    A connection that fell silent is replaced. Its calls in progress keep it until they
+    end, as their answers may still arrive.
+
+    :param node: this node.
+    :param address: the peer's address.
+    """
+
+    def __init__(self, node: "nodes.Node", address: ids.Address) -> None:
+        self._node = node
+        self._address = address
+        self._current: _Outgoing | None = None
+        self._replaced: list[_Outgoing] = []
+
+    def send(self, frame: frames.Frame) -> None:
+        """Send a frame, or queue it until a connection is established."""
+        if self._current is None:
+            self._current = _Outgoing(self._node, self._address, self._on_ended)
+        self._current.send(frame)
+
+    def resend_if_silent(self, frame: frames.Frame, sent_at: ids.Milliseconds) -> None:
+        """Send a frame again over a new connection, if nothing has arrived on the
+        current one since it was sent."""
+        current = self._current
+        if current is None or not current.is_silent_since(sent_at):
+            return
+        logs.write("WARNING", _PART, f"Connection to {self._address} is silent.")
+        self._current = None
+        self._replaced.append(current)
+        self.forget(frame.call)
+        self.send(frame)
+
+    def forget(self, call: int) -> None:
+        """Stop tracking a call that has ended."""
+        if self._current is not None:
+            self._current.forget(call)
+        for replaced in self._replaced:
+            replaced.forget(call)
+            if replaced.is_unused:
+                replaced.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for outgoing in (self._current, *self._replaced):
+            if outgoing is not None:
+                outgoing.close()
+
+    def _on_ended(self, outgoing: _Outgoing) -> None:
+        if outgoing is self._current:
+            self._current = None
+        else:
+            self._replaced.remove(outgoing)
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -336,7 +336,7 @@
         node.stale_log_connections = 0
         node.silent_links.clear()
         for other in self.nodes.values():
-            other.silent_links.pop(name, None)
+            other.silent_links.discard(name)
         port = next(p for p, n in self.addresses.items() if n == name)
         self._boot(node, port)
         self._join_members()
--- a/tooling/gingerturn_soak/proxy.py
+++ b/tooling/gingerturn_soak/proxy.py
@@ -31,6 +31,7 @@
         self._target = target
         self._mode = Mode.PASS
         self._delay_s = 0.0
+        self._silences = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._serving: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -47,7 +48,7 @@
         await asyncio.gather(*self._serving)
 
     def set_mode(self, mode: Mode, *, delay_ms: float = 0.0) -> None:
-        """Set the mode of all connections.
+        """Set the mode of all connections that are not silenced.
 
         Connections that may have lost bytes are reset.
         """
@@ -56,6 +57,10 @@
         self._mode = mode
         self._delay_s = delay_ms / 1000.0
 
+    def silence(self) -> None:
+        """Drop all further bytes of the open connections; new ones work."""
+        self._silences += 1
+
     def reset(self) -> None:
         """Reset every connection."""
         for writer in self._writers:
@@ -88,11 +93,13 @@
         *,
         from_target: bool,
     ) -> None:
+        silences = self._silences
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 if self._mode is Mode.DELAY:
                     await asyncio.sleep(self._delay_s)
-                silent = self._mode is Mode.SILENT
+                is_silenced = silences != self._silences
+                silent = is_silenced or self._mode is Mode.SILENT
                 if silent or (self._mode is Mode.ONE_WAY and from_target):
                     continue
                 writer.write(data)
