A missing route is final only by a table that is known to be the latest

What callers saw: 404, which no client retries, for a route that a newer version had. Cause: a node answered 404 by its active table whatever it knew of later ones, also while it had heard of a later version, or had no news of the log for longer than the bound. Change: 503 with Retry-After then, rule route_unsettled with both versions and the age; 404 as before where the table is known to be the latest within the bound. Measured: two cases of test_a_missing_route_is_final_only_by_the_latest_table fail without it.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -115,13 +115,18 @@
     out: states.Effects,
 ) -> None:
     """Refuse a request that could not be resolved to a route and a workspace."""
+    figures = (
+        route_table.decision_figures(state)
+        if rule is decisions.Rule.ROUTE_UNSETTLED
+        else workspaces.decision_figures(state, rule)
+    )
     refusals.refuse(
         state,
         arrivals.root_call(state, event, arrivals.UNROUTED),
         rule,
         out,
         retry_after=workspaces.retry_delay(state, rule),
-        figures=workspaces.decision_figures(state, rule),
+        figures=figures,
     )
 
 
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -61,6 +61,7 @@
     PARENT_UNKNOWN = 42
     OVER_CAP = 43
     RATE_LIMITED = 44
+    ROUTE_UNSETTLED = 45
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -101,6 +102,12 @@
         "",
     ),
     Rule.KEY_UNSETTLED: ("version in force", "version heard of", "", ""),
+    Rule.ROUTE_UNSETTLED: (
+        "active version",
+        "latest known version",
+        "ms since the log had no later one",
+        "ms allowed",
+    ),
     Rule.KEYS_STALE: ("ms since the version was the newest", "ms allowed", "", ""),
     Rule.OVER_CAP: ("requests left", "requests a second here", "cap", "ms to wait"),
     Rule.RATE_LIMITED: ("requests a second", "calls left", "queued", "ms of wait"),
@@ -173,6 +180,10 @@
         " id."
     ),
     Rule.NO_ROUTE: "Refused: the route table has no route for this host and path.",
+    Rule.ROUTE_UNSETTLED: (
+        "Refused: the route table has no route for this host and path, but a later one"
+        " may have."
+    ),
     Rule.NO_CONFIGURATION: "Refused: this node has no configuration yet.",
     Rule.KEY_UNKNOWN: (
         "Refused: the request has no API key, or one that belongs to no workspace."
--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -117,7 +117,11 @@
         return decisions.Rule.NO_CONFIGURATION
     route = index.match(event.service, event.path)
     if route is None:
-        return decisions.Rule.NO_ROUTE
+        return (
+            decisions.Rule.ROUTE_UNSETTLED
+            if _may_be_outdated(state, index)
+            else decisions.Rule.NO_ROUTE
+        )
     name = ids.WorkspaceName("")
     workspace = None
     if parent is None:
@@ -132,6 +136,25 @@
     return Resolved(rule=rule, workspace=name)
 
 
+def decision_figures(state: states.State) -> tuple[float, ...]:
+    """Return the figures of a refusal by :attr:`.decisions.Rule.ROUTE_UNSETTLED`."""
+    return (
+        float(state.version),
+        float(state.highest_routes_version),
+        freshness.read_age(state),
+        state.freshness.apply_ms,
+    )
+
+
+def _may_be_outdated(state: states.State, index: routes.RouteIndex) -> bool:
+    """Whether a later table may be active elsewhere, so that callers must not be told
+    for good that a route does not exist."""
+    if state.highest_routes_version > index.version:
+        return True
+    bound = state.freshness.apply_ms
+    return bound > 0.0 and freshness.read_age(state) > bound
+
+
 def _choose_service(state: states.State, route: routes.Route) -> str:
     """Return the next service of a split by smooth weighted round robin.
 
--- a/src/gingerturn/internal/core/workspaces.py
+++ b/src/gingerturn/internal/core/workspaces.py
@@ -14,8 +14,16 @@
 )
 
 RETRY_DELAY_MS = 500.0
-"""Retry delay for callers whose key may be in a later route table. It leaves time for
-a second attempt to fetch that table."""
+"""Retry delay for callers whose route or key may be in a later route table. It leaves
+time for a second attempt to fetch that table."""
+
+_RETRIED_RULES = frozenset(
+    {
+        decisions.Rule.KEYS_STALE,
+        decisions.Rule.KEY_UNSETTLED,
+        decisions.Rule.ROUTE_UNSETTLED,
+    }
+)
 
 
 def of_request(
@@ -53,6 +61,6 @@
 
 def retry_delay(state: states.State, rule: decisions.Rule) -> float:
     """Return the retry delay for a refused caller, in ms; 0 if it should not retry."""
-    if rule in {decisions.Rule.KEYS_STALE, decisions.Rule.KEY_UNSETTLED}:
+    if rule in _RETRIED_RULES:
         return RETRY_DELAY_MS * (1.0 + state.random.random())
     return 0.0
--- a/tests/cover/test_routes.py
+++ b/tests/cover/test_routes.py
@@ -166,3 +166,29 @@
     assert builders.only(out, effects.WriteLog).text == (
         "Route table 7 is active, 1 routes; source: n2; version 7 known for 350 ms."
     )
+
+
+# Guards against a final refusal by a table whose age is not known.
+@pytest.mark.parametrize(
+    ("age_ms", "known", "status"),
+    [(0.0, 1, 404), (2_000.0, 1, 404), (2_001.0, 1, 503), (0.0, 2, 503)],
+)
+def test_a_missing_route_is_final_only_by_the_latest_table(
+    age_ms: float, known: int, status: int
+) -> None:
+    state = routed.node_state()
+    state.freshness.apply_ms = 2_000.0
+    state.freshness.read_at = state.now
+    state.highest_routes_version = known
+    state.now += age_ms
+    out = reducer.reduce(state, routed.arrived(1, path="/zzz/", now=state.now))
+    refusal = builders.only(out, effects.RefuseCall)
+    assert refusal.status == status
+    assert (refusal.retry_after_ms > 0) is (status == 503)
+
+
+def test_without_a_bound_a_missing_route_is_final_at_any_age() -> None:
+    state = routed.node_state()
+    state.now += 60_000.0
+    out = reducer.reduce(state, routed.arrived(1, path="/zzz/", now=state.now))
+    assert builders.only(out, effects.RefuseCall).status == 404
