--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -306,17 +306,22 @@
 
     def close(self) -> None:
         """Close the connection, if there is one."""
-        if self._protocol is not None:
+        if not self._dial_task.done():
+            self._dial_task.cancel()
+        elif self._protocol is not None:
             self._protocol.close()
 
+    def _make_protocol(self) -> Dialled:
+        # The peer may be authenticated before the task that dials continues.
+        self._protocol = Dialled(self._node, self._on_ready, self._on_lost)
+        return self._protocol
+
     async def _dial(self) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, self._protocol = await loop.create_connection(
-                    lambda: Dialled(self._node, self._on_ready, self._on_lost),
-                    self._address.host,
-                    self._address.port,
+                await loop.create_connection(
+                    self._make_protocol, self._address.host, self._address.port
                 )
         except (OSError, TimeoutError) as error:
             logs.write(
@@ -335,6 +340,7 @@
             return
         self._has_ended = True
         self._is_ready = False
+        self._protocol = None
         self._ended(self)
         unsent = {frame.call for frame in self._waiting}
         self._waiting.clear()
--- a/tests/cover/test_silent_links.py
+++ b/tests/cover/test_silent_links.py
@@ -3,6 +3,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import typing
+
+import pytest
 
 from gingerturn.internal import ids
 from gingerturn.internal.shell import links, node as nodes, peers
@@ -82,5 +85,28 @@
     asyncio.run(asyncio.wait_for(run(), 30.0))
 
 
+# Guards against frames that stay queued for good: the peer may be authenticated before
+# the task that dials continues.
+def test_frames_are_sent_though_authentication_ends_before_dialling(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sent: list[frames.Frame] = []
+    monkeypatch.setattr(peers.Dialled, "send", lambda self, frame: sent.append(frame))
+
+    async def connect(make: typing.Any, host: str, port: int) -> None:
+        make()._ready()
+
+    async def run() -> None:
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", connect)
+        entry = nodes.Node(builders.settings("entry"))
+        query = frames.Query(call=3, routes=True)
+        entry.links._link(ids.Address("127.0.0.1", 1)).send(query)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert sent == [query]
+
+    asyncio.run(run())
+
+
 def test_a_silent_connection_is_replaced_before_a_query_times_out() -> None:
     assert links.SILENCE_S < links.QUERY_TIMEOUT_S / 2.0
