Soak: open connections fall silent for good, and a version follows

A version that a node does not know counts also where it answers route_unsettled in place of 404, so the two checks of configurations are as strict as before.

--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -24,6 +24,9 @@
 REPORTED_SEED = 22
 """Seed whose schedule has backend servers that report a rate limit and leaving."""
 
+SILENCED_SEED = 2
+"""Seed whose schedule lets open connections fall silent."""
+
 RESTORED_SEED = 1
 """Seed whose schedule restores the log more than once."""
 
@@ -71,3 +74,15 @@
         assert any(kind.value in step for step in verdict.steps)
     assert verdict.violations == []
     assert verdict.served > 0
+
+
+def test_connections_that_fall_silent_cause_no_violations(
+    tmp_path: pathlib.Path,
+) -> None:
+    verdict = run.play(
+        SILENCED_SEED, tmp_path, machines=3, length_s=5.0, timing=False, silenced=True
+    )
+    silent = schedule.Kind.CONNECTIONS_SILENT.value
+    assert any(silent in step for step in verdict.steps)
+    assert verdict.violations == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -49,6 +49,7 @@
             deadly=True,
             restored=True,
             reported=True,
+            silenced=True,
         )
         click.echo(
             f"{verdict.served} of {verdict.attempts} served,"
--- a/tooling/gingerturn_soak/callers.py
+++ b/tooling/gingerturn_soak/callers.py
@@ -8,11 +8,15 @@
 import httpx
 import msgspec
 
+from gingerturn.internal.core import decisions
 from gingerturn_standins import platform_upstream
 
 HOST = "shop.example"
 DEADLY_PATH = f"/a{platform_upstream.DEADLY_PATH}"
 DEADLY_IDS = "deadly-"
+UNSETTLED_TITLE = decisions.Rule.ROUTE_UNSETTLED.name.lower().replace("_", " ")
+"""Title of the answer to a request whose route may be in a later configuration."""
+
 DEADLINE_MS = 2_000
 TIMEOUT_S = 6.0
 """How long a caller waits for an answer: longer than the deadline that it sends, so
@@ -33,6 +37,8 @@
     :param status: 0 while there is none.
     :param intact: whether a success had the expected signature and body.
     :param error: how the exchange failed, if it did.
+    :param unrouted: the node knew no route for it, for good or until it has a later
+        configuration.
     """
 
     id: str
@@ -48,6 +54,7 @@
     instance: str = ""
     limited: bool = False
     leaving: bool = False
+    unrouted: bool = False
 
 
 def now_ms() -> float:
@@ -126,6 +133,7 @@
                 method, url, headers=headers, content=body
             )
             attempt.status = reply.status_code
+            attempt.unrouted = _is_unrouted(reply)
             attempt.instance = reply.headers.get("Instance-Id", "")
             attempt.limited = "Server-Limit" in reply.headers
             attempt.leaving = "Server-Leaving" in reply.headers
@@ -137,3 +145,10 @@
         except httpx.HTTPError as error:
             attempt.error = type(error).__name__
         attempt.ended = now_ms()
+
+
+def _is_unrouted(reply: httpx.Response) -> bool:
+    """Whether an answer says that the node knows no route."""
+    if reply.status_code == 404:
+        return True
+    return reply.status_code == 503 and UNSETTLED_TITLE in reply.text
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -244,7 +244,7 @@
 def configuration_in_time(observed: Observations) -> collections.abc.Iterator[str]:
     """A change is in force in time at every node that no fault affects."""
     for attempt in observed.attempts:
-        if not attempt.version or attempt.status != 404:
+        if not attempt.version or not attempt.unrouted:
             continue
         since = attempt.began - observed.published[attempt.version]
         begin = attempt.began - RECOVERY_MS - APPLY_MS
@@ -263,7 +263,7 @@
         key = (attempt.node, attempt.incarnation, attempt.version)
         if attempt.version and attempt.status == 200:
             served.setdefault(key, attempt.ended)
-        elif attempt.status == 404 and attempt.began > served.get(key, float("inf")):
+        elif attempt.unrouted and attempt.began > served.get(key, float("inf")):
             yield f"{attempt.node} fell back behind version {attempt.version}"
 
 
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -117,7 +117,10 @@
                 group.create_task(self._run_step(step))
 
     async def _run_step(self, step: schedule.Step) -> None:
-        affects_all = step.kind.value.startswith("log-")
+        affects_all = (
+            step.kind is schedule.Kind.CONNECTIONS_SILENT
+            or step.kind.value.startswith("log-")
+        )
         machine = self._machine(step.target)
         fault = checks.Fault(
             kind=step.kind,
@@ -220,6 +223,12 @@
     async def _caller_reset(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._caller_links[step.target].reset()
 
+    async def _silence(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Let all open connections to the log, between nodes and to backend servers
+        fall silent."""
+        for link in (self._log_link, *self._peer_links, *self._backend_links):
+            link.silence()
+
     async def _log_down(self, step: schedule.Step, fault: checks.Fault) -> None:
         await self._inject_log_fault(step, down=True)
 
@@ -362,6 +371,7 @@
     schedule.Kind.LOG_RESTORED: Run._log_restored,
     schedule.Kind.BACKEND_LIMIT: Run._backend_limit,
     schedule.Kind.BACKEND_LEAVING: Run._backend_leaving,
+    schedule.Kind.CONNECTIONS_SILENT: Run._silence,
 }
 
 
@@ -388,6 +398,7 @@
     deadly: bool = False,
     restored: bool = False,
     reported: bool = False,
+    silenced: bool = False,
 ) -> Verdict:
     """Play the run of a seed and check it."""
     steps = schedule.draw(
@@ -397,6 +408,7 @@
         deadly=deadly,
         restored=restored,
         reported=reported,
+        silenced=silenced,
     )
     run = Run(folder, machines=machines)
     observed = asyncio.run(run.play(steps))
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -33,10 +33,17 @@
     LOG_RESTORED = "log-restored"
     BACKEND_LIMIT = "backend-limit"
     BACKEND_LEAVING = "backend-leaving"
+    CONNECTIONS_SILENT = "connections-silent"
 
 
 SEPARATELY_DRAWN = frozenset(
-    {Kind.DEADLY, Kind.LOG_RESTORED, Kind.BACKEND_LIMIT, Kind.BACKEND_LEAVING}
+    {
+        Kind.DEADLY,
+        Kind.LOG_RESTORED,
+        Kind.BACKEND_LIMIT,
+        Kind.BACKEND_LEAVING,
+        Kind.CONNECTIONS_SILENT,
+    }
 )
 """Drawn separately: enabling them leaves the other steps of a seed unchanged."""
 
@@ -72,6 +79,15 @@
 LIMIT_S = 6.0
 """Minimum duration of a rate limit: longer than until it is checked."""
 
+SILENCED_SHARE = 0.5
+"""Share of the runs in which connections fall silent, where this is enabled."""
+
+MAX_SILENCES = 2
+"""Most times that connections fall silent in one run."""
+
+PUBLISHED_AFTER_S = 0.5
+"""Longest time from then until a configuration is published."""
+
 MAX_REPORTS = 3
 """Most backend servers that report a limit, or leaving, in one run."""
 
@@ -101,12 +117,14 @@
     deadly: bool = False,
     restored: bool = False,
     reported: bool = False,
+    silenced: bool = False,
 ) -> list[Step]:
     """Return the steps of a run, in order of time.
 
     :param deadly: whether requests that crash backend servers may be drawn.
     :param restored: whether restorations of the log may be drawn.
     :param reported: whether backend servers report limits and leaving in answers.
+    :param silenced: whether open connections may fall silent for good.
     """
     rng = random.Random(seed)
     steps: list[Step] = []
@@ -131,9 +149,25 @@
         steps += _restores(random.Random(f"restored {seed}"), length_s)
     if reported:
         steps += _reports(random.Random(f"reported {seed}"), machines, length_s)
+    if silenced:
+        steps += _silences(random.Random(f"silenced {seed}"), length_s)
     return sorted(steps, key=lambda step: step.at)
 
 
+def _silences(rng: random.Random, length_s: float) -> list[Step]:
+    """Return times at which all open connections fall silent, each followed by a
+    configuration."""
+    if rng.random() >= SILENCED_SHARE:
+        return []
+    steps = []
+    for _ in range(rng.randint(1, MAX_SILENCES)):
+        at = rng.uniform(WARM_UP_S, length_s)
+        later = at + rng.uniform(0.0, PUBLISHED_AFTER_S)
+        for kind, when in ((Kind.CONNECTIONS_SILENT, at), (Kind.CONFIGURE, later)):
+            steps.append(Step(at=round(when, 3), kind=kind, target=0, duration_s=0.0))
+    return steps
+
+
 def _reports(rng: random.Random, machines: int, length_s: float) -> list[Step]:
     """Return limits and leavings that backend servers report in answers."""
     steps = []
