--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -273,6 +273,11 @@
 ) -> None:
     if (node.name, peer.name) in world.cut:
         return
+    if world.now < peer.paused_until:
+        # The request waits in the socket until the peer resumes.
+        resumes_in = peer.paused_until - world.now
+        world.at(resumes_in, lambda: _request_routes(world, node, peer))
+        return
 
     def arrive() -> None:
         index = peer.state.routes
