--- a/tests/cover/test_version_lag.py
+++ b/tests/cover/test_version_lag.py
@@ -7,7 +7,7 @@
 
 from benchmarks import version_lag
 from gingerturn import routes
-from gingerturn.internal.core import messages, streams
+from gingerturn.internal.core import messages, pollers, streams
 from gingerturn_fakes import links, parts, world as worlds
 from tests.common import routed
 
@@ -69,6 +69,42 @@
     assert not late
 
 
+def _pollers(world: worlds.World) -> set[str]:
+    nodes = world.nodes.values()
+    return {n.name for n in nodes if pollers.is_poller(n.state, n.state.now)}
+
+
+# Guards against nodes that wait for a table that a paused peer was to send.
+@pytest.mark.parametrize("delay_ms", [0.0, 20.0, 50.0, 100.0])
+def test_a_change_is_active_in_time_though_all_pollers_pause_meanwhile(
+    delay_ms: float,
+) -> None:
+    world = _world()
+    paused = _pollers(world)
+    _publish(world, 2)
+    world.run(delay_ms)
+    for name in paused:
+        world.pause(name, 6_000.0)
+    world.run(version_lag.APPLY_MS - delay_ms)
+    assert _versions(world, *(set(world.nodes) - paused)) == {2}
+
+
+# Guards against nodes that rely on pollers whose own way to the log is refused or
+# silent, while they are alive to their peers.
+@pytest.mark.parametrize("fault", ["refused_nodes", "silent_nodes"])
+@pytest.mark.parametrize("delay_ms", [0.0, 500.0, 1_500.0])
+def test_a_change_is_active_in_time_though_the_log_serves_no_poller(
+    fault: str, delay_ms: float
+) -> None:
+    world = _world()
+    affected = _pollers(world)
+    setattr(world.log, fault, affected)
+    world.run(delay_ms)
+    _publish(world, 2)
+    world.run(version_lag.APPLY_MS)
+    assert _versions(world, *(set(world.nodes) - affected)) == {2}
+
+
 # Guards against the same two causes and others where faults overlap.
 def test_changes_are_active_in_time_under_overlapping_faults() -> None:
     late = {}
