Reads that give no evidence are repeated once soon, then with long pauses

Cause: pauses doubled from 0.1 s, so that each node made five reads in the first seconds of an outage of the log: 1,138 in 8 s of a silent log with 194 nodes, and each call is priced. Change: one repeat at once, which a connection that fell silent needs, then 0.45 to 0.9 of the bound. That and the time-out stay within the 3 s after an outage in which a node may be late.

--- a/src/gingerturn/internal/core/version_bound.py
+++ b/src/gingerturn/internal/core/version_bound.py
@@ -46,10 +46,11 @@
 
 MAX_READ_TIMEOUT_SHARE = 0.5
 PAUSE_SHARE = 0.05
-"""Pause before such a read is repeated. It doubles as well."""
+"""Pause before such a read is repeated once."""
 
-MAX_PAUSE_SHARE = 0.75
-"""Limit of that pause, which bounds the load on a log that answers nobody."""
+LATER_PAUSE_SHARE = 0.9
+"""Pause before each further one. It bounds the load on a log that answers nobody; with
+the time-out it is shorter than the time after an outage in which a node may be late."""
 
 MAX_DOUBLINGS = 5
 
@@ -71,16 +72,14 @@
 
 def read_timeout_ms(state: states.State) -> int:
     """Return the time-out of a read beyond the time for which it waits."""
-    share = READ_TIMEOUT_SHARE * 2.0 ** _doublings(state.freshness.failed_reads)
-    return int(min(MAX_READ_TIMEOUT_SHARE, share) * bound_ms(state))
+    doublings = min(state.freshness.failed_reads, MAX_DOUBLINGS)
+    share = min(MAX_READ_TIMEOUT_SHARE, READ_TIMEOUT_SHARE * 2.0**doublings)
+    return int(share * bound_ms(state))
 
 
 def pause_ms(state: states.State) -> ids.Milliseconds:
     """Return the pause after a read that gave no evidence, with jitter."""
-    share = PAUSE_SHARE * 2.0 ** _doublings(state.freshness.failed_reads - 1)
-    pause = min(MAX_PAUSE_SHARE, share) * bound_ms(state)
+    is_repeated = state.freshness.failed_reads > 1
+    share = LATER_PAUSE_SHARE if is_repeated else PAUSE_SHARE
+    pause = share * bound_ms(state)
     return pause * (0.5 + 0.5 * state.random.random())
-
-
-def _doublings(tries: int) -> int:
-    return max(0, min(tries, MAX_DOUBLINGS))
