--- a/src/gingerturn/internal/core/version_bound.py
+++ b/src/gingerturn/internal/core/version_bound.py
@@ -37,14 +37,15 @@
 """Age from which the first nodes of zones read the log; all others depend on them."""
 
 READ_AGE_SHARE = 0.65
-"""Age from which any other node reads the log: more than that of the evidence of a zone
-of 525 nodes, which has three levels below its first node."""
+"""Age from which any other node reads the log. The evidence of a zone of 525 nodes, which
+has three levels below its first node, is at most this old without faults."""
 
 READ_TIMEOUT_SHARE = 0.15
 """Time-out of such a read. It doubles with each one that gives no evidence, as the log
 may be slow."""
 
 MAX_READ_TIMEOUT_SHARE = 0.5
+MAX_DOUBLINGS = 5
 PAUSE_SHARE = 0.05
 """Pause before such a read is repeated once."""
 
@@ -52,8 +53,6 @@
 """Pause before each further one. It bounds the load on a log that answers nobody; with
 the time-out it is shorter than the time after an outage in which a node may be late."""
 
-MAX_DOUBLINGS = 5
-
 
 def bound_ms(state: states.State) -> ids.Milliseconds:
     """Return the maximum age of the evidence; 0 if none is configured."""
