Queries use the ping of members; verified tables count as read ones

One change of behaviour: evidence for keys counts for the bound of tables as well, so that members of the former version, which tell only that age, are used meanwhile.

--- a/src/gingerturn/internal/core/freshness.py
+++ b/src/gingerturn/internal/core/freshness.py
@@ -125,6 +125,7 @@
 
 
 def _mark_verified(state: states.State, verified_at: ids.Milliseconds) -> None:
+    _mark_read(state, verified_at)
     state.freshness.verified_at = max(
         state.freshness.verified_at, min(verified_at, state.now)
     )
--- a/src/gingerturn/internal/core/freshness_renewal.py
+++ b/src/gingerturn/internal/core/freshness_renewal.py
@@ -36,7 +36,8 @@
         return
     interval = version_bound.QUERY_INTERVAL_SHARE * bound
     if now - state.freshness.queried_at >= interval:
-        _query_member(state, age > version_bound.FIRST_READ_AGE_SHARE * bound, out)
+        is_old = age > version_bound.FIRST_READ_AGE_SHARE * bound
+        _query_member(state, out, ask_others=is_old)
     share = (
         version_bound.FIRST_READ_AGE_SHARE
         if member_order.is_zone_first(state)
@@ -75,18 +76,23 @@
     freshness_state.next_read_at = state.now + version_bound.pause_ms(state)
 
 
-def _query_member(state: states.State, is_old: bool, out: states.Effects) -> None:
-    """Query the parent, or every second time a random member if the evidence is old,
-    since the parent may be partitioned too."""
+def _query_member(
+    state: states.State, out: states.Effects, *, ask_others: bool
+) -> None:
+    """Query the parent for the age of its evidence.
+
+    :param ask_others: query a random member every second time, since the parent may be
+        partitioned too.
+    """
     freshness_state = state.freshness
     freshness_state.queried_at = state.now
     freshness_state.query_count += 1
     node = member_order.parent(state)
-    if node is None or (is_old and freshness_state.query_count % 2):
+    if node is None or (ask_others and freshness_state.query_count % 2):
         others = member_table.random_members(state, 1)
         node = others[0] if others else None
     if node is not None:
-        membership.query(state, node, out)
+        membership.ping(state, node, out, track=True, without_updates=True)
 
 
 def _read_log(state: states.State, out: states.Effects) -> None:
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -155,11 +155,12 @@
         for member in message.members
         if _merge(state, sender, member, out, from_sync=from_sync)
     ]
-    if message.kind is kinds.PING and message.without_updates:
-        answer = _message_without_updates(state, kinds.ACK, message.sequence)
+    if message.kind is kinds.PING:
+        without_updates = message.without_updates
+        answer = _message(
+            state, kinds.ACK, message.sequence, without_updates=without_updates
+        )
         out.append(effects.SendGossip(host=host, port=port, message=answer))
-    elif message.kind is kinds.PING:
-        _answer(state, kinds.ACK, message.sequence, host, port, out)
     elif message.kind is kinds.ACK:
         _on_ack(state, message, out)
     elif message.kind is kinds.PING_REQUEST:
@@ -280,10 +281,14 @@
     out: states.Effects,
     *,
     track: bool = False,
+    without_updates: bool = False,
 ) -> None:
     """Ping a member.
 
     :param track: suspect the member unless it answers in time.
+    :param without_updates: neither the ping nor its answer carries updates. For members
+        that are pinged often: an update is sent a limited number of times and would
+        reach few others.
     """
     membership = state.membership
     membership.sequence += 1
@@ -291,34 +296,20 @@
         membership.probes[membership.sequence] = states.Probe(
             node=node, timeout_base=state.now, sent_at=state.now
         )
-    _ping(state, node, membership.sequence, out)
-
-
-def query(state: states.State, node: ids.NodeId, out: states.Effects) -> None:
-    """Ping a member for the age of its evidence (:mod:`.freshness`).
-
-    Queries go to the same member again and again, so neither they nor their answers
-    carry updates: these would reach few members before they are not sent any more.
-    """
-    membership = state.membership
-    membership.sequence += 1
-    membership.probes[membership.sequence] = states.Probe(
-        node=node, timeout_base=state.now, sent_at=state.now
-    )
-    member = membership.members[node]
-    message = _message_without_updates(
-        state, messages.GossipKind.PING, membership.sequence
-    )
-    out.append(
-        effects.SendGossip(host=member.host, port=member.gossip_port, message=message)
-    )
+    _ping(state, node, membership.sequence, out, without_updates=without_updates)
 
 
 def _ping(
-    state: states.State, node: ids.NodeId, sequence: int, out: states.Effects
+    state: states.State,
+    node: ids.NodeId,
+    sequence: int,
+    out: states.Effects,
+    *,
+    without_updates: bool = False,
 ) -> None:
     member = state.membership.members[node]
-    message = _message(state, messages.GossipKind.PING, sequence)
+    kind = messages.GossipKind.PING
+    message = _message(state, kind, sequence, without_updates=without_updates)
     out.append(
         effects.SendGossip(host=member.host, port=member.gossip_port, message=message)
     )
@@ -347,28 +338,22 @@
 
 
 def _message(
-    state: states.State, kind: messages.GossipKind, sequence: int
-) -> messages.Gossip:
-    return _gossip(
-        state,
-        kind,
-        sequence,
-        members=member_table.updates_to_send(state),
-        quarantine=quarantine_gossip.outgoing(state),
-        verified_age_ms=freshness.advertised_age_ms(state),
-    )
-
-
-def _message_without_updates(
-    state: states.State, kind: messages.GossipKind, sequence: int
+    state: states.State,
+    kind: messages.GossipKind,
+    sequence: int,
+    *,
+    without_updates: bool = False,
 ) -> messages.Gossip:
     return _gossip(
         state,
         kind,
         sequence,
-        quarantine=quarantine_gossip.without_updates(state),
+        members=() if without_updates else member_table.updates_to_send(state),
+        quarantine=quarantine_gossip.without_updates(state)
+        if without_updates
+        else quarantine_gossip.outgoing(state),
         verified_age_ms=freshness.advertised_age_ms(state),
-        without_updates=True,
+        without_updates=without_updates,
     )
 
 
--- a/src/gingerturn/internal/core/version_bound.py
+++ b/src/gingerturn/internal/core/version_bound.py
@@ -37,8 +37,8 @@
 """Age from which the first nodes of zones read the log; all others depend on them."""
 
 READ_AGE_SHARE = 0.65
-"""Age from which any other node reads the log. The evidence of a zone of 525 nodes, which
-has three levels below its first node, is at most this old without faults."""
+"""Age from which any other node reads the log. The evidence of a zone of 525 nodes,
+which has three levels below its first node, is at most this old without faults."""
 
 READ_TIMEOUT_SHARE = 0.15
 """Time-out of such a read. It doubles with each one that gives no evidence, as the log
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -210,7 +210,7 @@
     state = builders.node_state()
     builders.add_members(state, builders.member("n2", "plans"))
     out: list[effects.Effect] = []
-    membership.query(state, ids.NodeId("n2"), out)
+    membership.ping(state, ids.NodeId("n2"), out, without_updates=True)
     assert builders.only(out, effects.SendGossip).message.members == ()
     queried = msgspec.structs.replace(
         builders.gossip(), kind=messages.GossipKind.PING, without_updates=True
--- a/tests/cover/test_silent_log_connections.py
+++ b/tests/cover/test_silent_log_connections.py
@@ -1,6 +1,7 @@
 """Calls to the log service while connections to it are silent."""
 
 import asyncio
+import collections.abc
 import contextlib
 
 import pytest
@@ -50,6 +51,23 @@
                 writer.write(ANSWER)
 
 
+@contextlib.asynccontextmanager
+async def _served() -> collections.abc.AsyncIterator[
+    tuple[_Service, http_calls.Client]
+]:
+    """Yield a service and a client of it with two idle connections."""
+    service = _Service()
+    async with await service.start() as server:
+        port = server.sockets[0].getsockname()[1]
+        client = http_calls.Client(
+            f"http://127.0.0.1:{port}", timeout_ms=LONG_TIMEOUT_MS, epoch_header=b"e"
+        )
+        await _open_idle(client, 2)
+        yield service, client
+        await client.close()
+        service.close()
+
+
 async def _call(client: http_calls.Client, resource: str, timeout_ms: float) -> int:
     answer = await client.call("GET", resource, step="read", timeout_ms=timeout_ms)
     return answer.status
@@ -64,22 +82,12 @@
 # Guards against idle connections that fell silent and cost one time-out each.
 def test_after_a_time_out_no_idle_connection_is_used() -> None:
     async def run() -> None:
-        service = _Service()
-        async with await service.start() as server:
-            port = server.sockets[0].getsockname()[1]
-            client = http_calls.Client(
-                f"http://127.0.0.1:{port}",
-                timeout_ms=LONG_TIMEOUT_MS,
-                epoch_header=b"e",
-            )
-            await _open_idle(client, 2)
+        async with _served() as (service, client):
             service.silence()
             with pytest.raises(errors.LogServiceError, match="ReadTimeout"):
                 await _call(client, "/", TIMEOUT_MS)
             assert await _call(client, "/", LONG_TIMEOUT_MS) == 200
             assert service.accepted == 3
-            await client.close()
-            service.close()
 
     asyncio.run(asyncio.wait_for(run(), 30.0))
 
@@ -87,15 +95,7 @@
 # Guards against calls that are broken off because another one timed out.
 def test_a_call_in_progress_survives_the_time_out_of_another() -> None:
     async def run() -> None:
-        service = _Service()
-        async with await service.start() as server:
-            port = server.sockets[0].getsockname()[1]
-            client = http_calls.Client(
-                f"http://127.0.0.1:{port}",
-                timeout_ms=LONG_TIMEOUT_MS,
-                epoch_header=b"e",
-            )
-            await _open_idle(client, 2)
+        async with _served() as (service, client):
             held = asyncio.create_task(_call(client, "/held", LONG_TIMEOUT_MS))
             await service.held.wait()
             service.silence()
@@ -103,7 +103,5 @@
                 await _call(client, "/", TIMEOUT_MS)
             service.release.set()
             assert await held == 200
-            await client.close()
-            service.close()
 
     asyncio.run(asyncio.wait_for(run(), 30.0))
