--- a/benchmarks/version_lag.py
+++ b/benchmarks/version_lag.py
@@ -4,6 +4,9 @@
 deployment a seed on the fake clock: a version every 0.3 to 2 s, and one to four faults
 that overlap. It prints each node that has an old version later than allowed, and the
 reads of the log.
+
+``--costs [--apply-ms MS]`` prints what the bound costs instead: datagrams of a node in
+calm, and reads of the table while the log answers nobody.
 """
 
 import argparse
@@ -15,7 +18,9 @@
 import msgspec
 
 from gingerturn import routes
+from gingerturn.internal import ids
 from gingerturn.internal.core import effects, messages, streams
+from gingerturn.internal.wire import datagrams
 from gingerturn_fakes import links, parts, world as worlds
 
 APPLY_MS = 2_000.0
@@ -28,6 +33,9 @@
 FAULTS_MS = 14_000.0
 AFTER_MS = 6_000.0
 SAMPLE_MS = 50.0
+COSTS_FROM_MS = 8_000.0
+COSTS_MS = 5_000.0
+OUTAGE_MS = 8_000.0
 ZONES = ["a", "b", "c"]
 
 
@@ -333,13 +341,84 @@
     return routes.RouteTable(version=version, routes=(route,))
 
 
+def _calm_world(nodes: int, apply_ms: float) -> worlds.World:
+    spec = parts.ServiceSpec("plans", nodes, 4, {"lookup": 5.0})
+    world = worlds.World(
+        seed=3,
+        services=[spec],
+        documents={},
+        zones=ZONES,
+        table=_table(1),
+        apply_ms=apply_ms,
+    )
+    world.gossip_on = True
+    world.run(COSTS_FROM_MS)
+    return world
+
+
+def _print_datagrams(nodes: int, apply_ms: float) -> None:
+    """Print the datagrams and bytes that a node sends a second, mean and most."""
+    world = _calm_world(nodes, apply_ms)
+    sizes: dict[str, list[int]] = collections.defaultdict(list)
+
+    def measure(node: parts.FakeNode, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.SendGossip):
+            sender = ids.NodeId(node.name)
+            datagram = datagrams.encode(b"s", sender, world.now, effect.message)
+            sizes[node.name].append(len(datagram))
+
+    world.on_effect = measure
+    world.run(COSTS_MS)
+    seconds = COSTS_MS / 1_000.0
+    counts = [len(each) / seconds for each in sizes.values()]
+    sent = [sum(each) / seconds for each in sizes.values()]
+    print(
+        f"{nodes} nodes, bound {apply_ms:.0f} ms: datagrams a second"
+        f" {sum(counts) / nodes:.1f}, most {max(counts):.1f}; bytes a second"
+        f" {sum(sent) / nodes:.0f}, most {max(sent):.0f}"
+    )
+
+
+def _print_outage(nodes: int, apply_ms: float, fault: str) -> None:
+    """Print the reads of the table while the log answers nobody, and afterwards.
+
+    :param fault: field of the fake log.
+    """
+    world = _calm_world(nodes, apply_ms)
+    reads = 0
+
+    def count(node: parts.FakeNode, effect: effects.Effect) -> None:
+        nonlocal reads
+        is_read = isinstance(effect, effects.ReadLog | effects.ReadNewest)
+        reads += is_read and effect.stream == streams.ROUTES
+
+    world.on_effect = count
+    setattr(world.log, fault, True)
+    world.run(OUTAGE_MS)
+    setattr(world.log, fault, False)
+    during = reads
+    world.run(COSTS_MS)
+    print(f"log {fault} for 8 s: {during} reads, {reads - during} in the 5 s after it")
+
+
+def _print_costs(nodes: int, apply_ms: float) -> None:
+    _print_datagrams(nodes, apply_ms)
+    for fault in ("silent", "down"):
+        _print_outage(nodes, apply_ms, fault)
+
+
 def main() -> None:
     """Play runs and print their results."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--nodes", type=int, default=18)
     parser.add_argument("--seeds", type=int, nargs=2, default=[0, 100])
     parser.add_argument("--calm", action="store_true", help="without faults")
+    parser.add_argument("--costs", action="store_true", help="what the bound costs")
+    parser.add_argument("--apply-ms", type=float, default=APPLY_MS)
     options = parser.parse_args()
+    if options.costs:
+        _print_costs(options.nodes, options.apply_ms)
+        return
     late_runs, worst, reads = 0, 0.0, 0
     first, last = options.seeds
     for seed in range(first, last):
