--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -204,6 +204,18 @@
             "-",
             "pause that grows with the members",
         ),
+        _row(
+            "route table",
+            "the table, and how old the knowledge of the log is",
+            "at a bound of 15 s one read of the log in 3.75 s by the first node, 16"
+            " long polls; at 194 nodes 1,635 B/s a node, 2,366 at most, gossip included"
+            " (`python -m benchmarks.version_lag --costs --nodes 194 --apply-ms"
+            " 15000`)",
+            "not measured at size",
+            "small",
+            "one bound, `core.version_bound`; a tree in each zone. While the log"
+            " answers nobody, some 400 reads/s of all nodes (arithmetic)",
+        ),
         _row(
             "configuration",
             f"{SERVICES} documents",
