Failing test, listed: calls stay on a connection that fell silent

A query replaces such a connection, a call does not, and TCP reports no loss where a proxy takes the bytes.

--- a/tests/cover/test_silent_links.py
+++ b/tests/cover/test_silent_links.py
@@ -110,3 +110,25 @@
 
 def test_a_silent_connection_is_replaced_before_a_query_times_out() -> None:
     assert links.SILENCE_S < links.QUERY_TIMEOUT_S / 2.0
+
+
+# Guards against calls that all go over a connection that fell silent, where TCP does
+# not report its loss, until each has reached its deadline.
+def test_calls_leave_a_silent_connection_without_a_query() -> None:
+    async def run() -> None:
+        async with _peer() as (entry, link):
+            answered: list[int] = []
+            entry.links.on_link_frame = (  # type: ignore[method-assign]
+                lambda frame: answered.append(frame.call)
+            )
+            to_peer = entry.links._link(ids.Address("127.0.0.1", link.port))
+            to_peer.send(frames.LevelRequest(call=7, kind="lookup"))
+            while not answered:
+                await asyncio.sleep(0.01)
+            link.silence()
+            for call in range(8, 28):
+                to_peer.send(frames.LevelRequest(call=call, kind="lookup"))
+                await asyncio.sleep(0.1)
+            assert set(answered) - {7}
+
+    asyncio.run(asyncio.wait_for(run(), 30.0))
