Pipelined safe requests of one connection run at once

Cause: a pipelined request was dispatched only once the one before it was answered, so that it missed its latency target while upstreams were idle.

Change: requests with safe methods on repeatable routes are dispatched up to eight at once; answers are held until the earlier ones are written. Nothing behind a request that closes the connection is dispatched, and a stopping node answers what it has dispatched before it closes the connection. Before, a connection on which a node stopped was closed without a Connection: close.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -44,6 +44,9 @@
         self.complete = False
         self.dispatched = False
         self.answered = False
+        self.finished = False
+        # The part of the answer that waits for the answers to earlier requests.
+        self.held_output: list[bytes] = []
         self.body_sink: BodySink | None = None
         self.streaming_out = False
         self.chunked_out = False
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from gingerturn import errors
+from gingerturn import errors, routes
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages, routing
 from gingerturn.internal.shell import (
@@ -24,7 +24,15 @@
 
 
 MAX_PIPELINED = 8
-"""Pipelined requests that are read ahead before reading pauses."""
+"""Requests of one connection that are read ahead and may run at once. Callers without
+pipelining open about as many connections to one host (browsers: six)."""
+
+MAX_HELD_BYTES = 65_536
+"""Answers that wait for earlier ones on their connection, above which no further
+request of it is dispatched ahead of its turn."""
+
+PARALLEL_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+"""Methods of pipelined requests that may run in parallel (RFC 9112, 9.3.2)."""
 
 OWN_AUTHORITY = "gingerturn"
 """Authority (``Host``) of the requests that the node answers itself."""
@@ -33,10 +41,14 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller; requests on it are served in order.
+    """One connection of a caller; its requests are answered in order.
+
+    Pipelined requests that are safe run in parallel, since one that waits for the
+    answers before it can miss its latency target while upstreams are idle.
 
-    Invariants: only ``_requests[0]`` is dispatched, and answers are written only for
-    it; input is ignored once ``_final_response`` is set.
+    Invariants: answers are written only for ``_requests[0]``, others are held; nothing
+    behind a request after which the connection closes is dispatched; input is ignored
+    once ``_final_response`` is set.
 
     :param node: the node that serves the connection.
     """
@@ -105,10 +117,7 @@
         self._write_paused = False
         if not self._requests:
             return
-        request = self._requests[0]
-        if request.withheld_credit and request.grant_credit is not None:
-            withheld, request.withheld_credit = request.withheld_credit, 0
-            request.grant_credit(withheld)
+        self._grant_withheld(self._requests[0])
 
     # Callbacks of httptools.HttpRequestParser.
 
@@ -188,8 +197,7 @@
             return
         if len(self._requests) > MAX_PIPELINED:
             self._transport.pause_reading()
-        if request is self._requests[0] and not request.dispatched:
-            self._dispatch(request)
+        self._dispatch_ready()
 
     # Called by the node.
 
@@ -245,15 +253,15 @@
         if self._closing:
             return
         if body and request.chunked_out:
-            self._transport.write(b"%x\r\n%b\r\n" % (len(body), body))
+            self._write(request, b"%x\r\n%b\r\n" % (len(body), body))
         elif body:
-            self._transport.write(body)
+            self._write(request, body)
         if last:
             if request.chunked_out:
-                self._transport.write(b"0\r\n\r\n")
+                self._write(request, b"0\r\n\r\n")
             self._finish(request)
             return
-        if self._write_paused:
+        if self._write_paused or not self._is_first(request):
             request.withheld_credit += len(body)
         elif request.grant_credit is not None:
             request.grant_credit(len(body))
@@ -262,9 +270,27 @@
         """Abort a streamed answer that cannot be completed.
 
         The caller sees a body shorter than Content-Length, or no last chunk, and so
-        detects the truncation.
+        detects the truncation. An answer of which nothing was written yet is replaced
+        by a problem, so that the requests around it keep their connection.
         """
-        self._transport.abort()
+        if self._closing:
+            return
+        if self._is_first(request):
+            self._transport.abort()
+            return
+        request.held_output.clear()
+        request.answered = False
+        self.send_problem(
+            request,
+            effects.RefuseCall(
+                call=request.call,
+                status=502,
+                outcome=messages.Outcome.UNKNOWN,
+                title="the answer broke off",
+                retry_after_ms=0,
+                decision="",
+            ),
+        )
 
     def send_problem(
         self, request: caller_requests.Request, refusal: effects.RefuseCall
@@ -272,8 +298,9 @@
         """Write a problem response."""
         if self._closing or request.answered:
             return
-        close = request.close_after or not request.complete
-        self._transport.write(
+        close = self._closes_after(request)
+        self._write(
+            request,
             heads.problem(
                 status=refusal.status,
                 outcome=refusal.outcome,
@@ -284,7 +311,7 @@
                 with_body=request.method != b"HEAD",
                 dialect=self._node.dialect,
                 request_id=request.request_id,
-            )
+            ),
         )
         request.close_after = close
         self._finish(request)
@@ -418,31 +445,120 @@
         self, request: caller_requests.Request, head: bytes, body: bytes = b""
     ) -> None:
         request.answered = True
-        if not request.complete:
-            request.close_after = True
+        request.close_after = self._closes_after(request)
         if request.close_after:
             head += b"connection: close\r\n"
-        # Head and body go out in one system call.
-        self._transport.writelines((head, b"\r\n", body))
+        self._write(request, head, b"\r\n", body)
+
+    def _write(self, request: caller_requests.Request, *pieces: bytes) -> None:
+        """Write a part of an answer, or hold it until the earlier ones are written."""
+        if self._is_first(request):
+            # All pieces go out in one system call.
+            self._transport.writelines(pieces)
+        else:
+            request.held_output.extend(pieces)
+
+    def _is_first(self, request: caller_requests.Request) -> bool:
+        return bool(self._requests) and self._requests[0] is request
+
+    def _closes_after(self, request: caller_requests.Request) -> bool:
+        """Whether the connection closes after the answer to a request.
+
+        A stopping node first answers the requests that it has dispatched.
+        """
+        if request.close_after or not request.complete:
+            return True
+        return self._node.stopping and not self._has_dispatched_after(request)
+
+    def _has_dispatched_after(self, request: caller_requests.Request) -> bool:
+        last = next((r for r in reversed(self._requests) if r.dispatched), request)
+        return last is not request
 
     def _finish(self, request: caller_requests.Request) -> None:
         request.answered = True
+        request.finished = True
         request.streaming_out = False
         self._node.entry.forget_request(request)
-        if self._requests and self._requests[0] is request:
-            self._requests.popleft()
         self._waiting_since = clock.now()
+        if self._is_first(request):
+            self._write_finished()
+
+    def _write_finished(self) -> None:
+        """Remove the finished requests at the front, and write what was held for them
+        and for the request behind them."""
+        while self._requests and self._requests[0].finished:
+            finished = self._requests.popleft()
+            if finished.close_after:
+                self.close()
+                return
+            if self._requests:
+                self._write_held(self._requests[0])
         if self._final_response and not self._requests:
             self._send_final_response()
             return
-        if request.close_after or self._node.stopping:
+        if self._node.stopping and not any(r.dispatched for r in self._requests):
             self.close()
             return
         self._transport.resume_reading()
-        if self._requests and not self._requests[0].dispatched:
-            following = self._requests[0]
-            if following.complete:
-                self._dispatch(following)
+        self._dispatch_ready()
+
+    def _write_held(self, request: caller_requests.Request) -> None:
+        """Write what was held for a request that is now the first."""
+        if request.held_output:
+            self._transport.writelines(request.held_output)
+            request.held_output.clear()
+        if not self._write_paused:
+            self._grant_withheld(request)
+
+    def _grant_withheld(self, request: caller_requests.Request) -> None:
+        if request.withheld_credit and request.grant_credit is not None:
+            withheld, request.withheld_credit = request.withheld_credit, 0
+            request.grant_credit(withheld)
+
+    def _dispatch_ready(self) -> None:
+        """Dispatch the first request, and those that may run beside it."""
+        while (request := self._next_to_dispatch()) is not None:
+            self._dispatch(request)
+
+    def _next_to_dispatch(self) -> caller_requests.Request | None:
+        if self._closing:
+            return None
+        for position, request in enumerate(self._requests):
+            if not request.dispatched:
+                is_allowed = position == 0 or self._may_run_ahead(request, position)
+                return request if request.complete and is_allowed else None
+            if request.close_after:
+                return None
+            if len(self._requests) > 1 and not self._is_parallel(request):
+                return None
+        return None
+
+    def _may_run_ahead(self, request: caller_requests.Request, position: int) -> bool:
+        """Whether a request may be dispatched before the earlier ones are answered.
+
+        :param position: number of earlier requests that are not answered yet.
+        """
+        if position >= MAX_PIPELINED or self._node.stopping:
+            return False
+        if not self._is_parallel(request):
+            return False
+        held = sum(len(piece) for r in self._requests for piece in r.held_output)
+        return held <= MAX_HELD_BYTES
+
+    def _is_parallel(self, request: caller_requests.Request) -> bool:
+        """Whether a request may run beside others of its connection.
+
+        A request behind an answer that closes the connection is sent again by its
+        caller, so it must be repeatable.
+        """
+        if request.method not in PARALLEL_METHODS:
+            return False
+        index = self._node.state.routes
+        if index is None:
+            return True
+        service, path, _ = caller_requests.destination(request)
+        route = index.match(service, path)
+        return route is None or route.type is not routes.RouteType.UNREPEATABLE
 
     def _reject_head(self) -> None:
         limit = self._limits.head_bytes
--- a/tests/common/transports.py
+++ b/tests/common/transports.py
@@ -1,5 +1,7 @@
 """A fake transport that records what is written to it."""
 
+import collections.abc
+
 
 class Transport:
     """Records the written bytes and whether it was closed."""
@@ -12,6 +14,10 @@
         assert not self.closed
         self.written += data
 
+    def writelines(self, pieces: collections.abc.Iterable[bytes]) -> None:
+        for piece in pieces:
+            self.write(piece)
+
     def close(self) -> None:
         self.closed = True
 
--- /dev/null
+++ b/tests/cover/test_pipelined_requests.py
@@ -0,0 +1,197 @@
+"""Requests that a caller sends before the earlier ones are answered."""
+
+import re
+import typing
+
+import pytest
+
+from gingerturn import routes
+from gingerturn.internal.core import effects, messages
+from gingerturn.internal.shell import caller_requests, ingress, node as nodes
+from tests.common import builders, routed, transports
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+TABLE = routes.RouteTable(
+    version=1,
+    routes=(
+        routed.route(),
+        routed.route("post", prefix="/post/", kind=routes.RouteType.UNREPEATABLE),
+    ),
+)
+
+
+class Caller:
+    """A connection to a node, whose requests the test answers in any order."""
+
+    def __init__(self) -> None:
+        self.node = nodes.Node(builders.settings())
+        self.node.state.routed = True
+        self.node.state.routes = routes.RouteIndex(TABLE)
+        self.dispatched: list[caller_requests.Request] = []
+        self.node.entry.begin_request = (  # type: ignore[method-assign]
+            lambda request, arrival: self.dispatched.append(request)
+        )
+        self.gone: list[int] = []
+        self.node.apply = (  # type: ignore[method-assign]
+            lambda event: self.gone.append(event.call)  # type: ignore[attr-defined]
+        )
+        self.connection = ingress.CallerConnection(self.node)
+        self.transport = transports.Transport()
+        self.connection.connection_made(self.transport)  # type: ignore[arg-type]
+
+    def send(self, *targets: str, method: str = "GET", more: str = "") -> None:
+        for target in targets:
+            head = f"{method} {target} HTTP/1.1\r\nhost: shop.example\r\n{more}\r\n"
+            self.connection.data_received(head.encode())
+
+    def answer(self, number: int, body: bytes = b"") -> None:
+        request = self.dispatched[number]
+        self.connection.send_whole(request, HEAD, body or request.target)
+
+    def refuse(self, number: int) -> None:
+        effect = effects.RefuseCall(
+            call=self.dispatched[number].call,
+            status=503,
+            outcome=messages.Outcome.NOT_RUN,
+            title="level",
+            retry_after_ms=100.0,
+            decision="",
+        )
+        self.connection.send_problem(self.dispatched[number], effect)
+
+    def bodies(self) -> list[bytes]:
+        found = re.findall(
+            rb"content-length: \d+\r\n(?:connection: close\r\n)?\r\n(/\w+/\d)",
+            bytes(self.transport.written),
+        )
+        return typing.cast(list[bytes], found)
+
+    def targets(self) -> list[bytes]:
+        return [request.target for request in self.dispatched]
+
+
+# Guards against requests that miss their latency target behind earlier ones of their
+# connection, while upstreams are idle.
+def test_safe_requests_of_one_connection_run_at_once() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2", "/a/3")
+    assert caller.targets() == [b"/a/1", b"/a/2", b"/a/3"]
+
+
+def test_answers_are_written_in_the_order_of_the_requests() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2", "/a/3")
+    caller.answer(2)
+    caller.answer(1)
+    assert not caller.transport.written
+    caller.answer(0)
+    assert caller.bodies() == [b"/a/1", b"/a/2", b"/a/3"]
+
+
+def test_no_more_than_the_limit_run_at_once() -> None:
+    caller = Caller()
+    caller.send(*(f"/a/{number}" for number in range(ingress.MAX_PIPELINED + 1)))
+    assert len(caller.dispatched) == ingress.MAX_PIPELINED
+    caller.answer(0)
+    assert len(caller.dispatched) == ingress.MAX_PIPELINED + 1
+
+
+# Guards against a request that is not repeatable and runs twice: behind an answer that
+# closes the connection its caller sends it again.
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_an_unrepeatable_request_waits_for_the_earlier_answers(method: str) -> None:
+    caller = Caller()
+    caller.send("/a/1")
+    caller.send("/post/2", method=method)
+    caller.send("/a/3")
+    assert caller.targets() == [b"/a/1"]
+    caller.answer(0)
+    assert caller.targets() == [b"/a/1", b"/post/2"]
+    caller.answer(1)
+    assert caller.targets() == [b"/a/1", b"/post/2", b"/a/3"]
+
+
+def test_nothing_runs_behind_a_request_that_closes_the_connection() -> None:
+    caller = Caller()
+    caller.send("/a/1")
+    caller.send("/a/2", more="connection: close\r\n")
+    caller.send("/a/3")
+    assert caller.targets() == [b"/a/1", b"/a/2"]
+    caller.answer(1)
+    caller.answer(0)
+    assert caller.bodies() == [b"/a/1", b"/a/2"]
+    assert caller.transport.closed
+
+
+# Guards against requests that were passed on and get no answer, since the node closes
+# the connection with the answer to an earlier one.
+def test_a_stopping_node_answers_all_that_it_dispatched() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    caller.node.state.stopping = True
+    caller.send("/a/3")
+    caller.answer(0)
+    assert not caller.transport.closed
+    assert b"connection: close" not in caller.transport.written
+    caller.answer(1)
+    assert caller.bodies() == [b"/a/1", b"/a/2"]
+    assert caller.transport.written.count(b"connection: close") == 1
+    assert caller.transport.closed
+    assert caller.targets() == [b"/a/1", b"/a/2"]
+
+
+def test_a_refusal_keeps_the_requests_behind_it() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    caller.refuse(0)
+    caller.answer(1)
+    assert caller.transport.written.startswith(b"HTTP/1.1 503 ")
+    assert caller.bodies() == [b"/a/2"]
+    assert not caller.transport.closed
+
+
+def test_no_further_request_starts_while_held_answers_fill_the_buffer() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    caller.answer(1, b"x" * (ingress.MAX_HELD_BYTES + 1))
+    caller.send("/a/3")
+    assert caller.targets() == [b"/a/1", b"/a/2"]
+    caller.answer(0)
+    assert caller.targets() == [b"/a/1", b"/a/2", b"/a/3"]
+
+
+# Guards against an answer that broke off and makes the earlier answers of its
+# connection incomplete too.
+def test_an_answer_that_broke_off_behind_another_is_a_problem() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    request = caller.dispatched[1]
+    caller.connection.send_streaming(request, HEAD, 100)
+    caller.connection.send_piece(request, b"part", last=False)
+    caller.connection.abort(request)
+    caller.answer(0)
+    assert caller.bodies() == [b"/a/1"]
+    assert b"HTTP/1.1 502 " in caller.transport.written
+    assert b"part" not in caller.transport.written
+
+
+def test_a_streamed_answer_behind_another_gets_its_credit_when_it_is_first() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    request = caller.dispatched[1]
+    granted: list[int] = []
+    request.grant_credit = granted.append
+    caller.connection.send_streaming(request, HEAD, 8)
+    caller.connection.send_piece(request, b"/a/2", last=False)
+    assert not granted
+    caller.answer(0)
+    assert granted == [4]
+    caller.connection.send_piece(request, b"/a/2", last=True)
+    assert caller.transport.written.endswith(b"/a/2/a/2")
+
+
+def test_a_caller_that_leaves_cancels_all_that_runs() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    caller.connection.connection_lost(None)
+    assert caller.gone == [request.call for request in caller.dispatched]
