Connections between nodes that fall silent are pinged and replaced

Cause: where TCP reports no loss, all calls of a node stayed on the silent connection; unrepeatable ones got 504 until their deadlines. Only queries replaced such a connection.

Change: one check per node runs every 0.1 s while a call waits on any connection. A connection on which nothing arrived in three checks is pinged, and replaced after three more. Its repeatable calls are reported to the core by a new event, AttemptsSilent, and retried elsewhere within the retry budget; others keep waiting, and late answers are delivered. Frames of a call stay on the connection of the call; before, pieces of a request body and cancellations went over the new one, where the home node does not know the call. Streamed answers that stall for 10 s on a replaced connection are aborted. Nodes of an earlier version, known by their Hello, are sent no ping. New metric connections_replaced_total.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -282,6 +282,38 @@
         sending.retry(state, call, out)
 
 
+def on_attempts_silent(
+    state: states.State, event: events.AttemptsSilent, out: states.Effects
+) -> None:
+    """Retry the repeatable calls of a silent connection elsewhere.
+
+    Other calls keep waiting, and the upstream keeps its place among the healthy ones,
+    since it can be reached over a new connection.
+    """
+    for number in event.attempts:
+        attempt = state.attempts.get(number)
+        if attempt is not None:
+            _retry_elsewhere(state, attempt, out)
+
+
+def _retry_elsewhere(
+    state: states.State, attempt: states.Attempt, out: states.Effects
+) -> None:
+    """Retry a call elsewhere if that is allowed; otherwise it keeps waiting."""
+    call = state.calls.get(attempt.call)
+    if call is None or not sending.may_repeat(call):
+        return
+    # Without this the check could pass for the upstream that the call waits for.
+    call.tried_upstreams.append(attempt.node)
+    if not sending.can_retry_elsewhere(state, call):
+        call.tried_upstreams.pop()
+        return
+    call.never_ran = False
+    _cancel_attempt(state, call, out)
+    if not sending.retry(state, call, out):
+        refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
+
+
 def refuse_all(state: states.State, out: states.Effects) -> None:
     """Refuse every open call, since the process is about to end."""
     for call in list(state.calls.values()):
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -132,6 +132,16 @@
     reached: bool
 
 
+class AttemptsSilent(Event, frozen=True):
+    """The connection that carried some attempts fell silent before their answers, and
+    was replaced.
+
+    The answers may still arrive, and the upstream may be well.
+    """
+
+    attempts: tuple[ids.AttemptId, ...]
+
+
 class OpenReceived(Event, frozen=True):
     """A call for this node's backend server arrives from an entry node."""
 
@@ -420,6 +430,7 @@
     | AttemptAnswered
     | AttemptRefused
     | AttemptLost
+    | AttemptsSilent
     | OpenReceived
     | LevelRequested
     | LevelReported
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -638,6 +638,7 @@
     events.AttemptAnswered: calls.on_attempt_answered,
     events.AttemptRefused: calls.on_attempt_refused,
     events.AttemptLost: calls.on_attempt_lost,
+    events.AttemptsSilent: calls.on_attempts_silent,
     events.OpenReceived: _on_open,
     events.LevelRequested: hosting.on_level_requested,
     events.LevelReported: calls.on_level_reported,
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -115,6 +115,24 @@
             )
         )
 
+    def on_silent(self, calls: list[int]) -> None:
+        """Handle attempts whose connection fell silent before their answers."""
+        attempts = tuple(
+            ids.AttemptId(call)
+            for call in calls
+            if call in self._attempts and not self._attempts[call].relaying
+        )
+        if attempts:
+            self._node.apply(events.AttemptsSilent(now=clock.now(), attempts=attempts))
+
+    def abort_streamed(self, calls: list[int]) -> None:
+        """Abort the answers among some calls that are being streamed."""
+        for call in calls:
+            pending = self._attempts.get(call)
+            if pending is not None and pending.relaying:
+                self._drop_attempt(call, cancel=True)
+                pending.request.connection.abort(pending.request)
+
     def record_durations(self) -> None:
         """Record the durations since the last tick in the histogram.
 
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -81,6 +81,7 @@
             int, tuple[ids.NodeId, ids.KindName, ids.Address]
         ] = {}
         self._received_level_requests: dict[int, tuple[Channel, int]] = {}
+        self._next_check: asyncio.TimerHandle | None = None
 
     def handlers(self) -> "nodes.Handlers":
         """Return the handlers of link effects."""
@@ -93,6 +94,8 @@
 
     def close(self) -> None:
         """Close every connection that this node dialled."""
+        if self._next_check is not None:
+            self._next_check.cancel()
         for link in self._links.values():
             link.close()
 
@@ -113,12 +116,44 @@
             reply.set_exception(ConnectionError("the peer cannot be reached"))
         self._node.entry.on_lost(call, reached=reached)
 
+    def on_link_silent(self, calls: list[int]) -> None:
+        """Handle calls whose connection fell silent and was replaced."""
+        for call in calls:
+            # The core requests levels again when it needs them.
+            sent = self._sent_level_requests.pop(call, None)
+            if sent is not None:
+                self._link(sent[2]).forget(call)
+        self._node.entry.on_silent(calls)
+
+    def start_checks(self) -> None:
+        """Check connections from now on, until no call waits on any.
+
+        One timer serves all connections. It does not depend on the ticks of the core,
+        whose interval is that of the core's parts.
+        """
+        if self._next_check is None:
+            self._schedule_check()
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._next_check = loop.call_later(peers.CHECK_INTERVAL_S, self._check)
+
+    def _check(self) -> None:
+        now = clock.now()
+        for link in list(self._links.values()):
+            link.check(now)
+        self._next_check = None
+        if any(link.is_waiting for link in self._links.values()):
+            self._schedule_check()
+
     def on_accepted_frame(self, channel: Channel, frame: frames.Frame) -> None:
         """Handle a frame of an entry node."""
         if isinstance(frame, frames.LevelRequest):
             self._on_level_request(channel, frame)
         elif isinstance(frame, frames.Query):
             channel.send(frames.QueryReply(frame.call, self._query_result(frame)))
+        elif isinstance(frame, frames.Ping):
+            channel.send(frames.Pong())
         else:
             self._node.home.on_frame(channel, frame)
 
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -71,6 +71,7 @@
     control_seconds: float = 0.0
     events: int = 0
     lines_dropped: int = 0
+    connections_replaced: int = 0
 
 
 class Node:
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -20,6 +20,20 @@
 MAX_UNAUTHENTICATED_BYTES = 4_096
 """Limit of bytes buffered for a peer that is not authenticated yet."""
 
+CHECK_INTERVAL_S = 0.1
+"""Interval between checks of the connections over which calls wait."""
+
+PING_CHECKS = 3
+"""A connection is pinged after this many checks between which nothing arrived. Checks
+are counted rather than time, since a node that was paused has not read what arrived."""
+
+REPLACE_CHECKS = 2 * PING_CHECKS
+"""A connection with an unanswered ping is replaced after this many such checks."""
+
+STALL_CHECKS = 100
+"""Answers that are being streamed over a replaced connection are aborted after this
+many such checks, 10 s: they have no deadline, and TCP may never report the loss."""
+
 MAX_COMPRESSING = 100
 """Limit of connections whose frames a node compresses, which bounds memory: the two
 streams of a connection take 25 kB. Frames on further connections are sent uncompressed;
@@ -47,6 +61,7 @@
         self._deflater: compression.Deflater | None = None
         self._inflater: compression.Inflater | None = None
         self.peer = ids.NodeId("")
+        self.peer_answers_pings = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,10 +151,12 @@
             nonce=self._nonce,
             proof=proof,
             zone=self._node.settings.node.zone,
+            answers_pings=True,
         )
 
     def _set_authenticated(self, hello: frames.Hello) -> None:
         self._authenticated = True
+        self.peer_answers_pings = hello.answers_pings
         self.peer = ids.NodeId(hello.node)
         own = self._node.settings.node.zone
         if own and hello.zone and hello.zone != own:
@@ -177,6 +194,7 @@
         self._ready = ready
         self._lost = lost
         self.received_at = 0.0
+        self.ping_pending = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the first hello."""
@@ -195,8 +213,17 @@
 
     def on_frame(self, frame: frames.Frame) -> None:
         """Dispatch a frame of a home node."""
+        if isinstance(frame, frames.Pong):
+            self.ping_pending = False
+            return
         self._node.links.on_link_frame(frame)
 
+    def ping(self) -> None:
+        """Send a ping, unless one is pending."""
+        if not self.ping_pending:
+            self.ping_pending = True
+            self.send(frames.Ping())
+
     def _on_hello(self, hello: frames.Hello) -> None:
         self._check_proof(hello, b"accepting", self._nonce, hello.nonce)
         proof = self._proof(
@@ -278,6 +305,10 @@
         self._has_ended = False
         self._waiting: list[frames.Frame] = []
         self._sent: set[int] = set()
+        self._checked_at = 0.0
+        # Consecutive checks at which calls waited and nothing had arrived since the
+        # check before.
+        self._silent_checks = 0
         self._dial_task = asyncio.get_running_loop().create_task(self._dial())
 
     @property
@@ -285,6 +316,20 @@
         """Whether no call is tracked."""
         return not self._sent and not self._waiting
 
+    @property
+    def unanswered(self) -> list[int]:
+        """The calls that were sent and have not ended."""
+        return sorted(self._sent)
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether it has been silent for :data:`STALL_CHECKS`."""
+        return self._silent_checks >= STALL_CHECKS
+
+    def carries(self, call: int) -> bool:
+        """Whether a call was sent over it and has not ended."""
+        return call in self._sent
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame, or queue it until the connection is established."""
         if self._is_ready and self._protocol is not None:
@@ -304,6 +349,21 @@
             self._is_ready and protocol is not None and protocol.received_at < sent_at
         )
 
+    def check(self, now: ids.Milliseconds) -> bool:
+        """Ping the peer if the connection is silent; return whether to replace it."""
+        protocol = self._protocol
+        if not self._is_ready or protocol is None:
+            return False
+        is_silent = bool(self._sent) and protocol.received_at <= self._checked_at
+        self._checked_at = now
+        if not is_silent or not protocol.peer_answers_pings:
+            self._silent_checks = 0
+            return False
+        self._silent_checks += 1
+        if self._silent_checks == PING_CHECKS:
+            protocol.ping()
+        return self._silent_checks >= REPLACE_CHECKS
+
     def close(self) -> None:
         """Close the connection, if there is one."""
         if not self._dial_task.done():
@@ -354,8 +414,11 @@
 class Link:
     """The outgoing side to one peer, which connects on demand.
 
-    A connection that fell silent is replaced. Its calls in progress keep it until they
-    end, as their answers may still arrive.
+    A connection that fell silent is replaced, and its calls in progress are reported.
+    They keep it until they end, as their answers may still arrive.
+
+    Invariant: all frames of a call go over the connection that it was opened on; the
+    peer does not know the call on another one.
 
     :param node: this node.
     :param address: the peer's address.
@@ -369,9 +432,29 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame, or queue it until a connection is established."""
+        for replaced in self._replaced:
+            if replaced.carries(frame.call):
+                replaced.send(frame)
+                return
         if self._current is None:
             self._current = _Outgoing(self._node, self._address, self._on_ended)
         self._current.send(frame)
+        self._node.links.start_checks()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call waits on any of its connections."""
+        current = self._current
+        return bool(self._replaced) or (current is not None and not current.is_unused)
+
+    def check(self, now: ids.Milliseconds) -> None:
+        """Ping the peer if the current connection is silent, or replace it."""
+        if self._current is not None and self._current.check(now):
+            self._replace(self._current)
+        for replaced in list(self._replaced):
+            replaced.check(now)
+            if replaced.is_stalled:
+                self._node.entry.abort_streamed(replaced.unanswered)
 
     def resend_if_silent(self, frame: frames.Frame, sent_at: ids.Milliseconds) -> None:
         """Send a frame again over a new connection, if nothing has arrived on the
@@ -379,10 +462,8 @@
         current = self._current
         if current is None or not current.is_silent_since(sent_at):
             return
-        logs.write("WARNING", _PART, f"Connection to {self._address} is silent.")
-        self._current = None
-        self._replaced.append(current)
-        self.forget(frame.call)
+        current.forget(frame.call)
+        self._replace(current)
         self.send(frame)
 
     def forget(self, call: int) -> None:
@@ -394,6 +475,16 @@
             if replaced.is_unused:
                 replaced.close()
 
+    def _replace(self, current: _Outgoing) -> None:
+        """Let new calls use a new connection, and report those on the silent one."""
+        logs.write("WARNING", _PART, f"Connection to {self._address} is silent.")
+        self._node.counters.connections_replaced += 1
+        self._current = None
+        self._replaced.append(current)
+        if current.is_unused:
+            current.close()
+        self._node.links.on_link_silent(current.unanswered)
+
     def close(self) -> None:
         """Close all connections."""
         for outgoing in (self._current, *self._replaced):
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -103,6 +103,8 @@
     add("backend_rate_limited_total", "counter", ("", backend.rate_limited_count))
     add("backend_ends_total", "counter", ("", backend.crash_count))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
+    replaced = node.counters.connections_replaced
+    add("connections_replaced_total", "counter", ("", replaced))
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -94,6 +94,8 @@
 
     :param zone: availability zone of the sender. Frames to another zone may be
         compressed, unless it is empty, as from nodes of an earlier version.
+    :param answers_pings: whether the sender answers a :class:`Ping`. Nodes of an
+        earlier version abort the connection at a frame that they do not know.
     """
 
     call: int
@@ -102,6 +104,7 @@
     nonce: bytes
     proof: bytes = b""
     zone: str = ""
+    answers_pings: bool = False
 
 
 class Query(msgspec.Struct, frozen=True, array_like=True, tag=9, gc=False):
@@ -135,6 +138,18 @@
     report: messages.LoadReport
 
 
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=13, gc=False):
+    """Tests whether a connection is silent; it belongs to no call."""
+
+    call: int = 0
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=14, gc=False):
+    """The reply to a :class:`Ping`."""
+
+    call: int = 0
+
+
 Frame = (
     Open
     | Answer
@@ -148,6 +163,8 @@
     | QueryReply
     | LevelRequest
     | LevelReport
+    | Ping
+    | Pong
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -81,6 +81,11 @@
             f"backend server crashed {_count(plain, 'backend_ends_total')}"
             f" times, {_count(plain, 'requests_kept_out')} requests in quarantine"
         )
+    if plain.get("connections_replaced_total"):
+        lines.append(
+            f"silent connections to other nodes replaced"
+            f" {_count(plain, 'connections_replaced_total')} times"
+        )
     if plain.get("log_restores_total"):
         lines.append(
             f"log restored from a backup {_count(plain, 'log_restores_total')} times,"
--- a/tests/cover/test_frames.py
+++ b/tests/cover/test_frames.py
@@ -51,6 +51,8 @@
         incarnation=st.integers(0, 1 << 50),
         nonce=st.binary(),
         proof=st.binary(),
+        zone=st.text(),
+        answers_pings=st.booleans(),
     ),
     st.builds(
         frames.Query, call=CALL, decision=st.text(), since=st.integers(0, 1 << 40)
@@ -58,6 +60,8 @@
     st.builds(frames.QueryReply, call=CALL, content=st.binary()),
     st.builds(frames.LevelRequest, call=CALL, kind=st.text()),
     st.builds(frames.LevelReport, call=CALL, report=events_of.REPORTS),
+    st.builds(frames.Ping),
+    st.builds(frames.Pong),
 )
 SECRET = b"a secret of the tests"
 
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -43,6 +43,12 @@
     )
 
 
+def test_replaced_connections_are_reported() -> None:
+    samples = "gingerturn_connections_replaced_total 3\n"
+    lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
+    assert lines[-1] == "silent connections to other nodes replaced 3 times"
+
+
 def test_a_restored_log_is_reported() -> None:
     samples = "gingerturn_log_epoch 6\ngingerturn_log_restores_total 2\n"
     lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
--- a/tests/cover/test_reducer_properties.py
+++ b/tests/cover/test_reducer_properties.py
@@ -166,6 +166,10 @@
         report=REPORTS,
     ),
     _event(events.AttemptLost, attempt=st.integers(1, 40), reached=st.booleans()),
+    _event(
+        events.AttemptsSilent,
+        attempts=st.lists(st.integers(1, 40), max_size=5).map(tuple),
+    ),
     _event(
         events.OpenReceived,
         hosted=st.integers(100, 110),
--- a/tests/cover/test_silent_nodes.py
+++ b/tests/cover/test_silent_nodes.py
@@ -120,6 +120,50 @@
     assert not builders.all_of(out, effects.CancelAttempt)
 
 
+def _silent(state: states.State, sent: effects.OpenAttempt) -> list[effects.Effect]:
+    """Let the connection of an attempt fall silent."""
+    event = events.AttemptsSilent(now=state.now, attempts=(sent.attempt,))
+    return reducer.reduce(state, event)
+
+
+# Guards against repeatable calls that wait until their deadline on a connection that
+# fell silent for good.
+def test_a_repeatable_call_on_a_silent_connection_goes_elsewhere() -> None:
+    state, first = _entry(routes.RouteType.SAFE)
+    out = _silent(state, first)
+    assert builders.only(out, effects.OpenAttempt).node != first.node
+    assert builders.only(out, effects.CancelAttempt).attempt == first.attempt
+    # The upstream can be reached over a new connection.
+    assert first.node in upstreams.candidates(state, ids.ServiceName("plans"))
+
+
+# Guards against requests that run twice, and against those that are answered as
+# unknown though their answer still arrives.
+def test_an_unrepeatable_call_on_a_silent_connection_waits() -> None:
+    state, first = _entry(routes.RouteType.UNREPEATABLE)
+    assert not builders.all_of(_silent(state, first), effects.Effect)
+    assert first.attempt in state.attempts
+
+
+# Guards against calls that are cancelled though they cannot be retried, and then wait
+# for nothing until their deadline.
+def test_a_call_that_cannot_go_elsewhere_keeps_its_attempt() -> None:
+    state = routed.node_state(routed.route(timeout_ms=5_000))
+    builders.add_members(state, builders.member("n2", "plans"))
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    assert not builders.all_of(_silent(state, first), effects.Effect)
+    assert first.attempt in state.attempts
+    assert state.calls[first.call].tried_upstreams == []
+
+
+# Guards against a burst of retries beyond the budget when a connection falls silent.
+def test_the_calls_of_a_silent_connection_are_retried_within_the_budget() -> None:
+    state, first = _entry(routes.RouteType.SAFE)
+    state.budgets[ids.ServiceName("plans")].balance = 0.5
+    assert not builders.all_of(_silent(state, first), effects.Effect)
+    assert first.attempt in state.attempts
+
+
 def test_a_node_whose_grace_ends_answers_what_it_still_holds() -> None:
     # Guards against requests that are cut off when the process ends.
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
