Idle backend connections are closed after an unanswered request

Cause: connections that fall silent by one fault, where TCP reports no loss, do so together. The one that left a request unanswered was closed with its call, but the idle ones beside it took the next requests, which had no answer either.

Change: a request that is abandoned, refused at its deadline or lost by a TCP time-out without a byte of an answer for 300 ms closes the idle connections. Callers that leave sooner are no evidence. An unrepeatable request keeps its own connection, over which a late answer may arrive, and is not repeated by its home node. New metric backend_connections_discarded_total.

The tests with fakes fail without it.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -53,7 +53,7 @@
 
     Invariant: it returns to the pool only after a complete answer with no bytes after
     it. It is closed after a cancelled or failed exchange, and after an answer to
-    another request.
+    another request. So one that left a request unanswered is never reused.
 
     :param pool: the pool that it returns to.
     """
@@ -78,6 +78,8 @@
         self._on_writable: list[collections.abc.Callable[[], None]] = []
         # Idle time before the current exchange; 0 for a new connection.
         self._idle_ms = 0.0
+        self._begun_at = 0.0
+        self._recorded_unanswered = False
         self.write_paused = False
         self.idle_since = 0.0
 
@@ -104,6 +106,9 @@
         self._pool.discard(self)
         if self._receiver is not None and not self._answered and self._idle_ms > 0:
             self._pool.record_idle_loss(self._idle_ms)
+        if isinstance(error, TimeoutError):
+            # TCP gave up on a silent peer.
+            self.record_unanswered()
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
             receiver.on_failure(dispatched=self._written)
@@ -132,7 +137,9 @@
         self._chunked = b"\ntransfer-encoding: chunked\r\n" in head
         self._written = True
         self._answered = False
-        self._idle_ms = clock.now() - self.idle_since if self.idle_since else 0.0
+        self._begun_at = clock.now()
+        self._recorded_unanswered = False
+        self._idle_ms = self._begun_at - self.idle_since if self.idle_since else 0.0
         if body and not self._chunked:
             self._transport.writelines((head, b"\r\n", body))
             return
@@ -180,9 +187,17 @@
 
     def abandon(self) -> None:
         """Close the connection, which cancels the call at the backend server."""
+        self.record_unanswered()
         self._receiver = None
         self._transport.abort()
 
+    def record_unanswered(self) -> None:
+        """Tell the pool, once, if the request of the current exchange is unanswered."""
+        if self._receiver is None or self._answered or self._recorded_unanswered:
+            return
+        self._recorded_unanswered = True
+        self._pool.record_unanswered(clock.now() - self._begun_at)
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._receiver is None:
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -38,6 +38,10 @@
 MAX_DOUBLINGS = 16.0
 """Enough to exceed the upper limit of the idle timeout from its lower limit."""
 
+UNANSWERED_MS = 300.0
+"""Time after which a request without a byte of an answer is evidence of a silent
+connection. Callers that leave sooner are none."""
+
 CONNECT_TIMEOUT_S = 1.0
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -57,6 +61,7 @@
         self._observed_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_at = clock.now()
         self._invalid_limit = b""
+        self.discarded_count = 0
 
     def set_address(self, host: str, port: int) -> None:
         """Set the address; close idle connections to another one."""
@@ -101,6 +106,29 @@
             self._observed_ms = max(MIN_IDLE_TIMEOUT_MS, IDLE_LOSS_FRACTION * idle_ms)
             self._observed_at = clock.now()
 
+    def record_unanswered(self, elapsed_ms: ids.Milliseconds) -> None:
+        """Close the idle connections after a request that was left unanswered.
+
+        Connections that fall silent do so together, by a fault that they have in
+        common, and an idle one cannot be tested without a request. Those in use prove
+        themselves by an answer, and are closed without one.
+
+        :param elapsed_ms: time since the request was written.
+        """
+        if elapsed_ms < UNANSWERED_MS or not self._idle:
+            return
+        count = len(self._idle)
+        self.discarded_count += count
+        while self._idle:
+            self._idle.pop().abandon()
+        if logs.may_write_change():
+            logs.write(
+                "WARNING",
+                "backend",
+                f"A request got no answer in {elapsed_ms:.0f} ms;"
+                f" {count} idle connections to the backend server closed.",
+            )
+
     def update_keep_alive(self, value: bytes) -> None:
         """Update the advertised timeout of idle connections.
 
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -109,7 +109,13 @@
         self._open = False
 
     def refuse(self, effect: effects.SendRefusal) -> None:
-        """Send a refusal."""
+        """Send a refusal.
+
+        An unrepeatable call that was dispatched keeps its connection, over which its
+        answer may still arrive.
+        """
+        if self._connection is not None:
+            self._connection.record_unanswered()
         self._send(
             frames.Refuse(
                 call=self._opened.call,
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -102,6 +102,8 @@
     add("backend_rate_limit", "gauge", ("", backend.limiter.limit))
     add("backend_rate_limited_total", "counter", ("", backend.rate_limited_count))
     add("backend_ends_total", "counter", ("", backend.crash_count))
+    discarded = node.home.pool.discarded_count
+    add("backend_connections_discarded_total", "counter", ("", discarded))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     replaced = node.counters.connections_replaced
     add("connections_replaced_total", "counter", ("", replaced))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -86,6 +86,11 @@
             f"silent connections to other nodes replaced"
             f" {_count(plain, 'connections_replaced_total')} times"
         )
+    if plain.get("backend_connections_discarded_total"):
+        lines.append(
+            f"idle connections to the backend server closed after unanswered requests:"
+            f" {_count(plain, 'backend_connections_discarded_total')}"
+        )
     if plain.get("log_restores_total"):
         lines.append(
             f"log restored from a backup {_count(plain, 'log_restores_total')} times,"
--- a/tests/cover/test_abandoned_exchanges.py
+++ b/tests/cover/test_abandoned_exchanges.py
@@ -34,6 +34,9 @@
     def abandon(self) -> None:
         self.closed = True
 
+    def record_unanswered(self) -> None:
+        """Do nothing: there are no idle connections."""
+
 
 @pytest.fixture
 def connection(monkeypatch: pytest.MonkeyPatch) -> _Connection:
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -43,6 +43,14 @@
     )
 
 
+def test_discarded_connections_are_reported() -> None:
+    samples = "gingerturn_backend_connections_discarded_total 4\n"
+    lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
+    assert lines[-1] == (
+        "idle connections to the backend server closed after unanswered requests: 4"
+    )
+
+
 def test_replaced_connections_are_reported() -> None:
     samples = "gingerturn_connections_replaced_total 3\n"
     lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
