Backend connections to a former address do not return to the pool

Cause: a change of the backend server's address closed its idle connections, but one whose exchange was in progress returned to the pool afterwards, and so did one that was being opened. The next call went to the former start.

Change: a connection knows the address that it was opened to; the pool closes one to another address instead of keeping it.

Found by reading; the new test fails without the change.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -60,6 +60,7 @@
 
     def __init__(self, pool: "backend_pool.Pool") -> None:
         self._pool = pool
+        self.address = pool.address
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._parser: typing.Any = None
         self._receiver: Receiver | None = None
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -73,6 +73,11 @@
         while self._idle:
             self._idle.pop().abandon()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port of the backend server."""
+        return self._address
+
     @property
     def idle_timeout_ms(self) -> ids.Milliseconds:
         """Longest idle time after which a connection is used for a call."""
@@ -169,15 +174,20 @@
         :raises OSError: if it cannot be opened in time.
         """
         loop = asyncio.get_running_loop()
-        host, port = self._address
+        address = self._address
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: backend_http.Connection(self), host, port
+                lambda: backend_http.Connection(self), *address
             )
+        # The address may have changed in the meantime.
+        protocol.address = address
         return protocol
 
     def put(self, connection: backend_http.Connection) -> None:
-        """Return a connection to the pool."""
+        """Return a connection to the pool, or close one to a former address."""
+        if connection.address != self._address:
+            connection.abandon()
+            return
         connection.idle_since = clock.now()
         self._idle.append(connection)
 
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -153,6 +153,19 @@
     assert backend.pool.take() is None
 
 
+# Guards against calls that go to a former start of the backend server.
+def test_a_connection_to_a_former_address_does_not_return_to_the_pool(
+    backend: Backend,
+) -> None:
+    backend.pool.set_address("127.0.0.1", 9100)
+    connection = backend.connect()
+    backend.begin(connection)
+    backend.pool.set_address("127.0.0.1", 9101)
+    connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    assert not connection.usable
+    assert backend.pool.take() is None
+
+
 def _leave_unanswered(backend: Backend, elapsed_ms: float) -> backend_http.Connection:
     """Abandon a request while another connection is idle, and return the former's."""
     idle, silent = backend.connect(), backend.connect()
