Pipelined requests: bounds, the last answer of a stopping node, unrouted kinds

A review of the change that runs pipelined requests at once found six faults; each has a test that fails without the change.

- A node that began to stop while the last answer was held closed the connection without a Connection: close, and requests behind it had neither an answer nor a sign that they were not read.
The next request is now answered, with that header.
- Without a route table every safe method ran ahead, also of kinds that the configuration declares unrepeatable; behind an aborted answer such a request could run twice.
- Requests that the node answers itself, behind a slow one, were dispatched by recursion: 2,000 in one packet gave a RecursionError, which ends the handling of an event midway.
This fault is older than the pipelining.
- Each answer resumed reading, however many requests were already read (older).
- Expect: 100-continue was not answered for a request behind others (older).

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -69,6 +69,7 @@
         self._final_response = b""
         self._closing = False
         self._write_paused = False
+        self._dispatching = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the node."""
@@ -113,11 +114,12 @@
         self._write_paused = True
 
     def resume_writing(self) -> None:
-        """Grant the withheld credit."""
+        """Grant the withheld credit, and dispatch what waited."""
         self._write_paused = False
         if not self._requests:
             return
         self._grant_withheld(self._requests[0])
+        self._dispatch_ready()
 
     # Callbacks of httptools.HttpRequestParser.
 
@@ -160,8 +162,8 @@
         if caller_requests.declared_length(request) > self._limits.body_bytes:
             self._reject_body()
             return
-        if b"expect" in request.values and request is self._requests[0]:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._is_first(request):
+            self._ask_for_body(request)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of a body, or stream it to the home node."""
@@ -496,12 +498,20 @@
         if self._final_response and not self._requests:
             self._send_final_response()
             return
-        if self._node.stopping and not any(r.dispatched for r in self._requests):
+        if self._node.stopping and not self._requests:
             self.close()
             return
-        self._transport.resume_reading()
+        if len(self._requests) <= MAX_PIPELINED:
+            self._transport.resume_reading()
+        if self._requests and not self._requests[0].complete:
+            self._ask_for_body(self._requests[0])
         self._dispatch_ready()
 
+    def _ask_for_body(self, request: caller_requests.Request) -> None:
+        """Answer ``Expect: 100-continue`` of the first request."""
+        if b"expect" in request.values:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _write_held(self, request: caller_requests.Request) -> None:
         """Write what was held for a request that is now the first."""
         if request.held_output:
@@ -516,12 +526,23 @@
             request.grant_credit(withheld)
 
     def _dispatch_ready(self) -> None:
-        """Dispatch the first request, and those that may run beside it."""
-        while (request := self._next_to_dispatch()) is not None:
-            self._dispatch(request)
+        """Dispatch the first request, and those that may run beside it.
+
+        An answer that the node gives itself leads back here. The outer call continues
+        in that case, since the depth of a recursion would not be bounded.
+        """
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while (request := self._next_to_dispatch()) is not None:
+                self._dispatch(request)
+        finally:
+            self._dispatching = False
 
     def _next_to_dispatch(self) -> caller_requests.Request | None:
-        if self._closing:
+        if self._closing or self._write_paused:
+            # Answers to a caller that does not read would fill the memory.
             return None
         for position, request in enumerate(self._requests):
             if not request.dispatched:
@@ -553,10 +574,14 @@
         """
         if request.method not in PARALLEL_METHODS:
             return False
-        index = self._node.state.routes
+        service, path, _ = caller_requests.destination(request)
+        state = self._node.state
+        if not state.routed:
+            method = request.method.decode("ascii")
+            return state.configuration.classify(service, method, path).repeatable
+        index = state.routes
         if index is None:
             return True
-        service, path, _ = caller_requests.destination(request)
         route = index.match(service, path)
         return route is None or route.type is not routes.RouteType.UNREPEATABLE
 
--- a/tests/common/transports.py
+++ b/tests/common/transports.py
@@ -4,11 +4,12 @@
 
 
 class Transport:
-    """Records the written bytes and whether it was closed."""
+    """Records the written bytes, whether it was closed, and whether it reads."""
 
     def __init__(self) -> None:
         self.written = bytearray()
         self.closed = False
+        self.reading = True
 
     def write(self, data: bytes) -> None:
         assert not self.closed
@@ -30,6 +31,7 @@
         return None if name == "socket" else ("127.0.0.1", 1)
 
     def pause_reading(self) -> None:
-        """Do nothing: this transport never reads."""
+        self.reading = False
 
-    resume_reading = pause_reading
+    def resume_reading(self) -> None:
+        self.reading = True
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gingerturn import routes
+from gingerturn import configuration, routes
 from gingerturn.internal.core import effects, messages
 from gingerturn.internal.shell import caller_requests, ingress, node as nodes
 from tests.common import builders, routed, transports
@@ -39,9 +39,15 @@
         self.transport = transports.Transport()
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
 
-    def send(self, *targets: str, method: str = "GET", more: str = "") -> None:
+    def send(
+        self,
+        *targets: str,
+        method: str = "GET",
+        more: str = "",
+        host: str = "shop.example",
+    ) -> None:
         for target in targets:
-            head = f"{method} {target} HTTP/1.1\r\nhost: shop.example\r\n{more}\r\n"
+            head = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n{more}\r\n"
             self.connection.data_received(head.encode())
 
     def answer(self, number: int, body: bytes = b"") -> None:
@@ -195,3 +201,90 @@
     caller.send("/a/1", "/a/2")
     caller.connection.connection_lost(None)
     assert caller.gone == [request.call for request in caller.dispatched]
+
+
+# Guards against requests that get no answer and no sign that they were not read: the
+# last answer was held when the node began to stop.
+def test_a_stopping_node_announces_that_it_closes_the_connection() -> None:
+    caller = Caller()
+    caller.send("/a/1", "/a/2")
+    caller.send("/post/3", method="POST")
+    caller.answer(1)
+    caller.node.state.stopping = True
+    caller.answer(0)
+    assert not caller.transport.closed
+    caller.answer(2)
+    assert caller.bodies() == [b"/a/1", b"/a/2", b"/post/3"]
+    assert caller.transport.written.count(b"connection: close") == 1
+    assert caller.transport.closed
+
+
+# Guards against answers without bound in memory, for a caller that sends requests and
+# does not read.
+def test_nothing_is_dispatched_while_the_caller_does_not_read() -> None:
+    caller = Caller()
+    caller.connection.pause_writing()
+    caller.send("/a/1", "/a/2")
+    assert not caller.dispatched
+    caller.connection.resume_writing()
+    assert caller.targets() == [b"/a/1", b"/a/2"]
+
+
+# Guards against requests without bound in memory: each answer let the node read more,
+# however many were already read.
+def test_reading_resumes_only_with_few_requests_waiting() -> None:
+    caller = Caller()
+    count = 3 * ingress.MAX_PIPELINED
+    caller.send(*(f"/a/{number}" for number in range(count)))
+    assert not caller.transport.reading
+    caller.answer(0)
+    assert not caller.transport.reading
+    for number in range(1, count - ingress.MAX_PIPELINED):
+        caller.answer(number)
+    assert caller.transport.reading
+
+
+# Guards against a recursion as deep as the number of requests, whose error would end
+# the handling of an event midway.
+def test_many_requests_that_the_node_answers_itself_follow_a_slow_one() -> None:
+    caller = Caller()
+    caller.send("/post/1", method="POST")
+    count = 2_000
+    head = (
+        b"POST /tickets/none HTTP/1.1\r\nhost: gingerturn\r\ncontent-length: 0\r\n\r\n"
+    )
+    caller.connection.data_received(head * count)
+    assert len(caller.dispatched) == 1
+    caller.answer(0)
+    assert caller.transport.written.count(b"HTTP/1.1 404 ") == count
+
+
+# Guards against unrepeatable requests that run twice where no route table is in force:
+# the configuration may declare them for any method.
+def test_an_unrepeatable_kind_without_a_route_table_waits() -> None:
+    caller = Caller()
+    caller.node.state.routed = False
+    caller.node.state.routes = None
+    document = builders.DOCUMENT.replace('methods = ["POST"]\n', "")
+    caller.node.state.configuration = configuration.Configuration({"shop": document})
+    caller.send("/a/1", host="plans")
+    caller.send("/b/2", host="porting")
+    caller.send("/a/3", host="plans")
+    assert caller.targets() == [b"/a/1"]
+    caller.answer(0)
+    assert caller.targets() == [b"/a/1", b"/b/2"]
+    caller.answer(1)
+    assert caller.targets() == [b"/a/1", b"/b/2", b"/a/3"]
+
+
+# Guards against callers that wait in vain before they send a body.
+def test_a_body_is_asked_for_once_its_request_is_the_first() -> None:
+    caller = Caller()
+    caller.send("/a/1")
+    more = "content-length: 4\r\nexpect: 100-continue\r\n"
+    caller.send("/post/2", method="POST", more=more)
+    assert not caller.transport.written
+    caller.answer(0)
+    assert caller.transport.written.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+    caller.connection.data_received(b"body")
+    assert caller.targets() == [b"/a/1", b"/post/2"]
