--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -38,6 +38,10 @@
 MAX_DOUBLINGS = 16.0
 """Enough to exceed the upper limit of the idle timeout from its lower limit."""
 
+UNANSWERED_MS = 300.0
+"""Time after which a request without a byte of an answer is evidence of a silent
+connection. Callers that leave sooner are none."""
+
 CONNECT_TIMEOUT_S = 1.0
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -57,6 +61,7 @@
         self._observed_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_at = clock.now()
         self._invalid_limit = b""
+        self.discarded_count = 0
 
     def set_address(self, host: str, port: int) -> None:
         """Set the address; close idle connections to another one."""
@@ -68,6 +73,11 @@
         while self._idle:
             self._idle.pop().abandon()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port of the backend server."""
+        return self._address
+
     @property
     def idle_timeout_ms(self) -> ids.Milliseconds:
         """Longest idle time after which a connection is used for a call."""
@@ -101,6 +111,29 @@
             self._observed_ms = max(MIN_IDLE_TIMEOUT_MS, IDLE_LOSS_FRACTION * idle_ms)
             self._observed_at = clock.now()
 
+    def record_unanswered(self, elapsed_ms: ids.Milliseconds) -> None:
+        """Close the idle connections after a request that was left unanswered.
+
+        Connections that fall silent do so together, by a fault that they have in
+        common, and an idle one cannot be tested without a request. Those in use prove
+        themselves by an answer, and are closed without one.
+
+        :param elapsed_ms: time since the request was written.
+        """
+        if elapsed_ms < UNANSWERED_MS or not self._idle:
+            return
+        count = len(self._idle)
+        self.discarded_count += count
+        while self._idle:
+            self._idle.pop().abandon()
+        if logs.may_write_change():
+            logs.write(
+                "WARNING",
+                "backend",
+                f"A request got no answer in {elapsed_ms:.0f} ms;"
+                f" {count} idle connections to the backend server closed.",
+            )
+
     def update_keep_alive(self, value: bytes) -> None:
         """Update the advertised timeout of idle connections.
 
@@ -141,15 +174,20 @@
         :raises OSError: if it cannot be opened in time.
         """
         loop = asyncio.get_running_loop()
-        host, port = self._address
+        address = self._address
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: backend_http.Connection(self), host, port
+                lambda: backend_http.Connection(self), *address
             )
+        # The address may have changed in the meantime.
+        protocol.address = address
         return protocol
 
     def put(self, connection: backend_http.Connection) -> None:
-        """Return a connection to the pool."""
+        """Return a connection to the pool, or close one to a former address."""
+        if connection.address != self._address:
+            connection.abandon()
+            return
         connection.idle_since = clock.now()
         self._idle.append(connection)
 
