A call at an unresponsive only upstream keeps its attempt

Cause: the check whether a repeatable call can be retried elsewhere could pass for the unresponsive upstream itself, where a service has no other. The attempt was cancelled, the retry found no upstream, and the caller waited without an attempt until its deadline, though the node might have answered later.

Change: the check excludes that upstream; the same function serves the calls of silent connections. The new test fails without the change.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -269,17 +269,7 @@
     """
     waiting = [a for a in state.attempts.values() if a.node == node]
     for attempt in waiting:
-        call = state.calls.get(attempt.call)
-        if (
-            call is None
-            or not sending.may_repeat(call)
-            or not sending.can_retry_elsewhere(state, call)
-        ):
-            continue
-        call.never_ran = False
-        call.tried_upstreams.append(node)
-        _cancel_attempt(state, call, out)
-        sending.retry(state, call, out)
+        _retry_elsewhere(state, attempt, out)
 
 
 def on_attempts_silent(
--- a/tests/cover/test_silent_nodes.py
+++ b/tests/cover/test_silent_nodes.py
@@ -113,6 +113,19 @@
     assert 2 in sent.values()
 
 
+# Guards against calls that are cancelled at the only upstream of their service, cannot
+# be retried, and then wait for nothing until their deadline.
+def test_a_repeatable_call_at_the_only_upstream_waits_for_it() -> None:
+    state = routed.node_state(routed.route(timeout_ms=8_000))
+    builders.add_members(state, builders.member("n2", "plans"))
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    out = builders.advance(
+        state, 4 * membership.PROBE_INTERVAL_MS + membership.SUSPECT_AFTER_MS
+    )
+    assert not builders.all_of(out, effects.CancelAttempt)
+    assert first.attempt in state.attempts
+
+
 def test_an_unrepeatable_call_at_a_silent_node_waits_for_it() -> None:
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
     out = builders.advance(
