--- a/tests/cover/test_silent_nodes.py
+++ b/tests/cover/test_silent_nodes.py
@@ -1,6 +1,7 @@
 """Nodes and backend servers that do not answer: slots, repeats and final answers."""
 
 import msgspec
+import pytest
 
 from gingerturn import routes
 from gingerturn.internal import ids
@@ -12,6 +13,7 @@
     messages,
     reducer,
     routing,
+    sending,
     state as states,
     timers,
     upstreams,
@@ -111,6 +113,19 @@
     assert 2 in sent.values()
 
 
+# Guards against calls that are cancelled at the only upstream of their service, cannot
+# be retried, and then wait for nothing until their deadline.
+def test_a_repeatable_call_at_the_only_upstream_waits_for_it() -> None:
+    state = routed.node_state(routed.route(timeout_ms=8_000))
+    builders.add_members(state, builders.member("n2", "plans"))
+    first = routed.sent_to(reducer.reduce(state, routed.arrived(1)))
+    out = builders.advance(
+        state, 4 * membership.PROBE_INTERVAL_MS + membership.SUSPECT_AFTER_MS
+    )
+    assert not builders.all_of(out, effects.CancelAttempt)
+    assert first.attempt in state.attempts
+
+
 def test_an_unrepeatable_call_at_a_silent_node_waits_for_it() -> None:
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
     out = builders.advance(
@@ -164,6 +179,18 @@
     assert first.attempt in state.attempts
 
 
+# Guards against calls without an attempt that wait until their deadline, when the retry
+# is denied after the attempt was cancelled.
+def test_a_call_whose_retry_is_denied_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    state, first = _entry(routes.RouteType.SAFE)
+    monkeypatch.setattr(sending, "retry", lambda *args: False)
+    refusal = builders.only(_silent(state, first), effects.RefuseCall)
+    assert refusal.status == 502
+    assert refusal.outcome is messages.Outcome.UNKNOWN
+
+
 def test_a_node_whose_grace_ends_answers_what_it_still_holds() -> None:
     # Guards against requests that are cut off when the process ends.
     state, _ = _entry(routes.RouteType.UNREPEATABLE)
