reducer_rate: decisions at 4, 60, 95 and 4,200 upstreams with their bounds

The sizes of the two deployments were missing, and one pass over each size gave 62 to 184 us on a busy machine. Blocks of all sizes alternate now, and the least one counts.

--- a/benchmarks/reducer_rate.py
+++ b/benchmarks/reducer_rate.py
@@ -25,8 +25,18 @@
 UPSTREAMS = 38
 """Upstreams of an average service at the design size: 4,200 over 110."""
 
-SIZES = (4, 19, 38, 95, 400)
-SIZED_CALLS = 5_000
+SIZES = (4, 19, 38, 60, 95, 400, 4_200)
+SIZED_CALLS = 250
+BLOCKS = 30
+"""Blocks of :data:`SIZED_CALLS` calls of each size. They alternate, and the least one
+counts: other load of the machine only lengthens a block."""
+
+BOUND_US = 30.0
+BOUND_RATIO = 1.3
+BOUNDED_SIZES = (4, 60, 95, 4_200)
+"""Sizes at which a decision takes at most :data:`BOUND_US`, and at most
+:data:`BOUND_RATIO` times as long at one as at another."""
+
 MID_CLASS_LEVEL = ranks.BAND // 2
 """Level in the middle of the lowest importance class."""
 
@@ -185,46 +195,66 @@
     return state
 
 
-def arrival_us(count: int, *, level: int, suspected: bool) -> float:
-    """Return the time of a call's arrival in microseconds.
+class SizedService:
+    """An entry node with calls to one service.
 
     :param level: reported level; ``MID_CLASS_LEVEL`` admits half of the kind.
     """
-    state = _entry_with_upstreams(count, level=level, suspected=suspected)
-    spent = 0.0
-    for number in range(1, SIZED_CALLS + 1):
-        arrival = _arrival(number, state.now)
-        begun = time.perf_counter()
-        out = reducer.reduce(state, arrival)
-        spent += time.perf_counter() - begun
-        for opened in out:
-            if isinstance(opened, effects.OpenAttempt):
-                report = msgspec.structs.replace(REPORT, level=ids.Rank(level))
-                answer = events.AttemptAnswered(
-                    now=state.now,
-                    attempt=opened.attempt,
-                    status=200,
-                    tokens=0,
-                    report=report,
-                )
-                reducer.reduce(state, answer)
-        state.deadlines.clear()
-    return 1e6 * spent / SIZED_CALLS
+
+    def __init__(self, count: int, *, level: int, suspected: bool) -> None:
+        self._state = _entry_with_upstreams(count, level=level, suspected=suspected)
+        self._report = msgspec.structs.replace(REPORT, level=ids.Rank(level))
+        self._number = 0
+        self.least_us = float("inf")
+
+    def run_block(self) -> None:
+        """Run a block of calls, and keep the least mean time of an arrival."""
+        state = self._state
+        spent = 0.0
+        for _ in range(SIZED_CALLS):
+            self._number += 1
+            arrival = _arrival(self._number, state.now)
+            begun = time.perf_counter()
+            out = reducer.reduce(state, arrival)
+            spent += time.perf_counter() - begun
+            for opened in out:
+                if isinstance(opened, effects.OpenAttempt):
+                    answer = events.AttemptAnswered(
+                        now=state.now,
+                        attempt=opened.attempt,
+                        status=200,
+                        tokens=0,
+                        report=self._report,
+                    )
+                    reducer.reduce(state, answer)
+            state.deadlines.clear()
+        self.least_us = min(self.least_us, 1e6 * spent / SIZED_CALLS)
 
 
 def print_sizes() -> None:
     """Print the time of a call's arrival by number of upstreams of its service."""
     print("us a CallArrived, by upstreams of the service")
     print(f"{'':>10} {'calm':>8} {'level':>8} {'suspect':>8} {'both':>8}")
-    for count in SIZES:
-        cells = [
-            arrival_us(count, level=level, suspected=suspected)
+    services = {
+        count: [
+            SizedService(count, level=level, suspected=suspected)
             for suspected in (False, True)
             for level in (0, MID_CLASS_LEVEL)
         ]
-        calm, level, suspect, both = cells
-        figures = (calm, level, suspect, both)
-        print(f"{count:>10} " + " ".join(f"{cell:>8.1f}" for cell in figures))
+        for count in SIZES
+    }
+    for _ in range(BLOCKS):
+        for row in services.values():
+            for service in row:
+                service.run_block()
+    for count, row in services.items():
+        print(f"{count:>10} " + " ".join(f"{s.least_us:>8.1f}" for s in row))
+    bounded = [[s.least_us for s in services[count]] for count in BOUNDED_SIZES]
+    columns = list(zip(*bounded, strict=True))
+    ratios = " ".join(f"{max(c) / min(c):>8.2f}" for c in columns)
+    print(f"{'ratio':>10} {ratios}  (bound {BOUND_RATIO})")
+    most = max(max(row) for row in bounded)
+    print(f"most at {BOUNDED_SIZES}: {most:.1f} us (bound {BOUND_US:.0f})")
 
 
 def measure() -> dict[str, float]:
