--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
+TEST_JOBS ?= 4
 RUN := PYTHONPATH=src:tooling:. $(PYTHON)
 
 .PHONY: demo demo-coopcarga test test-slow lint format soak bench bench-long bench-cost capacity regress clean
@@ -18,7 +19,7 @@
 	$(RUN) -m gingerturn_demo coopcarga
 
 test: $(VENV)/ready
-	$(RUN) -m pytest tests
+	$(RUN) -m pytest tests -n $(TEST_JOBS) --dist worksteal
 
 lint: $(VENV)/ready
 	$(VENV)/bin/ruff check .
