Response times include the wait for earlier answers of a connection

Cause: the duration of a pipelined request ended when its answer was held, not when it was written, so that answer_seconds hid requests that are late behind earlier ones.

Change: a request is forgotten by the entry side once its answer is written. The new test fails without the change.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -480,7 +480,6 @@
         request.answered = True
         request.finished = True
         request.streaming_out = False
-        self._node.entry.forget_request(request)
         self._waiting_since = clock.now()
         if self._is_first(request):
             self._write_finished()
@@ -490,6 +489,8 @@
         and for the request behind them."""
         while self._requests and self._requests[0].finished:
             finished = self._requests.popleft()
+            # Not before: its duration includes the time for which its answer was held.
+            self._node.entry.forget_request(finished)
             if finished.close_after:
                 self.close()
                 return
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -94,6 +94,21 @@
     assert caller.bodies() == [b"/a/1", b"/a/2", b"/a/3"]
 
 
+# Guards against response times in the metrics that leave out the wait for the earlier
+# answers, and so hide the requests that are late by it.
+def test_the_duration_of_a_request_includes_the_wait_for_earlier_answers() -> None:
+    caller = Caller()
+    ended: list[bytes] = []
+    caller.node.entry.forget_request = (  # type: ignore[method-assign]
+        lambda request: ended.append(request.target)
+    )
+    caller.send("/a/1", "/a/2")
+    caller.answer(1)
+    assert not ended
+    caller.answer(0)
+    assert ended == [b"/a/1", b"/a/2"]
+
+
 def test_no_more_than_the_limit_run_at_once() -> None:
     caller = Caller()
     caller.send(*(f"/a/{number}" for number in range(ingress.MAX_PIPELINED + 1)))
