Home node: fewer calls for the pool, the rate limit and header names

An idle timeout that no loss has shortened needs no clock and no power, a backend server without a rate limit no wait for a token, and the names that are not forwarded are joined once for each dialect. The members that are not gone are found without looking up the node and the state for each.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -179,6 +179,8 @@
 
 def exceeds_rate_limit(state: states.State, hosted: states.Hosted) -> bool:
     """Whether the rate limit delays a call longer than it may be queued."""
+    if not state.backend.limiter.limited:
+        return False
     deep = hosted.metadata.depth > 0
     return token_wait(state, hosted.rank) > _max_wait(state, deep=deep)
 
--- a/src/gingerturn/internal/core/member_table.py
+++ b/src/gingerturn/internal/core/member_table.py
@@ -122,10 +122,11 @@
 
 def reachable(state: states.State) -> list[ids.NodeId]:
     """Return the other members that are not gone."""
+    own, gone = state.node, messages.MemberState.GONE
     return [
         member.node
         for member in state.membership.members.values()
-        if member.node != state.node and member.state < messages.MemberState.GONE
+        if member.node != own and member.state < gone
     ]
 
 
--- a/src/gingerturn/internal/core/rate_limits.py
+++ b/src/gingerturn/internal/core/rate_limits.py
@@ -145,7 +145,7 @@
 
 def has_token(limiter: Limiter, now: ids.Milliseconds) -> bool:
     """Whether a call may be dispatched now."""
-    if not limiter.limited:
+    if limiter.limit < 0.0:
         return True
     refill(limiter, now)
     return not limiter.limited or limiter.tokens >= 1.0
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -71,6 +71,8 @@
     @property
     def idle_timeout_ms(self) -> ids.Milliseconds:
         """Longest idle time after which a connection is used for a call."""
+        if self._observed_ms >= MAX_IDLE_TIMEOUT_MS:
+            return min(MAX_IDLE_TIMEOUT_MS, self._advertised_ms)
         elapsed = clock.now() - self._observed_at
         doublings = min(MAX_DOUBLINGS, elapsed / DOUBLING_INTERVAL_MS)
         observed_ms = self._observed_ms * math.pow(2.0, doublings)
@@ -85,7 +87,8 @@
         timeout_ms = self.idle_timeout_ms
         if recently_used:
             timeout_ms = min(timeout_ms, RECENTLY_USED_MS)
-        while self._idle and self._idle[-1].idle_since >= clock.now() - timeout_ms:
+        used_since = clock.now() - timeout_ms
+        while self._idle and self._idle[-1].idle_since >= used_since:
             connection = self._idle.pop()
             if connection.usable:
                 return connection
--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -48,17 +48,23 @@
     :param without: names of further headers that are not forwarded.
     """
     options = _connection_options(headers)
-    dropped = without | options if options else without
+    dropped = _dropped_names(without)
+    if options:
+        dropped |= options
     lines = [
         b"%b: %b\r\n" % header
         for header in headers
-        if header[0] not in HOP_BY_HOP
-        and header[0] not in dropped
-        and not header[0].startswith(OWN_PREFIX)
+        if header[0] not in dropped and not header[0].startswith(OWN_PREFIX)
     ]
     return b"".join(lines)
 
 
+@functools.lru_cache(maxsize=8)
+def _dropped_names(without: frozenset[bytes]) -> frozenset[bytes]:
+    """Return the names that are not forwarded, with those of one dialect."""
+    return HOP_BY_HOP | without
+
+
 def _connection_options(headers: list[Header]) -> frozenset[bytes]:
     for name, value in headers:
         if name == b"connection":
@@ -74,6 +80,7 @@
     return rest.partition(b"\r\n")[0].strip() if found else b""
 
 
+@functools.lru_cache(maxsize=1_000)
 def status_line(status: int) -> bytes:
     """Return the status line of an answer."""
     return b"HTTP/1.1 %d %b\r\n" % (status, _PHRASES.get(status, "").encode())
