Checks of connections go on after an error in one

Cause: the handle of the timer was cleared only at the end of a check, so that an exception in it would have ended the checks of all connections for good.

Change: it is cleared first. The new test fails without the change.

--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -132,19 +132,17 @@
         whose interval is that of the core's parts.
         """
         if self._next_check is None:
-            self._schedule_check()
-
-    def _schedule_check(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._next_check = loop.call_later(peers.CHECK_INTERVAL_S, self._check)
+            loop = asyncio.get_running_loop()
+            self._next_check = loop.call_later(peers.CHECK_INTERVAL_S, self._check)
 
     def _check(self) -> None:
+        # Cleared first, so that an error below does not end the checks for good.
+        self._next_check = None
         now = clock.now()
         for link in list(self._links.values()):
             link.check(now)
-        self._next_check = None
         if any(link.is_waiting for link in self._links.values()):
-            self._schedule_check()
+            self.start_checks()
 
     def on_accepted_frame(self, channel: Channel, frame: frames.Frame) -> None:
         """Handle a frame of an entry node."""
--- a/tests/cover/test_silent_calls.py
+++ b/tests/cover/test_silent_calls.py
@@ -237,6 +237,35 @@
     _play(monkeypatch, scenario)
 
 
+# Guards against connections that are never checked again after one error.
+def test_checks_go_on_after_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(site: Site) -> None:
+        errors: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        await site.served_call()
+        on_silent = site.entry.entry.on_silent
+
+        def fail(calls: list[int]) -> None:
+            raise RuntimeError
+
+        site.entry.entry.on_silent = fail  # type: ignore[method-assign]
+        site.network.silence()
+        site.call("/a/lost")
+        await site.replacement()
+        assert len(errors) == 1
+        site.entry.entry.on_silent = on_silent  # type: ignore[method-assign]
+        site.call("/a/following")
+        while len(site.opened) < 2:
+            await asyncio.sleep(0.01)
+        site.network.silence()
+        while site.entry.counters.connections_replaced < 2:
+            await asyncio.sleep(0.01)
+
+    _play(monkeypatch, scenario)
+
+
 # Guards against request bodies and cancellations that are sent on a connection on which
 # the home node does not know the call.
 def test_frames_of_a_call_stay_on_the_connection_of_the_call(
