Medians of levels and decision records without a further call

Each answer takes three medians and each call two records or more; the time of the state is compared instead of computed with max().

--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -232,41 +232,12 @@
     """Packed records by sequence number; new records overwrite the oldest."""
 
     def __init__(self, size: int) -> None:
-        self._size = size
-        self._buffer = bytearray(size * _SLOT_BYTES)
-
-    def write(
-        self,
-        sequence: int,
-        now: float,
-        root: int,
-        rule: int,
-        kind: int,
-        rank: int,
-        figures: tuple[float, ...],
-        revision: int,
-    ) -> None:
-        """Write a record.
-
-        :param figures: four.
-        """
-        offset = (sequence % self._size) * _SLOT_BYTES
-        _RECORD.pack_into(
-            self._buffer,
-            offset,
-            sequence,
-            now,
-            root,
-            rule,
-            kind,
-            rank,
-            *figures,
-            revision,
-        )
+        self.size = size
+        self.buffer = bytearray(size * _SLOT_BYTES)
 
     def read(self, sequence: int) -> tuple[float, ...] | None:
-        offset = (sequence % self._size) * _SLOT_BYTES
-        record = _RECORD.unpack_from(self._buffer, offset)
+        offset = (sequence % self.size) * _SLOT_BYTES
+        record = _RECORD.unpack_from(self.buffer, offset)
         return record if record[0] == sequence else None
 
 
@@ -309,7 +280,18 @@
         number = self._kind_numbers.get(kind)
         if number is None:
             number = self._add_kind(kind)
-        ring.write(sequence, now, root, rule, number, rank, figures, revision)
+        _RECORD.pack_into(
+            ring.buffer,
+            (sequence % ring.size) * _SLOT_BYTES,
+            sequence,
+            now,
+            root,
+            rule,
+            number,
+            rank,
+            *figures,
+            revision,
+        )
         return f"{self._node}:{sequence:x}"
 
     def find(self, decision_id: str) -> Decision | None:
--- a/src/gingerturn/internal/core/levels.py
+++ b/src/gingerturn/internal/core/levels.py
@@ -205,14 +205,11 @@
     reports[node] = states.ReportedLevel(level=level, reported_at=now)
     bisect.insort(known.sorted_levels, level)
     _drop_expired(known, now)
-    known.level = _lower_median(known.sorted_levels)
+    levels = known.sorted_levels
+    known.level = ids.Rank(levels[(len(levels) - 1) // 2])
     known.reported_at = now
 
 
-def _lower_median(sorted_levels: list[int]) -> ids.Rank:
-    return ids.Rank(sorted_levels[(len(sorted_levels) - 1) // 2])
-
-
 def _service_median(
     state: states.State, service: ids.ServiceName, kind: str
 ) -> states.ReportedLevel:
@@ -220,8 +217,9 @@
     if known is None:
         return states.NO_REPORTED_LEVEL
     _drop_expired(known, state.now)
-    if known.sorted_levels:
-        known.level = _lower_median(known.sorted_levels)
+    levels = known.sorted_levels
+    if levels:
+        known.level = ids.Rank(levels[(len(levels) - 1) // 2])
         return states.ReportedLevel(level=known.level, reported_at=known.reported_at)
     last = states.ReportedLevel(level=known.level, reported_at=known.reported_at)
     return states.ReportedLevel(
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -87,7 +87,8 @@
     """
     out: states.Effects = []
     # Time in the core is monotonic, even if the clock was set back.
-    state.now = max(state.now, event.now)
+    if event.now > state.now:
+        state.now = event.now
     _HANDLERS[type(event)](state, event, out)
     if state.claim_batch:
         claims.flush(state, out)
