A refusal by level computes the expected level once

It was computed for the figures of the decision and again for the retry delay, at the same time of the same state.

--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -1,5 +1,6 @@
 """Refusals: the problem sent to the caller, and the decision recorded and logged."""
 
+from gingerturn.internal import ids
 from gingerturn.internal.core import (
     cap_buckets,
     decisions,
@@ -105,11 +106,13 @@
     remote: messages.Refusal | None = None,
     retry_after: float = 0.0,
     figures: tuple[float, ...] = (),
+    level: ids.Rank | None = None,
 ) -> None:
     """Answer a call with a problem and remove it.
 
     :param remote: refusal received from the home node.
     :param retry_after: retry delay in ms; 0 to derive it.
+    :param level: expected level of the call's service and kind, if it is known.
     """
     known_not_run = call.never_ran and call.attempts_settled
     outcome = messages.Outcome.NOT_RUN if known_not_run else messages.Outcome.UNKNOWN
@@ -138,7 +141,7 @@
         rule is decisions.Rule.NO_UPSTREAM and startup_waits.is_starting_up(state)
     )
     if is_overload and call.rule.target_ms:
-        delay_ms = retry_delay.for_call(state, call)
+        delay_ms = retry_delay.for_call(state, call, level)
     if not delay_ms and rule not in _FINAL_RULES:
         delay_ms = _DEFAULT_DELAY_MS * (1.0 + state.random.random())
     out.append(
--- a/src/gingerturn/internal/core/retry_delay.py
+++ b/src/gingerturn/internal/core/retry_delay.py
@@ -43,10 +43,15 @@
         state.mean_answer_ms[kind] = known + ANSWER_TIME_WEIGHT * (elapsed - known)
 
 
-def for_call(state: states.State, call: states.Call) -> ids.Milliseconds:
-    """Return the retry delay of a refused call."""
+def for_call(
+    state: states.State, call: states.Call, level: ids.Rank | None = None
+) -> ids.Milliseconds:
+    """Return the retry delay of a refused call.
+
+    :param level: expected level of its service and kind; ``None`` to look it up.
+    """
     latest = _latest_useful_delay(state, call)
-    admitted_in = _delay_until_admitted(state, call)
+    admitted_in = _delay_until_admitted(state, call, level)
     if admitted_in is None:
         delay = DEFAULT_DELAY_MS if latest is None else latest * (1.0 - JITTER)
     else:
@@ -68,11 +73,12 @@
 
 
 def _delay_until_admitted(
-    state: states.State, call: states.Call
+    state: states.State, call: states.Call, level: ids.Rank | None
 ) -> ids.Milliseconds | None:
     """Return the time until the level falls to the rank of a call, or ``None`` if it is
     not falling."""
-    level = routing.service_level(state, call.service, call.rule.name)
+    if level is None:
+        level = routing.service_level(state, call.service, call.rule.name)
     trend = state.trends.get(call.service)
     if trend is None or state.now - trend.updated_at > 2 * SLOPE_INTERVAL_MS:
         state.trends[call.service] = states.Trend(updated_at=state.now, level=level)
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -311,7 +311,13 @@
     retry_after = admission.retry_after_ms(state, call.rank, known.level)
     figures = (float(known.level), state.now - known.reported_at, float(call.rank))
     refusals.refuse(
-        state, call, decisions.Rule.LEVEL, out, retry_after=retry_after, figures=figures
+        state,
+        call,
+        decisions.Rule.LEVEL,
+        out,
+        retry_after=retry_after,
+        figures=figures,
+        level=known.level,
     )
 
 
