--- a/benchmarks/workspaces.py
+++ b/benchmarks/workspaces.py
@@ -126,6 +126,80 @@
     return _served(deployment)
 
 
+def _share_of_allowed(deployment: capped.Deployment) -> float:
+    """Return the admitted requests over those that a sliding window of the cap without
+    tolerance would have admitted."""
+    allowed = deployment.max_allowed("shop", RATE * 5.0 + RATE, 5_000.0)
+    return len(deployment.admitted["shop"]) / max(1, allowed)
+
+
+def _near(nodes: int, *, load: float = 1.05, retry_share: float = 0.0) -> float:
+    """Demand slightly above the rate of the cap, of which each node gets little."""
+    deployment = _deployment(nodes)
+    deployment.retry_share = retry_share
+    deployment.load(
+        "shop", deployment.names, rate=load * RATE, duration_ms=2_000.0 * SECONDS
+    )
+    deployment.world.run(2_000.0 * SECONDS + 500.0)
+    return _share_of_allowed(deployment)
+
+
+def _burst(nodes: int, *, factor: float, duration_ms: float) -> float:
+    """Usual demand, then a burst; only requests of the burst count."""
+    deployment = _deployment(nodes)
+    deployment.load(
+        "shop", deployment.names, rate=MODERATE_RATE, duration_ms=5_000.0 + duration_ms
+    )
+    deployment.world.run(5_000.0)
+    deployment.load(
+        "shop",
+        deployment.names,
+        rate=(factor - 1.0) * MODERATE_RATE,
+        duration_ms=duration_ms,
+    )
+    deployment.world.run(duration_ms + 500.0)
+    return _share_of_allowed(deployment)
+
+
+def _long_burst(nodes: int) -> float:
+    return _burst(nodes, factor=1.7, duration_ms=18_000.0)
+
+
+def _short_burst(nodes: int) -> float:
+    return _burst(nodes, factor=2.4, duration_ms=3_000.0)
+
+
+def _uneven(nodes: int) -> float:
+    """As near the cap, with half of all requests at one node in ten."""
+    deployment = _deployment(nodes)
+    few = deployment.names[: max(1, nodes // 10)]
+    for names in (few, deployment.names):
+        deployment.load("shop", names, rate=0.525 * RATE, duration_ms=2_000.0 * SECONDS)
+    deployment.world.run(2_000.0 * SECONDS + 500.0)
+    return _share_of_allowed(deployment)
+
+
+def _retried(nodes: int) -> float:
+    """Twice the cap, and 0.35 of the callers retry 3 times immediately."""
+    return _near(nodes, load=2.0, retry_share=0.35)
+
+
+def _lost(nodes: int) -> float:
+    """Usual demand while all nodes are killed and restarted a second later."""
+    deployment = _deployment(nodes)
+    deployment.load(
+        "shop", deployment.names, rate=MODERATE_RATE, duration_ms=1_000.0 * SECONDS
+    )
+    deployment.world.run(2_000.0)
+    for name in deployment.names:
+        deployment.world.kill(name)
+    deployment.world.run(1_000.0)
+    for name in deployment.names:
+        deployment.world.restart(name)
+    deployment.world.run(1_000.0 * SECONDS - 2_500.0)
+    return _served(deployment)
+
+
 def _overloaded(nodes: int) -> tuple[float, float]:
     """Return the maximum requests admitted in a window over its bound and the cap."""
     deployment = _deployment(nodes)
@@ -181,6 +255,27 @@
     return 1e6 * spent / max(1, admitted), node_bytes, sent.get(allocator, 0) / 4.0
 
 
+NEAR_SCENARIOS = {
+    "1.0 of the rate": lambda nodes: _near(nodes, load=1.0),
+    "1.1 of the rate": lambda nodes: _near(nodes, load=1.1),
+    "uneven": _uneven,
+    "1.7 for 18 s": _long_burst,
+    "2.4 for 3 s": _short_burst,
+    "twice, retried": _retried,
+    "all lost, served": _lost,
+}
+
+
+def compare_near(sizes: list[int]) -> None:
+    """Print the share admitted of what a window of the cap allows, near the cap."""
+    print("way | nodes | " + " | ".join(NEAR_SCENARIOS))
+    for way, patches in CAP_VARIANTS.items():
+        for nodes in sizes:
+            with _patched(patches):
+                shares = [f"{run(nodes):.3f}" for run in NEAR_SCENARIOS.values()]
+            print(f"{way} | {nodes} | " + " | ".join(shares), flush=True)
+
+
 def compare_caps(sizes: list[int]) -> None:
     """Print the share that each method admits, by number of nodes."""
     print("way | nodes | calm | skewed | moving | parted | restarted | most of bound")
--- a/src/gingerturn/internal/core/cap_allocator.py
+++ b/src/gingerturn/internal/core/cap_allocator.py
@@ -34,11 +34,11 @@
 LEASED_SHARE = 0.8
 """Largest part of a cap that is leased; the rest is left to single tokens."""
 
-LEASE_HORIZON_MS = 1_000.0
-"""Leases spread what remains of the window over this time. The less remains, the more
-of it is granted as single tokens."""
+MIN_LEASED_DEMAND = 2.0
+"""Lowest demand that gets a lease, in requests per second. Below it, most tokens of a
+lease would find no request: a node without requests for 3 s drops them."""
 
-TOTAL_DEPTH_SHARE = 0.3
+TOTAL_DEPTH_SHARE = 0.2
 """Part of the allowed excess of a cap that all buckets together may hold. Nodes beyond
 that get no lease and request single tokens. The rest covers changes of allocator."""
 
@@ -76,7 +76,7 @@
     allocator = state.cap_allocator
     cap_window.record_share(state, current_share(state))
     message = messages.CapHandover(
-        share=allocator.delegated_share,
+        share=cap_window.mean_share(state),
         delegations=tuple(
             (node, until - state.now) for node, until in allocator.delegations.items()
         ),
@@ -127,10 +127,10 @@
     _prune(by_node, state.now)
     if previous is not None:
         _refund_previous(state, window, previous, demand)
-    remaining = cap_window.remaining(state, window, cap)
+    room = cap_window.room(state, window, cap, TERM_MS)
     rate = demand.rate_milli / 1_000.0
     total_demand = rate + sum(grant.demand for grant in by_node.values())
-    rate_milli = int(1_000.0 * _fair_rate(state, cap, rate, total_demand, remaining))
+    rate_milli = int(1_000.0 * _fair_rate(state, cap, rate, total_demand, room))
     depth = cap_buckets.depth_of(rate_milli)
     granted_depth = sum(grant.depth for grant in by_node.values())
     if depth + granted_depth > TOTAL_DEPTH_SHARE * state.cap_tolerance.allowed_excess(
@@ -138,15 +138,15 @@
     ):
         rate_milli = 0
         depth = 0.0
-    leased = rate_milli * TERM_MS / 1e6
-    tokens = max(0, min(demand.waiting, int(remaining - leased)))
+    available = room.tokens(rate_milli)
+    tokens = max(0, min(demand.waiting, int(available)))
     until = state.now + TERM_MS
     cap_window.charge(state, window, tokens)
     cap_window.charge_lease(state, window, rate_milli, until)
     by_node[node] = states.CapGrant(
         demand=rate, rate_milli=rate_milli, depth=depth, expires_at=until
     )
-    is_short = remaining - leased - tokens < 1.0
+    is_short = available - tokens < 1.0
     return messages.CapLease(cap.name, rate_milli, tokens, is_short)
 
 
@@ -170,15 +170,14 @@
     cap: routes.Workspace,
     demand: float,
     total_demand: float,
-    remaining: float,
+    room: cap_window.Room,
 ) -> float:
     """Return the rate for a node, in proportion to its part of the total demand."""
-    if total_demand <= 0.0:
+    if demand < MIN_LEASED_DEMAND:
         return 0.0
-    sustained_rate = cap_window.allowed(state, cap) / state.cap_tolerance.window_ms
-    horizon_rate = max(0.0, remaining) / LEASE_HORIZON_MS
-    max_rate = 1_000.0 * min(LEASED_SHARE * sustained_rate, horizon_rate)
-    return min(HEADROOM * demand, max_rate * demand / total_demand)
+    share = min(1.0, current_share(state))
+    max_rate = LEASED_SHARE * share * cap_window.limits(state, cap).rate
+    return min(HEADROOM * demand, max_rate * demand / total_demand, room.rate())
 
 
 def _prune(by_node: dict[ids.NodeId, states.CapGrant], now: ids.Milliseconds) -> None:
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -61,6 +61,10 @@
 SILENT_SKIP_MS = 3_000.0
 """A node that did not answer is skipped for this long."""
 
+SHORT_MS = 100.0
+"""A report that the allocator had no tokens left counts for this long. After a longer
+time, tokens that have become available since would go to no one."""
+
 MAX_WAIT_MS = 300.0
 """Longest wait of a call for a token. It is short, so that a refused caller can retry
 within its deadline."""
@@ -102,8 +106,9 @@
     bucket.last_request_at = state.now
     if _take_token(state, call, cap):
         return True
-    leased = bucket.lease_until > state.now
-    if (leased and bucket.short) or len(state.caps.waiting_calls) >= MAX_WAITING_CALLS:
+    short_until = min(bucket.lease_until, bucket.short_reported_at + SHORT_MS)
+    is_short = bucket.short and state.now < short_until
+    if is_short or len(state.caps.waiting_calls) >= MAX_WAITING_CALLS:
         _refuse(state, call, cap, out)
         return False
     wait = MAX_STARTUP_WAIT_MS if startup_waits.is_starting_up(state) else MAX_WAIT_MS
@@ -417,12 +422,7 @@
         cap_buckets.refill(state, bucket, cap)
         rate = cap_buckets.record_demand(state, bucket)
         leased_milli = bucket.rate_milli if bucket.lease_until > state.now else 0
-        # While the allocator is short, calls are refused at once and none wait, so
-        # request a token to detect when there are some again.
-        waiting = max(
-            waiting_counts[ids.WorkspaceName(name)],
-            int(bucket.short and bucket.tokens < 1.0),
-        )
+        waiting = waiting_counts[ids.WorkspaceName(name)]
         overflowed_milli = int(1_000.0 * bucket.overflowed)
         bucket.overflowed -= overflowed_milli / 1_000.0
         rate_milli = int(1_000.0 * rate)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -539,10 +539,13 @@
     """Requests admitted under a cap in the current window, by time slice.
 
     :param total: what the cap allowed in a window at the last update.
+    :param slices: single tokens granted.
+    :param leased: tokens that accrue by leases, some of them in the future.
     """
 
     total: float = 0.0
     slices: dict[int, float] = {}
+    leased: dict[int, float] = {}
 
 
 class CapAllocator(msgspec.Struct):
@@ -551,7 +554,7 @@
     :param delegations: nodes that delegated their share to it, and until when.
     :param grants: by workspace and node.
     :param windows: by workspace.
-    :param delegated_share: share of every cap that it may grant.
+    :param delegated_share: share of every cap that is delegated to it at present.
     :param delegated_shares: share that was delegated to it, by time slice.
     """
 
--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -399,7 +399,50 @@
     name = chance.choice(made.names)
     if made.world.nodes[name].alive:
         made.world.kill(name)
-        made.world.at(600.0, lambda: made.world.restart(name))
+        made.world.at(600.0, lambda: _restart_dead(made, name))
+
+
+def _restart_dead(made: capped.Deployment, name: str) -> None:
+    if not made.world.nodes[name].alive:
+        made.world.restart(name)
+
+
+def _kill(made: capped.Deployment, chance: random.Random, share: float) -> None:
+    """Kill nodes at one moment, and restart all of them at one moment."""
+    alive = [name for name, node in made.world.nodes.items() if node.alive]
+    killed = chance.sample(alive, round(share * len(alive)))
+    for name in killed:
+        made.world.kill(name)
+
+    def restart() -> None:
+        for name in killed:
+            if not made.world.nodes[name].alive:
+                made.world.restart(name)
+
+    made.world.at(chance.uniform(300.0, 1_500.0), restart)
+
+
+def _kill_all(made: capped.Deployment, chance: random.Random) -> None:
+    _kill(made, chance, 1.0)
+
+
+def _kill_most(made: capped.Deployment, chance: random.Random) -> None:
+    _kill(made, chance, 0.55)
+
+
+def _change_limit(made: capped.Deployment, chance: random.Random) -> None:
+    """Lower the cap, or restore it if it is lowered."""
+    made.lowered = not made.lowered
+    rate = made.initial.rate * (0.4 if made.lowered else 1.0)
+    made.put_in_force(_workspace(rate))
+
+
+def _pause_allocator(made: capped.Deployment, chance: random.Random) -> None:
+    made.world.pause(_current_allocator(made), chance.uniform(500.0, 3_000.0))
+
+
+def _cut_allocator(made: capped.Deployment, chance: random.Random) -> None:
+    made.partition({_current_allocator(made)})
 
 
 def _stop_allocator(made: capped.Deployment, chance: random.Random) -> None:
@@ -410,7 +453,7 @@
     if allocators and allocators[0].alive:
         made.world.apply(name, events.StopRequested(now=made.world.now))
         made.world.at(3_200.0, lambda: made.world.kill(name))
-        made.world.at(4_000.0, lambda: made.world.restart(name))
+        made.world.at(4_000.0, lambda: _restart_dead(made, name))
 
 
 def _stall(made: capped.Deployment, chance: random.Random) -> None:
@@ -430,6 +473,11 @@
     "part": _partition,
     "merge": _merge,
     "restart": _restart,
+    "kill all": _kill_all,
+    "kill most": _kill_most,
+    "change the limit": _change_limit,
+    "pause the allocator": _pause_allocator,
+    "cut the allocator": _cut_allocator,
     "stall": _stall,
     "stop the allocator": _stop_allocator,
     "move": _move,
@@ -513,15 +561,19 @@
 
 def test_refunds_are_taken_from_the_slices_that_were_charged() -> None:
     state = keyed.node_state(_workspace(10.0))
+    cap = _workspace(10.0)
     window = states.CapWindow()
     cap_window.charge(state, window, 5.0)
+    charged_at = cap_window.current_slice(state)
     state.now += 1_000.0
     cap_window.refund(state, window, 3.0)
-    assert cap_window.used(window) == 2.0
+    assert window.slices == {charged_at: 2.0}
     state.now += WINDOW_MS
-    state.cap_allocator.delegated_share = 1.0
-    whole = cap_window.allowed(state, _workspace(10.0))
-    assert cap_window.remaining(state, window, _workspace(10.0)) == whole
+    now = cap_window.current_slice(state)
+    shares = dict.fromkeys(range(now - cap_window.SLICES, now + 1), 1.0)
+    state.cap_allocator.delegated_shares = shares
+    room = cap_window.room(state, window, cap, cap_allocator.TERM_MS)
+    assert room.tokens() == cap_window.limits(state, cap).depth
 
 
 def test_without_caps_no_leases_are_requested() -> None:
--- a/tooling/gingerturn_fakes/capped.py
+++ b/tooling/gingerturn_fakes/capped.py
@@ -7,13 +7,16 @@
 import random
 
 from gingerturn import routes
-from gingerturn.internal.core import effects
+from gingerturn.internal.core import effects, events, messages, streams
 from gingerturn_fakes import parts, world as worlds
 
 HOST = "shop.example"
 PATH = "/a/x"
 SERVICE = "plans"
 
+RETRY_MS = 16.0
+"""Time until an immediate retry arrives: the way to the caller and back."""
+
 
 def table(*workspaces: routes.Workspace, version: int = 1) -> routes.RouteTable:
     """Return a table with node route and some workspaces."""
@@ -34,6 +37,11 @@
 
     :param admitted: when requests of each workspace were admitted.
     :param refused: number of requests refused because of the cap, by workspace.
+    :param arrived: when callers sent their requests, without retries.
+    :param initial: the first of the workspaces.
+    :param lowered: its cap was lowered by a test.
+    :param retry_share: share of the callers that retry a refused request 3 times, each
+        time immediately and through another node.
     """
 
     def __init__(
@@ -48,12 +56,18 @@
             table=table(*workspaces),
         )
         self.world.gossip_on = True
+        self.initial = workspaces[0]
+        self.lowered = False
+        self._version = 1
         self.random = random.Random(seed)
         self.admitted: dict[str, list[float]] = collections.defaultdict(list)
         self.refused: collections.Counter[str] = collections.Counter()
         self.retry_delays_ms: list[float] = []
         self.sent: collections.Counter[str] = collections.Counter()
+        self.arrived: dict[str, list[float]] = collections.defaultdict(list)
+        self.retry_share = 0.0
         self._workspace_of: dict[int, str] = {}
+        self._retries_left: dict[int, int] = {}
         self.world.on_effect = self._record
         self.world.run(3_000.0)
 
@@ -68,9 +82,20 @@
         fake = world.nodes[node]
         if not fake.alive:
             return
-        call = world.next_number()
         self.sent[workspace] += 1
+        self.arrived[workspace].append(world.now)
+        retries = 0
+        if self.retry_share and self.random.random() < self.retry_share:
+            retries = 3
+        self._send(workspace, node, retries)
+
+    def _send(self, workspace: str, node: str, retries: int) -> None:
+        world = self.world
+        fake = world.nodes[node]
+        call = world.next_number()
         self._workspace_of[call] = workspace
+        if retries:
+            self._retries_left[call] = retries
         digest = routes.key_digest(workspace.encode())
         world.call(fake, call, HOST, "GET", PATH, f"{call:016x}", key_digest=digest)
 
@@ -83,6 +108,15 @@
             node = self.random.choice(nodes)
             self.world.at(at, lambda node=node: self.send(workspace, node))
 
+    def put_in_force(self, *workspaces: routes.Workspace) -> None:
+        """Activate a later route table with these workspaces at all nodes."""
+        self._version += 1
+        later = table(*workspaces, version=self._version)
+        self.world.log.put(streams.ROUTES, "table", messages.encode_record(later))
+        for name in self.names:
+            event = events.RoutesReceived(now=self.world.now, table=later)
+            self.world.apply(name, event)
+
     def partition(self, side: set[str]) -> None:
         """Partition some nodes from all others."""
         for node in side:
@@ -99,9 +133,25 @@
             most = max(most, last - first + 1)
         return most
 
+    def max_allowed(self, workspace: str, requests: float, window_ms: float) -> int:
+        """Return how many of the requests sent a sliding window would have admitted.
+
+        :param requests: most that it admits in any window.
+        """
+        recent: collections.deque[float] = collections.deque()
+        admitted = 0
+        for time in sorted(self.arrived[workspace]):
+            while recent and recent[0] <= time - window_ms:
+                recent.popleft()
+            if len(recent) < requests:
+                recent.append(time)
+                admitted += 1
+        return admitted
+
     def _record(self, node: parts.FakeNode, effect: effects.Effect) -> None:
         if isinstance(effect, effects.OpenAttempt):
             workspace = self._workspace_of.pop(effect.call, "")
+            self._retries_left.pop(effect.call, None)
             if workspace:
                 self.admitted[workspace].append(self.world.now)
         elif isinstance(effect, effects.RefuseCall):
@@ -109,3 +159,12 @@
             if effect.status == 429:
                 self.refused[workspace] += 1
                 self.retry_delays_ms.append(effect.retry_after_ms)
+            retries = self._retries_left.pop(effect.call, 0)
+            if retries:
+                alive = [n.name for n in self.world.nodes.values() if n.alive]
+                self.world.at(
+                    RETRY_MS,
+                    lambda: self._send(
+                        workspace, self.random.choice(alive), retries - 1
+                    ),
+                )
