Lowered caps apply to leases at once; retry delays without a lease; refusals without a report

Refusals of a workspace that may have been below its cap could not be told apart.

Change: a bucket scales its lease down when the cap is lowered. Without a leased rate, retry delays follow the rate of single tokens that the node got lately, at least its equal part of the cap. Metric workspace_refused_unanswered_total counts refusals without a report of the allocator that no token is left.

A burst of 0 with a tolerance of 0 admits single requests at 1 and 20 nodes (passed before too).

--- a/src/gingerturn/internal/core/cap_buckets.py
+++ b/src/gingerturn/internal/core/cap_buckets.py
@@ -49,6 +49,7 @@
     if bucket.tokens < 1.0:
         return False
     bucket.tokens -= 1.0
+    bucket.admitted_count += 1
     return True
 
 
@@ -62,6 +63,8 @@
 def refill(state: states.State, bucket: states.Bucket, cap: routes.Workspace) -> None:
     """Add the tokens that accrued since the last refill."""
     now = state.now
+    if cap.rate != bucket.cap_rate:
+        _apply_limit(bucket, cap)
     leased_ms = min(now, bucket.lease_until) - bucket.refilled_at
     if leased_ms > 0.0:
         leased_tokens = bucket.rate_milli * leased_ms / 1e6
@@ -75,6 +78,14 @@
     bucket.refilled_at = now
 
 
+def _apply_limit(bucket: states.Bucket, cap: routes.Workspace) -> None:
+    """Reduce a lease that was granted under a higher cap."""
+    if cap.rate < bucket.cap_rate:
+        bucket.rate_milli = int(bucket.rate_milli * cap.rate / bucket.cap_rate)
+        bucket.tokens = min(bucket.tokens, depth_of(bucket.rate_milli))
+    bucket.cap_rate = cap.rate
+
+
 def depth_of(rate_milli: int) -> float:
     """Return how many tokens a bucket with this lease can hold."""
     return 1.0 + rate_milli * DEPTH_MS / 1e6 if rate_milli else 0.0
@@ -122,7 +133,9 @@
         # Follow a sudden rise at once.
         weight = 0.0
     bucket.demand = weight * bucket.demand + (1.0 - weight) * observed
-    bucket.request_count = 0
+    admitted = bucket.admitted_count * 1_000.0 / max(elapsed, MIN_INTERVAL_MS)
+    bucket.admitted_rate = weight * bucket.admitted_rate + (1.0 - weight) * admitted
+    bucket.request_count = bucket.admitted_count = 0
     bucket.counted_from = state.now
     return bucket.demand
 
@@ -135,10 +148,16 @@
     """
     bucket = bucket_of(state, cap.name)
     jitter = 1.0 + state.random.random() / 4.0
-    if bucket.lease_until <= state.now or not bucket.rate_milli:
+    if bucket.lease_until <= state.now:
         return DEFAULT_RETRY_DELAY_MS * jitter
-    token_ms = 1e6 / bucket.rate_milli
-    first = state.now + (1.0 - bucket.tokens) * token_ms
+    if bucket.rate_milli:
+        token_ms = 1e6 / bucket.rate_milli
+        first = state.now + (1.0 - bucket.tokens) * token_ms
+    else:
+        # Single tokens: as many as lately, and at least an equal part of the cap.
+        own_share = cap.rate / member_order.cap_sharer_count(state)
+        token_ms = 1_000.0 / max(bucket.admitted_rate, own_share)
+        first = state.now + min(token_ms, DEFAULT_RETRY_DELAY_MS)
     bucket.promised_token_at = max(first, bucket.promised_token_at + token_ms)
     wait = bucket.promised_token_at - state.now
     if wait > MAX_RETRY_DELAY_MS:
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -514,8 +514,11 @@
     cap: routes.Workspace,
     out: states.Effects,
 ) -> None:
-    _usage_of(state, cap.name).refused += 1
+    usage = _usage_of(state, cap.name)
+    usage.refused += 1
     bucket = cap_buckets.bucket_of(state, cap.name)
+    if not bucket.short or bucket.lease_until <= state.now:
+        usage.refused_unanswered += 1
     wait = cap_buckets.retry_after_ms(state, cap)
     refusals.refuse(
         state,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -455,11 +455,14 @@
     :param refilled_at: up to when tokens have been added.
     :param rate_milli: leased rate in thousandths of a token a second.
     :param lease_until: when the lease ends; 0 if there never was one.
+    :param cap_rate: rate of the cap under which the lease counts.
     :param short: the allocator reported that it had no token left.
     :param short_reported_at: when the allocator last reported whether it was short.
     :param overflowed: leased tokens that found the bucket full.
     :param demand: requests a second received here.
+    :param admitted_rate: requests a second admitted here.
     :param request_count: requests since ``counted_from``.
+    :param admitted_count: requests admitted since then.
     :param last_request_at: when the latest request arrived.
     :param promised_token_at: when the token becomes available that the retry delay of
         the latest refused caller refers to.
@@ -470,20 +473,29 @@
     tokens: float = 0.0
     rate_milli: int = 0
     lease_until: ids.Milliseconds = 0.0
+    cap_rate: float = 0.0
     short: bool = False
     short_reported_at: ids.Milliseconds = 0.0
     overflowed: float = 0.0
     demand: float = 0.0
+    admitted_rate: float = 0.0
     request_count: int = 0
+    admitted_count: int = 0
     last_request_at: ids.Milliseconds = 0.0
     promised_token_at: ids.Milliseconds = 0.0
 
 
 class WorkspaceUsage(msgspec.Struct):
-    """Whole requests of a workspace at this node since its start."""
+    """Whole requests of a workspace at this node since its start.
+
+    :param refused: requests refused because of the cap.
+    :param refused_unanswered: those of them without a report of the allocator that no
+        tokens were left; the workspace may have been below its cap.
+    """
 
     admitted: int = 0
     refused: int = 0
+    refused_unanswered: int = 0
 
 
 class Caps(msgspec.Struct):
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -48,12 +48,14 @@
     usage = sorted(state.caps.usage.items())
     passed = [(_label(name), float(counted.admitted)) for name, counted in usage]
     refused = [(_label(name), float(counted.refused)) for name, counted in usage]
+    unanswered = [(_label(n), float(u.refused_unanswered)) for n, u in usage]
     index = state.routes
     records = [] if index is None else [index.workspace(name) for name, _ in usage]
     caps = [(_label(w.name), w.rate) for w in records if w is not None and w.rate > 0]
     return [
         ("workspace_passed_total", "counter", passed),
         ("workspace_refused_total", "counter", refused),
+        ("workspace_refused_unanswered_total", "counter", unanswered),
         ("workspace_cap", "gauge", caps),
     ]
 
--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -24,6 +24,7 @@
     messages,
     reducer,
     state as states,
+    tolerance,
 )
 from gingerturn_fakes import capped, links
 from tests.common import builders, keyed, routed
@@ -107,6 +108,50 @@
     assert waits[-1] <= cap_buckets.MAX_RETRY_DELAY_MS * 1.25
 
 
+def test_retry_delays_follow_the_rate_of_single_tokens() -> None:
+    """Guards against callers of nodes without a lease that all retry after the same
+    half second, though each node gets a token in some seconds."""
+    made = capped.Deployment(_workspace(10.0, burst=0.0), nodes=20)
+    made.load("shop", made.names, rate=35.0, duration_ms=8_000.0)
+    made.world.run(4_000.0)
+    made.retry_delays_ms.clear()
+    made.world.run(4_000.0)
+    waits = made.retry_delays_ms
+    assert len(waits) > 60
+    # Retries of these 4 s arrive within 10 s, so at most this many in any second.
+    for second in range(12):
+        arriving = [w for w in waits if second <= w / 1_000.0 < second + 1]
+        assert len(arriving) <= 0.4 * len(waits)
+
+
+def test_refusals_without_a_report_of_the_allocator_are_counted() -> None:
+    """They may be of a workspace that is below its cap."""
+    made = capped.Deployment(_workspace(20.0, burst=0.0), nodes=3)
+    node = made.world.nodes[made.names[0]]
+    made.load("shop", made.names, rate=200.0, duration_ms=1_000.0)
+    made.world.run(1_500.0)
+    usage = node.state.caps.usage["shop"]
+    assert usage.refused > 0
+    assert usage.refused_unanswered == 0
+    made.partition({node.name})
+    made.load("shop", [node.name], rate=40.0, duration_ms=1_000.0)
+    made.world.run(1_500.0)
+    assert usage.refused_unanswered > 0
+
+
+@pytest.mark.parametrize("nodes", [1, 20])
+def test_a_cap_without_burst_admits_single_requests(nodes: int) -> None:
+    """Guards against a bucket that never holds a whole token."""
+    made = capped.Deployment(_workspace(2.0, burst=0.0), nodes=nodes)
+    strict = tolerance.Tolerance(window_ms=WINDOW_MS, over=0.0, slack=0.0)
+    for node in made.world.nodes.values():
+        node.state.cap_tolerance = strict
+    for _ in range(10):
+        made.send("shop", made.random.choice(made.names))
+        made.world.run(1_000.0)
+    assert _served(made) >= 0.9
+
+
 def test_a_workspace_without_a_cap_is_never_held() -> None:
     state = keyed.node_state(keyed.workspace("shop"), keyed.workspace("b", rate=1.0))
     for call in range(50):
@@ -247,6 +292,20 @@
     _check_bound(made, lower)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_lower_cap_binds_as_soon_as_it_is_in_force(seed: int) -> None:
+    """Guards against leases under the former cap that are used for another second."""
+    made = capped.Deployment(_workspace(100.0), nodes=9, seed=seed)
+    made.load("shop", made.names, rate=150.0, duration_ms=12_000.0)
+    made.world.run(5_000.0)
+    lower = _workspace(10.0)
+    made.put_in_force(lower)
+    in_force = made.world.now
+    made.world.run(7_000.0)
+    made.admitted["shop"] = [at for at in made.admitted["shop"] if at >= in_force]
+    _check_bound(made, lower)
+
+
 def check_cap_with_several_allocators() -> None:
     """Check that each node delegates its share to one allocator at a time."""
 
@@ -438,11 +497,15 @@
 
 
 def _pause_allocator(made: capped.Deployment, chance: random.Random) -> None:
-    made.world.pause(_current_allocator(made), chance.uniform(500.0, 3_000.0))
+    allocator = _current_allocator(made)
+    if allocator:
+        made.world.pause(allocator, chance.uniform(500.0, 3_000.0))
 
 
 def _cut_allocator(made: capped.Deployment, chance: random.Random) -> None:
-    made.partition({_current_allocator(made)})
+    allocator = _current_allocator(made)
+    if allocator:
+        made.partition({allocator})
 
 
 def _stop_allocator(made: capped.Deployment, chance: random.Random) -> None:
@@ -485,11 +548,18 @@
 }
 
 
-def check_random_troubles(seed: int, steps: list[str], *, rate: float) -> None:
-    """Inject faults and floods at random times; check the cap in each window."""
+def check_random_troubles(
+    seed: int, steps: list[str], *, rate: float, flood: bool = False
+) -> None:
+    """Inject faults and floods at random times; check the cap in each window.
+
+    :param flood: send five times the cap throughout.
+    """
     chance = random.Random(seed)
     cap = _workspace(rate)
     made = capped.Deployment(cap, nodes=6, seed=seed)
+    if flood:
+        _flood(made, cap, 1.5 * len(steps))
     for name in steps:
         STEPS[name](made, chance)
         made.world.run(chance.uniform(100.0, 1_500.0))
@@ -509,6 +579,27 @@
     check_random_troubles(seed, steps, rate=rate)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_the_cap_holds_in_a_flood_under_random_troubles(seed: int) -> None:
+    """Guards against usage that is lost by several faults in a flood."""
+    chance = random.Random(seed)
+    steps = chance.choices(sorted(STEPS), k=8)
+    check_random_troubles(seed, steps, rate=chance.choice([30.0, 150.0]), flood=True)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_cap_holds_under_a_loss_of_memory_at_random_times(seed: int) -> None:
+    """Guards against a loss at moments that the table of cases does not have."""
+    chance = random.Random(seed)
+    check_loss_of_memory(
+        seed,
+        chance.choice([8.0, 30.0, 250.0]),
+        lost_share=chance.choice([1.0, 0.55]),
+        down_ms=chance.uniform(300.0, 1_500.0),
+        flooded_ms=chance.uniform(300.0, 2_500.0),
+    )
+
+
 @pytest.mark.parametrize(
     ("seed", "rate", "steps"),
     [
