--- a/tests/cover/test_caps.py
+++ b/tests/cover/test_caps.py
@@ -24,6 +24,7 @@
     messages,
     reducer,
     state as states,
+    tolerance,
 )
 from gingerturn_fakes import capped, links
 from tests.common import builders, keyed, routed
@@ -107,6 +108,50 @@
     assert waits[-1] <= cap_buckets.MAX_RETRY_DELAY_MS * 1.25
 
 
+def test_retry_delays_follow_the_rate_of_single_tokens() -> None:
+    """Guards against callers of nodes without a lease that all retry after the same
+    half second, though each node gets a token in some seconds."""
+    made = capped.Deployment(_workspace(10.0, burst=0.0), nodes=20)
+    made.load("shop", made.names, rate=35.0, duration_ms=8_000.0)
+    made.world.run(4_000.0)
+    made.retry_delays_ms.clear()
+    made.world.run(4_000.0)
+    waits = made.retry_delays_ms
+    assert len(waits) > 60
+    # Retries of these 4 s arrive within 10 s, so at most this many in any second.
+    for second in range(12):
+        arriving = [w for w in waits if second <= w / 1_000.0 < second + 1]
+        assert len(arriving) <= 0.4 * len(waits)
+
+
+def test_refusals_without_a_report_of_the_allocator_are_counted() -> None:
+    """They may be of a workspace that is below its cap."""
+    made = capped.Deployment(_workspace(20.0, burst=0.0), nodes=3)
+    node = made.world.nodes[made.names[0]]
+    made.load("shop", made.names, rate=200.0, duration_ms=1_000.0)
+    made.world.run(1_500.0)
+    usage = node.state.caps.usage["shop"]
+    assert usage.refused > 0
+    assert usage.refused_unanswered == 0
+    made.partition({node.name})
+    made.load("shop", [node.name], rate=40.0, duration_ms=1_000.0)
+    made.world.run(1_500.0)
+    assert usage.refused_unanswered > 0
+
+
+@pytest.mark.parametrize("nodes", [1, 20])
+def test_a_cap_without_burst_admits_single_requests(nodes: int) -> None:
+    """Guards against a bucket that never holds a whole token."""
+    made = capped.Deployment(_workspace(2.0, burst=0.0), nodes=nodes)
+    strict = tolerance.Tolerance(window_ms=WINDOW_MS, over=0.0, slack=0.0)
+    for node in made.world.nodes.values():
+        node.state.cap_tolerance = strict
+    for _ in range(10):
+        made.send("shop", made.random.choice(made.names))
+        made.world.run(1_000.0)
+    assert _served(made) >= 0.9
+
+
 def test_a_workspace_without_a_cap_is_never_held() -> None:
     state = keyed.node_state(keyed.workspace("shop"), keyed.workspace("b", rate=1.0))
     for call in range(50):
@@ -188,6 +233,49 @@
     _check_bound(made, cap)
 
 
+def check_loss_of_memory(
+    seed: int, rate: float, *, lost_share: float, down_ms: float, flooded_ms: float
+) -> None:
+    """Kill nodes at one moment at the peak of a flood, restart them, check the cap.
+
+    The workspace is idle before, so that what its cap stores is used right before the
+    loss, and the flood lasts until a window after it.
+
+    :param lost_share: share of the nodes that are killed.
+    :param flooded_ms: time between the start of the flood and the kill.
+    """
+    chance = random.Random(seed)
+    cap = _workspace(rate)
+    made = capped.Deployment(cap, nodes=9, seed=seed)
+    made.world.run(4_000.0)
+    _flood(made, cap, 8.0)
+    made.world.run(flooded_ms)
+    killed = chance.sample(made.names, round(lost_share * len(made.names)))
+    for name in killed:
+        made.world.kill(name)
+    made.world.run(down_ms)
+    for name in killed:
+        made.world.restart(name)
+    made.world.run(6_500.0)
+    _check_bound(made, cap)
+
+
+@pytest.mark.parametrize("rate", [60.0, 250.0])
+@pytest.mark.parametrize("flooded_ms", [400.0, 1_200.0])
+@pytest.mark.parametrize(
+    ("lost_share", "down_ms"),
+    [(1.0, 500.0), (1.0, 1_000.0), (1.0, 1_500.0), (0.55, 800.0)],
+)
+def test_the_cap_holds_where_nodes_lose_their_memory_at_the_peak_of_a_flood(
+    lost_share: float, down_ms: float, flooded_ms: float, rate: float
+) -> None:
+    """Guards against a cap that is used within a second and granted anew after all
+    records of it are lost."""
+    check_loss_of_memory(
+        1, rate, lost_share=lost_share, down_ms=down_ms, flooded_ms=flooded_ms
+    )
+
+
 def test_a_lower_cap_binds_a_window_after_it_is_in_force() -> None:
     made = capped.Deployment(_workspace(100.0), nodes=9)
     made.load("shop", made.names, rate=150.0, duration_ms=15_000.0)
@@ -204,6 +292,20 @@
     _check_bound(made, lower)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_lower_cap_binds_as_soon_as_it_is_in_force(seed: int) -> None:
+    """Guards against leases under the former cap that are used for another second."""
+    made = capped.Deployment(_workspace(100.0), nodes=9, seed=seed)
+    made.load("shop", made.names, rate=150.0, duration_ms=12_000.0)
+    made.world.run(5_000.0)
+    lower = _workspace(10.0)
+    made.put_in_force(lower)
+    in_force = made.world.now
+    made.world.run(7_000.0)
+    made.admitted["shop"] = [at for at in made.admitted["shop"] if at >= in_force]
+    _check_bound(made, lower)
+
+
 def check_cap_with_several_allocators() -> None:
     """Check that each node delegates its share to one allocator at a time."""
 
@@ -356,7 +458,54 @@
     name = chance.choice(made.names)
     if made.world.nodes[name].alive:
         made.world.kill(name)
-        made.world.at(600.0, lambda: made.world.restart(name))
+        made.world.at(600.0, lambda: _restart_dead(made, name))
+
+
+def _restart_dead(made: capped.Deployment, name: str) -> None:
+    if not made.world.nodes[name].alive:
+        made.world.restart(name)
+
+
+def _kill(made: capped.Deployment, chance: random.Random, share: float) -> None:
+    """Kill nodes at one moment, and restart all of them at one moment."""
+    alive = [name for name, node in made.world.nodes.items() if node.alive]
+    killed = chance.sample(alive, round(share * len(alive)))
+    for name in killed:
+        made.world.kill(name)
+
+    def restart() -> None:
+        for name in killed:
+            if not made.world.nodes[name].alive:
+                made.world.restart(name)
+
+    made.world.at(chance.uniform(300.0, 1_500.0), restart)
+
+
+def _kill_all(made: capped.Deployment, chance: random.Random) -> None:
+    _kill(made, chance, 1.0)
+
+
+def _kill_most(made: capped.Deployment, chance: random.Random) -> None:
+    _kill(made, chance, 0.55)
+
+
+def _change_limit(made: capped.Deployment, chance: random.Random) -> None:
+    """Lower the cap, or restore it if it is lowered."""
+    made.lowered = not made.lowered
+    rate = made.initial.rate * (0.4 if made.lowered else 1.0)
+    made.put_in_force(_workspace(rate))
+
+
+def _pause_allocator(made: capped.Deployment, chance: random.Random) -> None:
+    allocator = _current_allocator(made)
+    if allocator:
+        made.world.pause(allocator, chance.uniform(500.0, 3_000.0))
+
+
+def _cut_allocator(made: capped.Deployment, chance: random.Random) -> None:
+    allocator = _current_allocator(made)
+    if allocator:
+        made.partition({allocator})
 
 
 def _stop_allocator(made: capped.Deployment, chance: random.Random) -> None:
@@ -367,7 +516,7 @@
     if allocators and allocators[0].alive:
         made.world.apply(name, events.StopRequested(now=made.world.now))
         made.world.at(3_200.0, lambda: made.world.kill(name))
-        made.world.at(4_000.0, lambda: made.world.restart(name))
+        made.world.at(4_000.0, lambda: _restart_dead(made, name))
 
 
 def _stall(made: capped.Deployment, chance: random.Random) -> None:
@@ -387,6 +536,11 @@
     "part": _partition,
     "merge": _merge,
     "restart": _restart,
+    "kill all": _kill_all,
+    "kill most": _kill_most,
+    "change the limit": _change_limit,
+    "pause the allocator": _pause_allocator,
+    "cut the allocator": _cut_allocator,
     "stall": _stall,
     "stop the allocator": _stop_allocator,
     "move": _move,
@@ -394,11 +548,18 @@
 }
 
 
-def check_random_troubles(seed: int, steps: list[str], *, rate: float) -> None:
-    """Inject faults and floods at random times; check the cap in each window."""
+def check_random_troubles(
+    seed: int, steps: list[str], *, rate: float, flood: bool = False
+) -> None:
+    """Inject faults and floods at random times; check the cap in each window.
+
+    :param flood: send five times the cap throughout.
+    """
     chance = random.Random(seed)
     cap = _workspace(rate)
     made = capped.Deployment(cap, nodes=6, seed=seed)
+    if flood:
+        _flood(made, cap, 1.5 * len(steps))
     for name in steps:
         STEPS[name](made, chance)
         made.world.run(chance.uniform(100.0, 1_500.0))
@@ -418,6 +579,27 @@
     check_random_troubles(seed, steps, rate=rate)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_the_cap_holds_in_a_flood_under_random_troubles(seed: int) -> None:
+    """Guards against usage that is lost by several faults in a flood."""
+    chance = random.Random(seed)
+    steps = chance.choices(sorted(STEPS), k=8)
+    check_random_troubles(seed, steps, rate=chance.choice([30.0, 150.0]), flood=True)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_cap_holds_under_a_loss_of_memory_at_random_times(seed: int) -> None:
+    """Guards against a loss at moments that the table of cases does not have."""
+    chance = random.Random(seed)
+    check_loss_of_memory(
+        seed,
+        chance.choice([8.0, 30.0, 250.0]),
+        lost_share=chance.choice([1.0, 0.55]),
+        down_ms=chance.uniform(300.0, 1_500.0),
+        flooded_ms=chance.uniform(300.0, 2_500.0),
+    )
+
+
 @pytest.mark.parametrize(
     ("seed", "rate", "steps"),
     [
@@ -470,15 +652,19 @@
 
 def test_refunds_are_taken_from_the_slices_that_were_charged() -> None:
     state = keyed.node_state(_workspace(10.0))
+    cap = _workspace(10.0)
     window = states.CapWindow()
     cap_window.charge(state, window, 5.0)
+    charged_at = cap_window.current_slice(state)
     state.now += 1_000.0
     cap_window.refund(state, window, 3.0)
-    assert cap_window.used(window) == 2.0
+    assert window.slices == {charged_at: 2.0}
     state.now += WINDOW_MS
-    state.cap_allocator.delegated_share = 1.0
-    whole = cap_window.allowed(state, _workspace(10.0))
-    assert cap_window.remaining(state, window, _workspace(10.0)) == whole
+    now = cap_window.current_slice(state)
+    shares = dict.fromkeys(range(now - cap_window.SLICES, now + 1), 1.0)
+    state.cap_allocator.delegated_shares = shares
+    room = cap_window.room(state, window, cap, cap_allocator.TERM_MS)
+    assert room.tokens() == cap_window.limits(state, cap).depth
 
 
 def test_without_caps_no_leases_are_requested() -> None:
