Model: workspaces of uneven size, one of them noisy

A site may have workspaces: the k-th of 72 sends in proportion to 1 / k ** 1.2, each with its API key in the route table and optionally a cap.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -45,12 +45,40 @@
     contention_factor: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Workspaces:
+    """Workspaces of uneven size; the k-th sends in proportion to 1 / k ** exponent.
+
+    :param cap_ratio: cap of each as a multiple of its usual requests a second; 0 for no
+        caps.
+    :param impatient_share: share of the requests whose caller repeats them three times
+        at once after refusals.
+    """
+
+    count: int = 72
+    exponent: float = 1.2
+    cap_ratio: float = 0.0
+    impatient_share: float = 0.0
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names, the largest workspace first."""
+        return tuple(f"w{number}" for number in range(1, self.count + 1))
+
+    @property
+    def shares(self) -> tuple[float, ...]:
+        """Usual share of each workspace in the requests."""
+        sizes = [float(k) ** -self.exponent for k in range(1, self.count + 1)]
+        return tuple(size / sum(sizes) for size in sizes)
+
+
 @dataclasses.dataclass(frozen=True)
 class Site:
     """A deployment.
 
     :param bottleneck: the service at the end of every call tree.
     :param retry_slack: repeats allowed in a window in addition to the retry ratio.
+    :param workspaces: ``None`` if requests carry no API keys.
     """
 
     name: str
@@ -60,6 +88,7 @@
     kinds: tuple[Kind, ...]
     bottleneck: str
     retry_slack: float = 49.0
+    workspaces: Workspaces | None = None
 
 
 BROLGA = Site(
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -27,6 +27,9 @@
 MEASURED_FROM_MS = 2_000.0
 """Start of the measurement, after the warm-up."""
 
+IMPATIENT_RETRIES = 3
+"""Retries of a caller that does not wait."""
+
 RETRY_WAIT_SHARE = 1.0 / 3
 """Longest wait of a caller before a retry, as a share of its remaining time."""
 
@@ -51,6 +54,24 @@
             )
             for kind in site.kinds
         ),
+        workspaces=_workspaces(site),
+    )
+
+
+def _workspaces(site: deployments.Site) -> tuple[routes.Workspace, ...] | None:
+    """Return the workspaces of a site, each with its name as its API key."""
+    found = site.workspaces
+    if found is None:
+        return None
+    requests = sum(kind.rate_per_s for kind in site.kinds)
+    return tuple(
+        routes.workspace(
+            name,
+            [name],
+            rate=found.cap_ratio * share * requests,
+            burst=found.cap_ratio * share * requests,
+        )
+        for name, share in zip(found.names, found.shares, strict=True)
     )
 
 
@@ -135,6 +156,10 @@
         self._random = random.Random(seed)
         self._tallies = {k.name: Tally() for k in site.kinds if k.rate_per_s}
         self._numbers = 0
+        # Draws of workspaces, apart from those of arrivals, so that runs with and
+        # without noise on one seed have the same other arrivals.
+        self._workspace_random = random.Random(seed + 1)
+        self.roots: list[parts.Root] = []
         self._runs: collections.Counter[int] = collections.Counter()
         self._sent: collections.Counter[int] = collections.Counter()
         self._root_hashes: dict[int, list[int]] = {}
@@ -180,11 +205,58 @@
         delay = self._random.expovariate(kind.rate_per_s * self.demand) * 1000.0
         self.world.at(delay, lambda: self._offer(kind))
 
+    def add_noise(self, workspace: str, factor: float, *, until_ms: float) -> None:
+        """Let a workspace send a multiple of its usual load from now on.
+
+        :param until_ms: end, in ms from the start of the run.
+        """
+        mix = self.site.workspaces
+        assert mix is not None
+        share = mix.shares[mix.names.index(workspace)] * (factor - 1.0)
+        end = world.START + until_ms
+        for kind in self.site.kinds:
+            if kind.rate_per_s:
+                self._schedule_noise(kind, workspace, share, end)
+
+    def _schedule_noise(
+        self, kind: deployments.Kind, workspace: str, share: float, end: float
+    ) -> None:
+        rate = kind.rate_per_s * self.demand * share
+        delay = self._workspace_random.expovariate(rate) * 1000.0
+        if self.world.now + delay >= end:
+            return
+
+        def offer() -> None:
+            self._schedule_noise(kind, workspace, share, end)
+            self._offer_one(kind, workspace)
+
+        self.world.at(delay, offer)
+
+    def _drawn_workspace(self) -> str:
+        mix = self.site.workspaces
+        if mix is None:
+            return ""
+        return self._workspace_random.choices(mix.names, mix.shares)[0]
+
+    def _assign_workspace(self, root: parts.Root, workspace: str) -> None:
+        mix = self.site.workspaces
+        if mix is None:
+            return
+        root.workspace = workspace
+        root.key_digest = routes.key_digest(workspace.encode())
+        if self._workspace_random.random() < mix.impatient_share:
+            root.retries_at_once = IMPATIENT_RETRIES
+        self.roots.append(root)
+
     def _offer(self, kind: deployments.Kind) -> None:
         self._schedule(kind)
+        self._offer_one(kind, self._drawn_workspace())
+
+    def _offer_one(self, kind: deployments.Kind, workspace: str) -> None:
         self._numbers += 1
         spec = parts.KindSpec(kind.name, HOST, "GET", kind.path)
         root = parts.Root(id=self._numbers, kind=spec, sent=self.world.now, key="")
+        self._assign_workspace(root, workspace)
         if self._is_measured(root):
             self._tallies[kind.name].sent += 1
             self._offered_worth += kind.worth
@@ -222,6 +294,11 @@
             self._record_served(root, kind)
             return
         promised = root.answer == "not-run"
+        if root.tries <= root.retries_at_once and (
+            promised or (kind.safe and root.answer != "gone")
+        ):
+            self._send(root)
+            return
         if root.tries > 1 or root.answer == "gone" or not (promised or kind.safe):
             self._root_hashes.pop(root.id, None)
             if root.tries > 1 and self._is_measured(root):
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -100,7 +100,12 @@
 
 @dataclasses.dataclass
 class Root:
-    """A root request as its caller sees it."""
+    """A root request as its caller sees it.
+
+    :param workspace: workspace that it belongs to, if any.
+    :param key_digest: digest of its API key; empty if it has none.
+    :param retries_at_once: times that its caller sends it again without waiting.
+    """
 
     id: int
     kind: KindSpec
@@ -111,6 +116,9 @@
     answer: str = ""
     answered: float = 0.0
     retry_after: float = 0.0
+    workspace: str = ""
+    key_digest: str = ""
+    retries_at_once: int = 0
 
 
 @dataclasses.dataclass
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -240,6 +240,7 @@
             root.key,
             sending=root.tries,
             holder=root.holder,
+            key_digest=root.key_digest,
         )
         accepted = node.state.calls.get(ids.CallId(call))
         self.on_arrival(root, None if accepted is None else accepted.root)
