--- a/src/gingerturn/internal/core/workspace_shares.py
+++ b/src/gingerturn/internal/core/workspace_shares.py
@@ -119,11 +119,6 @@
     return shares
 
 
-def is_active(state: states.State) -> bool:
-    """Whether requests belong to workspaces."""
-    return state.routes is not None and state.routes.needs_keys
-
-
 def record_slot_time(
     state: states.State, workspace: ids.WorkspaceName, kind: str
 ) -> None:
@@ -150,6 +145,9 @@
     shares = state.workspace_shares
     if not shares.uses:
         return
+    if not _has_workspaces(state):
+        state.workspace_shares = states.WorkspaceShares()
+        return
     sheds = state.backend.level > ranks.LOWEST
     total_ms = sum(use.recent_ms for use in shares.uses.values())
     if sheds and total_ms > 0.0:
@@ -161,6 +159,10 @@
     shares.reported = _largest(shares) if sheds else ()
 
 
+def _has_workspaces(state: states.State) -> bool:
+    return state.routes is not None and state.routes.needs_keys
+
+
 def _raise_factors(state: states.State, total_ms: float) -> None:
     """Raise the factors of workspaces above their fair share, and lower the others."""
     uses = state.workspace_shares.uses
--- a/tests/cover/test_workspace_shares.py
+++ b/tests/cover/test_workspace_shares.py
@@ -16,6 +16,7 @@
     arrivals,
     decisions,
     effects,
+    events,
     level_control,
     messages,
     ranks,
@@ -168,6 +169,17 @@
     assert "loud" in uses
 
 
+def test_the_counts_end_with_the_workspaces_of_the_route_table() -> None:
+    state = _home()
+    _windows(state, 60, level=0, large=20, loud=2, **QUIET)
+    _windows(state, 20, large=20, loud=20, **QUIET)
+    assert state.workspace_shares.reported
+    table = msgspec.structs.replace(keyed.table(version=2), workspaces=None)
+    reducer.reduce(state, events.RoutesReceived(now=state.now, table=table))
+    workspace_shares.control(state)
+    assert state.workspace_shares == states.WorkspaceShares()
+
+
 def test_dispatched_calls_are_counted_for_their_workspace() -> None:
     state = _home()
     terms = builders.call_metadata(service=BOTTLENECK, kind="lookup")
