Variants: the constant retry delay takes the level too

The variant no-come-back-time replaces retry_delay.for_call, which has a third argument since the level is passed; test_a_variant_runs_through_an_overload failed for it.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -189,7 +189,11 @@
 
 def no_come_back_time() -> None:
     """Refusals have a constant retry delay."""
-    _set(retry_delay, "for_call", lambda state, call: retry_delay.DEFAULT_DELAY_MS)
+    _set(
+        retry_delay,
+        "for_call",
+        lambda state, call, level=None: retry_delay.DEFAULT_DELAY_MS,
+    )
 
 
 def no_slow_penalty() -> None:
