Room of a cap: less work for each lease

Cause: under a profile the levels of a cap took 45 of 100 parts of the time of a lease (12,092 leases).

Change: old slices are dropped once a slice, the limits are computed once, and nothing is recomputed for slices with an unchanged share.

--- a/src/gingerturn/internal/core/cap_allocator.py
+++ b/src/gingerturn/internal/core/cap_allocator.py
@@ -130,7 +130,7 @@
     room = cap_window.room(state, window, cap, TERM_MS)
     rate = demand.rate_milli / 1_000.0
     total_demand = rate + sum(grant.demand for grant in by_node.values())
-    rate_milli = int(1_000.0 * _fair_rate(state, cap, rate, total_demand, room))
+    rate_milli = int(1_000.0 * _fair_rate(rate, total_demand, room))
     depth = cap_buckets.depth_of(rate_milli)
     granted_depth = sum(grant.depth for grant in by_node.values())
     if depth + granted_depth > TOTAL_DEPTH_SHARE * state.cap_tolerance.allowed_excess(
@@ -165,19 +165,12 @@
         )
 
 
-def _fair_rate(
-    state: states.State,
-    cap: routes.Workspace,
-    demand: float,
-    total_demand: float,
-    room: cap_window.Room,
-) -> float:
+def _fair_rate(demand: float, total_demand: float, room: cap_window.Room) -> float:
     """Return the rate for a node, in proportion to its part of the total demand."""
     if demand < MIN_LEASED_DEMAND:
         return 0.0
-    share = min(1.0, current_share(state))
-    max_rate = LEASED_SHARE * share * cap_window.limits(state, cap).rate
-    return min(HEADROOM * demand, max_rate * demand / total_demand, room.rate())
+    fair_rate = LEASED_SHARE * room.max_rate * demand / total_demand
+    return min(HEADROOM * demand, fair_rate, room.rate())
 
 
 def _prune(by_node: dict[ids.NodeId, states.CapGrant], now: ids.Milliseconds) -> None:
--- a/src/gingerturn/internal/core/cap_window.py
+++ b/src/gingerturn/internal/core/cap_window.py
@@ -74,10 +74,12 @@
 class Room(typing.NamedTuple):
     """What an allocator may still grant.
 
+    :param max_rate: rate that all nodes together sustain, per second.
     :param levels: requests that may be granted until each of some times in the future,
         which are in ms from now.
     """
 
+    max_rate: float
     levels: list[tuple[ids.Milliseconds, float]]
 
     def tokens(self, leased_milli: int = 0) -> float:
@@ -100,9 +102,12 @@
 ) -> Room:
     """Return what this node may grant in a term from now on."""
     now = current_slice(state)
-    for charged in (window.slices, window.leased):
-        for number in [n for n in charged if n < now - SLICES]:
-            del charged[number]
+    oldest = now - SLICES
+    if window.pruned_at != now:
+        window.pruned_at = now
+        for charged in (window.slices, window.leased):
+            for number in [n for n in charged if n < oldest]:
+                del charged[number]
     _scale(window, allowed(state, cap))
     rate, depth, debt = limits(state, cap)
     slice_ms = _slice_ms(state)
@@ -111,21 +116,23 @@
     single = window.slices.get
     leased = window.leased.get
     shares = state.cap_allocator.delegated_shares
-    oldest = now - SLICES
     share = shares.get(oldest, 0.0)
     # The oldest slice is in the window in part; all of its usage counts.
     added = (1.0 - elapsed) * fill * share - leased(oldest, 0.0)
     level = min(depth * share, added) - single(oldest, 0.0)
+    top, gain = depth * share, fill * share
     for number in range(oldest + 1, now):
-        previous, share = share, shares.get(number, 0.0)
-        if share > previous:
-            level -= debt * (share - previous)
+        if (later := shares.get(number, 0.0)) != share:
+            level -= debt * max(0.0, later - share)
+            share, top, gain = later, depth * later, fill * later
         # Leases are used while the slice fills.
-        level += fill * share - leased(number, 0.0)
-        level = min(depth * share, level) - single(number, 0.0)
-    previous, share = share, shares.get(now, 0.0)
-    if share > previous:
-        level -= debt * (share - previous)
+        level += gain - leased(number, 0.0)
+        if level > top:
+            level = top
+        level -= single(number, 0.0)
+    later = shares.get(now, 0.0)
+    level -= debt * max(0.0, later - share)
+    share = later
     added = fill * share - leased(now, 0.0)
     level += min(added, elapsed * added)
     level = min(depth * share, level) - single(now, 0.0)
@@ -138,7 +145,7 @@
         level += fill * share - leased(now, 0.0)
         until += slice_ms
         levels.append((until, level))
-    return Room(levels)
+    return Room(rate * share, levels)
 
 
 def _scale(window: states.CapWindow, total: float) -> None:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -553,11 +553,13 @@
     :param total: what the cap allowed in a window at the last update.
     :param slices: single tokens granted.
     :param leased: tokens that accrue by leases, some of them in the future.
+    :param pruned_at: slice in which older ones were last dropped.
     """
 
     total: float = 0.0
     slices: dict[int, float] = {}
     leased: dict[int, float] = {}
+    pruned_at: int = 0
 
 
 class CapAllocator(msgspec.Struct):
