--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -27,6 +27,9 @@
 MEASURED_FROM_MS = 2_000.0
 """Start of the measurement, after the warm-up."""
 
+CAP_BURST = 10.0
+"""Least burst of a workspace with a cap, so that small ones may send two at once."""
+
 IMPATIENT_RETRIES = 3
 """Retries of a caller that does not wait."""
 
@@ -69,7 +72,7 @@
             name,
             [name],
             rate=found.cap_ratio * share * requests,
-            burst=found.cap_ratio * share * requests,
+            burst=max(CAP_BURST, found.cap_ratio * share * requests),
         )
         for name, share in zip(found.names, found.shares, strict=True)
     )
