Test: the command tells who was shed for whose share

Guards against a metric of share factors or of shed requests that the command does not read. tests/cover/test_workspace_shares.py -k command: 1 passed.

--- a/tests/cover/test_workspace_shares.py
+++ b/tests/cover/test_workspace_shares.py
@@ -4,12 +4,16 @@
 requests of all others of its class shed with its own.
 """
 
+import pathlib
+
 import hypothesis
 import msgspec
 import pytest
+from click import testing
 from hypothesis import strategies as st
 
 from benchmarks import sites, workspace_shares as bench
+from gingerturn.cli import main
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
@@ -25,6 +29,7 @@
     state as states,
     workspace_shares,
 )
+from gingerturn.internal.shell import node as nodes, probes
 from tests.common import builders, keyed, routed
 
 BOTTLENECK = ids.ServiceName("reports")
@@ -357,6 +362,21 @@
     assert usage["shop"].shed_for_share == 0
 
 
+def test_the_command_tells_who_was_shed_for_whose_share(
+    tmp_path: pathlib.Path,
+) -> None:
+    node = nodes.Node(builders.settings())
+    node.state = _home("shop")
+    node.state.caps.usage["loud"] = states.WorkspaceUsage(9, 0, 5)
+    node.state.workspace_shares.reported = ((ids.WorkspaceName("loud"), 2_500),)
+    page = tmp_path / "page"
+    page.write_bytes(probes.metrics(node))
+    args = ["workspaces", "--metrics", str(page), "--metrics", str(page)]
+    lines = testing.CliRunner().invoke(main.cli, args).output.splitlines()
+    assert lines[0].endswith("shed for share  factor")
+    assert lines[1].split() == ["loud", "18", "0", "-", "10", "2.5"]
+
+
 # The overload, and failures during it.
 
 NOISY = "w9"
