Load and pace in answers of backend servers are read and recorded

Change: core.pace parses it strictly; it travels with BackendAnswered, and load reports have two more fields for the pace. Invalid reports are counted and logged at most once a second. No decision uses any of it yet.

Encoding: a load report has 2 bytes more, an answer of a backend server 1. The recordings' test pins the new form and reads the former one.

--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -24,6 +24,8 @@
     :param rate_limit: from backend servers: requests a second that they accept from all
         nodes together.
     :param leaving: from backend servers: ``1`` if they take no new requests.
+    :param load: from backend servers: requests running and waiting there, slots and
+        sometimes the pace, separated by commas.
     :param decision: to callers: id of the decision, for ``gingerturn why``.
     :param trace: forward a W3C ``traceparent``, which links calls to their parents.
     :param lineage: separator between the id of a request and the suffix that a
@@ -42,6 +44,7 @@
     not_executed: bytes = b""
     rate_limit: bytes = b"gingerturn-rate-limit"
     leaving: bytes = b"gingerturn-leaving"
+    load: bytes = b"gingerturn-load"
     decision: bytes = b"gingerturn-decision"
     trace: bool = True
     lineage: bytes = b""
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -170,12 +170,14 @@
     :param whole: the answer is complete; otherwise its body is being streamed and
         :class:`BackendFinished` will follow.
     :param executed: ``False`` when it states that it did not run the request.
+    :param load: the load that its answer reports, if it does.
     """
 
     hosted: ids.HostedId
     status: int
     whole: bool = True
     executed: bool = True
+    load: messages.BackendLoad | None = None
 
 
 class BackendReported(Event, frozen=True):
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -42,6 +42,22 @@
     started_ms: int = 0
 
 
+class BackendLoad(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a backend server reported of its load in an answer.
+
+    :param running: requests that it runs.
+    :param waiting: requests in its own queue.
+    :param slots: requests that it runs at once.
+    :param pace: time that work takes there at present in percent of the usual time; 0
+        if not reported.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: int = 0
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load report that every answer of a home node carries.
 
@@ -56,6 +72,9 @@
     :param bottleneck_level: rank below which that service sheds, as far as known.
     :param bottleneck_age_ms: age of that report of its upstreams.
     :param status: what the backend server reported, unless it is the default.
+    :param pace: latest pace that the backend server reported; 0 if it reports none.
+    :param pace_age_ms: time since then. It is an integer, which takes one byte where
+        there is no pace.
     """
 
     level: ids.Rank
@@ -68,6 +87,8 @@
     bottleneck_level: ids.Rank = ids.Rank(0)
     bottleneck_age_ms: float = 0.0
     status: BackendStatus | None = None
+    pace: int = 0
+    pace_age_ms: int = 0
 
 
 class CallMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -28,6 +28,9 @@
         :param leaving: it takes no new requests.
         """
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        """Handle the load that the head of the answer reports."""
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Handle the head of the answer.
 
@@ -249,6 +252,9 @@
                 self._pool.read_rate_limit(self._headers, values),
                 leaving=values.get(self._pool.dialect.leaving) == LEAVING,
             )
+            load = self._pool.read_load(self._headers, values)
+            if load is not None:
+                self._receiver.on_load(load)
         self._receiver.on_head(
             status, head, 0 if bodiless else length, executed=executed
         )
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -11,7 +11,7 @@
 
 from gingerturn import dialect as dialects
 from gingerturn.internal import ids, logs
-from gingerturn.internal.core import rate_limits
+from gingerturn.internal.core import messages, pace, rate_limits
 from gingerturn.internal.shell import backend_http, clock, heads
 
 MAX_IDLE_TIMEOUT_MS = 3_000.0
@@ -38,6 +38,10 @@
 MAX_DOUBLINGS = 16.0
 """Enough to exceed the upper limit of the idle timeout from its lower limit."""
 
+INVALID_LOAD_INTERVAL_MS = 1_000.0
+"""Minimum time between two log lines about invalid reports of the load, which may come
+with every answer and change with each."""
+
 CONNECT_TIMEOUT_S = 1.0
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -57,6 +61,9 @@
         self._observed_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_at = clock.now()
         self._invalid_limit = b""
+        self._invalid_load_logged_at = -math.inf
+        self.load_reports = 0
+        self.invalid_load_reports = 0
 
     def set_address(self, host: str, port: int) -> None:
         """Set the address; close idle connections to another one."""
@@ -133,6 +140,31 @@
                 logs.warn_skipped("Header", name, str(error))
             return rate_limits.NO_LIMIT
 
+    def read_load(
+        self, headers: list[heads.Header], values: dict[bytes, bytes]
+    ) -> messages.BackendLoad | None:
+        """Return the load in the head of an answer; ``None`` without a valid one.
+
+        Several headers count as one value with all of their figures.
+
+        :param values: the headers by name.
+        """
+        name = self.dialect.load
+        if name not in values:
+            return None
+        found = b",".join(value for other, value in headers if other == name)
+        try:
+            load = pace.parse(found)
+        except ValueError as error:
+            self.invalid_load_reports += 1
+            now = clock.now()
+            if now - self._invalid_load_logged_at >= INVALID_LOAD_INTERVAL_MS:
+                self._invalid_load_logged_at = now
+                logs.warn_skipped("Header", name, str(error))
+            return None
+        self.load_reports += 1
+        return load
+
     async def connect(
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> backend_http.Connection:
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import backend_reports, effects, events
+from gingerturn.internal.core import backend_reports, effects, events, messages
 from gingerturn.internal.shell import backend_http, clock
 from gingerturn.internal.wire import frames
 
@@ -64,6 +64,7 @@
         self._upload: list[frames.Chunk] = []
         self._status = 0
         self._executed = True
+        self._load: messages.BackendLoad | None = None
         self._head = b""
         self._length = -1
         self._body = bytearray()
@@ -182,6 +183,10 @@
             )
         )
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        """Keep the reported load for the event of the answer."""
+        self._load = load
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Handle the head of the answer."""
         self._status = status
@@ -216,6 +221,7 @@
                 hosted=self._hosted,
                 status=self._status,
                 executed=self._executed,
+                load=self._load,
             )
         self._node.apply(event)
         self._node.home.drop_exchange(self._hosted)
@@ -313,7 +319,11 @@
         self._streaming = True
         self._node.apply(
             events.BackendAnswered(
-                now=clock.now(), hosted=self._hosted, status=self._status, whole=False
+                now=clock.now(),
+                hosted=self._hosted,
+                status=self._status,
+                whole=False,
+                load=self._load,
             )
         )
 
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -1,6 +1,7 @@
 """Answers of a backend server: completeness, and the request that they belong to."""
 
 from gingerturn import dialect
+from gingerturn.internal.core import messages
 from gingerturn.internal.shell import backend_http, backend_pool
 from tests.common import transports
 
@@ -19,6 +20,7 @@
         self.status = 0
         self.executed = True
         self.report: tuple[float, bool] | None = None
+        self.load: messages.BackendLoad | None = None
         self.body = b""
         self.ends = 0
         self.failures = 0
@@ -27,6 +29,9 @@
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         self.report = (rate_limit, leaving)
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        self.load = load
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         self.status = status
         self.executed = executed
@@ -162,3 +167,19 @@
     answer = _answer(b"r1", extra=b"Gingerturn-Rate-Limit: 2.5\r\n")
     exchange.receive(answer.replace(b"200 OK", b"421 Misdirected Request"))
     assert exchange.report is None
+
+
+def test_the_head_of_an_answer_reports_the_load() -> None:
+    exchange = Exchange()
+    exchange.receive(_answer(b"r1", extra=b"Gingerturn-Load: 3,0,8,250\r\n")[:-2])
+    assert exchange.load == messages.BackendLoad(3, 0, 8, 250)
+
+
+def test_an_answer_of_another_request_or_instance_reports_no_load() -> None:
+    extra = b"Gingerturn-Load: 3,0,8,250\r\n"
+    exchange = Exchange()
+    exchange.receive(_answer(b"r0", extra=extra))
+    assert exchange.load is None
+    answer = _answer(b"r1", extra=extra)
+    exchange.receive(answer.replace(b"200 OK", b"421 Misdirected Request"))
+    assert exchange.load is None
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gingerturn import dialect
+from gingerturn.internal.core import messages
 from gingerturn.internal.shell import backend_http, backend_pool, clock
 from tests.common import transports
 
@@ -49,6 +50,9 @@
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         """Ignore the answer."""
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        """Ignore the answer."""
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Ignore the answer."""
 
--- /dev/null
+++ b/tests/cover/test_load_reports.py
@@ -0,0 +1,100 @@
+"""Reports of the load of a backend server: how they are read, counted and logged."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from gingerturn import dialect
+from gingerturn.internal import logs
+from gingerturn.internal.core import messages, pace
+from gingerturn.internal.shell import backend_pool, clock
+
+NAME = b"gingerturn-load"
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", messages.BackendLoad(3, 0, 8)),
+        (b"3, 12 ,8,250", messages.BackendLoad(3, 12, 8, 250)),
+        (b"80,0,8,1", messages.BackendLoad(80, 0, 8, 1)),
+        (b"0,0,1,10000", messages.BackendLoad(0, 0, 1, 10_000)),
+    ],
+)
+def test_three_or_four_whole_numbers_are_a_load(
+    value: bytes, load: messages.BackendLoad
+) -> None:
+    assert pace.parse(value) == load
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"3,0",
+        b"3,0,8,100,1",
+        b"3,0,0",
+        b"3,-1,8",
+        b"81,0,8",
+        b"3,0,8,0",
+        b"3,0,8,10001",
+        b"3,0,8,1.5",
+        b"3,0,8,",
+        b"+3,0,8",
+        b"3,0,8_0",
+        b"3 0 8",
+        b"3,0," + b"0" * 70 + b"8",
+        "3,0,\u0668".encode(),
+        b"3,0,nan",
+    ],
+)
+def test_another_value_is_an_error_that_names_it(value: bytes) -> None:
+    with pytest.raises(ValueError, match="is no load; allowed are") as found:
+        pace.parse(value)
+    assert repr(value[:16].decode("latin-1"))[:-1] in str(found.value)
+
+
+FIGURES = st.lists(st.integers(-3, 11_000), max_size=6).map(
+    lambda figures: ",".join(map(str, figures)).encode()
+)
+
+
+# Guards against a report that stops the node or exceeds its bounds.
+@hypothesis.given(st.one_of(st.binary(max_size=80), FIGURES))
+@hypothesis.settings(max_examples=500)
+def test_any_bytes_are_a_load_within_bounds_or_an_error(value: bytes) -> None:
+    try:
+        load = pace.parse(value)
+    except ValueError:
+        return
+    assert load.slots >= 1
+    assert 0 <= load.running <= pace.MAX_RUNNING_SHARE * load.slots
+    assert load.waiting >= 0
+    assert 0 <= load.pace <= pace.MAX_PACE
+
+
+# Guards against one log line for each answer with another invalid value.
+def test_invalid_loads_are_counted_and_logged_once_a_second(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = 1_000_000.0
+    skipped: list[str] = []
+    monkeypatch.setattr(clock, "now", lambda: now)
+    monkeypatch.setattr(
+        logs, "warn_skipped", lambda what, key, problem: skipped.append(problem)
+    )
+    pool = backend_pool.Pool(dialect.DEFAULT)
+    for number in range(30):
+        value = b"%d,0,0" % number
+        assert pool.read_load([(NAME, value)], {NAME: value}) is None
+        now += 100.0
+    assert pool.invalid_load_reports == 30
+    assert len(skipped) == 3
+    assert pool.read_load([(NAME, b"1,0,2")], {NAME: b"1,0,2"}) is not None
+    assert pool.load_reports == 1
+
+
+def test_of_two_headers_none_is_used() -> None:
+    pool = backend_pool.Pool(dialect.DEFAULT)
+    headers = [(NAME, b"1,0,2"), (NAME, b"1,0,2,250")]
+    assert pool.read_load(headers, dict(headers)) is None
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -9,6 +9,7 @@
 
 from gingerturn import dialect
 from gingerturn.internal import ids
+from gingerturn.internal.core import messages
 from gingerturn.internal.shell import (
     backend_http,
     backend_pool,
@@ -36,6 +37,8 @@
                 b"abc",
                 b"3\r\nabc\r\n0\r\n\r\n",
                 b"HTTP/1.1 200 OK\r\n",
+                b"gingerturn-load: 3,0,8,250\r\n",
+                b"gingerturn-load: 3,0,0\r\n",
                 b"HTTP/1.1 100 Continue\r\n\r\n",
                 b"HTTP/1.1 204 No Content\r\n\r\n",
             ]
@@ -55,6 +58,9 @@
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         assert rate_limit == -1.0 or 0.0 <= rate_limit < math.inf
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        assert load.slots >= 1
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         assert 200 <= status <= 999
 
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -139,16 +139,16 @@
     (
         events.LevelReported(now=1.0, node=N2, kind=KIND, report=REPORT),
         "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
-        "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
-        "0000c0",
+        "7475739c07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "0000c00000",
     ),
     (
         events.AttemptRefused(
             now=1.0, attempt=ids.AttemptId(6), refusal=REFUSAL, tokens=2, report=REPORT
         ),
         "96ae417474656d707452656675736564cb3ff000000000000006970da7756e6b"
-        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029a07090304c3"
-        "a5706c616e73cb40040000000000000bcb403e000000000000c0",
+        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029c07090304c3"
+        "a5706c616e73cb40040000000000000bcb403e000000000000c00000",
     ),
     (
         events.LevelReported(
@@ -158,8 +158,32 @@
             report=msgspec.structs.replace(REPORT, status=STATUS),
         ),
         "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
-        "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
-        "000094a169cb4004000000000000c307",
+        "7475739c07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "000094a169cb4004000000000000c3070000",
+    ),
+    (
+        events.LevelReported(
+            now=1.0,
+            node=N2,
+            kind=KIND,
+            report=msgspec.structs.replace(REPORT, pace=250, pace_age_ms=40),
+        ),
+        "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
+        "7475739c07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "0000c0ccfa28",
+    ),
+    (
+        events.BackendAnswered(now=1.0, hosted=ids.HostedId(8), status=200),
+        "97af4261636b656e64416e737765726564cb3ff000000000000008ccc8c3c3c0",
+    ),
+    (
+        events.BackendAnswered(
+            now=1.0,
+            hosted=ids.HostedId(8),
+            status=200,
+            load=messages.BackendLoad(running=5, waiting=1, slots=9, pace=250),
+        ),
+        "97af4261636b656e64416e737765726564cb3ff000000000000008ccc8c3c394050109ccfa",
     ),
     (
         events.OpenReceived(
@@ -237,6 +261,22 @@
         "7475739907090304c3a5706c616e73cb40040000000000000bcb403e00000000"
         "0000",
     ),
+    (
+        "LevelReported",
+        "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
+        "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
+        "0000c0",
+    ),
+    (
+        "AttemptRefused",
+        "96ae417474656d707452656675736564cb3ff000000000000006970da7756e6b"
+        "6e6f776ecb406f400000000000a46e323a31a46e332f31c3c2029a07090304c3"
+        "a5706c616e73cb40040000000000000bcb403e000000000000c0",
+    ),
+    (
+        "BackendAnswered",
+        "96af4261636b656e64416e737765726564cb3ff000000000000008ccc8c3c3",
+    ),
     (
         "AttemptRefused",
         "96ae417474656d707452656675736564cb3ff000000000000006970da7756e6b"
@@ -252,8 +292,9 @@
         "0115",
     ),
 ]
-"""The same events as recorded before load reports and calls carried a status, and
-membership messages the age of what is known of the log."""
+"""The same events as recorded before load reports and calls carried a status, before
+load reports and answers of backend servers carried a pace, and before membership
+messages carried the age of what is known of the log."""
 
 EFFECTS: list[tuple[effects.AnyEffect, str]] = [
     (
@@ -289,15 +330,15 @@
             store_key="k",
             child_failed=True,
         ),
-        "97aa53656e64416e7377657208029a07090304c3a5706c616e73cb4004000000"
-        "0000000bcb403e000000000000c0a46e323a31a16bc3",
+        "97aa53656e64416e7377657208029c07090304c3a5706c616e73cb4004000000"
+        "0000000bcb403e000000000000c00000a46e323a31a16bc3",
     ),
     (
         effects.SendStoredAnswer(
             hosted=ids.HostedId(8), key="k", tokens=2, report=REPORT, decision="n2:1"
         ),
-        "96ae53656e644b657074416e7377657208a16b029a07090304c3a5706c616e73"
-        "cb40040000000000000bcb403e000000000000c0a46e323a31",
+        "96ae53656e644b657074416e7377657208a16b029c07090304c3a5706c616e73"
+        "cb40040000000000000bcb403e000000000000c00000a46e323a31",
     ),
     (
         effects.StoreAnswer(hosted=ids.HostedId(8), key="k"),
@@ -313,8 +354,8 @@
     ),
     (
         effects.ReportLevel(request=4, report=REPORT),
-        "93a954656c6c4c6576656c049a07090304c3a5706c616e73cb40040000000000"
-        "000bcb403e000000000000c0",
+        "93a954656c6c4c6576656c049c07090304c3a5706c616e73cb40040000000000"
+        "000bcb403e000000000000c00000",
     ),
     (
         effects.ReadLog(
--- a/tooling/gingerturn_fakes/backends.py
+++ b/tooling/gingerturn_fakes/backends.py
@@ -3,7 +3,7 @@
 import typing
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import effects, events
+from gingerturn.internal.core import effects, events, pace
 from gingerturn_fakes import parts
 
 if typing.TYPE_CHECKING:
@@ -63,6 +63,9 @@
         if backend.refuse_when_full:
             _finish(world, node, work, 503, had_slot=False)
             return
+        if len(backend.waiting) >= backend.max_waiting:
+            backend.unanswered += 1
+            return
         backend.waiting.append(work)
         return
     backend.running += 1
@@ -73,6 +76,7 @@
         backend.executions[work.key] += 1
     world.on_execution(node, work)
     mean = backend.spec.service_ms.get(work.kind, 10.0) * backend.slow
+    mean *= backend.pace / pace.USUAL
     if work.path in world.deadly_paths:
         world.at(mean * CRASH_AFTER_SHARE, lambda: _crash_during(world, node, work))
         return
@@ -183,6 +187,7 @@
         hosted=ids.HostedId(work.hosted),
         status=status,
         executed=executed,
+        load=node.backend.load(),
     )
     world.at(LOCAL_MS, lambda: world.apply_to(node, parts.with_time(event, world.now)))
     if had_slot:
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -76,6 +76,11 @@
     :param rate_limit: requests a second that its answers report; negative for none.
     :param reports_leaving: its answers report that it is leaving.
     :param crashes: number of crashes so far.
+    :param pace: time that work takes at present in percent of the usual time.
+    :param load_figures: figures in the load that its answers report: 0 for no report,
+        3 without the pace, 4 with it.
+    :param max_waiting: requests that it queues; it never answers further ones.
+    :param unanswered: requests that it has left unanswered for that.
     """
 
     spec: ServiceSpec
@@ -96,6 +101,21 @@
     )
     executed: int = 0
     crashes: int = 0
+    pace: int = 100
+    load_figures: int = 0
+    max_waiting: float = math.inf
+    unanswered: int = 0
+
+    def load(self) -> messages.BackendLoad | None:
+        """Return the load that an answer reports at present."""
+        if not self.load_figures:
+            return None
+        return messages.BackendLoad(
+            running=self.running,
+            waiting=len(self.waiting),
+            slots=self.spec.slots,
+            pace=self.pace if self.load_figures == 4 else 0,
+        )
 
 
 @dataclasses.dataclass
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -312,16 +312,20 @@
 
     # Faults.
 
-    def kill(self, name: str) -> None:
-        """Kill a node and its backend server."""
+    def kill(self, name: str, *, with_backend: bool = True) -> None:
+        """Kill a node, and usually its backend server.
+
+        :param with_backend: otherwise the backend server goes on to run its requests.
+        """
         node = self.nodes[name]
         node.alive = False
         node.incarnation += 1
         for call in list(node.callers):
             self._end_call(node, call, 502, "lost", 0.0)
-        node.works.clear()
-        node.backend.running = 0
-        node.backend.waiting.clear()
+        if with_backend:
+            node.works.clear()
+            node.backend.running = 0
+            node.backend.waiting.clear()
         for other in self.nodes.values():
             if other.alive:
                 self._lose_attempts(other, name)
