A home node applies the pace and the load that its backend server reports

Cause: a backend server that is slow for 0.6 s was measured as slow for seconds, and a node that was killed and started anew sent a full load on top of the calls of its earlier start, which the backend server still ran.

Change: service times are measured on a clock that advances with the work done at the usual pace, and are longer while a fresh pace (600 ms) is high; kinds with child calls are left out, as their time passes elsewhere. Requests at the backend server beyond those of the node occupy slots until a report without them: beyond chance (3, or 0.05 of the slots) in two reports in a row. Entry nodes tell a home node with each call that they know a pace (1 byte); one that has had no report yet then uses a tenth of the slots until the first. All of it only where a pace is reported. Metrics backend_pace, backend_pace_age_ms, backend_foreign_calls, backend_load_reports_total, backend_invalid_load_reports_total, upstreams_slow.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -11,6 +11,7 @@
 from gingerturn.internal.core import (
     levels,
     messages,
+    pace,
     ranks,
     rate_limits,
     routing,
@@ -121,18 +122,28 @@
 
 
 def service_time(state: states.State, kind: str) -> float:
-    """Return the observed service time of a kind in ms, or 0 if there is none."""
+    """Return the expected service time of a kind in ms, or 0 if it was not observed.
+
+    It is the usual time, longer while the backend server reports a high pace.
+    """
     measured = state.backend.times.get(kind)
     if measured is None:
         return 0.0
     age = state.now - measured.measured_at
-    if age <= SERVICE_TIME_HALF_LIFE_MS / 4:
-        return measured.mean_ms
-    return float(measured.mean_ms * 0.5 ** (age / SERVICE_TIME_HALF_LIFE_MS))
+    mean_ms = measured.mean_ms
+    if age > SERVICE_TIME_HALF_LIFE_MS / 4:
+        mean_ms = float(mean_ms * 0.5 ** (age / SERVICE_TIME_HALF_LIFE_MS))
+    if state.child_kinds.get(kind):
+        return mean_ms
+    tracker = state.backend.pace_tracker
+    return mean_ms * pace.factor(tracker.pace, tracker.reported_at, state.now)
 
 
 def record_service_time(state: states.State, kind: str, elapsed: float) -> None:
-    """Update the service time of a kind with a finished call."""
+    """Update the service time of a kind with a finished call.
+
+    :param elapsed: time that it would have taken at the usual pace.
+    """
     measured = state.backend.times.get(kind)
     if measured is None:
         state.backend.times[kind] = states.ServiceTime(
@@ -161,7 +172,11 @@
 
 def _has_free_slot(state: states.State) -> bool:
     backend = state.backend
-    return backend.running < min(int(backend.limit), saturation.usable_slots(state))
+    usable = saturation.usable_slots(state)
+    tracker = backend.pace_tracker
+    if tracker.foreign or tracker.expected_at:
+        usable = min(usable, pace.usable_slots(tracker, backend.slots, state.now))
+    return backend.running < min(int(backend.limit), usable)
 
 
 def is_rate_limited(state: states.State) -> bool:
@@ -333,6 +348,7 @@
     backend = state.backend
     cost = slot_costs.report_of(state, kind)
     bottleneck = levels.latest_report(state, cost.service)
+    tracker = backend.pace_tracker
     return messages.LoadReport(
         level=backend.level,
         tree_level=tree_level(state, kind),
@@ -344,6 +360,8 @@
         bottleneck_level=bottleneck.level,
         bottleneck_age_ms=round(state.now - bottleneck.reported_at),
         status=status_of(backend),
+        pace=tracker.pace,
+        pace_age_ms=round(state.now - tracker.reported_at) if tracker.pace else 0,
     )
 
 
@@ -363,6 +381,8 @@
     """Return the load to report; without a token of the rate limit it is full."""
     backend = state.backend
     load = backend.running + len(backend.queue)
+    if backend.pace_tracker.foreign:
+        load += pace.foreign_calls(backend.pace_tracker, state.now)
     if rate_limits.has_token(backend.limiter, state.now):
         return load
     return max(load, int(backend.limit))
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -14,6 +14,7 @@
     keys,
     messages,
     operator_log,
+    pace,
     quarantine,
     ranks,
     rate_limits,
@@ -174,6 +175,9 @@
     hosted = state.hosted.get(event.hosted)
     if hosted is None or hosted.state is not states.HostedState.RUNNING:
         return
+    if event.load is not None and hosted.instance == state.backend.instance:
+        backend = state.backend
+        pace.record(backend.pace_tracker, event.load, backend.running, event.now)
     if not event.executed:
         _on_not_executed(state, hosted, event.status, out)
         return
@@ -278,8 +282,13 @@
 def _record_times(
     state: states.State, hosted: states.Hosted, elapsed: ids.Milliseconds
 ) -> None:
+    kind = hosted.metadata.kind
+    if not state.child_kinds.get(kind):
+        # Most of the time of a call with child calls passes in other services.
+        clock = pace.usual_clock(state.backend.pace_tracker, state.now)
+        elapsed = clock - hosted.usual_started_at
     saturation.record_time(state, hosted, elapsed)
-    admission.record_service_time(state, hosted.metadata.kind, elapsed)
+    admission.record_service_time(state, kind, elapsed)
 
 
 def _on_not_executed(
@@ -441,6 +450,7 @@
     hosted.state = states.HostedState.RUNNING
     hosted.started_at = state.now
     hosted.instance = backend.instance
+    hosted.usual_started_at = pace.usual_clock(backend.pace_tracker, state.now)
     backend.dispatch_count += 1
     slot_costs.record_run(state.costs, hosted.metadata.kind)
     hosted.occupancy = backend.running / max(1, backend.slots)
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -10,7 +10,7 @@
 
 import typing
 
-from gingerturn.internal.core import admission, rate_limits, state as states
+from gingerturn.internal.core import admission, pace, rate_limits, state as states
 
 _T = typing.TypeVar("_T")
 
@@ -91,6 +91,7 @@
     """Reset the state of the backend server for a new start; measurements of the former
     one do not apply."""
     backend = state.backend
+    is_first = not backend.instance
     if backend.instance and backend.instance != instance:
         last = states.InstanceAnnouncement(backend.started_ms, backend.sequence)
         _store(backend.replaced_instances, backend.instance, last)
@@ -104,4 +105,5 @@
     backend.unreachable_until = 0.0
     backend.limiter = rate_limits.Limiter()
     backend.logged_limit = rate_limits.NO_LIMIT
+    backend.pace_tracker = pace.Tracker(is_first=is_first)
     admission.reset_measurements(state)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -221,20 +221,32 @@
         return False
     if known is not None and _has_restarted(known, received):
         # Reports from before the restart are obsolete.
-        _reset_upstream(state, received.node)
+        _reset_upstream(
+            state, received.node, same_backend=not _backend_restarted(known, received)
+        )
     member_table.update(state, received, out, source=sender, from_sync=from_sync)
     return True
 
 
 def _has_restarted(known: messages.Member, received: messages.Member) -> bool:
     """Whether a member, or the backend server beside it, was restarted."""
-    if received.incarnation > known.incarnation:
-        return True
+    return received.incarnation > known.incarnation or _backend_restarted(
+        known, received
+    )
+
+
+def _backend_restarted(known: messages.Member, received: messages.Member) -> bool:
     before, now = known.backend_started_ms, received.backend_started_ms
     return bool(before and now) and before != now
 
 
-def _reset_upstream(state: states.State, node: ids.NodeId) -> None:
+def _reset_upstream(
+    state: states.State, node: ids.NodeId, *, same_backend: bool
+) -> None:
+    """Forget what an upstream reported, except on its backend server.
+
+    :param same_backend: the backend server may have outlived the node beside it.
+    """
     known = state.upstreams.pop(node, None)
     if known is None:
         return
@@ -245,6 +257,8 @@
         own_level=states.NO_REPORTED_LEVEL,
         outstanding=known.outstanding,
         status=known.status,
+        pace=known.pace if same_backend else 0,
+        pace_reported_at=known.pace_reported_at,
     )
 
 
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -108,6 +108,8 @@
     :param workspace: workspace that the request belongs to; empty if none.
     :param status: what the entry node knows that the backend server reported; the home
         node may have restarted since.
+    :param knows_pace: the entry node knows a pace that the backend server reported; the
+        home node may have restarted since.
     """
 
     service: ids.ServiceName
@@ -127,6 +129,7 @@
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     workspace: ids.WorkspaceName = ids.WorkspaceName("")
     status: BackendStatus | None = None
+    knows_pace: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/pace.py
+++ b/src/gingerturn/internal/core/pace.py
@@ -42,6 +42,10 @@
 """Age up to which an excess holds without a further report. Calls of an earlier start
 of the node have ended by then in most cases."""
 
+UNREPORTED_SHARE = 0.1
+"""Share of the slots that a restarted node uses until the first report of a backend
+server that reports a pace: calls of the earlier start of the node may hold the rest."""
+
 _FIGURE = re.compile(rb"\d{1,9}")
 
 
@@ -54,6 +58,10 @@
         is high; see :func:`usual_clock`.
     :param excess: requests there beyond those of this node, by the latest report.
     :param foreign: requests there that belong to an earlier start of this node.
+    :param is_first: no earlier instance was announced to this node, which may therefore
+        have started later than its backend server.
+    :param expected_at: when an entry node first knew a pace of the backend server that
+        this node does not know; 0 if none did.
     """
 
     pace: int = 0
@@ -61,6 +69,8 @@
     usual_ms: ids.Milliseconds = 0.0
     excess: int = 0
     foreign: int = 0
+    is_first: bool = True
+    expected_at: ids.Milliseconds = 0.0
 
 
 def parse(value: bytes) -> messages.BackendLoad:
@@ -111,13 +121,16 @@
     """
     tracker.usual_ms = usual_clock(tracker, now)
     tracker.pace = load.pace
-    tracker.reported_at = now
-    excess = load.running + load.waiting - running if load.pace else 0
-    if excess <= max(MIN_EXCESS, EXCESS_SHARE * load.slots):
+    excess = max(0, load.running + load.waiting - running) if load.pace else 0
+    if not tracker.foreign and excess <= max(MIN_EXCESS, EXCESS_SHARE * load.slots):
         excess = 0
-    # Two reports in a row must show it, since one may be outdated on arrival.
-    tracker.foreign = min(excess, tracker.excess)
+    # Two reports in a row must show it, since one may be outdated on arrival. The first
+    # one of a restarted node has no earlier one, and most to lose.
+    was_first = tracker.expected_at and not tracker.reported_at
+    tracker.foreign = excess if was_first else min(excess, tracker.excess)
     tracker.excess = excess
+    tracker.reported_at = now
+    tracker.expected_at = 0.0
 
 
 def usual_clock(tracker: Tracker, now: ids.Milliseconds) -> ids.Milliseconds:
@@ -139,3 +152,23 @@
     if not tracker.foreign or now - tracker.reported_at > EXCESS_MS:
         return 0
     return tracker.foreign
+
+
+def expect(tracker: Tracker, now: ids.Milliseconds) -> None:
+    """Record that an entry node knows a pace of the backend server.
+
+    This node then restarted while the backend server ran on, unless it knows a pace
+    itself or saw the backend server start.
+    """
+    if tracker.is_first and not tracker.reported_at and not tracker.expected_at:
+        tracker.expected_at = now
+
+
+def usable_slots(tracker: Tracker, slots: int, now: ids.Milliseconds) -> int:
+    """Return how many slots are not held by requests of an earlier start of the node.
+
+    At least one is used, since only answers report the end of such requests.
+    """
+    if tracker.expected_at and now - tracker.expected_at <= EXCESS_MS:
+        return max(1, int(UNREPORTED_SHARE * slots))
+    return max(1, slots - foreign_calls(tracker, now))
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -31,6 +31,7 @@
     membership,
     messages,
     operator_log,
+    pace,
     pause_detection,
     pollers,
     presence,
@@ -475,6 +476,8 @@
         backend_reports.on_known_status(state, status, out)
         if status.leaving and status.instance:
             _withdraw(state, status.instance, status.started_ms, out)
+    if event.metadata.knows_pace:
+        pace.expect(state.backend.pace_tracker, state.now)
     hosting.on_open(state, event, out)
 
 
--- a/src/gingerturn/internal/core/routing.py
+++ b/src/gingerturn/internal/core/routing.py
@@ -48,6 +48,8 @@
     upstream.load = report.load
     upstream.limit = report.limit
     upstream.sent_since_report = 0
+    upstream.pace = report.pace
+    upstream.pace_reported_at = state.now - max(0, report.pace_age_ms)
     member = state.membership.members.get(node)
     if member is not None and member.service:
         levels.record_report(state, member.service, node, kind, report)
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -364,6 +364,7 @@
         fingerprint=call.fingerprint,
         workspace=call.workspace,
         status=upstream.status,
+        knows_pace=upstream.pace > 0,
     )
     out.append(
         effects.OpenAttempt(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -14,6 +14,7 @@
     effects,
     gossip_queue,
     messages,
+    pace,
     ranks,
     rate_limits,
     tolerance,
@@ -96,6 +97,7 @@
 
     :param occupancy: share of the slots in use when the call was dispatched.
     :param instance: the backend server that the call was dispatched to.
+    :param usual_started_at: time of :func:`.pace.usual_clock` at the dispatch.
     :param orphaned: the entry node gave up, but the call must not be cancelled.
     :param child_failed: a call that the backend server made for this one failed, so
         its own failure is no evidence against the backend server.
@@ -112,6 +114,7 @@
     span: ids.SpanId = ids.SpanId("")
     started_at: ids.Milliseconds = 0.0
     occupancy: float = 0.0
+    usual_started_at: ids.Milliseconds = 0.0
     instance: str = ""
     orphaned: bool = False
     child_failed: bool = False
@@ -208,6 +211,7 @@
     :param rate_limited_count: calls shed for that limit while this node ran.
     :param logged_limit: the limit in the latest log line about it.
     :param limit_logged_at: when that line was written.
+    :param pace_tracker: load and pace that it reports.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -242,6 +246,7 @@
     limiter: rate_limits.Limiter = msgspec.field(default_factory=rate_limits.Limiter)
     logged_limit: ids.RequestsPerSecond = rate_limits.NO_LIMIT
     limit_logged_at: ids.Milliseconds = 0.0
+    pace_tracker: pace.Tracker = msgspec.field(default_factory=pace.Tracker)
 
 
 class ReportedLevel(msgspec.Struct, frozen=True, gc=False):
@@ -339,6 +344,7 @@
     :param slowness: time of its answers over the mean of their kinds.
     :param slowness_measured_at: when ``slowness`` was last measured.
     :param status: what its backend server reported, as far as known.
+    :param pace: latest pace that it reported; 0 if it reports none.
     """
 
     node: ids.NodeId
@@ -355,6 +361,8 @@
     ejections: int = 0
     ejected_until: ids.Milliseconds = 0.0
     status: messages.BackendStatus | None = None
+    pace: int = 0
+    pace_reported_at: ids.Milliseconds = 0.0
 
 
 class Occupancy(msgspec.Struct):
--- a/src/gingerturn/internal/core/upstream_costs.py
+++ b/src/gingerturn/internal/core/upstream_costs.py
@@ -1,7 +1,7 @@
 """Expected cost of a call at an upstream: occupancy, slowness, failures and zone."""
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import messages, state as states, upstreams
+from gingerturn.internal.core import messages, pace, state as states, upstreams
 
 ZONE_PENALTY = 0.15
 """Added to the occupancy of an upstream in another zone. It bounds both the traffic
@@ -144,6 +144,14 @@
     return _occupancy(state, member, upstream) + SLOWNESS_PENALTY * slowness + penalty
 
 
+def count_slow(state: states.State) -> int:
+    """Return how many upstreams lately reported a pace that is slower than usual."""
+    return sum(
+        pace.factor(upstream.pace, upstream.pace_reported_at, state.now) > 1.0
+        for upstream in state.upstreams.values()
+    )
+
+
 def _occupancy(
     state: states.State, member: messages.Member | None, upstream: states.Upstream
 ) -> float:
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -6,9 +6,11 @@
     freshness,
     level_control,
     levels,
+    pace,
     readiness,
     state as states,
     streams,
+    upstream_costs,
 )
 from gingerturn.internal.shell import side_http
 
@@ -101,6 +103,17 @@
     add("backend_dispatch_rate", "gauge", ("", rate))
     add("backend_rate_limit", "gauge", ("", backend.limiter.limit))
     add("backend_rate_limited_total", "counter", ("", backend.rate_limited_count))
+    tracker = backend.pace_tracker
+    add("backend_pace", "gauge", ("", tracker.pace))
+    pace_age_ms = state.now - tracker.reported_at if tracker.pace else -1.0
+    add("backend_pace_age_ms", "gauge", ("", pace_age_ms))
+    foreign = pace.foreign_calls(tracker, state.now)
+    add("backend_foreign_calls", "gauge", ("", foreign))
+    pool = node.home.pool
+    add("backend_load_reports_total", "counter", ("", pool.load_reports))
+    invalid = pool.invalid_load_reports
+    add("backend_invalid_load_reports_total", "counter", ("", invalid))
+    add("upstreams_slow", "gauge", ("", upstream_costs.count_slow(state)))
     add("backend_ends_total", "counter", ("", backend.crash_count))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     add("members", "gauge", ("", len(state.membership.members)))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -71,6 +71,18 @@
             f" second, {plain.get('backend_dispatch_rate', 0.0):.1f} dispatched,"
             f" {_count(plain, 'backend_rate_limited_total')} shed for it so far"
         )
+    if plain.get("backend_pace"):
+        lines.append(
+            f"backend server: pace {_count(plain, 'backend_pace')}"
+            f" {_count(plain, 'backend_pace_age_ms')} ms ago,"
+            f" {_count(plain, 'backend_foreign_calls')} calls of an earlier start of"
+            f" the node; {_count(plain, 'upstreams_slow')} upstreams slow now"
+        )
+    if plain.get("backend_invalid_load_reports_total"):
+        lines.append(
+            f"backend server: {_count(plain, 'backend_invalid_load_reports_total')}"
+            " invalid reports of its load"
+        )
     if found.refused:
         descending = sorted(found.refused.items(), key=lambda item: -item[1])
         lines.append(
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -128,9 +128,9 @@
         events.OpenReceived(
             now=1.0, hosted=ids.HostedId(8), sender=N2, metadata=METADATA
         ),
-        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0012a570"
         "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
-        "a16bc3c2a46e312f31c306a473686f70c0",
+        "a16bc3c2a46e312f31c306a473686f70c0c2",
     ),
     (
         events.LevelRequested(now=1.0, request=4, kind=KIND),
@@ -192,9 +192,9 @@
             sender=N2,
             metadata=msgspec.structs.replace(METADATA, status=STATUS),
         ),
-        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0012a570"
         "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
-        "a16bc3c2a46e312f31c306a473686f7094a169cb4004000000000000c307",
+        "a16bc3c2a46e312f31c306a473686f7094a169cb4004000000000000c307c2",
     ),
     (
         events.BackendReported(
@@ -255,6 +255,12 @@
         "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
         "a16bc3c2a46e312f31c306a473686f70",
     ),
+    (
+        "OpenReceived",
+        "95ac4f70656e5265636569766564cb3ff000000000000008a26e32dc0011a570"
+        "6c616e73ab706c616e2d737461747573020105a174cb408900000000000003c3"
+        "a16bc3c2a46e312f31c306a473686f70c0",
+    ),
     (
         "LevelReported",
         "95a94c6576656c546f6c64cb3ff0000000000000a26e32ab706c616e2d737461"
@@ -293,8 +299,8 @@
     ),
 ]
 """The same events as recorded before load reports and calls carried a status, before
-load reports and answers of backend servers carried a pace, and before membership
-messages carried the age of what is known of the log."""
+load reports, calls and answers of backend servers carried anything of the pace, and
+before membership messages carried the age of what is known of the log."""
 
 EFFECTS: list[tuple[effects.AnyEffect, str]] = [
     (
@@ -306,9 +312,9 @@
             port=1,
             metadata=METADATA,
         ),
-        "97ab4f70656e417474656d70740605a26e32a16801dc0011a5706c616e73ab70"
+        "97ab4f70656e417474656d70740605a26e32a16801dc0012a5706c616e73ab70"
         "6c616e2d737461747573020105a174cb408900000000000003c3a16bc3c2a46e"
-        "312f31c306a473686f70c0",
+        "312f31c306a473686f70c0c2",
     ),
     (
         effects.DispatchCall(
