--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -7,7 +7,8 @@
 from gingerturn import dialect
 from gingerturn.internal import logs
 from gingerturn.internal.core import messages, pace
-from gingerturn.internal.shell import backend_pool, clock
+from gingerturn.internal.shell import backend_pool, clock, node as nodes, probes
+from tests.common import builders
 
 NAME = b"gingerturn-load"
 
@@ -98,3 +99,22 @@
     pool = backend_pool.Pool(dialect.DEFAULT)
     headers = [(NAME, b"1,0,2"), (NAME, b"1,0,2,250")]
     assert pool.read_load(headers, dict(headers)) is None
+
+
+def test_metrics_show_the_pace_with_its_age_and_count_reports() -> None:
+    node = nodes.Node(builders.settings())
+    tracker = node.state.backend.pace_tracker
+    assert b"gingerturn_backend_pace_age_ms -1\n" in probes.metrics(node)
+    pace.record(tracker, messages.BackendLoad(3, 0, 8, 250), 3, 1_000.0)
+    node.state.now = 1_040.0
+    node.home.pool.read_load([(NAME, b"3,0,8")], {NAME: b"3,0,8"})
+    node.home.pool.read_load([(NAME, b"x")], {NAME: b"x"})
+    lines = probes.metrics(node).decode().splitlines()
+    for line in (
+        "gingerturn_backend_pace 250",
+        "gingerturn_backend_pace_age_ms 40",
+        "gingerturn_backend_load_reports_total 1",
+        "gingerturn_backend_invalid_load_reports_total 1",
+        "gingerturn_upstreams_slow 0",
+    ):
+        assert line in lines
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -79,3 +79,17 @@
 def test_a_page_of_another_program_is_refused() -> None:
     with pytest.raises(errors.InvalidArgument, match="no metrics of a node"):
         metrics_text.parse("process_cpu_seconds_total 7\n", origin="page")
+
+
+def test_the_pace_of_the_backend_server_and_invalid_reports_are_reported() -> None:
+    samples = (
+        "gingerturn_backend_pace 250\ngingerturn_backend_pace_age_ms 40\n"
+        "gingerturn_backend_foreign_calls 3\ngingerturn_upstreams_slow 2\n"
+        "gingerturn_backend_invalid_load_reports_total 7\n"
+    )
+    lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
+    assert lines[-3:-1] == [
+        "backend server: pace 250 40 ms ago, 3 calls of an earlier start of the node;"
+        " 2 upstreams slow now",
+        "backend server: 7 invalid reports of its load",
+    ]
