--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -46,6 +46,22 @@
 """Share factors of workspaces in thousandths, the largest first."""
 
 
+class BackendLoad(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a backend server reported of its load in an answer.
+
+    :param running: requests that it runs.
+    :param waiting: requests in its own queue.
+    :param slots: requests that it runs at once.
+    :param pace: time that work takes there at present in percent of the usual time; 0
+        if not reported.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: int = 0
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load report that every answer of a home node carries.
 
@@ -62,6 +78,9 @@
     :param status: what the backend server reported, unless it is the default.
     :param bottleneck_factors: share factors of workspaces at that service, with the age
         of its level; at most four, and none while it sheds nothing.
+    :param pace: latest pace that the backend server reported; 0 if it reports none.
+    :param pace_age_ms: time since then. It is an integer, which takes one byte where
+        there is no pace.
     """
 
     level: ids.Rank
@@ -75,6 +94,8 @@
     bottleneck_age_ms: float = 0.0
     status: BackendStatus | None = None
     bottleneck_factors: WorkspaceFactors = ()
+    pace: int = 0
+    pace_age_ms: int = 0
 
 
 class CallMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -94,6 +115,8 @@
     :param workspace: workspace that the request belongs to; empty if none.
     :param status: what the entry node knows that the backend server reported; the home
         node may have restarted since.
+    :param knows_pace: the entry node knows a pace that the backend server reported; the
+        home node may have restarted since.
     """
 
     service: ids.ServiceName
@@ -113,6 +136,7 @@
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     workspace: ids.WorkspaceName = ids.WorkspaceName("")
     status: BackendStatus | None = None
+    knows_pace: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -58,6 +58,9 @@
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         """Ignore the answer."""
 
+    def on_load(self, load: messages.BackendLoad) -> None:
+        """Ignore the answer."""
+
     def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
         """Ignore the answer."""
 
