Model: both deployments under heavy load, waves and bursts of a kind

Cause: the model had neither the shape of the ledger and declarations deployments nor demand that varies, so that no option for them could be compared.

Run.swing makes demand come in waves and Run.burst multiplies the demand for one kind or all of them for a while; scenarios waves, waves-burst and waves-one-kind. A site states how long it is played. Not in the model: pipelining, caps, and the part of a kind that another service takes.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -51,6 +51,7 @@
 
     :param bottleneck: the service at the end of every call tree.
     :param retry_slack: repeats allowed in a window in addition to the retry ratio.
+    :param seconds: how long a run of it is played.
     """
 
     name: str
@@ -60,6 +61,7 @@
     kinds: tuple[Kind, ...]
     bottleneck: str
     retry_slack: float = 49.0
+    seconds: float = 14.0
 
 
 BROLGA = Site(
@@ -293,6 +295,166 @@
 
 LARGE = large()
 
+# The deployments of docs/design/heavy-load.md with a quarter of their nodes, load and
+# retries: each service has a quarter of its slots as a whole.
+LEDGER = Site(
+    name="ledger",
+    zones=("zone-a", "zone-b", "zone-c"),
+    caller_ms=3.0,
+    services=(
+        Service("balances", 56, (0.5, 1.0, 1.5, 0.5, 1.0, 1.5)),
+        Service("journal", 74, (0.7, 0.7, 1.6, 1.0)),
+        Service("exports", 148, (0.7, 1.6)),
+        Service("reports", 33, (0.5, 1.0, 1.5, 1.0), contention_factor=1.3),
+    ),
+    kinds=(
+        Kind(
+            "balance-read",
+            "balances",
+            220.0,
+            ("post-verify",),
+            172.0,
+            1_500,
+            worth=0.98,
+            priority=1,
+        ),
+        Kind(
+            "journal-post",
+            "journal",
+            282.0,
+            ("export-index",),
+            49.5,
+            2_006,
+            6_000,
+            worth=3.0,
+            late_worth=0.59,
+            priority=1,
+            safe=False,
+        ),
+        Kind(
+            "ledger-export",
+            "exports",
+            170.0,
+            (),
+            24.5,
+            802,
+            3_000,
+            worth=1.9,
+            late_worth=0.22,
+            priority=0,
+        ),
+        Kind(
+            "trial-read",
+            "reports",
+            883.0,
+            (),
+            32.0,
+            5_045,
+            8_000,
+            timeout_ms=8_000,
+            worth=0.49,
+            late_worth=0.22,
+        ),
+        Kind("post-verify", "journal", 15.0, ("export-index",), 0.0, 1_001),
+        Kind(
+            "export-index",
+            "exports",
+            15.0,
+            ("coa-lookup",) * 4,
+            target_ms=801,
+            timeout_ms=2_500,
+        ),
+        Kind("coa-lookup", "reports", 54.8, target_ms=303, timeout_ms=700),
+    ),
+    bottleneck="reports",
+    retry_slack=23.0,
+    seconds=20.0,
+)
+
+DECLARATIONS = Site(
+    name="declarations",
+    zones=("zone-a", "zone-b", "zone-c"),
+    caller_ms=3.0,
+    services=(
+        Service("nomenclature", 37, (0.55, 1.0, 1.2, 1.0, 1.0) * 2),
+        Service("filing", 39, (0.6, 1.0, 1.4, 0.6, 1.0, 1.4, 1.0)),
+        Service("docvault", 136, (0.7, 1.6)),
+        Service("tracer", 34, (0.6, 1.0, 1.4), contention_factor=1.3),
+    ),
+    kinds=(
+        Kind(
+            "tariff-query",
+            "nomenclature",
+            230.0,
+            ("agent-verify",),
+            131.0,
+            2_001,
+            6_000,
+            worth=1.0,
+            late_worth=0.5,
+        ),
+        Kind(
+            "file-entry",
+            "filing",
+            300.0,
+            ("pack-index",),
+            47.8,
+            2_000,
+            6_000,
+            worth=3.0,
+            late_worth=1.0,
+            priority=0,
+            safe=False,
+        ),
+        Kind(
+            "archive-pull",
+            "docvault",
+            181.0,
+            (),
+            20.0,
+            1_004,
+            4_000,
+            worth=1.0,
+            late_worth=0.5,
+        ),
+        Kind(
+            "goods-status",
+            "tracer",
+            94.6,
+            (),
+            43.0,
+            403,
+            1_600,
+            worth=2.0,
+            late_worth=1.0,
+            priority=1,
+        ),
+        Kind("agent-verify", "filing", 15.0, ("pack-index",), 0.0, 1_000),
+        Kind(
+            "pack-index",
+            "docvault",
+            15.1,
+            ("state-feed",) * 4,
+            target_ms=801,
+            timeout_ms=2_500,
+        ),
+        Kind("state-feed", "tracer", 67.4, target_ms=302, timeout_ms=700),
+    ),
+    bottleneck="tracer",
+    retry_slack=28.0,
+    seconds=20.0,
+)
+
 SITES = {
-    site.name: site for site in (BROLGA, COOPCARGA, MAWID, large(10), LARGE, large(400))
+    site.name: site
+    for site in (
+        BROLGA,
+        COOPCARGA,
+        MAWID,
+        large(10),
+        LARGE,
+        large(400),
+        LEDGER,
+        DECLARATIONS,
+    )
 }
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -10,6 +10,7 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
+import math
 import random
 import sys
 
@@ -27,6 +28,11 @@
 MEASURED_FROM_MS = 2_000.0
 """Start of the measurement, after the warm-up."""
 
+WAVE_SWING = 0.15
+WAVE_PERIOD_MS = 11_000.0
+"""Swing of the demand as a part of its mean, and the period of the wave
+(docs/design/heavy-load.md)."""
+
 RETRY_WAIT_SHARE = 1.0 / 3
 """Longest wait of a caller before a retry, as a share of its remaining time."""
 
@@ -121,6 +127,8 @@
     ) -> None:
         self.site = site
         self.demand = 1.0
+        self.kind_demand: dict[str, float] = {}
+        self.swing = 0.0
         self._end_ms = seconds * 1000.0
         self.world = world.World(
             seed=seed,
@@ -177,9 +185,28 @@
         )
 
     def _schedule(self, kind: deployments.Kind) -> None:
-        delay = self._random.expovariate(kind.rate_per_s * self.demand) * 1000.0
+        rate = kind.rate_per_s * self._demand_of(kind)
+        delay = self._random.expovariate(rate) * 1000.0
         self.world.at(delay, lambda: self._offer(kind))
 
+    def _demand_of(self, kind: deployments.Kind) -> float:
+        phase = 2.0 * math.pi * (self.world.now - world.START) / WAVE_PERIOD_MS
+        wave = 1.0 + self.swing * math.sin(phase)
+        return self.demand * self.kind_demand.get(kind.name, 1.0) * wave
+
+    def burst(
+        self, factor: float, start_ms: float, duration_ms: float, kind: str = ""
+    ) -> None:
+        """Multiply the demand for a kind, or for all kinds, for a while."""
+        names = [kind] if kind else list(self._kinds)
+        end_ms = start_ms + duration_ms
+        for name in names:
+            self.world.at(start_ms, lambda n=name: self._multiply_demand(n, factor))
+            self.world.at(end_ms, lambda n=name: self._multiply_demand(n, 1.0 / factor))
+
+    def _multiply_demand(self, kind: str, factor: float) -> None:
+        self.kind_demand[kind] = self.kind_demand.get(kind, 1.0) * factor
+
     def _offer(self, kind: deployments.Kind) -> None:
         self._schedule(kind)
         self._numbers += 1
@@ -333,6 +360,25 @@
     run.world.at(FAULT_START_MS, lambda: setattr(node.backend, "reports_leaving", True))
 
 
+def _waves(run: Run) -> None:
+    """Let demand come in waves."""
+    run.swing = WAVE_SWING
+
+
+def _waves_and_burst(run: Run) -> None:
+    """Let demand come in waves, with a burst of all kinds."""
+    run.swing = WAVE_SWING
+    run.burst(2.4, FAULT_START_MS, 6_000.0)
+
+
+def _waves_and_burst_of_root(run: Run) -> None:
+    """Let demand come in waves, with a burst of the roots at the bottleneck service."""
+    run.swing = WAVE_SWING
+    roots = [k for k in run.site.kinds if k.service == run.site.bottleneck]
+    name = next(kind.name for kind in roots if kind.rate_per_s)
+    run.burst(2.4, FAULT_START_MS, 6_000.0, name)
+
+
 SCENARIOS: dict[str, collections.abc.Callable[[Run], None]] = {
     "calm": _calm,
     "burst": _burst,
@@ -344,6 +390,9 @@
     "limited": _limited,
     "all-limited": _all_limited,
     "leaving": _leaving,
+    "waves": _waves,
+    "waves-burst": _waves_and_burst,
+    "waves-one-kind": _waves_and_burst_of_root,
 }
 
 
@@ -360,7 +409,8 @@
 def run_case(case: Case) -> Result:
     """Make one run, in its own process, since variants patch modules."""
     variants.VARIANTS[case.variant]()
-    run = Run(deployments.SITES[case.site], seed=case.seed)
+    site = deployments.SITES[case.site]
+    run = Run(site, seed=case.seed, seconds=site.seconds)
     SCENARIOS[case.scenario](run)
     return run.play()
 
