Model: overloads of the bottleneck service by factor, and bursts of long reads

Cause: bursts of 2.4 bring the bottleneck service of the new deployments to 1.6 times its capacity at most, and options are compared at 1.2 to 2 times.

Change: scenarios overload-1.2, overload-1.6 and overload-2 raise all demand for 5 s by the factor that the site needs for it, over waves; long-reads lets the roots at the bottleneck service come four times as often for 2 s, twice, while all demand is a third above the usual.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -379,6 +379,44 @@
     run.burst(2.4, FAULT_START_MS, 6_000.0, name)
 
 
+def _overloaded(factor: float) -> collections.abc.Callable[[Run], None]:
+    """Return a scenario with waves, in which the bottleneck service gets a multiple of
+    what it can serve during the fault."""
+
+    def scenario(run: Run) -> None:
+        run.swing = WAVE_SWING
+        duration = FAULT_END_MS - FAULT_START_MS
+        run.burst(factor / _bottleneck_load(run.site), FAULT_START_MS, duration)
+
+    return scenario
+
+
+def _bottleneck_load(site: deployments.Site) -> float:
+    """Return the share of the bottleneck service that the usual demand takes."""
+    kinds = {kind.name: kind for kind in site.kinds}
+
+    def work_ms(kind: deployments.Kind) -> float:
+        own = kind.work_ms if kind.service == site.bottleneck else 0.0
+        return own + sum(work_ms(kinds[called]) for called in kind.calls)
+
+    service = _bottleneck_of(site)
+    wanted = sum(kind.rate_per_s * work_ms(kind) for kind in site.kinds) / 1_000.0
+    return wanted / (service.slots * sum(service.speeds))
+
+
+def _burst_of_long_reads(run: Run) -> None:
+    """Let the roots at the bottleneck service come four times as often for 2 s, twice.
+
+    All demand is a third above the usual.
+    """
+    run.swing = WAVE_SWING
+    run.demand = 1.33
+    roots = [k for k in run.site.kinds if k.service == run.site.bottleneck]
+    name = next(kind.name for kind in roots if kind.rate_per_s)
+    for start_ms in (FAULT_START_MS, FAULT_END_MS):
+        run.burst(4.0, start_ms, 2_000.0, name)
+
+
 SCENARIOS: dict[str, collections.abc.Callable[[Run], None]] = {
     "calm": _calm,
     "burst": _burst,
@@ -393,6 +431,10 @@
     "waves": _waves,
     "waves-burst": _waves_and_burst,
     "waves-one-kind": _waves_and_burst_of_root,
+    "overload-1.2": _overloaded(1.2),
+    "overload-1.6": _overloaded(1.6),
+    "overload-2": _overloaded(2.0),
+    "long-reads": _burst_of_long_reads,
 }
 
 
