Queueing time limits by latency target, and least slack first

Cause: a home node queues 400 ms of work of each kind and holds a root for 800 ms at most, whatever its target. At a service with targets of 303 and 5,045 ms, long reads were rejected that could have been answered in time, and within a class calls with a low hash were overtaken until they expired, after the work of their request.

Change: where the targets of a service's kinds differ by a factor of 10 or more, a root may wait for a quarter of its target. The decision falls on arrival, by an expected wait that counts the work ahead and the load that starts before the call; rule wait_too_long, sent as queue_full since nodes of earlier versions do not know it. Of the queued calls of the highest class the one with the least slack starts first; rank still decides which is shed. Roots that may wait longer than 800 ms raise the level only below the lowest band with other calls. Metrics queue_* by kind.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -17,6 +17,7 @@
     effects,
     hosting,
     level_control,
+    queue_slack,
     ranks,
     rationing,
     retry_delay,
@@ -227,6 +228,11 @@
     _set(routing, "request_levels", lambda state, service, kind, out: None)
 
 
+def no_queue_slack() -> None:
+    """All kinds of a service have the same queueing time limits."""
+    _set(queue_slack, "targets", lambda state: {})
+
+
 VARIANTS: dict[str, collections.abc.Callable[[], None]] = {
     "gingerturn": nothing,
     "pass-through": pass_through,
@@ -256,6 +262,7 @@
     "no-knee": no_knee,
     "no-spared-share": no_spared_share,
     "no-asking": no_asking,
+    "no-queue-slack": no_queue_slack,
 }
 BASELINES = ("pass-through", "per-hop-retries", "static-limits")
 
--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -11,6 +11,7 @@
 from gingerturn.internal.core import (
     levels,
     messages,
+    queue_slack,
     ranks,
     rate_limits,
     routing,
@@ -104,8 +105,16 @@
     return LIMITED_QUEUE_MS if state.backend.limiter.limited else QUEUE_MS
 
 
-def _max_wait(state: states.State, *, deep: bool) -> ids.Milliseconds:
+def _max_wait(state: states.State, hosted: states.Hosted) -> ids.Milliseconds:
     """Return the maximum wait of a call in the queue."""
+    common = _common_max_wait(state, deep=hosted.metadata.depth > 0)
+    if not hosted.max_wait:
+        return common
+    limited = state.backend.limiter.limited
+    return min(hosted.max_wait, common) if limited else hosted.max_wait
+
+
+def _common_max_wait(state: states.State, *, deep: bool) -> ids.Milliseconds:
     return _queue_ms(state) * (_deep_factor(state) if deep else ROOT_WAIT_FACTOR)
 
 
@@ -113,7 +122,7 @@
     """Record the minimum queue length of the current window, which detects a standing
     queue."""
     window = state.backend.windows[-1]
-    length = len(state.backend.queue)
+    length = level_queue_length(state)
     if length < window.least_queue:
         window.least_queue = length
     if kind:
@@ -143,13 +152,17 @@
     measured.measured_at = state.now
 
 
-def record_arrival(state: states.State, rank: ids.Rank) -> None:
+def record_arrival(state: states.State, hosted: states.Hosted) -> None:
     """Record the rank of an arriving call in the current window."""
+    rank = hosted.rank
     window = state.backend.windows[-1]
     if len(window.ranks) < MAX_SAMPLES:
         # On routes the level decides which requests are refused at their root, so roots
         # and the calls below them are recorded on the same scale.
-        window.ranks.append(ranks.deep_rank(rank) if state.routed else rank)
+        rank = ranks.deep_rank(rank) if state.routed else rank
+        window.ranks.append(rank)
+        if rank < window.lowest_common and not hosted.patient:
+            window.lowest_common = rank
 
 
 def has_slot(state: states.State) -> bool:
@@ -178,13 +191,40 @@
 
 def exceeds_rate_limit(state: states.State, hosted: states.Hosted) -> bool:
     """Whether the rate limit delays a call longer than it may be queued."""
-    deep = hosted.metadata.depth > 0
-    return token_wait(state, hosted.rank) > _max_wait(state, deep=deep)
+    return token_wait(state, hosted.rank) > _max_wait(state, hosted)
+
+
+def exceeds_wait_limit(hosted: states.Hosted) -> bool:
+    """Whether a call would wait longer than its own limit."""
+    return 0.0 < hosted.max_wait < hosted.expected_wait
+
+
+def set_limits(state: states.State, hosted: states.Hosted) -> None:
+    """Set the limits of a call that arrives where kinds have their own."""
+    targets = queue_slack.targets(state)
+    if not targets:
+        return
+    kind = hosted.metadata.kind
+    hosted.max_wait = queue_slack.wait_limit(state, hosted.metadata)
+    hosted.patient = hosted.max_wait > ROOT_WAIT_FACTOR * QUEUE_MS
+    hosted.service_ms = service_time(state, kind)
+    # A kind that this node's table does not have yet is started early.
+    hosted.start_by = hosted.arrived_at + targets.get(kind, 0) - hosted.service_ms
+
+
+def record_shed(state: states.State, hosted: states.Hosted) -> None:
+    """Count a call that was shed."""
+    window = state.backend.windows[-1]
+    if hosted.patient:
+        window.shed_patient += 1
+    else:
+        window.shed += 1
 
 
-def record_shed(state: states.State) -> None:
-    """Count a call that was shed without being queued."""
-    state.backend.windows[-1].shed += 1
+def level_queue_length(state: states.State) -> int:
+    """Return the number of queued calls that may raise the level."""
+    backend = state.backend
+    return len(backend.queue) - backend.slack.patient
 
 
 def take_slot(state: states.State) -> None:
@@ -207,17 +247,39 @@
     :return: the call that is shed for it, which may be the call itself.
     """
     backend = state.backend
-    entry = (hosted.rank, -state.next_number(), hosted.id)
-    bisect.insort(backend.queue, entry)
-    bound = queue_bound(state, hosted.metadata.kind)
-    if ranks.is_deep(hosted.rank):
-        bound *= _deep_factor(state)
-    _record_queue_length(state, hosted.metadata.kind)
-    if len(backend.queue) <= bound:
+    number = state.next_number()
+    bisect.insort(backend.queue, (hosted.rank, -number, hosted.id))
+    queue_slack.insert(state, hosted, number)
+    length, bound = _length_and_bound(state, hosted)
+    _record_queue_length(state, "" if hosted.patient else hosted.metadata.kind)
+    if length <= bound:
         return None
-    dropped = backend.queue.pop(0)
-    backend.windows[-1].shed += 1
-    return dropped[2]
+    dropped = state.hosted[backend.queue.pop(0)[2]]
+    queue_slack.discard(state, dropped)
+    record_shed(state, dropped)
+    return dropped.id
+
+
+def _length_and_bound(state: states.State, hosted: states.Hosted) -> tuple[int, int]:
+    """Return the length of the queue that counts for a call, and its bound.
+
+    Where roots have their own limits, they and the calls below a root are counted
+    separately, since their bounds differ several times over.
+    """
+    backend = state.backend
+    kind = hosted.metadata.kind
+    if not queue_slack.is_active(state) or backend.limiter.limited:
+        bound = queue_bound(state, kind)
+        if ranks.is_deep(hosted.rank):
+            bound *= _deep_factor(state)
+        return len(backend.queue), bound
+    has_limit = hosted.max_wait > 0.0
+    if not has_limit:
+        length = len(backend.queue) - backend.slack.limited
+        return length, queue_bound(state, kind) * _deep_factor(state)
+    service_ms = max(1.0, service_time(state, kind))
+    bound = math.ceil(backend.limit * hosted.max_wait / service_ms)
+    return backend.slack.limited, max(MIN_QUEUE, bound)
 
 
 def _deep_factor(state: states.State) -> int:
@@ -225,12 +287,15 @@
 
 
 def dequeue(state: states.State) -> ids.HostedId | None:
-    """Remove and return the call of the highest rank."""
+    """Remove and return the call to start next."""
     backend = state.backend
     if not backend.queue:
         backend.windows[-1].least_queue = 0
         return None
-    found = backend.queue.pop()[2]
+    first = queue_slack.first(state)
+    position = -1 if first is None else bisect.bisect_left(backend.queue, first)
+    found = backend.queue.pop(position)[2]
+    queue_slack.discard(state, state.hosted[found])
     _record_queue_length(state, "")
     return found
 
@@ -239,18 +304,24 @@
     """Remove a call from the queue, at any position."""
     queue = state.backend.queue
     queue[:] = [entry for entry in queue if entry[2] != hosted]
+    queue_slack.discard(state, state.hosted[hosted])
 
 
-def expected_wait(state: states.State, kind: str, rank: ids.Rank) -> float:
-    """Return the expected queueing delay of a call of this rank, in ms."""
+def expected_wait(state: states.State, hosted: states.Hosted) -> ids.Milliseconds:
+    """Return the expected queueing delay of a call that arrives."""
     backend = state.backend
+    rank = hosted.rank
     if has_slot(state):
         return 0.0
     wait = token_wait(state, rank)
     if is_rate_limited(state):
         return wait
+    if queue_slack.is_active(state):
+        slots = max(1.0, min(backend.limit, saturation.usable_slots(state)))
+        return max(wait, queue_slack.expected_wait(state, hosted, slots=slots))
     ahead = _ahead(state, rank)
-    slots_ms = (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
+    service_ms = service_time(state, hosted.metadata.kind)
+    slots_ms = (ahead + 1) * service_ms / max(1.0, backend.limit)
     return max(wait, slots_ms)
 
 
@@ -302,12 +373,12 @@
     found = []
     for _, _, hosted_id in backend.queue:
         hosted = state.hosted[hosted_id]
-        max_wait = _max_wait(state, deep=hosted.metadata.depth > 0)
+        max_wait = _max_wait(state, hosted)
         if state.now - hosted.arrived_at > max_wait:
             found.append(hosted_id)
     for hosted_id in found:
         remove(state, hosted_id)
-        backend.windows[-1].shed += 1
+        record_shed(state, state.hosted[hosted_id])
     return found
 
 
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -36,6 +36,9 @@
 TOKEN_DUE = 2
 """A token of the rate limit is due for a queued call."""
 
+WAIT_DUE = 3
+"""A queued call has waited for as long as it may."""
+
 OVERLOAD_STATUSES = frozenset({429, 503})
 FIRST_FAILURE_STATUS = 500
 GATEWAY_TIMEOUT = 504
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -62,6 +62,7 @@
     OVER_CAP = 43
     RATE_LIMITED = 44
     ROUTE_UNSETTLED = 45
+    WAIT_TOO_LONG = 46
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -111,6 +112,7 @@
     Rule.KEYS_STALE: ("ms since the version was the newest", "ms allowed", "", ""),
     Rule.OVER_CAP: ("requests left", "requests a second here", "cap", "ms to wait"),
     Rule.RATE_LIMITED: ("requests a second", "calls left", "queued", "ms of wait"),
+    Rule.WAIT_TOO_LONG: ("ms of wait expected", "ms allowed", "queued", ""),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
     Rule.QUEUE_FULL: ("running", "limit", "queued", "queue bound"),
@@ -201,6 +203,9 @@
         " of its own."
     ),
     Rule.OVER_CAP: "Refused: the workspace has reached its usage cap.",
+    Rule.WAIT_TOO_LONG: (
+        "Shed on arrival: it would have waited longer than a quarter of its target."
+    ),
     Rule.RATE_LIMITED: (
         "Shed: the rate limit that the backend server reports is used up at present."
     ),
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -15,6 +15,7 @@
     messages,
     operator_log,
     quarantine,
+    queue_slack,
     ranks,
     rate_limits,
     replies,
@@ -78,13 +79,18 @@
     if rule is not None:
         replies.refuse(state, hosted, rule, out)
         return
-    admission.record_arrival(state, hosted.rank)
+    admission.set_limits(state, hosted)
+    admission.record_arrival(state, hosted)
     if admission.exceeds_rate_limit(state, hosted):
-        admission.record_shed(state)
+        admission.record_shed(state, hosted)
         _refuse_shed(state, hosted, decisions.Rule.RATE_LIMITED, out)
         return
     if not _worth_starting(state, hosted, out):
         return
+    if admission.exceeds_wait_limit(hosted):
+        _refuse_waiting(state, hosted, out)
+        return
+    queue_slack.record_admitted(state, hosted)
     heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
     if admission.has_slot(state):
         start(state, hosted, out)
@@ -92,6 +98,18 @@
     _enqueue(state, hosted, out)
 
 
+def _refuse_waiting(
+    state: states.State, hosted: states.Hosted, out: states.Effects
+) -> None:
+    """Refuse a call on arrival that would wait longer than it may."""
+    admission.record_shed(state, hosted)
+    queue_slack.counts_of(state, hosted).refused += 1
+    queued = float(len(state.backend.queue))
+    figures = (hosted.expected_wait, hosted.max_wait, queued)
+    rule = decisions.Rule.WAIT_TOO_LONG
+    replies.refuse(state, hosted, rule, out, figures=figures)
+
+
 def _refuse_shed(
     state: states.State,
     hosted: states.Hosted,
@@ -443,6 +461,7 @@
     hosted.instance = backend.instance
     backend.dispatch_count += 1
     slot_costs.record_run(state.costs, hosted.metadata.kind)
+    queue_slack.record_wait(state, hosted)
     hosted.occupancy = backend.running / max(1, backend.slots)
     hosted.span = (
         ids.SpanId(hosted.metadata.trace) if state.lineage else state.next_span()
@@ -524,7 +543,8 @@
     """
     kind = hosted.metadata.kind
     needed = admission.service_time(state, kind)
-    wait = admission.expected_wait(state, kind, hosted.rank)
+    wait = admission.expected_wait(state, hosted)
+    hosted.expected_wait = wait
     left = hosted.deadline - state.now
     if hosted.metadata.depth > 0 and not wait:
         needed *= MIN_CHILD_TIME_SHARE
@@ -549,6 +569,22 @@
         _refuse_shed(state, state.hosted[dropped], decisions.Rule.QUEUE_FULL, out)
     if dropped != hosted.id:
         _await_token(state, hosted)
+        if hosted.max_wait:
+            due = hosted.arrived_at + hosted.max_wait
+            heapq.heappush(state.deadlines, (due, calls.WAIT_DUE, hosted.id))
+
+
+def on_wait_due(
+    state: states.State, hosted_id: ids.HostedId, out: states.Effects
+) -> None:
+    """Refuse a call that was queued for as long as it may wait."""
+    hosted = state.hosted.get(hosted_id)
+    if hosted is None or hosted.state is not states.HostedState.QUEUED:
+        return
+    admission.remove(state, hosted_id)
+    admission.record_shed(state, hosted)
+    queue_slack.counts_of(state, hosted).expired += 1
+    _refuse_shed(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
 
 
 def _await_token(state: states.State, hosted: states.Hosted) -> None:
--- a/src/gingerturn/internal/core/level_control.py
+++ b/src/gingerturn/internal/core/level_control.py
@@ -6,7 +6,13 @@
 import math
 
 from gingerturn.internal import ids
-from gingerturn.internal.core import admission, ranks, rate_limits, state as states
+from gingerturn.internal.core import (
+    admission,
+    queue_slack,
+    ranks,
+    rate_limits,
+    state as states,
+)
 
 WINDOW_MS = 100.0
 """Length of a control window."""
@@ -52,22 +58,36 @@
         backend.level = ranks.LOWEST
         return
     admission.accumulate_busy_time(state)
+    queue_slack.close_window(state, WINDOW_MS)
     closed = backend.windows[-1]
     if closed.shed or closed.least_queue >= closed.target_queue:
         overage = ROUTED_OVERAGE if state.routed else OVERAGE
         backend.level = _raised(backend, overage)
+    elif closed.shed_patient:
+        raised = _raised(backend, ROUTED_OVERAGE)
+        backend.level = max(backend.level, min(raised, _lowest_common_band(backend)))
     elif closed.least_queue == 0:
         backend.level = _lowered(backend, closed, now)
     backend.windows.append(
         states.Window(
             ranks=[],
-            least_queue=len(backend.queue),
+            least_queue=admission.level_queue_length(state),
             target_queue=closed.target_queue,
         )
     )
     del backend.windows[:-MAX_WINDOWS]
 
 
+def _lowest_common_band(backend: states.Backend) -> ids.Rank:
+    """Return the lowest rank of the lowest band with calls that may not wait longer.
+
+    Only calls that may wait longer stand in the queue or are shed here, so that the
+    level must not reach the others.
+    """
+    lowest = min(window.lowest_common for window in backend.windows)
+    return ids.Rank(lowest - lowest % ranks.BAND)
+
+
 def dispatch_rate(backend: states.Backend) -> ids.RequestsPerSecond:
     """Return the calls a second that were dispatched in the latest windows."""
     dispatched = sum(window.dispatched for window in backend.windows)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -146,6 +146,8 @@
             calls.on_deadline(state, ids.CallId(number), out)
         elif which == calls.TOKEN_DUE:
             hosting.on_token_due(state, ids.HostedId(number), out)
+        elif which == calls.WAIT_DUE:
+            hosting.on_wait_due(state, ids.HostedId(number), out)
         else:
             hosting.on_deadline(state, ids.HostedId(number), out)
     timers.run_due(state, now, _TIMER_HANDLERS, out)
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -14,6 +14,10 @@
     state as states,
 )
 
+_SENT_RULES = {decisions.Rule.WAIT_TOO_LONG: decisions.Rule.QUEUE_FULL}
+"""Rules that nodes of earlier versions do not know, and those that are sent for them.
+Entry nodes handle both alike."""
+
 
 def refuse(
     state: states.State,
@@ -58,7 +62,7 @@
         effects.SendRefusal(
             hosted=hosted.id,
             refusal=messages.Refusal(
-                rule=int(rule),
+                rule=int(_SENT_RULES.get(rule, rule)),
                 outcome=outcome,
                 retry_after_ms=retry_after_ms,
                 decision=decision,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -99,6 +99,12 @@
     :param orphaned: the entry node gave up, but the call must not be cancelled.
     :param child_failed: a call that the backend server made for this one failed, so
         its own failure is no evidence against the backend server.
+    :param max_wait: its own limit of the time in the queue; 0 for the common one.
+    :param patient: it may wait longer than the common limit.
+    :param expected_wait: wait that was expected on arrival.
+    :param service_ms: service time that was expected on arrival.
+    :param start_by: when to start it to answer within its target; used only where kinds
+        have their own limits.
     """
 
     id: ids.HostedId
@@ -117,6 +123,14 @@
     child_failed: bool = False
     decision: str = ""
     children: dict[str, int] = {}
+    max_wait: ids.Milliseconds = 0.0
+    patient: bool = False
+    expected_wait: ids.Milliseconds = 0.0
+    service_ms: ids.Milliseconds = 0.0
+    start_by: ids.Milliseconds = 0.0
+
+
+_HIGHEST_RANK = ranks.HIGHEST
 
 
 class Window(msgspec.Struct):
@@ -125,6 +139,8 @@
     :param least_queue: minimum queue length in the window.
     :param target_queue: a queue at least this long for the whole window raises the
         level.
+    :param shed_patient: calls shed that may wait longer than others.
+    :param lowest_common: lowest rank of an arriving call that may not.
     """
 
     ranks: list[int] = []
@@ -133,6 +149,8 @@
     busy_ms: float = 0.0
     least_queue: int = 0
     target_queue: int = 2
+    shed_patient: int = 0
+    lowest_common: int = _HIGHEST_RANK
 
 
 class ServiceTime(msgspec.Struct):
@@ -186,6 +204,43 @@
     sequence: int
 
 
+class WaitCounts(msgspec.Struct):
+    """Waits of the calls of one kind since this node started.
+
+    :param over_share: calls started after more than a quarter of their target.
+    :param refused: calls refused on arrival, since they would have waited too long.
+    :param expired: calls refused after they had waited for as long as they may.
+    """
+
+    started: int = 0
+    waited_ms: ids.Milliseconds = 0.0
+    over_share: int = 0
+    refused: int = 0
+    expired: int = 0
+
+
+SlackEntry = tuple[ids.Milliseconds, int, ids.HostedId, ids.Milliseconds]
+"""When to start a queued call, its number of arrival, its id and its service time."""
+
+
+class QueueSlack(msgspec.Struct):
+    """Load and waits where kinds have their own queueing time limits.
+
+    :param load: slots that admitted calls take, by class and kind; a moving mean.
+    :param arriving_ms: slot time of the calls admitted in the current window.
+    :param order: queued calls by class, that with the least slack first.
+    :param limited: number of queued calls with a limit of their own.
+    :param patient: number of those that may wait longer than others.
+    """
+
+    load: dict[tuple[int, str], float] = {}
+    arriving_ms: dict[tuple[int, str], float] = {}
+    order: dict[int, list[SlackEntry]] = {}
+    limited: int = 0
+    patient: int = 0
+    waits: dict[str, WaitCounts] = {}
+
+
 class Backend(msgspec.Struct):
     """The backend server beside this node, and admission to it.
 
@@ -208,6 +263,7 @@
     :param rate_limited_count: calls shed for that limit while this node ran.
     :param logged_limit: the limit in the latest log line about it.
     :param limit_logged_at: when that line was written.
+    :param slack: load where kinds have their own queueing time limits.
     """
 
     service: ids.ServiceName = ids.ServiceName("")
@@ -242,6 +298,7 @@
     limiter: rate_limits.Limiter = msgspec.field(default_factory=rate_limits.Limiter)
     logged_limit: ids.RequestsPerSecond = rate_limits.NO_LIMIT
     limit_logged_at: ids.Milliseconds = 0.0
+    slack: QueueSlack = msgspec.field(default_factory=QueueSlack)
 
 
 class ReportedLevel(msgspec.Struct, frozen=True, gc=False):
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -1,11 +1,13 @@
 """Readiness and metrics endpoints of a node."""
 
+import collections.abc
 import typing
 
 from gingerturn.internal.core import (
     freshness,
     level_control,
     levels,
+    queue_slack,
     readiness,
     state as states,
     streams,
@@ -58,9 +60,33 @@
     ]
 
 
-def _label(workspace: str) -> str:
-    escaped = workspace.replace("\\", r"\\").replace('"', r"\"")
-    return f'{{workspace="{escaped}"}}'
+def _label(value: str, *, name: str = "workspace") -> str:
+    escaped = value.replace("\\", r"\\").replace('"', r"\"")
+    return f'{{{name}="{escaped}"}}'
+
+
+def _waits(state: states.State) -> list[tuple[str, str, list[tuple[str, float]]]]:
+    """Return the metrics of waits by kind, where kinds have their own limits."""
+    waits = sorted(state.backend.slack.waits.items())
+    by_kind = queue_slack.targets(state)
+    if not waits:
+        return []
+
+    def rows(
+        value: collections.abc.Callable[[str, states.WaitCounts], float],
+    ) -> list[tuple[str, float]]:
+        return [
+            (_label(kind, name="kind"), value(kind, counts)) for kind, counts in waits
+        ]
+
+    return [
+        ("queue_target_ms", "gauge", rows(lambda kind, _: by_kind.get(kind, 0))),
+        ("queue_started_total", "counter", rows(lambda _, c: c.started)),
+        ("queue_waited_ms_total", "counter", rows(lambda _, c: c.waited_ms)),
+        ("queue_over_quarter_total", "counter", rows(lambda _, c: c.over_share)),
+        ("queue_refused_total", "counter", rows(lambda _, c: c.refused)),
+        ("queue_expired_total", "counter", rows(lambda _, c: c.expired)),
+    ]
 
 
 def _missing_reads(state: states.State) -> list[tuple[str, float]]:
@@ -122,7 +148,7 @@
     add("cap_share_kept", "gauge", ("", state.cap_allocator.delegated_share))
     add("keys_proven_age_ms", "gauge", ("", freshness.advertised_age_ms(state)))
     add("keys_closed", "gauge", ("", freshness.is_stale(state)))
-    for name, kind, rows in _workspace_metrics(state):
+    for name, kind, rows in [*_workspace_metrics(state), *_waits(state)]:
         add(name, kind, *rows)
     quantiles = [
         (f'{{quantile="{q / 100:g}"}}', node.durations.get_value_at_percentile(q) / 1e6)
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -22,6 +22,11 @@
 MAX_VERSION = (1 << 63) - 1
 """Versions are encoded as signed 64-bit integers."""
 
+TARGET_SPREAD = 10
+"""Factor between the latency targets of a service's kinds from which each kind has its
+own queueing time limit. One limit fits targets that are closer: it was set for targets
+of 250 to 2,000 ms."""
+
 MAX_WORKSPACE_PRIORITY = 1_000
 MAX_RATE = 1e9
 _HEX_DIGITS = frozenset("0123456789abcdef")
@@ -261,6 +266,7 @@
         self._importance = _importance_function(table)
         self._by_digest: dict[str, Workspace] = {}
         self._by_name: dict[str, Workspace] = {}
+        self._spread_targets = _spread_targets(table)
         self.has_caps = any(w.rate > 0 for w in table.workspaces or ())
         for route in table.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
@@ -291,6 +297,11 @@
                 return route
         return None
 
+    def spread_targets(self, service: str) -> collections.abc.Mapping[str, int]:
+        """Return the latency targets of a service in ms by kind, or an empty mapping
+        unless they differ by a factor of :data:`TARGET_SPREAD` or more."""
+        return self._spread_targets.get(service, _NO_TARGETS)
+
     @property
     def needs_keys(self) -> bool:
         """Whether requests need API keys, except on public routes."""
@@ -320,6 +331,22 @@
         return rule
 
 
+_NO_TARGETS: collections.abc.Mapping[str, int] = {}
+
+
+def _spread_targets(table: RouteTable) -> dict[str, dict[str, int]]:
+    by_service: dict[str, dict[str, int]] = {}
+    for route in table.routes:
+        for share in route.shares:
+            if share.weight > 0:
+                by_service.setdefault(share.service, {})[route.name] = route.target_ms
+    return {
+        service: targets
+        for service, targets in by_service.items()
+        if max(targets.values()) >= TARGET_SPREAD * min(targets.values())
+    }
+
+
 _ImportanceFunction = collections.abc.Callable[[Route, int | None], int]
 """Maps a route and the priority of the workspace to an importance class."""
 
