--- a/tests/cover/test_queue_slack.py
+++ b/tests/cover/test_queue_slack.py
@@ -12,7 +12,7 @@
 import pytest
 
 from benchmarks import deployments, sites
-from gingerturn import routes
+from gingerturn import metrics_text, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     decisions,
@@ -26,6 +26,7 @@
     state as states,
     timers,
 )
+from gingerturn.internal.shell import node as nodes, probes
 from gingerturn_fakes import parts
 from tests.common import builders, routed
 
@@ -416,3 +417,21 @@
     _answer(state, 1)
     counts = state.backend.slack.waits[SHORT]
     assert (counts.started, counts.waited_ms, counts.over_share) == (1, 200.0, 1)
+
+
+def test_metrics_have_the_waits_by_kind_only_where_limits_apply() -> None:
+    node = nodes.Node(builders.settings())
+    node.state = _home()
+    _fill(node.state, LONG)
+    page = probes.metrics(node).decode()
+    assert f'gingerturn_queue_started_total{{kind="{LONG}"}} {SLOTS}' in page
+    assert f'gingerturn_queue_target_ms{{kind="{LONG}"}} {LONG_TARGET_MS}' in page
+    assert metrics_text.parse(page, origin="a page").plain["backend_running"] == SLOTS
+    node.state = _home(targets=(300, 600))
+    _fill(node.state, LONG)
+    assert "queue_started_total" not in probes.metrics(node).decode()
+    # Kinds without a route here are dropped, which bounds the number of labels.
+    state = _home()
+    state.backend.slack.waits["former"] = states.WaitCounts()
+    _fill(state, LONG)
+    assert set(state.backend.slack.waits) == {LONG}
