Queue of a restarted home node follows the slots that it may use

Cause: while calls of an earlier start hold slots, the bound of the queue and the expected wait counted with all slots, so that calls waited for the few that are used and were refused too late to go elsewhere.

Change: both use the limit without these slots. The property tests of the reducer have reports of load and pace.

--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -93,8 +93,9 @@
     """Return how many calls may be queued, from the observed service time."""
     backend = state.backend
     service_ms = max(1.0, service_time(state, kind))
-    bound = math.ceil(backend.limit * QUEUE_MS / service_ms)
-    bound = max(MIN_QUEUE, min(bound, int(backend.limit)))
+    limit = _usable_limit(state)
+    bound = math.ceil(limit * QUEUE_MS / service_ms)
+    bound = max(MIN_QUEUE, min(bound, int(limit)))
     if backend.limiter.limited:
         tokens = rate_limits.tokens_in(backend.limiter, LIMITED_QUEUE_MS, state.now)
         return min(bound, tokens)
@@ -173,10 +174,17 @@
 def _has_free_slot(state: states.State) -> bool:
     backend = state.backend
     usable = saturation.usable_slots(state)
+    return backend.running < min(int(_usable_limit(state)), usable)
+
+
+def _usable_limit(state: states.State) -> float:
+    """Return the limit without slots that an earlier start of this node holds."""
+    backend = state.backend
     tracker = backend.pace_tracker
-    if tracker.foreign or tracker.expected_at:
-        usable = min(usable, pace.usable_slots(tracker, backend.slots, state.now))
-    return backend.running < min(int(backend.limit), usable)
+    if not tracker.foreign and not tracker.expected_at:
+        return backend.limit
+    usable = pace.usable_slots(tracker, backend.slots, state.now)
+    return min(backend.limit, float(usable))
 
 
 def is_rate_limited(state: states.State) -> bool:
@@ -258,14 +266,13 @@
 
 def expected_wait(state: states.State, kind: str, rank: ids.Rank) -> float:
     """Return the expected queueing delay of a call of this rank, in ms."""
-    backend = state.backend
     if has_slot(state):
         return 0.0
     wait = token_wait(state, rank)
     if is_rate_limited(state):
         return wait
     ahead = _ahead(state, rank)
-    slots_ms = (ahead + 1) * service_time(state, kind) / max(1.0, backend.limit)
+    slots_ms = (ahead + 1) * service_time(state, kind) / max(1.0, _usable_limit(state))
     return max(wait, slots_ms)
 
 
--- a/tests/cover/test_pace.py
+++ b/tests/cover/test_pace.py
@@ -280,6 +280,17 @@
     assert _free_slots(home) == 15
 
 
+# Guards against calls that wait in the queue of all slots for the few that are used,
+# and are refused too late to go elsewhere.
+def test_a_restarted_node_queues_only_what_few_slots_can_take() -> None:
+    home = Home(slots=20)
+    for _ in range(20):
+        home.open(knows_pace=True)
+    # Calls without child calls rank with the deep ones.
+    bound = admission.MIN_QUEUE * admission.ROUTED_DEEP_FACTOR
+    assert len(home.state.backend.queue) == bound
+
+
 def test_a_new_start_of_the_backend_server_needs_no_report() -> None:
     home = Home(slots=20)
     reducer.reduce(home.state, routed.announced(instance="i-2", slots=20))
--- a/tests/cover/test_reducer_properties.py
+++ b/tests/cover/test_reducer_properties.py
@@ -26,6 +26,15 @@
     load=st.integers(0, 20),
     limit=st.integers(0, 10),
     leaving=st.booleans(),
+    pace=st.sampled_from([0, 1, 100, 250, 10_000]),
+    pace_age_ms=st.integers(-5, 2_000),
+)
+LOADS = st.none() | st.builds(
+    messages.BackendLoad,
+    running=st.integers(0, 40),
+    waiting=st.integers(0, 40),
+    slots=st.integers(1, 20),
+    pace=st.sampled_from([0, 1, 100, 250, 10_000]),
 )
 METADATA = st.builds(
     builders.call_metadata,
@@ -40,6 +49,7 @@
     key=KEYS,
     never_ran=st.booleans(),
     fingerprint=st.integers(0, 3),
+    knows_pace=st.booleans(),
 )
 REFUSALS = st.builds(
     messages.Refusal,
@@ -178,6 +188,7 @@
         hosted=st.integers(100, 110),
         status=st.sampled_from([200, 429, 503]),
         whole=st.booleans(),
+        load=LOADS,
     ),
     _event(events.BackendFinished, hosted=st.integers(100, 110)),
     _event(
