--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -1,13 +1,21 @@
 """Reports of the load of a backend server: how they are read, counted and logged."""
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 
 from gingerturn import dialect
-from gingerturn.internal import logs
+from gingerturn.internal import ids, logs
 from gingerturn.internal.core import messages, pace
-from gingerturn.internal.shell import backend_pool, clock, node as nodes, probes
+from gingerturn.internal.shell import (
+    backend_pool,
+    clock,
+    exchanges,
+    node as nodes,
+    probes,
+)
+from gingerturn.internal.wire import frames
 from tests.common import builders
 
 NAME = b"gingerturn-load"
@@ -118,3 +126,50 @@
         "gingerturn_upstreams_slow 0",
     ):
         assert line in lines
+
+
+class _Channel:
+    """A channel to an entry node that records the frames sent."""
+
+    peer = ids.NodeId("entry")
+
+    def __init__(self) -> None:
+        self.hosted: dict[int, ids.HostedId] = {}
+        self.sent: list[frames.Frame] = []
+
+    def send(self, frame: frames.Frame) -> None:
+        self.sent.append(frame)
+
+
+# Guards against a report that is read and never reaches the entry nodes.
+@pytest.mark.parametrize("length", [3, 10_000_000])
+def test_an_answer_with_a_load_carries_the_pace_to_the_entry_node(
+    monkeypatch: pytest.MonkeyPatch, length: int
+) -> None:
+    monkeypatch.setattr(exchanges.HostedExchange, "dispatch", lambda self, effect: None)
+    channel = _Channel()
+    node = nodes.Node(builders.settings("home"))
+    node.apply(builders.announced("plans", now=clock.now()))
+    opened = frames.Open(
+        call=7,
+        terms=builders.call_metadata(),
+        head=b"GET / HTTP/1.1\r\n",
+        body=b"",
+        whole=True,
+    )
+    node.home.on_frame(channel, opened)  # type: ignore[arg-type]
+    (exchange,) = node.home._exchanges.values()
+    exchange.on_load(messages.BackendLoad(3, 0, 8, 250))
+    exchange.on_head(200, b"HTTP/1.1 200 OK\r\n", length, executed=True)
+    if length == 3:
+        exchange.on_body(b"abc")
+        exchange.on_end()
+    (answer,) = channel.sent
+    assert isinstance(answer, frames.Answer)
+    assert answer.report.pace == 250
+    assert answer.report.pace_age_ms < 1_000
+    # The frame of a node of an earlier version has no pace.
+    earlier = msgspec.msgpack.encode(answer.report)
+    fields = msgspec.msgpack.decode(earlier)[:-2]
+    decoded = msgspec.convert(fields, messages.LoadReport)
+    assert decoded == msgspec.structs.replace(answer.report, pace=0, pace_age_ms=0)
