--- a/src/gingerturn/internal/core/admission.py
+++ b/src/gingerturn/internal/core/admission.py
@@ -186,16 +186,10 @@
 
 
 def _has_free_slot(state: states.State) -> bool:
-    backend = state.backend
-    running = backend.running
-    tracker = backend.pace_tracker
-    if (tracker.foreign or tracker.expected_at) and running >= pace.usable_slots(
-        tracker, backend.slots, state.now
-    ):
+    running = state.backend.running
+    if running >= int(_usable_limit(state)):
         return False
-    return running < int(backend.limit) and running < saturation.usable_slots(state)
-    usable = saturation.usable_slots(state)
-    return backend.running < min(int(_usable_limit(state)), usable)
+    return running < saturation.usable_slots(state)
 
 
 def _usable_limit(state: states.State) -> float:
@@ -311,7 +305,7 @@
         length = len(backend.queue) - backend.slack.limited
         return length, queue_bound(state, kind) * _deep_factor(state)
     service_ms = max(1.0, service_time(state, kind))
-    bound = math.ceil(backend.limit * hosted.max_wait / service_ms)
+    bound = math.ceil(_usable_limit(state) * hosted.max_wait / service_ms)
     return backend.slack.limited, max(MIN_QUEUE, bound)
 
 
@@ -342,22 +336,17 @@
 
 def expected_wait(state: states.State, hosted: states.Hosted) -> ids.Milliseconds:
     """Return the expected queueing delay of a call that arrives."""
-    backend = state.backend
-    rank = hosted.rank
-def expected_wait(state: states.State, kind: str, rank: ids.Rank) -> float:
-    """Return the expected queueing delay of a call of this rank, in ms."""
     if has_slot(state):
         return 0.0
-    wait = token_wait(state, rank)
+    wait = token_wait(state, hosted.rank)
     if is_rate_limited(state):
         return wait
+    slots = max(1.0, _usable_limit(state))
     if queue_slack.is_active(state):
-        slots = max(1.0, min(backend.limit, saturation.usable_slots(state)))
+        slots = max(1.0, min(slots, saturation.usable_slots(state)))
         return max(wait, queue_slack.expected_wait(state, hosted, slots=slots))
-    ahead = _ahead(state, rank)
-    service_ms = service_time(state, hosted.metadata.kind)
-    slots_ms = (ahead + 1) * service_ms / max(1.0, backend.limit)
-    slots_ms = (ahead + 1) * service_time(state, kind) / max(1.0, _usable_limit(state))
+    ahead = _ahead(state, hosted.rank)
+    slots_ms = (ahead + 1) * service_time(state, hosted.metadata.kind) / slots
     return max(wait, slots_ms)
 
 
