Tests: each worker has ports of its own; two tests follow the merged fields

Two tests of workspace shares set a counter by position and expected their field to be the last of a report.

Change: the ports are divided among the workers; the counter is named, and the bytes of all unused trailing fields are compared.

--- a/tests/cover/test_workspace_shares.py
+++ b/tests/cover/test_workspace_shares.py
@@ -367,7 +367,7 @@
 ) -> None:
     node = nodes.Node(builders.settings())
     node.state = _home("shop")
-    node.state.caps.usage["loud"] = states.WorkspaceUsage(9, 0, 5)
+    node.state.caps.usage["loud"] = states.WorkspaceUsage(admitted=9, shed_for_share=5)
     node.state.workspace_shares.reported = ((ids.WorkspaceName("loud"), 2_500),)
     page = tmp_path / "page"
     page.write_bytes(probes.metrics(node))
@@ -492,11 +492,12 @@
     assert admission.load_report(state, "lookup").bottleneck_factors == ()
 
 
-def test_an_empty_factor_adds_one_byte_to_a_report() -> None:
+def test_unused_fields_add_three_bytes_to_a_report() -> None:
     former = messages.LoadReport(ranks.LOWEST, ranks.LOWEST, 1, 10)
     content = msgspec.msgpack.encode(former)
-    assert content[-1:] == msgspec.msgpack.encode(())
+    factors, pace = msgspec.msgpack.encode(()), msgspec.msgpack.encode(0)
+    assert content[-3:] == factors + pace + pace
     decoded = msgspec.msgpack.decode(
-        bytes([content[0] - 1]) + content[1:-1], type=messages.LoadReport
+        bytes([content[0] - 3]) + content[1:-3], type=messages.LoadReport
     )
     assert decoded == former
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -26,6 +27,21 @@
 _port_numbers = itertools.count(random.SystemRandom().randrange(20_000))
 """Starts at a random number, so that concurrent runs rarely try the same ports."""
 
+_WORKER = re.compile(r"gw(\d+)")
+MAX_WORKERS = 16
+
+
+def _worker_part() -> tuple[int, int]:
+    """Return the part of the ports of this test worker, and the number of parts.
+
+    A killed node starts again on its port after seconds, in which another worker must
+    not take it.
+    """
+    worker = _WORKER.fullmatch(os.environ.get("PYTEST_XDIST_WORKER", ""))
+    if worker is None:
+        return 0, 1
+    return int(worker[1]) % MAX_WORKERS, MAX_WORKERS
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free at present on the loopback address, TCP and UDP.
@@ -33,10 +49,11 @@
     They lie below the ephemeral range: the system could give a port of that range to an
     outgoing connection before the node listens on it.
     """
-    span = int(_RANGE_FILE.read_text().split()[0]) - _FIRST_PORT
+    part, parts = _worker_part()
+    span = (int(_RANGE_FILE.read_text().split()[0]) - _FIRST_PORT) // parts
     ports: list[int] = []
     while len(ports) < count:
-        port = _FIRST_PORT + next(_port_numbers) * _STRIDE % span
+        port = _FIRST_PORT + part * span + next(_port_numbers) * _STRIDE % span
         if is_free(port):
             ports.append(port)
     return ports
