--- a/review/standins.py
+++ b/review/standins.py
@@ -639,14 +639,24 @@
 
 
 def play(run: collections.abc.Callable[[pathlib.Path], typing.Any]) -> int:
-    """Play a case in a temporary folder; return its exit status, 2 if it failed."""
+    """Play a case in a temporary folder; return its exit status, 2 if it failed.
+
+    A SIGTERM cancels it, so that it still ends the processes that it started.
+    """
+
+    async def cancellable(folder: pathlib.Path) -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        status: int = await run(folder)
+        return status
+
     with tempfile.TemporaryDirectory() as made:
         try:
-            status: int = asyncio.run(run(pathlib.Path(made)))
-        except Exception:
+            return asyncio.run(cancellable(pathlib.Path(made)))
+        except (Exception, asyncio.CancelledError):
             traceback.print_exc()
             return 2
-        return status
 
 
 async def wait_until(
