--- a/review/standins.py
+++ b/review/standins.py
@@ -31,8 +31,23 @@
 LOG_KEEP_S = 300.0
 _ENDS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
-_FIRST_PORT = 20_000 + os.getpid() % 50 * 200
-_PORTS = iter(range(_FIRST_PORT, _FIRST_PORT + 200, 2))
+
+
+def _take_ports() -> tuple[socket.socket, collections.abc.Iterator[int]]:
+    """Return the ports of this process, and a socket that keeps others from them."""
+    for number in range(50):
+        first = 20_000 + (os.getpid() + number) % 50 * 200
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, iter(range(first + 2, first + 200, 2))
+    raise OSError("no free ports")
+
+
+_GUARD, _PORTS = _take_ports()
 
 
 def free_port() -> int:
