Logs: what a statement that a request did not run rests on, by its id

An incident's record had no line that names the request: hundreds of lines a second were dropped, and 'backend_refused' had no figures, so the hypotheses could not be told apart.

'gingerturn why' reads them; two counters are new. No logic is changed.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -454,10 +454,11 @@
     for line in explanation.lines:
         figures = ", ".join(f"{name} {value:g}" for name, value in line.figures.items())
         status = f" status {line.status}" if line.status else ""
+        version = f", version {line.version}" if line.version else ""
         click.echo(
             f"{line.time} {line.node} {line.part} {line.request} {line.rule}{status}"
-            f" after {line.waited_ms:g} ms, version {line.version}"
-            + (f" ({figures})" if figures else "")
+            f" after {line.waited_ms:g} ms{version}"
+            + (f" ({figures})" if figures else _connection_text(line))
         )
     if explanation.end is None:
         click.echo("No line has its outcome.")
@@ -468,6 +469,15 @@
         click.echo(f"Cause: {cause.text} At {cause.node}, for {cause.request}.")
 
 
+def _connection_text(line: explain.Line) -> str:
+    if not line.connection:
+        return ""
+    return (
+        f" (connection {line.connection}, exchange {line.exchange},"
+        f" answer to {line.answer_id!r})"
+    )
+
+
 def _echo_trail(rows: typing.Any, as_json: bool) -> None:
     """Print entries of the audit trail, one a line."""
     if as_json:
--- a/src/gingerturn/explain.py
+++ b/src/gingerturn/explain.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from gingerturn import errors
+from gingerturn.internal import outcome_log
+from gingerturn.internal.core import decisions
 
 FIRST_FAILURE_STATUS = 500
 ENTRY = "entry"
@@ -26,6 +28,10 @@
     :param status: status of the response to the caller; 0 if there is none yet.
     :param version: version of the route table in force at the node.
     :param waited_ms: time since the node received the request.
+    :param instance: the backend server that it was meant for.
+    :param connection: number of the connection to that backend server.
+    :param exchange: number of the exchange on that connection.
+    :param answer_id: request id in the backend server's answer.
     """
 
     time: str
@@ -42,6 +48,34 @@
     waited_ms: float = 0.0
     workspace: str = ""
     decision: str = ""
+    instance: str = ""
+    connection: int = 0
+    exchange: int = 0
+    answer_id: str = ""
+
+
+class _Fact(msgspec.Struct, frozen=True):
+    """A fact of a line that holds several, see :mod:`.internal.outcome_log`."""
+
+    request: str
+    part: str
+    rule: str
+    time: str
+    upstream: str = ""
+    status: int = 0
+    decision: str = ""
+    waited_ms: float = 0.0
+    instance: str = ""
+    connection: int = 0
+    exchange: int = 0
+    answer_id: str = ""
+
+
+class _Facts(msgspec.Struct, frozen=True):
+    """A line that holds several facts."""
+
+    node: str
+    facts: tuple[_Fact, ...] = ()
 
 
 class Explanation(msgspec.Struct, frozen=True):
@@ -65,17 +99,47 @@
     collector added.
     """
     found: list[Line] = []
+    facts: list[Line] = []
     for source in sources:
         for raw in source:
+            content = raw[raw.find(b"{") :]
             try:
-                line = msgspec.json.decode(raw[raw.find(b"{") :], type=Line)
+                line = msgspec.json.decode(content, type=Line)
             except msgspec.MsgspecError:
                 continue
             if line.request:
                 found.append(line)
+            elif b'"facts"' in content:
+                facts += _facts_of(content)
+    # A decision that also has a line of its own is not repeated.
+    decided = {line.decision for line in found if line.decision}
+    found += [fact for fact in facts if fact.decision not in decided]
     return sorted(found, key=lambda line: line.time)
 
 
+def _facts_of(content: bytes) -> list[Line]:
+    """Return the facts of a line that holds several."""
+    try:
+        held = msgspec.json.decode(content, type=_Facts)
+    except msgspec.MsgspecError:
+        return []
+    return [
+        Line(node=held.node, text=_text_of(fact), **msgspec.structs.asdict(fact))
+        for fact in held.facts
+    ]
+
+
+def _text_of(fact: _Fact) -> str:
+    """Return a fact as a sentence."""
+    answer = f"an answer {fact.status} with the id {fact.answer_id!r}"
+    if fact.rule == outcome_log.NOT_EXECUTED:
+        return f"The backend server says that it did not run: {answer}."
+    if fact.rule == outcome_log.UNRELATED_ANSWER:
+        return f"Discarded: {answer}, which belongs to no request in progress."
+    rule = decisions.Rule.__members__.get(fact.rule.upper())
+    return "" if rule is None else decisions.description_of(rule)
+
+
 def explain(lines: list[Line], wanted: str) -> Explanation:
     """Explain the outcome of a request.
 
--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -252,6 +252,8 @@
     :param waited_ms: age of the request at the decision.
     :param status: status of the answer, 0 if there is none yet.
     :param workspace: workspace that the request belongs to; empty if none.
+    :param outcome_fact: a statement about the outcome of an unrepeatable request may
+        rest on the decision.
     """
 
     part: str
@@ -265,6 +267,7 @@
     waited_ms: float
     status: int = 0
     workspace: str = ""
+    outcome_fact: bool = False
 
 
 class Stopped(Effect, frozen=True):
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -31,6 +31,7 @@
     decisions.Rule.KEY_UNKNOWN: 401,
     decisions.Rule.OVER_CAP: 429,
 }
+FIRST_ERROR_STATUS = 400
 _DEFAULT_DELAY_MS = 1_000.0
 """Retry delay before jitter where no other is known."""
 
@@ -93,11 +94,16 @@
             waited_ms=state.now - call.arrived_at,
             status=status,
             workspace=call.workspace,
+            outcome_fact=not call.rule.repeatable and not _is_success(rule, status),
         )
     )
     return decision
 
 
+def _is_success(rule: decisions.Rule, status: int) -> bool:
+    return rule is decisions.Rule.SENT and status < FIRST_ERROR_STATUS
+
+
 def refuse(
     state: states.State,
     call: states.Call,
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -157,6 +157,7 @@
             figures=figures,
             version=state.version,
             waited_ms=state.now - hosted.arrived_at,
+            outcome_fact=not hosted.metadata.repeatable,
         )
     )
     return decision
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -155,6 +155,15 @@
     loguru.logger.bind(part=part, **fields).log(level, text)
 
 
+def write_always(part: str, text: str, **fields: typing.Any) -> None:
+    """Write one line at any level of the log."""
+    if _state.output is not None:
+        common = {"level": "INFO", "node": _state.node, "part": part}
+        _state.output.write_fields({**common, **fields, "text": text})
+        return
+    write("INFO", part, text, **fields)
+
+
 def may_write_decision(*, failure: bool) -> bool:
     """Whether a line about a decision is within the rate limit, which then counts it.
 
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -5,7 +5,9 @@
 import typing
 
 import httptools
+import msgspec
 
+from gingerturn.internal import ids, outcome_log
 from gingerturn.internal.core import messages
 from gingerturn.internal.shell import clock, heads, sockets
 
@@ -18,6 +20,22 @@
 """Value of the header by which a backend server reports that it is leaving."""
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """An answer that says that its request did not run.
+
+    :param answer_id: the request id in the answer; empty if it has none.
+    :param connection: number of the connection that it arrived on.
+    :param exchange: number of the exchange on that connection, from 1.
+    :param after_ms: time since the request was written.
+    """
+
+    status: int
+    answer_id: str
+    connection: int
+    exchange: int
+    after_ms: ids.Milliseconds
+
+
 class Receiver(typing.Protocol):
     """Callbacks of an exchange."""
 
@@ -31,11 +49,13 @@
     def on_load(self, load: messages.BackendLoad) -> None:
         """Handle the load that the head of the answer reports."""
 
-    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
+    def on_head(
+        self, status: int, head: bytes, length: int, *, rejection: Rejection | None
+    ) -> None:
         """Handle the head of the answer.
 
         :param length: length of the body; -1 if it is not known.
-        :param executed: ``False`` if the head says that the request did not run.
+        :param rejection: what says that the request did not run, if anything does.
         """
 
     def on_body(self, body: bytes) -> None:
@@ -63,6 +83,8 @@
 
     def __init__(self, pool: "backend_pool.Pool") -> None:
         self._pool = pool
+        self._number = pool.next_connection_number()
+        self._exchanges = 0
         self.address = pool.address
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._parser: typing.Any = None
@@ -131,6 +153,7 @@
         :param whole: whether the body is complete; otherwise pieces follow.
         """
         self._receiver = receiver
+        self._exchanges += 1
         self._parser = httptools.HttpResponseParser(self)
         self._head_only = head_only
         self._informational = False
@@ -240,6 +263,7 @@
         if self._mismatched:
             # A late answer to an earlier request; the expected one may still follow.
             self._in_sync = False
+            self._record_unrelated(status, values)
             return
         lengths = []
         if b"content-length" in values:
@@ -260,8 +284,6 @@
         if self._head_only and lengths:
             head += b"content-length: %b\r\n" % lengths[0]
         length = int(lengths[0]) if lengths and not chunked else -1
-        not_executed_header = self._pool.dialect.not_executed
-        executed = status != messages.MISDIRECTED and not_executed_header not in values
         if status != messages.MISDIRECTED:
             # Another instance sends 421, and its limit is not that of the intended one.
             self._receiver.on_report(
@@ -272,7 +294,10 @@
             if load is not None:
                 self._receiver.on_load(load)
         self._receiver.on_head(
-            status, head, 0 if bodiless else length, executed=executed
+            status,
+            head,
+            0 if bodiless else length,
+            rejection=self._rejection(status, values),
         )
         if self._head_only:
             self._reusable = False
@@ -318,6 +343,38 @@
             return values[name] != self._request_id
         return any(n == name and v != self._request_id for n, v in self._headers)
 
+    def _rejection(self, status: int, values: dict[bytes, bytes]) -> Rejection | None:
+        """Return what in the head says that the request did not run."""
+        is_rejected = self._pool.dialect.not_executed in values
+        if status != messages.MISDIRECTED and not is_rejected:
+            return None
+        return Rejection(
+            status=status,
+            answer_id=self._answer_id(values),
+            connection=self._number,
+            exchange=self._exchanges,
+            after_ms=clock.now() - self._begun_at,
+        )
+
+    def _answer_id(self, values: dict[bytes, bytes]) -> str:
+        return values.get(self._pool.dialect.request_id, b"").decode("latin-1")
+
+    def _record_unrelated(self, status: int, values: dict[bytes, bytes]) -> None:
+        """Record an answer that belongs to another request or to none."""
+        self._pool.unrelated_answers += 1
+        if not outcome_log.may_record(dispatch=False):
+            return
+        outcome_log.record(
+            self._request_id.decode("latin-1"),
+            "backend",
+            outcome_log.UNRELATED_ANSWER,
+            status=status,
+            waited_ms=round(clock.now() - self._begun_at, 1),
+            connection=self._number,
+            exchange=self._exchanges,
+            answer_id=self._answer_id(values),
+        )
+
     def _fail(self) -> None:
         receiver, self._receiver = self._receiver, None
         self._transport.abort()
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -64,7 +64,9 @@
         self._observed_ms = MAX_IDLE_TIMEOUT_MS
         self._observed_at = clock.now()
         self._invalid_limit = b""
+        self._connections = 0
         self.discarded_count = 0
+        self.unrelated_answers = 0
         self._invalid_load_logged_at = -math.inf
         self.load_reports = 0
         self.invalid_load_reports = 0
@@ -94,6 +96,11 @@
         observed_ms = self._observed_ms * math.pow(2.0, doublings)
         return min(MAX_IDLE_TIMEOUT_MS, self._advertised_ms, observed_ms)
 
+    def next_connection_number(self) -> int:
+        """Return the number of a new connection, by which logs name it."""
+        self._connections += 1
+        return self._connections
+
     def take(self, *, recently_used: bool = False) -> backend_http.Connection | None:
         """Return the most recently used idle connection; ``None`` if there is none.
 
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gingerturn.internal import ids
+from gingerturn.internal import ids, outcome_log
 from gingerturn.internal.core import backend_reports, effects, events, messages
 from gingerturn.internal.shell import backend_http, clock
 from gingerturn.internal.wire import frames
@@ -193,10 +193,19 @@
         """Keep the reported load for the event of the answer."""
         self._load = load
 
-    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
+    def on_head(
+        self,
+        status: int,
+        head: bytes,
+        length: int,
+        *,
+        rejection: backend_http.Rejection | None,
+    ) -> None:
         """Handle the head of the answer."""
         self._status = status
-        self._executed = executed
+        self._executed = rejection is None
+        if rejection is not None and not self._opened.terms.repeatable:
+            self._record_rejection(rejection)
         self._head = head
         self._length = length
         if length > self._node.settings.limits.body_buffer:
@@ -321,6 +330,22 @@
         if count:
             self._send(frames.Credit(call=self._opened.call, count=count))
 
+    def _record_rejection(self, rejection: backend_http.Rejection) -> None:
+        if not outcome_log.may_record(dispatch=False):
+            return
+        hosted = self._node.state.hosted.get(self._hosted)
+        outcome_log.record(
+            self._opened.terms.trace,
+            "backend",
+            outcome_log.NOT_EXECUTED,
+            status=rejection.status,
+            waited_ms=round(rejection.after_ms, 1),
+            instance="" if hosted is None else hosted.instance,
+            connection=rejection.connection,
+            exchange=rejection.exchange,
+            answer_id=rejection.answer_id,
+        )
+
     def _start_streaming(self) -> None:
         self._streaming = True
         self._node.apply(
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -19,7 +19,7 @@
     log_service,
     settings,
 )
-from gingerturn.internal import ids, logs
+from gingerturn.internal import ids, logs, outcome_log
 from gingerturn.internal.core import (
     allowance,
     decisions,
@@ -278,6 +278,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.log.close()
+        outcome_log.flush()
         if self._recorder is not None:
             recorded, digest = self._recorder.events, self._recorder.digest
             text = f"Recorded {recorded} events, digest {digest}."
@@ -376,6 +377,7 @@
             self._was_ready = ready
             text = "Ready for callers." if ready else "Not ready for callers."
             logs.write("INFO", "node", text, version=self.state.version)
+        outcome_log.flush()
         now = clock.now()
         if now >= self._next_dropped_lines_report:
             self._next_dropped_lines_report = now + DROPPED_LINES_INTERVAL_MS
@@ -397,6 +399,8 @@
             logs.write(effect.level, effect.part, effect.text)
 
     def _log_decision(self, effect: effects.LogDecision) -> None:
+        if effect.outcome_fact:
+            _record_outcome_fact(effect)
         # Most lines are dropped, so check before building one.
         failure = decisions.is_failure(effect.rule, effect.status)
         if not logs.may_write_decision(failure=failure):
@@ -472,6 +476,21 @@
         self._ticker = loop.call_later(pause_ms / 1000.0, self._tick)
 
 
+def _record_outcome_fact(effect: effects.LogDecision) -> None:
+    rule = decisions.Rule(effect.rule)
+    if not outcome_log.may_record(dispatch=rule is decisions.Rule.RUN):
+        return
+    outcome_log.record(
+        effect.request,
+        effect.part,
+        rule.name.lower(),
+        upstream=effect.upstream,
+        status=effect.status,
+        decision=effect.decision,
+        waited_ms=round(effect.waited_ms, 1),
+    )
+
+
 def _retry_bound(retries: settings.Retries) -> allowance.Bound | None:
     if retries.slack is None:
         return None
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from gingerturn.internal import outcome_log
 from gingerturn.internal.core import (
     freshness,
     level_control,
@@ -150,6 +151,9 @@
     add("backend_ends_total", "counter", ("", backend.crash_count))
     discarded = node.home.pool.discarded_count
     add("backend_connections_discarded_total", "counter", ("", discarded))
+    unrelated = node.home.pool.unrelated_answers
+    add("backend_unrelated_answers_total", "counter", ("", unrelated))
+    add("outcome_facts_dropped_total", "counter", ("", outcome_log.dropped_total()))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     replaced = node.counters.connections_replaced
     add("connections_replaced_total", "counter", ("", replaced))
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -32,9 +32,16 @@
     def on_load(self, load: messages.BackendLoad) -> None:
         self.load = load
 
-    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
+    def on_head(
+        self,
+        status: int,
+        head: bytes,
+        length: int,
+        *,
+        rejection: backend_http.Rejection | None,
+    ) -> None:
         self.status = status
-        self.executed = executed
+        self.executed = rejection is None
 
     def on_body(self, body: bytes) -> None:
         self.body += body
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -61,7 +61,14 @@
     def on_load(self, load: messages.BackendLoad) -> None:
         """Ignore the answer."""
 
-    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
+    def on_head(
+        self,
+        status: int,
+        head: bytes,
+        length: int,
+        *,
+        rejection: backend_http.Rejection | None,
+    ) -> None:
         """Ignore the answer."""
 
     def on_body(self, body: bytes) -> None:
--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -160,7 +160,7 @@
     node.home.on_frame(channel, opened)  # type: ignore[arg-type]
     (exchange,) = node.home._exchanges.values()
     exchange.on_load(messages.BackendLoad(3, 0, 8, 250))
-    exchange.on_head(200, b"HTTP/1.1 200 OK\r\n", length, executed=True)
+    exchange.on_head(200, b"HTTP/1.1 200 OK\r\n", length, rejection=None)
     if length == 3:
         exchange.on_body(b"abc")
         exchange.on_end()
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -61,7 +61,14 @@
     def on_load(self, load: messages.BackendLoad) -> None:
         assert load.slots >= 1
 
-    def on_head(self, status: int, head: bytes, length: int, *, executed: bool) -> None:
+    def on_head(
+        self,
+        status: int,
+        head: bytes,
+        length: int,
+        *,
+        rejection: backend_http.Rejection | None,
+    ) -> None:
         assert 200 <= status <= 999
 
     def on_body(self, body: bytes) -> None:
