--- /dev/null
+++ b/tests/cover/test_unrelated_answers.py
@@ -0,0 +1,273 @@
+"""Answers on a backend server's connection that do not belong to the request there."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import re
+
+import hypothesis
+from hypothesis import strategies as st
+
+from gingerturn.internal.core import messages
+from gingerturn.internal.shell import backend_http
+from gingerturn.internal.wire import frames
+from tests.common import home_nodes
+
+REJECTIONS = [
+    home_nodes.answer(503, executed=False),
+    home_nodes.answer(400, executed=False),
+    home_nodes.answer(421),
+]
+
+
+async def _served(home: home_nodes.HomeNode) -> backend_http.Connection:
+    """Serve a request, and return the connection that is idle after it."""
+    await home.open(b"r0")
+    (connection,) = home.connections
+    connection.data_received(home_nodes.answer(200, request_id=b"r0"))
+    return connection
+
+
+# Guards against a request that is answered as not run, or sent again, on the word of an
+# answer without a request id, while the backend server runs it.
+def test_an_answer_without_an_id_says_nothing_of_the_request_in_progress() -> None:
+    async def play(rejection: bytes) -> None:
+        home = home_nodes.HomeNode()
+        connection = await _served(home)
+        call = await home.open(b"r1")
+        connection.data_received(rejection)
+        assert home.reply_to(call) is None
+        connection.data_received(home_nodes.answer(200, request_id=b"r1", body=b"own"))
+        reply = home.reply_to(call)
+        assert isinstance(reply, frames.Answer)
+        assert (reply.status, reply.body) == (200, b"own")
+        assert home.pool.take() is None
+
+    for rejection in REJECTIONS:
+        asyncio.run(play(rejection))
+
+
+# Guards against a home node that withdraws its backend server on the word of an answer
+# without a request id.
+def test_a_misdirection_without_an_id_leaves_the_backend_server_present() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        connection = await _served(home)
+        await home.open(b"r1")
+        connection.data_received(home_nodes.answer(421))
+        assert home.node.state.backend.present
+
+    asyncio.run(play())
+
+
+# Guards against a request that is answered as not run on the word of a late second
+# answer to its earlier sending, which has the same request id.
+def test_a_rejected_request_does_not_return_over_the_same_connection() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        rejection = home_nodes.answer(503, request_id=b"r1", executed=False)
+        first = await home.open(b"r1")
+        (connection,) = home.connections
+        connection.data_received(rejection)
+        assert home.outcome_of(first) is messages.Outcome.NOT_RUN
+        second = await home.open(b"r1")
+        assert connection.usable
+        connection.data_received(rejection)
+        assert home.reply_to(second) is None
+
+    asyncio.run(play())
+
+
+def test_another_request_uses_the_connection_of_a_rejected_one() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        await home.open(b"r1")
+        (connection,) = home.connections
+        rejection = home_nodes.answer(503, request_id=b"r1", executed=False)
+        connection.data_received(rejection)
+        await home.open(b"r2")
+        assert home.connections == [connection]
+
+    asyncio.run(play())
+
+
+# Guards against another request's answer that reaches a caller who sent no request id.
+def test_a_request_without_an_id_gets_no_answer_that_has_one() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        connection = await _served(home)
+        call = await home.open(b"")
+        late = home_nodes.answer(200, request_id=b"r0", body=b"other")
+        for each in home.connections:
+            if each.usable:
+                each.data_received(late)
+        assert home.reply_to(call) is None
+        assert home.connections != [connection]
+        unnamed = home_nodes.answer(400, executed=False)
+        home.connections[-1].data_received(unnamed)
+        assert home.outcome_of(call) is messages.Outcome.NOT_RUN
+        assert home.pool.take() is None or home.pool.take() is not home.connections[-1]
+
+    asyncio.run(play())
+
+
+def test_an_unrelated_answer_that_ends_its_connection_leaves_the_outcome_unknown() -> (
+    None
+):
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        connection = await _served(home)
+        call = await home.open(b"r1")
+        connection.data_received(
+            home_nodes.answer(503, executed=False, extra=b"Connection: close\r\n")
+        )
+        assert not connection.usable
+        home.node.home.pool.close_idle()
+        (hosted,) = home.node.state.hosted.values()
+        assert hosted.state.value == "checking"
+        assert home.reply_to(call) is None
+
+    asyncio.run(play())
+
+
+_WRITTEN = re.compile(rb"POST / HTTP/1\.1\r\n(?:[^\r]+\r\n)*?request-id: ([^\r]+)\r\n")
+
+
+class Upstream:
+    """A backend server that may also send answers which belong to no request.
+
+    :param rejects: decides for each request, in order, whether it is rejected.
+    """
+
+    def __init__(self, home: home_nodes.HomeNode, rejects: list[bool]) -> None:
+        self._home = home
+        self._rejects = rejects
+        self._read: dict[backend_http.Connection, int] = {}
+        self._sent: dict[backend_http.Connection, list[bytes]] = {}
+        self.received: list[bytes] = []
+        self.rejected: list[bytes] = []
+
+    def pending(self) -> list[tuple[backend_http.Connection, bytes]]:
+        """Return the connections with a request that was not answered, and its id."""
+        found = []
+        for connection in self._home.connections:
+            written = bytes(home_nodes.transport_of(connection).written)
+            requests = _WRITTEN.findall(written)
+            answered = self._read.get(connection, 0)
+            if connection.usable and len(requests) > answered:
+                found.append((connection, requests[answered]))
+        return found
+
+    def own_answer(
+        self, connection: backend_http.Connection, request_id: bytes
+    ) -> bytes:
+        """Run or reject the next request of a connection."""
+        self._read[connection] = self._read.get(connection, 0) + 1
+        is_rejected = bool(self._rejects) and self._rejects.pop()
+        if is_rejected:
+            self.rejected.append(request_id)
+            content = home_nodes.answer(503, request_id=request_id, executed=False)
+        else:
+            content = home_nodes.answer(
+                200, request_id=request_id, body=b"ran " + request_id
+            )
+        self._sent.setdefault(connection, []).append(content)
+        return content
+
+    def unrelated(self, connection: backend_http.Connection, choice: int) -> bytes:
+        """Return bytes that belong to no request: without an id, with that of no
+        request, informational, or an earlier answer of this connection once more."""
+        fixed = [
+            *REJECTIONS,
+            home_nodes.answer(200, body=b"no one's"),
+            home_nodes.answer(503),
+            home_nodes.answer(503, request_id=b"none", executed=False),
+            b"HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\n\r\n",
+        ]
+        earlier = self._sent.get(connection, [])
+        choices = fixed + earlier
+        return choices[choice % len(choices)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """How a backend server answers one request.
+
+    :param before: choices of the unrelated answers before its own.
+    :param after: those directly behind it.
+    :param cuts: positions at which the bytes are split, modulo their length.
+    :param idle: whether the last bytes arrive while the connection is idle.
+    """
+
+    before: list[int]
+    after: list[int]
+    cuts: list[int]
+    idle: bool
+
+
+REPLIES = st.builds(
+    Reply,
+    before=st.lists(st.integers(0, 20), max_size=2),
+    after=st.lists(st.integers(0, 20), max_size=2),
+    cuts=st.lists(st.integers(0, 400), max_size=3),
+    idle=st.booleans(),
+)
+
+
+def _pieces(content: bytes, cuts: list[int]) -> collections.abc.Iterator[bytes]:
+    positions = sorted({cut % len(content) for cut in cuts} | {0, len(content)})
+    for begin, end in zip(positions, positions[1:], strict=False):
+        yield content[begin:end]
+
+
+async def _exchange(
+    home: home_nodes.HomeNode, upstream: Upstream, reply: Reply
+) -> None:
+    """Let the backend server answer one pending request."""
+    pending = upstream.pending()
+    if not pending:
+        return
+    connection, request_id = pending[0]
+    content = b"".join(upstream.unrelated(connection, c) for c in reply.before)
+    content += upstream.own_answer(connection, request_id)
+    after = b"".join(upstream.unrelated(connection, c) for c in reply.after)
+    batches = [content, after] if reply.idle else [content + after]
+    for batch in batches:
+        for piece in _pieces(batch, reply.cuts) if batch else ():
+            if connection.usable:
+                connection.data_received(piece)
+        await home.settle()
+
+
+# Guards against statements that a request did not run which rest on bytes that belong
+# to another request, to an earlier sending of it, or to none, split at any place.
+@hypothesis.given(
+    rejects=st.lists(st.booleans(), max_size=12),
+    replies=st.lists(REPLIES, max_size=12),
+    slots=st.integers(1, 2),
+)
+def test_a_request_is_said_not_to_have_run_only_if_it_was_rejected(
+    rejects: list[bool], replies: list[Reply], slots: int
+) -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode(slots=slots)
+        upstream = Upstream(home, rejects)
+        calls: dict[int, bytes] = {}
+        for number, reply in enumerate(replies):
+            refused = [c for c in calls if home.outcome_of(c)]
+            # Rejected requests are sent again, as entry nodes do.
+            again = calls[refused[-1]] if refused and number % 2 else b"r%d" % number
+            calls[await home.open(again)] = again
+            await _exchange(home, upstream, reply)
+        rejected = list(upstream.rejected)
+        for call, request_id in calls.items():
+            if home.outcome_of(call) is messages.Outcome.NOT_RUN:
+                refusal = home.reply_to(call)
+                assert isinstance(refusal, frames.Refuse)
+                if refusal.refusal.reached_backend:
+                    rejected.remove(request_id)
+            answer = home.reply_to(call)
+            if isinstance(answer, frames.Answer):
+                assert answer.body == b"ran " + request_id
+
+    asyncio.run(play())
