A rejected request does not return over the connection that rejected it

Callers saw requests that were rejected by their upstream, sent back to it, answered 503 and run, or run twice.

Cause: the request id tells answers apart only as long as a connection carries an id once. An entry node sends a rejected request back to the upstream that rejected it with slots free, and the pool gave it the connection used last. A late second answer to the first sending has the right id.

A connection now keeps the ids that were rejected on it and is not used for them again; other requests use it as before. After 64 rejections it is closed, which bounds the list. No new connection is made for a request that is sent for the first time.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -20,6 +20,10 @@
 """Value of the header by which a backend server reports that it is leaving."""
 
 
+MAX_REJECTED_IDS = 64
+"""Rejected requests after which a connection is closed, which bounds their list."""
+
+
 class Rejection(msgspec.Struct, frozen=True):
     """An answer that says that its request did not run.
 
@@ -76,7 +80,9 @@
 
     Invariant: it returns to the pool only after a complete answer with no bytes after
     it. It is closed after a cancelled or failed exchange, and after an answer to
-    another request. So one that left a request unanswered is never reused.
+    another request. So one that left a request unanswered is never reused. It carries
+    no request id again that was rejected on it: a second answer to the first sending
+    could not be told from the answer to the next one.
 
     :param pool: the pool that it returns to.
     """
@@ -98,6 +104,7 @@
         self._answered = False
         self._upload_ended = True
         self._request_id = b""
+        self._rejected_ids: set[bytes] = set()
         self._unrelated = False
         self._in_sync = True
         self._until_close = False
@@ -114,6 +121,10 @@
         """Whether a new exchange may begin."""
         return not self._transport.is_closing()
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Whether an answer to a request with this id can be told from others."""
+        return request_id not in self._rejected_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable the detection of a silent backend server."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -160,7 +171,7 @@
         self._unrelated = False
         self._until_close = False
         self._upload_ended = whole
-        self._request_id = heads.find_value(head, self._pool.dialect.request_id)
+        self._request_id = self._pool.request_id_of(head)
         self._chunked = b"\ntransfer-encoding: chunked\r\n" in head
         self._written = True
         self._answered = False
@@ -293,11 +304,13 @@
             load = self._pool.read_load(self._headers, values)
             if load is not None:
                 self._receiver.on_load(load)
+        rejection = self._rejection(status, values)
+        if rejection is not None and self._request_id:
+            self._rejected_ids.add(self._request_id)
+            if len(self._rejected_ids) >= MAX_REJECTED_IDS:
+                self._reusable = False
         self._receiver.on_head(
-            status,
-            head,
-            0 if bodiless else length,
-            rejection=self._rejection(status, values),
+            status, head, 0 if bodiless else length, rejection=rejection
         )
         if self._head_only:
             self._reusable = False
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -101,9 +101,12 @@
         self._connections += 1
         return self._connections
 
-    def take(self, *, recently_used: bool = False) -> backend_http.Connection | None:
+    def take(
+        self, *, request_id: bytes = b"", recently_used: bool = False
+    ) -> backend_http.Connection | None:
         """Return the most recently used idle connection; ``None`` if there is none.
 
+        :param request_id: of the request to be sent, which must be able to carry it.
         :param recently_used: whether to apply :data:`RECENTLY_USED_MS`, for a call that
             cannot be repeated.
         """
@@ -111,11 +114,20 @@
         if recently_used:
             timeout_ms = min(timeout_ms, RECENTLY_USED_MS)
         used_since = clock.now() - timeout_ms
-        while self._idle and self._idle[-1].idle_since >= used_since:
+        skipped: list[backend_http.Connection] = []
+        found = None
+        while found is None and self._idle and self._idle[-1].idle_since >= used_since:
             connection = self._idle.pop()
-            if connection.usable:
-                return connection
-        return None
+            if not connection.may_carry(request_id):
+                skipped.append(connection)
+            elif connection.usable:
+                found = connection
+        self._idle.extend(reversed(skipped))
+        return found
+
+    def request_id_of(self, head: bytes) -> bytes:
+        """Return the request id in the head of a request; empty if it has none."""
+        return heads.find_value(head, self.dialect.request_id)
 
     def record_idle_loss(self, idle_ms: ids.Milliseconds) -> None:
         """Shorten the idle timeout after the loss of an idle connection.
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -75,7 +75,10 @@
         """Dispatch the call to the backend server."""
         pool = self._node.home.pool
         pool.set_address(effect.host, effect.port)
-        connection = pool.take(recently_used=not self._opened.terms.repeatable)
+        connection = pool.take(
+            request_id=pool.request_id_of(self._opened.head),
+            recently_used=not self._opened.terms.repeatable,
+        )
         if connection is not None:
             self._begin(connection, effect)
             return
--- a/tests/cover/test_unrelated_answers.py
+++ b/tests/cover/test_unrelated_answers.py
@@ -93,6 +93,24 @@
     asyncio.run(play())
 
 
+# Guards against a list of rejected requests that grows for as long as a connection is
+# used.
+def test_a_connection_is_closed_after_many_rejections() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        for number in range(backend_http.MAX_REJECTED_IDS):
+            request_id = b"r%d" % number
+            await home.open(request_id)
+            (connection,) = home.connections
+            assert connection.usable
+            connection.data_received(
+                home_nodes.answer(503, request_id=request_id, executed=False)
+            )
+        assert not connection.usable
+
+    asyncio.run(play())
+
+
 # Guards against another request's answer that reaches a caller who sent no request id.
 def test_a_request_without_an_id_gets_no_answer_that_has_one() -> None:
     async def play() -> None:
