A request without an id gets a connection of its own

The answer to another request could be relayed to a caller that sent no request id: ids were compared only where the request had one, and nothing but the position ties such a request to its answer.

An answer with an id is no answer to a request without one. Such a request is sent over a new connection, which is closed after it, where other requests carry ids.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -122,7 +122,12 @@
         return not self._transport.is_closing()
 
     def may_carry(self, request_id: bytes) -> bool:
-        """Whether an answer to a request with this id can be told from others."""
+        """Whether an answer to a request with this id can be told from others.
+
+        :param request_id: empty if the request has none.
+        """
+        if not request_id and self._pool.dialect.request_id:
+            return self._exchanges == 0
         return request_id not in self._rejected_ids
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -285,8 +290,12 @@
             self._fail()
             return
         self._until_close = not (lengths or chunked or bodiless)
+        is_identified = bool(self._request_id) or not self._pool.dialect.request_id
         self._reusable = (
-            self._in_sync and self._parser.should_keep_alive() and not self._until_close
+            self._in_sync
+            and is_identified
+            and self._parser.should_keep_alive()
+            and not self._until_close
         )
         keep_alive = values.get(b"keep-alive")
         if keep_alive is not None:
@@ -355,10 +364,10 @@
         :param values: the last value of each header.
         """
         name = self._pool.dialect.request_id
-        if not name or not self._request_id:
+        if not name:
             return False
         if name not in values:
-            return True
+            return bool(self._request_id)
         if len(values) == len(self._headers):
             return values[name] != self._request_id
         return any(n == name and v != self._request_id for n, v in self._headers)
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -102,11 +102,12 @@
         return self._connections
 
     def take(
-        self, *, request_id: bytes = b"", recently_used: bool = False
+        self, *, request_id: bytes | None = None, recently_used: bool = False
     ) -> backend_http.Connection | None:
         """Return the most recently used idle connection; ``None`` if there is none.
 
-        :param request_id: of the request to be sent, which must be able to carry it.
+        :param request_id: of the request to be sent, empty if it has none; ``None`` for
+            any request that the connection has not carried.
         :param recently_used: whether to apply :data:`RECENTLY_USED_MS`, for a call that
             cannot be repeated.
         """
@@ -118,7 +119,7 @@
         found = None
         while found is None and self._idle and self._idle[-1].idle_since >= used_since:
             connection = self._idle.pop()
-            if not connection.may_carry(request_id):
+            if request_id is not None and not connection.may_carry(request_id):
                 skipped.append(connection)
             elif connection.usable:
                 found = connection
