The status of a backend server is no proof that a request did not run

A caller that gets 408, 429 or 503 repeats an unrepeatable request, since such a status promises that it did not run.

The home node now refuses such a call as of unknown outcome, which the entry node answers 502. Only deployments whose dialect lists the statuses are concerned, and only requests that may not be repeated; a rejection with Not-Executed, or a 421, is a refusal as before. The event is one of its own, so recordings keep their format.

--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -21,6 +21,9 @@
     :param caller_service: to backend servers: service beside the entry node.
     :param instance: to backend servers: instance that the request is meant for.
     :param not_executed: from backend servers: present if the request did not run.
+    :param not_run_statuses: to callers: statuses which state that a request did not
+        run. That of a backend server is relayed only if it says so, too, or the request
+        may be repeated.
     :param rate_limit: from backend servers: requests a second that they accept from all
         nodes together.
     :param leaving: from backend servers: ``1`` if they take no new requests.
@@ -42,6 +45,7 @@
     caller_service: bytes = b""
     instance: bytes = b""
     not_executed: bytes = b""
+    not_run_statuses: frozenset[int] = frozenset()
     rate_limit: bytes = b"gingerturn-rate-limit"
     leaving: bytes = b"gingerturn-leaving"
     load: bytes = b"gingerturn-load"
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -190,6 +190,14 @@
     load: messages.BackendLoad | None = None
 
 
+class UnprovenRefusal(Event, frozen=True):
+    """The backend server's status tells the caller of an unrepeatable request that it
+    did not run, but nothing in the answer proves that."""
+
+    hosted: ids.HostedId
+    status: int
+
+
 class BackendReported(Event, frozen=True):
     """The head of an answer reports the state of the backend server.
 
@@ -439,6 +447,7 @@
     | CancelReceived
     | BackendReported
     | BackendAnswered
+    | UnprovenRefusal
     | BackendFinished
     | BackendFailed
     | BackendChecked
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -224,6 +224,25 @@
         start_queued(state, out)
 
 
+def on_unproven_refusal(
+    state: states.State, event: events.UnprovenRefusal, out: states.Effects
+) -> None:
+    """Refuse a call, as of unknown outcome, in place of its answer."""
+    hosted = state.hosted.get(event.hosted)
+    if hosted is None or hosted.state is not states.HostedState.RUNNING:
+        return
+    state.backend.answered_at = event.now
+    if event.status in calls.OVERLOAD_STATUSES and not hosted.child_failed:
+        admission.record_backend_refusal(state)
+    if hosted.metadata.key:
+        replies.fail_key(state, hosted, out, dispatched=True)
+    _release_slot(state, hosted, out, start_next=False)
+    if not hosted.orphaned:
+        rule = decisions.Rule.OUTCOME_UNKNOWN
+        replies.refuse(state, hosted, rule, out, dispatched=True)
+    start_queued(state, out)
+
+
 def on_backend_finished(
     state: states.State, event: events.BackendFinished, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -651,6 +651,7 @@
     events.CancelReceived: hosting.on_cancel,
     events.BackendReported: _on_backend_reported,
     events.BackendAnswered: _on_backend_answered,
+    events.UnprovenRefusal: hosting.on_unproven_refusal,
     events.BackendFinished: hosting.on_backend_finished,
     events.BackendFailed: hosting.on_backend_failed,
     events.BackendChecked: _on_backend_checked,
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -106,8 +106,8 @@
     ) -> backend_http.Connection | None:
         """Return the most recently used idle connection; ``None`` if there is none.
 
-        :param request_id: of the request to be sent, empty if it has none; ``None`` for
-            any request that the connection has not carried.
+        :param request_id: of the request to be sent, empty if it has none; ``None`` if
+            the connection need not be able to carry a certain one.
         :param recently_used: whether to apply :data:`RECENTLY_USED_MS`, for a call that
             cannot be repeated.
         """
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -64,6 +64,7 @@
         self._upload: list[frames.Chunk] = []
         self._status = 0
         self._executed = True
+        self._unproven = False
         self._load: messages.BackendLoad | None = None
         self._head = b""
         self._length = -1
@@ -211,11 +212,16 @@
             self._record_rejection(rejection)
         self._head = head
         self._length = length
+        self._unproven = self._is_unproven(status, rejection)
+        if self._unproven:
+            return
         if length > self._node.settings.limits.body_buffer:
             self._start_streaming()
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of the answer, or stream it to the entry node."""
+        if self._unproven:
+            return
         if self._streaming:
             self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
             self._use_credit(len(body))
@@ -233,6 +239,10 @@
             event: events.Event = events.BackendFinished(
                 now=clock.now(), hosted=self._hosted
             )
+        elif self._unproven:
+            event = events.UnprovenRefusal(
+                now=clock.now(), hosted=self._hosted, status=self._status
+            )
         else:
             event = events.BackendAnswered(
                 now=clock.now(),
@@ -333,6 +343,14 @@
         if count:
             self._send(frames.Credit(call=self._opened.call, count=count))
 
+    def _is_unproven(
+        self, status: int, rejection: backend_http.Rejection | None
+    ) -> bool:
+        """Whether the status states without proof that the request did not run."""
+        if rejection is not None or self._opened.terms.repeatable:
+            return False
+        return status in self._node.dialect.not_run_statuses
+
     def _record_rejection(self, rejection: backend_http.Rejection) -> None:
         if not outcome_log.may_record(dispatch=False):
             return
--- a/tests/common/home_nodes.py
+++ b/tests/common/home_nodes.py
@@ -15,7 +15,11 @@
 from gingerturn.internal.wire import frames
 from tests.common import builders, transports
 
-NAMED = dialect.Dialect(request_id=b"request-id", not_executed=b"not-executed")
+NAMED = dialect.Dialect(
+    request_id=b"request-id",
+    not_executed=b"not-executed",
+    not_run_statuses=frozenset({408, 421, 429, 503}),
+)
 
 
 class Channel:
--- a/tests/cover/test_reducer_properties.py
+++ b/tests/cover/test_reducer_properties.py
@@ -194,6 +194,11 @@
         whole=st.booleans(),
         load=LOADS,
     ),
+    _event(
+        events.UnprovenRefusal,
+        hosted=st.integers(100, 110),
+        status=st.sampled_from([408, 429, 503]),
+    ),
     _event(events.BackendFinished, hosted=st.integers(100, 110)),
     _event(
         events.BackendFailed, hosted=st.integers(100, 110), dispatched=st.booleans()
