A connection that is reset before the request is written is no dispatch

A new connection could be lost between its opening and the request. The request was then written to a closed connection without any callback: the call kept its slot until its deadline and was answered as of unknown outcome, though it certainly had not run.

The connection is checked before the request is written. A second one is opened; if that is reset as well the call is refused as not dispatched.

Evidence: test_a_connection_that_is_reset_before_the_request_is_no_dispatch failed before (no answer).

--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -18,6 +18,11 @@
 """Bytes of a streamed body that may be sent ahead of the receiver's credit."""
 
 
+CONNECT_TRIES = 2
+"""Connections that are opened for a call while the backend server resets them at once,
+as it does where it has too many."""
+
+
 class StoredAnswer(msgspec.Struct, frozen=True):
     """A complete answer, stored for repeats of an unrepeatable call."""
 
@@ -285,15 +290,18 @@
             self._channel.send(frame)
 
     async def _connect(self, effect: effects.DispatchCall) -> None:
-        try:
-            connection = await self._node.home.pool.connect()
-        except (OSError, TimeoutError):
-            self.on_failure(dispatched=False)
-            return
-        if self._abandoned:
-            self._node.home.pool.put(connection)
-            return
-        self._begin(connection, effect)
+        for _ in range(CONNECT_TRIES):
+            try:
+                connection = await self._node.home.pool.connect()
+            except (OSError, TimeoutError):
+                break
+            if self._abandoned:
+                self._node.home.pool.put(connection)
+                return
+            if connection.usable:
+                self._begin(connection, effect)
+                return
+        self.on_failure(dispatched=False)
 
     def _begin(
         self, connection: backend_http.Connection, effect: effects.DispatchCall
--- a/tests/cover/test_backend_connection_ends.py
+++ b/tests/cover/test_backend_connection_ends.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from gingerturn.internal.core import messages
+from gingerturn.internal.shell import exchanges
 from gingerturn.internal.wire import frames
 from tests.common import home_nodes
 
@@ -30,3 +32,27 @@
     asyncio.run(play(home_nodes.answer(200, request_id=b"r1", body=b"own")))
     asyncio.run(play(home_nodes.answer(503, request_id=b"r2", executed=False)))
     asyncio.run(play(b"HTTP/1.1 503 X\r\nNot-Exec"))
+
+
+# Guards against a call that waits for its deadline, and is then of unknown outcome,
+# though its new connection was reset before the request was written.
+def test_a_connection_that_is_reset_before_the_request_is_no_dispatch() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        home.resets = exchanges.CONNECT_TRIES
+        call = await home.open(b"r1")
+        assert home.outcome_of(call) is messages.Outcome.NOT_RUN
+        assert home.node.state.backend.running == 0
+
+    asyncio.run(play())
+
+
+def test_another_connection_is_opened_in_place_of_a_reset_one() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        home.resets = exchanges.CONNECT_TRIES - 1
+        call = await home.open(b"r1")
+        home.connections[-1].data_received(home_nodes.answer(200, request_id=b"r1"))
+        assert isinstance(home.reply_to(call), frames.Answer)
+
+    asyncio.run(play())
