An answer that switches protocols ends the exchange

A 101 raised an error that the connection did not expect, which the event loop reported as its own failure. The exchange now fails like one with bytes that are no answer, with an unknown outcome.

Evidence: test_an_answer_that_switches_protocols_ends_the_exchange failed before with HttpParserUpgrade.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -256,7 +256,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._complete:
                 self._fail()
             self._reusable = False
--- a/tests/cover/test_backend_connection_ends.py
+++ b/tests/cover/test_backend_connection_ends.py
@@ -56,3 +56,19 @@
         assert isinstance(home.reply_to(call), frames.Answer)
 
     asyncio.run(play())
+
+
+# Guards against an error in the event loop's callback, which leaves the call in place.
+def test_an_answer_that_switches_protocols_ends_the_exchange() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        await home.open(b"r1")
+        (connection,) = home.connections
+        connection.data_received(
+            b"HTTP/1.1 101 X\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\nabc"
+        )
+        assert not connection.usable
+        (hosted,) = home.node.state.hosted.values()
+        assert hosted.state.value == "checking"
+
+    asyncio.run(play())
