--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -37,7 +37,7 @@
     version_bound,
     workspaces,
 )
-from gingerturn.internal.shell import backend_http, caller_limits, clock
+from gingerturn.internal.shell import backend_http, caller_limits, clock, exchanges
 from tests.common import builders
 from tests.cover import (
     test_announcements as announcements,
@@ -57,6 +57,8 @@
     test_silent_nodes as silent,
     test_startup_waits as startup,
     test_ticks as ticks,
+    test_unproven_refusals as unproven,
+    test_unrelated_answers as unrelated,
     test_version_lag as of_lag,
     test_workspaces as of_workspaces,
 )
@@ -241,10 +243,35 @@
     (
         "MIXED",
         backend_http.Connection,
-        "_is_mismatched",
+        "_is_unrelated",
         _false,
         answers.test_a_late_answer_to_an_earlier_request_is_discarded,
     ),
+    (
+        "REFUSED, answers without an id",
+        backend_http.Connection,
+        "_is_unrelated",
+        _false,
+        unrelated.test_an_answer_without_an_id_says_nothing_of_the_request_in_progress,
+    ),
+    (
+        "REFUSED, rejected requests that return",
+        backend_http.Connection,
+        "may_carry",
+        lambda connection, request_id: True,
+        unrelated.test_a_rejected_request_does_not_return_over_the_same_connection,
+    ),
+    (
+        "REFUSED, unproven refusals",
+        exchanges.HostedExchange,
+        "_is_unproven",
+        _false,
+        functools.partial(
+            unproven.test_an_unproven_refusal_of_an_unrepeatable_request_is_unknown,
+            503,
+            b"",
+        ),
+    ),
     (
         "ROUTE",
         hosting,
