'Not run' follows from evidence at the home and the entry node

At a home node a refusal stated that the call had not run unless the caller said otherwise; at an entry node two flags had to be set at eight places. An omission would have been a false promise.

A hosted call now carries what proves that it did not run: it was never dispatched, never written, or rejected. A dispatch removes the evidence, and only an answer or a failed connection of that sending restores some. The entry node counts the sendings without proof; it says 'not-run' only at zero. What is not proved is unknown without any code for it.

--- a/src/gingerturn/internal/core/arrivals.py
+++ b/src/gingerturn/internal/core/arrivals.py
@@ -71,7 +71,7 @@
         key_derived=False,
         replayable=event.replayable,
         arrived_at=event.now,
-        never_ran=not event.key or rule.repeatable or event.sending == 1,
+        unproven=int(_may_have_run(event) and not rule.repeatable),
         holder="" if rule.repeatable else event.holder,
         fingerprint=event.fingerprint,
         workspace=workspace,
@@ -90,6 +90,11 @@
     return 2**64 - int((2**64 - PROTECTED_FROM) / factor)
 
 
+def _may_have_run(event: events.CallArrived) -> bool:
+    """Whether an earlier sending by the caller, with the same key, may have run."""
+    return bool(event.key) and event.sending != 1
+
+
 def child_call(
     state: states.State,
     event: events.CallArrived,
@@ -144,7 +149,7 @@
         replayable=event.replayable,
         arrived_at=event.now,
         parent=parent.id,
-        never_ran=metadata.never_ran and (not event.key or event.sending == 1),
+        unproven=int(not metadata.never_ran or _may_have_run(event)),
         holder="" if rule.repeatable else event.holder,
         fingerprint=event.fingerprint,
         tried_upstreams=[],
--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -166,7 +166,6 @@
         upstream_costs.record_traffic(state, attempt.node, kind, elapsed, event.size)
     call.attempt = None
     if _should_retry(state, call, event):
-        call.never_ran = False
         call.tried_upstreams.append(attempt.node)
         if sending.retry(state, call, out):
             return
@@ -210,14 +209,14 @@
     if call is None:
         return
     call.attempt = None
-    call.attempts_settled = event.refusal.outcome is messages.Outcome.NOT_RUN
+    if event.refusal.outcome is messages.Outcome.NOT_RUN:
+        call.unproven -= 1
     call.tried_upstreams.append(attempt.node)
     if event.refusal.holder:
         sending.redirect_to_holder(state, call, event.refusal, out)
     elif event.refusal.outcome is messages.Outcome.ALREADY_RUN:
         refusals.refuse(state, call, rule, out, remote=event.refusal)
     elif event.refusal.outcome is messages.Outcome.UNKNOWN:
-        call.never_ran = False
         final = rule in _NO_REPEAT_RULES or not sending.may_repeat(call)
         if final or not sending.retry(state, call, out):
             refusals.refuse(state, call, rule, out, remote=event.refusal)
@@ -252,12 +251,11 @@
     call.attempt = None
     call.tried_upstreams.append(attempt.node)
     if not event.reached:
-        call.attempts_settled = True
+        call.unproven -= 1
         call.tokens += attempt.tokens
         if not sending.redirect(state, call, out):
             refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
         return
-    call.never_ran = False
     if sending.may_repeat(call) and sending.retry(state, call, out):
         return
     refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
@@ -301,7 +299,6 @@
     if not sending.can_retry_elsewhere(state, call):
         call.tried_upstreams.pop()
         return
-    call.never_ran = False
     _cancel_attempt(state, call, out)
     if not sending.retry(state, call, out):
         refusals.refuse(state, call, decisions.Rule.OUTCOME_UNKNOWN, out)
@@ -310,8 +307,6 @@
 def refuse_all(state: states.State, out: states.Effects) -> None:
     """Refuse every open call, since the process is about to end."""
     for call in list(state.calls.values()):
-        if call.attempt is not None:
-            call.never_ran = False
         _cancel_attempt(state, call, out)
         refusals.refuse(state, call, decisions.Rule.STOPPING, out)
 
@@ -337,7 +332,6 @@
         return
     attempt = None if call.attempt is None else state.attempts.get(call.attempt)
     if attempt is not None:
-        call.never_ran = False
         upstreams.record_failure(state, attempt.node)
     _cancel_attempt(state, call, out)
     refusals.refuse(state, call, decisions.Rule.DEADLINE_PASSED, out)
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -67,9 +67,8 @@
     state.hosted[hosted.id] = hosted
     if metadata.ticket and metadata.ticket != keys.own_name(state):
         # The ticket names an earlier incarnation, which may have run the call.
-        replies.refuse(
-            state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, dispatched=True
-        )
+        hosted.evidence = states.Evidence.NONE
+        replies.refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out)
         return
     if metadata.key and replies.handle_repeat(state, hosted, out):
         return
@@ -239,7 +238,7 @@
     _release_slot(state, hosted, out, start_next=False)
     if not hosted.orphaned:
         rule = decisions.Rule.OUTCOME_UNKNOWN
-        replies.refuse(state, hosted, rule, out, dispatched=True)
+        replies.refuse(state, hosted, rule, out)
     start_queued(state, out)
 
 
@@ -270,6 +269,7 @@
     if event.dispatched:
         _on_connection_broken(state, hosted, out)
         return
+    hosted.evidence = states.Evidence.NOT_WRITTEN
     state.backend.unreachable_until = event.now + UNREACHABLE_PAUSE_MS
     _release_slot(state, hosted, out, start_next=False)
     if hosted.metadata.key:
@@ -313,7 +313,7 @@
             rule = decisions.Rule.QUARANTINED
         elif crashed:
             rule = decisions.Rule.BACKEND_ENDED
-        replies.refuse(state, hosted, rule, out, dispatched=True)
+        replies.refuse(state, hosted, rule, out)
     return crashed
 
 
@@ -333,6 +333,7 @@
     state: states.State, hosted: states.Hosted, status: int, out: states.Effects
 ) -> None:
     """Handle a backend server's answer that it did not run a call."""
+    hosted.evidence = states.Evidence.REJECTED
     had_free_slots = admission.has_room(state)
     _release_slot(state, hosted, out, start_next=False)
     if hosted.metadata.key:
@@ -381,9 +382,7 @@
             if hosted.metadata.key:
                 replies.fail_key(state, hosted, out, dispatched=True)
             if not hosted.orphaned:
-                replies.refuse(
-                    state, hosted, rule, out, dispatched=True, finished=False
-                )
+                replies.refuse(state, hosted, rule, out, finished=False)
             out.append(effects.CancelBackend(hosted=hosted.id))
             _release_slot(state, hosted, out, start_next=False)
 
@@ -410,9 +409,9 @@
         replies.refuse(state, hosted, decisions.Rule.LOG_UNAVAILABLE, out)
         start_queued(state, out)
     elif hosted.state in _SLOTLESS_STATES:
-        replies.refuse(
-            state, hosted, decisions.Rule.DEADLINE_PASSED, out, dispatched=True
-        )
+        # The first call of its key, which a waiting one repeats, may have run.
+        hosted.evidence = states.Evidence.NONE
+        replies.refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out)
     elif hosted.state is states.HostedState.RUNNING:
         _end_running(state, hosted, out)
 
@@ -422,7 +421,7 @@
 ) -> None:
     if not hosted.orphaned:
         rule = decisions.Rule.DEADLINE_PASSED
-        replies.refuse(state, hosted, rule, out, dispatched=True, finished=False)
+        replies.refuse(state, hosted, rule, out, finished=False)
     if hosted.metadata.repeatable:
         out.append(effects.CancelBackend(hosted=hosted.id))
         _release_slot(state, hosted, out)
@@ -486,6 +485,7 @@
     """Dispatch a call that holds a slot to the backend server."""
     backend = state.backend
     hosted.state = states.HostedState.RUNNING
+    hosted.evidence = states.Evidence.NONE
     hosted.started_at = state.now
     hosted.instance = backend.instance
     hosted.usual_started_at = pace.usual_clock(backend.pace_tracker, state.now)
--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -121,8 +121,7 @@
     :param retry_after: retry delay in ms; 0 to derive it.
     :param level: expected level of the call's service and kind, if it is known.
     """
-    known_not_run = call.never_ran and call.attempts_settled
-    outcome = messages.Outcome.NOT_RUN if known_not_run else messages.Outcome.UNKNOWN
+    outcome = messages.Outcome.UNKNOWN if call.unproven else messages.Outcome.NOT_RUN
     if call.holder and remote is not None:
         # Only the holder of a ticket may run the call, so its outcome is final.
         outcome = remote.outcome
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -25,7 +25,6 @@
     rule: decisions.Rule,
     out: states.Effects,
     *,
-    dispatched: bool = False,
     outcome: messages.Outcome | None = None,
     holder: str = "",
     finished: bool = True,
@@ -35,7 +34,9 @@
 ) -> None:
     """Send a refusal of a call to its entry node.
 
-    :param dispatched: the backend server may have run the call.
+    It states that the call did not run only on the evidence in the call.
+
+    :param outcome: another outcome than follows from the evidence.
     :param finished: the call is forgotten; one that is still running keeps its slot.
     :param reached_backend: the backend server rejected the call.
     :param had_free_slots: the call was rejected though slots were free.
@@ -52,7 +53,8 @@
         )
     decision = decide(state, hosted, rule, out, figures)
     if outcome is None:
-        outcome = messages.Outcome.UNKNOWN if dispatched else messages.Outcome.NOT_RUN
+        proven = hosted.evidence is not states.Evidence.NONE
+        outcome = messages.Outcome.NOT_RUN if proven else messages.Outcome.UNKNOWN
     report = admission.load_report(state, hosted.metadata.kind)
     level = max(report.level, report.tree_level)
     retry_after_ms = admission.retry_after_ms(state, hosted.rank, level)
@@ -85,16 +87,12 @@
     out: states.Effects,
     *,
     holder: str = "",
-    dispatched: bool = False,
-    outcome: messages.Outcome | None = None,
 ) -> None:
     """Refuse a repeat that waits for the first call of its key."""
     hosted = state.hosted.get(hosted_id)
     if hosted is None or hosted.state is not states.HostedState.WAITING:
         return
-    refuse(
-        state, hosted, rule, out, holder=holder, dispatched=dispatched, outcome=outcome
-    )
+    refuse(state, hosted, rule, out, holder=holder)
 
 
 def refuse_queue(
@@ -202,7 +200,8 @@
     out: states.Effects,
 ) -> None:
     if not entry.outcome_known:
-        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, dispatched=True)
+        unknown = messages.Outcome.UNKNOWN
+        refuse(state, hosted, decisions.Rule.OUTCOME_UNKNOWN, out, outcome=unknown)
         return
     if not entry.answer_stored:
         outcome = messages.Outcome.ALREADY_RUN
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -149,7 +149,8 @@
     out: states.Effects,
 ) -> None:
     """Send a call to the node that holds the claim of its key."""
-    call.never_ran = False
+    # The holder may have run it.
+    call.unproven += 1
     member = _holding_member(state, refusal.holder)
     reachable = (
         member is not None
@@ -351,7 +352,8 @@
     call.tokens -= tokens
     call.attempt = attempt
     call.attempts += 1
-    call.attempts_settled = False
+    never_ran = call.unproven == 0
+    call.unproven += 1
     state.attempts[attempt] = states.Attempt(
         id=attempt, call=call.id, node=node, tokens=tokens, sent_at=state.now
     )
@@ -370,7 +372,7 @@
         repeatable=call.rule.repeatable,
         key=call.key,
         key_derived=call.key_derived,
-        never_ran=call.never_ran,
+        never_ran=never_ran,
         ticket=call.holder,
         repeat=call.repeat,
         fingerprint=call.fingerprint,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -29,11 +29,8 @@
     :param repeat: the call belongs to a request that is being repeated.
     :param parent: the hosted call on whose behalf the backend server calls.
     :param holder: the only node that may run the call, when its key is a ticket.
-    :param never_ran: nothing of this request can have run so far; set to ``False`` as
-        soon as that is uncertain, and never set back.
-    :param attempts_settled: no attempt is open: none was made, or the last one
-        certainly did not run. The caller may be answered ``not-run`` only then, even
-        if a fault has lost the record of an attempt.
+    :param unproven: sendings of the request of which nothing proves that they did not
+        run and never will. The caller may be answered ``not-run`` only without any.
     :param workspace: workspace that the request belongs to; empty if none.
     :param took_cap_token: the call took a token of the workspace's cap.
     :param share_factor: factor of the workspace by which the root was ordered.
@@ -59,8 +56,7 @@
     attempt: ids.AttemptId | None = None
     attempts: int = 0
     redirects: int = 0
-    never_ran: bool = True
-    attempts_settled: bool = True
+    unproven: int = 0
     holder: str = ""
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     workspace: ids.WorkspaceName = ids.WorkspaceName("")
@@ -90,6 +86,20 @@
     WAITING = "waiting"
 
 
+class Evidence(enum.Enum):
+    """What proves at a home node that a call did not run and never will."""
+
+    NONE = "none"
+    NOT_DISPATCHED = "not-dispatched"
+    """It waits at this node, and is forgotten when it is refused."""
+
+    NOT_WRITTEN = "not-written"
+    """No connection to the backend server could be opened for it."""
+
+    REJECTED = "rejected"
+    """The backend server rejected it, in the answer to this sending."""
+
+
 class Hosted(msgspec.Struct):
     """A call at its home node.
 
@@ -100,6 +110,7 @@
     :param occupancy: share of the slots in use when the call was dispatched.
     :param instance: the backend server that the call was dispatched to.
     :param usual_started_at: time of :func:`.pace.usual_clock` at the dispatch.
+    :param evidence: what proves that the call did not run and never will.
     :param orphaned: the entry node gave up, but the call must not be cancelled.
     :param child_failed: a call that the backend server made for this one failed, so
         its own failure is no evidence against the backend server.
@@ -124,6 +135,7 @@
     occupancy: float = 0.0
     usual_started_at: ids.Milliseconds = 0.0
     instance: str = ""
+    evidence: Evidence = Evidence.NOT_DISPATCHED
     orphaned: bool = False
     child_failed: bool = False
     decision: str = ""
