Soak: backend servers send answers that belong to no request

While enabled, every fourth request is rejected and every third answer comes with bytes that belong to no request: without an id, bare, junk, or the answer itself once more; directly behind it or where the next is due.

--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -27,6 +27,10 @@
 SILENCED_SEED = 2
 """Seed whose schedule lets open connections fall silent."""
 
+UNRELATED_SEED = 28
+"""Seed whose schedule has backend servers that send answers which belong to no
+request."""
+
 RESTORED_SEED = 1
 """Seed whose schedule restores the log more than once."""
 
@@ -86,3 +90,14 @@
     assert any(silent in step for step in verdict.steps)
     assert verdict.violations == []
     assert verdict.served > 0
+
+
+# Guards against statements that a request did not run which rest on such answers.
+def test_unrelated_answers_cause_no_violations(tmp_path: pathlib.Path) -> None:
+    verdict = run.play(
+        UNRELATED_SEED, tmp_path, machines=4, length_s=5.0, timing=False, unrelated=True
+    )
+    unrelated = schedule.Kind.BACKEND_UNRELATED.value
+    assert any(unrelated in step for step in verdict.steps)
+    assert verdict.violations == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -50,6 +50,7 @@
             restored=True,
             reported=True,
             silenced=True,
+            unrelated=True,
         )
         click.echo(
             f"{verdict.served} of {verdict.attempts} served,"
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -208,6 +208,11 @@
     async def _backend_cut(self, step: schedule.Step, fault: checks.Fault) -> None:
         await self._control_for(step, cut=True)
 
+    async def _backend_unrelated(
+        self, step: schedule.Step, fault: checks.Fault
+    ) -> None:
+        await self._control_for(step, unrelated=True)
+
     async def _backend_link(self, step: schedule.Step, fault: checks.Fault) -> None:
         await self._degrade_link(self._backend_links[step.target], step)
 
@@ -356,6 +361,7 @@
     schedule.Kind.BACKEND_DRAIN: Run._backend_drain,
     schedule.Kind.BACKEND_REFUSE: Run._backend_refuse,
     schedule.Kind.BACKEND_CUT: Run._backend_cut,
+    schedule.Kind.BACKEND_UNRELATED: Run._backend_unrelated,
     schedule.Kind.BACKEND_LINK: Run._backend_link,
     schedule.Kind.BACKEND_RESET: Run._backend_reset,
     schedule.Kind.PEERS_LINK: Run._peers_link,
@@ -399,6 +405,7 @@
     restored: bool = False,
     reported: bool = False,
     silenced: bool = False,
+    unrelated: bool = False,
 ) -> Verdict:
     """Play the run of a seed and check it."""
     steps = schedule.draw(
@@ -409,6 +416,7 @@
         restored=restored,
         reported=reported,
         silenced=silenced,
+        unrelated=unrelated,
     )
     run = Run(folder, machines=machines)
     observed = asyncio.run(run.play(steps))
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -34,6 +34,7 @@
     BACKEND_LIMIT = "backend-limit"
     BACKEND_LEAVING = "backend-leaving"
     CONNECTIONS_SILENT = "connections-silent"
+    BACKEND_UNRELATED = "backend-unrelated"
 
 
 SEPARATELY_DRAWN = frozenset(
@@ -43,6 +44,7 @@
         Kind.BACKEND_LIMIT,
         Kind.BACKEND_LEAVING,
         Kind.CONNECTIONS_SILENT,
+        Kind.BACKEND_UNRELATED,
     }
 )
 """Drawn separately: enabling them leaves the other steps of a seed unchanged."""
@@ -85,6 +87,12 @@
 MAX_SILENCES = 2
 """Most times that connections fall silent in one run."""
 
+MAX_UNRELATED = 3
+"""Most times that a backend server sends unrelated answers in one run."""
+
+UNRELATED_S = 2.0
+"""Minimum duration of unrelated answers."""
+
 PUBLISHED_AFTER_S = 0.5
 """Longest time from then until a configuration is published."""
 
@@ -118,6 +126,7 @@
     restored: bool = False,
     reported: bool = False,
     silenced: bool = False,
+    unrelated: bool = False,
 ) -> list[Step]:
     """Return the steps of a run, in order of time.
 
@@ -125,6 +134,7 @@
     :param restored: whether restorations of the log may be drawn.
     :param reported: whether backend servers report limits and leaving in answers.
     :param silenced: whether open connections may fall silent for good.
+    :param unrelated: whether backend servers send answers that belong to no request.
     """
     rng = random.Random(seed)
     steps: list[Step] = []
@@ -151,6 +161,8 @@
         steps += _reports(random.Random(f"reported {seed}"), machines, length_s)
     if silenced:
         steps += _silences(random.Random(f"silenced {seed}"), length_s)
+    if unrelated:
+        steps += _unrelated(random.Random(f"unrelated {seed}"), machines, length_s)
     return sorted(steps, key=lambda step: step.at)
 
 
@@ -168,6 +180,19 @@
     return steps
 
 
+def _unrelated(rng: random.Random, machines: int, length_s: float) -> list[Step]:
+    """Return times in which backend servers send unrelated answers."""
+    return [
+        Step(
+            at=round(rng.uniform(WARM_UP_S, length_s), 3),
+            kind=Kind.BACKEND_UNRELATED,
+            target=rng.randrange(machines),
+            duration_s=round(UNRELATED_S + rng.uniform(0.0, 4.0), 3),
+        )
+        for _ in range(rng.randint(1, MAX_UNRELATED))
+    ]
+
+
 def _reports(rng: random.Random, machines: int, length_s: float) -> list[Step]:
     """Return limits and leavings that backend servers report in answers."""
     steps = []
--- a/tooling/gingerturn_standins/http_server.py
+++ b/tooling/gingerturn_standins/http_server.py
@@ -23,6 +23,9 @@
     """A complete HTTP response; ``pieces`` instead of ``body`` sends it chunked.
 
     :param cut: close the connection before the announced end of the body.
+    :param behind: bytes that belong to no request, written directly behind it.
+    :param later: such bytes, written once the next request has arrived.
+    :param repeated: write the response itself once more at that time.
     """
 
     status: int = 200
@@ -30,6 +33,9 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     pieces: list[bytes] | None = None
     cut: bool = False
+    behind: bytes = b""
+    later: bytes = b""
+    repeated: bool = False
 
 
 class NoAnswer(Exception):
@@ -45,6 +51,7 @@
         self._tasks = tasks
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
+        self._later = b""
         self._transport: typing.Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -90,6 +97,9 @@
         self._task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, request: Request, keep_alive: bool) -> None:
+        if self._later:
+            self._transport.write(self._later)
+            self._later = b""
         try:
             response = await self._handler(request)
         except NoAnswer:
@@ -105,7 +115,8 @@
         head = f"HTTP/1.1 {response.status} X\r\n{lines}\r\n".encode("latin-1")
         if response.pieces is None:
             body = b"" if request.method == "HEAD" else response.body
-            self._transport.write(head + body)
+            self._transport.write(head + body + response.behind)
+            self._later = head + body if response.repeated else response.later
         else:
             self._transport.write(head)
             for piece in response.pieces:
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -3,7 +3,8 @@
 ``POST /control`` sets: ``state`` (``draining``), ``refuse`` (answer 503 with
 ``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, ``cut``
 (break the connection in the middle of each answer), ``limit`` (the text of a rate limit
-that each answer reports, ``null`` for none) and ``leaving`` (each answer reports it).
+that each answer reports, ``null`` for none), ``leaving`` (each answer reports it) and
+``unrelated`` (it rejects some requests, and sends bytes that belong to no request).
 ``GET /counts`` tells how often each request id ran, and the headers of the last one.
 
 Each arrival, run, acknowledged drain and change of the limit is also written to
@@ -12,10 +13,13 @@
 
 import asyncio
 import collections
+import dataclasses
+import itertools
 import json
 import os
 import signal
 import time
+import typing
 
 import click
 import httpx
@@ -29,6 +33,20 @@
 process after its work."""
 
 
+REJECTED_EVERY = 4
+UNRELATED_EVERY = 3
+"""How many requests there are for each that is rejected, and how many answers for each
+with bytes that belong to no request, while these are enabled."""
+
+UNRELATED = (
+    b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nno",
+    b"\x16\x03\x01 no answer",
+)
+
+
 class Upstream:
     """The stand-in.
 
@@ -45,6 +63,9 @@
         self.cut = False
         self.limit: str | None = None
         self.leaving = False
+        self.unrelated = False
+        self._arrived = 0
+        self._unrelated = itertools.cycle(_unrelated_bytes())
         self.work_ms = 5.0
         self.sequence = 0
         self.runs: collections.Counter[str] = collections.Counter()
@@ -67,14 +88,19 @@
                 "acknowledged": self.acknowledged,
             }
             return http_server.Response(200, json.dumps(counts).encode())
-        return await self._serve(request)
+        response = await self._serve(request)
+        if self.unrelated and self._arrived % UNRELATED_EVERY == 0:
+            response = dataclasses.replace(response, **next(self._unrelated))
+        return response
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
         number = request.headers.get("request-id", "")
         self._write("arrived", number)
         expected = request.headers.get("expected-instance", self.instance)
         echoed = {"Request-Id": number, **self._reports()}
-        if not number or self.refuse:
+        self._arrived += 1
+        rejects = self.unrelated and self._arrived % REJECTED_EVERY == 0
+        if not number or self.refuse or rejects:
             status = 503 if number else 400
             headers = {**echoed, "Not-Executed": "1"}
             return http_server.Response(status, b"", headers)
@@ -138,6 +164,14 @@
         }
 
 
+def _unrelated_bytes() -> list[dict[str, typing.Any]]:
+    """Return fields of responses with bytes that belong to no request."""
+    found: list[dict[str, typing.Any]] = []
+    for content in UNRELATED:
+        found += [{"later": content}, {"repeated": True}, {"behind": content}]
+    return found
+
+
 async def send_heartbeats(upstream: Upstream, control: str) -> None:
     """Send heartbeats until cancelled."""
     async with httpx.AsyncClient(timeout=1.0, trust_env=False) as client:
