A misdirected request to a former instance leaves its successor

An upstream that restarted could be shunned for good: a 421 to a request that was meant for the former instance, read after the first heartbeat of the new one, recorded the new one as departed, and all its later heartbeats were ignored.

The 421 withdraws the backend server only if the request was meant for the present instance; queued calls go on.

Evidence: test_a_misdirected_request_to_a_former_instance_leaves_its_successor failed before.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -339,9 +339,11 @@
     if hosted.metadata.key:
         replies.fail_key(state, hosted, out, dispatched=False)
     if status == messages.MISDIRECTED:
-        # The address belongs to another instance; the announced one has departed.
-        _mark_backend_absent(state, out)
+        if hosted.instance == state.backend.instance:
+            # Its address belongs to another instance, so it has departed.
+            _mark_backend_absent(state, out)
         replies.refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
+        start_queued(state, out)
         return
     admission.record_backend_refusal(state)
     if not hosted.orphaned:
--- a/tests/cover/test_announcements.py
+++ b/tests/cover/test_announcements.py
@@ -57,6 +57,26 @@
     assert builders.only(out, effects.DispatchCall).instance == "i-1"
 
 
+# Guards against a new backend server that is shunned for good on the word about a
+# request that was sent to the one before it.
+def test_a_misdirected_request_to_a_former_instance_leaves_its_successor() -> None:
+    state = routed.node_state(service="plans")
+    reducer.reduce(state, routed.announced(instance="i-1"))
+    reducer.reduce(state, builders.opened(1))
+    reducer.reduce(state, routed.announced(instance="i-2"))
+    misdirected = events.BackendAnswered(
+        now=state.now, hosted=ids.HostedId(1), status=421, executed=False
+    )
+    refusal = builders.only(
+        reducer.reduce(state, misdirected), effects.SendRefusal
+    ).refusal
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+    assert state.backend.present
+    reducer.reduce(state, routed.announced(instance="i-2", sequence=2))
+    out = reducer.reduce(state, builders.opened(2))
+    assert builders.only(out, effects.DispatchCall).instance == "i-2"
+
+
 def test_a_replaced_instance_does_not_return_beside_its_successor() -> None:
     state = routed.node_state(service="plans")
     reducer.reduce(state, routed.announced(instance="i-2"))
