--- a/src/gingerturn/explain.py
+++ b/src/gingerturn/explain.py
@@ -54,28 +54,11 @@
     answer_id: str = ""
 
 
-class _Fact(msgspec.Struct, frozen=True):
-    """A fact of a line that holds several, see :mod:`.internal.outcome_log`."""
-
-    request: str
-    part: str
-    rule: str
-    time: str
-    upstream: str = ""
-    status: int = 0
-    decision: str = ""
-    waited_ms: float = 0.0
-    instance: str = ""
-    connection: int = 0
-    exchange: int = 0
-    answer_id: str = ""
-
-
 class _Facts(msgspec.Struct, frozen=True):
-    """A line that holds several facts."""
+    """A line that holds several facts, see :mod:`.internal.outcome_log`."""
 
     node: str
-    facts: tuple[_Fact, ...] = ()
+    facts: tuple[outcome_log.Fact, ...] = ()
 
 
 class Explanation(msgspec.Struct, frozen=True):
@@ -129,7 +112,7 @@
     ]
 
 
-def _text_of(fact: _Fact) -> str:
+def _text_of(fact: outcome_log.Fact) -> str:
     """Return a fact as a sentence."""
     answer = f"an answer {fact.status} with the id {fact.answer_id!r}"
     if fact.rule == outcome_log.NOT_EXECUTED:
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -317,18 +317,10 @@
         length = int(lengths[0]) if lengths and not chunked else -1
         if status != messages.MISDIRECTED:
             # Another instance sends 421, and its limit is not that of the intended one.
-            self._receiver.on_report(
-                self._pool.read_rate_limit(self._headers, values),
-                leaving=values.get(self._pool.dialect.leaving) == LEAVING,
-            )
-            load = self._pool.read_load(self._headers, values)
-            if load is not None:
-                self._receiver.on_load(load)
+            self._relay_reports(self._receiver, values)
         rejection = self._rejection(status, values)
-        if rejection is not None and self._request_id:
-            self._rejected_ids.add(self._request_id)
-            if len(self._rejected_ids) >= MAX_REJECTED_IDS:
-                self._reusable = False
+        if rejection is not None:
+            self._forbid_request_id()
         self._receiver.on_head(
             status, head, 0 if bodiless else length, rejection=rejection
         )
@@ -366,6 +358,24 @@
         if receiver is not None:
             receiver.on_end()
 
+    def _relay_reports(self, receiver: Receiver, values: dict[bytes, bytes]) -> None:
+        """Relay what the head reports of the backend server."""
+        receiver.on_report(
+            self._pool.read_rate_limit(self._headers, values),
+            leaving=values.get(self._pool.dialect.leaving) == LEAVING,
+        )
+        load = self._pool.read_load(self._headers, values)
+        if load is not None:
+            receiver.on_load(load)
+
+    def _forbid_request_id(self) -> None:
+        """Keep the rejected request from returning over this connection."""
+        if not self._request_id:
+            return
+        self._rejected_ids.add(self._request_id)
+        if len(self._rejected_ids) >= MAX_REJECTED_IDS:
+            self._reusable = False
+
     def _is_unrelated(self, values: dict[bytes, bytes]) -> bool:
         """Whether the answer belongs to another request or to none.
 
--- a/tests/cover/test_abandoned_exchanges.py
+++ b/tests/cover/test_abandoned_exchanges.py
@@ -5,24 +5,10 @@
 
 import pytest
 
-from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
 from gingerturn.internal.shell import clock, exchanges, node as nodes
 from gingerturn.internal.wire import frames
-from tests.common import builders
-
-
-class _Channel:
-    """A channel to an entry node that records the frames sent."""
-
-    peer = ids.NodeId("entry")
-
-    def __init__(self) -> None:
-        self.hosted: dict[int, ids.HostedId] = {}
-        self.sent: list[frames.Frame] = []
-
-    def send(self, frame: frames.Frame) -> None:
-        self.sent.append(frame)
+from tests.common import builders, home_nodes
 
 
 class _Connection:
@@ -51,7 +37,9 @@
     return made
 
 
-def _home_node_with_call(channel: _Channel, *, repeatable: bool) -> nodes.Node:
+def _home_node_with_call(
+    channel: home_nodes.Channel, *, repeatable: bool
+) -> nodes.Node:
     node = nodes.Node(builders.settings("home"))
     node.apply(builders.announced("plans", now=clock.now()))
     terms = builders.call_metadata(deadline_ms=700.0, repeatable=repeatable)
@@ -65,7 +53,7 @@
 def test_a_repeatable_call_is_cancelled_at_its_deadline(
     connection: _Connection,
 ) -> None:
-    channel = _Channel()
+    channel = home_nodes.Channel()
     node = _home_node_with_call(channel, repeatable=True)
     node.apply(events.Tick(now=node.state.now + 701.0))
     assert [type(frame) for frame in channel.sent] == [frames.Refuse]
@@ -75,7 +63,7 @@
 def test_an_unrepeatable_call_is_left_to_finish_after_its_deadline(
     connection: _Connection,
 ) -> None:
-    channel = _Channel()
+    channel = home_nodes.Channel()
     node = _home_node_with_call(channel, repeatable=False)
     node.apply(events.Tick(now=node.state.now + 701.0))
     assert [type(frame) for frame in channel.sent] == [frames.Refuse]
@@ -85,7 +73,7 @@
 def test_an_abandoned_stream_is_reported_as_broken(
     connection: _Connection,
 ) -> None:
-    channel = _Channel()
+    channel = home_nodes.Channel()
     node = _home_node_with_call(channel, repeatable=True)
     (exchange,) = node.home._exchanges.values()
     exchange._streaming = True
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -3,7 +3,6 @@
 import pytest
 
 from gingerturn import dialect
-from gingerturn.internal import ids
 from gingerturn.internal.core import events, messages
 from gingerturn.internal.shell import (
     backend_http,
@@ -13,7 +12,7 @@
     node as nodes,
 )
 from gingerturn.internal.wire import frames
-from tests.common import builders, transports
+from tests.common import builders, home_nodes, transports
 
 
 class Clock:
@@ -232,19 +231,6 @@
     assert not idle.usable
 
 
-class Channel:
-    """A channel to an entry node that records the frames sent."""
-
-    peer = ids.NodeId("entry")
-
-    def __init__(self) -> None:
-        self.hosted: dict[int, ids.HostedId] = {}
-        self.sent: list[frames.Frame] = []
-
-    def send(self, frame: frames.Frame) -> None:
-        self.sent.append(frame)
-
-
 class Home:
     """A home node with an unrepeatable call in progress and an idle connection."""
 
@@ -259,7 +245,7 @@
         for connection in self.connections:
             backend.serve(connection)
         self.written = [len(self._transport(number).written) for number in (0, 1)]
-        self.channel = Channel()
+        self.channel = home_nodes.Channel()
         opened = frames.Open(
             call=7,
             terms=builders.call_metadata(deadline_ms=700.0, repeatable=False),
