--- a/tests/cover/test_unrelated_answers.py
+++ b/tests/cover/test_unrelated_answers.py
@@ -48,6 +48,20 @@
         asyncio.run(play(rejection))
 
 
+def test_an_answer_with_two_ids_says_nothing_of_the_request_in_progress() -> None:
+    async def play(extra: bytes) -> None:
+        home = home_nodes.HomeNode()
+        connection = await _served(home)
+        call = await home.open(b"r1")
+        connection.data_received(
+            home_nodes.answer(503, request_id=b"r1", executed=False, extra=extra)
+        )
+        assert home.reply_to(call) is None
+
+    asyncio.run(play(b"Request-Id: r0\r\n"))
+    asyncio.run(play(b"X-Other: 1\r\nRequest-Id: r0\r\nX-Other: 2\r\n"))
+
+
 # Guards against a home node that withdraws its backend server on the word of an answer
 # without a request id.
 def test_a_misdirection_without_an_id_leaves_the_backend_server_present() -> None:
