The request id is read from a head once

The pool and the connection both searched the head for it. The exchange reads it when it is dispatched and hands it on. What says that a request did not run is built only where something does.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -162,11 +162,13 @@
         head: bytes,
         body: bytes,
         *,
+        request_id: bytes,
         head_only: bool,
         whole: bool = True,
     ) -> None:
         """Begin an exchange: write the head and the first part of the body.
 
+        :param request_id: the id in the head; empty if it has none.
         :param whole: whether the body is complete; otherwise pieces follow.
         """
         self._receiver = receiver
@@ -177,7 +179,7 @@
         self._unrelated = False
         self._until_close = False
         self._upload_ended = whole
-        self._request_id = self._pool.request_id_of(head)
+        self._request_id = request_id
         self._chunked = b"\ntransfer-encoding: chunked\r\n" in head
         self._written = True
         self._answered = False
@@ -315,11 +317,13 @@
         if self._head_only and lengths:
             head += b"content-length: %b\r\n" % lengths[0]
         length = int(lengths[0]) if lengths and not chunked else -1
-        if status != messages.MISDIRECTED:
+        is_misdirected = status == messages.MISDIRECTED
+        if not is_misdirected:
             # Another instance sends 421, and its limit is not that of the intended one.
             self._relay_reports(self._receiver, values)
-        rejection = self._rejection(status, values)
-        if rejection is not None:
+        rejection = None
+        if is_misdirected or self._pool.dialect.not_executed in values:
+            rejection = self._rejection(status, values)
             self._forbid_request_id()
         self._receiver.on_head(
             status, head, 0 if bodiless else length, rejection=rejection
@@ -393,11 +397,7 @@
             return values[name] != self._request_id
         return any(n == name and v != self._request_id for n, v in self._headers)
 
-    def _rejection(self, status: int, values: dict[bytes, bytes]) -> Rejection | None:
-        """Return what in the head says that the request did not run."""
-        is_rejected = self._pool.dialect.not_executed in values
-        if status != messages.MISDIRECTED and not is_rejected:
-            return None
+    def _rejection(self, status: int, values: dict[bytes, bytes]) -> Rejection:
         return Rejection(
             status=status,
             answer_id=self._answer_id(values),
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -63,6 +63,7 @@
         self._channel = channel
         self._opened = opened
         self._hosted = hosted
+        self._request_id = b""
         self._open = True
         self._connection: backend_http.Connection | None = None
         self._abandoned = False
@@ -81,8 +82,9 @@
         """Dispatch the call to the backend server."""
         pool = self._node.home.pool
         pool.set_address(effect.host, effect.port)
+        self._request_id = pool.request_id_of(self._opened.head)
         connection = pool.take(
-            request_id=pool.request_id_of(self._opened.head),
+            request_id=self._request_id,
             recently_used=not self._opened.terms.repeatable,
         )
         if connection is not None:
@@ -312,6 +314,7 @@
             self,
             self._backend_head(effect),
             opened.body,
+            request_id=self._request_id,
             head_only=opened.head.startswith(b"HEAD "),
             whole=opened.whole,
         )
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -24,7 +24,9 @@
         self.body = b""
         self.ends = 0
         self.failures = 0
-        self.connection.begin(self, HEAD, b"", head_only=False, whole=whole)
+        self.connection.begin(
+            self, HEAD, b"", request_id=b"r1", head_only=False, whole=whole
+        )
 
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
         self.report = (rate_limit, leaving)
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -39,7 +39,9 @@
         return connection
 
     def begin(self, connection: backend_http.Connection) -> None:
-        connection.begin(self, b"GET / HTTP/1.1\r\n", b"", head_only=False)
+        connection.begin(
+            self, b"GET / HTTP/1.1\r\n", b"", request_id=b"", head_only=False
+        )
 
     def serve(self, connection: backend_http.Connection, extra: bytes = b"") -> None:
         self.begin(connection)
--- a/tests/cover/test_parsers_take_any_bytes.py
+++ b/tests/cover/test_parsers_take_any_bytes.py
@@ -169,7 +169,9 @@
     transport = transports.Transport()
     connection.connection_made(transport)  # type: ignore[arg-type]
     receiver = Receiver()
-    connection.begin(receiver, b"GET / HTTP/1.1\r\n", b"", head_only=head_only)
+    connection.begin(
+        receiver, b"GET / HTTP/1.1\r\n", b"", request_id=b"", head_only=head_only
+    )
     for piece in pieces:
         if not transport.closed:
             connection.data_received(piece)
