A rejection with a long body is a rejection

The body of a rejection is not used; it is read and dropped.

Evidence: test_a_proven_refusal_is_relayed_as_not_run failed before with a long body.

--- a/src/gingerturn/internal/core/refusals.py
+++ b/src/gingerturn/internal/core/refusals.py
@@ -94,13 +94,14 @@
             waited_ms=state.now - call.arrived_at,
             status=status,
             workspace=call.workspace,
-            outcome_fact=not call.rule.repeatable and not _is_success(rule, status),
+            outcome_fact=not call.rule.repeatable and not _is_relayed(rule, status),
         )
     )
     return decision
 
 
-def _is_success(rule: decisions.Rule, status: int) -> bool:
+def _is_relayed(rule: decisions.Rule, status: int) -> bool:
+    """Whether a successful answer is relayed, which says nothing of 'not run'."""
     return rule is decisions.Rule.SENT and status < FIRST_ERROR_STATUS
 
 
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -383,8 +383,7 @@
     def _is_unrelated(self, values: dict[bytes, bytes]) -> bool:
         """Whether the answer belongs to another request or to none.
 
-        Without the request id an answer may be any bytes that the backend server sent
-        too many.
+        An answer without the id of the request may be bytes that belong to none.
 
         :param values: the last value of each header.
         """
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -71,6 +71,7 @@
         self._status = 0
         self._executed = True
         self._unproven = False
+        self._is_relayed = True
         self._load: messages.BackendLoad | None = None
         self._head = b""
         self._length = -1
@@ -220,14 +221,13 @@
         self._head = head
         self._length = length
         self._unproven = self._is_unproven(status, rejection)
-        if self._unproven:
-            return
-        if length > self._node.settings.limits.body_buffer:
+        self._is_relayed = rejection is None and not self._unproven
+        if self._is_relayed and length > self._node.settings.limits.body_buffer:
             self._start_streaming()
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of the answer, or stream it to the entry node."""
-        if self._unproven:
+        if not self._is_relayed:
             return
         if self._streaming:
             self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
--- a/tests/cover/test_unproven_refusals.py
+++ b/tests/cover/test_unproven_refusals.py
@@ -50,13 +50,16 @@
     asyncio.run(play())
 
 
-def test_a_proven_refusal_is_relayed_as_not_run() -> None:
+# Guards against a rejection that is relayed as an answer, so that the request is not
+# sent to another upstream, since its body is too long to be buffered.
+@pytest.mark.parametrize("body", [b"", b"x" * (BUFFER + 1)])
+def test_a_proven_refusal_is_relayed_as_not_run(body: bytes) -> None:
     async def play() -> None:
         home = home_nodes.HomeNode()
         call = await home.open(b"r1")
         (connection,) = home.connections
         connection.data_received(
-            home_nodes.answer(503, request_id=b"r1", executed=False)
+            home_nodes.answer(503, request_id=b"r1", executed=False, body=body)
         )
         assert home.outcome_of(call) is messages.Outcome.NOT_RUN
 
