--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -213,6 +213,7 @@
             restored=True,
             reported=True,
             silenced=True,
+            unrelated=True,
         )
     }
     assert drawn == set(schedule.Kind)
