--- a/tooling/gingerturn_fakes/capped.py
+++ b/tooling/gingerturn_fakes/capped.py
@@ -40,6 +40,7 @@
     :param rules: number of decisions at entry nodes by their rule.
     :param arrived: when callers sent their requests, without retries.
     :param initial: the first of the workspaces.
+    :param workspaces: their names.
     :param lowered: its cap was lowered by a test.
     :param retry_share: share of the callers that retry a refused request 3 times, each
         time immediately and through another node.
@@ -58,6 +59,7 @@
         )
         self.world.gossip_on = True
         self.initial = workspaces[0]
+        self.workspaces = [workspace.name for workspace in workspaces]
         self.lowered = False
         self._version = 1
         self.random = random.Random(seed)
--- a/tooling/gingerturn_fakes/links.py
+++ b/tooling/gingerturn_fakes/links.py
@@ -14,6 +14,9 @@
 ZONE_MS = 1.0
 """One-way delay between availability zones."""
 
+RECEIVE_BUFFER = 256
+"""Datagrams that a socket holds until they are handled."""
+
 IDLE_LOG_CONNECTIONS = 2
 """Idle connections to the log that a node keeps."""
 
@@ -203,23 +206,48 @@
         return
     receiver = world.nodes[name]
     port = node.state.membership.self_member.gossip_port
+
+    def handle() -> None:
+        event = events.DatagramReceived(
+            now=world.now,
+            sender=ids.NodeId(node.name),
+            host="127.0.0.1",
+            port=port,
+            message=effect.message,
+        )
+        world.apply_to(receiver, event)
+
     _deliver(
-        world,
-        node,
-        receiver,
-        lambda: world.apply_to(
-            receiver,
-            events.DatagramReceived(
-                now=world.now,
-                sender=ids.NodeId(node.name),
-                host="127.0.0.1",
-                port=port,
-                message=effect.message,
-            ),
-        ),
+        world, node, receiver, lambda: _receive(world, receiver, effect.message, handle)
     )
 
 
+def _receive(
+    world: "worlds.World",
+    node: parts.FakeNode,
+    message: messages.Gossip,
+    handle: collections.abc.Callable[[], None],
+) -> None:
+    """Handle a datagram once all earlier ones are handled, or drop it."""
+    cost = world.datagram_cost(message)
+    if cost <= 0.0:
+        handle()
+        return
+    if node.unread_datagrams >= RECEIVE_BUFFER:
+        return
+    node.unread_datagrams += 1
+    node.datagram_ms += cost
+    node.busy_until = max(world.now, node.busy_until) + cost
+    incarnation = node.incarnation
+
+    def finish() -> None:
+        if node.incarnation == incarnation:
+            node.unread_datagrams -= 1
+            handle()
+
+    world.at(node.busy_until - world.now, finish)
+
+
 def _acknowledge_ping(
     world: "worlds.World", node: parts.FakeNode, effect: effects.SendGossip
 ) -> None:
--- a/tooling/gingerturn_fakes/parts.py
+++ b/tooling/gingerturn_fakes/parts.py
@@ -148,6 +148,9 @@
     :param connection_silences: how often its open connections fell silent for good.
     :param stale_log_connections: idle connections to the log that fell silent.
     :param silent_links: peers to which the open connection is silent.
+    :param busy_until: when it will have handled the datagrams received so far.
+    :param unread_datagrams: datagrams received and not yet handled.
+    :param datagram_ms: processor time spent on datagrams so far.
     """
 
     name: str
@@ -173,6 +176,9 @@
     stale_log_connections: int = 0
     silent_links: set[str] = dataclasses.field(default_factory=set)
     tick_at: float = math.inf
+    busy_until: float = 0.0
+    unread_datagrams: int = 0
+    datagram_ms: float = 0.0
 
 
 def fingerprint(service: str, method: str, path: str) -> ids.Fingerprint:
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -83,6 +83,10 @@
         ] = lambda node, effect: None
         self.cut: set[tuple[str, str]] = set()
         self.drop_gossip = 0.0
+        # Processor time that a datagram takes at its receiver, in ms.
+        self.datagram_cost: collections.abc.Callable[[messages.Gossip], float] = (
+            lambda message: 0.0
+        )
         # Requests for these paths crash the backend servers that run them.
         self.deadly_paths: set[str] = set()
         self.gossip_on = False
@@ -336,6 +340,8 @@
         """Restart a killed node with empty state."""
         node = self.nodes[name]
         node.alive = True
+        node.busy_until = 0.0
+        node.unread_datagrams = 0
         node.hosted_calls.clear()
         node.stored_answers.clear()
         node.stale_log_connections = 0
