Cap renewals name only workspaces that need an answer

Callers of all workspaces got 429 far below their caps, during a burst and long after it.

Cause: each node named in each renewal, 2.5 times a second, every workspace that it saw in the last 3 s. Most of them have too little demand at a node for a lease, so the answer changed nothing.

Change: a workspace is named if it has a lease or demand for one, unused tokens to refund, or calls that wait.

--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -89,6 +89,9 @@
 USAGES_PER_PAGE = 16
 """Workspaces in one page of a handover, about 60 bytes each."""
 
+MIN_REFUND = 0.001
+"""Unused tokens that are worth a refund; smaller numbers are not encoded."""
+
 REPORT_INTERVAL_MS = 1_000.0
 """Interval between log lines about caps."""
 
@@ -465,6 +468,8 @@
         rate = cap_buckets.record_demand(state, bucket)
         leased_milli = bucket.rate_milli if bucket.lease_until > state.now else 0
         waiting = waiting_counts[ids.WorkspaceName(name)]
+        if not (waiting or _needs_renewal(bucket, rate, leased_milli)):
+            continue
         overflowed_milli = int(1_000.0 * bucket.overflowed)
         bucket.overflowed -= overflowed_milli / 1_000.0
         rate_milli = int(1_000.0 * rate)
@@ -475,6 +480,13 @@
     return demands
 
 
+def _needs_renewal(bucket: states.Bucket, rate: float, leased_milli: int) -> bool:
+    """Whether an answer could change the lease of a bucket or refund its tokens."""
+    has_lease = leased_milli > 0 or rate >= cap_allocator.MIN_LEASED_DEMAND
+    has_unused = bucket.tokens > 0.0 or bucket.overflowed >= MIN_REFUND
+    return has_lease or has_unused
+
+
 def _send(
     state: states.State,
     node: ids.NodeId,
