A node's own delay does not count as silence of the cap allocator

A node whose event loop is late runs its timers before it reads the answers in its socket. It took the allocator for silent, left it for 3 s, delegated its share to another one that was delegated nothing else, and refused the calls that had waited meanwhile.

Change: the time by which a check is late is excluded from the timeouts of requests and of waiting calls. Callers' deadlines keep running.

--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -29,6 +29,9 @@
 
 CHECK_MS = 100.0
 
+MIN_LATE_MS = 50.0
+"""Delay of a check beyond the usual variation."""
+
 RENEW_INTERVAL_MS = 400.0
 """Leases are renewed twice within their term, so that one datagram may be lost."""
 
@@ -132,6 +135,7 @@
     if not _has_caps(state) or not _knows_members(state):
         return
     caps = state.caps
+    _extend_timeouts(state)
     if state.stopping:
         _hand_over(state, out)
     _skip_silent_allocator(state)
@@ -142,6 +146,26 @@
         _report(state, out)
 
 
+def _extend_timeouts(state: states.State) -> None:
+    """Exclude the time in which this node could not read answers from all timeouts.
+
+    After a delay of the event loop, timers run before the datagrams that arrived
+    meanwhile are read.
+    """
+    caps = state.caps
+    checked_at, caps.checked_at = caps.checked_at, state.now
+    late_ms = state.now - checked_at - CHECK_MS
+    if not checked_at or late_ms < MIN_LATE_MS:
+        return
+    if caps.unanswered_since:
+        caps.unanswered_since += late_ms
+    for pending in caps.pending_requests.values():
+        pending.sent_at += late_ms
+        pending.repeat_at += late_ms
+    for call in caps.waiting_calls:
+        caps.waiting_calls[call] += late_ms
+
+
 def _report(state: states.State, out: states.Effects) -> None:
     """Log how busy this node is as the allocator, and refusals without its answer."""
     caps = state.caps
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -630,6 +630,7 @@
     :param requests_sent: to other nodes, including repeats.
     :param allocator_changes: times that another node was chosen as the allocator.
     :param reported: counts at the latest log line about them.
+    :param checked_at: when timeouts were last checked; 0 before.
     """
 
     buckets: dict[str, Bucket] = {}
@@ -653,6 +654,7 @@
     requests_sent: int = 0
     allocator_changes: int = 0
     reported: CapReport = msgspec.field(default_factory=CapReport)
+    checked_at: ids.Milliseconds = 0.0
 
 
 class WorkspaceUse(msgspec.Struct):
--- a/tests/cover/test_cap_allocator_load.py
+++ b/tests/cover/test_cap_allocator_load.py
@@ -14,8 +14,11 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     cap_allocator,
+    caps,
     decisions,
+    events,
     messages,
+    reducer,
     state as states,
 )
 from gingerturn_fakes import capped
@@ -152,6 +155,27 @@
     assert sum(window.slices.values()) - before == charged
 
 
+def test_a_node_that_was_late_does_not_take_its_allocator_for_silent() -> None:
+    """Guards against timeouts that include the time in which a node did not read the
+    answers in its socket."""
+    cap = keyed.workspace("shop", rate=50.0, burst=50.0)
+    made = capped.Deployment(cap, nodes=4)
+    allocator = _allocator(made).node
+    name = next(name for name in made.names if name != allocator)
+    made.send("shop", name)
+    node = made.world.nodes[name]
+    state = node.state
+    assert state.caps.pending_requests
+    assert state.caps.waiting_calls
+    late = state.now + caps.ANSWER_TIMEOUT_MS + 400.0
+    reducer.reduce(state, events.Tick(now=late))
+    assert state.caps.allocator == allocator
+    assert not state.caps.skipped_nodes
+    assert state.caps.waiting_calls
+    made.world.run(500.0)
+    assert made.admitted["shop"]
+
+
 def _operations_of_a_grant(nodes: int) -> int:
     """Return the lines of Python that a request takes, which is independent of time."""
     cap = keyed.workspace("shop", rate=400.0, burst=400.0)
