Single tokens charge no lease

A request for a single token charged a lease of nothing to five slices, twice, and sorted the slices for a refund of nothing.

--- a/src/gingerturn/internal/core/cap_window.py
+++ b/src/gingerturn/internal/core/cap_window.py
@@ -233,6 +233,8 @@
     They are taken from the oldest slices in which they may have been charged. Refunded
     from the current slice, they would still reduce it after those have left the window.
     """
+    if requests <= 0.0:
+        return
     lately = current_slice(state) - REFUND_SLICES
     for charged in (window.leased, window.slices):
         for number in sorted(charged, key=lambda number: (number < lately, number)):
@@ -254,6 +256,8 @@
     :param rate_milli: thousandths of a request per second; negative to refund the rest
         of a lease.
     """
+    if not rate_milli:
+        return
     slice_ms = _slice_ms(state)
     start = state.now
     while start < until:
