A call that arrives shortly after a cap request waits for the next one only

Cause: within 10 ms of a request no further one is sent, and nothing was scheduled for the end of that time, so such a call waited for the next call, answer or check of its node.

Change: a deadline of the reducer for the next request. The kinds of deadlines are an enum.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -31,14 +31,6 @@
 """Time after the deadline of a call for which the entry node waits for the home node's
 refusal, which says whether the call ran, before it answers that this is unknown."""
 
-CALL_DEADLINE = 0
-HOSTED_DEADLINE = 1
-TOKEN_DUE = 2
-"""A token of the rate limit is due for a queued call."""
-
-WAIT_DUE = 3
-"""A queued call has waited for as long as it may."""
-
 OVERLOAD_STATUSES = frozenset({429, 503})
 FIRST_FAILURE_STATUS = 500
 GATEWAY_TIMEOUT = 504
@@ -106,7 +98,9 @@
         return
     if not _check_key(state, call, event, out):
         return
-    heapq.heappush(state.deadlines, (call.deadline + GRACE_MS, CALL_DEADLINE, call.id))
+    heapq.heappush(
+        state.deadlines, (call.deadline + GRACE_MS, states.Deadline.CALL, call.id)
+    )
     if parent is not None or caps.admit(state, call, out):
         sending.begin(state, call, out)
 
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -10,6 +10,7 @@
 
 import collections
 import collections.abc
+import heapq
 
 from gingerturn import routes
 from gingerturn.internal import ids
@@ -315,6 +316,26 @@
         }
         request_leases(state, sorted(waiting), out)
         admit_waiting(state, out)
+    elif caps.waiting_calls and caps.due_number != caps.request_number:
+        caps.due_number = caps.request_number
+        due = caps.requested_at + MIN_REQUEST_INTERVAL_MS
+        entry = (due, states.Deadline.CAP_REQUEST, caps.request_number)
+        heapq.heappush(state.deadlines, entry)
+
+
+def on_request_due(state: states.State, number: int, out: states.Effects) -> None:
+    """Request tokens for calls that arrived shortly after a request.
+
+    :param number: of that request.
+    """
+    if is_request_due(state, number):
+        _request_if_due(state, out)
+
+
+def is_request_due(state: states.State, number: int) -> bool:
+    """Whether calls still wait for the request that follows one."""
+    caps = state.caps
+    return number == caps.request_number and bool(caps.waiting_calls)
 
 
 def on_request(
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -92,7 +92,9 @@
         _refuse_waiting(state, hosted, out)
         return
     queue_slack.record_admitted(state, hosted)
-    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
+    heapq.heappush(
+        state.deadlines, (hosted.deadline, states.Deadline.HOSTED, hosted.id)
+    )
     if admission.has_slot(state):
         start(state, hosted, out)
         return
@@ -439,7 +441,7 @@
     # the caller's repeat.
     hosted.orphaned = True
     next_deadline = max(state.now, hosted.deadline + keep_ms)
-    heapq.heappush(state.deadlines, (next_deadline, calls.HOSTED_DEADLINE, hosted.id))
+    heapq.heappush(state.deadlines, (next_deadline, states.Deadline.HOSTED, hosted.id))
 
 
 def start(state: states.State, hosted: states.Hosted, out: states.Effects) -> None:
@@ -606,7 +608,7 @@
         _await_token(state, hosted)
         if hosted.max_wait:
             due = hosted.arrived_at + hosted.max_wait
-            heapq.heappush(state.deadlines, (due, calls.WAIT_DUE, hosted.id))
+            heapq.heappush(state.deadlines, (due, states.Deadline.WAIT, hosted.id))
 
 
 def on_wait_due(
@@ -627,7 +629,7 @@
     if state.backend.limiter.limited:
         wait = max(MIN_TOKEN_WAIT_MS, admission.token_wait(state, hosted.rank))
         due = state.now + wait
-        heapq.heappush(state.deadlines, (due, calls.TOKEN_DUE, hosted.id))
+        heapq.heappush(state.deadlines, (due, states.Deadline.TOKEN, hosted.id))
 
 
 def on_token_due(
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -144,12 +144,14 @@
     pause_detection.check(state, now, out)
     while state.deadlines and state.deadlines[0][0] <= now:
         _, which, number = heapq.heappop(state.deadlines)
-        if which == calls.CALL_DEADLINE:
+        if which == states.Deadline.CALL:
             calls.on_deadline(state, ids.CallId(number), out)
-        elif which == calls.TOKEN_DUE:
+        elif which == states.Deadline.TOKEN:
             hosting.on_token_due(state, ids.HostedId(number), out)
-        elif which == calls.WAIT_DUE:
+        elif which == states.Deadline.WAIT:
             hosting.on_wait_due(state, ids.HostedId(number), out)
+        elif which == states.Deadline.CAP_REQUEST:
+            caps.on_request_due(state, number, out)
         else:
             hosting.on_deadline(state, ids.HostedId(number), out)
     timers.run_due(state, now, _TIMER_HANDLERS, out)
@@ -168,10 +170,14 @@
     return max(due, state.now + timers.TICK_MS)
 
 
-def _is_pending(state: states.State, entry: tuple[ids.Milliseconds, int, int]) -> bool:
+def _is_pending(
+    state: states.State, entry: tuple[ids.Milliseconds, states.Deadline, int]
+) -> bool:
     _, which, number = entry
-    if which == calls.CALL_DEADLINE:
+    if which == states.Deadline.CALL:
         return ids.CallId(number) in state.calls
+    if which == states.Deadline.CAP_REQUEST:
+        return caps.is_request_due(state, number)
     return ids.HostedId(number) in state.hosted
 
 
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -5,7 +5,6 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     admission,
-    calls,
     decisions,
     effects,
     keys,
@@ -189,7 +188,9 @@
     hosted.state = states.HostedState.WAITING
     entry.waiters.append(hosted.id)
     decide(state, hosted, decisions.Rule.JOINED_FIRST, out, ())
-    heapq.heappush(state.deadlines, (hosted.deadline, calls.HOSTED_DEADLINE, hosted.id))
+    heapq.heappush(
+        state.deadlines, (hosted.deadline, states.Deadline.HOSTED, hosted.id)
+    )
     return True
 
 
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -76,6 +76,21 @@
     sent_at: ids.Milliseconds = 0.0
 
 
+class Deadline(enum.IntEnum):
+    """What is due at a time in :attr:`State.deadlines`, and what its number means.
+
+    CALL, of a call at its entry node; HOSTED, of a hosted call; TOKEN: a token of the
+    rate limit for a queued hosted call; WAIT: a queued hosted call has waited for as
+    long as it may; CAP_REQUEST: the request to the cap allocator that follows one.
+    """
+
+    CALL = 0
+    HOSTED = 1
+    TOKEN = 2
+    WAIT = 3
+    CAP_REQUEST = 4
+
+
 class HostedState(enum.Enum):
     """States of a call at its home node."""
 
@@ -350,6 +365,7 @@
     level: ids.Rank = ranks.LOWEST
     reported_at: ids.Milliseconds = 0.0
     requested_at: ids.Milliseconds = 0.0
+    due_number: int = 0
 
 
 class Trend(msgspec.Struct):
@@ -616,6 +632,7 @@
         of the node are higher.
     :param pending_requests: unanswered requests, by number.
     :param requested_at: when the latest request was sent.
+    :param due_number: request after which another one is scheduled.
     :param renewed_at: when leases of all workspaces were last requested.
     :param unanswered_since: when the oldest unanswered request to the allocator was
         sent; 0 if the allocator has answered since.
@@ -639,6 +656,7 @@
     request_number: int = 0
     pending_requests: dict[int, PendingCapRequest] = {}
     requested_at: ids.Milliseconds = 0.0
+    due_number: int = 0
     renewed_at: ids.Milliseconds = 0.0
     unanswered_since: ids.Milliseconds = 0.0
     handed_over: bool = False
@@ -860,6 +878,7 @@
     failures: int = 0
     retry_at: ids.Milliseconds = 0.0
     requested_at: ids.Milliseconds = 0.0
+    due_number: int = 0
     current_as_of: ids.Milliseconds = -1.0
     caught_up: bool = False
     covered_from: ids.Milliseconds = 0.0
@@ -1057,7 +1076,7 @@
         self.waiting_calls: dict[ids.CallId, ids.Milliseconds] = {}
         self.started_at: ids.Milliseconds = 0.0
         self.last_tick_at: ids.Milliseconds = 0.0
-        self.deadlines: list[tuple[ids.Milliseconds, int, int]] = []
+        self.deadlines: list[tuple[ids.Milliseconds, Deadline, int]] = []
         self.membership = Membership()
         self.streams: dict[str, Stream] = {}
         self.log = LogHistory()
--- a/tests/cover/test_cap_allocator_load.py
+++ b/tests/cover/test_cap_allocator_load.py
@@ -20,6 +20,7 @@
     messages,
     reducer,
     state as states,
+    timers,
 )
 from gingerturn_fakes import capped
 from tests.common import keyed
@@ -155,6 +156,22 @@
     assert sum(window.slices.values()) - before == charged
 
 
+def test_a_call_that_arrives_shortly_after_a_request_waits_for_the_next_one() -> None:
+    """Guards against calls that wait for a token until something else happens."""
+    cap = keyed.workspace("shop", rate=50.0, burst=50.0)
+    made = capped.Deployment(cap, nodes=4)
+    allocator = _allocator(made).node
+    name = next(name for name in made.names if name != allocator)
+    for _ in range(20):
+        made.world.run(made.random.uniform(400.0, 500.0))
+        made.admitted["shop"].clear()
+        made.send("shop", name)
+        made.world.run(5.0)
+        made.send("shop", name)
+        made.world.run(caps.MIN_REQUEST_INTERVAL_MS + timers.TICK_MS + 5.0)
+        assert len(made.admitted["shop"]) == 2
+
+
 def test_a_node_that_was_late_does_not_take_its_allocator_for_silent() -> None:
     """Guards against timeouts that include the time in which a node did not read the
     answers in its socket."""
