gingerturn workspaces tells refusals that may be below a cap

The metric of refusals without an answer of the cap allocator had no column. A test plays a refusal through a node's page to `gingerturn served`. No decision changes.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -357,6 +357,9 @@
         _echo_json(msgspec.to_builtins(found))
         return
     head = f"{'workspace':<24} {'passed':>10} {'refused':>10} {'cap a second':>13}"
+    has_unanswered = any(use.unanswered for use in found)
+    if has_unanswered:
+        head += f" {'unanswered':>10}"
     has_shares = any(use.shed_for_share or use.factor for use in found)
     if has_shares:
         head += f" {'shed for share':>15} {'factor':>7}"
@@ -364,6 +367,8 @@
     for use in found:
         cap = f"{use.cap:g}" if use.cap else "-"
         row = f"{use.workspace:<24} {use.passed:>10.0f} {use.refused:>10.0f} {cap:>13}"
+        if has_unanswered:
+            row += f" {use.unanswered:>10.0f}"
         if has_shares:
             factor = f"{use.factor:.1f}" if use.factor else "-"
             row += f" {use.shed_for_share:>15.0f} {factor:>7}"
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -134,6 +134,8 @@
     """Root requests of a workspace at some nodes since these started.
 
     :param refused: because of its cap.
+    :param unanswered: those of them that the cap allocator did not answer in time; the
+        workspace may have been below its cap.
     :param cap: limit of requests a second at all nodes; 0 if unlimited.
     :param shed_for_share: shed while it used more than its share of a bottleneck
         service.
@@ -143,6 +145,7 @@
     workspace: str
     passed: float = 0.0
     refused: float = 0.0
+    unanswered: float = 0.0
     cap: float = 0.0
     shed_for_share: float = 0.0
     factor: float = 0.0
@@ -156,6 +159,7 @@
             use = found.setdefault(name, WorkspaceUse(name))
             use.passed += samples.get("workspace_passed_total", 0.0)
             use.refused += samples.get("workspace_refused_total", 0.0)
+            use.unanswered += samples.get("workspace_refused_unanswered_total", 0.0)
             use.cap = max(use.cap, samples.get("workspace_cap", 0.0))
             use.shed_for_share += samples.get("workspace_shed_for_share_total", 0.0)
             use.factor = max(use.factor, samples.get("workspace_factor", 0.0))
--- a/tests/cover/test_workspace_use.py
+++ b/tests/cover/test_workspace_use.py
@@ -53,6 +53,35 @@
     assert result.output.splitlines()[1].split() == ["shop", "6", "0", "-"]
 
 
+def test_the_command_tells_refusals_that_may_be_below_a_cap(
+    tmp_path: pathlib.Path,
+) -> None:
+    page = tmp_path / "page"
+    unanswered = 'gingerturn_workspace_refused_unanswered_total{workspace="shop"} 4\n'
+    page.write_text(_page("shop") + unanswered)
+    result = testing.CliRunner().invoke(
+        main.cli, ["workspaces", "--metrics", str(page)]
+    )
+    assert result.output.splitlines()[0].split()[-1] == "unanswered"
+    assert result.output.splitlines()[1].split() == ["shop", "3", "0", "-", "4"]
+
+
+def test_the_command_tells_how_calls_of_a_zone_ended(tmp_path: pathlib.Path) -> None:
+    """Guards against a page of a node without the outcomes that the command reads."""
+    node = nodes.Node(builders.settings())
+    node.settings.node.zone = "a"
+    refused = keyed.arrived(1, "shop")
+    state = keyed.node_state(upstream=False)
+    for line in builders.all_of(reducer.reduce(state, refused), effects.LogDecision):
+        node._log_decision(line)
+    page = tmp_path / "page"
+    page.write_text(probes.metrics(node).decode())
+    result = testing.CliRunner().invoke(main.cli, ["served", "--metrics", str(page)])
+    assert result.exit_code == 0, result.output
+    total = result.output.splitlines()[1].split()
+    assert total == ["a", "(all)", "1", "0.000", "no_upstream", "1"]
+
+
 def test_the_command_names_what_is_wrong() -> None:
     runner = testing.CliRunner()
     result = runner.invoke(main.cli, ["workspaces"])
