Lost cap requests are repeated within some round trips

No test had lost datagrams; found by the question what a lossy zone does.

Change: a request is repeated after 20 ms or two mean round trips, then whenever its age has doubled, at a deadline of the reducer. For this the mean has to tell a slow allocator from a lost datagram: the high bits of the request's number count its repeats, and the answer returns the number. A rise of the round trip counts at once. The encoding is as before.

--- a/src/gingerturn/internal/core/cap_allocator.py
+++ b/src/gingerturn/internal/core/cap_allocator.py
@@ -15,6 +15,8 @@
 
 import math
 
+import msgspec
+
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -57,9 +59,10 @@
     """
     allocator = state.cap_allocator
     recent = allocator.recent_answers.setdefault(node, {})
-    known = recent.get(request.number)
+    number = request.number % messages.CAP_REPEAT_STEP
+    known = recent.get(number)
     if known is not None:
-        return known
+        return msgspec.structs.replace(known, number=request.number)
     allocator.requests_answered += 1
     allocator.demands_answered += len(request.demands)
     if request.stamp > 0.0:
@@ -71,9 +74,11 @@
         if cap is not None and cap.rate > 0.0:
             leases.append(_lease(state, node, cap, demand))
     answer = messages.CapAnswer(
-        number=request.number, stamp=state.now, leases=tuple(leases)
+        number=request.number,
+        stamp=state.now,
+        leases=tuple(leases),
     )
-    recent[request.number] = answer
+    recent[number] = answer
     if len(recent) > MAX_RECENT_ANSWERS:
         del recent[next(iter(recent))]
     return answer
--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -12,6 +12,8 @@
 import collections.abc
 import heapq
 
+import msgspec
+
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
@@ -36,7 +38,7 @@
 RENEW_INTERVAL_MS = 400.0
 """Leases are renewed twice within their term, so that one datagram may be lost."""
 
-MIN_REPEAT_MS = 100.0
+MIN_REPEAT_MS = 20.0
 """Least time until an unanswered request is repeated. It doubles with each repeat, so
 that an allocator that is late gets fewer of them."""
 
@@ -136,7 +138,7 @@
         return False
     wait = MAX_STARTUP_WAIT_MS if startup_waits.is_starting_up(state) else MAX_WAIT_MS
     state.caps.waiting_calls[call.id] = state.now + wait
-    _repeat_unanswered(state, out)
+    repeat_unanswered(state, out)
     _request_if_due(state, out)
     return False
 
@@ -150,7 +152,7 @@
     if state.stopping:
         _hand_over(state, out)
     _skip_silent_allocator(state)
-    _repeat_unanswered(state, out)
+    repeat_unanswered(state, out)
     _request_if_due(state, out)
     admit_waiting(state, out)
     if now - caps.reported.at >= REPORT_INTERVAL_MS:
@@ -247,30 +249,42 @@
         stamp=caps.stamp if delegates else 0.0,
         demands=demands,
     )
-    caps.pending_requests[message.number] = states.PendingCapRequest(
-        message=message,
-        sent_at=state.now,
-        repeat_at=state.now
-        + max(MIN_REPEAT_MS, REPEAT_ROUND_TRIPS * caps.round_trip_ms),
-    )
+    pending = states.PendingCapRequest(message, sent_at=state.now)
+    caps.pending_requests[caps.request_number] = pending
     if allocator == state.node:
         _apply_answer(state, cap_allocator.grant(state, allocator, message))
     else:
         caps.requests_sent += 1
         _send(state, allocator, message, out)
+        delay = max(MIN_REPEAT_MS, REPEAT_ROUND_TRIPS * caps.round_trip_ms)
+        _schedule_repeat(state, pending, delay)
 
 
-def _repeat_unanswered(state: states.State, out: states.Effects) -> None:
+def repeat_unanswered(state: states.State, out: states.Effects) -> None:
     """Repeat requests whose answer is overdue, as they were.
 
     The allocator recognizes them, so their calls are not granted tokens twice.
     """
     caps = state.caps
     for pending in caps.pending_requests.values():
-        if state.now >= pending.repeat_at:
-            pending.repeat_at = state.now + 2.0 * (state.now - pending.sent_at)
-            caps.requests_sent += 1
-            _send(state, caps.allocator, pending.message, out)
+        count = len(pending.repeats_sent_at) + 1
+        if state.now < pending.repeat_at:
+            continue
+        caps.requests_sent += 1
+        pending.repeats_sent_at.append(state.now)
+        number = pending.message.number + count * messages.CAP_REPEAT_STEP
+        message = msgspec.structs.replace(pending.message, number=number)
+        _send(state, caps.allocator, message, out)
+        _schedule_repeat(state, pending, state.now - pending.sent_at)
+
+
+def _schedule_repeat(
+    state: states.State, pending: states.PendingCapRequest, delay: ids.Milliseconds
+) -> None:
+    pending.repeat_at = state.now + delay
+    number = pending.message.number
+    entry = (pending.repeat_at, states.Deadline.CAP_REPEAT, number)
+    heapq.heappush(state.deadlines, entry)
 
 
 def _choose_allocator(state: states.State, out: states.Effects) -> None:
@@ -394,10 +408,11 @@
 ) -> None:
     """Apply the leases in an answer, and admit calls that waited for them."""
     caps = state.caps
-    if sender != caps.allocator or message.number not in caps.pending_requests:
+    number = message.number % messages.CAP_REPEAT_STEP
+    if sender != caps.allocator or number not in caps.pending_requests:
         return
     if message.allocator:
-        del caps.pending_requests[message.number]
+        del caps.pending_requests[number]
         _on_redirect(state, message, out)
         return
     first_answer = caps.stamp == 0.0
@@ -509,8 +524,10 @@
 
 def _apply_answer(state: states.State, message: messages.CapAnswer) -> None:
     caps = state.caps
-    requested_at = caps.pending_requests.pop(message.number).sent_at
-    _record_round_trip(caps, state.now - requested_at)
+    repeat, number = divmod(message.number, messages.CAP_REPEAT_STEP)
+    request = caps.pending_requests.pop(number)
+    requested_at = request.sent_at
+    _record_round_trip(state, request, repeat)
     caps.answered_at = state.now
     caps.unanswered_since = state.now if caps.pending_requests else 0.0
     caps.stamp = message.stamp
@@ -531,9 +548,20 @@
         )
 
 
-def _record_round_trip(caps: states.Caps, elapsed: ids.Milliseconds) -> None:
-    caps.round_trips.record(elapsed)
-    caps.round_trip_ms += ROUND_TRIP_WEIGHT * (elapsed - caps.round_trip_ms)
+def _record_round_trip(
+    state: states.State, request: states.PendingCapRequest, repeat: int
+) -> None:
+    """Record how long a caller had to wait, and how long the answer took.
+
+    The two differ where datagrams were lost, which tells nothing of the allocator.
+    """
+    caps = state.caps
+    caps.round_trips.record(state.now - request.sent_at)
+    sent = [request.sent_at, *request.repeats_sent_at]
+    elapsed = max(0.0, state.now - sent[min(repeat, len(sent) - 1)])
+    mean = caps.round_trip_ms + ROUND_TRIP_WEIGHT * (elapsed - caps.round_trip_ms)
+    # A rise counts at once, since repeats would add to the queue that caused it.
+    caps.round_trip_ms = max(mean, elapsed)
 
 
 def _may_delegate(state: states.State) -> bool:
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -265,10 +265,16 @@
     overflowed_milli: int
 
 
+CAP_REPEAT_STEP = 1 << 48
+"""Difference of the numbers of a cap request and its repeat, above all numbers of
+requests themselves."""
+
+
 class CapRequest(msgspec.Struct, frozen=True, array_like=True, tag="CapAsk", gc=False):
     """A node delegates its share of all caps to the allocator and requests leases.
 
-    :param number: pairs the answer with the request.
+    :param number: pairs the answer with the request. Each repeat of a request adds
+        :data:`CAP_REPEAT_STEP`.
     :param stamp: the allocator's, from which the delegation counts; 0 delegates
         nothing.
     """
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -152,6 +152,8 @@
             hosting.on_wait_due(state, ids.HostedId(number), out)
         elif which == states.Deadline.CAP_REQUEST:
             caps.on_request_due(state, number, out)
+        elif which == states.Deadline.CAP_REPEAT:
+            caps.repeat_unanswered(state, out)
         else:
             hosting.on_deadline(state, ids.HostedId(number), out)
     timers.run_due(state, now, _TIMER_HANDLERS, out)
@@ -178,6 +180,8 @@
         return ids.CallId(number) in state.calls
     if which == states.Deadline.CAP_REQUEST:
         return caps.is_request_due(state, number)
+    if which == states.Deadline.CAP_REPEAT:
+        return number in state.caps.pending_requests
     return ids.HostedId(number) in state.hosted
 
 
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -81,7 +81,8 @@
 
     CALL, of a call at its entry node; HOSTED, of a hosted call; TOKEN: a token of the
     rate limit for a queued hosted call; WAIT: a queued hosted call has waited for as
-    long as it may; CAP_REQUEST: the request to the cap allocator that follows one.
+    long as it may; CAP_REQUEST: the request to the cap allocator that follows one;
+    CAP_REPEAT: the repeat of one.
     """
 
     CALL = 0
@@ -89,6 +90,7 @@
     TOKEN = 2
     WAIT = 3
     CAP_REQUEST = 4
+    CAP_REPEAT = 5
 
 
 class HostedState(enum.Enum):
@@ -606,12 +608,14 @@
     """A request to the cap allocator that is not answered yet.
 
     :param sent_at: when it was first sent.
+    :param repeats_sent_at: when it was sent again.
     :param repeat_at: when it is repeated.
     """
 
     message: messages.CapRequest
     sent_at: ids.Milliseconds
-    repeat_at: ids.Milliseconds
+    repeats_sent_at: list[ids.Milliseconds] = []
+    repeat_at: ids.Milliseconds = 0.0
 
 
 class CapReport(msgspec.Struct):
@@ -644,7 +648,8 @@
     :param usage: by workspace, for the metrics; bounded.
     :param answered_at: when the allocator last answered; 0 before.
     :param round_trips: times from requests to their answers.
-    :param round_trip_ms: exponentially weighted mean of these times.
+    :param round_trip_ms: exponentially weighted mean of the times from the sending
+        that was answered.
     :param requests_sent: to other nodes, including repeats.
     :param allocator_changes: times that another node was chosen as the allocator.
     :param reported: counts at the latest log line about them.
