Leases of a node that was late count from the request

So a node that was late for 0.8 s used a lease for 1.73 s after it had asked, while the allocator charges 1 s and then leases the rate to others: caps could be passed.

Change: only the timeouts move. The new test failed: a lease until 1.73 s after the request. tests/cover/test_caps.py passes.

--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -173,7 +173,7 @@
     if caps.unanswered_since:
         caps.unanswered_since += late_ms
     for pending in caps.pending_requests.values():
-        pending.sent_at += late_ms
+        # Leases count from the time of sending, which stays as it is.
         pending.repeat_at += late_ms
     for call in caps.waiting_calls:
         caps.waiting_calls[call] += late_ms
--- a/tests/cover/test_cap_allocator_load.py
+++ b/tests/cover/test_cap_allocator_load.py
@@ -232,6 +232,29 @@
     assert made.admitted["shop"]
 
 
+def test_a_lease_counts_from_the_request_also_at_a_node_that_was_late() -> None:
+    """Guards against a lease that outlasts its charge at the allocator by the time for
+    which the node was late, in which the cap is leased to others."""
+    cap = keyed.workspace("shop", rate=50.0, burst=50.0)
+    made = capped.Deployment(cap, nodes=4)
+    allocator = _allocator(made).node
+    name = next(name for name in made.names if name != allocator)
+    made.send("shop", name)
+    state = made.world.nodes[name].state
+    (pending,) = state.caps.pending_requests.values()
+    sent_at = state.now
+    reducer.reduce(state, events.Tick(now=sent_at + 800.0))
+    answer = messages.CapAnswer(
+        number=pending.message.number,
+        stamp=sent_at,
+        leases=(messages.CapLease("shop", 10_000, 1, short=False),),
+    )
+    caps.on_answer(state, allocator, answer, [])
+    bucket = state.caps.buckets["shop"]
+    assert bucket.rate_milli == 10_000
+    assert bucket.lease_until == sent_at + cap_allocator.TERM_MS
+
+
 def _operations_of_a_grant(nodes: int) -> int:
     """Return the lines of Python that a request takes, which is independent of time."""
     cap = keyed.workspace("shop", rate=400.0, burst=400.0)
