A scheduled cap request is scheduled again if the clock is short of the interval

The deadline is the time of the last request plus 10 ms; by rounding, the difference can be just below 10 ms when it is due, and the waiting call would wait for the next check. Found by reading.

--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -354,6 +354,8 @@
     :param number: of that request.
     """
     if is_request_due(state, number):
+        # Another one is scheduled if the clock is short of the interval by rounding.
+        state.caps.due_number = 0
         _request_if_due(state, out)
 
 
