--- a/src/gingerturn/internal/core/caps.py
+++ b/src/gingerturn/internal/core/caps.py
@@ -12,13 +12,13 @@
 import collections.abc
 import heapq
 
-import msgspec
-
 from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     cap_allocator,
     cap_buckets,
+    cap_reports,
+    cap_requests,
     decisions,
     effects,
     member_order,
@@ -30,44 +30,13 @@
     state as states,
 )
 
-CHECK_MS = 100.0
-
-MIN_LATE_MS = 50.0
-"""Delay of a check beyond the usual variation."""
-
 RENEW_INTERVAL_MS = 400.0
 """Leases are renewed twice within their term, so that one datagram may be lost."""
 
-MIN_REPEAT_MS = 20.0
-"""Least time until an unanswered request is repeated. It doubles with each repeat, so
-that an allocator that is late gets fewer of them."""
-
-REPEAT_ROUND_TRIPS = 2.0
-"""The same in mean round trips, since repeats of requests that wait in the allocator's
-queue make it longer."""
-
-ROUND_TRIP_WEIGHT = 0.125
-"""Weight of the latest round trip in the mean."""
-
 MIN_REQUEST_INTERVAL_MS = 10.0
 """Interval between two requests on behalf of waiting calls. It exceeds the usual round
 trip, so that calls which arrive meanwhile share one request."""
 
-ANSWER_TIMEOUT_MS = 400.0
-"""An allocator that has not answered for this long is skipped. It tolerates a short
-overload, since each change of allocator reduces admission for some seconds."""
-
-TIMEOUT_ROUND_TRIPS = 4.0
-"""The same in mean round trips, up to :data:`REQUEST_EXPIRY_MS`."""
-
-FIRST_ANSWER_TIMEOUT_MS = 190.0
-"""The same for an allocator that has never answered. It is shorter, since half of the
-candidates may be unreachable during a network partition."""
-
-REQUEST_EXPIRY_MS = 900.0
-"""A request is given up after this time: the leases of its answer would have almost
-expired."""
-
 SELF_ELECTION_DELAY_MS = 10_000.0
 """For this long after its start, a node becomes the allocator only if it has no other
 candidate or another node chose it."""
@@ -75,9 +44,6 @@
 BAD_REDIRECT_SKIP_MS = 500.0
 """A node that redirected to an unusable allocator is skipped for this long."""
 
-SILENT_SKIP_MS = 3_000.0
-"""A node that did not answer is skipped for this long."""
-
 SHORT_MS = 100.0
 """A report that the allocator had no tokens left counts for this long. After a longer
 time, tokens that have become available since would go to no one."""
@@ -109,12 +75,6 @@
 MIN_REFUND = 0.001
 """Unused tokens that are worth a refund; smaller numbers are not encoded."""
 
-REPORT_INTERVAL_MS = 1_000.0
-"""Interval between log lines about caps."""
-
-MIN_REPORTED_DEMANDS = 200
-"""Workspaces named in requests, from which on their number is logged."""
-
 DEMANDS_PER_REQUEST = 40
 """Workspaces in one request, which fit into one packet of about 1,000 bytes."""
 
@@ -138,7 +98,7 @@
         return False
     wait = MAX_STARTUP_WAIT_MS if startup_waits.is_starting_up(state) else MAX_WAIT_MS
     state.caps.waiting_calls[call.id] = state.now + wait
-    repeat_unanswered(state, out)
+    cap_requests.repeat_unanswered(state, out)
     _request_if_due(state, out)
     return False
 
@@ -147,67 +107,14 @@
     """Renew the delegation and leases, and end waits that have expired."""
     if not _has_caps(state) or not _knows_members(state):
         return
-    caps = state.caps
-    _extend_timeouts(state)
+    cap_requests.extend_timeouts(state)
     if state.stopping:
         _hand_over(state, out)
-    _skip_silent_allocator(state)
-    repeat_unanswered(state, out)
+    cap_requests.skip_silent_allocator(state)
+    cap_requests.repeat_unanswered(state, out)
     _request_if_due(state, out)
     admit_waiting(state, out)
-    if now - caps.reported.at >= REPORT_INTERVAL_MS:
-        _report(state, out)
-
-
-def _extend_timeouts(state: states.State) -> None:
-    """Exclude the time in which this node could not read answers from all timeouts.
-
-    After a delay of the event loop, timers run before the datagrams that arrived
-    meanwhile are read.
-    """
-    caps = state.caps
-    checked_at, caps.checked_at = caps.checked_at, state.now
-    late_ms = state.now - checked_at - CHECK_MS
-    if not checked_at or late_ms < MIN_LATE_MS:
-        return
-    if caps.unanswered_since:
-        caps.unanswered_since += late_ms
-    for pending in caps.pending_requests.values():
-        # Leases count from the time of sending, which stays as it is.
-        pending.repeat_at += late_ms
-    for call in caps.waiting_calls:
-        caps.waiting_calls[call] += late_ms
-
-
-def _report(state: states.State, out: states.Effects) -> None:
-    """Log how busy this node is as the allocator, and refusals without its answer."""
-    caps = state.caps
-    allocator = state.cap_allocator
-    unanswered = sum(usage.refused_unanswered for usage in caps.usage.values())
-    now = states.CapReport(
-        at=state.now,
-        requests_answered=allocator.requests_answered,
-        demands_answered=allocator.demands_answered,
-        refused_unanswered=unanswered,
-    )
-    before, caps.reported = caps.reported, now
-    seconds = (now.at - before.at) / 1_000.0
-    demands = now.demands_answered - before.demands_answered
-    if before.at and demands >= MIN_REPORTED_DEMANDS:
-        requests = now.requests_answered - before.requests_answered
-        text = (
-            f"Answered {requests} requests about {demands} workspaces of"
-            f" {len(allocator.delegations)} nodes in {seconds:.1f} s."
-        )
-        operator_log.info(out, "caps", text)
-    if unanswered > before.refused_unanswered:
-        silent_ms = state.now - max(caps.answered_at, state.started_at)
-        text = (
-            f"Refused {unanswered - before.refused_unanswered} calls without an answer"
-            f" of cap allocator {caps.allocator}, which last answered"
-            f" {silent_ms:.0f} ms ago."
-        )
-        operator_log.warn(out, "caps", text)
+    cap_reports.write(state, out)
 
 
 def request_leases(state: states.State, names: list[str], out: states.Effects) -> None:
@@ -249,42 +156,13 @@
         stamp=caps.stamp if delegates else 0.0,
         demands=demands,
     )
-    pending = states.PendingCapRequest(message, sent_at=state.now)
-    caps.pending_requests[caps.request_number] = pending
+    caps.pending_requests[message.number] = states.PendingCapRequest(
+        message, sent_at=state.now
+    )
     if allocator == state.node:
         _apply_answer(state, cap_allocator.grant(state, allocator, message))
     else:
-        caps.requests_sent += 1
-        _send(state, allocator, message, out)
-        delay = max(MIN_REPEAT_MS, REPEAT_ROUND_TRIPS * caps.round_trip_ms)
-        _schedule_repeat(state, pending, delay)
-
-
-def repeat_unanswered(state: states.State, out: states.Effects) -> None:
-    """Repeat requests whose answer is overdue, as they were.
-
-    The allocator recognizes them, so their calls are not granted tokens twice.
-    """
-    caps = state.caps
-    for pending in caps.pending_requests.values():
-        count = len(pending.repeats_sent_at) + 1
-        if state.now < pending.repeat_at:
-            continue
-        caps.requests_sent += 1
-        pending.repeats_sent_at.append(state.now)
-        number = pending.message.number + count * messages.CAP_REPEAT_STEP
-        message = msgspec.structs.replace(pending.message, number=number)
-        _send(state, caps.allocator, message, out)
-        _schedule_repeat(state, pending, state.now - pending.sent_at)
-
-
-def _schedule_repeat(
-    state: states.State, pending: states.PendingCapRequest, delay: ids.Milliseconds
-) -> None:
-    pending.repeat_at = state.now + delay
-    number = pending.message.number
-    entry = (pending.repeat_at, states.Deadline.CAP_REPEAT, number)
-    heapq.heappush(state.deadlines, entry)
+        cap_requests.send_first(state, message, out)
 
 
 def _choose_allocator(state: states.State, out: states.Effects) -> None:
@@ -377,11 +255,11 @@
     caps = state.caps
     timed_out = (
         caps.unanswered_since
-        and state.now - caps.unanswered_since > FIRST_ANSWER_TIMEOUT_MS
+        and state.now - caps.unanswered_since > cap_requests.FIRST_ANSWER_TIMEOUT_MS
     )
     if timed_out and caps.allocator != state.node:
         # The sender may have detected earlier that this allocator is silent.
-        caps.skipped_nodes[caps.allocator] = state.now + SILENT_SKIP_MS
+        caps.skipped_nodes[caps.allocator] = state.now + cap_requests.SILENT_SKIP_MS
     _choose_allocator(state, out)
     if caps.allocator == state.node:
         answer = cap_allocator.grant(state, sender, message)
@@ -464,7 +342,7 @@
         excluded = _skipped_nodes(state) | {state.node, sender}
         successor = member_order.cap_allocator(state, passed_over=excluded)
         if successor != state.node:
-            _send(state, successor, message, out)
+            cap_requests.send(state, successor, message, out)
         return
     cap_allocator.import_handover(state, message)
     _set_allocator(state, state.node, out)
@@ -487,7 +365,7 @@
             (handover.share, handover.delegations) if not start else (0.0, ())
         )
         message = messages.CapHandover(share, delegations, page)
-        _send(state, successor, message, out)
+        cap_requests.send(state, successor, message, out)
     _set_allocator(state, successor, out)
 
 
@@ -529,7 +407,7 @@
     repeat, number = divmod(message.number, messages.CAP_REPEAT_STEP)
     request = caps.pending_requests.pop(number)
     requested_at = request.sent_at
-    _record_round_trip(state, request, repeat)
+    cap_requests.record_round_trip(state, request, repeat)
     caps.answered_at = state.now
     caps.unanswered_since = state.now if caps.pending_requests else 0.0
     caps.stamp = message.stamp
@@ -550,22 +428,6 @@
         )
 
 
-def _record_round_trip(
-    state: states.State, request: states.PendingCapRequest, repeat: int
-) -> None:
-    """Record how long a caller had to wait, and how long the answer took.
-
-    The two differ where datagrams were lost, which tells nothing of the allocator.
-    """
-    caps = state.caps
-    caps.round_trips.record(state.now - request.sent_at)
-    sent = [request.sent_at, *request.repeats_sent_at]
-    elapsed = max(0.0, state.now - sent[min(repeat, len(sent) - 1)])
-    mean = caps.round_trip_ms + ROUND_TRIP_WEIGHT * (elapsed - caps.round_trip_ms)
-    # A rise counts at once, since repeats would add to the queue that caused it.
-    caps.round_trip_ms = max(mean, elapsed)
-
-
 def _may_delegate(state: states.State) -> bool:
     caps = state.caps
     return caps.delegated_to == caps.allocator or caps.delegated_until <= state.now
@@ -605,50 +467,6 @@
     return has_lease or has_unused
 
 
-def _send(
-    state: states.State,
-    node: ids.NodeId,
-    message: messages.CapMessage,
-    out: states.Effects,
-) -> None:
-    member = state.membership.members.get(node)
-    if member is None:
-        return
-    gossip = messages.Gossip(
-        kind=messages.GossipKind.CAPS,
-        sequence=0,
-        revision=state.revisions.revision,
-        caps=message,
-    )
-    out.append(
-        effects.SendGossip(host=member.host, port=member.gossip_port, message=gossip)
-    )
-
-
-def _skip_silent_allocator(state: states.State) -> None:
-    """Skip the allocator if it has not answered in time, or was lost."""
-    caps = state.caps
-    allocator = caps.allocator
-    for number, pending in list(caps.pending_requests.items()):
-        if state.now - pending.sent_at > REQUEST_EXPIRY_MS:
-            del caps.pending_requests[number]
-    if not caps.pending_requests or allocator == state.node:
-        return
-    timeout = FIRST_ANSWER_TIMEOUT_MS
-    if caps.stamp:
-        by_round_trips = min(
-            TIMEOUT_ROUND_TRIPS * caps.round_trip_ms, REQUEST_EXPIRY_MS
-        )
-        timeout = max(ANSWER_TIMEOUT_MS, by_round_trips)
-    timed_out = caps.unanswered_since and state.now - caps.unanswered_since >= timeout
-    if timed_out:
-        caps.skipped_nodes[allocator] = state.now + SILENT_SKIP_MS
-    if timed_out or not member_order.is_live(state, allocator):
-        # The next allocator is asked at once.
-        caps.pending_requests.clear()
-        caps.renewed_at = 0.0
-
-
 def _skipped_nodes(state: states.State) -> frozenset[ids.NodeId]:
     skipped = state.caps.skipped_nodes
     for node in [node for node, until in skipped.items() if until <= state.now]:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -15,6 +15,7 @@
 from gingerturn.internal.core import (
     backend_reports,
     calls,
+    cap_requests,
     caps,
     claims,
     decisions,
@@ -153,7 +154,7 @@
         elif which == states.Deadline.CAP_REQUEST:
             caps.on_request_due(state, number, out)
         elif which == states.Deadline.CAP_REPEAT:
-            caps.repeat_unanswered(state, out)
+            cap_requests.repeat_unanswered(state, out)
         else:
             hosting.on_deadline(state, ids.HostedId(number), out)
     timers.run_due(state, now, _TIMER_HANDLERS, out)
@@ -639,7 +640,7 @@
     "prune": (PRUNE_MS, _prune),
     "pollers": (pollers.CHECK_INTERVAL_MS, pollers.check),
     "freshness": (version_bound.CHECK_MS, freshness_renewal.check),
-    "caps": (caps.CHECK_MS, caps.check),
+    "caps": (cap_requests.CHECK_MS, caps.check),
 }
 _ROUTED_ONLY = frozenset({"pollers", "freshness", "caps"})
 """Parts that only run on nodes with a route table."""
--- a/tests/cover/test_cap_allocator_load.py
+++ b/tests/cover/test_cap_allocator_load.py
@@ -15,6 +15,7 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     cap_allocator,
+    cap_requests,
     caps,
     decisions,
     events,
@@ -223,7 +224,7 @@
     state = node.state
     assert state.caps.pending_requests
     assert state.caps.waiting_calls
-    late = state.now + caps.ANSWER_TIMEOUT_MS + 400.0
+    late = state.now + cap_requests.ANSWER_TIMEOUT_MS + 400.0
     reducer.reduce(state, events.Tick(now=late))
     assert state.caps.allocator == allocator
     assert not state.caps.skipped_nodes
