A call that is not sent again counts as one outcome

outcomes_total counted a call that was refused for want of a retry budget twice, as not sent again and as refused, so `gingerturn served` told too low a share. Found by reading. Only decisions with a status end a call, and a caller that went away. The new test failed with two outcomes.

--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -69,9 +69,6 @@
 MAX_OUTCOMES = 1_000
 """Pairs of kind and rule with counters of their own; the first ones that occur."""
 
-_INTERMEDIATE_RULES = frozenset({decisions.Rule.RETRIED, decisions.Rule.REDIRECTED})
-"""Rules after which a call goes on."""
-
 
 class Counters(msgspec.Struct):
     """Counts since the start, for the metrics.
@@ -446,7 +443,9 @@
 
     def _count_outcome(self, effect: effects.LogDecision) -> None:
         rule = decisions.Rule(effect.rule)
-        if effect.part != "entry" or rule in _INTERMEDIATE_RULES:
+        # A call that goes on, or is about to be refused, has no status yet.
+        ended = effect.status or rule is decisions.Rule.CALLER_GONE
+        if effect.part != "entry" or not ended:
             return
         counts = self.counters.outcomes
         outcome = (effect.kind, rule)
--- a/tests/cover/test_workspace_use.py
+++ b/tests/cover/test_workspace_use.py
@@ -2,12 +2,13 @@
 
 import pathlib
 
+import msgspec
 import pytest
 from click import testing
 
 from gingerturn import errors, metrics_text
 from gingerturn.cli import main
-from gingerturn.internal.core import caps, effects, reducer
+from gingerturn.internal.core import caps, decisions, effects, reducer
 from gingerturn.internal.shell import node as nodes, probes
 from tests.common import builders, keyed
 
@@ -82,6 +83,20 @@
     assert total == ["a", "(all)", "1", "0.000", "no_upstream", "1"]
 
 
+def test_a_call_that_is_not_sent_again_counts_as_one_outcome() -> None:
+    """Guards against calls that count twice: as not sent again, and as refused."""
+    node = nodes.Node(builders.settings())
+    refused = keyed.arrived(1, "shop")
+    state = keyed.node_state(upstream=False)
+    (line,) = builders.all_of(reducer.reduce(state, refused), effects.LogDecision)
+    rationed = msgspec.structs.replace(
+        line, rule=int(decisions.Rule.RETRY_RATIONED), status=0
+    )
+    node._log_decision(rationed)
+    node._log_decision(line)
+    assert list(node.counters.outcomes.values()) == [1]
+
+
 def test_the_command_names_what_is_wrong() -> None:
     runner = testing.CliRunner()
     result = runner.invoke(main.cli, ["workspaces"])
