--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -32,6 +32,14 @@
     show_envvar=True,
     help="Address of a node's administration API.",
 )
+_METRICS = click.option(
+    "--metrics",
+    "sources",
+    multiple=True,
+    required=True,
+    metavar="URL|FILE",
+    help="Read this metrics address or saved metrics page; may be repeated.",
+)
 _JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 
 
@@ -340,14 +348,7 @@
 
 
 @cli.command()
-@click.option(
-    "--metrics",
-    "sources",
-    multiple=True,
-    required=True,
-    metavar="URL|FILE",
-    help="Read this metrics address or saved metrics page; may be repeated.",
-)
+@_METRICS
 @_JSON
 def workspaces(sources: tuple[str, ...], as_json: bool) -> None:
     """Show the requests of workspaces at some nodes in total, those refused by caps,
@@ -376,14 +377,7 @@
 
 
 @cli.command()
-@click.option(
-    "--metrics",
-    "sources",
-    multiple=True,
-    required=True,
-    metavar="URL|FILE",
-    help="Read this metrics address or saved metrics page; may be repeated.",
-)
+@_METRICS
 @click.option(
     "--since",
     "earlier",
--- a/src/gingerturn/internal/core/histograms.py
+++ b/src/gingerturn/internal/core/histograms.py
@@ -1,6 +1,7 @@
 """Cumulative histograms of a fixed size, for the metrics."""
 
 import bisect
+import itertools
 
 import msgspec
 
@@ -29,10 +30,14 @@
 
 def rows(histogram: Histogram) -> list[tuple[str, float]]:
     """Return the buckets with their labels in the Prometheus text format."""
-    found: list[tuple[str, float]] = []
-    total = 0
-    bounds = [f"{bound:g}" for bound in BOUNDS_MS] + ["+Inf"]
-    for bound, count in zip(bounds, histogram.counts, strict=True):
-        total += count
-        found.append((f'{{le="{bound}"}}', float(total)))
-    return found
+    return cumulative(BOUNDS_MS, histogram.counts)
+
+
+def cumulative(bounds: tuple[float, ...], counts: list[int]) -> list[tuple[str, float]]:
+    """Return cumulative counts with their labels in the Prometheus text format.
+
+    :param counts: one more than the bounds.
+    """
+    labels = [f'{{le="{bound:g}"}}' for bound in bounds] + ['{le="+Inf"}']
+    totals = map(float, itertools.accumulate(counts))
+    return list(zip(labels, totals, strict=True))
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -39,13 +39,9 @@
 
 def _level_ages(state: states.State) -> list[tuple[str, float]]:
     """Return the cumulative histogram of the ages of levels that decided requests."""
-    bounds = [f"{bound:g}" for bound in levels.AGE_BOUNDS_MS] + ["+Inf", "none"]
-    rows: list[tuple[str, float]] = []
-    total = 0
-    for bound, count in zip(bounds, state.level_age_counts, strict=True):
-        total += count
-        rows.append((f'{{le="{bound}"}}', float(count if bound == "none" else total)))
-    return rows
+    *counts, without_report = state.level_age_counts
+    rows = histograms.cumulative(levels.AGE_BOUNDS_MS, counts)
+    return [*rows, ('{le="none"}', float(without_report))]
 
 
 def _workspace_metrics(
