--- a/tooling/gingerturn_standins/http_server.py
+++ b/tooling/gingerturn_standins/http_server.py
@@ -26,6 +26,7 @@
     :param behind: bytes that belong to no request, written directly behind it.
     :param later: such bytes, written once the next request has arrived.
     :param repeated: write the response itself once more at that time.
+    :param duration_s: time over which the body is written, in equal pieces.
     """
 
     status: int = 200
@@ -36,6 +37,11 @@
     behind: bytes = b""
     later: bytes = b""
     repeated: bool = False
+    duration_s: float = 0.0
+
+
+PACED_PIECES = 40
+"""Pieces in which a body is written that takes a while."""
 
 
 class NoAnswer(Exception):
@@ -113,7 +119,9 @@
             headers["transfer-encoding"] = "chunked"
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         head = f"HTTP/1.1 {response.status} X\r\n{lines}\r\n".encode("latin-1")
-        if response.pieces is None:
+        if response.duration_s and request.method != "HEAD":
+            await self._write_paced(head, response)
+        elif response.pieces is None:
             body = b"" if request.method == "HEAD" else response.body
             self._transport.write(head + body + response.behind)
             self._later = head + body if response.repeated else response.later
@@ -127,6 +135,13 @@
         if response.cut or not keep_alive:
             self._transport.close()
 
+    async def _write_paced(self, head: bytes, response: Response) -> None:
+        self._transport.write(head)
+        step = -(-len(response.body) // PACED_PIECES)
+        for number in range(PACED_PIECES):
+            self._transport.write(response.body[number * step : (number + 1) * step])
+            await asyncio.sleep(response.duration_s / PACED_PIECES)
+
 
 async def serve(handler: Handler, host: str, port: int) -> asyncio.Server:
     """Serve a handler."""
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -159,6 +159,7 @@
             *("--port", str(ports["app"]), "--announce", str(ports["link"])),
             *("--instance", instance),
             *("--control", f"127.0.0.1:{ports['control']}"),
+            *("--entry", f"127.0.0.1:{ports['outbound']}"),
         )
 
     def start_node(self, name: str) -> subprocess.Popen[bytes]:
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -7,6 +7,10 @@
 ``unrelated`` (it rejects some requests, and sends bytes that belong to no request).
 ``GET /counts`` tells how often each request id ran, and the headers of the last one.
 
+The query of a request may set ``work_ms`` (its work), ``bytes`` (the size of the
+answer), ``over_ms`` (time over which it is written) and ``call`` (path of a call
+that it makes through its node, ``call_after_ms`` into its work).
+
 Each arrival, run, acknowledged drain and change of the limit is also written to
 standard output as a line of JSON, a run before its work begins.
 """
@@ -20,6 +24,7 @@
 import signal
 import time
 import typing
+import urllib.parse
 
 import click
 import httpx
@@ -51,10 +56,14 @@
     """The stand-in.
 
     :param address: address that its heartbeats announce.
+    :param entry: address of its node for calls of its own.
     """
 
-    def __init__(self, *, service: str, address: str, instance: str) -> None:
+    def __init__(
+        self, *, service: str, address: str, instance: str, entry: str = ""
+    ) -> None:
         self.service = service
+        self._entry = entry
         self.address = address
         self.instance = instance
         self.state = "ready"
@@ -110,13 +119,42 @@
         self.runs[number] += 1
         self._write("run", number)
         self.last = {**request.headers, "target": request.target}
-        await asyncio.sleep(self.work_ms / 1000.0)
+        options = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
+        work_ms = float(options.get("work_ms", self.work_ms))
+        if "call" in options:
+            before_ms = min(work_ms, float(options.get("call_after_ms", 0.0)))
+            await asyncio.sleep(before_ms / 1000.0)
+            work_ms -= before_ms
+            if not await self._call(options["call"], request):
+                failed = {**echoed, "Response-Signature": f"signed.{number}"}
+                return http_server.Response(500, b"", failed)
+        await asyncio.sleep(work_ms / 1000.0)
         if DEADLY_PATH in request.target:
             os._exit(DEADLY_EXIT)
+        self._write("ran", number)
         body = request.body or f"{self.service} {request.target}".encode()
+        if "bytes" in options:
+            body = b"x" * int(options["bytes"])
         signature = f"signed.{number}"
         headers = {**echoed, **self._reports(), "Response-Signature": signature}
-        return http_server.Response(200, body, headers, cut=self.cut)
+        duration_s = float(options.get("over_ms", 0.0)) / 1000.0
+        return http_server.Response(
+            200, body, headers, cut=self.cut, duration_s=duration_s
+        )
+
+    async def _call(self, path: str, request: http_server.Request) -> bool:
+        """Make a call through the node beside, and return whether it succeeded."""
+        headers = {
+            "Host": request.headers.get("host", ""),
+            "Request-Id": f"{request.headers.get('request-id', '')}.1",
+            "Deadline-Ms": request.headers.get("deadline-ms", ""),
+        }
+        url = f"http://{self._entry}{path}"
+        async with httpx.AsyncClient(timeout=10.0, trust_env=False) as client:
+            try:
+                return (await client.get(url, headers=headers)).is_success
+            except httpx.HTTPError:
+                return False
 
     def _reports(self) -> dict[str, str]:
         """Return the headers that report the rate limit and leaving."""
@@ -195,14 +233,23 @@
 @click.option("--announce", type=int, help="Port to announce, if another one.")
 @click.option("--instance", required=True)
 @click.option("--control", required=True, help="IP:PORT for heartbeats.")
+@click.option("--entry", default="", help="IP:PORT for calls of its own.")
 def main(
-    service: str, port: int, announce: int | None, instance: str, control: str
+    service: str,
+    port: int,
+    announce: int | None,
+    instance: str,
+    control: str,
+    entry: str,
 ) -> None:
     """Run the stand-in until SIGTERM."""
 
     async def run() -> None:
         upstream = Upstream(
-            service=service, address=f"127.0.0.1:{announce or port}", instance=instance
+            service=service,
+            address=f"127.0.0.1:{announce or port}",
+            instance=instance,
+            entry=entry,
         )
         server = await http_server.serve(upstream.handle, "127.0.0.1", port)
         stop = asyncio.Event()
