Test tooling: concurrent runs draw ports of blocks of their own

Seen: several stand-in platforms that started at the same moment drew the same ports, and four nodes ended with status 7; two test runs at once shared the ports of their workers.

Cause: ports were drawn from one range, from a random number on, or by worker number.

Change: a process binds the first port of a block for as long as it runs, and draws from that block; it takes another one when all ports of its blocks are in use.

--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -5,11 +5,8 @@
 
 import contextlib
 import dataclasses
-import itertools
 import os
 import pathlib
-import random
-import re
 import signal
 import socket
 import subprocess
@@ -24,23 +21,46 @@
 
 _FIRST_PORT = 12_000
 _RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
-_port_numbers = itertools.count(random.SystemRandom().randrange(20_000))
-"""Starts at a random number, so that concurrent runs rarely try the same ports."""
+_BLOCKS = 48
 
-_WORKER = re.compile(r"gw(\d+)")
-MAX_WORKERS = 16
 
+class _Ports:
+    """The ports of this process, in blocks that no concurrent process uses.
 
-def _worker_part() -> tuple[int, int]:
-    """Return the part of the ports of this test worker, and the number of parts.
-
-    A killed node starts again on its port after seconds, in which another worker must
-    not take it.
+    A killed node starts again on its port after seconds, in which another run must not
+    take it. The first port of a block is bound for as long as this process runs.
     """
-    worker = _WORKER.fullmatch(os.environ.get("PYTEST_XDIST_WORKER", ""))
-    if worker is None:
-        return 0, 1
-    return int(worker[1]) % MAX_WORKERS, MAX_WORKERS
+
+    def __init__(self) -> None:
+        self._guards: list[socket.socket] = []
+        self._ports: list[int] = []
+        self._next = 0
+
+    def draw(self) -> int:
+        """Return a port that is free at present, each once before one is repeated."""
+        for _ in range(len(self._ports)):
+            port = self._ports[self._next % len(self._ports)]
+            self._next += 1
+            if is_free(port):
+                return port
+        self._next = len(self._ports)
+        self._add_block()
+        return self.draw()
+
+    def _add_block(self) -> None:
+        size = (int(_RANGE_FILE.read_text().split()[0]) - _FIRST_PORT) // _BLOCKS
+        for number in range(_BLOCKS):
+            first = _FIRST_PORT + number * size
+            guard = socket.socket(type=socket.SOCK_DGRAM)
+            try:
+                guard.bind(("127.0.0.1", first))
+            except OSError:
+                guard.close()
+                continue
+            self._guards.append(guard)
+            self._ports += range(first + 1, first + size)
+            return
+        raise OSError(f"all {_BLOCKS} blocks of ports are in use by other processes")
 
 
 def free_ports(count: int) -> list[int]:
@@ -48,15 +68,10 @@
 
     They lie below the ephemeral range: the system could give a port of that range to an
     outgoing connection before the node listens on it.
+
+    :raises OSError: if other processes use all ports.
     """
-    part, parts = _worker_part()
-    span = (int(_RANGE_FILE.read_text().split()[0]) - _FIRST_PORT) // parts
-    ports: list[int] = []
-    while len(ports) < count:
-        port = _FIRST_PORT + part * span + next(_port_numbers) * _STRIDE % span
-        if is_free(port):
-            ports.append(port)
-    return ports
+    return [_ports.draw() for _ in range(count)]
 
 
 def is_free(port: int) -> bool:
@@ -70,8 +85,7 @@
     return True
 
 
-_STRIDE = 7
-"""Coprime to the span, so that every port is tried before one is repeated."""
+_ports = _Ports()
 
 
 class NotStarted(Exception):
