Test tooling: drawn ports leave the next one free

Seen: a node ended with status 7, address already in use: nodes use a port together with the next one for metrics, which the draw from blocks gave out again.

Change: every other port of a block is drawn.

--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -58,7 +58,8 @@
                 guard.close()
                 continue
             self._guards.append(guard)
-            self._ports += range(first + 1, first + size)
+            # Every other one: a port may be used together with the next.
+            self._ports += range(first + 1, first + size - 1, 2)
             return
         raise OSError(f"all {_BLOCKS} blocks of ports are in use by other processes")
 
