Metrics and log lines: how connections of callers end

Change: a bounded line for each open request of a caller's connection that ends (phase, upstream, side, FIN or reset, cause, time since SIGTERM), for a connection to the backend server lost in an exchange and for one between nodes with calls open; a counter of ends; the last line of a stop holds what is left over. No decision changes.

--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -34,6 +34,9 @@
 CHANGES_PER_S = 100
 """Rate limit of lines about membership changes and invalid input of other programs."""
 
+ENDS_PER_S = 50
+"""Rate limit of lines about connections that ended with an open request."""
+
 BACKLOG_BYTES = 65_536
 """Bytes buffered while the reader is slow."""
 
@@ -114,6 +117,7 @@
         self.failures = Budget(FAILURES_PER_S)
         self.successes = Budget(SUCCESSES_PER_S)
         self.changes = Budget(CHANGES_PER_S)
+        self.ends = Budget(ENDS_PER_S)
         self.output: Output | None = None
         self.node = ""
         self.min_severity = 0
@@ -184,6 +188,12 @@
     return _state.changes.take(time.monotonic())
 
 
+def may_write_end() -> bool:
+    """Whether a line about a connection that ended with an open request is within the
+    rate limit, which then counts it."""
+    return _state.ends.take(time.monotonic())
+
+
 def warn_skipped(what: str, key: bytes, problem: str) -> None:
     """Log that input of another program was skipped, within the rate limit of changes.
 
@@ -196,15 +206,15 @@
 
 def report_dropped() -> int:
     """Log the number of lines dropped since the last call, and return it."""
-    budgets = (_state.failures, _state.successes, _state.changes)
+    budgets = (_state.failures, _state.successes, _state.changes, _state.ends)
     stalled = 0 if _state.output is None else _state.output.dropped
-    failures, successes, changes = (budget.dropped for budget in budgets)
+    failures, successes, changes, ends = (budget.dropped for budget in budgets)
     for budget in budgets:
         budget.dropped = 0
     if _state.output is not None:
         _state.output.dropped = 0
         _state.output.flush()
-    if failures or changes or stalled:
+    if failures or changes or ends or stalled:
         write(
             "WARNING",
             "logs",
@@ -212,6 +222,7 @@
             failures=failures,
             successes=successes,
             changes=changes,
+            ends=ends,
             stalled=stalled,
         )
-    return failures + successes + changes + stalled
+    return failures + successes + changes + ends + stalled
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -9,7 +9,7 @@
 
 from gingerturn.internal import ids, outcome_log
 from gingerturn.internal.core import messages
-from gingerturn.internal.shell import clock, heads, sockets
+from gingerturn.internal.shell import clock, connection_ends, heads, sockets
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import backend_pool
@@ -147,6 +147,14 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the current exchange."""
         self._pool.discard(self)
+        if self._receiver is not None and self._written:
+            connection_ends.record_backend(
+                self._pool.connection_ends,
+                error,
+                request=self._request_id.decode("latin-1"),
+                answered=self._answered,
+                exchange=self._exchanges,
+            )
         if self._receiver is not None and not self._answered and self._idle_ms > 0:
             self._pool.record_idle_loss(self._idle_ms)
         if isinstance(error, TimeoutError):
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -12,7 +12,7 @@
 from gingerturn import dialect as dialects
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import messages, pace, rate_limits
-from gingerturn.internal.shell import backend_http, clock, heads
+from gingerturn.internal.shell import backend_http, clock, connection_ends, heads
 
 MAX_IDLE_TIMEOUT_MS = 3_000.0
 """Upper limit of the idle timeout, below the 5 s after which common backend servers
@@ -65,6 +65,7 @@
         self._observed_at = clock.now()
         self._invalid_limit = b""
         self._connections = 0
+        self.connection_ends: dict[connection_ends.End, int] = {}
         self.discarded_count = 0
         self.unrelated_answers = 0
         self._invalid_load_logged_at = -math.inf
--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -58,6 +58,10 @@
         self.grant_credit: typing.Callable[[int], None] | None = None
         self.withheld_credit = 0
 
+    def trace_id(self, dialect: dialects.Dialect) -> str:
+        """Return the id by which logs name the request; empty if it has none."""
+        return self.values.get(dialect.request_id, b"").decode("latin-1")
+
     def index_headers(self) -> None:
         """Index the headers by name."""
         self.values = dict(reversed(self.headers))
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -10,8 +10,7 @@
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
-from gingerturn.internal.core import events
-from gingerturn.internal.shell import clock, node as nodes
+from gingerturn.internal.shell import node as nodes
 
 ADMIN_STOP_S = 2.0
 """Timeout of the administration API's shutdown, after the node has closed."""
@@ -105,18 +104,34 @@
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
     )
     unfinished = len(node.state.calls) + len(node.state.hosted)
+    left_over = _left_over(node)
     if administration is not None:
         administration.stop()
     await node.close()
     if administration is not None:
         await administration.ended()
     if drained:
-        logs.write("INFO", "node", "Stopped; no call was cut.")
+        logs.write("INFO", "node", "Stopped; no call was cut.", **left_over)
         return EXIT_CLEAN
-    logs.write("WARNING", "node", f"Stopped early; {unfinished} calls were cut.")
+    logs.write(
+        "WARNING", "node", f"Stopped early; {unfinished} calls were cut.", **left_over
+    )
     return EXIT_DRAIN_CUT
 
 
+def _left_over(node: nodes.Node) -> dict[str, int]:
+    """Return what is open at the end of a stop, for the log."""
+    connections = node.caller_connections
+    return {
+        "stop_age_ms": node.stop_age_ms,
+        "calls": len(node.state.calls),
+        "hosted_calls": len(node.state.hosted),
+        "caller_connections": len(connections),
+        "open_requests": sum(len(c.open_requests) for c in connections),
+        "unsent_bytes": sum(c.unsent_bytes for c in connections),
+    }
+
+
 class _Administration:
     """The administration API while the daemon runs."""
 
@@ -171,7 +186,7 @@
         logs.write("INFO", "node", "A planned stop is already in progress.")
         return
     grace_ms = float(node.settings.node.drain_timeout_ms)
-    node.apply(events.StopRequested(now=clock.now(), grace_ms=grace_ms))
+    node.begin_stop(grace_ms=grace_ms)
     stopping.set()
 
 
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -16,13 +16,20 @@
 
 
 class PendingAttempt:
-    """An attempt whose answer has not arrived, or is still streamed."""
+    """An attempt whose answer has not arrived, or is still streamed.
+
+    :param upstream: the node that it was sent to.
+    """
 
     def __init__(
-        self, request: caller_requests.Request, carrier: links.Carrier
+        self,
+        request: caller_requests.Request,
+        carrier: links.Carrier,
+        upstream: ids.NodeId,
     ) -> None:
         self.request = request
         self.carrier = carrier
+        self.upstream = upstream
         self.answer: frames.Answer | None = None
         self.relaying = False
 
@@ -63,6 +70,11 @@
             self._node.counters.answered += 1
         self._drop_attempt_of(request)
 
+    def attempt_of(self, request: caller_requests.Request) -> PendingAttempt | None:
+        """Return the open attempt of a request; ``None`` if it has none."""
+        pending = self._attempts.get(request.attempt)
+        return pending if pending is not None and pending.request is request else None
+
     def on_frame(self, frame: frames.Frame) -> None:
         """Handle a frame from a home node."""
         pending = self._attempts.get(frame.call)
@@ -152,7 +164,7 @@
         carrier = self._node.links.carrier(
             effect.node, ids.Address(effect.host, effect.port)
         )
-        self._attempts[effect.attempt] = PendingAttempt(request, carrier)
+        self._attempts[effect.attempt] = PendingAttempt(request, carrier, effect.node)
         request.attempt = effect.attempt
         carrier.send(
             frames.Open(
@@ -230,8 +242,7 @@
 
     def _drop_attempt_of(self, request: caller_requests.Request) -> None:
         """Cancel the open attempt of a request, if any."""
-        pending = self._attempts.get(request.attempt)
-        if pending is not None and pending.request is request:
+        if self.attempt_of(request) is not None:
             self._drop_attempt(request.attempt, cancel=True)
 
     def _drop_attempt(self, number: int, *, cancel: bool) -> None:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -15,6 +15,7 @@
     caller_limits,
     caller_requests,
     clock,
+    connection_ends,
     heads,
     tickets,
 )
@@ -68,6 +69,8 @@
         # The error response to bad input; sent after the answers to earlier requests.
         self._final_response = b""
         self._closing = False
+        # Why this node closes the connection, for the log.
+        self._close_cause = ""
         self._write_paused = False
         self._dispatching = False
 
@@ -78,6 +81,13 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the calls that the caller waited for."""
+        connection_ends.record_caller(
+            self._node,
+            self.open_requests,
+            error,
+            by_node=self._closing,
+            cause=self._close_cause,
+        )
         self._closing = True
         self._node.caller_connections.discard(self)
         for request in self._requests:
@@ -281,6 +291,8 @@
         if self._closing:
             return
         if self._is_first(request):
+            self._closing = True
+            self._close_cause = "the answer broke off"
             self._transport.abort()
             return
         request.held_output.clear()
@@ -326,6 +338,20 @@
         """Whether no request is being served or read."""
         return not self._requests and self._reading is None
 
+    @property
+    def open_requests(self) -> list[caller_requests.Request]:
+        """Requests that were read at least in part and whose answer is not written."""
+        found = [request for request in self._requests if not request.finished]
+        reading = self._reading
+        if reading is not None and reading.headers and reading not in self._requests:
+            found.append(reading)
+        return found
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     def check_timeout(self, now: ids.Milliseconds) -> None:
         """Close the connection if a head or the next request did not arrive in time."""
         if self._requests or self._closing:
@@ -336,11 +362,15 @@
             if elapsed > limits.head_timeout_ms:
                 self._reject(408, "the request's head took too long")
         elif elapsed > limits.idle_timeout_ms:
-            self.close()
+            self.close("idle")
+
+    def close(self, cause: str) -> None:
+        """Close the connection after the write buffer is flushed.
 
-    def close(self) -> None:
-        """Close the connection after the write buffer is flushed."""
+        :param cause: for the log.
+        """
         self._closing = True
+        self._close_cause = cause
         self._transport.close()
 
     def _current(self) -> caller_requests.Request:
@@ -495,7 +525,7 @@
             # Not before: its duration includes the time for which its answer was held.
             self._node.entry.forget_request(finished)
             if finished.close_after:
-                self.close()
+                self.close("answered")
                 return
             if self._requests:
                 self._write_held(self._requests[0])
@@ -503,7 +533,7 @@
             self._send_final_response()
             return
         if self._node.stopping and not self._requests:
-            self.close()
+            self.close("stopping")
             return
         if len(self._requests) <= MAX_PIPELINED:
             self._transport.resume_reading()
@@ -640,7 +670,7 @@
 
     def _send_final_response(self) -> None:
         self._transport.write(self._final_response)
-        self.close()
+        self.close("bad input")
 
 
 class _TooLarge(Exception):
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -34,6 +34,7 @@
 from gingerturn.internal.shell import (
     caller_limits,
     clock,
+    connection_ends,
     entry,
     gossip,
     home,
@@ -83,6 +84,7 @@
     events: int = 0
     lines_dropped: int = 0
     connections_replaced: int = 0
+    ends: dict[connection_ends.End, int] = {}
     outcomes: dict[tuple[str, decisions.Rule], int] = {}
     loop_lag: histograms.Histogram = msgspec.field(default_factory=histograms.Histogram)
 
@@ -144,6 +146,7 @@
         self._was_ready = False
         self._next_report = 0.0
         self._max_lag_ms = 0.0
+        self._stop_began = math.inf
         self._next_caller_check = 0.0
         self._handlers: Handlers = {
             **self.entry.handlers(),
@@ -170,6 +173,21 @@
         """Whether a planned stop is in progress."""
         return self.state.stopping
 
+    @property
+    def stop_age_ms(self) -> int:
+        """Time since the planned stop began; -1 if none is in progress."""
+        if self._stop_began == math.inf:
+            return -1
+        return round(clock.now() - self._stop_began)
+
+    def begin_stop(self, *, grace_ms: ids.Milliseconds) -> None:
+        """Begin a planned stop.
+
+        :param grace_ms: the process is ended after this time.
+        """
+        self._stop_began = clock.now()
+        self.apply(events.StopRequested(now=self._stop_began, grace_ms=grace_ms))
+
     async def start(self) -> None:
         """Bind all addresses, apply the start event, then accept connections.
 
@@ -282,7 +300,7 @@
         for server in self._servers:
             server.close()
         for connection in list(self.caller_connections):
-            connection.close()
+            connection.close("the process ends")
         self.links.close()
         for accepted in list(self.accepted):
             accepted.close()
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -7,7 +7,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import clock, sockets
+from gingerturn.internal.shell import clock, connection_ends, sockets
 from gingerturn.internal.wire import compression, datagrams, frames
 
 if typing.TYPE_CHECKING:
@@ -63,6 +63,12 @@
         self.peer = ids.NodeId("")
         self.peer_answers_pings = False
         self._timer: asyncio.TimerHandle | None = None
+        self._closed_here = False
+
+    @property
+    def open_calls(self) -> int:
+        """Number of calls that were sent over the connection and have not ended."""
+        raise NotImplementedError
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection and start the handshake timeout."""
@@ -86,11 +92,18 @@
                 self._check_unauthenticated_size(len(self._buffer))
         except errors.GingerturnError as error:
             logs.write("WARNING", _PART, f"Connection of {self._peer_name()}: {error}.")
-            self._transport.abort()
+            self._abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Free this connection's place among those that are compressed."""
+        """Record the end, and free the place among those that are compressed."""
         self._node.compressing.discard(self)
+        connection_ends.record_nodes(
+            self._node,
+            self._peer_name(),
+            error,
+            by_node=self._closed_here,
+            calls=self.open_calls,
+        )
 
     def send(self, frame: frames.Frame) -> None:
         """Write a frame, unless the connection is closing."""
@@ -103,8 +116,13 @@
 
     def close(self) -> None:
         """Close after flushing buffered data."""
+        self._closed_here = True
         self._transport.close()
 
+    def _abort(self) -> None:
+        self._closed_here = True
+        self._transport.abort()
+
     def _check_unauthenticated_size(self, count: int) -> None:
         if count > MAX_UNAUTHENTICATED_BYTES:
             raise errors.AuthenticationError(
@@ -169,7 +187,7 @@
 
     def _abort_unauthenticated(self) -> None:
         if not self._authenticated:
-            self._transport.abort()
+            self._abort()
 
     def _peer_name(self) -> str:
         if self.peer:
@@ -182,6 +200,7 @@
 
     :param ready: called once the peer is authenticated.
     :param lost: called when the connection is lost.
+    :param sent: the calls that were sent over it and have not ended.
     """
 
     def __init__(
@@ -189,13 +208,20 @@
         node: "nodes.Node",
         ready: typing.Callable[[], None],
         lost: typing.Callable[[], None],
+        sent: set[int],
     ) -> None:
         super().__init__(node)
         self._ready = ready
         self._lost = lost
+        self._sent = sent
         self.received_at = 0.0
         self.ping_pending = False
 
+    @property
+    def open_calls(self) -> int:
+        """Number of calls that were sent over the connection and have not ended."""
+        return len(self._sent)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the first hello."""
         super().connection_made(transport)
@@ -248,6 +274,11 @@
         self._peer_nonce = b""
         self.hosted: dict[int, ids.HostedId] = {}
 
+    @property
+    def open_calls(self) -> int:
+        """Number of calls that this node hosts for the peer."""
+        return len(self.hosted)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, so that the node closes it at its stop."""
         super().connection_made(transport)
@@ -373,7 +404,7 @@
 
     def _make_protocol(self) -> Dialled:
         # The peer may be authenticated before the task that dials continues.
-        self._protocol = Dialled(self._node, self._on_ready, self._on_lost)
+        self._protocol = Dialled(self._node, self._on_ready, self._on_lost, self._sent)
         return self._protocol
 
     async def _dial(self) -> None:
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -17,7 +17,7 @@
     upstream_costs,
     workspace_shares,
 )
-from gingerturn.internal.shell import side_http
+from gingerturn.internal.shell import connection_ends, side_http
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -183,6 +183,8 @@
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     replaced = node.counters.connections_replaced
     add("connections_replaced_total", "counter", ("", replaced))
+    ends = connection_ends.rows(node.counters.ends | node.home.pool.connection_ends)
+    add("connection_ends_total", "counter", *ends)
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
