--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -9,7 +9,9 @@
 its import takes a quarter of the processor time of a node's start.
 """
 
+import collections.abc
 import datetime
+import io
 import os
 import sys
 import time
@@ -129,7 +131,7 @@
 def set_up(options: settings.Logging, *, node: str) -> None:
     """Send log lines to standard error as text, or to standard output as JSON."""
     if options.json:
-        _state.output = _state.output or Output(sys.stdout.fileno())
+        _state.output = _state.output or Output(_descriptor(sys.stdout))
         _state.node = node
         _state.min_severity = _SEVERITIES[options.level]
         return
@@ -139,7 +141,7 @@
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node, "part": "node"})
     loguru.logger.add(
-        sys.stderr,
+        _text_sink(sys.stderr),
         level=options.level,
         format=_FORMAT,
         backtrace=False,
@@ -147,6 +149,26 @@
     )
 
 
+def _text_sink(
+    stream: typing.TextIO | None,
+) -> collections.abc.Callable[[str], None]:
+    """Return a function that writes text to a stream without blocking."""
+    try:
+        output = Output(_descriptor(stream))
+    except io.UnsupportedOperation:
+        # A replacement in memory, which does not block.
+        return typing.cast(typing.TextIO, stream).write  # type: ignore[return-value]
+    return lambda text: output.write(text.encode())
+
+
+def _descriptor(stream: typing.TextIO | None) -> int:
+    """Return a stream's descriptor; the null device's if it was not open at the start
+    of the interpreter."""
+    if stream is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return stream.fileno()
+
+
 def write(level: str, part: str, text: str, **fields: typing.Any) -> None:
     """Write one line."""
     if _state.output is not None:
