A closed receive window no longer counts as a dead peer

Callers saw: a post of 20 MB whose upstream is sound and does not read for 4 s ended with a reset of the caller's connection after 3.3 s, outcome unknown. All calls on a connection to a node that did not read for 4.5 s with a full window were lost together.

Cause: TCP_USER_TIMEOUT (3 s) also bounds the time for which the peer's receive window is closed, though the peer's kernel answers every probe.

Change: connections to the backend server and between nodes have the option no longer. A connection on which something was written is checked each 0.25 s until the kernel reports nothing unacknowledged (TCP_INFO). It is closed where bytes are unacknowledged, or two window probes unanswered, and no segment has arrived for 11 checks after the first, 3.0 s at most. Checks are counted rather than time, so that a pause of this process closes nothing. Connections to the log service keep the option, as their socket belongs to a library and their requests are small.

A peer that dies while its window is closed is found at the second probe without an answer, which may come late; calls end by their deadlines.

Evidence: three tests that were known to fail pass (upload to a backend server and calls to a node over 4.5 s without reading, post of 20 MB with the upstream stopped for 4 s: 200, ran once). A peer that drops all segments (socket filter) is still closed; without the limit of checks that test fails (tried with 1,000,000 checks).

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -9,7 +9,13 @@
 
 from gingerturn.internal import ids, outcome_log
 from gingerturn.internal.core import messages
-from gingerturn.internal.shell import clock, connection_ends, heads, sockets
+from gingerturn.internal.shell import (
+    acknowledgements,
+    clock,
+    connection_ends,
+    heads,
+    sockets,
+)
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import backend_pool
@@ -93,6 +99,8 @@
         self._exchanges = 0
         self.address = pool.address
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
+        self._watched = typing.cast(acknowledgements.Watched, None)
+        self._silence: TimeoutError | None = None
         self._parser: typing.Any = None
         self._receiver: Receiver | None = None
         self._head_only = False
@@ -134,7 +142,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable the detection of a silent backend server."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        sockets.set_dead_peer_timeouts(transport)
+        sockets.enable_keepalive(transport)
+        self._watched = acknowledgements.Watched(self._transport, self._on_silent)
 
     def eof_received(self) -> None:
         """Complete an answer that is delimited by the end of the connection.
@@ -146,6 +155,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the current exchange."""
+        error = error or self._silence
         self._pool.discard(self)
         if self._receiver is not None and self._written:
             connection_ends.record_backend(
@@ -158,7 +168,7 @@
         if self._receiver is not None and not self._answered and self._idle_ms > 0:
             self._pool.record_idle_loss(self._idle_ms)
         if isinstance(error, TimeoutError):
-            # TCP gave up on a silent peer.
+            # The peer is silent.
             self.record_unanswered()
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
@@ -195,6 +205,7 @@
         self._begun_at = clock.now()
         self._recorded_unanswered = False
         self._idle_ms = self._begun_at - self.idle_since if self.idle_since else 0.0
+        self._pool.watch.add(self._watched)
         if body and not self._chunked:
             self._transport.writelines((head, b"\r\n", body))
             return
@@ -204,6 +215,7 @@
 
     def write(self, body: bytes) -> None:
         """Write a piece of a streamed body."""
+        self._pool.watch.add(self._watched)
         if self._chunked:
             self._transport.write(b"%x\r\n%b\r\n" % (len(body), body))
         else:
@@ -213,6 +225,7 @@
         """End a streamed body."""
         self._upload_ended = True
         if self._chunked:
+            self._pool.watch.add(self._watched)
             self._transport.write(b"0\r\n\r\n")
 
     def pause_writing(self) -> None:
@@ -432,6 +445,10 @@
             answer_id=self._answer_id(values),
         )
 
+    def _on_silent(self) -> None:
+        self._silence = TimeoutError("the peer acknowledges nothing")
+        self._transport.abort()
+
     def _fail(self) -> None:
         receiver, self._receiver = self._receiver, None
         self._transport.abort()
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -12,7 +12,13 @@
 from gingerturn import dialect as dialects
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import messages, pace, rate_limits
-from gingerturn.internal.shell import backend_http, clock, connection_ends, heads
+from gingerturn.internal.shell import (
+    acknowledgements,
+    backend_http,
+    clock,
+    connection_ends,
+    heads,
+)
 
 MAX_IDLE_TIMEOUT_MS = 3_000.0
 """Upper limit of the idle timeout, below the 5 s after which common backend servers
@@ -65,6 +71,7 @@
         self._observed_at = clock.now()
         self._invalid_limit = b""
         self._connections = 0
+        self.watch = acknowledgements.Watch()
         self.connection_ends: dict[connection_ends.End, int] = {}
         self.discarded_count = 0
         self.unrelated_answers = 0
--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -45,7 +45,7 @@
 
     def __init__(self, connections: int) -> None:
         self._pool = httpcore.AsyncConnectionPool(
-            max_keepalive_connections=connections, socket_options=sockets.OPTIONS
+            max_keepalive_connections=connections, socket_options=sockets.LOG_OPTIONS
         )
         self._pending = 0
         self._retired = False
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -32,6 +32,7 @@
     trace,
 )
 from gingerturn.internal.shell import (
+    acknowledgements,
     caller_limits,
     clock,
     connection_ends,
@@ -122,6 +123,7 @@
         ]
         self._started = self._started_event()
         self.state = reducer.new_state(self._started)
+        self.watch = acknowledgements.Watch()
         self.accepted: set[peers.Accepted] = set()
         self.compressing: set[peers.FrameProtocol] = set()
         self.caller_connections: set[ingress.CallerConnection] = set()
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -7,7 +7,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import clock, connection_ends, sockets
+from gingerturn.internal.shell import acknowledgements, clock, connection_ends, sockets
 from gingerturn.internal.wire import compression, datagrams, frames
 
 if typing.TYPE_CHECKING:
@@ -56,6 +56,8 @@
         self._node = node
         self._buffer = bytearray()
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
+        self._watched = typing.cast(acknowledgements.Watched, None)
+        self._silence: TimeoutError | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._authenticated = False
         self._deflater: compression.Deflater | None = None
@@ -73,7 +75,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection and start the handshake timeout."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        sockets.set_dead_peer_timeouts(transport)
+        sockets.enable_keepalive(transport)
+        self._watched = acknowledgements.Watched(self._transport, self._on_silent)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._abort_unauthenticated)
 
@@ -100,7 +103,7 @@
         connection_ends.record_nodes(
             self._node,
             self._peer_name(),
-            error,
+            error or self._silence,
             by_node=self._closed_here,
             calls=self.open_calls,
         )
@@ -108,6 +111,7 @@
     def send(self, frame: frames.Frame) -> None:
         """Write a frame, unless the connection is closing."""
         if not self._transport.is_closing():
+            self._node.watch.add(self._watched)
             self._transport.write(frames.encode(frame, self._deflater))
 
     def on_frame(self, frame: frames.Frame) -> None:
@@ -189,6 +193,10 @@
         if not self._authenticated:
             self._abort()
 
+    def _on_silent(self) -> None:
+        self._silence = TimeoutError("the peer acknowledges nothing")
+        self._transport.abort()
+
     def _peer_name(self) -> str:
         if self.peer:
             return self.peer
--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -1,22 +1,23 @@
 """TCP options that detect dead peers.
 
 A peer that lost power, or a connection that a middlebox dropped, sends no RST; with its
-defaults the kernel takes minutes to report the loss.
+defaults the kernel takes minutes to report the loss. Connections to nodes and to the
+backend server have :mod:`acknowledgements` in place of ``TCP_USER_TIMEOUT``.
 """
 
 import asyncio
 import socket
 
 USER_TIMEOUT_MS = 3_000
-"""Time after which a connection with unacknowledged bytes is closed."""
+"""Time after which a connection to the log service with unacknowledged bytes, or with a
+closed receive window, is closed. Its requests are far smaller than a window."""
 
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 """An idle connection is closed after this many unanswered keepalive probes."""
 
-OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+KEEPALIVE = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
@@ -24,10 +25,16 @@
 )
 """Arguments of ``setsockopt``: level, option and value."""
 
+LOG_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    *KEEPALIVE,
+)
+"""The options of connections to the log service, whose socket belongs to a library."""
+
 
-def set_dead_peer_timeouts(transport: asyncio.BaseTransport) -> None:
+def enable_keepalive(transport: asyncio.BaseTransport) -> None:
     """Set the options on the socket of a transport, if it has one."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        for option in OPTIONS:
+        for option in KEEPALIVE:
             sock.setsockopt(*option)
