Tests: slots of callers that left before a large answer

A caller that left before the answer to an unrepeatable request was streamed leaves a slot, a connection and an exchange that are never released; also one whose call passed its deadline before.

--- a/tests/common/home_nodes.py
+++ b/tests/common/home_nodes.py
@@ -87,6 +87,19 @@
         await self.settle()
         return self._calls
 
+    def receive(self, frame: frames.Frame) -> None:
+        """Receive a frame of the entry node."""
+        channel: links.Channel = self.channel  # type: ignore[assignment]
+        self.node.home.on_frame(channel, frame)
+
+    def cancel(self, call: int) -> None:
+        """Cancel a call, as for a caller that left."""
+        self.receive(frames.Cancel(call=call))
+
+    def credit(self, call: int, count: int) -> None:
+        """Give credit for a streamed answer."""
+        self.receive(frames.Credit(call=call, count=count))
+
     async def settle(self) -> None:
         """Let the tasks run that open connections."""
         for _ in range(4):
