The answer of an orphaned call is read to its end, and bounded

Callers saw: after callers had left before large answers to unrepeatable requests, every request of that service was refused with 503, until a restart.

Cause: the call of a caller that left keeps running as an orphan. If its answer was longer than limits.body_buffer, its exchange streamed it without an entry node that gives credit: after 262,144 bytes it stopped reading for good. The call was in STREAMING, which on_deadline() did not end.

Change: a streamed answer for which nobody waits is read and dropped and uses no credit. An orphan in STREAMING ends as one in RUNNING does, after its deadline and the time for orphans; its key is done since its head.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -416,7 +416,9 @@
         # The first call of its key, which a waiting one repeats, may have run.
         hosted.evidence = states.Evidence.NONE
         replies.refuse(state, hosted, decisions.Rule.DEADLINE_PASSED, out)
-    elif hosted.state is states.HostedState.RUNNING:
+    elif hosted.state is states.HostedState.RUNNING or (
+        hosted.orphaned and hosted.state is states.HostedState.STREAMING
+    ):
         _end_running(state, hosted, out)
 
 
@@ -433,7 +435,7 @@
     keep_ms = ORPHAN_MS if hosted.metadata.key else UNKEYED_ORPHAN_MS
     if hosted.orphaned and state.now >= hosted.deadline + keep_ms:
         out.append(effects.CancelBackend(hosted=hosted.id))
-        if hosted.metadata.key:
+        if hosted.metadata.key and hosted.state is states.HostedState.RUNNING:
             replies.fail_key(state, hosted, out, dispatched=True)
         _release_slot(state, hosted, out)
         return
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -230,8 +230,9 @@
         if not self._is_relayed:
             return
         if self._streaming:
-            self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
-            self._use_credit(len(body))
+            if self._open:
+                self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
+                self._use_credit(len(body))
             return
         self._body += body
         if len(self._body) > self._node.settings.limits.body_buffer:
@@ -380,6 +381,9 @@
 
     def _start_streaming(self) -> None:
         self._streaming = True
+        if not self._open:
+            # Nobody gives credit for it: the rest is read and dropped.
+            self._body.clear()
         self._node.apply(
             events.BackendAnswered(
                 now=clock.now(),
