Connections are bounded by TCP_USER_TIMEOUT where the kernel reports nothing

Cause: the check of unacknowledged bytes took zeros for 'everything is acknowledged'.

Change: a connection whose kernel has counted no segment after the handshake, or returns a shorter record, gets TCP_USER_TIMEOUT as before and is not checked. There, a closed window still counts as a dead peer. Dialled takes the calls that it carries as an option: had broken test_silent_connections.py.

--- a/src/gingerturn/internal/shell/acknowledgements.py
+++ b/src/gingerturn/internal/shell/acknowledgements.py
@@ -2,6 +2,7 @@
 
 ``TCP_USER_TIMEOUT`` does not serve here: it also bounds the time for which the receive
 window of a peer is closed, which is that of a process that is alive but does not read.
+It remains in use where the system does not report what is acknowledged.
 """
 
 import asyncio
@@ -9,6 +10,8 @@
 import socket
 import struct
 
+from gingerturn.internal.shell import sockets
+
 CHECK_INTERVAL_S = 0.25
 
 SILENT_CHECKS = 11
@@ -39,14 +42,17 @@
     ) -> None:
         self._transport = transport
         self._socket = transport.get_extra_info("socket")
+        self._is_reported = self._socket is not None and _is_reported(self._socket)
         self._on_silent = on_silent
+        if self._socket is not None and not self._is_reported:
+            self._socket.setsockopt(*sockets.USER_TIMEOUT)
         self._segments = -1
         self._silent_checks = 0
 
     @property
-    def has_socket(self) -> bool:
-        """Whether the transport has a socket that can be asked."""
-        return self._socket is not None
+    def is_reported(self) -> bool:
+        """Whether the system reports what the peer has acknowledged."""
+        return self._is_reported
 
     def check(self) -> bool:
         """Count a check; return whether to check again."""
@@ -74,6 +80,15 @@
         return False
 
 
+def _is_reported(sock: socket.socket) -> bool:
+    """Whether the system counts segments, of which the handshake has had some."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size)
+    except OSError:
+        return False
+    return len(info) == _INFO.size and _INFO.unpack(info)[2] > 0
+
+
 class Watch:
     """The connections on which something may be unacknowledged, with one timer."""
 
@@ -83,7 +98,7 @@
 
     def add(self, watched: Watched) -> None:
         """Check a connection until everything written to it is acknowledged."""
-        if watched in self._watched or not watched.has_socket:
+        if watched in self._watched or not watched.is_reported:
             return
         self._watched.add(watched)
         if self._timer is None:
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -1,6 +1,7 @@
 """Authenticated, multiplexed connections between nodes."""
 
 import asyncio
+import collections.abc
 import hmac
 import os
 import typing
@@ -216,7 +217,7 @@
         node: "nodes.Node",
         ready: typing.Callable[[], None],
         lost: typing.Callable[[], None],
-        sent: set[int],
+        sent: collections.abc.Collection[int] = (),
     ) -> None:
         super().__init__(node)
         self._ready = ready
--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -9,8 +9,9 @@
 import socket
 
 USER_TIMEOUT_MS = 3_000
-"""Time after which a connection to the log service with unacknowledged bytes, or with a
-closed receive window, is closed. Its requests are far smaller than a window."""
+"""Time after which a connection with unacknowledged bytes, or with a closed receive
+window, is closed. Used for the log service, whose requests are far smaller than a
+window, and where the system does not report what is acknowledged."""
 
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -25,10 +26,10 @@
 )
 """Arguments of ``setsockopt``: level, option and value."""
 
-LOG_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    *KEEPALIVE,
-)
+USER_TIMEOUT = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+"""Arguments of ``setsockopt``."""
+
+LOG_OPTIONS = (USER_TIMEOUT, *KEEPALIVE)
 """The options of connections to the log service, whose socket belongs to a library."""
 
 
--- a/tests/cover/test_silent_connections.py
+++ b/tests/cover/test_silent_connections.py
@@ -152,6 +152,32 @@
     assert _checks(transport, acknowledgements.SILENT_CHECKS + 1)
 
 
+def _connect(name: str, transport: _Transport) -> None:
+    async def connect() -> None:
+        _protocols()[name].connection_made(transport)
+
+    asyncio.run(connect())
+
+
+# Guards against a dead peer that is never noticed, on a system that counts no segments.
+@pytest.mark.parametrize("name", list(_protocols()))
+def test_unacknowledged_bytes_are_bounded_where_nothing_is_reported(name: str) -> None:
+    transport = _Transport()
+    transport.socket.segments = 0
+    _connect(name, transport)
+    level, option, timeout_ms = sockets.USER_TIMEOUT
+    assert transport.socket.options[(level, option)] == timeout_ms
+    assert 0 < timeout_ms <= 1_000.0 * UNACKNOWLEDGED_S
+
+
+# Guards against a closed receive window that counts as a dead peer.
+@pytest.mark.parametrize("name", list(_protocols()))
+def test_a_closed_window_is_not_bounded_where_segments_are_reported(name: str) -> None:
+    transport = _Transport()
+    _connect(name, transport)
+    assert sockets.USER_TIMEOUT[:2] not in transport.socket.options
+
+
 def test_the_log_service_may_leave_nothing_unacknowledged() -> None:
     timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
     options = {(level, name): value for level, name, value in sockets.LOG_OPTIONS}
