--- /dev/null
+++ b/tests/cover/test_side_connections.py
@@ -0,0 +1,61 @@
+"""Connections of the readiness, metrics and announcement addresses."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from gingerturn.internal.shell import side_http
+from tests.common import late_readers
+
+PIECE = b"u" * 1_000_000
+
+
+def _play(*pieces: bytes) -> late_readers.Seen:
+    """Return what a client sees that writes all pieces before it reads."""
+
+    async def play() -> late_readers.Seen:
+        def handle(request: side_http.Request) -> side_http.Reply:
+            return side_http.Reply(200, b"handled")
+
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: side_http.Connection(handle), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        try:
+            return await asyncio.to_thread(
+                late_readers.exchange, port, pieces, pause_s=0.01
+            )
+        finally:
+            server.close()
+
+    return uvloop.run(play())
+
+
+# Guards against clients that see a reset, and cannot tell what was wrong.
+@pytest.mark.parametrize("more", [(), (PIECE,) * 20], ids=["short", "long"])
+def test_an_invalid_request_is_answered(more: tuple[bytes, ...]) -> None:
+    seen = _play(b"no request at all\r\n\r\n", *more)
+    assert seen.error == ""
+    assert seen.received.startswith(b"HTTP/1.1 400 ")
+    assert b"connection: close\r\n" in seen.received
+
+
+# Guards against clients that see a reset in place of the status.
+def test_an_answer_to_a_long_body_reaches_a_client_that_writes_it_whole() -> None:
+    head = b"POST /x HTTP/1.1\r\nhost: n\r\nconnection: close\r\n%b\r\n\r\n"
+    seen = _play(head % b"content-length: 20000000", *[PIECE] * 20)
+    assert seen.error == ""
+    assert seen.received.startswith(b"HTTP/1.1 413 ")
+
+
+# Guards against answers that a reset takes away, since the client sent more behind a
+# request after which the connection closes.
+def test_an_answer_that_closes_reaches_a_client_that_sends_on() -> None:
+    get = b"GET /x HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n"
+    seen = _play(get, *[PIECE] * 20)
+    assert seen.error == ""
+    assert seen.received.startswith(b"HTTP/1.1 200 ")
+    assert seen.received.endswith(b"handled")
+    assert seen.received.count(b"HTTP/1.1 ") == 1
