Backend server: an answer that comes with a reset is read

Callers of uploads got an error of the node in place of the upstream's answer, where the upstream answered before it had read the body and closed.

Cause: its close with unread bytes resets the connection. The next write of the upload then fails, and the event loop reports the loss of the connection before it reads the answer, which the kernel keeps in the receive buffer.

Change: connection_lost first reads what the socket still holds. Only a whole answer counts: one that is cut, belongs to another request, or would end with the connection stays a failure, as before.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -145,7 +145,9 @@
             self._end()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the current exchange."""
+        """Fail the current exchange, unless its whole answer has been received."""
+        if error is not None:
+            self._read_undelivered()
         self._pool.discard(self)
         if self._receiver is not None and self._written:
             connection_ends.record_backend(
@@ -357,6 +359,17 @@
         if not self._informational and self._receiver is not None:
             self._complete = True
 
+    def _read_undelivered(self) -> None:
+        """Read an answer whose sender has reset the connection behind it.
+
+        A backend server that answers before it has read a request, and closes, resets
+        the connection; what is written of the request then fails.
+        """
+        for data in sockets.read_undelivered(self._transport):
+            if self._receiver is None:
+                return
+            self.data_received(data)
+
     def _end(self) -> None:
         self._complete = False
         receiver, self._receiver = self._receiver, None
--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -1,10 +1,13 @@
-"""TCP options that detect dead peers.
+"""What asyncio does not cover: TCP options that detect dead peers, and received bytes
+that a lost connection has not delivered.
 
 A peer that lost power, or a connection that a middlebox dropped, sends no RST; with its
 defaults the kernel takes minutes to report the loss.
 """
 
 import asyncio
+import collections.abc
+import os
 import socket
 
 USER_TIMEOUT_MS = 3_000
@@ -31,3 +34,33 @@
     if sock is not None:
         for option in OPTIONS:
             sock.setsockopt(*option)
+
+
+MAX_UNDELIVERED_BYTES = 8_388_608
+"""Bytes that are read of a lost connection. Receive buffers are smaller by default."""
+
+_READ_BYTES = 262_144
+
+
+def read_undelivered(
+    transport: asyncio.BaseTransport,
+) -> collections.abc.Iterator[bytes]:
+    """Yield what a connection has received and not delivered.
+
+    To be called from ``connection_lost``, while the socket is still open. A write to a
+    connection that its peer has reset fails before the event loop reads what the peer
+    sent earlier, for which the kernel keeps the receive buffer.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    count = 0
+    while count < MAX_UNDELIVERED_BYTES:
+        try:
+            data = os.read(sock.fileno(), _READ_BYTES)
+        except OSError:
+            return
+        if not data:
+            return
+        count += len(data)
+        yield data
