A signal during the start of a node ends it with status 0

A supervisor that stopped a node 0.02 to 0.6 s after its start saw it ended by the signal's default action: the handlers were installed by the daemon, after all imports.

internal.launch installs handlers before the imports, for the platform and for `gingerturn node` (through a small entry point of the command). They end the process at once with status 0 and a line that names the signal; nothing is accepted before the daemon's own handlers stand. From then on, a signal during the start cancels it; one that arrives as the start ends begins the planned stop.

Before the first line of the node's own code, in the start of the interpreter, the default action still applies.

--- a/src/gingerturn/__main__.py
+++ b/src/gingerturn/__main__.py
@@ -1,5 +1,5 @@
 """``python -m gingerturn`` is the ``gingerturn`` command."""
 
-from gingerturn.cli import main
+from gingerturn.cli import launcher
 
-main.main()
+launcher.main()
--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import difflib
 import pathlib
-import signal
 import sys
 import typing
 
@@ -12,6 +11,7 @@
 
 import gingerturn
 from gingerturn import configuration, errors, explain, metrics_text, settings
+from gingerturn.internal import launch
 
 if typing.TYPE_CHECKING:
     import httpx
@@ -69,8 +69,7 @@
 )
 def node(path: pathlib.Path, record: typing.BinaryIO | None) -> None:
     """Run a node beside a backend server."""
-    # SIGHUP would terminate the process until the node installs its handler.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    launch.begin(json=False)
     # Imported lazily: the other commands do not need these libraries.
     import uvloop
 
--- /dev/null
+++ b/src/gingerturn/internal/launch.py
@@ -0,0 +1,45 @@
+"""First steps of a node's process, before its libraries are imported.
+
+The imports are the longest part of a start. This module imports little, so that signals
+are handled before them.
+"""
+
+import os
+import signal
+import types
+
+EXIT_CLEAN = 0
+
+
+def begin(*, json: bool) -> None:
+    """Handle signals until the node does.
+
+    SIGTERM and SIGINT end the process with status 0: it has accepted nothing. SIGHUP
+    is ignored: its default action would end the process, and a node that runs checks
+    its settings for changes.
+
+    :param json: whether log lines are JSON on standard output, or text on standard
+        error.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    def end(number: int, frame: types.FrameType | None) -> None:
+        text = f"Stopped by {signal.Signals(number).name} before the node had started."
+        if json:
+            _write(1, f'{{"level":"INFO","node":"","part":"node","text":"{text}"}}\n')
+        else:
+            _write(2, f"gingerturn: {text}\n")
+        # A module that is being imported could catch SystemExit.
+        os._exit(EXIT_CLEAN)
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+
+
+def _write(descriptor: int, text: str) -> None:
+    """Write a line, unless its reader is gone or slow."""
+    try:
+        os.set_blocking(descriptor, False)
+        os.write(descriptor, text.encode())
+    except OSError:
+        return
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -10,7 +10,7 @@
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
-from gingerturn.internal.shell import node as nodes
+from gingerturn.internal.shell import node as nodes, starting
 
 ADMIN_STOP_S = 2.0
 """Timeout of the administration API's shutdown, after the node has closed."""
@@ -83,12 +83,15 @@
     loop.set_exception_handler(_on_unhandled_error)
     node_settings = node.settings.node
     try:
-        await node.start()
-        administration = _Administration(node) if node_settings.admin_port else None
+        administration = await starting.unless(stopping, _start(node))
     except errors.GingerturnError as error:
         logs.write("ERROR", "node", f"Not started: {error}.")
         await node.close()
         return EXIT_NOT_STARTED
+    if not node.begun:
+        logs.write("INFO", "node", "Stopped before the node had started.")
+        await node.close()
+        return EXIT_CLEAN
     logs.write(
         "INFO",
         "node",
@@ -99,6 +102,8 @@
         log=node.settings.log.url,
     )
     node.spawn(_watch(node, source))
+    if stopping.is_set():
+        _begin_stop(node, stopping)
     await stopping.wait()
     drained = await _wait_stopped(
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
@@ -132,6 +137,15 @@
     }
 
 
+async def _start(node: nodes.Node) -> "_Administration | None":
+    """Start a node and its administration API, if it has one.
+
+    :raises GingerturnError: when an address cannot be bound.
+    """
+    await node.start()
+    return _Administration(node) if node.settings.node.admin_port else None
+
+
 class _Administration:
     """The administration API while the daemon runs."""
 
@@ -181,7 +195,10 @@
 
 def _begin_stop(node: nodes.Node, stopping: asyncio.Event) -> None:
     """Begin a planned stop. A repeated request must not abort calls that the stop in
-    progress lets finish."""
+    progress lets finish. One during the start ends the start."""
+    if not node.begun:
+        stopping.set()
+        return
     if node.stopping:
         logs.write("INFO", "node", "A planned stop is already in progress.")
         return
