A node runs without its standard streams

A node that was started without standard output ended with status 1: AttributeError, since sys.stdout is None then. Its descriptor also went to the next socket, into which lines of the log would have been written.

The streams that are not open are opened on the null device before anything else, and the log takes the null device for one that the interpreter found closed. test_a_node_runs_without_a_standard_stream[1] failed before and passes; [0] and [2] passed before as well.

--- a/src/gingerturn/internal/launch.py
+++ b/src/gingerturn/internal/launch.py
@@ -1,18 +1,20 @@
 """First steps of a node's process, before its libraries are imported.
 
 The imports are the longest part of a start. This module imports little, so that signals
-are handled before them.
+are handled and the standard streams are open before them.
 """
 
+import fcntl
 import os
 import signal
 import types
 
+STANDARD_DESCRIPTORS = (0, 1, 2)
 EXIT_CLEAN = 0
 
 
 def begin(*, json: bool) -> None:
-    """Handle signals until the node does.
+    """Open the standard streams, and handle signals until the node does.
 
     SIGTERM and SIGINT end the process with status 0: it has accepted nothing. SIGHUP
     is ignored: its default action would end the process, and a node that runs checks
@@ -21,6 +23,7 @@
     :param json: whether log lines are JSON on standard output, or text on standard
         error.
     """
+    open_standard_streams()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def end(number: int, frame: types.FrameType | None) -> None:
@@ -36,6 +39,19 @@
     signal.signal(signal.SIGINT, end)
 
 
+def open_standard_streams() -> None:
+    """Open the null device for each standard stream that is not open.
+
+    The next connection would get its descriptor otherwise, and log lines with it.
+    """
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            fcntl.fcntl(descriptor, fcntl.F_GETFD)
+        except OSError:
+            # Gets this descriptor, the lowest that is free.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _write(descriptor: int, text: str) -> None:
     """Write a line, unless its reader is gone or slow."""
     try:
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -129,7 +129,7 @@
 def set_up(options: settings.Logging, *, node: str) -> None:
     """Send log lines to standard error as text, or to standard output as JSON."""
     if options.json:
-        _state.output = _state.output or Output(sys.stdout.fileno())
+        _state.output = _state.output or Output(_descriptor(sys.stdout))
         _state.node = node
         _state.min_severity = _SEVERITIES[options.level]
         return
@@ -147,6 +147,14 @@
     )
 
 
+def _descriptor(stream: typing.TextIO | None) -> int:
+    """Return a stream's descriptor; the null device's if it was not open at the start
+    of the interpreter."""
+    if stream is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return stream.fileno()
+
+
 def write(level: str, part: str, text: str, **fields: typing.Any) -> None:
     """Write one line."""
     if _state.output is not None:
