Text logs do not wait for their reader

With standard error a pipe that nobody reads, a node that logs text stopped in its event loop once the pipe was full: loguru writes to the stream, which blocks. Text now goes through the same bounded backlog as JSON lines.

test_text_does_not_wait_for_a_reader_that_is_slow timed out after 30 s before the change and passes.

--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -9,7 +9,9 @@
 its import takes a quarter of the processor time of a node's start.
 """
 
+import collections.abc
 import datetime
+import io
 import os
 import sys
 import time
@@ -139,7 +141,7 @@
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node, "part": "node"})
     loguru.logger.add(
-        sys.stderr,
+        _text_sink(sys.stderr),
         level=options.level,
         format=_FORMAT,
         backtrace=False,
@@ -147,6 +149,18 @@
     )
 
 
+def _text_sink(
+    stream: typing.TextIO | None,
+) -> collections.abc.Callable[[str], None]:
+    """Return a function that writes text to a stream without blocking."""
+    try:
+        output = Output(_descriptor(stream))
+    except io.UnsupportedOperation:
+        # A replacement in memory, which does not block.
+        return typing.cast(typing.TextIO, stream).write  # type: ignore[return-value]
+    return lambda text: output.write(text.encode())
+
+
 def _descriptor(stream: typing.TextIO | None) -> int:
     """Return a stream's descriptor; the null device's if it was not open at the start
     of the interpreter."""
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -157,3 +157,28 @@
     assert decisions.is_failure(decisions.Rule.SENT, 500)
     assert not decisions.is_failure(decisions.Rule.SENT, 200)
     assert decisions.is_failure(decisions.Rule.RETRIED, 0)
+
+
+def test_text_does_not_wait_for_a_reader_that_is_slow() -> None:
+    # Guards against a node that stops serving when its standard error is not read.
+    code = (
+        "from gingerturn import settings\n"
+        "from gingerturn.internal import logs\n"
+        "logs.set_up(settings.Logging(), node='n1')\n"
+        "for _ in range(2000): logs.write('INFO', 'node', 'x' * 100)\n"
+        "print('done')\n"
+    )
+    read, write = os.pipe()
+    try:
+        completed = subprocess.run(
+            [sys.executable, "-c", code],
+            env={"PYTHONPATH": str(pathlib.Path(logs.__file__).parents[2])},
+            stdout=subprocess.PIPE,
+            stderr=write,
+            timeout=30,
+            check=False,
+        )
+    finally:
+        os.close(read)
+        os.close(write)
+    assert (completed.returncode, completed.stdout) == (0, b"done\n")
