A start waits for settings that are being written

A node whose settings file was missing, empty or half written at its start ended with status 2 at once, although the file was whole a moment later.

Errors now tell a document that may be in the middle of being written (IncompleteDocument: missing, not JSON, not TOML, or TOML without a required field, since TOML cut between lines is valid) from values that are not allowed. A start tries the former again every 0.1 s for 10 s, with a log line a second, and ends with status 2 if that lasts; for the latter it ends at once as before. TOML that is cut behind its last required field cannot be told from a whole file.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -74,10 +74,11 @@
     import uvloop
 
     from gingerturn.internal import logs
-    from gingerturn.internal.shell import daemon, node as nodes
+    from gingerturn.internal.shell import daemon, node as nodes, starting
 
     source = daemon.Source(path, settings.load)
-    loaded = source.load()
+    logs.set_up(settings.Logging(), node="")
+    loaded = starting.load_when_complete(source.load)
     logs.set_up(loaded.logging, node=loaded.node.id)
 
     async def run() -> int:
--- a/src/gingerturn/errors.py
+++ b/src/gingerturn/errors.py
@@ -41,6 +41,13 @@
         self.problems = problems
 
 
+class IncompleteDocument(InvalidDocument):
+    """A document is missing, cannot be read to its end or lacks a part.
+
+    It may be in the middle of being written.
+    """
+
+
 class FrameError(GingerturnError):
     """Bytes from a peer are not a valid frame."""
 
--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -67,6 +67,7 @@
     """Decode external JSON.
 
     :param step: the step for errors, such as ``read settings``.
+    :raises IncompleteDocument: when it is not JSON, as one that is cut.
     :raises InvalidDocument: naming the field that is missing or invalid.
     """
     try:
@@ -74,7 +75,9 @@
     except msgspec.MsgspecError as error:
         content_type = step.partition(" ")[2]
         problem = f"no {content_type}: {error}"
-        raise errors.InvalidDocument([problem], step=step, peer=peer) from None
+        if isinstance(error, msgspec.ValidationError):
+            raise errors.InvalidDocument([problem], step=step, peer=peer) from None
+        raise errors.IncompleteDocument([problem], step=step, peer=peer) from None
 
 
 def parse_hex(field: str, text: str, *, step: str, peer: str) -> int:
@@ -92,11 +95,11 @@
 def read_bytes(path: pathlib.Path, *, step: str) -> bytes:
     """Return the content of a file.
 
-    :raises InvalidDocument: when it cannot be read.
+    :raises IncompleteDocument: when it cannot be read.
     """
     try:
         return path.read_bytes()
     except OSError as error:
-        raise errors.InvalidDocument(
+        raise errors.IncompleteDocument(
             [f"{path}: {error}"], step=step, peer=str(path)
         ) from None
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -1,9 +1,21 @@
-"""The start of a node, which a signal may end."""
+"""The start of a node: obstacles that may pass, and signals that end it."""
 
 import asyncio
 import collections.abc
+import time
 import typing
 
+from gingerturn import errors
+from gingerturn.internal import logs
+
+WAIT_LIMIT_S = 10.0
+"""Time for which a start waits for an obstacle to pass, which is longer than a planned
+stop of the process before it usually takes."""
+
+RETRY_INTERVAL_S = 0.1
+LOG_INTERVAL_S = 1.0
+"""Intervals between tries, and between log lines about them."""
+
 _T = typing.TypeVar("_T")
 
 
@@ -26,3 +38,41 @@
         return None
     finally:
         stop.cancel()
+
+
+class Patience:
+    """Time that is left for obstacles of one kind during a start."""
+
+    def __init__(self) -> None:
+        self._ends_at = time.monotonic() + WAIT_LIMIT_S
+        self._next_line = 0.0
+
+    def is_over(self, obstacle: errors.GingerturnError) -> bool:
+        """Return whether the start has waited long enough; log that it waits if not."""
+        now = time.monotonic()
+        if now >= self._ends_at:
+            return True
+        if now >= self._next_line:
+            self._next_line = now + LOG_INTERVAL_S
+            left = self._ends_at - now
+            text = f"Waiting up to {left:.0f} s to start: {obstacle}."
+            logs.write("WARNING", "node", text)
+        return False
+
+
+def load_when_complete(load: collections.abc.Callable[[], _T]) -> _T:
+    """Load settings, and wait for those that are missing or partly written.
+
+    It blocks, as nothing else can run without settings.
+
+    :raises IncompleteDocument: when they stay incomplete.
+    :raises InvalidDocument: for values that are not allowed.
+    """
+    patience = Patience()
+    while True:
+        try:
+            return load()
+        except errors.IncompleteDocument as error:
+            if patience.is_over(error):
+                raise
+        time.sleep(RETRY_INTERVAL_S)
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -224,6 +224,7 @@
 def load(path: pathlib.Path) -> Settings:
     """Read and validate a settings file.
 
+    :raises IncompleteDocument: when it cannot be read, is not TOML or lacks a field.
     :raises InvalidDocument: with all problems found, each with its line.
     """
     # Imported lazily: a node whose settings have another format starts faster.
@@ -232,13 +233,16 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise _invalid([f"{path}: cannot be read: {error}"], path) from None
+        raise _incomplete(f"{path}: cannot be read: {error}", path) from None
     try:
         table = tomllib.loads(text)
         settings = msgspec.convert(table, Settings)
     except tomllib.TOMLDecodeError as error:
-        raise _invalid([f"{path}: not TOML: {error}"], path) from None
+        raise _incomplete(f"{path}: not TOML: {error}", path) from None
     except msgspec.ValidationError as error:
+        if _MISSING_FIELD in str(error):
+            # TOML that is cut between two lines is valid TOML.
+            raise _incomplete(f"{path}: {error}", path) from None
         raise _invalid([f"{path}: {error}"], path) from None
     problems = _problems(settings, text, path)
     if problems:
@@ -261,6 +265,14 @@
     return errors.InvalidDocument(problems, step="read settings", peer=str(path))
 
 
+_MISSING_FIELD = "missing required field"
+"""Text of the library's error; it has no other property that tells the kind."""
+
+
+def _incomplete(problem: str, path: pathlib.Path) -> errors.IncompleteDocument:
+    return errors.IncompleteDocument([problem], step="read settings", peer=str(path))
+
+
 def _problems(settings: Settings, text: str, path: pathlib.Path) -> list[str]:
     problems: list[str] = []
 
