Test tooling: both ports of a node's pair are drawn

Since ports are drawn in order, the port behind a drawn one is the next that is drawn; a node's pair took it without drawing it, and the next machine got it as well.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -354,3 +354,9 @@
 ) -> None:
     reply = httpx.Response(status, json={"title": title, "status": status})
     assert callers._is_unrouted(reply) is unrouted
+
+
+# Guards against two nodes of a run that draw the same port.
+def test_both_ports_of_a_pair_are_drawn() -> None:
+    first = platform_processes._free_pair()
+    assert not {first, first + 1} & set(processes.free_ports(20))
