Soak: requests that last, planned steps in series, checks of promises

The soak never saw that a stop cuts answers and uploads: no answer lasted, none was large, nobody uploaded or read slowly or left, and exit statuses were looked at only away from faults.

Each machine now also has three callers on raw sockets (new connections, kept ones, kept ones with a small receive buffer) that send downloads, uploads with a length and chunked, an upload that is left unread, slow reads, HEAD, 204, 304, pairs, calls, keys, and that leave. Steps, drawn separately: stops with a reload, a second SIGTERM or a pause within, a SIGTERM within the first second of a start, settings half written at a start and a reload, a held address, descriptors taken away, an upstream that does not read, waves of callers that leave.

Old seeds keep their schedules: nothing of this is drawn without the flag. Each check has a test that it fails.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -3,12 +3,23 @@
 import asyncio
 import math
 import pathlib
+import signal
 
 import httpx
 import msgspec
 import pytest
 
-from gingerturn_soak import __main__ as soak, callers, checks, ledger, run, schedule
+from gingerturn_soak import (
+    __main__ as soak,
+    callers,
+    checks,
+    ledger,
+    promises,
+    raw_callers,
+    run,
+    schedule,
+    watch,
+)
 from gingerturn_standins import platform_processes, processes
 
 START = 1_000_000.0
@@ -194,6 +205,20 @@
     assert kinds == {schedule.Kind.LOG_RESTORED}
 
 
+def test_steps_under_requests_that_last_leave_the_other_steps_unchanged() -> None:
+    plain = schedule.draw(1, machines=4, length_s=5.0)
+    lasting = schedule.draw(1, machines=4, length_s=5.0, lasting=True)
+    assert [step for step in lasting if step in plain] == plain
+    kinds = {step.kind for step in lasting if step not in plain}
+    assert kinds <= {*schedule.LASTING_KINDS, schedule.Kind.CONFIGURE}
+
+
+def test_a_calm_schedule_has_planned_common_steps_only() -> None:
+    for seed in range(20):
+        steps = schedule.draw(seed, machines=4, length_s=5.0, calm=True)
+        assert {step.kind for step in steps} <= schedule.PLANNED_KINDS
+
+
 def test_a_seed_gives_the_same_schedule_again() -> None:
     first = schedule.draw(7, machines=4, length_s=10.0)
     assert first == schedule.draw(7, machines=4, length_s=10.0)
@@ -214,6 +239,7 @@
             reported=True,
             silenced=True,
             unrelated=True,
+            lasting=True,
         )
     }
     assert drawn == set(schedule.Kind)
@@ -360,3 +386,341 @@
 def test_both_ports_of_a_pair_are_drawn() -> None:
     first = platform_processes._free_pair()
     assert not {first, first + 1} & set(processes.free_ports(20))
+
+
+ENDING = raw_callers.Ending
+BEGAN_S = START / 1_000.0
+
+
+def _exchange(number: str = "m0-1", **fields: object) -> raw_callers.Exchange:
+    base = {
+        "id": number,
+        "shape": "work",
+        "node": "m0",
+        "began": BEGAN_S,
+        "sent": BEGAN_S,
+        "ended": BEGAN_S + 1.0,
+        "ending": ENDING.ANSWERED,
+        "status": 200,
+        "signed": True,
+        "deadline_ms": 7_000,
+    }
+    return raw_callers.Exchange(**{**base, **fields})  # type: ignore[arg-type]
+
+
+def _arrived(instance: str = "i-m1", at: float = START) -> ledger.Entry:
+    return ledger.Entry("arrived", at, instance, "porting", "m0-1")
+
+
+def _life(*told: watch.Told, **fields: object) -> watch.Life:
+    base = {"node": "m0", "began": START - 60_000.0, "ready": START - 59_000.0}
+    return watch.Life(**{**base, **fields}, told=list(told))  # type: ignore[arg-type]
+
+
+def _terminated(at: float) -> watch.Told:
+    return watch.Told(signal.SIGTERM, START + at)
+
+
+def _lasting(
+    tmp_path: pathlib.Path,
+    *exchanges: raw_callers.Exchange,
+    lives: tuple[watch.Life, ...] = (),
+    backend_ends: tuple[watch.BackendEnd, ...] = (),
+    **fields: object,
+) -> checks.Observations:
+    observed = _observe(tmp_path, **fields)  # type: ignore[arg-type]
+    observed.exchanges = list(exchanges)
+    observed.lives = list(lives)
+    observed.backend_ends = list(backend_ends)
+    observed.ended = START + 60_000.0
+    return observed
+
+
+def test_whole_answers_and_planned_ends_keep_every_promise(
+    tmp_path: pathlib.Path,
+) -> None:
+    life = _life(_terminated(0.0), ended=START + 3_000.0, status=0)
+    observed = _lasting(tmp_path, _exchange(), lives=(life,), entries=(_arrived(),))
+    assert promises.violations(observed, timing=True) == []
+
+
+@pytest.mark.parametrize("ending", [ENDING.FIN, ENDING.RESET, ENDING.TIMEOUT])
+def test_a_request_that_was_passed_on_and_not_answered_is_reported(
+    ending: raw_callers.Ending, tmp_path: pathlib.Path
+) -> None:
+    check = promises.passed_on_requests_are_answered
+    cut = _exchange(ending=ending)
+    assert _is_violated(check, _lasting(tmp_path, cut, entries=(_arrived(),)))
+    assert not _is_violated(check, _lasting(tmp_path, cut))
+    left = _exchange(ending=ENDING.LEFT)
+    assert not _is_violated(check, _lasting(tmp_path, left, entries=(_arrived(),)))
+
+
+@pytest.mark.parametrize(
+    ("kind", "node", "violated"),
+    [
+        (KILL, "m0", False),
+        (KILL, "m1", False),
+        (KILL, "m2", True),
+        (STOP, "m0", True),
+        (schedule.Kind.LOG_DOWN, "", True),
+        (schedule.Kind.BACKEND_STALL, "m1", True),
+        (schedule.Kind.NODE_STARVED, "m0", True),
+        (schedule.Kind.CONNECTIONS_SILENT, "", False),
+    ],
+)
+def test_only_unplanned_faults_on_its_way_excuse_a_cut_answer(
+    kind: schedule.Kind, node: str, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    cut = _exchange(ending=ENDING.FIN, first=False)
+    observed = _lasting(
+        tmp_path, cut, entries=(_arrived(),), faults=(_fault(kind, node=node),)
+    )
+    check = promises.passed_on_requests_are_answered
+    assert _is_violated(check, observed) is violated
+
+
+def test_a_starved_node_excuses_only_new_connections(tmp_path: pathlib.Path) -> None:
+    check = promises.passed_on_requests_are_answered
+    starved = (_fault(schedule.Kind.NODE_STARVED),)
+    for first in (True, False):
+        cut = _exchange(ending=ENDING.FIN, first=first)
+        observed = _lasting(tmp_path, cut, entries=(_arrived(),), faults=starved)
+        assert _is_violated(check, observed) is not first
+
+
+def test_the_deadline_and_an_upstream_that_ends_excuse_a_cut_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    check = promises.passed_on_requests_are_answered
+    due = _exchange(ending=ENDING.FIN, ended=BEGAN_S + 7.1)
+    assert not _is_violated(check, _lasting(tmp_path, due, entries=(_arrived(),)))
+    never = _exchange(ending=ENDING.TIMEOUT, ended=BEGAN_S + 12.0)
+    assert _is_violated(check, _lasting(tmp_path, never, entries=(_arrived(),)))
+    cut = _exchange(ending=ENDING.FIN)
+    for node, violated in (("m1", False), ("m2", True)):
+        ends = (watch.BackendEnd(node, START + 900.0),)
+        observed = _lasting(tmp_path, cut, entries=(_arrived(),), backend_ends=ends)
+        assert _is_violated(check, observed) is violated
+
+
+# The grace is 6 s; its last sixth begins at 5 s.
+@pytest.mark.parametrize(
+    ("sent", "lasts_s", "ended", "violated"),
+    [
+        (-1.0, 7.0, 5.1, False),
+        (-1.0, 7.0, 4.9, True),
+        (-1.0, 5.5, 5.1, True),
+        (2.9, 7.0, 5.1, False),
+        (3.1, 7.0, 5.1, True),
+    ],
+)
+def test_a_stop_may_cut_what_outlasts_its_grace(
+    sent: float,
+    lasts_s: float,
+    ended: float,
+    violated: bool,
+    tmp_path: pathlib.Path,
+) -> None:
+    cut = _exchange(
+        began=BEGAN_S + sent,
+        sent=BEGAN_S + sent,
+        ended=BEGAN_S + ended,
+        ending=ENDING.FIN,
+        lasts_s=lasts_s,
+    )
+    entries = (_arrived(at=START + sent * 1_000.0),)
+    life = _life(_terminated(0.0), ended=START + 6_000.0, status=promises.CUT_STATUS)
+    observed = _lasting(tmp_path, cut, lives=(life,), entries=entries)
+    check = promises.passed_on_requests_are_answered
+    assert _is_violated(check, observed) is violated
+    assert _is_violated(promises.processes_end_only_when_told, observed) is violated
+
+
+@pytest.mark.parametrize(
+    ("waited", "behind_close", "violated"),
+    [(0.1, False, False), (0.3, False, True), (0.3, True, False)],
+)
+def test_a_read_request_without_an_answer_is_reported(
+    waited: float, behind_close: bool, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    closed = _exchange(
+        ending=ENDING.RESET, ended=BEGAN_S + waited, behind_close=behind_close
+    )
+    check = promises.read_requests_are_answered
+    assert _is_violated(check, _lasting(tmp_path, closed)) is violated
+
+
+@pytest.mark.parametrize(("ended", "violated"), [(4.0, True), (5.1, False)])
+def test_an_upload_cut_before_the_grace_nearly_ends_is_reported(
+    ended: float, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    cut = _exchange(sent=0.0, ending=ENDING.FIN, ended=BEGAN_S + ended)
+    observed = _lasting(tmp_path, cut, lives=(_life(_terminated(0.0)),))
+    assert _is_violated(promises.uploads_are_not_cut, observed) is violated
+
+
+def test_a_refused_connection_of_a_ready_node_is_reported(
+    tmp_path: pathlib.Path,
+) -> None:
+    refused = _exchange(ending=ENDING.REFUSED, sent=0.0)
+    check = promises.connections_are_accepted
+    assert _is_violated(check, _lasting(tmp_path, refused, lives=(_life(),)))
+    for life in (_life(_terminated(-100.0)), _life(ready=0.0)):
+        assert not _is_violated(check, _lasting(tmp_path, refused, lives=(life,)))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"signed": False},
+        {"status": 304, "signed": False},
+        {"expected": 100, "body": 99},
+        {"surplus": 1},
+        {"ending": ENDING.GARBLED, "status": 0},
+    ],
+)
+def test_an_answer_that_is_not_the_upstreams_is_reported(
+    fields: dict[str, object], tmp_path: pathlib.Path
+) -> None:
+    observed = _lasting(tmp_path, _exchange(**fields))
+    assert _is_violated(promises.no_false_success, observed)
+
+
+def test_an_answer_replaced_during_a_stop_is_reported(tmp_path: pathlib.Path) -> None:
+    check = promises.replaced_answers_have_an_excuse
+    own = _exchange(status=502, signed=False)
+    lives = (_life(_terminated(-100.0)),)
+    assert _is_violated(
+        check, _lasting(tmp_path, own, lives=lives, entries=(_arrived(),))
+    )
+    assert not _is_violated(check, _lasting(tmp_path, own, entries=(_arrived(),)))
+    assert not _is_violated(check, _lasting(tmp_path, own, lives=lives))
+    signed = _exchange(status=502)
+    observed = _lasting(tmp_path, signed, lives=lives, entries=(_arrived(),))
+    assert not _is_violated(check, observed)
+
+
+def test_a_false_not_run_of_a_lasting_request_is_reported(
+    tmp_path: pathlib.Path,
+) -> None:
+    check = promises.not_run_is_true_of_lasting_requests
+    refused = _exchange(status=503, signed=False, repeatable=False)
+    ran = (_entry("run"),)
+    assert _is_violated(check, _lasting(tmp_path, refused, entries=ran))
+    served = _exchange(repeatable=False)
+    assert not _is_violated(check, _lasting(tmp_path, served, entries=ran))
+    assert _is_violated(check, _lasting(tmp_path, served, entries=(*ran, *ran)))
+
+
+@pytest.mark.parametrize(
+    ("told", "status", "violated"),
+    [
+        ((), 0, True),
+        ((), 7, True),
+        ((_terminated(0.0),), 0, False),
+        ((_terminated(0.0),), promises.CUT_STATUS, True),
+        ((_terminated(0.0),), -signal.SIGTERM, True),
+        ((watch.Told(signal.SIGHUP, START),), 1, True),
+        ((watch.Told(signal.SIGKILL, START),), -signal.SIGKILL, False),
+        (
+            (_terminated(0.0), watch.Told(signal.SIGKILL, START + 8e3, overdue=True)),
+            -signal.SIGKILL,
+            True,
+        ),
+    ],
+)
+def test_a_process_that_ends_untold_or_with_a_failure_is_reported(
+    told: tuple[watch.Told, ...], status: int, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    life = _life(*told, ended=START + 100.0, status=status)
+    observed = _lasting(tmp_path, lives=(life,))
+    assert _is_violated(promises.processes_end_only_when_told, observed) is violated
+
+
+def test_a_start_that_does_not_become_ready_is_reported(tmp_path: pathlib.Path) -> None:
+    check = promises.starts_become_ready
+    began = START
+    in_time = _life(began=began, ready=began + promises.RECOVER_MS)
+    assert not _is_violated(check, _lasting(tmp_path, lives=(in_time,)))
+    late = _life(began=began, ready=began + promises.RECOVER_MS + 1.0)
+    never = _life(began=began, ready=0.0)
+    for life in (late, never):
+        assert _is_violated(check, _lasting(tmp_path, lives=(life,)))
+    stopped = _life(_terminated(500.0), began=began, ready=0.0)
+    assert not _is_violated(check, _lasting(tmp_path, lives=(stopped,)))
+    held = _fault(schedule.Kind.LOG_DOWN, node="", ended=START + 2_000.0)
+    observed = _lasting(tmp_path, lives=(late,), faults=(held,))
+    assert not _is_violated(check, observed)
+
+
+@pytest.mark.parametrize("shape", ["work", "probe-plans"])
+def test_lasting_requests_that_are_not_served_at_the_end_are_reported(
+    shape: str, tmp_path: pathlib.Path
+) -> None:
+    check = promises.lasting_requests_are_served_again
+    refused = _exchange(shape=shape, status=503, signed=False)
+    healed = START - 1.0
+    assert _is_violated(check, _lasting(tmp_path, refused, healed=healed))
+    assert not _is_violated(check, _lasting(tmp_path, refused))
+    left = _exchange(shape=shape, ending=ENDING.LEFT)
+    assert not _is_violated(check, _lasting(tmp_path, left, healed=healed))
+
+
+async def _answer(
+    answers: list[bytes], shape: raw_callers.Shape
+) -> list[raw_callers.Exchange]:
+    """Return the exchanges of a caller whose requests get these bytes in turn."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for answer in answers:
+            writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    caller = raw_callers.Caller("c", "m0", port, kept=True)
+    await caller.send(shape)
+    server.close()
+    return caller.exchanges
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nResponse-Signature: s\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    ("answers", "ending", "surplus"),
+    [
+        ([WHOLE], ENDING.ANSWERED, False),
+        ([WHOLE[:-1]], ENDING.FIN, False),
+        ([b""], ENDING.FIN, False),
+        ([WHOLE + WHOLE], ENDING.ANSWERED, True),
+        ([WHOLE + b"junk"], ENDING.ANSWERED, True),
+        ([b"junk\r\n\r\n"], ENDING.GARBLED, False),
+    ],
+)
+def test_a_caller_records_how_its_exchange_ended(
+    answers: list[bytes], ending: raw_callers.Ending, surplus: bool
+) -> None:
+    (exchange,) = asyncio.run(_answer(answers, raw_callers.Shape("get")))
+    assert exchange.ending is ending
+    assert bool(exchange.surplus) is surplus
+
+
+def test_a_caller_records_both_answers_to_a_pair() -> None:
+    shape = raw_callers.Shape("pair", pair=True)
+    closing = WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    both = asyncio.run(_answer([WHOLE, closing], shape))
+    assert [each.ending for each in both] == [ENDING.ANSWERED] * 2
+    one = asyncio.run(_answer([closing], shape))
+    assert [each.ending for each in one] == [ENDING.ANSWERED, ENDING.FIN]
+    assert [each.behind_close for each in one] == [False, True]
+
+
+def test_a_body_in_answer_to_head_is_surplus() -> None:
+    shape = raw_callers.Shape("head", "HEAD")
+    (exchange,) = asyncio.run(_answer([WHOLE], shape))
+    assert exchange.ending is ENDING.ANSWERED
+    assert exchange.surplus == len(b"ok")
--- a/tooling/gingerturn_soak/callers.py
+++ b/tooling/gingerturn_soak/callers.py
@@ -82,14 +82,17 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Send requests until stopped, and wait for the last answers."""
+    async def run(self, stop: asyncio.Event, share: float = 1.0) -> None:
+        """Send requests until stopped, and wait for the last answers.
+
+        :param share: factor of the interval between requests.
+        """
         while not stop.is_set():
             self._spawn("GET", "/a/x", "plans")
             self._spawn("POST", "/p/x", "porting")
             if self.version:
                 self._spawn("GET", f"/v/{self.version}/", "", version=self.version)
-            await asyncio.sleep(REQUEST_INTERVAL_S)
+            await asyncio.sleep(REQUEST_INTERVAL_S * share)
         await asyncio.gather(*self._tasks)
         await self._client.aclose()
 
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from gingerturn_soak import callers, ledger as ledgers, schedule
+from gingerturn_soak import (
+    callers,
+    ledger as ledgers,
+    raw_callers,
+    schedule,
+    watch,
+)
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 APPLY_MS = 2_000.0
@@ -56,6 +62,8 @@
 
     :param published: when each configuration version was acknowledged.
     :param healed: when all faults were over; 0 where recovery is not checked.
+    :param exchanges: requests of callers on raw sockets.
+    :param ended: when the observation ended.
     """
 
     attempts: list[callers.Attempt]
@@ -63,6 +71,10 @@
     faults: list[Fault]
     published: dict[int, float]
     healed: float
+    exchanges: list[raw_callers.Exchange] = msgspec.field(default_factory=list)
+    lives: list[watch.Life] = msgspec.field(default_factory=list)
+    backend_ends: list[watch.BackendEnd] = msgspec.field(default_factory=list)
+    ended: float = 0.0
 
 
 Check = collections.abc.Callable[[Observations], collections.abc.Iterator[str]]
@@ -206,7 +218,7 @@
     return any(
         fault.kind is schedule.Kind.NODE_PAUSE
         and fault.node == node
-        and _overlaps(fault, begin, end)
+        and overlaps(fault, begin, end)
         for fault in observed.faults
     )
 
@@ -219,7 +231,7 @@
     return any(
         fault.kind in {schedule.Kind.BACKEND_LINK, schedule.Kind.BACKEND_PAUSE}
         and f"{instance}-".startswith(f"i-{fault.node}-")
-        and _overlaps(fault, begin - RECOVERY_MS, end)
+        and overlaps(fault, begin - RECOVERY_MS, end)
         for fault in observed.faults
     )
 
@@ -303,7 +315,7 @@
     third = runs[MAX_CRASHES - 1]
     late = [at for at in runs if at > third + RECOVERY_MS]
     others = [f for f in observed.faults if f.kind is not schedule.Kind.DEADLY]
-    near_fault = any(_overlaps(f, third - RECOVERY_MS, runs[-1]) for f in others)
+    near_fault = any(overlaps(f, third - RECOVERY_MS, runs[-1]) for f in others)
     if len(late) > MAX_CRASHES and not near_fault:
         yield f"a crashing request ran {len(late)} times after its quarantine"
 
@@ -351,7 +363,7 @@
 def _overlaps_unplanned_fault(observed: Observations, begin: float, end: float) -> bool:
     """Return whether an unplanned fault overlaps a period."""
     return any(
-        _overlaps(fault, begin, end)
+        overlaps(fault, begin, end)
         for fault in observed.faults
         if fault.kind not in schedule.PLANNED_KINDS
     )
@@ -362,11 +374,12 @@
 ) -> bool:
     """Return whether a fault of a node or of the log overlaps a period."""
     return any(
-        _overlaps(fault, begin, end)
+        overlaps(fault, begin, end)
         for fault in observed.faults
         if fault.node in {node, ""} and fault.kind is not schedule.Kind.CONFIGURE
     )
 
 
-def _overlaps(fault: Fault, begin: float, end: float) -> bool:
+def overlaps(fault: Fault, begin: float, end: float) -> bool:
+    """Return whether a fault, with the time to recover from it, overlaps a period."""
     return fault.began < end and fault.ended + RECOVERY_MS > begin
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -1,16 +1,30 @@
 """One run of the soak: processes, callers, scheduled faults and the verdict."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import pathlib
+import random
+import resource
 import signal
+import socket
+import struct
 import subprocess
 
 import httpx
 import msgspec
 
-from gingerturn_soak import callers, checks, ledger, proxy, schedule
+from gingerturn_soak import (
+    callers,
+    checks,
+    lasting,
+    ledger,
+    promises,
+    proxy,
+    schedule,
+    watch,
+)
 from gingerturn_standins import (
     platform_processes,
     platform_upstream,
@@ -30,6 +44,30 @@
 RATE_LIMITS = ("0", "0.4", "3.5", "12")
 """Limits that a backend server reports, picked by the duration of the step."""
 
+LASTING_RECOVERY_S = 5.0
+"""How long requests that last are observed once the faults are over."""
+
+SETTLE_S = 1.5
+"""Time from the last request until the probes, in which what callers took is freed."""
+
+REVIVAL_S = 0.5
+"""Interval at which processes that ended by themselves are started again."""
+
+START_TIMEOUT_S = 40.0
+MACHINES_PER_TIMEOUT = 10
+"""Machines whose processes start within :data:`START_TIMEOUT_S`."""
+
+USUAL_MACHINES = 8
+"""Number of machines from which callers send less often each."""
+
+SPARE_DESCRIPTORS = 2
+"""What a starved node has beyond its open descriptors."""
+
+HELD_NAMES = ("outbound", "inbound", "ready", "control")
+"""Addresses of a node that are held, picked by the duration of the step."""
+
+SUCCESSES = frozenset({200, 204, 304})
+
 VERSIONED_ROUTES = 6
 """Number of earlier versions that a configuration still has routes for."""
 
@@ -39,10 +77,22 @@
 
     :param folder: for the settings and logs of the processes.
     :param machines: number of nodes, each with a backend server.
+    :param rng: order of the requests that last; ``None`` for none of them.
     """
 
-    def __init__(self, folder: pathlib.Path, *, machines: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        machines: int,
+        rng: random.Random | None = None,
+    ) -> None:
         self._count = machines
+        self._rng = rng
+        self._share = max(1.0, machines / USUAL_MACHINES)
+        self._fleets: list[lasting.Fleet] = []
+        self._watch = watch.Watch()
+        self._held_by_steps: collections.Counter[int] = collections.Counter()
         self._folder = folder
         self._faults: list[checks.Fault] = []
         self._published: dict[int, float] = {}
@@ -52,6 +102,7 @@
         self._caller_links: list[proxy.Proxy] = []
         self._callers: list[callers.Callers] = []
         self._versions: list[int] = []
+        self._settings: dict[str, bytes] = {}
 
     async def play(self, steps: list[schedule.Step]) -> checks.Observations:
         """Run a schedule and return the observations."""
@@ -62,16 +113,28 @@
             await self._log_link.start()
             self._configure()
             await self._start_machines()
-            await asyncio.to_thread(self._platform.wait_ready, 40.0)
+            timeout_s = START_TIMEOUT_S * max(1.0, self._count / MACHINES_PER_TIMEOUT)
+            await asyncio.to_thread(self._platform.wait_ready, timeout_s)
+            watching = asyncio.create_task(self._watch.run(self._platform))
+            reviving = asyncio.create_task(self._revive())
             stop = asyncio.Event()
             async with asyncio.TaskGroup() as group:
                 for each in self._callers:
-                    group.create_task(each.run(stop))
+                    group.create_task(each.run(stop, self._share))
+                self._start_fleets(group, stop)
                 await self._run_steps(steps)
                 await asyncio.sleep(HEAL_S)
                 healed = callers.now_ms()
-                await asyncio.sleep(POST_RECOVERY_S)
+                await asyncio.sleep(
+                    LASTING_RECOVERY_S if self._fleets else POST_RECOVERY_S
+                )
                 stop.set()
+            await self._probe()
+            for task in (watching, reviving):
+                task.cancel()
+            await asyncio.gather(watching, reviving, return_exceptions=True)
+            self._watch.look(self._platform)
+            ended = callers.now_ms()
             await self._close()
         files = sorted(self._folder.glob("*.upstream.log"))
         return checks.Observations(
@@ -80,8 +143,42 @@
             faults=self._faults,
             published=self._published,
             healed=healed,
+            exchanges=[e for fleet in self._fleets for e in fleet.exchanges],
+            lives=self._watch.lives,
+            backend_ends=self._watch.backend_ends,
+            ended=ended,
         )
 
+    def _start_fleets(self, group: asyncio.TaskGroup, stop: asyncio.Event) -> None:
+        if self._rng is None:
+            return
+        interval_s = lasting.INTERVAL_S * self._share
+        for machine in self._platform.machines.values():
+            fleet = lasting.Fleet(machine.name, machine.ports["outbound"])
+            self._fleets.append(fleet)
+            group.create_task(fleet.run(stop, self._rng, interval_s))
+
+    async def _probe(self) -> None:
+        """Send the last requests once all callers have left, and wait until all nodes
+        are ready, or the bound on that has passed."""
+        if not self._fleets:
+            return
+        await asyncio.sleep(SETTLE_S)
+        await asyncio.gather(*(fleet.probe() for fleet in self._fleets))
+        deadline = asyncio.get_running_loop().time() + promises.RECOVER_MS / 1000.0
+        while self._watch.has_unready():
+            if asyncio.get_running_loop().time() > deadline:
+                break
+            await asyncio.sleep(watch.INTERVAL_S)
+
+    async def _revive(self) -> None:
+        """Start the nodes again that ended while no step was at work on them."""
+        while True:
+            await asyncio.sleep(REVIVAL_S)
+            for target, machine in enumerate(self._platform.machines.values()):
+                if not self._held_by_steps[target]:
+                    self._start_node(machine, target)
+
     async def _start_machines(self) -> None:
         for number in range(self._count):
             link, peers, door = processes.free_ports(3)
@@ -97,6 +194,7 @@
             for each in (self._backend_links, self._peer_links, self._caller_links):
                 await each[-1].start()
             self._callers.append(callers.Callers(machine.name, door))
+            self._watch.add(machine.name, machine.node)
 
     async def _close(self) -> None:
         for each in (
@@ -129,7 +227,9 @@
             ended=float("inf"),
         )
         self._faults.append(fault)
+        self._held_by_steps[step.target] += 1
         await _ACTIONS[step.kind](self, step, fault)
+        self._held_by_steps[step.target] -= 1
         fault.ended = callers.now_ms()
 
     def _machine(self, target: int) -> platform_processes.Machine:
@@ -141,6 +241,8 @@
         version = self._platform.next_version
         routes = [_route("r-a", "/a/", "plans"), _route("r-p", "/p/", "porting")]
         routes += [_route(f"r-{v}", f"/v/{v}/", "plans") for v in [*recent, version]]
+        if self._rng is not None:
+            routes += lasting.routes()
         self._platform.configure(*routes)
         self._versions.append(version)
         self._published[version] = callers.now_ms()
@@ -149,6 +251,119 @@
 
     # Actions of the steps.
 
+    async def _stop_with(
+        self,
+        step: schedule.Step,
+        fault: checks.Fault,
+        within: collections.abc.Callable[
+            [subprocess.Popen[bytes]], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        """Stop a node, do something to it within its stop, and start it again."""
+        machine = self._machine(step.target)
+        if machine.node.poll() is not None:
+            return
+        stopping = asyncio.create_task(
+            self._signal_and_wait(machine.node, signal.SIGTERM)
+        )
+        await asyncio.sleep(step.duration_s / 4.0)
+        await within(machine.node)
+        fault.exit_status = await stopping
+        self._start_node(machine, step.target)
+
+    async def _node_stop_reload(self, step: schedule.Step, fault: checks.Fault) -> None:
+        async def reload(node: subprocess.Popen[bytes]) -> None:
+            self._watch.tell(node, signal.SIGHUP)
+
+        await self._stop_with(step, fault, reload)
+
+    async def _node_stop_twice(self, step: schedule.Step, fault: checks.Fault) -> None:
+        async def terminate(node: subprocess.Popen[bytes]) -> None:
+            self._watch.tell(node, signal.SIGTERM)
+
+        await self._stop_with(step, fault, terminate)
+
+    async def _node_stop_pause(self, step: schedule.Step, fault: checks.Fault) -> None:
+        async def pause(node: subprocess.Popen[bytes]) -> None:
+            await self._pause(node, step.duration_s / 4.0)
+
+        await self._stop_with(step, fault, pause)
+
+    async def _node_start_stop(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Stop a node, start it, and stop it again within the first second."""
+        machine = self._machine(step.target)
+        await self._signal_and_wait(machine.node, signal.SIGTERM)
+        self._start_node(machine, step.target)
+        await asyncio.sleep(step.duration_s % 1.0)
+        await self._signal_and_wait(machine.node, signal.SIGTERM)
+        self._start_node(machine, step.target)
+
+    async def _node_start_half(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Start a node while its settings are half written."""
+        machine = self._machine(step.target)
+        await self._signal_and_wait(machine.node, signal.SIGTERM)
+        with self._half_written(machine):
+            self._start_node(machine, step.target)
+            await asyncio.sleep(step.duration_s / 4.0)
+
+    async def _node_settings_half(
+        self, step: schedule.Step, fault: checks.Fault
+    ) -> None:
+        """Reload a node with half written settings, and once they are whole."""
+        machine = self._machine(step.target)
+        with self._half_written(machine):
+            self._watch.tell(machine.node, signal.SIGHUP)
+            await asyncio.sleep(step.duration_s / 4.0)
+        self._watch.tell(machine.node, signal.SIGHUP)
+
+    @contextlib.contextmanager
+    def _half_written(
+        self, machine: platform_processes.Machine
+    ) -> collections.abc.Iterator[None]:
+        path = self._platform.settings_path(machine.name)
+        content = self._settings.setdefault(machine.name, path.read_bytes())
+        path.write_bytes(content[: len(content) // 2])
+        try:
+            yield
+        finally:
+            path.write_bytes(content)
+
+    async def _node_address_held(
+        self, step: schedule.Step, fault: checks.Fault
+    ) -> None:
+        """Start a node while an outgoing connection has one of its addresses."""
+        machine = self._machine(step.target)
+        await self._signal_and_wait(machine.node, signal.SIGTERM)
+        name = HELD_NAMES[int(step.duration_s * 1_000) % len(HELD_NAMES)]
+        with socket.socket() as holder:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # Closed by a reset, which leaves no state in the kernel.
+            holder.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            with contextlib.suppress(OSError):
+                holder.bind(("127.0.0.1", machine.ports[name]))
+                holder.connect(("127.0.0.1", self._platform.store_port))
+            self._start_node(machine, step.target)
+            await asyncio.sleep(step.duration_s / 2.0)
+
+    async def _node_starved(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Leave a node hardly more descriptors than it has open."""
+        process = self._machine(step.target).node
+        if process.poll() is not None:
+            return
+        whole = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        count = len(list(pathlib.Path(f"/proc/{process.pid}/fd").iterdir()))
+        fewer = (min(whole[0], count + SPARE_DESCRIPTORS), whole[1])
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, fewer)
+        await asyncio.sleep(step.duration_s)
+        if process.poll() is None:
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, whole)
+
+    async def _callers_leave(self, step: schedule.Step, fault: checks.Fault) -> None:
+        if self._fleets:
+            await self._fleets[step.target].send_wave()
+
     async def _node_kill(self, step: schedule.Step, fault: checks.Fault) -> None:
         machine = self._machine(step.target)
         await self._signal_and_wait(machine.node, signal.SIGKILL)
@@ -167,8 +382,7 @@
 
     async def _node_reload(self, step: schedule.Step, fault: checks.Fault) -> None:
         node = self._machine(step.target).node
-        if node.poll() is None:
-            node.send_signal(signal.SIGHUP)
+        self._watch.tell(node, signal.SIGHUP)
 
     async def _backend_kill(self, step: schedule.Step, fault: checks.Fault) -> None:
         machine = self._machine(step.target)
@@ -319,17 +533,18 @@
         self, process: subprocess.Popen[bytes], number: signal.Signals
     ) -> int | None:
         """Signal a process and return its exit status, if it exits in time."""
-        if process.poll() is None:
-            process.send_signal(number)
+        self._watch.tell(process, number)
         try:
             return await asyncio.to_thread(process.wait, EXIT_WAIT_S)
         except subprocess.TimeoutExpired:
-            process.kill()
+            self._watch.tell(process, signal.SIGKILL, overdue=True)
             return None
 
     def _start_node(self, machine: platform_processes.Machine, target: int) -> None:
         if machine.node.poll() is not None:
+            self._watch.look(self._platform)
             machine.node = self._platform.start_node(machine.name)
+            self._watch.add(machine.name, machine.node)
             self._callers[target].incarnation += 1
 
 
@@ -378,6 +593,16 @@
     schedule.Kind.BACKEND_LIMIT: Run._backend_limit,
     schedule.Kind.BACKEND_LEAVING: Run._backend_leaving,
     schedule.Kind.CONNECTIONS_SILENT: Run._silence,
+    schedule.Kind.NODE_STOP_RELOAD: Run._node_stop_reload,
+    schedule.Kind.NODE_STOP_TWICE: Run._node_stop_twice,
+    schedule.Kind.NODE_STOP_PAUSE: Run._node_stop_pause,
+    schedule.Kind.NODE_START_STOP: Run._node_start_stop,
+    schedule.Kind.NODE_START_HALF: Run._node_start_half,
+    schedule.Kind.NODE_ADDRESS_HELD: Run._node_address_held,
+    schedule.Kind.NODE_SETTINGS_HALF: Run._node_settings_half,
+    schedule.Kind.NODE_STARVED: Run._node_starved,
+    schedule.Kind.BACKEND_STALL: Run._backend_pause,
+    schedule.Kind.CALLERS_LEAVE: Run._callers_leave,
 }
 
 
@@ -406,6 +631,8 @@
     reported: bool = False,
     silenced: bool = False,
     unrelated: bool = False,
+    lasts: bool = False,
+    calm: bool = False,
 ) -> Verdict:
     """Play the run of a seed and check it."""
     steps = schedule.draw(
@@ -417,13 +644,20 @@
         reported=reported,
         silenced=silenced,
         unrelated=unrelated,
+        lasting=lasts,
+        calm=calm,
     )
-    run = Run(folder, machines=machines)
+    rng = random.Random(f"requests {seed}") if lasts else None
+    run = Run(folder, machines=machines, rng=rng)
     observed = asyncio.run(run.play(steps))
+    violations = checks.violations(observed, timing=timing)
+    if lasts:
+        violations += promises.violations(observed, timing=timing)
     return Verdict(
         seed=seed,
-        attempts=len(observed.attempts),
-        served=sum(attempt.status == 200 for attempt in observed.attempts),
+        attempts=len(observed.attempts) + len(observed.exchanges),
+        served=sum(attempt.status == 200 for attempt in observed.attempts)
+        + sum(exchange.status in SUCCESSES for exchange in observed.exchanges),
         steps=[f"{s.at:g} {s.kind.value} m{s.target} {s.duration_s:g}" for s in steps],
-        violations=checks.violations(observed, timing=timing),
+        violations=violations,
     )
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -35,7 +35,33 @@
     BACKEND_LEAVING = "backend-leaving"
     CONNECTIONS_SILENT = "connections-silent"
     BACKEND_UNRELATED = "backend-unrelated"
-
+    NODE_STOP_RELOAD = "node-stop-reload"
+    NODE_STOP_TWICE = "node-stop-twice"
+    NODE_STOP_PAUSE = "node-stop-pause"
+    NODE_START_STOP = "node-start-stop"
+    NODE_START_HALF = "node-start-half"
+    NODE_ADDRESS_HELD = "node-address-held"
+    NODE_SETTINGS_HALF = "node-settings-half"
+    NODE_STARVED = "node-starved"
+    BACKEND_STALL = "backend-stall"
+    CALLERS_LEAVE = "callers-leave"
+
+
+LASTING_KINDS = (
+    Kind.NODE_STOP,
+    Kind.NODE_STOP_RELOAD,
+    Kind.NODE_STOP_TWICE,
+    Kind.NODE_STOP_PAUSE,
+    Kind.NODE_START_STOP,
+    Kind.NODE_START_HALF,
+    Kind.NODE_ADDRESS_HELD,
+    Kind.NODE_SETTINGS_HALF,
+    Kind.NODE_STARVED,
+    Kind.BACKEND_STALL,
+    Kind.BACKEND_DRAIN,
+    Kind.CALLERS_LEAVE,
+)
+"""Steps under requests that last."""
 
 SEPARATELY_DRAWN = frozenset(
     {
@@ -45,6 +71,16 @@
         Kind.BACKEND_LEAVING,
         Kind.CONNECTIONS_SILENT,
         Kind.BACKEND_UNRELATED,
+        Kind.NODE_STOP_RELOAD,
+        Kind.NODE_STOP_TWICE,
+        Kind.NODE_STOP_PAUSE,
+        Kind.NODE_START_STOP,
+        Kind.NODE_START_HALF,
+        Kind.NODE_ADDRESS_HELD,
+        Kind.NODE_SETTINGS_HALF,
+        Kind.NODE_STARVED,
+        Kind.BACKEND_STALL,
+        Kind.CALLERS_LEAVE,
     }
 )
 """Drawn separately: enabling them leaves the other steps of a seed unchanged."""
@@ -65,6 +101,13 @@
         Kind.BACKEND_LIMIT,
         Kind.BACKEND_LEAVING,
         Kind.CONFIGURE,
+        Kind.NODE_STOP_RELOAD,
+        Kind.NODE_STOP_TWICE,
+        Kind.NODE_START_STOP,
+        Kind.NODE_START_HALF,
+        Kind.NODE_ADDRESS_HELD,
+        Kind.NODE_SETTINGS_HALF,
+        Kind.CALLERS_LEAVE,
     }
 )
 """Planned operations, which must not cut requests."""
@@ -93,6 +136,12 @@
 UNRELATED_S = 2.0
 """Minimum duration of unrelated answers."""
 
+MAX_LASTING = 6
+"""Most steps under requests that last, each of them twice at times."""
+
+STALL_S = 1.0
+"""Minimum duration of an upstream that does not read."""
+
 PUBLISHED_AFTER_S = 0.5
 """Longest time from then until a configuration is published."""
 
@@ -127,6 +176,8 @@
     reported: bool = False,
     silenced: bool = False,
     unrelated: bool = False,
+    lasting: bool = False,
+    calm: bool = False,
 ) -> list[Step]:
     """Return the steps of a run, in order of time.
 
@@ -135,6 +186,8 @@
     :param reported: whether backend servers report limits and leaving in answers.
     :param silenced: whether open connections may fall silent for good.
     :param unrelated: whether backend servers send answers that belong to no request.
+    :param lasting: whether requests last, with the steps that go with them.
+    :param calm: whether the common steps are planned ones only.
     """
     rng = random.Random(seed)
     steps: list[Step] = []
@@ -163,9 +216,30 @@
         steps += _silences(random.Random(f"silenced {seed}"), length_s)
     if unrelated:
         steps += _unrelated(random.Random(f"unrelated {seed}"), machines, length_s)
+    if calm:
+        steps = [step for step in steps if step.kind in PLANNED_KINDS]
+    if lasting:
+        steps += _lasting(random.Random(f"lasting {seed}"), machines, length_s)
     return sorted(steps, key=lambda step: step.at)
 
 
+def _lasting(rng: random.Random, machines: int, length_s: float) -> list[Step]:
+    """Return steps under requests that last: in series at one machine or two, which may
+    overlap, with versions published meanwhile."""
+    steps = []
+    for _ in range(rng.randint(3, MAX_LASTING)):
+        kind = rng.choice(LASTING_KINDS)
+        at = rng.uniform(WARM_UP_S, length_s)
+        duration_s = STALL_S + rng.uniform(0.0, 4.0)
+        for target in rng.sample(range(machines), rng.randint(1, min(2, machines))):
+            steps.append(Step(round(at, 3), kind, target, round(duration_s, 3)))
+            at += rng.uniform(0.0, 1.5)
+        if rng.random() < 0.5:
+            steps.append(Step(round(at, 3), Kind.CONFIGURE, 0, 0.0))
+    at = round(rng.uniform(WARM_UP_S, length_s), 3)
+    return [*steps, Step(at, Kind.NODE_STOP, rng.randrange(machines), 0.0)]
+
+
 def _silences(rng: random.Random, length_s: float) -> list[Step]:
     """Return times at which all open connections fall silent, each followed by a
     configuration."""
--- a/tooling/gingerturn_standins/http_server.py
+++ b/tooling/gingerturn_standins/http_server.py
@@ -40,6 +40,12 @@
     duration_s: float = 0.0
 
 
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of responses that have neither a body nor its length."""
+
+UNREAD_OPTION = "unread_ms="
+"""Option of the query: how long the body of the request is left unread."""
+
 PACED_PIECES = 40
 """Pieces in which a body is written that takes a while."""
 
@@ -85,6 +91,16 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        options = self._target.decode("latin-1").partition("?")[2].split("&")
+        for option in options:
+            if option.startswith(UNREAD_OPTION):
+                self._transport.pause_reading()
+                asyncio.get_running_loop().call_later(
+                    float(option.removeprefix(UNREAD_OPTION)) / 1000.0,
+                    self._transport.resume_reading,
+                )
+
     def on_body(self, body: bytes) -> None:
         self._body += body
 
@@ -112,7 +128,9 @@
             self._transport.abort()
             return
         headers = {"content-type": "application/json", **response.headers}
-        if response.pieces is None:
+        if response.status in BODILESS_STATUSES:
+            response = dataclasses.replace(response, body=b"", duration_s=0.0)
+        elif response.pieces is None:
             content_length = len(response.body) + (1000 if response.cut else 0)
             headers["content-length"] = str(content_length)
         else:
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -167,7 +167,7 @@
         return self._spawn(
             name,
             str(ROOT / "platform" / "node.py"),
-            GINGERTURN_BOOT=str(self._settings_path(name)),
+            GINGERTURN_BOOT=str(self.settings_path(name)),
             GINGERTURN_RECORD=str(self.recording_path(name)),
             GINGERTURN_ADVERTISED_PEERS_PORT=str(self._peer_links[name]),
         )
@@ -243,7 +243,8 @@
     def _tails(self) -> dict[str, str]:
         return {name: self.log_of(name)[-600:] for name in self.machines}
 
-    def _settings_path(self, name: str) -> pathlib.Path:
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Return the path of a node's settings."""
         return self.folder / f"{name}.json"
 
     def _write_settings(
@@ -269,7 +270,7 @@
             "service_name": service,
             "platform_config": {"address": f"127.0.0.1:{self._log_link}"},
         }
-        self._settings_path(name).write_text(json.dumps(content))
+        self.settings_path(name).write_text(json.dumps(content))
 
     def _spawn(
         self, name: str, *arguments: str, **variables: str
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -8,8 +8,9 @@
 ``GET /counts`` tells how often each request id ran, and the headers of the last one.
 
 The query of a request may set ``work_ms`` (its work), ``bytes`` (the size of the
-answer), ``over_ms`` (time over which it is written) and ``call`` (path of a call
-that it makes through its node, ``call_after_ms`` into its work).
+answer), ``over_ms`` (time over which it is written), ``status`` (of the answer),
+``unread_ms`` (time for which its body is left unread) and ``call`` (path of a call that
+it makes through its node, ``call_after_ms`` into its work).
 
 Each arrival, run, acknowledged drain and change of the limit is also written to
 standard output as a line of JSON, a run before its work begins.
@@ -138,8 +139,9 @@
         signature = f"signed.{number}"
         headers = {**echoed, **self._reports(), "Response-Signature": signature}
         duration_s = float(options.get("over_ms", 0.0)) / 1000.0
+        status = int(options.get("status", 200))
         return http_server.Response(
-            200, body, headers, cut=self.cut, duration_s=duration_s
+            status, body, headers, cut=self.cut, duration_s=duration_s
         )
 
     async def _call(self, path: str, request: http_server.Request) -> bool:
