--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -288,10 +288,8 @@
 
 
 def _free_pair() -> int:
-    """Return a port that is free together with the next one, neither drawn again."""
-    (first,) = processes.free_ports(1)
+    """Return a port that is free together with the next one."""
     while True:
-        (second,) = processes.free_ports(1)
-        if second == first + 1:
-            return first
-        first = second
+        (port,) = processes.free_ports(1)
+        if processes.is_free(port + 1):
+            return port
