Soak: work after leaving counts from the arrival of the head

The request was an upload whose body the backend server left unread for 3.8 s: it had been sent before, and was logged once it was whole. The log now also has when a head arrived, which is what may not be later than the bound; for requests that arrive whole it is the same.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -113,6 +113,10 @@
     check = checks.leaving_gets_no_work
     assert not _is_violated(check, _observe(tmp_path, entries=(left, in_time)))
     assert _is_violated(check, _observe(tmp_path, entries=(left, late)))
+    long_upload = msgspec.structs.replace(late, reached=START)
+    assert not _is_violated(check, _observe(tmp_path, entries=(left, long_upload)))
+    late_head = msgspec.structs.replace(late, reached=late.at)
+    assert _is_violated(check, _observe(tmp_path, entries=(left, late_head)))
 
 
 def test_a_request_cut_by_a_planned_stop_is_reported(tmp_path: pathlib.Path) -> None:
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -120,7 +120,8 @@
         entry.instance: entry.at for entry in observed.ledger.of("acknowledged")
     }
     for entry in observed.ledger.of("run"):
-        since = entry.at - drained_at.get(entry.instance, entry.at)
+        at = entry.reached or entry.at
+        since = at - drained_at.get(entry.instance, at)
         if since > APPLY_MS:
             yield f"{entry.id} reached {entry.instance} {since:.0f} ms after its drain"
 
--- a/tooling/gingerturn_soak/ledger.py
+++ b/tooling/gingerturn_soak/ledger.py
@@ -16,6 +16,7 @@
     :param event: ``arrived``, ``run``, ``acknowledged`` (its drain) or ``limit`` (the
         rate limit that answers report from then on, as ``id``; empty for none).
     :param at: milliseconds since the epoch.
+    :param reached: when its head had arrived, of a request; its body may arrive later.
     """
 
     event: str
@@ -23,6 +24,7 @@
     instance: str
     service: str
     id: str = ""
+    reached: float = 0.0
 
 
 class Ledger:
--- a/tooling/gingerturn_standins/http_server.py
+++ b/tooling/gingerturn_standins/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import time
 import typing
 
 import httptools
@@ -10,12 +11,16 @@
 
 @dataclasses.dataclass
 class Request:
-    """A complete HTTP request."""
+    """A complete HTTP request.
+
+    :param began: when its head had arrived, in seconds since the epoch.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    began: float = 0.0
 
 
 @dataclasses.dataclass
@@ -64,6 +69,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._later = b""
+        self._began = 0.0
         self._transport: typing.Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -92,6 +98,7 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        self._began = time.time()
         options = self._target.decode("latin-1").partition("?")[2].split("&")
         for option in options:
             if option.startswith(UNREAD_OPTION):
@@ -110,6 +117,7 @@
             target=self._target.decode("latin-1"),
             headers=self._headers,
             body=bytes(self._body),
+            began=self._began,
         )
         keep_alive = self._parser.should_keep_alive()
         self._task = asyncio.get_running_loop().create_task(
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -105,7 +105,7 @@
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
         number = request.headers.get("request-id", "")
-        self._write("arrived", number)
+        self._write("arrived", number, began=request.began)
         expected = request.headers.get("expected-instance", self.instance)
         echoed = {"Request-Id": number, **self._reports()}
         self._arrived += 1
@@ -118,7 +118,7 @@
             headers = {**echoed, "Instance-Id": self.instance}
             return http_server.Response(421, b"", headers)
         self.runs[number] += 1
-        self._write("run", number)
+        self._write("run", number, began=request.began)
         self.last = {**request.headers, "target": request.target}
         options = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
         work_ms = float(options.get("work_ms", self.work_ms))
@@ -175,14 +175,16 @@
             self._write("acknowledged", "")
         self.acknowledged.append(state)
 
-    def _write(self, event: str, number: str) -> None:
-        line = {
+    def _write(self, event: str, number: str, *, began: float = 0.0) -> None:
+        line: dict[str, object] = {
             "event": event,
             "at": time.time() * 1000.0,
             "instance": self.instance,
             "service": self.service,
             "id": number,
         }
+        if began:
+            line["reached"] = began * 1000.0
         print(json.dumps(line, separators=(",", ":")), flush=True)
 
     def next_heartbeat(self) -> dict[str, object]:
