--- a/tooling/gingerturn_soak/lasting.py
+++ b/tooling/gingerturn_soak/lasting.py
@@ -12,19 +12,26 @@
 """Shortest interval between requests of a caller."""
 
 SLOW_RECEIVE_BYTES = 4_096
+CALLERS = 2
+"""Callers of each kind at a machine."""
+
 WAVE_CALLERS = 24
-PROBES = 3
+SLOTS = 12
+"""Requests that a backend server serves at once."""
+
+PROBES = 4
 """Requests at once through each machine and to each service, once all is over."""
 
 Shape = raw_callers.Shape
 
+_DOWNLOAD = Shape(
+    "download", path="/d/x?bytes=800000&over_ms=3500", lasts_s=3.5, answer=800_000
+)
+
 SHAPES = (
-    Shape(
-        "download",
-        path="/d/x?bytes=800000&over_ms=3500",
-        lasts_s=3.5,
-        answer=800_000,
-    ),
+    _DOWNLOAD,
+    _DOWNLOAD,
+    _DOWNLOAD,
     Shape("work", path="/l/x?work_ms=900", lasts_s=0.9),
     Shape("upload", "POST", "/w/x", body=60_000, upload_s=1.5, answer=60_000),
     Shape("upload-large", "POST", "/w/x", body=400_000, upload_s=1.5, answer=400_000),
@@ -87,8 +94,8 @@
 
 
 class Fleet:
-    """The callers of one machine: one with new connections, one that keeps its own, and
-    one that keeps it and has a small receive buffer.
+    """The callers of one machine: with new connections, with kept ones, and with kept
+    ones and a small receive buffer.
 
     :param port: where the node accepts callers.
     """
@@ -96,11 +103,14 @@
     def __init__(self, name: str, port: int) -> None:
         self._name = name
         self._port = port
-        self._callers = [
-            self._caller("new", kept=False),
-            self._caller("kept", kept=True),
-            self._caller("small", kept=True, receive_bytes=SLOW_RECEIVE_BYTES),
-        ]
+        self._callers: list[raw_callers.Caller] = []
+        for number in range(CALLERS):
+            small = SLOW_RECEIVE_BYTES
+            self._callers += [
+                self._caller(f"new{number}", kept=False),
+                self._caller(f"kept{number}", kept=True),
+                self._caller(f"small{number}", kept=True, receive_bytes=small),
+            ]
         self._waves = 0
 
     def _caller(
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -107,7 +107,10 @@
     async def play(self, steps: list[schedule.Step]) -> checks.Observations:
         """Run a schedule and return the observations."""
         (link,) = processes.free_ports(1)
-        self._platform = platform_processes.Platform(self._folder, log_link=link)
+        slots = platform_upstream.SLOTS if self._rng is None else lasting.SLOTS
+        self._platform = platform_processes.Platform(
+            self._folder, log_link=link, slots=slots
+        )
         with self._platform:
             self._log_link = proxy.Proxy(link, self._platform.store_port)
             await self._log_link.start()
@@ -342,7 +345,9 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
             with contextlib.suppress(OSError):
+                # Bound beside what earlier connections left, but not shared.
                 holder.bind(("127.0.0.1", machine.ports[name]))
+                holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
                 holder.connect(("127.0.0.1", self._platform.store_port))
             self._start_node(machine, step.target)
             await asyncio.sleep(step.duration_s / 2.0)
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -12,7 +12,7 @@
 
 import httpx
 
-from gingerturn_standins import processes
+from gingerturn_standins import platform_upstream, processes
 
 ROOT = processes.ROOT
 STOP_S = 10.0
@@ -81,9 +81,17 @@
 
     :param folder: where settings and logs are written.
     :param log_link: port through which nodes reach the store, in place of its own.
+    :param slots: number of requests that each upstream reports to serve at once.
     """
 
-    def __init__(self, folder: pathlib.Path, *, log_link: int | None = None) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        log_link: int | None = None,
+        slots: int = platform_upstream.SLOTS,
+    ) -> None:
+        self._slots = slots
         self.folder = folder
         self.machines: dict[str, Machine] = {}
         (self.store_port,) = processes.free_ports(1)
@@ -160,6 +168,7 @@
             *("--instance", instance),
             *("--control", f"127.0.0.1:{ports['control']}"),
             *("--entry", f"127.0.0.1:{ports['outbound']}"),
+            *("--slots", str(self._slots)),
         )
 
     def start_node(self, name: str) -> subprocess.Popen[bytes]:
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -33,6 +33,7 @@
 from gingerturn_standins import http_server
 
 HEARTBEAT_INTERVAL_S = 0.2
+SLOTS = 8
 DEADLY_PATH = "/deadly"
 DEADLY_EXIT = 70
 """Exit status after a request with ``DEADLY_PATH`` in its path, which crashes the
@@ -58,12 +59,20 @@
 
     :param address: address that its heartbeats announce.
     :param entry: address of its node for calls of its own.
+    :param slots: number of requests that it reports to serve at once.
     """
 
     def __init__(
-        self, *, service: str, address: str, instance: str, entry: str = ""
+        self,
+        *,
+        service: str,
+        address: str,
+        instance: str,
+        entry: str = "",
+        slots: int = SLOTS,
     ) -> None:
         self.service = service
+        self._slots = slots
         self._entry = entry
         self.address = address
         self.instance = instance
@@ -196,7 +205,7 @@
                 "service_name": self.service,
                 "version": "v1",
                 "zone": "a",
-                "slots": 8,
+                "slots": self._slots,
             },
             "status": {
                 "state": self.state,
@@ -238,6 +247,7 @@
 @click.option("--instance", required=True)
 @click.option("--control", required=True, help="IP:PORT for heartbeats.")
 @click.option("--entry", default="", help="IP:PORT for calls of its own.")
+@click.option("--slots", default=SLOTS, help="Requests served at once.")
 def main(
     service: str,
     port: int,
@@ -245,6 +255,7 @@
     instance: str,
     control: str,
     entry: str,
+    slots: int,
 ) -> None:
     """Run the stand-in until SIGTERM."""
 
@@ -254,6 +265,7 @@
             address=f"127.0.0.1:{announce or port}",
             instance=instance,
             entry=entry,
+            slots=slots,
         )
         server = await http_server.serve(upstream.handle, "127.0.0.1", port)
         stop = asyncio.Event()
