--- a/tooling/gingerturn_standins/http_server.py
+++ b/tooling/gingerturn_standins/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import time
 import typing
 
 import httptools
@@ -10,12 +11,16 @@
 
 @dataclasses.dataclass
 class Request:
-    """A complete HTTP request."""
+    """A complete HTTP request.
+
+    :param began: when its head had arrived, in seconds since the epoch.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    began: float = 0.0
 
 
 @dataclasses.dataclass
@@ -40,6 +45,12 @@
     duration_s: float = 0.0
 
 
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of responses that have neither a body nor its length."""
+
+UNREAD_OPTION = "unread_ms="
+"""Option of the query: how long the body of the request is left unread."""
+
 PACED_PIECES = 40
 """Pieces in which a body is written that takes a while."""
 
@@ -58,6 +69,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._later = b""
+        self._began = 0.0
         self._transport: typing.Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,6 +97,17 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        self._began = time.time()
+        options = self._target.decode("latin-1").partition("?")[2].split("&")
+        for option in options:
+            if option.startswith(UNREAD_OPTION):
+                self._transport.pause_reading()
+                asyncio.get_running_loop().call_later(
+                    float(option.removeprefix(UNREAD_OPTION)) / 1000.0,
+                    self._transport.resume_reading,
+                )
+
     def on_body(self, body: bytes) -> None:
         self._body += body
 
@@ -94,6 +117,7 @@
             target=self._target.decode("latin-1"),
             headers=self._headers,
             body=bytes(self._body),
+            began=self._began,
         )
         keep_alive = self._parser.should_keep_alive()
         self._task = asyncio.get_running_loop().create_task(
@@ -112,7 +136,9 @@
             self._transport.abort()
             return
         headers = {"content-type": "application/json", **response.headers}
-        if response.pieces is None:
+        if response.status in BODILESS_STATUSES:
+            response = dataclasses.replace(response, body=b"", duration_s=0.0)
+        elif response.pieces is None:
             content_length = len(response.body) + (1000 if response.cut else 0)
             headers["content-length"] = str(content_length)
         else:
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -12,7 +12,7 @@
 
 import httpx
 
-from gingerturn_standins import processes
+from gingerturn_standins import platform_upstream, processes
 
 ROOT = processes.ROOT
 STOP_S = 10.0
@@ -81,9 +81,17 @@
 
     :param folder: where settings and logs are written.
     :param log_link: port through which nodes reach the store, in place of its own.
+    :param slots: number of requests that each upstream reports to serve at once.
     """
 
-    def __init__(self, folder: pathlib.Path, *, log_link: int | None = None) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        log_link: int | None = None,
+        slots: int = platform_upstream.SLOTS,
+    ) -> None:
+        self._slots = slots
         self.folder = folder
         self.machines: dict[str, Machine] = {}
         (self.store_port,) = processes.free_ports(1)
@@ -160,6 +168,7 @@
             *("--instance", instance),
             *("--control", f"127.0.0.1:{ports['control']}"),
             *("--entry", f"127.0.0.1:{ports['outbound']}"),
+            *("--slots", str(self._slots)),
         )
 
     def start_node(self, name: str) -> subprocess.Popen[bytes]:
@@ -167,7 +176,7 @@
         return self._spawn(
             name,
             str(ROOT / "platform" / "node.py"),
-            GINGERTURN_BOOT=str(self._settings_path(name)),
+            GINGERTURN_BOOT=str(self.settings_path(name)),
             GINGERTURN_RECORD=str(self.recording_path(name)),
             GINGERTURN_ADVERTISED_PEERS_PORT=str(self._peer_links[name]),
         )
@@ -243,7 +252,8 @@
     def _tails(self) -> dict[str, str]:
         return {name: self.log_of(name)[-600:] for name in self.machines}
 
-    def _settings_path(self, name: str) -> pathlib.Path:
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Return the path of a node's settings."""
         return self.folder / f"{name}.json"
 
     def _write_settings(
@@ -269,7 +279,7 @@
             "service_name": service,
             "platform_config": {"address": f"127.0.0.1:{self._log_link}"},
         }
-        self._settings_path(name).write_text(json.dumps(content))
+        self.settings_path(name).write_text(json.dumps(content))
 
     def _spawn(
         self, name: str, *arguments: str, **variables: str
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -8,8 +8,9 @@
 ``GET /counts`` tells how often each request id ran, and the headers of the last one.
 
 The query of a request may set ``work_ms`` (its work), ``bytes`` (the size of the
-answer), ``over_ms`` (time over which it is written) and ``call`` (path of a call
-that it makes through its node, ``call_after_ms`` into its work).
+answer), ``over_ms`` (time over which it is written), ``status`` (of the answer),
+``unread_ms`` (time for which its body is left unread) and ``call`` (path of a call that
+it makes through its node, ``call_after_ms`` into its work).
 
 Each arrival, run, acknowledged drain and change of the limit is also written to
 standard output as a line of JSON, a run before its work begins.
@@ -32,6 +33,7 @@
 from gingerturn_standins import http_server
 
 HEARTBEAT_INTERVAL_S = 0.2
+SLOTS = 8
 DEADLY_PATH = "/deadly"
 DEADLY_EXIT = 70
 """Exit status after a request with ``DEADLY_PATH`` in its path, which crashes the
@@ -57,12 +59,20 @@
 
     :param address: address that its heartbeats announce.
     :param entry: address of its node for calls of its own.
+    :param slots: number of requests that it reports to serve at once.
     """
 
     def __init__(
-        self, *, service: str, address: str, instance: str, entry: str = ""
+        self,
+        *,
+        service: str,
+        address: str,
+        instance: str,
+        entry: str = "",
+        slots: int = SLOTS,
     ) -> None:
         self.service = service
+        self._slots = slots
         self._entry = entry
         self.address = address
         self.instance = instance
@@ -104,7 +114,7 @@
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
         number = request.headers.get("request-id", "")
-        self._write("arrived", number)
+        self._write("arrived", number, began=request.began)
         expected = request.headers.get("expected-instance", self.instance)
         echoed = {"Request-Id": number, **self._reports()}
         self._arrived += 1
@@ -117,7 +127,7 @@
             headers = {**echoed, "Instance-Id": self.instance}
             return http_server.Response(421, b"", headers)
         self.runs[number] += 1
-        self._write("run", number)
+        self._write("run", number, began=request.began)
         self.last = {**request.headers, "target": request.target}
         options = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
         work_ms = float(options.get("work_ms", self.work_ms))
@@ -138,8 +148,9 @@
         signature = f"signed.{number}"
         headers = {**echoed, **self._reports(), "Response-Signature": signature}
         duration_s = float(options.get("over_ms", 0.0)) / 1000.0
+        status = int(options.get("status", 200))
         return http_server.Response(
-            200, body, headers, cut=self.cut, duration_s=duration_s
+            status, body, headers, cut=self.cut, duration_s=duration_s
         )
 
     async def _call(self, path: str, request: http_server.Request) -> bool:
@@ -173,14 +184,16 @@
             self._write("acknowledged", "")
         self.acknowledged.append(state)
 
-    def _write(self, event: str, number: str) -> None:
-        line = {
+    def _write(self, event: str, number: str, *, began: float = 0.0) -> None:
+        line: dict[str, object] = {
             "event": event,
             "at": time.time() * 1000.0,
             "instance": self.instance,
             "service": self.service,
             "id": number,
         }
+        if began:
+            line["reached"] = began * 1000.0
         print(json.dumps(line, separators=(",", ":")), flush=True)
 
     def next_heartbeat(self) -> dict[str, object]:
@@ -192,7 +205,7 @@
                 "service_name": self.service,
                 "version": "v1",
                 "zone": "a",
-                "slots": 8,
+                "slots": self._slots,
             },
             "status": {
                 "state": self.state,
@@ -234,6 +247,7 @@
 @click.option("--instance", required=True)
 @click.option("--control", required=True, help="IP:PORT for heartbeats.")
 @click.option("--entry", default="", help="IP:PORT for calls of its own.")
+@click.option("--slots", default=SLOTS, help="Requests served at once.")
 def main(
     service: str,
     port: int,
@@ -241,6 +255,7 @@
     instance: str,
     control: str,
     entry: str,
+    slots: int,
 ) -> None:
     """Run the stand-in until SIGTERM."""
 
@@ -250,6 +265,7 @@
             address=f"127.0.0.1:{announce or port}",
             instance=instance,
             entry=entry,
+            slots=slots,
         )
         server = await http_server.serve(upstream.handle, "127.0.0.1", port)
         stop = asyncio.Event()
