The platform's requests with an idempotency key are served

Callers saw 502 'log unavailable' at once, with a sound store: on the platform no log serves claims, but a request with the header Idempotency-Key (a UUIDv7) still led to one.

Cause: the header's name was fixed, while all others follow from the dialect.

--- a/src/gingerturn/dialect.py
+++ b/src/gingerturn/dialect.py
@@ -17,6 +17,8 @@
     :param request_id: id of the request, which backend servers repeat in responses so
         that a response to another request is detected.
     :param api_key: from callers: the bare API key; it is not forwarded.
+    :param key: from callers: idempotency key of an unrepeatable request; empty where
+        the log does not serve claims of keys, which are forwarded like other headers.
     :param workspace: to backend servers: workspace of the request's API key.
     :param caller_service: to backend servers: service beside the entry node.
     :param instance: to backend servers: instance that the request is meant for.
@@ -41,6 +43,7 @@
     deadline: bytes = b"gingerturn-deadline-ms"
     request_id: bytes = b""
     api_key: bytes = b"gingerturn-api-key"
+    key: bytes = b"idempotency-key"
     workspace: bytes = b"gingerturn-workspace"
     caller_service: bytes = b""
     instance: bytes = b""
--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -33,7 +33,6 @@
 timeout of the dialect and :data:`SENDING_HEADER` are read."""
 
 SENDING_HEADER = b"gingerturn-sending"
-KEY_HEADER = b"idempotency-key"
 
 Header = tuple[bytes, bytes]
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -449,7 +449,7 @@
         if not self._node.state.routed and not self._node.knows_service(service):
             self._answer_unknown(request, service)
             return
-        key = caller_requests.text_header(request, heads.KEY_HEADER)
+        key = caller_requests.text_header(request, dialect.key)
         holder = ""
         if tickets.is_ticket(key):
             try:
--- a/tests/nocover/test_on_platform.py
+++ b/tests/nocover/test_on_platform.py
@@ -60,6 +60,7 @@
     path: str = "/a/x?y=1",
     method: str = "GET",
     content: bytes = b"",
+    key: str = "",
 ) -> httpx.Response:
     headers = {
         "Host": "shop.example",
@@ -68,6 +69,8 @@
         "Caller-Service": "forged",
         "Expected-Instance": "forged",
     }
+    if key:
+        headers["Idempotency-Key"] = key
     with httpx.Client(trust_env=False, timeout=10.0) as client:
         return client.request(
             method, machine.entry + path, headers=headers, content=content
@@ -104,6 +107,18 @@
     assert _runs(platform, "q2") == 1
 
 
+# Guards against a key that is claimed where nothing serves claims: the request failed.
+def test_an_idempotency_key_is_forwarded_like_other_headers(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["plans-1"]
+    key = "019af9a8-7c1e-7b6a-9d51-3f2c4b5a6d7e"
+    reply = _request(entry, "q3", path="/p/", method="POST", content=b"x", key=key)
+    assert reply.status_code == 200, reply.text
+    last = platform.machines["porting-1"].counts()["last"]
+    assert last["idempotency-key"] == key  # type: ignore[comparison-overlap]
+
+
 def test_a_change_of_the_configuration_is_in_force_everywhere(
     platform: platform_processes.Platform,
 ) -> None:
