Stops of a node: two tests that fail, with real processes

A download that ends 4.3 s after SIGTERM is cut at 4.0 s; an upload that ends 4.5 s after it is closed without an answer at 4.0 s. Both are below the drain timeout of 5.5 s.

--- /dev/null
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -0,0 +1,128 @@
+"""Planned stops of real nodes, with requests that outlast the linger time."""
+
+import asyncio
+import collections.abc
+import pathlib
+import signal
+
+import pytest
+
+from gingerturn_soak import raw_callers
+from gingerturn_standins import platform_processes
+
+Ending = raw_callers.Ending
+Shape = raw_callers.Shape
+
+BEFORE_S = 0.3
+"""Time before SIGTERM at which the first requests are sent."""
+
+EXIT_WAIT_S = 6.0
+"""The grace, after which the platform kills a process."""
+
+ROUTE = {
+    "hostname": raw_callers.HOST,
+    "timeout_ms": 7_000,
+    "target_latency_ms": 1_500,
+    "priority": 0,
+    "max_attempts": 1,
+}
+ROUTES = (
+    {**ROUTE, "name": "r-d", "path_prefix": "/d/", "route_type": "download"}
+    | {"service_name": "plans"},
+    {**ROUTE, "name": "r-p", "path_prefix": "/p/", "route_type": "non_idempotent"}
+    | {"service_name": "plans"},
+    {**ROUTE, "name": "r-c", "path_prefix": "/c/", "route_type": "safe"}
+    | {"service_name": "porting"},
+)
+
+# Ends 4.3 s after SIGTERM, between the linger time and the drain timeout.
+DOWNLOAD = Shape("download", path="/d/x?bytes=800000&over_ms=4600")
+
+
+@pytest.fixture
+def platform(
+    tmp_path: pathlib.Path,
+) -> collections.abc.Iterator[platform_processes.Platform]:
+    """Start two machines with routes to both of their upstreams."""
+    with platform_processes.Platform(tmp_path) as made:
+        made.configure(*ROUTES)
+        made.add("plans-1", service="plans")
+        made.add("porting-1", service="porting")
+        made.wait_ready()
+        yield made
+
+
+async def _send(
+    entry: platform_processes.Machine, shape: Shape, at_s: float
+) -> raw_callers.Exchange:
+    """Send a request over a new connection.
+
+    :param at_s: when, in seconds after SIGTERM.
+    """
+    await asyncio.sleep(BEFORE_S + at_s)
+    caller = raw_callers.Caller(
+        f"{shape.name}-{at_s}", entry.name, entry.ports["outbound"], kept=True
+    )
+    return await caller.send(shape)
+
+
+async def _stop(
+    entry: platform_processes.Machine,
+    sent: collections.abc.Sequence[tuple[float, Shape]],
+    *stopping: platform_processes.Machine,
+    signals: collections.abc.Sequence[tuple[float, signal.Signals]] = (),
+) -> tuple[list[raw_callers.Exchange], list[int]]:
+    """Stop nodes under requests; return the exchanges and the exit statuses.
+
+    :param sent: requests and when they are sent, in seconds after SIGTERM.
+    :param signals: further signals to the nodes and when they are sent.
+    """
+    exchanges = [asyncio.create_task(_send(entry, shape, at_s)) for at_s, shape in sent]
+    await asyncio.sleep(BEFORE_S)
+    for machine in stopping:
+        machine.node.send_signal(signal.SIGTERM)
+
+    async def signal_later(at_s: float, number: signal.Signals) -> None:
+        await asyncio.sleep(at_s)
+        for machine in stopping:
+            machine.node.send_signal(number)
+
+    later = [asyncio.create_task(signal_later(*entry)) for entry in signals]
+    statuses = [
+        await asyncio.to_thread(machine.node.wait, EXIT_WAIT_S) for machine in stopping
+    ]
+    await asyncio.gather(*later)
+    return [await task for task in exchanges], statuses
+
+
+def _is_whole(exchange: raw_callers.Exchange) -> bool:
+    return exchange.ending is Ending.ANSWERED and exchange.status == 200
+
+
+def _runs(made: platform_processes.Platform, number: str) -> int:
+    return sum(m.counts()["runs"].get(number, 0) for m in made.machines.values())
+
+
+# Guards against answers that are cut in their body, since a stop waits only until
+# their heads are relayed.
+def test_an_answer_that_flows_past_the_linger_time_is_whole(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    (exchange,), statuses = asyncio.run(_stop(entry, [(-BEFORE_S, DOWNLOAD)], entry))
+    assert _is_whole(exchange), exchange
+    assert statuses == [0]
+
+
+# Guards against requests that are closed without an answer, since a stop does not
+# wait for one whose body still arrives.
+def test_an_upload_that_ends_after_the_linger_time_is_answered(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    upload = Shape("upload", "POST", "/p/x", body=60_000, upload_s=3.0)
+    (exchange,), statuses = asyncio.run(_stop(entry, [(1.5, upload)], entry))
+    assert exchange.ending is Ending.ANSWERED, exchange
+    assert exchange.status in {200, 503}, exchange
+    assert _runs(platform, exchange.id) == (exchange.status == 200)
+    assert statuses == [0]
