A planned stop waits for one list: all that was accepted and not delivered

Cause: a stop ended by conditions that did not cover what was accepted. The core forgets a call when the head of its answer is relayed, and a request whose body still arrives is no call yet; after the linger time both had one second. Connections were closed with bytes in their write buffers, which the event loop dropped at its end, and the listener accepted connections that were cut afterwards.

Change: shell.open_work lists what was accepted: requests of callers from their heads on, answers until the peer's machine acknowledged them (write buffer and SIOCOUTQ), calls hosted for other nodes, publications. shell.stops waits until the core has stopped and the list is empty in two checks, at most until the drain timeout. The listener closes when the core has stopped, after the connections in the kernel's queue were accepted; it stays open while a hosted call runs, whose backend server may call over new connections. At the end of the grace, what is not dispatched yet is refused as not run. A kept connection whose answer was begun before the stop stays open and its next request is answered, in place of a close that crosses it. Closed connections are flushed before the process ends. What is cut is a line each, 20 at most, with request, phase, bytes and upstream; status 3 only then, or after an interrupt.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -93,7 +93,7 @@
         call = arrivals.child_call(state, event, rule, parent)
         call.workspace = workspace
     state.calls[call.id] = call
-    if state.stopping and parent is None and not _served_while_stopping(state):
+    if state.stopping and not _served_while_stopping(state, parent):
         refusals.refuse(state, call, decisions.Rule.STOPPING, out)
         return
     if not _check_key(state, call, event, out):
@@ -344,13 +344,16 @@
     return event.status >= FIRST_FAILURE_STATUS
 
 
-def _served_while_stopping(state: states.State) -> bool:
-    """Whether a stopping node still serves callers.
+def _served_while_stopping(state: states.State, parent: states.Hosted | None) -> bool:
+    """Whether a stopping node still serves a call.
 
-    A load balancer notices the node's readiness with a delay of seconds, in which the
-    node can still send calls to other upstreams.
+    A call that the backend server beside makes is served for the sake of its parent.
+    For others, a load balancer notices the node's readiness with a delay of seconds, in
+    which the node can still send calls to other upstreams.
     """
-    return state.routed and state.now < state.stop_after
+    if state.stopped:
+        return False
+    return parent is not None or (state.routed and state.now < state.stop_after)
 
 
 def _check_key(
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -10,7 +10,7 @@
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
-from gingerturn.internal.shell import node as nodes, starting
+from gingerturn.internal.shell import node as nodes, open_work, starting, stops
 
 ADMIN_STOP_S = 2.0
 """Timeout of the administration API's shutdown, after the node has closed."""
@@ -108,18 +108,19 @@
     drained = await _wait_stopped(
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
     )
-    unfinished = len(node.state.calls) + len(node.state.hosted)
+    cut = list(open_work.items(node))
     left_over = _left_over(node)
+    open_work.log_cut(cut)
     if administration is not None:
         administration.stop()
     await node.close()
     if administration is not None:
         await administration.ended()
-    if drained:
+    if drained and not cut:
         logs.write("INFO", "node", "Stopped; no call was cut.", **left_over)
         return EXIT_CLEAN
     logs.write(
-        "WARNING", "node", f"Stopped early; {unfinished} calls were cut.", **left_over
+        "WARNING", "node", f"Stopped early; {len(cut)} calls were cut.", **left_over
     )
     return EXIT_DRAIN_CUT
 
@@ -231,7 +232,7 @@
     node: nodes.Node, interrupted: asyncio.Event, limit: float
 ) -> bool:
     """Wait for the end of a planned stop; return whether it completed."""
-    ended = asyncio.create_task(nodes.run(node))
+    ended = asyncio.create_task(stops.run(node))
     interruption = asyncio.create_task(interrupted.wait())
     done, waiting = await asyncio.wait(
         {ended, interruption}, timeout=limit, return_when=asyncio.FIRST_COMPLETED
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -17,6 +17,7 @@
     clock,
     connection_ends,
     heads,
+    sockets,
     tickets,
 )
 
@@ -352,6 +353,27 @@
         """Bytes of answers that the kernel has not taken yet."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def accepted_requests(self) -> tuple[caller_requests.Request, ...]:
+        """Requests whose head was read and whose answer is not written, in order."""
+        return tuple(self._requests)
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of answers that the caller's machine has not acknowledged."""
+        return sockets.undelivered_bytes(self._transport)
+
+    def dispatch_all(self) -> None:
+        """Dispatch every request, also before its body has arrived.
+
+        For the end of a stop, when every call is refused on its arrival.
+        """
+        for request in self.accepted_requests:
+            if self._closing or self._final_response:
+                return
+            if not request.dispatched:
+                self._dispatch(request)
+
     def check_timeout(self, now: ids.Milliseconds) -> None:
         """Close the connection if a head or the next request did not arrive in time."""
         if self._requests or self._closing:
@@ -373,6 +395,10 @@
         self._close_cause = cause
         self._transport.close()
 
+    def abort_transport(self) -> None:
+        """Close the connection without flushing the write buffer."""
+        self._transport.abort()
+
     def _current(self) -> caller_requests.Request:
         if self._reading is None:
             self._reading = caller_requests.Request(self)
@@ -532,9 +558,6 @@
         if self._final_response and not self._requests:
             self._send_final_response()
             return
-        if self._node.stopping and not self._requests:
-            self.close("stopping")
-            return
         if len(self._requests) <= MAX_PIPELINED:
             self._transport.resume_reading()
         if self._requests and not self._requests[0].complete:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -64,6 +64,11 @@
 
 MIN_REPORTED_LAG_MS = 100.0
 
+FLUSH_TIMEOUT_S = 0.1
+"""Time for which a node that closes waits until its connections are flushed."""
+
+FLUSH_CHECK_S = 0.005
+
 Handlers = dict[type[effects.Effect], collections.abc.Callable[[typing.Any], None]]
 """The handler of each type of effect."""
 
@@ -175,6 +180,16 @@
         """Whether a planned stop is in progress."""
         return self.state.stopping
 
+    @property
+    def callers_server(self) -> asyncio.Server | None:
+        """The listener of callers' connections, once the node has started."""
+        return self._servers[0] if self._servers else None
+
+    @property
+    def publications(self) -> collections.abc.Iterable[str]:
+        """Ids of the publications whose outcome is not known yet."""
+        return self._publications.keys()
+
     @property
     def stop_age_ms(self) -> int:
         """Time since the planned stop began; -1 if none is in progress."""
@@ -307,6 +322,7 @@
         for accepted in list(self.accepted):
             accepted.close()
         self.gossip.close()
+        await self._flush()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -321,6 +337,22 @@
             # logged digest.
             self._recorder = None
 
+    async def _flush(self) -> None:
+        """Wait until closed connections are flushed, and abort those that are not.
+
+        The event loop would drop what they buffer when it closes.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                while self.caller_connections or self.accepted:
+                    await asyncio.sleep(FLUSH_CHECK_S)
+        for connection in list(self.caller_connections):
+            connection.abort_transport()
+        for accepted in list(self.accepted):
+            accepted.abort_transport()
+        # Lets the event loop report the aborted connections as lost.
+        await asyncio.sleep(0)
+
     def apply(self, event: events.Event) -> None:
         """Apply an event and carry out its effects."""
         self._queue.append(event)
@@ -573,12 +605,3 @@
             step="listen",
             peer=f"{host}:{port}",
         ) from None
-
-
-async def run(node: Node) -> None:
-    """Wait for a node's planned stop, then briefly for its callers' connections."""
-    await node.stopped.wait()
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(1.0):
-            while not all(c.idle for c in node.caller_connections):
-                await asyncio.sleep(0.01)
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -119,11 +119,20 @@
         """Handle a frame of an authenticated peer."""
         raise NotImplementedError
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Written bytes that the peer's machine has not acknowledged."""
+        return sockets.undelivered_bytes(self._transport)
+
     def close(self) -> None:
         """Close after flushing buffered data."""
         self._closed_here = True
         self._transport.close()
 
+    def abort_transport(self) -> None:
+        """Close without flushing buffered data."""
+        self._abort()
+
     def _abort(self) -> None:
         self._closed_here = True
         self._transport.abort()
--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -1,4 +1,4 @@
-"""TCP options that detect dead peers.
+"""Socket options that detect dead peers, and what a socket has not delivered.
 
 A peer that lost power, or a connection that a middlebox dropped, sends no RST; with its
 defaults the kernel takes minutes to report the loss. Connections to nodes and to the
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 USER_TIMEOUT_MS = 3_000
 """Time after which a connection with unacknowledged bytes, or with a closed receive
@@ -39,3 +42,21 @@
     if sock is not None:
         for option in KEEPALIVE:
             sock.setsockopt(*option)
+
+
+def undelivered_bytes(transport: asyncio.Transport) -> int:
+    """Return the written bytes that the peer's machine has not acknowledged.
+
+    Where the system does not tell this of a socket, its bytes count as acknowledged
+    once the kernel has taken them.
+    """
+    buffered = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return buffered
+    try:
+        # TIOCOUTQ of a terminal is SIOCOUTQ of a socket.
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        return buffered
+    return buffered + int(struct.unpack("i", queued)[0])
--- a/tests/common/transports.py
+++ b/tests/common/transports.py
@@ -10,6 +10,10 @@
         self.written = bytearray()
         self.closed = False
         self.reading = True
+        self.buffered = 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.buffered
 
     def write(self, data: bytes) -> None:
         assert not self.closed
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -87,7 +87,7 @@
         for machine in stopping:
             machine.node.send_signal(number)
 
-    later = [asyncio.create_task(signal_later(*entry)) for entry in signals]
+    later = [asyncio.create_task(signal_later(*moment)) for moment in signals]
     statuses = [
         await asyncio.to_thread(machine.node.wait, EXIT_WAIT_S) for machine in stopping
     ]
