Stops: exit status 0 unless something was cut; tests of stops in series

A drain timeout with nothing open is no longer status 3, and a request that arrives between the last check and the end is not counted as cut. An interrupt stays 3.

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -108,7 +108,7 @@
     drained = await _wait_stopped(
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
     )
-    cut = list(open_work.items(node))
+    cut = [] if drained else list(open_work.items(node))
     left_over = _left_over(node)
     open_work.log_cut(cut)
     if administration is not None:
@@ -116,7 +116,7 @@
     await node.close()
     if administration is not None:
         await administration.ended()
-    if drained and not cut:
+    if not cut and not interrupted.is_set():
         logs.write("INFO", "node", "Stopped; no call was cut.", **left_over)
         return EXIT_CLEAN
     logs.write(
--- a/src/gingerturn/internal/shell/stops.py
+++ b/src/gingerturn/internal/shell/stops.py
@@ -28,13 +28,15 @@
     await close_callers_door(node)
     idle_checks = 0
     has_refused = False
-    while idle_checks < IDLE_CHECKS:
+    while True:
         if not has_refused and clock.now() >= node.state.stop_by:
             has_refused = True
             for connection in list(node.caller_connections):
                 connection.dispatch_all()
         has_work = next(open_work.items(node), None) is not None
         idle_checks = 0 if has_work else idle_checks + 1
+        if idle_checks == IDLE_CHECKS:
+            return
         await asyncio.sleep(CHECK_INTERVAL_S)
 
 
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -126,3 +126,107 @@
     assert exchange.status in {200, 503}, exchange
     assert _runs(platform, exchange.id) == (exchange.status == 200)
     assert statuses == [0]
+
+
+# Guards against calls that fail, and with them the calls that make them, since the
+# listener closes while the backend server beside still works.
+def test_a_late_call_of_the_backend_server_beside_is_served(
+    platform: platform_processes.Platform,
+) -> None:
+    beside = platform.machines["plans-1"]
+    # It calls over a new connection 3.5 s after SIGTERM, for half a second.
+    path = "/p/x?work_ms=4200&call_after_ms=3800&call=/c/y%3Fwork_ms%3D500"
+    work = Shape("late-call", "POST", path)
+    (exchange,), statuses = asyncio.run(
+        _stop(platform.machines["porting-1"], [(-BEFORE_S, work)], beside)
+    )
+    assert _is_whole(exchange), exchange
+    assert _runs(platform, f"{exchange.id}.1") == 1
+    assert statuses == [0]
+
+
+# Guards against answers cut by the stop of the node beside the upstream, which hosts
+# them, also where the entry node stops at the same moment.
+@pytest.mark.parametrize("entry_stops", [False, True])
+def test_an_answer_from_a_stopping_node_is_whole(
+    platform: platform_processes.Platform, *, entry_stops: bool
+) -> None:
+    entry, home = platform.machines["porting-1"], platform.machines["plans-1"]
+    stopping = [home, entry] if entry_stops else [home]
+    (exchange,), statuses = asyncio.run(
+        _stop(entry, [(-BEFORE_S, DOWNLOAD)], *stopping)
+    )
+    assert _is_whole(exchange), exchange
+    assert statuses == [0] * len(stopping)
+
+
+# Guards against a stop that a further signal ends, prolongs or turns into a failure.
+def test_signals_during_a_stop_change_nothing(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    signals = [(at_s, signal.SIGHUP) for at_s in (0.2, 1.0, 3.6)]
+    signals += [(at_s, signal.SIGTERM) for at_s in (0.5, 3.2, 3.8)]
+    # The process gets no time for a second.
+    signals += [(2.5, signal.SIGSTOP), (3.5, signal.SIGCONT)]
+    (exchange,), statuses = asyncio.run(
+        _stop(entry, [(-BEFORE_S, DOWNLOAD)], entry, signals=signals)
+    )
+    assert _is_whole(exchange), exchange
+    assert statuses == [0]
+
+
+# Guards against a connection that is closed with its answer: the request behind it was
+# read whole, or crosses the close.
+def test_requests_of_a_kept_connection_are_answered_after_the_linger_time(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    get = Shape("get", path="/c/x")
+
+    async def play() -> tuple[list[raw_callers.Exchange], list[int]]:
+        stop = asyncio.create_task(_stop(entry, [(-BEFORE_S, DOWNLOAD)], entry))
+        caller = raw_callers.Caller(
+            "kept", entry.name, entry.ports["outbound"], kept=True
+        )
+        answers = [await caller.send(get)]
+        # Idle from before SIGTERM until after the linger time.
+        await asyncio.sleep(BEFORE_S + 3.4)
+        answers.append(await caller.send(get))
+        (download,), statuses = await stop
+        return [download, *answers], statuses
+
+    (download, before, after), statuses = asyncio.run(play())
+    assert _is_whole(download)
+    assert _is_whole(before)
+    assert not after.first
+    assert (after.ending, after.status) == (Ending.ANSWERED, 503), after
+    assert _runs(platform, after.id) == 0
+    assert statuses == [0]
+
+
+# Guards against an end that hides what it cut: no line, or status 0.
+def test_what_outlasts_the_drain_timeout_is_cut_and_logged(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    endless = Shape("endless", path="/d/x?bytes=800000&over_ms=6800")
+    upload = Shape("slow-upload", "POST", "/p/x", body=60_000, upload_s=8.0)
+    exchanges, statuses = asyncio.run(
+        _stop(entry, [(-BEFORE_S, endless), (1.0, upload)], entry)
+    )
+    download, refused = exchanges
+    assert download.ending in {Ending.FIN, Ending.RESET}
+    assert statuses == [3]
+    lines = [
+        line
+        for line in platform.log_of("porting-1").splitlines()
+        if "Cut by the end of the process" in line
+    ]
+    assert len(lines) == 1
+    assert download.id in lines[0]
+    assert '"phase":"answering"' in lines[0]
+    assert '"upstream":"plans-1"' in lines[0]
+    # Refused in the middle of its body, at the end of the grace.
+    assert refused.status == 503
+    assert _runs(platform, refused.id) == 0
