Pipelined requests at a stop: two tests that fail

Requests behind one that is answered are closed without an answer: read whole and not dispatched yet, or with their body under way.

--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -161,6 +161,39 @@
     assert caller.targets() == [b"/a/1", b"/a/2"]
 
 
+# Guards against requests that were read whole and get no answer, since the node closes
+# the connection with the answer to an earlier one.
+def test_a_stopping_node_answers_all_that_it_read() -> None:
+    caller = Caller()
+    caller.send("/a/1")
+    caller.send("/post/2", method="POST")
+    caller.node.state.stopping = True
+    caller.send("/a/3")
+    for number in range(3):
+        assert not caller.transport.closed
+        assert b"connection: close" not in caller.transport.written
+        caller.answer(number)
+    assert caller.bodies() == [b"/a/1", b"/post/2", b"/a/3"]
+    assert caller.transport.written.count(b"connection: close") == 1
+    assert caller.transport.closed
+
+
+# Guards against an upload that is cut, since the node closes the connection with the
+# answer to an earlier request.
+def test_a_stopping_node_answers_a_request_whose_body_arrives() -> None:
+    caller = Caller()
+    caller.send("/a/1")
+    caller.send("/post/2", method="POST", more="content-length: 4\r\n")
+    caller.node.state.stopping = True
+    caller.answer(0)
+    assert not caller.transport.closed
+    caller.connection.data_received(b"body")
+    caller.answer(1)
+    assert caller.bodies() == [b"/a/1", b"/post/2"]
+    assert caller.transport.written.count(b"connection: close") == 1
+    assert caller.transport.closed
+
+
 def test_a_refusal_keeps_the_requests_behind_it() -> None:
     caller = Caller()
     caller.send("/a/1", "/a/2")
