A stopping node answers every request of a connection that it read

What callers saw: at a stop, a request behind the one that is answered was read whole, or its body was under way, and the connection ended without an answer to it. Cause: the answer closed the connection unless a later request had been dispatched; one that waits its turn has not been. Now only the answer to the last request that was read closes it. Requests that come during the stop are still dispatched in their turn only.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -525,15 +525,14 @@
     def _closes_after(self, request: caller_requests.Request) -> bool:
         """Whether the connection closes after the answer to a request.
 
-        A stopping node first answers the requests that it has dispatched.
+        A stopping node first answers the requests whose heads it has read.
         """
         if request.close_after or not request.complete:
             return True
-        return self._node.stopping and not self._has_dispatched_after(request)
+        return self._node.stopping and not self._has_read_after(request)
 
-    def _has_dispatched_after(self, request: caller_requests.Request) -> bool:
-        last = next((r for r in reversed(self._requests) if r.dispatched), request)
-        return last is not request
+    def _has_read_after(self, request: caller_requests.Request) -> bool:
+        return bool(self._requests) and self._requests[-1] is not request
 
     def _finish(self, request: caller_requests.Request) -> None:
         request.answered = True
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -154,11 +154,15 @@
     caller.answer(0)
     assert not caller.transport.closed
     assert b"connection: close" not in caller.transport.written
+    assert caller.targets() == [b"/a/1", b"/a/2"]
     caller.answer(1)
-    assert caller.bodies() == [b"/a/1", b"/a/2"]
+    assert not caller.transport.closed
+    assert b"connection: close" not in caller.transport.written
+    assert caller.targets() == [b"/a/1", b"/a/2", b"/a/3"]
+    caller.answer(2)
+    assert caller.bodies() == [b"/a/1", b"/a/2", b"/a/3"]
     assert caller.transport.written.count(b"connection: close") == 1
     assert caller.transport.closed
-    assert caller.targets() == [b"/a/1", b"/a/2"]
 
 
 # Guards against requests that were read whole and get no answer, since the node closes
