--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -17,6 +17,7 @@
     clock,
     connection_ends,
     heads,
+    sockets,
     tickets,
 )
 
@@ -357,6 +358,27 @@
             return self._node.lingering.awaits(self._transport)
         return not self.idle or self._transport.get_write_buffer_size() > 0
 
+    @property
+    def accepted_requests(self) -> tuple[caller_requests.Request, ...]:
+        """Requests whose head was read and whose answer is not written, in order."""
+        return tuple(self._requests)
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of answers that the caller's machine has not acknowledged."""
+        return sockets.undelivered_bytes(self._transport)
+
+    def dispatch_all(self) -> None:
+        """Dispatch every request, also before its body has arrived.
+
+        For the end of a stop, when every call is refused on its arrival.
+        """
+        for request in self.accepted_requests:
+            if self._closing or self._final_response:
+                return
+            if not request.dispatched:
+                self._dispatch(request)
+
     def check_timeout(self, now: ids.Milliseconds) -> None:
         """Close the connection if a head or the next request did not arrive in time."""
         if self._requests or self._closing:
@@ -410,6 +432,10 @@
                 self._node.entry.forget_request(request)
         self._reading = None
 
+    def abort_transport(self) -> None:
+        """Close the connection without flushing the write buffer."""
+        self._transport.abort()
+
     def _current(self) -> caller_requests.Request:
         if self._reading is None:
             self._reading = caller_requests.Request(self)
@@ -536,15 +562,14 @@
     def _closes_after(self, request: caller_requests.Request) -> bool:
         """Whether the connection closes after the answer to a request.
 
-        A stopping node first answers the requests that it has dispatched.
+        A stopping node first answers the requests whose heads it has read.
         """
         if request.close_after or not request.complete:
             return True
-        return self._node.stopping and not self._has_dispatched_after(request)
+        return self._node.stopping and not self._has_read_after(request)
 
-    def _has_dispatched_after(self, request: caller_requests.Request) -> bool:
-        last = next((r for r in reversed(self._requests) if r.dispatched), request)
-        return last is not request
+    def _has_read_after(self, request: caller_requests.Request) -> bool:
+        return bool(self._requests) and self._requests[-1] is not request
 
     def _finish(self, request: caller_requests.Request) -> None:
         request.answered = True
@@ -569,9 +594,6 @@
         if self._final_response and not self._requests:
             self._send_final_response()
             return
-        if self._node.stopping and not self._requests:
-            self.close("stopping")
-            return
         if len(self._requests) <= MAX_PIPELINED:
             self._transport.resume_reading()
         if self._requests and not self._requests[0].complete:
--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -84,9 +84,9 @@
         """Remove a connection that is closed."""
         self._connections.pop(transport, None)
 
-    async def wait(self) -> None:
-        """Wait until no connection is awaited, at most :data:`STOP_WAIT_MS`."""
-        ends_at = clock.now() + STOP_WAIT_MS
+    async def wait(self, limit_ms: ids.Milliseconds = STOP_WAIT_MS) -> None:
+        """Wait until no connection is awaited, at most for a time."""
+        ends_at = clock.now() + limit_ms
         while any(discarding.is_awaited for discarding in self._connections.values()):
             now = clock.now()
             if now >= ends_at:
--- a/tests/nocover/test_ends_of_connections.py
+++ b/tests/nocover/test_ends_of_connections.py
@@ -84,6 +84,9 @@
     )
     time.sleep(0.2)
     entry.node.send_signal(signal.SIGTERM)
+    platform.wait_until(lambda: "Planned stop begins" in platform.log_of(entry.name))
+    # Cuts what the planned stop would still wait for.
+    entry.node.send_signal(signal.SIGINT)
     entry.node.wait(10.0)
     connection.close()
     (line,) = _lines(platform, "porting-1", "ingress")
