--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import os
+import select
 import socket
 
 USER_TIMEOUT_MS = 3_000
@@ -72,3 +73,13 @@
             return
         count += len(data)
         yield data
+
+
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes, or the end of the connection, wait to be read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
