--- a/tests/cover/test_silent_connections.py
+++ b/tests/cover/test_silent_connections.py
@@ -67,7 +67,7 @@
     node = nodes.Node(builders.settings())
     return {
         "peer that called": peers.Accepted(node),
-        "peer that was called": peers.Dialled(node, lambda: None, lambda: None),
+        "peer that was called": peers.Dialled(node, lambda: None, lambda: None, set()),
         "backend server": backend_http.Connection(backend_pool.Pool(dialect.DEFAULT)),
     }
 
