A streamed answer that gets no credit ends

What callers would see: the slot of a large answer whose reader neither reads nor leaves, or whose entry node is alive to TCP and does nothing, is lost until a restart. The upstream's end of the answer is not noticed, as reading is paused.

Cause: an exchange without credit waited for it without a bound.

Change: an exchange counts checks, one a second, since its last credit; at 60 it is cancelled as for a caller that left: its entry node is told that the answer broke off, the connection is closed, the slot released. A log line names the request and the peer. Checks are counted rather than time, so that a pause of this process aborts nothing.

Evidence: tests with a shorter interval; without the checks the test of an answer without credit times out (tried). Not measured: how slow a reader may be whose kernel takes large pieces seldom; a reader that makes room for a piece within 60 s keeps its answer.

--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gingerturn.internal import ids, outcome_log
+from gingerturn.internal import ids, logs, outcome_log
 from gingerturn.internal.core import backend_reports, effects, events, messages
 from gingerturn.internal.shell import backend_http, clock
 from gingerturn.internal.wire import frames
@@ -18,10 +18,19 @@
 """Bytes of a streamed body that may be sent ahead of the receiver's credit."""
 
 
+STALL_CHECK_INTERVAL_S = 1.0
+
+STALL_CHECKS = 60
+"""A streamed answer that gets no credit for this many checks is aborted: its entry node
+may be gone, or the caller does not read. Checks are counted rather than time, since a
+node that was paused has not read the credit that arrived."""
+
 CONNECT_TRIES = 2
 """Connections that are opened for a call while the backend server resets them at once,
 as it does where it has too many."""
 
+_PART = "home"
+
 
 class StoredAnswer(msgspec.Struct, frozen=True):
     """A complete answer, stored for repeats of an unrepeatable call."""
@@ -34,6 +43,7 @@
 class Channel(typing.Protocol):
     """The channel to the entry node."""
 
+    peer: ids.NodeId
     hosted: dict[int, ids.HostedId]
 
     def send(self, frame: frames.Frame) -> None:
@@ -78,6 +88,8 @@
         self._body = bytearray()
         self._streaming = False
         self._credit = WINDOW_BYTES
+        self._stall_timer: asyncio.TimerHandle | None = None
+        self._stalled_checks = 0
 
     def dispatch(self, effect: effects.DispatchCall) -> None:
         """Dispatch the call to the backend server."""
@@ -104,6 +116,7 @@
     def add_credit(self, count: int) -> None:
         """Add credit for a streamed answer; resume reading if it is positive."""
         self._credit += count
+        self._stalled_checks = 0
         if self._credit > 0 and self._connection is not None:
             self._connection.resume()
 
@@ -398,3 +411,27 @@
         self._credit -= count
         if self._credit <= 0 and self._connection is not None:
             self._connection.pause()
+            if self._stall_timer is None:
+                self._schedule_stall_check()
+
+    def _schedule_stall_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._stall_timer = loop.call_later(
+            STALL_CHECK_INTERVAL_S, self._check_for_stall
+        )
+
+    def _check_for_stall(self) -> None:
+        self._stall_timer = None
+        if self._credit > 0 or self._connection is None:
+            return
+        self._stalled_checks += 1
+        if self._stalled_checks < STALL_CHECKS:
+            self._schedule_stall_check()
+            return
+        logs.write(
+            "WARNING",
+            _PART,
+            f"Answer to {self._request_id.decode('latin-1')!r} aborted: no credit from"
+            f" {self._channel.peer} for {STALL_CHECKS * STALL_CHECK_INTERVAL_S:.0f} s.",
+        )
+        self._node.apply(events.CancelReceived(now=clock.now(), hosted=self._hosted))
--- a/tests/cover/test_answers_without_a_reader.py
+++ b/tests/cover/test_answers_without_a_reader.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from gingerturn.internal.core import effects, events, hosting
-from gingerturn.internal.shell import clock
+from gingerturn.internal.shell import clock, exchanges
 from gingerturn.internal.wire import frames
 from tests.common import home_nodes, transports
 
@@ -80,6 +80,49 @@
     asyncio.run(play())
 
 
+# Guards against slots that are held for good by answers that nobody reads. Their end is
+# not noticed at the backend server either, as reading is paused.
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_streamed_answer_without_credit_ends(
+    repeatable: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(exchanges, "STALL_CHECK_INTERVAL_S", 0.001)
+
+    async def play() -> None:
+        home = home_nodes.HomeNode(slots=1)
+        call = await home.open(b"r1", repeatable=repeatable)
+        _feed(home, 0, _begin(b"r1"), *_pieces(SIZE))
+        assert home.node.state.backend.running == 1
+        while not _is_empty(home):
+            await asyncio.sleep(0.001)
+        assert home.channel.sent[-1] == frames.Broken(call=call)
+        assert home_nodes.transport_of(home.connections[0]).closed
+
+    asyncio.run(asyncio.wait_for(play(), 30.0))
+
+
+def test_a_streamed_answer_with_credit_at_times_is_complete(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(exchanges, "STALL_CHECK_INTERVAL_S", 0.001)
+    monkeypatch.setattr(exchanges, "STALL_CHECKS", 1_000)
+
+    async def play() -> None:
+        home = home_nodes.HomeNode(slots=1)
+        call = await home.open(b"r1")
+        pieces = [_begin(b"r1"), *_pieces(SIZE)]
+        while pieces:
+            if home_nodes.transport_of(home.connections[0]).reading:
+                _feed(home, 0, pieces.pop(0))
+                continue
+            await asyncio.sleep(0.01)
+            home.credit(call, len(PIECE))
+        assert _is_empty(home)
+        assert home.channel.sent[-1] == frames.Chunk(call=call, body=b"", last=True)
+
+    asyncio.run(asyncio.wait_for(play(), 30.0))
+
+
 STEPS = (
     "open",
     "open repeatable",
