Peers: frames before a close or a reset arrive

Entry nodes lost answers of a home node that closed its connection, or ended, while they still sent to it: their callers got an error in place of an answer that had been written.

Cause: the home node's close with unread frames resets the connection; and the entry node's next write fails before it reads what arrived earlier.

Change: a close between nodes lingers as that of a caller's connection does. The dialling end reads what its socket still holds before it reports the loss of its calls; the accepting end does not, since nobody would get the answers to the calls that it reads. A frame for a connection that is being lost counts as not sent, so that its call may be sent again.

--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -111,7 +111,7 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Write a frame, unless the connection is closing."""
-        if not self._transport.is_closing():
+        if not self.is_closing:
             self._node.watch.add(self._watched)
             self._transport.write(frames.encode(frame, self._deflater))
 
@@ -124,10 +124,20 @@
         """Written bytes that the peer's machine has not acknowledged."""
         return sockets.undelivered_bytes(self._transport)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether no further frame is sent."""
+        is_connected = bool(self._transport)
+        return self._closed_here or (is_connected and self._transport.is_closing())
+
     def close(self) -> None:
-        """Close after flushing buffered data."""
+        """Close after flushing buffered data. What the peer still sends is discarded,
+        since a reset could discard frames that it has not read yet."""
+        self._close(is_sending=False)
+
+    def _close(self, *, is_sending: bool) -> None:
         self._closed_here = True
-        self._transport.close()
+        self._node.lingering.close(self._transport, self, is_sending=is_sending)
 
     def abort_transport(self) -> None:
         """Close without flushing buffered data."""
@@ -251,10 +261,18 @@
         super().data_received(data)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Notify the link."""
+        """Handle the frames that arrived before a reset, and notify the link."""
+        if error is not None:
+            self._read_undelivered()
         super().connection_lost(error)
         self._lost()
 
+    def _read_undelivered(self) -> None:
+        for data in sockets.read_undelivered(self._transport):
+            if self._closed_here:
+                return
+            self.data_received(data)
+
     def on_frame(self, frame: frames.Frame) -> None:
         """Dispatch a frame of a home node."""
         if isinstance(frame, frames.Pong):
@@ -310,6 +328,10 @@
             self._node.home.on_cancelled(hosted)
         self.hosted.clear()
 
+    def close(self) -> None:
+        """Close after flushing buffered data; calls of the peer may be under way."""
+        self._close(is_sending=True)
+
     def on_frame(self, frame: frames.Frame) -> None:
         """Dispatch a frame of an entry node."""
         self._node.links.on_accepted_frame(self, frame)
@@ -381,9 +403,10 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame, or queue it until the connection is established."""
-        if self._is_ready and self._protocol is not None:
+        protocol = self._protocol
+        if self._is_ready and protocol is not None and not protocol.is_closing:
             self._sent.add(frame.call)
-            self._protocol.send(frame)
+            protocol.send(frame)
         else:
             self._waiting.append(frame)
 
--- a/tests/cover/test_answers_that_come_with_a_reset.py
+++ b/tests/cover/test_answers_that_come_with_a_reset.py
@@ -7,6 +7,7 @@
 import pytest
 import uvloop
 
+from gingerturn.internal import ids
 from gingerturn.internal.core import messages
 from gingerturn.internal.shell import backend_http, backend_pool, node as nodes, peers
 from gingerturn.internal.wire import frames
@@ -233,3 +234,34 @@
         assert pair.handled_at_loss == 1
 
     uvloop.run(play())
+
+
+# Guards against unrepeatable calls that end with an unknown outcome, though they were
+# never sent: the event loop reports the loss of their connection a little later.
+def test_a_call_on_a_connection_that_is_being_lost_has_not_reached_the_peer() -> None:
+    async def play() -> None:
+        home = nodes.Node(builders.settings("home"))
+        entry = nodes.Node(builders.settings("entry"))
+        lost: list[tuple[int, bool]] = []
+        entry.links.on_link_lost = (  # type: ignore[method-assign]
+            lambda call, reached: lost.append((call, reached))
+        )
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: peers.Accepted(home), "127.0.0.1", 0)
+        to_peer = entry.links._link(ids.Address(*server.sockets[0].getsockname()))
+        to_peer.send(frames.Chunk(call=1, body=b"", last=False))
+        while not any(accepted.peer for accepted in home.accepted):
+            await asyncio.sleep(0.01)
+        assert to_peer._current is not None
+        protocol = to_peer._current._protocol
+        assert protocol is not None
+        protocol._transport.abort()
+        to_peer.send(frames.Chunk(call=2, body=b"", last=False))
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(lost) < 2:
+                await asyncio.sleep(0.01)
+        assert sorted(lost) == [(1, True), (2, False)]
+        entry.links.close()
+        server.close()
+
+    uvloop.run(play())
