Side addresses: invalid requests are answered, closes linger

Clients of the readiness, metrics and announcement addresses saw a reset for a request that cannot be parsed, and lost the answer to a request with "Connection: close" behind which they had sent more.

Cause: the first was aborted; the second closed with unread bytes.

Change: an invalid request is answered 400, and closed connections linger as those of callers do.

--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -236,7 +236,7 @@
 
         :raises GingerturnError: when the address cannot be bound.
         """
-        await self._bind(lambda: side_http.Connection(handler), port)
+        await self._bind(lambda: side_http.Connection(handler, self.lingering), port)
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Apply an announcement of the backend server.
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from gingerturn.internal import logs
-from gingerturn.internal.shell import heads
+from gingerturn.internal.shell import heads, lingering
 
 MAX_BODY = 65_536
 """Limit of a request's body, in bytes."""
@@ -42,11 +42,16 @@
 class Connection(asyncio.Protocol):
     """A client connection.
 
+    Invariant: nothing is written once ``_closing`` is set.
+
     :param handler: answers its requests.
+    :param lingerers: the lingering connections of the node.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, lingerers: lingering.Lingering) -> None:
         self._handler = handler
+        self._lingerers = lingerers
+        self._closing = False
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._target = b""
@@ -57,12 +62,14 @@
         self._transport = typing.cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; an invalid request aborts the connection."""
+        """Parse received bytes; answer an invalid request and close the connection."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._closing:
+                return
             logs.write("WARNING", _PART, f"Invalid request: {error}.")
-            self._transport.abort()
+            self._write(Reply(400), keep_alive=False, is_sending=True)
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
@@ -80,8 +87,12 @@
 
     def on_message_complete(self) -> None:
         """Answer the request."""
-        reply = self._reply()
+        if self._closing:
+            return
         keep_alive = self._parser.should_keep_alive()
+        self._write(self._reply(), keep_alive=keep_alive, is_sending=False)
+
+    def _write(self, reply: Reply, *, keep_alive: bool, is_sending: bool) -> None:
         head = heads.status_line(reply.status)
         head += b"content-type: %b\r\n" % reply.content_type.encode()
         head += b"content-length: %d\r\n" % len(reply.body)
@@ -89,7 +100,8 @@
             head += b"connection: close\r\n"
         self._transport.write(head + b"\r\n" + reply.body)
         if not keep_alive:
-            self._transport.close()
+            self._closing = True
+            self._lingerers.close(self._transport, self, is_sending=is_sending)
 
     def _reply(self) -> Reply:
         if len(self._body) > MAX_BODY:
--- a/tests/cover/test_side_connections.py
+++ b/tests/cover/test_side_connections.py
@@ -5,7 +5,7 @@
 import pytest
 import uvloop
 
-from gingerturn.internal.shell import side_http
+from gingerturn.internal.shell import lingering, side_http
 from tests.common import late_readers
 
 PIECE = b"u" * 1_000_000
@@ -20,7 +20,9 @@
 
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: side_http.Connection(handle), "127.0.0.1", 0
+            lambda: side_http.Connection(handle, lingering.Lingering()),
+            "127.0.0.1",
+            0,
         )
         port = server.sockets[0].getsockname()[1]
         try:
