Callers: what arrived in a pause is read before a timeout is applied

Callers whose request arrived while the node got no processor time lost it: the first check after the pause closed the connection as idle, or answered 408 to a head whose rest was there.

Cause: timers run before the event loop reads its sockets.

Change: a connection that is late is closed only if its socket holds nothing unread; otherwise the next check decides. The size of a head bounds callers that send on bit by bit.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -380,16 +380,22 @@
                 self._dispatch(request)
 
     def check_timeout(self, now: ids.Milliseconds) -> None:
-        """Close the connection if a head or the next request did not arrive in time."""
+        """Close the connection if a head or the next request did not arrive in time.
+
+        What arrived in time may not have been read yet, after a pause of the process.
+        """
         if self._requests or self._closing:
             return
         limits = caller_limits.effective(self._node)
-        elapsed = now - self._waiting_since
-        if self._reading is not None:
-            if elapsed > limits.head_timeout_ms:
-                self._reject(408, "the request's head took too long")
-        elif elapsed > limits.idle_timeout_ms:
+        is_idle = self._reading is None
+        limit_ms = limits.idle_timeout_ms if is_idle else limits.head_timeout_ms
+        is_late = now - self._waiting_since > limit_ms
+        if not is_late or sockets.has_unread(self._transport):
+            return
+        if is_idle:
             self.close("idle")
+        else:
+            self._reject(408, "the request's head took too long")
 
     def close(self, cause: str) -> None:
         """Close the connection after the write buffer is flushed.
--- a/src/gingerturn/internal/shell/sockets.py
+++ b/src/gingerturn/internal/shell/sockets.py
@@ -9,6 +9,7 @@
 import collections.abc
 import fcntl
 import os
+import select
 import socket
 import struct
 import termios
@@ -92,3 +93,13 @@
     except OSError:
         return buffered
     return buffered + int(struct.unpack("i", queued)[0])
+
+
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes, or the end of the connection, wait to be read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
