Callers: answers before one that broke off arrive whole

Callers with pipelined requests lost whole answers, if a later answer on their connection broke off before they had read them: the connection was aborted, which discards its write buffer.

Change: the connection closes as after any other answer, so that what was written is sent first. The answer that broke off stays shorter than its Content-Length, or without its last chunk.

Measured: test_answers_before_one_that_broke_off_arrive_whole failed before the change and passes with it, over a real socket and 20 MB. A second new test passed before it too: a backend server that answers early and reads on gets the rest of the body or an end, and its connection is not used again.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -284,9 +284,8 @@
         if self._closing:
             return
         if self._is_first(request):
-            self._closing = True
-            self._close_cause = "the answer broke off"
-            self._transport.abort()
+            # Not aborted: whole answers before it may wait in the write buffer.
+            self.close("the answer broke off")
             return
         request.held_output.clear()
         request.answered = False
--- a/tests/cover/test_answers_that_come_with_a_reset.py
+++ b/tests/cover/test_answers_that_come_with_a_reset.py
@@ -148,6 +148,46 @@
     assert receiver.outcomes == ["failure"]
 
 
+# Guards against bytes of another request where the rest of a body is due, at a backend
+# server that has answered early and reads on.
+def test_a_backend_server_that_reads_on_gets_the_rest_of_the_body_or_an_end() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    read = bytearray()
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        connection.settimeout(TIMEOUT_S)
+        connection.recv(1)
+        connection.sendall(home_nodes.answer(200, request_id=b"r1", body=b"early"))
+        while data := connection.recv(65_536):
+            read.extend(data)
+        connection.close()
+
+    async def play() -> None:
+        thread = threading.Thread(target=serve)
+        thread.start()
+        pool = backend_pool.Pool(home_nodes.NAMED)
+        pool.set_address(*listener.getsockname())
+        connection = await pool.connect()
+        receiver = Receiver()
+        connection.begin(
+            receiver, HEAD, PIECE, request_id=b"r1", head_only=False, whole=False
+        )
+        for _ in range(20):
+            connection.write(PIECE)
+        await asyncio.wait_for(receiver.ended.wait(), TIMEOUT_S)
+        assert (receiver.status, receiver.body) == (200, b"early")
+        assert pool.take() is None
+        assert not connection.usable
+        await asyncio.to_thread(thread.join)
+
+    uvloop.run(play())
+    listener.close()
+    head, _, body = bytes(read).partition(b"\r\n\r\n")
+    assert head == HEAD.strip()[1:]
+    assert set(body) == {PIECE[0]}
+
+
 class Pair:
     """The two ends of a connection between nodes."""
 
--- a/tests/cover/test_lingering.py
+++ b/tests/cover/test_lingering.py
@@ -269,3 +269,26 @@
 
     run(play)
     assert not problems
+
+
+# Guards against whole answers that are discarded with a later one that broke off, of a
+# caller that has not read them yet.
+def test_answers_before_one_that_broke_off_arrive_whole() -> None:
+    body = b"x" * 20_000_000
+
+    async def play(entry: Entry) -> None:
+        sock, connection = await entry.connect()
+        await send(sock, GET + GET)
+        await until(lambda: len(entry.dispatched) == 2)
+        first, second = entry.dispatched
+        connection.send_whole(first, HEAD, body)
+        connection.send_streaming(second, HEAD, 100)
+        connection.send_piece(second, b"part", last=False)
+        connection.abort(second)
+        await asyncio.sleep(0.05)
+        received = await receive(sock)
+        assert body in received
+        assert received.count(HEAD) == 2
+        assert received.endswith(b"content-length: 100\r\n\r\npart")
+
+    run(play)
