Soak: ends of stops are checked with the requests that excuse them

Where requests last, promises.processes_end_only_when_told judges the status of every process, with exactly this excuse, and now only for a request that got no whole answer; runs without such requests are checked as before.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -541,6 +541,15 @@
     assert _is_violated(promises.processes_end_only_when_told, observed) is violated
 
 
+def test_a_request_that_was_served_excuses_no_failed_stop(
+    tmp_path: pathlib.Path,
+) -> None:
+    served = _exchange(ended=BEGAN_S + 5.5, lasts_s=7.0)
+    life = _life(_terminated(0.0), ended=START + 6_000.0, status=promises.CUT_STATUS)
+    observed = _lasting(tmp_path, served, lives=(life,), entries=(_arrived(),))
+    assert _is_violated(promises.processes_end_only_when_told, observed)
+
+
 @pytest.mark.parametrize(
     ("waited", "behind_close", "violated"),
     [(0.1, False, False), (0.3, False, True), (0.3, True, False)],
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -245,7 +245,9 @@
         end = stop.began + STOP_GRACE_MS
         if _overlaps_unplanned_fault(observed, stop.began - RECOVERY_MS, end):
             continue
-        if stop.exit_status != 0:
+        # With requests that may outlast the grace, the ends of all processes are
+        # checked with these requests (promises.processes_end_only_when_told).
+        if stop.exit_status != 0 and not observed.exchanges:
             yield f"{stop.node} exited from its planned stop with {stop.exit_status}"
         for attempt in observed.attempts:
             inside = stop.began - RECOVERY_MS < attempt.began < end
--- a/tooling/gingerturn_soak/promises.py
+++ b/tooling/gingerturn_soak/promises.py
@@ -366,6 +366,9 @@
     up."""
     end = terminated + GRACE_MS
     for exchange in observed.exchanges:
+        whole = exchange.ending is _Ending.ANSWERED and exchange.signed
+        if whole or exchange.ending is _Ending.LEFT:
+            continue
         nodes = {exchange.node, *_homes(observed.ledger, exchange.id)}
         if node in nodes and _is_cut_late(observed, exchange, {node}):
             return True
