--- a/tooling/gingerturn_soak/ledger.py
+++ b/tooling/gingerturn_soak/ledger.py
@@ -41,8 +41,11 @@
                     self.entries.append(msgspec.json.decode(raw, type=Entry))
         self.entries.sort(key=lambda entry: entry.at)
         self.runs = collections.Counter(e.id for e in self.entries if e.event == "run")
+        self.arrived: dict[str, list[Entry]] = collections.defaultdict(list)
+        for entry in self.of("arrived"):
+            self.arrived[entry.id].append(entry)
         self.arrivals = collections.Counter(
-            e.id for e in self.entries if e.event == "arrived"
+            {number: len(entries) for number, entries in self.arrived.items()}
         )
 
     def of(self, event: str) -> list[Entry]:
--- a/tooling/gingerturn_soak/promises.py
+++ b/tooling/gingerturn_soak/promises.py
@@ -280,7 +280,7 @@
     """Whether an upstream was still at work on a request when the grace of a stop that
     began before it, or shortly before, was nearly over."""
     began, ended = exchange.began * 1_000.0, exchange.ended * 1_000.0
-    arrived = [e.at for e in observed.ledger.of("arrived") if e.id == exchange.id]
+    arrived = [entry.at for entry in observed.ledger.arrived.get(exchange.id, ())]
     if not arrived:
         return False
     works_until = max(arrived) + exchange.lasts_s * 1_000.0
@@ -304,7 +304,7 @@
 
 def _homes(ledger: ledgers.Ledger, number: str) -> set[str]:
     """Return the machines whose upstreams a request reached."""
-    instances = {e.instance for e in ledger.of("arrived") if e.id == number}
+    instances = {entry.instance for entry in ledger.arrived.get(number, ())}
     return {instance.split("-")[1] for instance in instances if "-" in instance}
 
 
