A start waits for an address that another process holds

A node ended with status 7 at once when one of its addresses (callers, nodes, readiness, control, gossip, administration) was held for a moment by another process, such as its predecessor or an outgoing connection.

All addresses are now bound before any listens, tried again every 0.1 s for 10 s with a log line a second, and status 7 follows only if one stays held or cannot be used at all. Between tries nothing is bound, so no connection is accepted that nobody serves; the administration address is part of this, it was bound after the node had begun to serve.

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -143,27 +143,28 @@
 
     :raises GingerturnError: when an address cannot be bound.
     """
+    port = node.settings.node.admin_port
+    if not port:
+        await node.start()
+        return None
+    node.listeners.add(port, None)
     await node.start()
-    return _Administration(node) if node.settings.node.admin_port else None
+    return _Administration(node, node.listeners.take(port))
 
 
 class _Administration:
-    """The administration API while the daemon runs."""
+    """The administration API while the daemon runs.
 
-    def __init__(self, node: nodes.Node) -> None:
+    :param listening: the socket of its address.
+    """
+
+    def __init__(self, node: nodes.Node, listening: socket.socket) -> None:
         # Imported lazily: its libraries are slow to import, and a node without an
         # administration API does not need them.
         from gingerturn.internal.shell import admin
 
-        node_settings = node.settings.node
-        # Bound here, since uvicorn exits the process from within a task when it cannot
-        # bind, without naming the address.
-        bound = socket.socket()
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        with nodes.listening(node_settings.host, node_settings.admin_port):
-            bound.bind((node_settings.host, node_settings.admin_port))
         self._server = admin.server(node)
-        serving = self._server.serve(sockets=[bound])
+        serving = self._server.serve(sockets=[listening])
         self._task = asyncio.get_running_loop().create_task(serving)
 
     def stop(self) -> None:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -6,6 +6,7 @@
 import contextlib
 import math
 import os
+import socket
 import time
 import typing
 
@@ -42,11 +43,13 @@
     ingress,
     lingering,
     links,
+    listeners,
     log_client,
     log_side,
     peers,
     probes,
     side_http,
+    starting,
 )
 
 _FIXED_PARTS = (
@@ -145,7 +148,7 @@
         self._recorder = None if record is None else trace.Recorder(record)
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[asyncio.Server] = []
+        self.listeners = listeners.Listeners(loaded.node.host)
         self._queue: collections.deque[events.Event] = collections.deque()
         self._applying = False
         self._begun = False
@@ -185,7 +188,7 @@
     @property
     def callers_server(self) -> asyncio.Server | None:
         """The listener of callers' connections, once the node has started."""
-        return self._servers[0] if self._servers else None
+        return self.listeners.server(self.settings.node.calls_port)
 
     @property
     def publications(self) -> collections.abc.Iterable[str]:
@@ -210,33 +213,36 @@
     async def start(self) -> None:
         """Bind all addresses, apply the start event, then accept connections.
 
+        Addresses that another process holds are tried again for a while.
+
         :raises GingerturnError: when an address cannot be bound.
         """
         node_settings = self.settings.node
-        await self._bind(
-            lambda: ingress.CallerConnection(self), node_settings.calls_port
-        )
-        await self._bind(lambda: peers.Accepted(self), node_settings.peers_port)
         for port in (node_settings.ready_port, node_settings.metrics_port):
             if port:
                 await self.serve_http(probes.ready_handler(self), port)
-        with listening(node_settings.host, node_settings.gossip_port):
-            await asyncio.get_running_loop().create_datagram_endpoint(
-                lambda: self.gossip, (node_settings.host, node_settings.gossip_port)
-            )
+        self.listeners.add(node_settings.peers_port, lambda: peers.Accepted(self))
+        self.listeners.add(
+            node_settings.calls_port, lambda: ingress.CallerConnection(self)
+        )
+        await starting.retry(self._open_addresses)
         self.apply(self._started)
         self._begun = True
-        for server in self._servers:
-            await server.start_serving()
+        await self.listeners.serve()
         self._tick()
 
     async def serve_http(self, handler: side_http.Handler, port: int) -> None:
         """Serve HTTP requests other than calls on a separate port, from the start of
         this node until it closes.
 
-        :raises GingerturnError: when the address cannot be bound.
+        :raises GingerturnError: when the node has started and the address cannot be
+            bound.
         """
-        await self._bind(lambda: side_http.Connection(handler, self.lingering), port)
+        self.listeners.add(port, lambda: side_http.Connection(handler, self.lingering))
+        if self._begun:
+            self.listeners.bind()
+            self.listeners.listen()
+            await self.listeners.serve()
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Apply an announcement of the backend server.
@@ -316,8 +322,7 @@
             self._ticker.cancel()
         # Keeps events that are still applied from scheduling another tick.
         self._tick_at = -math.inf
-        for server in self._servers:
-            server.close()
+        self.listeners.close()
         for connection in list(self.caller_connections):
             connection.close("the process ends")
         self.links.close()
@@ -422,20 +427,24 @@
         )
         return await future
 
-    async def _bind(
-        self, make: collections.abc.Callable[[], asyncio.Protocol], port: int
-    ) -> None:
-        """Bind an address; it accepts connections only once the node has started.
+    async def _open_addresses(self) -> None:
+        """Bind all addresses, then listen at them.
 
-        An announcement applied before the start event would not be advertised to the
-        members, nor would its renewals, since they change nothing.
+        :raises GingerturnError: when one of them cannot be used.
         """
-        host = self.settings.node.host
-        with listening(host, port):
-            server = await asyncio.get_running_loop().create_server(
-                make, host, port, start_serving=self._begun
+        node_settings = self.settings.node
+        host, port = node_settings.host, node_settings.gossip_port
+        self.listeners.bind()
+        try:
+            sock = listeners.bind(host, port, socket.SOCK_DGRAM)
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self.gossip, sock=sock
             )
-        self._servers.append(server)
+            self.listeners.listen()
+        except errors.GingerturnError:
+            self.listeners.unbind()
+            self.gossip.close()
+            raise
 
     def _apply_one(self, event: events.Event) -> None:
         if self._recorder is not None:
@@ -601,19 +610,3 @@
         over=workspaces.cap_over,
         slack=workspaces.cap_slack,
     )
-
-
-@contextlib.contextmanager
-def listening(host: str, port: int) -> collections.abc.Iterator[None]:
-    """Convert errors of binding an address.
-
-    :raises GingerturnError: naming the address, which the ``OSError`` does not.
-    """
-    try:
-        yield
-    except OSError as error:
-        raise errors.GingerturnError(
-            f"cannot listen: {error.strerror or error}",
-            step="listen",
-            peer=f"{host}:{port}",
-        ) from None
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -7,6 +7,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import logs
+from gingerturn.internal.shell import listeners
 
 WAIT_LIMIT_S = 10.0
 """Time for which a start waits for an obstacle to pass, which is longer than a planned
@@ -76,3 +77,23 @@
             if patience.is_over(error):
                 raise
         time.sleep(RETRY_INTERVAL_S)
+
+
+async def retry(
+    open_addresses: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Open the addresses of a node, and wait for those that are held.
+
+    :raises GingerturnError: for an address that cannot be used, or stays held.
+    """
+    patience = Patience()
+    while True:
+        try:
+            await open_addresses()
+            return
+        except listeners.AddressUnavailable as error:
+            if patience.is_over(error):
+                raise
+        await asyncio.sleep(RETRY_INTERVAL_S)
--- a/tests/nocover/test_starts_and_ends.py
+++ b/tests/nocover/test_starts_and_ends.py
@@ -134,7 +134,10 @@
     machine = platform.machines["m"]
     kind = socket.SOCK_DGRAM if which == "gossip" else socket.SOCK_STREAM
     with socket.socket(type=kind) as holder:
+        # Binds in spite of connections of the ended node in TIME_WAIT.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind(("127.0.0.1", machine.ports[which]))
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
         if kind == socket.SOCK_STREAM:
             holder.connect(("127.0.0.1", platform.store_port))
             # Closing leaves no connection in TIME_WAIT.
