At the last file descriptor callers wait in place of being dropped

With 40 file descriptors left, 268 of 300 callers that connected at once were closed without an answer and without a line in the log: at EMFILE the event loop's server accepts the connections that wait and closes them. Readiness, metrics, heartbeats and other nodes were locked out in the same way.

The node accepts connections itself, so those that it cannot take stay in the kernel's queue. It holds a reserve of 32 descriptors; callers are accepted only while it is held. At the last descriptor the reserve is given up to the other doors and to connections to the backend server and to nodes; callers' answers carry Connection: close, idle connections without unread input are closed, longest idle first, and callers are accepted again once the reserve is held again. This needs no count of descriptors and follows a limit that changes. The soft limit is raised to the hard one at the start, to 65,536 at most. Doors that fail to accept pause for 50 ms, so nothing spins. There is a line a second while it lasts, and gingerturn_descriptor_shortages_total, gingerturn_descriptors_short and gingerturn_idle_callers_closed_total. A connection to the backend server that still cannot be opened counts as not dispatched, as before.

--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -17,6 +17,7 @@
     backend_http,
     clock,
     connection_ends,
+    descriptors,
     heads,
 )
 
@@ -72,6 +73,7 @@
         self._invalid_limit = b""
         self._connections = 0
         self.watch = acknowledgements.Watch()
+        self.reserve: descriptors.Reserve | None = None
         self.connection_ends: dict[connection_ends.End, int] = {}
         self.discarded_count = 0
         self.unrelated_answers = 0
@@ -238,8 +240,11 @@
         loop = asyncio.get_running_loop()
         address = self._address
         async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(
-                lambda: backend_http.Connection(self), *address
+            _, protocol = await descriptors.use(
+                self.reserve,
+                lambda: loop.create_connection(
+                    lambda: backend_http.Connection(self), *address
+                ),
             )
         # The address may have changed in the meantime.
         protocol.address = address
--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -4,6 +4,7 @@
 
 from gingerturn import routes
 from gingerturn.internal import ids
+from gingerturn.internal.shell import clock
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -11,6 +12,11 @@
 CHECK_INTERVAL_MS = 250.0
 """Interval between checks of all connections, which avoid a timer per connection."""
 
+IDLE_BEFORE_CLOSE_MS = 100.0
+"""Time for which a connection is idle before it is closed for a new one."""
+
+MAX_CLOSED_AT_ONCE = 64
+
 
 def effective(node: "nodes.Node") -> routes.RequestLimits:
     """Return the limits of the current route table; without one, of the settings."""
@@ -30,3 +36,21 @@
     """Close the connections that exceed a timeout."""
     for connection in list(node.caller_connections):
         connection.check_timeout(now)
+
+
+def close_idlest(node: "nodes.Node") -> int:
+    """Close the connections that have been idle longest, to free their descriptors.
+
+    One with unread input is not idle: its next request has arrived.
+
+    :return: their number.
+    """
+    idle_before = clock.now() - IDLE_BEFORE_CLOSE_MS
+    idle = sorted(
+        (c for c in node.caller_connections if c.idle and c.idle_since < idle_before),
+        key=lambda c: c.idle_since,
+    )
+    closed = [c for c in idle[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
+    for connection in closed:
+        connection.close("no file descriptors left")
+    return len(closed)
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -10,7 +10,13 @@
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
-from gingerturn.internal.shell import node as nodes, open_work, starting, stops
+from gingerturn.internal.shell import (
+    descriptors,
+    node as nodes,
+    open_work,
+    starting,
+    stops,
+)
 
 ADMIN_STOP_S = 2.0
 """Timeout of the administration API's shutdown, after the node has closed."""
@@ -74,6 +80,7 @@
 
     :return: the exit status.
     """
+    descriptors.raise_limit()
     stopping = asyncio.Event()
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -330,6 +330,16 @@
         """Whether no request is being served or read."""
         return not self._requests and self._reading is None
 
+    @property
+    def idle_since(self) -> ids.Milliseconds:
+        """Time at which the last request ended, or the connection was made."""
+        return self._waiting_since
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the kernel has received what this node has not read."""
+        return sockets.has_unread(self._transport)
+
     @property
     def open_requests(self) -> list[caller_requests.Request]:
         """Requests that were read at least in part and whose answer is not written."""
@@ -567,11 +577,13 @@
     def _closes_after(self, request: caller_requests.Request) -> bool:
         """Whether the connection closes after the answer to a request.
 
-        A stopping node first answers the requests whose heads it has read.
+        A stopping node first answers the requests whose heads it has read, and so does
+        one without free descriptors.
         """
         if request.close_after or not request.complete:
             return True
-        return self._node.stopping and not self._has_read_after(request)
+        ends = self._node.stopping or self._node.descriptors.short
+        return ends and not self._has_read_after(request)
 
     def _has_read_after(self, request: caller_requests.Request) -> bool:
         return bool(self._requests) and self._requests[-1] is not request
--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -12,6 +12,7 @@
 import typing
 
 from gingerturn import errors
+from gingerturn.internal.shell import descriptors
 
 BACKLOG = 1_024
 """Connections that wait in the kernel; its ``somaxconn`` limits it further."""
@@ -28,6 +29,13 @@
 )
 """Errors of another process or of the system, which may pass."""
 
+MAX_ACCEPTS = 64
+"""Connections accepted before other events are handled."""
+
+ACCEPT_PAUSE_S = 0.05
+"""Pause after a connection could not be accepted, which the event loop would otherwise
+report all the time."""
+
 MakeProtocol = collections.abc.Callable[[], asyncio.Protocol]
 
 
@@ -38,6 +46,7 @@
 class _Listener(typing.NamedTuple):
     port: int
     make: MakeProtocol | None
+    yields: bool
     sock: socket.socket
 
 
@@ -45,21 +54,27 @@
     """The TCP addresses of a node.
 
     :param host: IP address of all of them.
+    :param reserve: the reserve of descriptors.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, reserve: descriptors.Reserve) -> None:
         self._host = host
-        self._wanted: list[tuple[int, MakeProtocol | None]] = []
+        self._reserve = reserve
+        self._wanted: list[tuple[int, MakeProtocol | None, bool]] = []
         self._bound: list[_Listener] = []
-        self._servers: dict[int, asyncio.Server] = {}
+        self._acceptors: dict[int, Acceptor] = {}
 
-    def add(self, port: int, make: MakeProtocol | None) -> None:
+    def add(
+        self, port: int, make: MakeProtocol | None, *, yields: bool = False
+    ) -> None:
         """Add an address.
 
         :param make: makes the protocol of a connection; ``None`` if another part serves
             the address, which takes its socket.
+        :param yields: whether connections are accepted only while the reserve of
+            descriptors is held.
         """
-        self._wanted.append((port, make))
+        self._wanted.append((port, make, yields))
 
     def take(self, port: int) -> socket.socket:
         """Return the listening socket of an address that another part serves."""
@@ -74,9 +89,9 @@
         :raises GingerturnError: if it cannot.
         """
         try:
-            for port, make in self._wanted:
+            for port, make, yields in self._wanted:
                 sock = bind(self._host, port, socket.SOCK_STREAM)
-                self._bound.append(_Listener(port, make, sock))
+                self._bound.append(_Listener(port, make, yields, sock))
         except errors.GingerturnError:
             self.unbind()
             raise
@@ -93,35 +108,114 @@
         :raises AddressUnavailable: if another process listens at one.
         """
         try:
-            for port, _, sock in self._bound:
+            for port, _, _, sock in self._bound:
                 with naming(self._host, port):
                     sock.listen(BACKLOG)
         except errors.GingerturnError:
             self.unbind()
             raise
 
-    async def serve(self) -> None:
+    def serve(self) -> None:
         """Serve the addresses that are bound."""
-        loop = asyncio.get_running_loop()
         self._wanted.clear()
         for listener in list(self._bound):
             if listener.make is None:
                 continue
             self._bound.remove(listener)
-            server = await loop.create_server(
-                listener.make, sock=listener.sock, backlog=BACKLOG
+            self._acceptors[listener.port] = Acceptor(
+                listener.sock, listener.make, self._reserve, listener.yields
             )
-            self._servers[listener.port] = server
 
-    def server(self, port: int) -> asyncio.Server | None:
+    def server(self, port: int) -> "Acceptor | None":
         """Return the server of an address, once it is served."""
-        return self._servers.get(port)
+        return self._acceptors.get(port)
 
     def close(self) -> None:
         """Close all addresses."""
         self.unbind()
-        for server in self._servers.values():
-            server.close()
+        for acceptor in self._acceptors.values():
+            acceptor.close()
+
+
+class Acceptor:
+    """Accepts the connections of a listening socket.
+
+    The event loop's own server closes the connections that it accepts without a free
+    descriptor. Here they stay in the kernel's queue.
+
+    :param yields: whether connections are accepted only while the reserve is held.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        make: MakeProtocol,
+        reserve: descriptors.Reserve,
+        yields: bool,
+    ) -> None:
+        self._sock = sock
+        self._make = make
+        self._reserve = reserve
+        self._yields = yields
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
+        self._resume()
+
+    def close(self) -> None:
+        """Close the address; connections that wait in the kernel are reset."""
+        if self._closed:
+            return
+        self._loop.remove_reader(self._sock)
+        self._closed = True
+        self._sock.close()
+
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """The listening socket, as of a server of the event loop."""
+        return () if self._closed else (self._sock,)
+
+    def _accept(self) -> None:
+        for _ in range(MAX_ACCEPTS):
+            if self._yields and not self._reserve.is_held:
+                self._wait_for_reserve()
+                return
+            try:
+                accepted, _ = self._sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                self._on_failure(error)
+                return
+            task = self._loop.create_task(self._serve(accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._make, accepted)
+        except OSError:
+            # The peer has reset the connection.
+            accepted.close()
+
+    def _on_failure(self, error: OSError) -> None:
+        if error.errno in descriptors.EXHAUSTED:
+            if self._yields:
+                self._wait_for_reserve()
+                return
+            if self._reserve.is_held:
+                self._reserve.begin_shortage(None)
+                return
+        self._loop.remove_reader(self._sock)
+        self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _wait_for_reserve(self) -> None:
+        self._loop.remove_reader(self._sock)
+        self._reserve.begin_shortage(self._resume)
+
+    def _resume(self) -> None:
+        if not self._closed:
+            self._loop.add_reader(self._sock, self._accept)
 
 
 def bind(host: str, port: int, kind: socket.SocketKind) -> socket.socket:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -37,6 +37,7 @@
     caller_limits,
     clock,
     connection_ends,
+    descriptors,
     entry,
     gossip,
     home,
@@ -139,16 +140,21 @@
         self.lingering = lingering.Lingering()
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
+        self.descriptors = descriptors.Reserve(
+            lambda: len(self.caller_connections),
+            lambda: caller_limits.close_idlest(self),
+        )
         self.stopped = asyncio.Event()
         self.gossip = gossip.GossipProtocol(self)
         self.links = links.Links(self)
         self.entry = entry.EntrySide(self)
         self.home = home.HomeSide(self)
+        self.home.pool.reserve = self.descriptors
         self.log = log_side.LogSide(self, log or log_client.LogClient(loaded.log))
         self._recorder = None if record is None else trace.Recorder(record)
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self.listeners = listeners.Listeners(loaded.node.host)
+        self.listeners = listeners.Listeners(loaded.node.host, self.descriptors)
         self._queue: collections.deque[events.Event] = collections.deque()
         self._applying = False
         self._begun = False
@@ -186,7 +192,7 @@
         return self.state.stopping
 
     @property
-    def callers_server(self) -> asyncio.Server | None:
+    def callers_server(self) -> listeners.Acceptor | None:
         """The listener of callers' connections, once the node has started."""
         return self.listeners.server(self.settings.node.calls_port)
 
@@ -223,12 +229,15 @@
                 await self.serve_http(probes.ready_handler(self), port)
         self.listeners.add(node_settings.peers_port, lambda: peers.Accepted(self))
         self.listeners.add(
-            node_settings.calls_port, lambda: ingress.CallerConnection(self)
+            node_settings.calls_port,
+            lambda: ingress.CallerConnection(self),
+            yields=True,
         )
         await starting.retry(self._open_addresses)
+        self.descriptors.hold()
         self.apply(self._started)
         self._begun = True
-        await self.listeners.serve()
+        self.listeners.serve()
         self._tick()
 
     async def serve_http(self, handler: side_http.Handler, port: int) -> None:
@@ -242,7 +251,7 @@
         if self._begun:
             self.listeners.bind()
             self.listeners.listen()
-            await self.listeners.serve()
+            self.listeners.serve()
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Apply an announcement of the backend server.
@@ -323,6 +332,7 @@
         # Keeps events that are still applied from scheduling another tick.
         self._tick_at = -math.inf
         self.listeners.close()
+        self.descriptors.close()
         for connection in list(self.caller_connections):
             connection.close("the process ends")
         self.links.close()
@@ -467,6 +477,7 @@
         now = clock.now()
         if now >= self._next_report:
             self._next_report = now + REPORT_INTERVAL_MS
+            self.descriptors.probe()
             self.counters.lines_dropped += logs.report_dropped()
             if self._max_lag_ms >= MIN_REPORTED_LAG_MS:
                 text = f"Event loop was late by up to {self._max_lag_ms:.0f} ms."
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -8,7 +8,13 @@
 
 from gingerturn import errors
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import acknowledgements, clock, connection_ends, sockets
+from gingerturn.internal.shell import (
+    acknowledgements,
+    clock,
+    connection_ends,
+    descriptors,
+    sockets,
+)
 from gingerturn.internal.wire import compression, datagrams, frames
 
 if typing.TYPE_CHECKING:
@@ -452,8 +458,11 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
-                    self._make_protocol, self._address.host, self._address.port
+                await descriptors.use(
+                    self._node.descriptors,
+                    lambda: loop.create_connection(
+                        self._make_protocol, self._address.host, self._address.port
+                    ),
                 )
         except (OSError, TimeoutError) as error:
             logs.write(
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -180,6 +180,10 @@
     unrelated = node.home.pool.unrelated_answers
     add("backend_unrelated_answers_total", "counter", ("", unrelated))
     add("outcome_facts_dropped_total", "counter", ("", outcome_log.dropped_total()))
+    reserve = node.descriptors
+    add("descriptors_short", "gauge", ("", reserve.short))
+    add("descriptor_shortages_total", "counter", ("", reserve.shortages))
+    add("idle_callers_closed_total", "counter", ("", reserve.closed_idle))
     add("requests_kept_out", "gauge", ("", len(state.quarantine.quarantined)))
     replaced = node.counters.connections_replaced
     add("connections_replaced_total", "counter", ("", replaced))
