Tests of signals at the end of a stop, and of errors that nothing catches

Both fail on this code: a SIGTERM or SIGHUP that arrives between the removal of the event loop's handlers and the end of the process ends it by the default action, after a stop that cut nothing; an exception that nothing caught leaves no line in the log.

--- a/tests/nocover/test_starts_and_ends.py
+++ b/tests/nocover/test_starts_and_ends.py
@@ -278,3 +278,42 @@
     finally:
         node.kill()
         node.wait()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_until_the_end_of_a_stop_leave_its_status(
+    number: signal.Signals, platform: platform_processes.Platform
+) -> None:
+    # Guards against the default action of a signal after the event loop has removed
+    # its handlers.
+    machine = platform.machines["m"]
+    machine.node = platform.start_node("m")
+    platform.wait_ready()
+    machine.node.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + START_S
+    while machine.node.poll() is None and time.monotonic() < deadline:
+        machine.node.send_signal(number)
+        time.sleep(0.0005)
+    assert machine.node.poll() == EXIT_CLEAN
+
+
+def test_an_error_that_nothing_catches_is_logged(tmp_path: pathlib.Path) -> None:
+    # Guards against a process that ends without a line that says why.
+    code = (
+        "from gingerturn import settings\n"
+        "from gingerturn.internal import logs\n"
+        "from gingerturn.internal.shell import process\n"
+        "async def main(record): raise RuntimeError('broken')\n"
+        "logs.set_up(settings.Logging(json=True), node='n1')\n"
+        "raise SystemExit(process.run(main))\n"
+    )
+    completed = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": str(processes.ROOT / "src")},
+        capture_output=True,
+        timeout=START_S,
+        check=False,
+    )
+    assert completed.returncode == 1
+    assert b"RuntimeError('broken')" in completed.stdout
+    assert b"Ended by an error" in completed.stdout
