The end of a node keeps its exit status, and names an error

A supervisor that sent SIGTERM or SIGHUP a second time saw a node that had stopped without cutting anything ended by that signal: the event loop restores the default actions when it is closed, before the interpreter ends. An exception that nothing caught left a traceback on standard error at most, and no line in the log.

Signals are now held pending from the moment at which the exit status is known. Errors that nothing caught are logged with the innermost frames, and end the process with status 1 as before.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -74,7 +74,7 @@
     import uvloop
 
     from gingerturn.internal import logs
-    from gingerturn.internal.shell import daemon, node as nodes, starting
+    from gingerturn.internal.shell import daemon, node as nodes, process, starting
 
     source = daemon.Source(path, settings.load)
     logs.set_up(settings.Logging(), node="")
@@ -85,7 +85,7 @@
         return await daemon.run(nodes.Node(loaded, record=record), source)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(run()))
+        sys.exit(runner.run(process.guard(run())))
 
 
 @cli.command()
--- a/src/gingerturn/internal/launch.py
+++ b/src/gingerturn/internal/launch.py
@@ -10,6 +10,7 @@
 import types
 
 STANDARD_DESCRIPTORS = (0, 1, 2)
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 EXIT_CLEAN = 0
 
 
@@ -39,6 +40,14 @@
     signal.signal(signal.SIGINT, end)
 
 
+def hold_signals() -> None:
+    """Keep signals pending for the rest of the process, whose exit status is known.
+
+    The event loop restores their default actions when it is closed.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+
+
 def open_standard_streams() -> None:
     """Open the null device for each standard stream that is not open.
 
--- a/src/gingerturn/internal/shell/process.py
+++ b/src/gingerturn/internal/shell/process.py
@@ -5,12 +5,13 @@
 import contextlib
 import gc
 import os
+import traceback
 import typing
 
 import uvloop
 
 from gingerturn import errors
-from gingerturn.internal import checks
+from gingerturn.internal import checks, launch, logs
 
 RECORD_VARIABLE = "GINGERTURN_RECORD"
 """File to which a node records its events, for ``gingerturn replay``. For debugging: it
@@ -21,6 +22,13 @@
 between nodes."""
 
 
+EXIT_ERROR = 1
+"""An exception that nothing caught ended the process."""
+
+TRACE_FRAMES = 5
+"""Entries of a traceback that are logged, from the innermost."""
+
+
 def advertised_port() -> int:
     """Return the port advertised to other nodes, 0 for the one in the settings.
 
@@ -52,4 +60,20 @@
         target = stack.enter_context(open(record, "wb")) if record else None
         runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
         stack.enter_context(runner)
-        return runner.run(main(target))
+        return runner.run(guard(main(target)))
+
+
+async def guard(main: collections.abc.Coroutine[typing.Any, typing.Any, int]) -> int:
+    """Return the exit status of a node.
+
+    Errors that nothing caught are logged. Signals that follow do not change the status.
+    """
+    try:
+        return await main
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error)[-TRACE_FRAMES:])
+        text = f"Ended by an error that nothing caught: {error!r}."
+        logs.write("ERROR", "node", text, trace=trace)
+        return EXIT_ERROR
+    finally:
+        launch.hold_signals()
