--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -48,9 +48,9 @@
 def cli() -> None:
     """Overload control for deep service call graphs.
 
-    Exit status: 0 success; 2 wrong usage or an invalid file; 3 calls in flight were cut
-    at shutdown; 4 refused; 5 outcome unknown; 6 the node cannot be reached; 7 a node
-    did not start because an address is in use.
+    Exit status: 0 success; 1 unexpected error; 2 wrong usage or an invalid file;
+    3 calls in flight were cut at shutdown; 4 refused; 5 outcome unknown; 6 the node
+    cannot be reached; 7 a node did not start because an address is in use.
     """
 
 
--- /dev/null
+++ b/tests/cover/test_descriptors.py
@@ -0,0 +1,133 @@
+"""The reserve of file descriptors, with errors in place of a full table."""
+
+import asyncio
+import collections.abc
+import errno
+import types
+import typing
+
+import pytest
+
+from gingerturn import dialect
+from gingerturn.internal.core import effects, events
+from gingerturn.internal.shell import caller_limits, clock, descriptors, home
+
+NO_DESCRIPTOR = OSError(errno.EMFILE, "Too many open files")
+
+
+def _reserve(*, callers: int = 0) -> descriptors.Reserve:
+    reserve = descriptors.Reserve(lambda: callers, lambda: 0)
+    reserve.hold()
+    return reserve
+
+
+def _failing(times: int) -> collections.abc.Callable[[], typing.Any]:
+    """Return a function that opens a connection after some failures."""
+    left = [times]
+
+    async def connect() -> str:
+        left[0] -= 1
+        if left[0] >= 0:
+            raise NO_DESCRIPTOR
+        return "connection"
+
+    return connect
+
+
+async def _wait_until(condition: collections.abc.Callable[[], bool]) -> None:
+    async with asyncio.timeout(30.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_a_connection_is_opened_from_the_reserve_which_is_then_held_again() -> None:
+    async def run() -> None:
+        reserve = _reserve()
+        resumed: list[bool] = []
+        assert await descriptors.use(reserve, _failing(1)) == "connection"
+        assert reserve.short
+        assert not reserve.is_held
+        reserve.begin_shortage(lambda: resumed.append(True))
+        await _wait_until(lambda: not reserve.short)
+        assert reserve.is_held
+        assert resumed == [True]
+        assert reserve.shortages == 1
+        reserve.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("held", [True, False])
+def test_a_connection_that_cannot_be_opened_fails(held: bool) -> None:
+    async def run() -> None:
+        reserve = _reserve() if held else None
+        with pytest.raises(OSError, match="Too many"):
+            await descriptors.use(reserve, _failing(2))
+        if reserve is not None:
+            reserve.close()
+
+    asyncio.run(run())
+
+
+def test_other_errors_begin_no_shortage() -> None:
+    async def refuse() -> None:
+        raise ConnectionRefusedError
+
+    async def run() -> None:
+        reserve = _reserve()
+        with pytest.raises(ConnectionRefusedError):
+            await descriptors.use(reserve, refuse)
+        assert not reserve.short
+        reserve.close()
+
+    asyncio.run(run())
+
+
+class _Caller:
+    def __init__(
+        self, *, idle_ms: float, unread: bool = False, idle: bool = True
+    ) -> None:
+        self.idle = idle
+        self.idle_since = clock.now() - idle_ms
+        self.has_unread_input = unread
+        self.closed = False
+
+    def close(self, cause: str) -> None:
+        self.closed = True
+
+
+def test_only_idle_connections_without_input_make_room() -> None:
+    # Guards against the close of a connection whose next request has arrived.
+    idle = _Caller(idle_ms=5_000.0)
+    others = [
+        _Caller(idle_ms=5_000.0, unread=True),
+        _Caller(idle_ms=5_000.0, idle=False),
+        _Caller(idle_ms=0.0),
+    ]
+    node = types.SimpleNamespace(caller_connections={idle, *others})
+    assert caller_limits.close_idlest(typing.cast(typing.Any, node)) == 1
+    assert idle.closed
+    assert not any(other.closed for other in others)
+
+
+def test_a_check_without_a_descriptor_is_no_evidence_of_a_crash() -> None:
+    # Guards against a shortage of this node that counts as a crash of its backend
+    # server.
+    applied: list[events.Event] = []
+    node = types.SimpleNamespace(dialect=dialect.DEFAULT, apply=applied.append)
+
+    async def connect(timeout_s: float) -> typing.NoReturn:
+        raise NO_DESCRIPTOR
+
+    async def run() -> None:
+        side = home.HomeSide(typing.cast(typing.Any, node))
+        side.pool = typing.cast(
+            typing.Any,
+            types.SimpleNamespace(set_address=lambda *_: None, connect=connect),
+        )
+        await side._check(effects.CheckBackend(host="127.0.0.1", port=1))
+
+    asyncio.run(run())
+    (checked,) = applied
+    assert isinstance(checked, events.BackendChecked)
+    assert not checked.refused
