--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -48,9 +48,9 @@
 def cli() -> None:
     """Overload control for deep service call graphs.
 
-    Exit status: 0 success; 2 wrong usage or an invalid file; 3 calls in flight were cut
-    at shutdown; 4 refused; 5 outcome unknown; 6 the node cannot be reached; 7 a node
-    did not start because an address is in use.
+    Exit status: 0 success; 1 unexpected error; 2 wrong usage or an invalid file;
+    3 calls in flight were cut at shutdown; 4 refused; 5 outcome unknown; 6 the node
+    cannot be reached; 7 a node did not start because an address is in use.
     """
 
 
@@ -74,7 +74,7 @@
     import uvloop
 
     from gingerturn.internal import logs
-    from gingerturn.internal.shell import daemon, node as nodes, starting
+    from gingerturn.internal.shell import daemon, node as nodes, process, starting
 
     source = daemon.Source(path, settings.load)
     logs.set_up(settings.Logging(), node="")
@@ -85,7 +85,7 @@
         return await daemon.run(nodes.Node(loaded, record=record), source)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(run()))
+        sys.exit(runner.run(process.guard(run())))
 
 
 @cli.command()
