A stop that the administration began ends the process

Seen: after POST /drain a node refused all calls and never ended, and a SIGTERM was answered with "already in progress"; the process lived until it was killed. Cause: the daemon waited for its own signal handler, not for the stop. Now the node owns the beginning of a stop, whoever asks for it, the daemon waits for that, and the drain timeout holds for it too.

Evidence: the new test failed before in both of its variants (no end within 10 s, one run) and passes with the change (one run; with the other three tests of stops there).

--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -304,7 +304,7 @@
     ) -> None:
         """Begin a planned stop of this node."""
         self._check_same_instance(request)
-        self._node.apply(events.StopRequested(now=clock.now()))
+        self._node.begin_stop()
 
     def _member(self, member: messages.Member) -> MemberRow:
         upstream = self._node.state.upstreams.get(member.node)
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -104,7 +104,7 @@
     node.spawn(_watch(node, source))
     if stopping.is_set():
         _begin_stop(node, stopping)
-    await stopping.wait()
+    await node.stop_begun.wait()
     drained = await _wait_stopped(
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
     )
@@ -200,12 +200,7 @@
     if not node.begun:
         stopping.set()
         return
-    if node.stopping:
-        logs.write("INFO", "node", "A planned stop is already in progress.")
-        return
-    grace_ms = float(node.settings.node.drain_timeout_ms)
-    node.begin_stop(grace_ms=grace_ms)
-    stopping.set()
+    node.begin_stop()
 
 
 async def _watch(node: nodes.Node, source: Source) -> None:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -136,6 +136,7 @@
         self.lingering = lingering.Lingering()
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
+        self.stop_begun = asyncio.Event()
         self.stopped = asyncio.Event()
         self.gossip = gossip.GossipProtocol(self)
         self.links = links.Links(self)
@@ -199,12 +200,14 @@
             return -1
         return round(clock.now() - self._stop_began)
 
-    def begin_stop(self, *, grace_ms: ids.Milliseconds) -> None:
-        """Begin a planned stop.
-
-        :param grace_ms: the process is ended after this time.
-        """
+    def begin_stop(self) -> None:
+        """Begin a planned stop, unless one is in progress."""
+        if self.stopping:
+            logs.write("INFO", "node", "A planned stop is already in progress.")
+            return
         self._stop_began = clock.now()
+        self.stop_begun.set()
+        grace_ms = float(self.settings.node.drain_timeout_ms)
         self.apply(events.StopRequested(now=self._stop_began, grace_ms=grace_ms))
 
     async def start(self) -> None:
--- a/tests/nocover/test_failures.py
+++ b/tests/nocover/test_failures.py
@@ -5,6 +5,7 @@
 import time
 
 import httpx
+import pytest
 
 from gingerturn_standins import processes
 from tests.common import builders
@@ -91,6 +92,20 @@
     assert node.wait(timeout=5) == 3
 
 
+# Guards against a process that never ends: a stop that began over the administration
+# API was not waited for, and SIGTERM found it in progress.
+@pytest.mark.parametrize("and_terminate", [False, True])
+def test_a_stop_that_the_administration_began_ends_the_process(
+    fresh: processes.Cluster, *, and_terminate: bool
+) -> None:
+    node = fresh.nodes["plans-1"]
+    url = f"http://127.0.0.1:{node.admin_port}/drain"
+    assert httpx.post(url, trust_env=False).is_success
+    if and_terminate:
+        node.node.send_signal(signal.SIGTERM)
+    assert node.node.wait(timeout=10) == 0
+
+
 def test_a_backend_server_that_leaves_gets_no_new_work(
     fresh: processes.Cluster,
 ) -> None:
