The listener that closes at the end of a stop is that of callers

Now the node keeps the listener of callers by name, and that of heartbeats stays open until the end.

--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -147,6 +147,7 @@
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
+        self._callers_server: asyncio.Server | None = None
         self._queue: collections.deque[events.Event] = collections.deque()
         self._applying = False
         self._begun = False
@@ -186,7 +187,7 @@
     @property
     def callers_server(self) -> asyncio.Server | None:
         """The listener of callers' connections, once the node has started."""
-        return self._servers[0] if self._servers else None
+        return self._callers_server
 
     @property
     def publications(self) -> collections.abc.Iterable[str]:
@@ -216,7 +217,7 @@
         :raises GingerturnError: when an address cannot be bound.
         """
         node_settings = self.settings.node
-        await self._bind(
+        self._callers_server = await self._bind(
             lambda: ingress.CallerConnection(self), node_settings.calls_port
         )
         await self._bind(lambda: peers.Accepted(self), node_settings.peers_port)
@@ -427,7 +428,7 @@
 
     async def _bind(
         self, make: collections.abc.Callable[[], asyncio.Protocol], port: int
-    ) -> None:
+    ) -> asyncio.Server:
         """Bind an address; it accepts connections only once the node has started.
 
         An announcement applied before the start event would not be advertised to the
@@ -439,6 +440,7 @@
                 make, host, port, start_serving=self._begun
             )
         self._servers.append(server)
+        return server
 
     def _apply_one(self, event: events.Event) -> None:
         if self._recorder is not None:
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -205,6 +205,21 @@
     assert statuses == [0]
 
 
+# Guards against connections that are accepted and then cut, in place of refused ones
+# whose callers try another node at once.
+def test_new_connections_are_refused_once_no_call_is_known(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    get = Shape("get", path="/d/y")
+    sent = [(-BEFORE_S, DOWNLOAD), (2.0, get), (3.6, get)]
+    (download, served, refused), statuses = asyncio.run(_stop(entry, sent, entry))
+    assert _is_whole(download)
+    assert _is_whole(served), served
+    assert refused.ending is Ending.REFUSED, refused
+    assert statuses == [0]
+
+
 # Guards against an end that hides what it cut: no line, or status 0.
 def test_what_outlasts_the_drain_timeout_is_cut_and_logged(
     platform: platform_processes.Platform,
