A stopped node refuses a request at its head

Cause: once the node knows of no call, a request on a kept connection is refused in any case, but only after its whole body was read, up to the end of the grace. Now it is refused, as not run, as soon as its head is read; the connection lingers, so that the answer arrives while the caller still sends.

Evidence: test_a_stopped_node_does_not_wait_for_bodies fails without the change and passes with it.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -101,6 +101,11 @@
     return ""
 
 
+def has_body(request: Request) -> bool:
+    """Whether the head announces a body."""
+    return declared_length(request) > 0 or b"transfer-encoding" in request.values
+
+
 def declared_length(request: Request) -> int:
     """Return the Content-Length; 0 if it is missing or not a number."""
     if b"content-length" not in request.values:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -168,8 +168,13 @@
         if caller_requests.declared_length(request) > self._limits.body_bytes:
             self._reject_body()
             return
-        if self._is_first(request):
-            self._ask_for_body(request)
+        if not self._is_first(request):
+            return
+        if self._node.stopped.is_set() and caller_requests.has_body(request):
+            # Refused before the caller has sent its body.
+            self._dispatch(request)
+            return
+        self._ask_for_body(request)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of a body, or stream it to the home node."""
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -198,6 +198,21 @@
     assert caller.transport.closed
 
 
+# Guards against callers that send a whole body to a node that refuses it, and so learn
+# of it too late to try another one.
+def test_a_stopped_node_does_not_wait_for_bodies() -> None:
+    caller = Caller()
+    caller.node.state.stopping = True
+    caller.node.stopped.set()
+    caller.send("/post/1", method="POST", more="content-length: 4\r\n")
+    assert caller.targets() == [b"/post/1"]
+    caller.refuse(0)
+    assert caller.transport.written.startswith(b"HTTP/1.1 503 ")
+    assert b"connection: close" in caller.transport.written
+    caller.connection.data_received(b"bodyGET /a/2 HTTP/1.1\r\nhost: h\r\n\r\n")
+    assert caller.targets() == [b"/post/1"]
+
+
 def test_a_refusal_keeps_the_requests_behind_it() -> None:
     caller = Caller()
     caller.send("/a/1", "/a/2")
