Tests: connections in memory can be closed on one side

Connections between nodes linger after their close since, for which the transport of tests/common/memory_links had no write_eof: the calls of test_silent_calls that close a connection raised AttributeError. It now closes both ends at write_eof, as with a peer that ends at once. No assertion changed.

--- a/tests/common/memory_links.py
+++ b/tests/common/memory_links.py
@@ -40,6 +40,15 @@
 
     abort = close
 
+    # The peer closes its side at once, whereupon the transport closes itself.
+    write_eof = close
+
+    def set_protocol(self, protocol: asyncio.Protocol) -> None:
+        self.other.receiver = protocol
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.closed
 
