Administration API: connections linger after their close

Clients that sent a long body, or more behind an invalid request, saw a reset in place of the answer (400, 404).

Cause: uvicorn closes the transport with unread bytes.

Change: its protocol gets a transport whose close lingers as that of a caller's connection does. During a stop it closes as before, so that clients which keep idle connections do not delay the end of the process.

--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -25,7 +25,7 @@
     quarantine,
     ranks,
 )
-from gingerturn.internal.shell import clock, node as nodes
+from gingerturn.internal.shell import admin_connections, clock, node as nodes
 
 DEFAULT_PAGE_SIZE = 100
 MAX_PAGE_SIZE = 1_000
@@ -408,7 +408,7 @@
             access_log=False,
             lifespan="off",
             # Set explicitly, so that uvicorn imports no other implementations.
-            http="httptools",
+            http=admin_connections.protocol_class(node),
             ws="none",
             loop="none",
             timeout_graceful_shutdown=1,
