--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -31,6 +31,10 @@
 """Seed whose schedule has backend servers that send answers which belong to no
 request."""
 
+LASTING_SEEDS = (19, 27)
+"""Seeds whose schedules stop nodes under requests that last, twice in series and within
+the first second of a start."""
+
 RESTORED_SEED = 1
 """Seed whose schedule restores the log more than once."""
 
@@ -101,3 +105,16 @@
     assert any(unrelated in step for step in verdict.steps)
     assert verdict.violations == []
     assert verdict.served > 0
+
+
+# Guards against stops that cut answers and uploads, and starts that end at once.
+@pytest.mark.parametrize("seed", LASTING_SEEDS)
+def test_planned_steps_under_requests_that_last_cause_no_violations(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    verdict = run.play(
+        seed, tmp_path, machines=4, length_s=6.0, timing=False, lasts=True, calm=True
+    )
+    assert any(schedule.Kind.NODE_STOP.value in step for step in verdict.steps)
+    assert verdict.violations == []
+    assert verdict.served > 0
--- a/tooling/gingerturn_soak/lasting.py
+++ b/tooling/gingerturn_soak/lasting.py
@@ -16,10 +16,10 @@
 """Callers of each kind at a machine."""
 
 WAVE_CALLERS = 24
-SLOTS = 12
+SLOTS = 16
 """Requests that a backend server serves at once."""
 
-PROBES = 4
+PROBES = 6
 """Requests at once through each machine and to each service, once all is over."""
 
 Shape = raw_callers.Shape
