Soak: signals to a process whose interpreter runs

No program can handle a signal before its interpreter runs, so the harness waits until the process catches SIGINT (which the interpreter does from its own start on) and 0.1 s more.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import math
+import os
 import pathlib
 import signal
+import subprocess
 
 import httpx
 import msgspec
@@ -680,6 +682,14 @@
     assert not _is_violated(check, _lasting(tmp_path, left, healed=healed))
 
 
+def test_a_process_has_begun_once_its_interpreter_runs() -> None:
+    assert watch.has_begun(os.getpid())
+    with subprocess.Popen(["sleep", "60"]) as process:
+        assert not watch.has_begun(process.pid)
+        process.kill()
+    assert not watch.has_begun(process.pid)
+
+
 async def _answer(
     answers: list[bytes], shape: raw_callers.Shape
 ) -> list[raw_callers.Exchange]:
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -63,6 +63,10 @@
 SPARE_DESCRIPTORS = 2
 """What a starved node has beyond its open descriptors."""
 
+BEGIN_POLL_S = 0.01
+BEGIN_S = 0.1
+"""Time from the start of the interpreter in which it finds the program."""
+
 HELD_NAMES = ("outbound", "inbound", "ready", "control")
 """Addresses of a node that are held, picked by the duration of the step."""
 
@@ -276,13 +280,13 @@
 
     async def _node_stop_reload(self, step: schedule.Step, fault: checks.Fault) -> None:
         async def reload(node: subprocess.Popen[bytes]) -> None:
-            self._watch.tell(node, signal.SIGHUP)
+            await self._tell(node, signal.SIGHUP)
 
         await self._stop_with(step, fault, reload)
 
     async def _node_stop_twice(self, step: schedule.Step, fault: checks.Fault) -> None:
         async def terminate(node: subprocess.Popen[bytes]) -> None:
-            self._watch.tell(node, signal.SIGTERM)
+            await self._tell(node, signal.SIGTERM)
 
         await self._stop_with(step, fault, terminate)
 
@@ -315,9 +319,9 @@
         """Reload a node with half written settings, and once they are whole."""
         machine = self._machine(step.target)
         with self._half_written(machine):
-            self._watch.tell(machine.node, signal.SIGHUP)
+            await self._tell(machine.node, signal.SIGHUP)
             await asyncio.sleep(step.duration_s / 4.0)
-        self._watch.tell(machine.node, signal.SIGHUP)
+        await self._tell(machine.node, signal.SIGHUP)
 
     @contextlib.contextmanager
     def _half_written(
@@ -387,7 +391,7 @@
 
     async def _node_reload(self, step: schedule.Step, fault: checks.Fault) -> None:
         node = self._machine(step.target).node
-        self._watch.tell(node, signal.SIGHUP)
+        await self._tell(node, signal.SIGHUP)
 
     async def _backend_kill(self, step: schedule.Step, fault: checks.Fault) -> None:
         machine = self._machine(step.target)
@@ -534,11 +538,21 @@
             await asyncio.sleep(lasts)
             process.send_signal(signal.SIGCONT)
 
+    async def _tell(
+        self, process: subprocess.Popen[bytes], number: signal.Signals
+    ) -> None:
+        """Send a signal to a process, once it is one that could handle signals."""
+        if number is not signal.SIGKILL:
+            while process.poll() is None and not watch.has_begun(process.pid):
+                await asyncio.sleep(BEGIN_POLL_S)
+            await asyncio.sleep(BEGIN_S)
+        self._watch.tell(process, number)
+
     async def _signal_and_wait(
         self, process: subprocess.Popen[bytes], number: signal.Signals
     ) -> int | None:
         """Signal a process and return its exit status, if it exits in time."""
-        self._watch.tell(process, number)
+        await self._tell(process, number)
         try:
             return await asyncio.to_thread(process.wait, EXIT_WAIT_S)
         except subprocess.TimeoutExpired:
--- a/tooling/gingerturn_soak/watch.py
+++ b/tooling/gingerturn_soak/watch.py
@@ -1,6 +1,7 @@
 """The lives of the processes of a run: starts, readiness, signals and ends."""
 
 import asyncio
+import pathlib
 import signal
 import subprocess
 import time
@@ -111,5 +112,18 @@
                 life.ready = _now_ms()
 
 
+def has_begun(pid: int) -> bool:
+    """Return whether the interpreter of a process runs, which handles SIGINT then.
+
+    Signals that arrive before it does have their default action, whatever the program.
+    """
+    try:
+        text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    caught = text.partition("SigCgt:")[2].split()
+    return bool(caught) and bool(int(caught[0], 16) >> (signal.SIGINT - 1) & 1)
+
+
 def _now_ms() -> float:
     return time.time() * 1000.0
