--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -543,6 +543,30 @@
     assert _is_violated(promises.processes_end_only_when_told, observed) is violated
 
 
+# Work of 3.5 s that began with the SIGTERM ends at 3.5 s, or later by its stall.
+@pytest.mark.parametrize(
+    ("stalled_s", "node", "violated"),
+    [(1.0, "m1", True), (2.0, "m1", False), (2.0, "m2", True)],
+)
+def test_a_stalled_upstream_is_at_work_for_longer(
+    stalled_s: float, node: str, violated: bool, tmp_path: pathlib.Path
+) -> None:
+    cut = _exchange(ended=BEGAN_S + 5.5, ending=ENDING.FIN, lasts_s=3.5)
+    stall = _fault(
+        schedule.Kind.BACKEND_STALL,
+        node=node,
+        began=START + 100.0,
+        ended=START + 100.0 + stalled_s * 1_000.0,
+    )
+    life = _life(_terminated(0.0), ended=START + 6_000.0, status=promises.CUT_STATUS)
+    observed = _lasting(
+        tmp_path, cut, lives=(life,), entries=(_arrived(),), faults=(stall,)
+    )
+    check = promises.passed_on_requests_are_answered
+    assert _is_violated(check, observed) is violated
+    assert _is_violated(promises.processes_end_only_when_told, observed) is violated
+
+
 def test_a_request_that_was_served_excuses_no_failed_stop(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tooling/gingerturn_soak/promises.py
+++ b/tooling/gingerturn_soak/promises.py
@@ -283,13 +283,27 @@
     arrived = [entry.at for entry in observed.ledger.arrived.get(exchange.id, ())]
     if not arrived:
         return False
-    works_until = max(arrived) + exchange.lasts_s * 1_000.0
+    stalled_ms = _stalled_ms(observed, exchange, max(arrived))
+    works_until = max(arrived) + exchange.lasts_s * 1_000.0 + stalled_ms
     return any(
         stop + LATE_GRACE_MS < min(ended, works_until) and began <= stop + LAST_SENT_MS
         for stop in _stops(observed, nodes, began, ended)
     )
 
 
+def _stalled_ms(
+    observed: checks.Observations, exchange: raw_callers.Exchange, arrived: float
+) -> float:
+    """Return how long upstreams that a request reached were stopped meanwhile."""
+    homes = _homes(observed.ledger, exchange.id)
+    ended = exchange.ended * 1_000.0
+    return sum(
+        max(0.0, min(fault.ended, ended) - max(fault.began, arrived))
+        for fault in observed.faults
+        if fault.kind is schedule.Kind.BACKEND_STALL and fault.node in homes
+    )
+
+
 def _stops(
     observed: checks.Observations, nodes: set[str], began: float, ended: float
 ) -> list[float]:
