--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -41,8 +41,8 @@
         stop.cancel()
 
 
-class Patience:
-    """Time that is left for obstacles of one kind during a start."""
+class StartTimeout:
+    """Time-out of a start that waits for an obstacle to pass."""
 
     def __init__(self) -> None:
         self._ends_at = time.monotonic() + WAIT_LIMIT_S
@@ -69,12 +69,12 @@
     :raises IncompleteDocument: when they stay incomplete.
     :raises InvalidDocument: for values that are not allowed.
     """
-    patience = Patience()
+    timeout = StartTimeout()
     while True:
         try:
             return load()
         except errors.IncompleteDocument as error:
-            if patience.is_over(error):
+            if timeout.is_over(error):
                 raise
         time.sleep(RETRY_INTERVAL_S)
 
@@ -88,12 +88,12 @@
 
     :raises GingerturnError: for an address that cannot be used, or stays held.
     """
-    patience = Patience()
+    timeout = StartTimeout()
     while True:
         try:
             await open_addresses()
             return
         except listeners.AddressUnavailable as error:
-            if patience.is_over(error):
+            if timeout.is_over(error):
                 raise
         await asyncio.sleep(RETRY_INTERVAL_S)
