Peers: frames are sent where no connection was made

Seen: five tests of test_greeting fail with "'NoneType' object has no attribute 'is_reported'" since: they send frames on protocols whose transport they set themselves.

Change: a protocol that was not connected is not watched.

--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -63,7 +63,7 @@
         self._node = node
         self._buffer = bytearray()
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
-        self._watched = typing.cast(acknowledgements.Watched, None)
+        self._watched: acknowledgements.Watched | None = None
         self._silence: TimeoutError | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._authenticated = False
@@ -118,7 +118,8 @@
     def send(self, frame: frames.Frame) -> None:
         """Write a frame, unless the connection is closing."""
         if not self.is_closing:
-            self._node.watch.add(self._watched)
+            if self._watched is not None:
+                self._node.watch.add(self._watched)
             self._transport.write(frames.encode(frame, self._deflater))
 
     def on_frame(self, frame: frames.Frame) -> None:
