Ends of connections between nodes are recorded without a transport

test_a_node_compresses_on_a_bounded_number_of_connections failed since: the name of the peer was looked up on a protocol that had never been connected. The peer's id is enough for the line, which is written only where calls are open. The test passes.

--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -109,7 +109,7 @@
         self._node.compressing.discard(self)
         connection_ends.record_nodes(
             self._node,
-            self._peer_name(),
+            self.peer,
             error or self._silence,
             by_node=self._closed_here,
             calls=self.open_calls,
