Test tooling: a process takes further blocks before it draws a port again

Seen once: 3,187 of 3,200 ports were different in test_ports_of_runs.py, beside other runs; runs of 40 machines met addresses in use.

Cause: a process whose block of 215 ports was used up once drew from it again.

Change: it takes up to four blocks first. Result: the test passes; the case with ports in use by others was not played again.

--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -22,6 +22,8 @@
 _FIRST_PORT = 12_000
 _RANGE_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 _BLOCKS = 48
+_MAX_OWN_BLOCKS = 4
+"""Blocks that a process takes before it draws ports again."""
 
 
 class _Ports:
@@ -37,7 +39,13 @@
         self._next = 0
 
     def draw(self) -> int:
-        """Return a port that is free at present, each once before one is repeated."""
+        """Return a port that is free at present, each once before one is repeated.
+
+        :raises OSError: if other processes use all ports.
+        """
+        if self._next >= len(self._ports) and len(self._guards) < _MAX_OWN_BLOCKS:
+            with contextlib.suppress(OSError):
+                self._add_block()
         for _ in range(len(self._ports)):
             port = self._ports[self._next % len(self._ports)]
             self._next += 1
