--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -242,4 +242,9 @@
     )
     for task in waiting:
         task.cancel()
-    return ended in done
+    if ended not in done:
+        return False
+    error = ended.exception()
+    if error is not None:
+        logs.write("ERROR", "node", f"Planned stop failed: {error!r}.")
+    return error is None
--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -170,10 +170,22 @@
         self._closed = True
         self._sock.close()
 
-    @property
-    def sockets(self) -> tuple[socket.socket, ...]:
-        """The listening socket, as of a server of the event loop."""
-        return () if self._closed else (self._sock,)
+    def close_after_accepting(self) -> None:
+        """Accept the connections that wait in the kernel, and close the address.
+
+        The kernel resets those that are not accepted.
+        """
+        if self._closed:
+            return
+        while True:
+            try:
+                accepted, _ = self._sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+            self._begin(accepted)
+        self.close()
 
     def _accept(self) -> None:
         for _ in range(MAX_ACCEPTS):
@@ -187,9 +199,12 @@
             except OSError as error:
                 self._on_failure(error)
                 return
-            task = self._loop.create_task(self._serve(accepted))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(accepted)
+
+    def _begin(self, accepted: socket.socket) -> None:
+        task = self._loop.create_task(self._serve(accepted))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, accepted: socket.socket) -> None:
         try:
--- a/src/gingerturn/internal/shell/stops.py
+++ b/src/gingerturn/internal/shell/stops.py
@@ -1,11 +1,9 @@
 """The end of a planned stop, after its linger time."""
 
 import asyncio
-import os
-import socket
 import typing
 
-from gingerturn.internal.shell import clock, ingress, open_work
+from gingerturn.internal.shell import clock, open_work
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -25,7 +23,8 @@
     dispatched at the end of the grace are refused.
     """
     await node.stopped.wait()
-    await close_callers_door(node)
+    if node.callers_server is not None:
+        node.callers_server.close_after_accepting()
     idle_checks = 0
     has_refused = False
     while True:
@@ -38,38 +37,3 @@
         if idle_checks == IDLE_CHECKS:
             return
         await asyncio.sleep(CHECK_INTERVAL_S)
-
-
-async def close_callers_door(node: "nodes.Node") -> None:
-    """Let the kernel refuse further connections of callers.
-
-    The connections that the kernel has accepted would be reset together with the
-    listening socket, so they are taken over first.
-    """
-    server = node.callers_server
-    if server is None:
-        return
-    accepted: list[socket.socket] = []
-    for listening in server.sockets:
-        with socket.socket(fileno=os.dup(listening.fileno())) as duplicate:
-            duplicate.setblocking(False)
-            accepted += _accept_all(duplicate)
-    server.close()
-    loop = asyncio.get_running_loop()
-    for connection in accepted:
-        await loop.connect_accepted_socket(
-            lambda: ingress.CallerConnection(node), connection
-        )
-
-
-def _accept_all(listening: socket.socket) -> list[socket.socket]:
-    accepted: list[socket.socket] = []
-    while True:
-        try:
-            connection, _ = listening.accept()
-        except ConnectionAbortedError:
-            continue
-        except OSError:
-            return accepted
-        connection.setblocking(False)
-        accepted.append(connection)
--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -11,10 +11,10 @@
 from gingerturn.internal.core import events, reducer
 from gingerturn.internal.shell import (
     ingress,
+    listeners,
     node as nodes,
     open_work,
     sockets,
-    stops,
 )
 from tests.common import builders, routed, transports
 
@@ -145,25 +145,24 @@
 
 # Guards against connections that are reset unanswered, since the listening socket was
 # closed while they waited in its queue.
-def test_connections_in_the_accept_queue_are_served(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_connections_in_the_accept_queue_are_served() -> None:
     async def play() -> None:
         loop = asyncio.get_running_loop()
         node = nodes.Node(builders.settings())
         node.state = routed.node_state()
-        server = await loop.create_server(
-            lambda: ingress.CallerConnection(node), "127.0.0.1", 0
+        listening = listeners.bind("127.0.0.1", 0, socket.SOCK_STREAM)
+        listening.listen()
+        address = listening.getsockname()
+        server = listeners.Acceptor(
+            listening, lambda: ingress.CallerConnection(node), node.descriptors, False
         )
-        monkeypatch.setattr(nodes.Node, "callers_server", server)
-        address = server.sockets[0].getsockname()
         callers = [socket.create_connection(address) for _ in range(20)]
         for caller in callers:
             caller.setblocking(False)
             caller.sendall(b"GET /tickets/none HTTP/1.1\r\nhost: gingerturn\r\n\r\n")
         # No wait since: the event loop has not accepted any of them.
         assert not node.caller_connections
-        await stops.close_callers_door(node)
+        server.close_after_accepting()
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(address)
         async with asyncio.timeout(WAIT_S):
