Requests whose heads hold unusable values are answered

Found by the review: GET http://[::1/a, or a number header with a digit of another alphabet, raised while the request was dispatched. It was read whole and never answered, and, since it stayed open, each later stop lasted until the drain timeout with status 3.

Change: a target that cannot be parsed names no service (400), other digits are no number.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -111,15 +111,18 @@
     if b"content-length" not in request.values:
         return 0
     text = text_header(request, b"content-length")
-    return int(text) if text.isdigit() else 0
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def destination(request: Request) -> tuple[str, str, bytes]:
-    """Return service, path and target of a request."""
+    """Return service, path and target of a request; no service if it names none."""
     target = request.target
     authority = request.values.get(b"host", b"").decode("latin-1")
     if target.startswith(b"http://"):
-        parts = urllib.parse.urlsplit(target.decode("latin-1"))
+        try:
+            parts = urllib.parse.urlsplit(target.decode("latin-1"))
+        except ValueError:
+            return "", "", target
         authority = parts.netloc
         path = parts.path or "/"
         query = f"?{parts.query}" if parts.query else ""
@@ -166,7 +169,8 @@
     if wanted not in request.values:
         return 0.0
     text = text_header(request, wanted)
-    return float(text) if text.isdigit() and len(text) <= 9 else 0.0
+    is_number = text.isascii() and text.isdigit() and len(text) <= 9
+    return float(text) if is_number else 0.0
 
 
 def digest(body: bytes | bytearray) -> str:
