--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -108,6 +108,11 @@
             if isinstance(cause, _TooLarge):
                 self._reject_head()
                 return
+            if isinstance(error, httptools.HttpParserCallbackError):
+                # A request that is read must not stay open without an answer.
+                logs.write("ERROR", _PART, f"Unhandled error: {cause!r}.")
+                self.close("an error of this node")
+                return
             self._reject(400, f"not a valid HTTP/1.1 request: {error}")
 
     def pause_writing(self) -> None:
--- a/src/gingerturn/internal/shell/stops.py
+++ b/src/gingerturn/internal/shell/stops.py
@@ -3,7 +3,8 @@
 import asyncio
 import typing
 
-from gingerturn.internal.shell import clock, open_work
+from gingerturn.internal import logs
+from gingerturn.internal.shell import clock, ingress, open_work
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -31,9 +32,18 @@
         if not has_refused and clock.now() >= node.state.stop_by:
             has_refused = True
             for connection in list(node.caller_connections):
-                connection.dispatch_all()
+                _dispatch_all(connection)
         has_work = next(open_work.items(node), None) is not None
         idle_checks = 0 if has_work else idle_checks + 1
         if idle_checks == IDLE_CHECKS:
             return
         await asyncio.sleep(CHECK_INTERVAL_S)
+
+
+def _dispatch_all(connection: ingress.CallerConnection) -> None:
+    """Dispatch every request of a connection; an error ends this one alone."""
+    try:
+        connection.dispatch_all()
+    except Exception as error:
+        logs.write("ERROR", "node", f"Request not dispatched at a stop: {error!r}.")
+        connection.close("an error of this node")
--- a/tests/cover/test_heads_that_cannot_be_used.py
+++ b/tests/cover/test_heads_that_cannot_be_used.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gingerturn import dialect
-from gingerturn.internal.shell import ingress, node as nodes
+from gingerturn.internal.shell import ingress, node as nodes, open_work
 from tests.common import builders, routed, transports
 
 TIMEOUT = dialect.DEFAULT.timeout.decode()
@@ -32,3 +32,19 @@
 def test_a_number_with_other_digits_counts_as_none(name: str) -> None:
     head = f"GET /none/x HTTP/1.1\r\nhost: other.example\r\n{name}: ".encode()
     assert _answer(head + b"\xb2\r\n\r\n").startswith(b"HTTP/1.1 ")
+
+
+# Guards against an error that leaves a request open without an answer for good.
+def test_an_error_in_the_dispatch_of_a_request_ends_its_connection() -> None:
+    def fail(request: object, arrival: object) -> None:
+        raise RuntimeError
+
+    node = nodes.Node(builders.settings())
+    node.state = routed.node_state()
+    node.entry.begin_request = fail  # type: ignore[method-assign]
+    connection = ingress.CallerConnection(node)
+    transport = transports.Transport()
+    connection.connection_made(transport)  # type: ignore[arg-type]
+    connection.data_received(b"GET /a/x HTTP/1.1\r\nhost: shop.example\r\n\r\n")
+    assert transport.closed
+    assert not list(open_work.items(node))
