A shortage of descriptors ends once a caller can be accepted

Cause: the reserve that was given up was taken again from the same descriptors, so each shortage ended at once and nothing was closed. Connections that were closed and lingered counted as idle, were closed again and held their descriptors.

Change: with a caller waiting, the reserve is held again only if one more descriptor is left; a shortage ends the lingering connections that no answer depends on, and passes over those that are closed.

--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -47,7 +47,11 @@
     """
     idle_before = clock.now() - IDLE_BEFORE_CLOSE_MS
     idle = sorted(
-        (c for c in node.caller_connections if c.idle and c.idle_since < idle_before),
+        (
+            c
+            for c in node.caller_connections
+            if c.idle and not c.closing and c.idle_since < idle_before
+        ),
         key=lambda c: c.idle_since,
     )
     closed = [c for c in idle[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
--- a/src/gingerturn/internal/shell/descriptors.py
+++ b/src/gingerturn/internal/shell/descriptors.py
@@ -132,8 +132,7 @@
         self._timer = None
         if self._closed:
             return
-        few = self._count_callers() < FEW_CALLERS
-        if not self._acquire(RESERVE) and not (few and self._acquire(MIN_RESERVE)):
+        if not self._hold_again():
             self.closed_idle += self._make_room()
             self._timer = asyncio.get_running_loop().call_later(
                 RETRY_INTERVAL_S, self._retry
@@ -148,6 +147,18 @@
                 RETRY_INTERVAL_S, self._retry
             )
 
+    def _hold_again(self) -> bool:
+        """Take the reserve again, if a descriptor is left beside it for a caller who
+        waits; return whether it is held."""
+        extra = bool(self._waiting)
+        few = self._count_callers() < FEW_CALLERS
+        for count in (RESERVE, MIN_RESERVE) if few else (RESERVE,):
+            if self._acquire(count + extra):
+                if extra:
+                    os.close(self._held.pop())
+                return True
+        return False
+
     def _acquire(self, count: int) -> bool:
         try:
             if not self._held:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -350,6 +350,11 @@
         """Whether the kernel has received what this node has not read."""
         return sockets.has_unread(self._transport)
 
+    @property
+    def closing(self) -> bool:
+        """Whether the node has closed the connection, which may still linger."""
+        return self._closing
+
     @property
     def open_requests(self) -> list[caller_requests.Request]:
         """Requests that were read at least in part and whose answer is not written."""
--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -80,6 +80,12 @@
             if discarding.is_over(now):
                 self._end(transport)
 
+    def end_flushed(self) -> None:
+        """Close the connections that no answer depends on, for their descriptors."""
+        for transport, discarding in list(self._connections.items()):
+            if not discarding.is_awaited:
+                self._end(transport)
+
     def forget(self, transport: asyncio.Transport) -> None:
         """Remove a connection that is closed."""
         self._connections.pop(transport, None)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -142,7 +142,7 @@
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
         self.descriptors = descriptors.Reserve(
             lambda: len(self.caller_connections),
-            lambda: caller_limits.close_idlest(self),
+            self._free_descriptors,
         )
         self.stop_begun = asyncio.Event()
         self.stopped = asyncio.Event()
@@ -358,6 +358,12 @@
             # logged digest.
             self._recorder = None
 
+    def _free_descriptors(self) -> int:
+        """Close what needs no descriptor any more, and idle connections of callers;
+        return the number of the latter."""
+        self.lingering.end_flushed()
+        return caller_limits.close_idlest(self)
+
     def _linger_limit_ms(self) -> ids.Milliseconds:
         """Return the time for which the end may wait for lingering connections."""
         limit_ms = lingering.STOP_WAIT_MS
--- a/tests/cover/test_descriptors.py
+++ b/tests/cover/test_descriptors.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import errno
+import os
 import types
 import typing
 
@@ -85,9 +86,15 @@
 
 class _Caller:
     def __init__(
-        self, *, idle_ms: float, unread: bool = False, idle: bool = True
+        self,
+        *,
+        idle_ms: float,
+        unread: bool = False,
+        idle: bool = True,
+        closing: bool = False,
     ) -> None:
         self.idle = idle
+        self.closing = closing
         self.idle_since = clock.now() - idle_ms
         self.has_unread_input = unread
         self.closed = False
@@ -102,6 +109,7 @@
     others = [
         _Caller(idle_ms=5_000.0, unread=True),
         _Caller(idle_ms=5_000.0, idle=False),
+        _Caller(idle_ms=9_000.0, closing=True),
         _Caller(idle_ms=0.0),
     ]
     node = types.SimpleNamespace(caller_connections={idle, *others})
@@ -131,3 +139,43 @@
     (checked,) = applied
     assert isinstance(checked, events.BackendChecked)
     assert not checked.refused
+
+
+# Guards against a shortage that ends and begins again all the time, in which nothing is
+# closed to make room for the callers that wait.
+def test_the_reserve_is_held_again_once_a_caller_can_be_accepted_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    left = [descriptors.RESERVE - 1]
+    duplicate = os.dup
+
+    def dup(descriptor: int) -> int:
+        if not left[0]:
+            raise NO_DESCRIPTOR
+        left[0] -= 1
+        return duplicate(descriptor)
+
+    async def run() -> None:
+        rooms: list[int] = []
+        resumed: list[bool] = []
+        reserve = descriptors.Reserve(lambda: 100, lambda: rooms.append(1) or 1)
+        monkeypatch.setattr(descriptors.os, "dup", dup)
+        reserve.hold()
+        assert reserve.is_held
+        left[0] = descriptors.RESERVE - 1
+        reserve.begin_shortage(lambda: resumed.append(True))
+
+        def has_made_room() -> bool:
+            # What was released may be taken again.
+            left[0] = descriptors.RESERVE - 1
+            return len(rooms) >= 3
+
+        await _wait_until(has_made_room)
+        assert not resumed
+        assert reserve.shortages == 1
+        monkeypatch.setattr(descriptors.os, "dup", duplicate)
+        await _wait_until(lambda: bool(resumed))
+        assert reserve.is_held
+        reserve.close()
+
+    asyncio.run(run())
--- a/tests/nocover/test_last_descriptor.py
+++ b/tests/nocover/test_last_descriptor.py
@@ -191,3 +191,23 @@
             assert raised > min(512, hard - 1)
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+# Guards against connections that were closed to make room and are closed again, while
+# those that hold descriptors stay open and new callers wait.
+def test_each_idle_connection_is_closed_once_to_make_room(
+    platform: platform_processes.Platform,
+) -> None:
+    machine = platform.machines["short"]
+    count = 3 * LEFT
+    with contextlib.ExitStack() as stack:
+        for number in range(count):
+            connection = stack.enter_context(
+                socket.create_connection(
+                    ("127.0.0.1", machine.ports["outbound"]), PATIENCE_S
+                )
+            )
+            connection.sendall(_head("/a/x", f"k{number}"))
+            assert connection.recv(65_536).startswith(b"HTTP/1.1 200 ")
+    assert 0 < _value(machine, "idle_callers_closed_total") <= count
+    assert _value(machine, "descriptor_shortages_total") <= count
