A stop leaves no accepted connection unread

Found by the review: a stop during a shortage of descriptors closed the listener with 88 of 100 callers in its queue, which were reset.

Change: the listener closes only when nothing waits in its queue. Connections that are accepted and not served yet, and input that is not read yet, count as open work.

Result: the test of the accept queue expects that connections which were just accepted count.

--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -170,22 +170,25 @@
         self._closed = True
         self._sock.close()
 
-    def close_after_accepting(self) -> None:
+    def close_when_empty(self) -> bool:
         """Accept the connections that wait in the kernel, and close the address.
 
-        The kernel resets those that are not accepted.
+        It stays open while one cannot be accepted, since the kernel would reset it.
+
+        :return: whether it is closed and all accepted connections are served.
         """
-        if self._closed:
-            return
-        while True:
+        while not self._closed:
             try:
                 accepted, _ = self._sock.accept()
             except ConnectionAbortedError:
                 continue
+            except BlockingIOError:
+                self.close()
             except OSError:
-                break
-            self._begin(accepted)
-        self.close()
+                return False
+            else:
+                self._begin(accepted)
+        return not self._tasks
 
     def _accept(self) -> None:
         for _ in range(MAX_ACCEPTS):
--- a/src/gingerturn/internal/shell/stops.py
+++ b/src/gingerturn/internal/shell/stops.py
@@ -24,8 +24,7 @@
     dispatched at the end of the grace are refused.
     """
     await node.stopped.wait()
-    if node.callers_server is not None:
-        node.callers_server.close_after_accepting()
+    server = node.callers_server
     idle_checks = 0
     has_refused = False
     while True:
@@ -33,7 +32,8 @@
             has_refused = True
             for connection in list(node.caller_connections):
                 _dispatch_all(connection)
-        has_work = next(open_work.items(node), None) is not None
+        is_accepting = server is not None and not server.close_when_empty()
+        has_work = is_accepting or _has_work(node)
         idle_checks = 0 if has_work else idle_checks + 1
         if idle_checks == IDLE_CHECKS:
             return
@@ -47,3 +47,11 @@
     except Exception as error:
         logs.write("ERROR", "node", f"Request not dispatched at a stop: {error!r}.")
         connection.close("an error of this node")
+
+
+def _has_work(node: "nodes.Node") -> bool:
+    """Whether there is open work, or input of a caller that was not read yet."""
+    if next(open_work.items(node), None) is not None:
+        return True
+    connections = node.caller_connections
+    return any(c.has_unread_input for c in connections if not c.closing)
--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -162,7 +162,7 @@
             caller.sendall(b"GET /tickets/none HTTP/1.1\r\nhost: gingerturn\r\n\r\n")
         # No wait since: the event loop has not accepted any of them.
         assert not node.caller_connections
-        server.close_after_accepting()
+        assert not server.close_when_empty()
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(address)
         async with asyncio.timeout(WAIT_S):
