A stop does not report answers that the kernel has taken as cut

Cause: bytes that are sent and not acknowledged counted as cut; the kernel delivers them after the process has ended.

Result: the test fails without the distinction (SENT does not exist).

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -115,7 +115,7 @@
     drained = await _wait_stopped(
         node, interrupted, node_settings.drain_timeout_ms / 1000.0
     )
-    cut = [] if drained else list(open_work.items(node))
+    cut = [] if drained else open_work.cut_by_end(node)
     left_over = _left_over(node)
     open_work.log_cut(cut)
     if administration is not None:
--- a/src/gingerturn/internal/shell/open_work.py
+++ b/src/gingerturn/internal/shell/open_work.py
@@ -27,7 +27,8 @@
     QUEUED = "it waits for earlier requests of its connection"
     RUNNING = "it has no answer yet"
     ANSWERING = "its answer is being written"
-    DELIVERING = "its answer is not acknowledged by the peer's machine"
+    DELIVERING = "the end of its answer is not sent"
+    SENT = "its answer is sent, and not acknowledged by the peer's machine"
     HOSTED = "the backend server works on it"
     PUBLISHING = "the outcome of its publication is not known"
 
@@ -56,11 +57,20 @@
             yield Item(Phase.HOSTED, hosted.metadata.trace)
     for accepted in node.accepted:
         if size := accepted.undelivered_bytes:
-            yield Item(Phase.DELIVERING, size=size, peer=accepted.peer)
+            phase = Phase.DELIVERING if accepted.unsent_bytes else Phase.SENT
+            yield Item(phase, size=size, peer=accepted.peer)
     for number in node.publications:
         yield Item(Phase.PUBLISHING, number)
 
 
+def cut_by_end(node: "nodes.Node") -> list[Item]:
+    """Return the open work that an end of the process would cut.
+
+    The kernel goes on to deliver what it has taken.
+    """
+    return [item for item in items(node) if item.phase is not Phase.SENT]
+
+
 def log_cut(cut: collections.abc.Sequence[Item]) -> None:
     """Log the work that the end of the process cuts, in at most :data:`MAX_LOGGED`
     lines."""
@@ -96,4 +106,5 @@
             phase, size = Phase.BODY, request.body_bytes
         yield Item(phase, request.trace_id(node.dialect), size, peer)
     if not requests and (size := connection.undelivered_bytes):
-        yield Item(Phase.DELIVERING, size=size)
+        phase = Phase.DELIVERING if connection.unsent_bytes else Phase.SENT
+        yield Item(phase, size=size)
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -126,6 +126,11 @@
         """Handle a frame of an authenticated peer."""
         raise NotImplementedError
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Written bytes that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def undelivered_bytes(self) -> int:
         """Written bytes that the peer's machine has not acknowledged."""
--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -172,3 +172,15 @@
                 caller.close()
 
     _run(play())
+
+
+# Guards against a stop that reports an answer as cut which the kernel goes on to deliver.
+@pytest.mark.parametrize(("buffered", "cut"), [(0, []), (9, [Phase.DELIVERING])])
+def test_an_answer_that_the_kernel_has_taken_is_not_cut(
+    buffered: int, cut: list[open_work.Phase], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller = _Caller()
+    monkeypatch.setattr(sockets, "undelivered_bytes", lambda transport: 9)
+    caller.transport.buffered = buffered
+    assert caller.phases() == (cut or [Phase.SENT])
+    assert [item.phase for item in open_work.cut_by_end(caller.node)] == cut
