--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -174,7 +174,7 @@
     _run(play())
 
 
-# Guards against a stop that reports an answer as cut which the kernel goes on to deliver.
+# Guards against a stop that reports answers as cut which the kernel still delivers.
 @pytest.mark.parametrize(("buffered", "cut"), [(0, []), (9, [Phase.DELIVERING])])
 def test_an_answer_that_the_kernel_has_taken_is_not_cut(
     buffered: int, cut: list[open_work.Phase], monkeypatch: pytest.MonkeyPatch
