Lingering connections that no answer depends on make room first

Change: one whose peer is not known to send makes room before one whose peer does. With more than 256 of the latter, the oldest is still closed. Result: the test failed before.

--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -59,7 +59,7 @@
         transport.set_protocol(discarding)
         self._connections[transport] = discarding
         if len(self._connections) > MAX_LINGERING:
-            self._end(next(iter(self._connections)))
+            self._make_room()
         transport.write_eof()
         if not transport.is_closing():
             # Reading may be paused for lack of credit.
@@ -80,6 +80,12 @@
             if discarding.is_over(now):
                 self._end(transport)
 
+    def _make_room(self) -> None:
+        """Close the oldest connection that is not awaited, or else the oldest one."""
+        oldest = next(iter(self._connections))
+        not_awaited = (t for t, d in self._connections.items() if not d.is_awaited)
+        self._end(next(not_awaited, oldest))
+
     def end_flushed(self) -> None:
         """Close the connections that no answer depends on, for their descriptors."""
         for transport, discarding in list(self._connections.items()):
--- a/tests/cover/test_lingering.py
+++ b/tests/cover/test_lingering.py
@@ -154,6 +154,26 @@
     run(play)
 
 
+# Guards against uploads that are reset, as many others linger without one.
+def test_a_connection_that_is_not_awaited_makes_room_first() -> None:
+    async def play(entry: Entry) -> None:
+        sending, connection = await entry.connect()
+        await send(sending, b"POST /a/x HTTP/1.1\r\nhost: shop.example\r\n")
+        await until(lambda: not connection.idle)
+        connection.close("the test ends it")
+        assert connection.owes_answer
+        for _ in range(lingering.MAX_LINGERING):
+            _, other = await entry.connect()
+            other.close("the test ends it")
+        await until(
+            lambda: len(entry.node.caller_connections) == lingering.MAX_LINGERING
+        )
+        assert connection.owes_answer
+        sending.close()
+
+    run(play)
+
+
 # Guards against answers to slow readers that are cut by the bound.
 def test_the_bound_counts_once_everything_is_sent() -> None:
     body = b"x" * 20_000_000
