A stop waits for callers that still send after their answer

Found by the review (suspected): an upload that is refused at its head near the end of a stop was waited for during 1 s at most, though the grace had seconds left; a process that ends meanwhile resets it.

Result: the test failed before and passes.

--- a/src/gingerturn/internal/shell/stops.py
+++ b/src/gingerturn/internal/shell/stops.py
@@ -50,8 +50,17 @@
 
 
 def _has_work(node: "nodes.Node") -> bool:
-    """Whether there is open work, or input of a caller that was not read yet."""
+    """Whether there is open work, or input of a caller that was not read yet.
+
+    Until the end of the grace, so are callers that still send after their answer, which
+    a reset would discard.
+    """
     if next(open_work.items(node), None) is not None:
         return True
-    connections = node.caller_connections
-    return any(c.has_unread_input for c in connections if not c.closing)
+    may_linger = clock.now() < node.state.stop_by
+    return any(
+        may_linger and connection.owes_answer
+        if connection.closing
+        else connection.has_unread_input
+        for connection in node.caller_connections
+    )
--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -10,11 +10,13 @@
 from gingerturn.internal import ids
 from gingerturn.internal.core import events, reducer
 from gingerturn.internal.shell import (
+    clock,
     ingress,
     listeners,
     node as nodes,
     open_work,
     sockets,
+    stops,
 )
 from tests.common import builders, routed, transports
 
@@ -184,3 +186,31 @@
     caller.transport.buffered = buffered
     assert caller.phases() == (cut or [Phase.SENT])
     assert [item.phase for item in open_work.cut_by_end(caller.node)] == cut
+
+
+# Guards against an answer that a reset discards, as the process ends while its caller
+# still sends.
+def test_a_stop_waits_for_a_caller_that_sends_after_its_answer() -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        node = nodes.Node(builders.settings())
+        node.state = routed.node_state()
+        node.state.stop_by = clock.now() + 1_000.0 * WAIT_S
+        node.stopped.set()
+        listening = socket.create_server(("127.0.0.1", 0))
+        with listening, socket.create_connection(listening.getsockname()) as caller:
+            accepted, _ = listening.accept()
+            await loop.connect_accepted_socket(
+                lambda: ingress.CallerConnection(node), accepted
+            )
+            caller.sendall(b"POST /a/x HTTP/1.1\r\ncontent-length: 9\r\n\r\n")
+            async with asyncio.timeout(WAIT_S):
+                while not len(node.lingering):
+                    await asyncio.sleep(0.01)
+                ended = asyncio.create_task(stops.run(node))
+                await asyncio.sleep(10 * stops.CHECK_INTERVAL_S)
+                assert not ended.done()
+                caller.shutdown(socket.SHUT_WR)
+                await ended
+
+    _run(play())
