A SIGHUP during a start reads no settings

Found by the review: while a start waited for an address, a SIGHUP applied an event before the first one, so that a recording of the node could not be replayed.

Change: the node checks for changed settings once it runs, so the signal does nothing before.

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -220,7 +220,10 @@
 
 def _reload(node: nodes.Node, source: Source) -> None:
     """Reload the settings. Also the handler of SIGHUP, whose default action would end
-    the process."""
+    the process. During the start it does nothing: the node checks for changes once it
+    runs."""
+    if not node.begun:
+        return
     try:
         node.reload(source.load())
     except errors.GingerturnError as error:
