--- a/src/gingerturn/internal/shell/connection_ends.py
+++ b/src/gingerturn/internal/shell/connection_ends.py
@@ -16,12 +16,12 @@
     PEER = "peer"
 
 
-class Door(enum.Enum):
-    """Which connections they are."""
+class Peer(enum.Enum):
+    """What a connection is to."""
 
     CALLER = "caller"
     BACKEND = "backend"
-    NODES = "nodes"
+    NODE = "node"
 
 
 class Phase(enum.Enum):
@@ -34,8 +34,8 @@
     ANSWERING = "the answer was being written"
 
 
-End = tuple[Door, Side, str, str]
-"""Door, side, how the connection ended, and the phase of its first open request."""
+End = tuple[Peer, Side, str, str]
+"""Peer, side, how the connection ended, and the phase of its first open request."""
 
 
 def how(error: Exception | None) -> str:
@@ -49,7 +49,7 @@
 
 def record(
     ends: dict[End, int],
-    door: Door,
+    peer_kind: Peer,
     error: Exception | None,
     *,
     by_node: bool,
@@ -63,7 +63,7 @@
     :param phase: of its first open request; empty if it had none.
     """
     side = Side.NODE if by_node else Side.PEER
-    end = (door, side, how(error), phase)
+    end = (peer_kind, side, how(error), phase)
     ends[end] = ends.get(end, 0) + 1
     return side
 
@@ -84,7 +84,7 @@
     phases = [_phase(node, request) for request in requests]
     first = phases[0].value if phases else ""
     ends = node.counters.ends
-    side = record(ends, Door.CALLER, error, by_node=by_node, phase=first)
+    side = record(ends, Peer.CALLER, error, by_node=by_node, phase=first)
     for request, phase in zip(requests, phases, strict=True):
         if not logs.may_write_end():
             return
@@ -119,7 +119,7 @@
     :param exchange: number of the exchange on the connection, from 1.
     """
     phase = Phase.ANSWERING if answered else Phase.PASSED_ON
-    record(ends, Door.BACKEND, error, by_node=False, phase=phase.value)
+    record(ends, Peer.BACKEND, error, by_node=False, phase=phase.value)
     if logs.may_write_end():
         logs.write(
             "WARNING",
@@ -143,7 +143,7 @@
     """Count the end of a connection between nodes, and log it if calls were open."""
     phase = Phase.PASSED_ON.value if calls else ""
     ends = node.counters.ends
-    side = record(ends, Door.NODES, error, by_node=by_node, phase=phase)
+    side = record(ends, Peer.NODE, error, by_node=by_node, phase=phase)
     if calls and logs.may_write_end():
         logs.write(
             "WARNING",
@@ -158,8 +158,9 @@
 def rows(ends: dict[End, int]) -> list[tuple[str, float]]:
     """Return the counts as rows of a metric."""
     found = []
-    for (door, side, end, phase), count in ends.items():
-        labels = f'door="{door.value}",by="{side.value}",how="{end}",open="{phase}"'
+    for (peer_kind, side, end, phase), count in ends.items():
+        labels = f'peer="{peer_kind.value}",by="{side.value}",how="{end}"'
+        labels += f',open="{phase}"'
         found.append((f"{{{labels}}}", float(count)))
     return sorted(found)
 
--- a/tests/nocover/test_ends_of_connections.py
+++ b/tests/nocover/test_ends_of_connections.py
@@ -70,7 +70,7 @@
     assert line["upstream"] == "plans-1"
     assert line["ended_by"] == "peer"
     assert line["stop_age_ms"] == -1
-    expected = 'connection_ends_total{door="caller",by="peer",how="fin"'
+    expected = 'connection_ends_total{peer="caller",by="peer",how="fin"'
     assert f'{expected},open="passed on"}} 1' in entry.metrics()
 
 
