--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -90,7 +90,7 @@
     loop.set_exception_handler(_on_unhandled_error)
     node_settings = node.settings.node
     try:
-        administration = await starting.unless(stopping, _start(node))
+        administration = await starting.run_unless_stopped(stopping, _start(node))
     except errors.GingerturnError as error:
         logs.write("ERROR", "node", f"Not started: {error}.")
         await node.close()
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -20,7 +20,7 @@
 _T = typing.TypeVar("_T")
 
 
-async def unless(
+async def run_unless_stopped(
     stopping: asyncio.Event,
     start: collections.abc.Coroutine[typing.Any, typing.Any, _T],
 ) -> _T | None:
--- a/tests/nocover/test_last_descriptor.py
+++ b/tests/nocover/test_last_descriptor.py
@@ -19,7 +19,7 @@
 LEFT = 40
 """Descriptors that a node has left."""
 
-PATIENCE_S = 30.0
+WAIT_S = 30.0
 HOLD_S = 0.5
 """Time for which a caller keeps its connection after an answer."""
 
@@ -67,7 +67,7 @@
 def _ask(port: int, path: str, number: str) -> str:
     """Return the status line of the answer, or how the connection ended."""
     try:
-        with socket.create_connection(("127.0.0.1", port), PATIENCE_S) as connection:
+        with socket.create_connection(("127.0.0.1", port), WAIT_S) as connection:
             connection.sendall(_head(path, number))
             received = connection.recv(65_536)
             # As a caller does that keeps its connection.
@@ -121,7 +121,7 @@
     assert _ask(machine.ports["outbound"], path, "after").startswith("HTTP/1.1 200")
     assert _value(machine, "descriptor_shortages_total") >= 1
     lines = platform.log_of("short").count("file descriptors")
-    assert 1 <= lines <= PATIENCE_S
+    assert 1 <= lines <= WAIT_S
 
 
 def test_other_doors_answer_while_callers_hold_all_descriptors(
@@ -204,7 +204,7 @@
         for number in range(count):
             connection = stack.enter_context(
                 socket.create_connection(
-                    ("127.0.0.1", machine.ports["outbound"]), PATIENCE_S
+                    ("127.0.0.1", machine.ports["outbound"]), WAIT_S
                 )
             )
             connection.sendall(_head("/a/x", f"k{number}"))
