--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -45,12 +45,12 @@
     Invariant: nothing is written once ``_closing`` is set.
 
     :param handler: answers its requests.
-    :param lingering_connections: the lingering connections of the node.
+    :param lingering_set: the lingering connections of the node.
     """
 
-    def __init__(self, handler: Handler, lingering_connections: lingering.Lingering) -> None:
+    def __init__(self, handler: Handler, lingering_set: lingering.Lingering) -> None:
         self._handler = handler
-        self._lingering_connections = lingering_connections
+        self._lingering_set = lingering_set
         self._closing = False
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
@@ -101,7 +101,7 @@
         self._transport.write(head + b"\r\n" + reply.body)
         if not keep_alive:
             self._closing = True
-            self._lingering_connections.close(self._transport, self, is_sending=is_sending)
+            self._lingering_set.close(self._transport, self, is_sending=is_sending)
 
     def _reply(self) -> Reply:
         if len(self._body) > MAX_BODY:
