A rejected request is not recorded as unanswered

Change: with the rejection written, the request that was being read is not open any more. Result: the test failed before and passes.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -362,6 +362,9 @@
         reading = self._reading
         if reading is None or reading.finished or not reading.headers:
             return found
+        if self._final_response:
+            # It is rejected, and that is its answer.
+            return found
         if reading not in self._requests:
             found.append(reading)
         return found
--- a/tests/cover/test_heads_that_cannot_be_used.py
+++ b/tests/cover/test_heads_that_cannot_be_used.py
@@ -3,7 +3,12 @@
 import pytest
 
 from gingerturn import dialect
-from gingerturn.internal.shell import ingress, node as nodes, open_work
+from gingerturn.internal.shell import (
+    connection_ends,
+    ingress,
+    node as nodes,
+    open_work,
+)
 from tests.common import builders, routed, transports
 
 TIMEOUT = dialect.DEFAULT.timeout.decode()
@@ -48,3 +53,17 @@
     connection.data_received(b"GET /a/x HTTP/1.1\r\nhost: shop.example\r\n\r\n")
     assert transport.closed
     assert not list(open_work.items(node))
+
+
+# Guards against a rejected request that logs and metrics report as unanswered.
+def test_a_rejected_request_is_not_open_at_the_end_of_its_connection() -> None:
+    node = nodes.Node(builders.settings())
+    connection = ingress.CallerConnection(node)
+    transport = transports.Transport()
+    connection.connection_made(transport)  # type: ignore[arg-type]
+    connection.data_received(b"POST /a HTTP/1.1\r\ncontent-length: 9\r\n\r\n")
+    connection.connection_lost(None)
+    assert transport.written.startswith(b"HTTP/1.1 400 ")
+    ((_, side, _, phase),) = node.counters.ends
+    assert side is connection_ends.Side.NODE
+    assert not phase
