Soak: the kinds that are drawn separately follow from those that last

Ten kinds stood in both lists. The sets, the common kinds and the order of the lasting ones are as before (compared), so seeds keep their schedules.

--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -63,6 +63,8 @@
 )
 """Steps under requests that last."""
 
+_COMMON_LASTING_KINDS = {Kind.NODE_STOP, Kind.BACKEND_DRAIN}
+
 SEPARATELY_DRAWN = frozenset(
     {
         Kind.DEADLY,
@@ -71,16 +73,7 @@
         Kind.BACKEND_LEAVING,
         Kind.CONNECTIONS_SILENT,
         Kind.BACKEND_UNRELATED,
-        Kind.NODE_STOP_RELOAD,
-        Kind.NODE_STOP_TWICE,
-        Kind.NODE_STOP_PAUSE,
-        Kind.NODE_START_STOP,
-        Kind.NODE_START_HALF,
-        Kind.NODE_ADDRESS_HELD,
-        Kind.NODE_SETTINGS_HALF,
-        Kind.NODE_STARVED,
-        Kind.BACKEND_STALL,
-        Kind.CALLERS_LEAVE,
+        *(kind for kind in LASTING_KINDS if kind not in _COMMON_LASTING_KINDS),
     }
 )
 """Drawn separately: enabling them leaves the other steps of a seed unchanged."""
