--- a/src/gingerturn/errors.py
+++ b/src/gingerturn/errors.py
@@ -48,6 +48,17 @@
     """
 
 
+class DecodeError(GingerturnError):
+    """Input of another program cannot be decoded.
+
+    :param is_complete: whether it is more than the beginning of a valid input.
+    """
+
+    def __init__(self, message: str, *, is_complete: bool = True) -> None:
+        super().__init__(message)
+        self.is_complete = is_complete
+
+
 class FrameError(GingerturnError):
     """Bytes from a peer are not a valid frame."""
 
