Soak: odd entries of another writer, losses of power, and a log that loses its history

Another writer appends odd entries to every topic that it may write, beside starts of nodes, of which the first is one of all; requests have odd values too. Drawn separately, so schedules of existing seeds are unchanged (tested). Odd entries excuse nothing. New checks: every node recovers, and odd requests are answered.

The stand-in store takes records from other writers (/records) and can drop all but the newest of each key.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -1,9 +1,11 @@
 """The checks of the soak: each reports its own violation and nothing else."""
 
 import asyncio
+import json
 import math
 import os
 import pathlib
+import random
 import signal
 import subprocess
 
@@ -16,13 +18,19 @@
     callers,
     checks,
     ledger,
+    odd_entries,
     promises,
     raw_callers,
     run,
     schedule,
     watch,
 )
-from gingerturn_standins import platform_processes, processes
+from gingerturn_standins import (
+    http_server,
+    platform_processes,
+    platform_store,
+    processes,
+)
 
 START = 1_000_000.0
 STOP = schedule.Kind.NODE_STOP
@@ -150,6 +158,35 @@
     assert not _is_violated(check, _observe(tmp_path, unknown, faults=(the_log,)))
 
 
+def test_odd_entries_do_not_excuse_a_version_that_is_late(
+    tmp_path: pathlib.Path,
+) -> None:
+    late = _attempt(status=404, unrouted=True, version=4)
+    odd = _fault(schedule.Kind.ODD_ENTRIES, node="")
+    observed = _observe(tmp_path, late, faults=(odd,))
+    assert _is_violated(checks.configuration_in_time, observed)
+
+
+@pytest.mark.parametrize(
+    ("changes", "violated"),
+    [
+        ({}, False),
+        ({"ready": False}, True),
+        ({"upstreams": 1}, True),
+        ({"version": 1}, True),
+        ({"upstreams": -1, "version": -1}, True),
+    ],
+)
+def test_a_node_that_does_not_recover_is_reported(
+    changes: dict[str, object], violated: bool, tmp_path: pathlib.Path
+) -> None:
+    whole = checks.View("m0", ready=True, upstreams=2, version=4)
+    observed = _observe(tmp_path)
+    observed.upstreams = 2
+    observed.views = [whole, msgspec.structs.replace(whole, **changes)]
+    assert _is_violated(checks.every_node_recovers, observed) is violated
+
+
 def test_a_step_back_is_reported_within_one_incarnation(tmp_path: pathlib.Path) -> None:
     served = _attempt("m0-1", version=4)
     times = {"began": START + 200, "ended": START + 210}
@@ -219,9 +256,18 @@
     assert kinds <= {*schedule.LASTING_KINDS, schedule.Kind.CONFIGURE}
 
 
+def test_odd_entries_leave_the_other_steps_of_a_seed_unchanged() -> None:
+    for seed in range(20):
+        plain = schedule.draw(seed, machines=4, length_s=5.0, lasting=True)
+        odd = schedule.draw(seed, machines=4, length_s=5.0, lasting=True, odd=True)
+        assert [step for step in odd if step in plain] == plain
+        kinds = {step.kind for step in odd if step not in plain}
+        assert {schedule.Kind.ODD_ENTRIES, schedule.Kind.POWER_LOSS} <= kinds
+
+
 def test_a_calm_schedule_has_planned_common_steps_only() -> None:
     for seed in range(20):
-        steps = schedule.draw(seed, machines=4, length_s=5.0, calm=True)
+        steps = schedule.draw(seed, machines=4, length_s=5.0, odd=True, calm=True)
         assert {step.kind for step in steps} <= schedule.PLANNED_KINDS
 
 
@@ -245,6 +291,7 @@
             reported=True,
             silenced=True,
             unrelated=True,
+            odd=True,
             lasting=True,
         )
     }
@@ -691,6 +738,77 @@
     held = _fault(schedule.Kind.LOG_DOWN, node="", ended=START + 2_000.0)
     observed = _lasting(tmp_path, lives=(late,), faults=(held,))
     assert not _is_violated(check, observed)
+    odd = _fault(schedule.Kind.ODD_ENTRIES, node="", ended=START + 2_000.0)
+    assert _is_violated(check, _lasting(tmp_path, lives=(late,), faults=(odd,)))
+
+
+@pytest.mark.parametrize(
+    ("fields", "violated"),
+    [
+        ({"status": 400}, False),
+        ({"status": 500}, True),
+        ({"status": 0, "ending": ENDING.FIN}, True),
+        ({"status": 0, "ending": ENDING.TIMEOUT}, True),
+    ],
+)
+def test_an_odd_request_without_an_answer_is_reported(
+    fields: dict[str, object], violated: bool, tmp_path: pathlib.Path
+) -> None:
+    check = promises.odd_requests_are_answered
+    observed = _lasting(tmp_path, lives=(_life(),))
+    observed.odd = [_exchange(**fields)]
+    assert _is_violated(check, observed) is violated
+    observed.faults = [_fault(schedule.Kind.ODD_ENTRIES, node="")]
+    assert _is_violated(check, observed) is violated
+    observed.faults = [_fault(KILL)]
+    assert not _is_violated(check, observed)
+    told = _lasting(tmp_path, lives=(_life(_terminated(500.0)),))
+    told.odd = observed.odd
+    assert not _is_violated(check, told)
+
+
+def test_a_loss_of_power_excuses_requests_at_every_node(tmp_path: pathlib.Path) -> None:
+    cut = _exchange(ending=ENDING.RESET)
+    lost = _fault(schedule.Kind.POWER_LOSS, node="")
+    odd = _fault(schedule.Kind.ODD_ENTRIES, node="")
+    check = promises.passed_on_requests_are_answered
+    arrived = (_arrived(),)
+    observed = _lasting(tmp_path, cut, entries=arrived, faults=(odd,))
+    assert _is_violated(check, observed)
+    observed = _lasting(tmp_path, cut, entries=arrived, faults=(odd, lost))
+    assert not _is_violated(check, observed)
+
+
+def test_every_step_with_odd_entries_has_one_that_is_deeply_nested() -> None:
+    for seed in range(20):
+        ports = {"m0": 1, "m1": 2}
+        batches = odd_entries.of_members(random.Random(seed), ports, START)
+        records = [record for batch in batches for record in batch]
+        assert any(text.encode() in r for text in odd_entries.NESTED for r in records)
+        assert batches == odd_entries.of_members(random.Random(seed), ports, START)
+        routes: list[dict[str, object]] = [{"name": "r-a", "path_prefix": "/a/"}]
+        *_, config = odd_entries.of_operator(random.Random(seed), 2, routes)
+        assert config.startswith(b"\x06config{")
+
+
+def test_a_store_that_drops_its_records_keeps_the_newest_of_each_key() -> None:
+    store = platform_store.Store()
+
+    async def call(method: str, target: str, body: bytes = b"") -> bytes:
+        request = http_server.Request(method, target, {}, body)
+        return (await store.handle(request)).body
+
+    async def ask() -> tuple[bytes, bytes]:
+        record = b"\x01kvalue"
+        content = len(record).to_bytes(4, "big") + record
+        await call("POST", "/records?topic=keyed.op", content)
+        await call("POST", "/control", b'{"drops": true}')
+        read = await call("GET", "/log-read?topic=keyed.op&from=0")
+        return read, await call("GET", "/log-newest?topic=keyed.op")
+
+    read, newest = asyncio.run(ask())
+    assert json.loads(read) == {"first_offset": 1}
+    assert [item["key"] for item in json.loads(newest)["items"]] == ["k"]
 
 
 @pytest.mark.parametrize("shape", ["work", "probe-plans"])
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -34,6 +34,12 @@
     help="Requests that last, on raw sockets.",
     show_default=True,
 )
+@click.option(
+    "--odd/--no-odd",
+    default=True,
+    help="Odd entries of another writer, and losses of the log's history.",
+    show_default=True,
+)
 @click.option("--calm", is_flag=True, help="Of the common steps, planned ones only.")
 def main(
     seeds: tuple[int, ...],
@@ -41,6 +47,7 @@
     machines: int,
     length: float,
     lasts: bool,
+    odd: bool,
     calm: bool,
 ) -> None:
     """Run soaks and print each verdict; exit with 1 if there was a violation."""
@@ -50,14 +57,20 @@
     failed = [
         seed
         for seed in chosen
-        if not play(seed, machines, length, lasts=lasts, calm=calm)
+        if not play(seed, machines, length, lasts=lasts, odd=odd, calm=calm)
     ]
     click.echo(f"{len(chosen)} runs, {len(failed)} with violations: {failed}")
     sys.exit(bool(failed))
 
 
 def play(
-    seed: int, machines: int, length: float, *, lasts: bool = True, calm: bool = False
+    seed: int,
+    machines: int,
+    length: float,
+    *,
+    lasts: bool = True,
+    odd: bool = True,
+    calm: bool = False,
 ) -> bool:
     """Run a soak and print its verdict; return whether there was no violation."""
     # Printed first, so that a run in which the soak itself fails can be repeated.
@@ -75,6 +88,7 @@
             reported=True,
             silenced=not calm,
             unrelated=not calm,
+            odd=odd,
             lasts=lasts,
             calm=calm,
         )
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -57,6 +57,19 @@
     exit_status: int | None = None
 
 
+class View(msgspec.Struct, frozen=True):
+    """What a node knows at the end of a run.
+
+    :param upstreams: backend servers that it knows, of all nodes.
+    :param version: configuration version that it has in force.
+    """
+
+    node: str
+    ready: bool
+    upstreams: int
+    version: int
+
+
 class Observations(msgspec.Struct):
     """Everything that was observed in a run.
 
@@ -64,6 +77,9 @@
     :param healed: when all faults were over; 0 where recovery is not checked.
     :param exchanges: requests of callers on raw sockets.
     :param ended: when the observation ended.
+    :param odd: requests with odd values.
+    :param views: what the nodes know at the end.
+    :param upstreams: backend servers that run at the end.
     """
 
     attempts: list[callers.Attempt]
@@ -75,6 +91,9 @@
     lives: list[watch.Life] = msgspec.field(default_factory=list)
     backend_ends: list[watch.BackendEnd] = msgspec.field(default_factory=list)
     ended: float = 0.0
+    odd: list[raw_callers.Exchange] = msgspec.field(default_factory=list)
+    views: list[View] = msgspec.field(default_factory=list)
+    upstreams: int = 0
 
 
 Check = collections.abc.Callable[[Observations], collections.abc.Iterator[str]]
@@ -317,7 +336,8 @@
         return
     third = runs[MAX_CRASHES - 1]
     late = [at for at in runs if at > third + RECOVERY_MS]
-    others = [f for f in observed.faults if f.kind is not schedule.Kind.DEADLY]
+    harmless = {schedule.Kind.DEADLY, schedule.Kind.ODD_ENTRIES}
+    others = [f for f in observed.faults if f.kind not in harmless]
     near_fault = any(overlaps(f, third - RECOVERY_MS, runs[-1]) for f in others)
     if len(late) > MAX_CRASHES and not near_fault:
         yield f"a crashing request ran {len(late)} times after its quarantine"
@@ -333,11 +353,26 @@
         yield f"{served} of {len(late)} served after the faults"
 
 
+def every_node_recovers(observed: Observations) -> collections.abc.Iterator[str]:
+    """Once all is over each node is ready, has the latest version in force, and knows
+    every other one."""
+    latest = max(observed.published, default=0)
+    for view in observed.views:
+        if not view.ready:
+            yield f"{view.node} is not ready"
+        if view.version != latest:
+            yield f"{view.node} has version {view.version} in force, not {latest}"
+        if view.upstreams != observed.upstreams:
+            known = f"{view.upstreams} of {observed.upstreams}"
+            yield f"{view.node} knows {known} backend servers"
+
+
 SAFETY: tuple[Check, ...] = (
     at_most_once,
     not_run_is_true,
     answers_are_whole,
     configuration_never_back,
+    every_node_recovers,
 )
 """Checks that hold on any machine."""
 
@@ -379,7 +414,7 @@
     return any(
         overlaps(fault, begin, end)
         for fault in observed.faults
-        if fault.node in {node, ""} and fault.kind is not schedule.Kind.CONFIGURE
+        if fault.node in {node, ""} and fault.kind not in schedule.HARMLESS_KINDS
     )
 
 
--- a/tooling/gingerturn_soak/promises.py
+++ b/tooling/gingerturn_soak/promises.py
@@ -82,16 +82,17 @@
     for exchange in observed.exchanges:
         if exchange.ending is not _Ending.REFUSED:
             continue
-        at = exchange.began * 1_000.0
-        # A node that ended by itself is reported by another check.
-        serving = any(
-            life.node == exchange.node
-            and 0.0 < life.ready < at
-            and not (life.ended and life.ended < at + LOSS_SLACK_MS)
-            and not _was_told_to_end(life, at + LOSS_SLACK_MS)
-            for life in observed.lives
-        )
-        if serving and not _is_disturbed(observed, {exchange.node}, exchange):
+        if _must_serve(observed, exchange, exchange.began):
+            yield _describe(observed, exchange)
+
+
+def odd_requests_are_answered(
+    observed: checks.Observations,
+) -> collections.abc.Iterator[str]:
+    """A request with odd values gets an answer, and fails in no node."""
+    for exchange in observed.odd:
+        answered = exchange.ending is _Ending.ANSWERED and exchange.status != 500
+        if not answered and _must_serve(observed, exchange, exchange.ended):
             yield _describe(observed, exchange)
 
 
@@ -186,7 +187,9 @@
         disturbed = [
             fault.ended
             for fault in observed.faults
-            if fault.node in {life.node, ""} and life.began < fault.ended < end
+            if fault.node in {life.node, ""}
+            and fault.kind not in schedule.HARMLESS_KINDS
+            and life.began < fault.ended < end
         ]
         waited = end - max([life.began, *disturbed])
         if waited > RECOVER_MS:
@@ -227,6 +230,7 @@
     replaced_answers_have_an_excuse,
     not_run_is_true_of_lasting_requests,
     processes_end_only_when_told,
+    odd_requests_are_answered,
 )
 """Checks that hold on any machine."""
 
@@ -249,6 +253,23 @@
     return found
 
 
+def _must_serve(
+    observed: checks.Observations, exchange: raw_callers.Exchange, until: float
+) -> bool:
+    """Whether the node of a request was ready and not disturbed, and until a time not
+    told to stop."""
+    end = until * 1_000.0 + LOSS_SLACK_MS
+    # A node that ended by itself is reported by another check.
+    serving = any(
+        life.node == exchange.node
+        and 0.0 < life.ready < exchange.began * 1_000.0
+        and not (life.ended and life.ended < end)
+        and not _was_told_to_end(life, end)
+        for life in observed.lives
+    )
+    return serving and not _is_disturbed(observed, {exchange.node}, exchange)
+
+
 def _is_unanswered(exchange: raw_callers.Exchange) -> bool:
     return exchange.ending in {_Ending.FIN, _Ending.RESET, _Ending.TIMEOUT}
 
@@ -338,6 +359,7 @@
         everywhere = fault.kind in {
             schedule.Kind.CONNECTIONS_SILENT,
             schedule.Kind.DEADLY,
+            schedule.Kind.POWER_LOSS,
         }
         concerned = everywhere or fault.node in nodes
         if concerned and checks.overlaps(fault, began, ended):
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -20,8 +20,10 @@
     checks,
     lasting,
     ledger,
+    odd_entries,
     promises,
     proxy,
+    raw_callers,
     schedule,
     watch,
 )
@@ -44,6 +46,9 @@
 RATE_LIMITS = ("0", "0.4", "3.5", "12")
 """Limits that a backend server reports, picked by the duration of the step."""
 
+SETTLED_S = 30.0
+"""Time after the last request in which every node recovers."""
+
 LASTING_RECOVERY_S = 5.0
 """How long requests that last are observed once the faults are over."""
 
@@ -107,6 +112,7 @@
         self._callers: list[callers.Callers] = []
         self._versions: list[int] = []
         self._settings: dict[str, bytes] = {}
+        self._odd: list[raw_callers.Exchange] = []
 
     async def play(self, steps: list[schedule.Step]) -> checks.Observations:
         """Run a schedule and return the observations."""
@@ -137,11 +143,13 @@
                 )
                 stop.set()
             await self._probe()
+            views = await self._settle()
             for task in (watching, reviving):
                 task.cancel()
             await asyncio.gather(watching, reviving, return_exceptions=True)
             self._watch.look(self._platform)
             ended = callers.now_ms()
+            upstreams = self._running_upstreams()
             await self._close()
         files = sorted(self._folder.glob("*.upstream.log"))
         return checks.Observations(
@@ -154,6 +162,9 @@
             lives=self._watch.lives,
             backend_ends=self._watch.backend_ends,
             ended=ended,
+            odd=self._odd,
+            views=views,
+            upstreams=upstreams,
         )
 
     def _start_fleets(self, group: asyncio.TaskGroup, stop: asyncio.Event) -> None:
@@ -166,18 +177,30 @@
             group.create_task(fleet.run(stop, self._rng, interval_s))
 
     async def _probe(self) -> None:
-        """Send the last requests once all callers have left, and wait until all nodes
-        are ready, or the bound on that has passed."""
+        """Send the last requests once all callers have left."""
         if not self._fleets:
             return
         await asyncio.sleep(SETTLE_S)
         await asyncio.gather(*(fleet.probe() for fleet in self._fleets))
-        deadline = asyncio.get_running_loop().time() + promises.RECOVER_MS / 1000.0
-        while self._watch.has_unready():
-            if asyncio.get_running_loop().time() > deadline:
-                break
+
+    async def _settle(self) -> list[checks.View]:
+        """Wait until all nodes have recovered, or the bound on that has passed, and
+        return what they know then."""
+        deadline = asyncio.get_running_loop().time() + SETTLED_S
+        while True:
+            machines = list(self._platform.machines.values())
+            views = [await asyncio.to_thread(_view, machine) for machine in machines]
+            wanted = (True, self._running_upstreams(), self._versions[-1])
+            settled = all((v.ready, v.upstreams, v.version) == wanted for v in views)
+            settled = settled and not self._watch.has_unready()
+            if settled or asyncio.get_running_loop().time() > deadline:
+                return views
             await asyncio.sleep(watch.INTERVAL_S)
 
+    def _running_upstreams(self) -> int:
+        machines = self._platform.machines.values()
+        return sum(machine.upstream.poll() is None for machine in machines)
+
     async def _revive(self) -> None:
         """Start the nodes again that ended while no step was at work on them."""
         while True:
@@ -222,10 +245,10 @@
                 group.create_task(self._run_step(step))
 
     async def _run_step(self, step: schedule.Step) -> None:
-        affects_all = (
-            step.kind is schedule.Kind.CONNECTIONS_SILENT
-            or step.kind.value.startswith("log-")
-        )
+        affects_all = step.kind in {
+            schedule.Kind.CONNECTIONS_SILENT,
+            schedule.Kind.POWER_LOSS,
+        } or step.kind.value.startswith("log-")
         machine = self._machine(step.target)
         fault = checks.Fault(
             kind=step.kind,
@@ -242,15 +265,19 @@
     def _machine(self, target: int) -> platform_processes.Machine:
         return list(self._platform.machines.values())[target]
 
-    def _configure(self) -> None:
+    def _routes(self, *versions: int) -> list[dict[str, object]]:
+        """Return the common routes, and those of the latest versions and more."""
         recent = self._versions[-VERSIONED_ROUTES:]
-        # A configuration has a route with its own version, which callers probe.
-        version = self._platform.next_version
         routes = [_route("r-a", "/a/", "plans"), _route("r-p", "/p/", "porting")]
-        routes += [_route(f"r-{v}", f"/v/{v}/", "plans") for v in [*recent, version]]
+        routes += [_route(f"r-{v}", f"/v/{v}/", "plans") for v in [*recent, *versions]]
         if self._rng is not None:
             routes += lasting.routes()
-        self._platform.configure(*routes)
+        return routes
+
+    def _configure(self) -> None:
+        # A configuration has a route with its own version, which callers probe.
+        version = self._platform.next_version
+        self._platform.configure(*self._routes(version))
         self._versions.append(version)
         self._published[version] = callers.now_ms()
         for each in self._callers:
@@ -482,6 +509,45 @@
         await asyncio.to_thread(self._platform.fault, down=False)
         self._configure()
 
+    async def _log_trimmed(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Drop all records but the newest of each key, for a while."""
+        await self._inject_log_fault(step, drops=True)
+
+    async def _power_loss(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Kill all nodes at once and start them again."""
+        machines = list(self._platform.machines.values())
+        self._held_by_steps.update(range(self._count))
+        await asyncio.gather(
+            *(self._signal_and_wait(m.node, signal.SIGKILL) for m in machines)
+        )
+        await asyncio.sleep(step.duration_s / 2.0)
+        for target, machine in enumerate(machines):
+            self._start_node(machine, target)
+        self._held_by_steps.subtract(range(self._count))
+
+    async def _odd_entries(self, step: schedule.Step, fault: checks.Fault) -> None:
+        """Append odd entries, then an odd configuration and a plain one, and send
+        requests with odd values."""
+        rng = random.Random(f"{step.at} {step.target} {step.duration_s}")
+        machines = self._platform.machines.values()
+        ports = {machine.name: machine.ports["gossip"] for machine in machines}
+        for records in odd_entries.of_members(rng, ports, callers.now_ms()):
+            await asyncio.to_thread(self._platform.append, odd_entries.MEMBERS, records)
+            await asyncio.sleep(step.duration_s / odd_entries.BATCHES)
+        version = self._platform.next_version - 1
+        records = odd_entries.of_operator(rng, version, self._routes())
+        await asyncio.to_thread(self._platform.append, odd_entries.OPERATOR, records)
+        await self._send_odd(self._machine(step.target), rng)
+        self._configure()
+
+    async def _send_odd(
+        self, machine: platform_processes.Machine, rng: random.Random
+    ) -> None:
+        for name, content in odd_entries.requests(rng, machine.ports["link"]):
+            exchange = await odd_entries.send(machine, name, content)
+            exchange.id = f"odd-{len(self._odd)}"
+            self._odd.append(exchange)
+
     async def _change(self, step: schedule.Step, fault: checks.Fault) -> None:
         self._configure()
 
@@ -567,6 +633,11 @@
             self._callers[target].incarnation += 1
 
 
+def _view(machine: platform_processes.Machine) -> checks.View:
+    upstreams, version = machine.metric("upstreams"), machine.metric("route_version")
+    return checks.View(machine.name, machine.ready(), int(upstreams), int(version))
+
+
 def _route(name: str, prefix: str, service: str) -> dict[str, object]:
     safe = service == "plans"
     return {
@@ -622,6 +693,9 @@
     schedule.Kind.NODE_STARVED: Run._node_starved,
     schedule.Kind.BACKEND_STALL: Run._backend_pause,
     schedule.Kind.CALLERS_LEAVE: Run._callers_leave,
+    schedule.Kind.ODD_ENTRIES: Run._odd_entries,
+    schedule.Kind.POWER_LOSS: Run._power_loss,
+    schedule.Kind.LOG_TRIMMED: Run._log_trimmed,
 }
 
 
@@ -650,6 +724,7 @@
     reported: bool = False,
     silenced: bool = False,
     unrelated: bool = False,
+    odd: bool = False,
     lasts: bool = False,
     calm: bool = False,
 ) -> Verdict:
@@ -663,6 +738,7 @@
         reported=reported,
         silenced=silenced,
         unrelated=unrelated,
+        odd=odd,
         lasting=lasts,
         calm=calm,
     )
@@ -670,7 +746,7 @@
     run = Run(folder, machines=machines, rng=rng)
     observed = asyncio.run(run.play(steps))
     violations = checks.violations(observed, timing=timing)
-    if lasts:
+    if lasts or odd:
         violations += promises.violations(observed, timing=timing)
     return Verdict(
         seed=seed,
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -45,6 +45,9 @@
     NODE_STARVED = "node-starved"
     BACKEND_STALL = "backend-stall"
     CALLERS_LEAVE = "callers-leave"
+    ODD_ENTRIES = "odd-entries"
+    POWER_LOSS = "power-loss"
+    LOG_TRIMMED = "log-trimmed"
 
 
 LASTING_KINDS = (
@@ -73,6 +76,9 @@
         Kind.BACKEND_LEAVING,
         Kind.CONNECTIONS_SILENT,
         Kind.BACKEND_UNRELATED,
+        Kind.ODD_ENTRIES,
+        Kind.POWER_LOSS,
+        Kind.LOG_TRIMMED,
         *(kind for kind in LASTING_KINDS if kind not in _COMMON_LASTING_KINDS),
     }
 )
@@ -101,9 +107,13 @@
         Kind.NODE_ADDRESS_HELD,
         Kind.NODE_SETTINGS_HALF,
         Kind.CALLERS_LEAVE,
+        Kind.ODD_ENTRIES,
     }
 )
-"""Planned operations, which must not cut requests."""
+"""Planned operations, and entries of another writer, which must not cut requests."""
+
+HARMLESS_KINDS = frozenset({Kind.CONFIGURE, Kind.ODD_ENTRIES})
+"""Kinds that delay neither a start nor a later version."""
 
 REPEATED_KINDS = frozenset({Kind.NODE_STOP, Kind.NODE_RELOAD, Kind.CONFIGURE})
 """Kinds that are repeated after a short time."""
@@ -129,6 +139,12 @@
 UNRELATED_S = 2.0
 """Minimum duration of unrelated answers."""
 
+MAX_ODD = 4
+"""Most times that another writer appends odd entries in one run."""
+
+MAX_LOST_HISTORIES = 2
+"""Most times that the log loses its history beside a stop in one run."""
+
 MAX_LASTING = 6
 """Most steps under requests that last, each of them twice at times."""
 
@@ -169,6 +185,7 @@
     reported: bool = False,
     silenced: bool = False,
     unrelated: bool = False,
+    odd: bool = False,
     lasting: bool = False,
     calm: bool = False,
 ) -> list[Step]:
@@ -179,6 +196,8 @@
     :param reported: whether backend servers report limits and leaving in answers.
     :param silenced: whether open connections may fall silent for good.
     :param unrelated: whether backend servers send answers that belong to no request.
+    :param odd: whether another writer appends odd entries, and the log loses its
+        history beside stops.
     :param lasting: whether requests last, with the steps that go with them.
     :param calm: whether the common steps are planned ones only.
     """
@@ -209,6 +228,8 @@
         steps += _silences(random.Random(f"silenced {seed}"), length_s)
     if unrelated:
         steps += _unrelated(random.Random(f"unrelated {seed}"), machines, length_s)
+    if odd:
+        steps += _odd(random.Random(f"odd {seed}"), machines, length_s)
     if calm:
         steps = [step for step in steps if step.kind in PLANNED_KINDS]
     if lasting:
@@ -233,6 +254,31 @@
     return [*steps, Step(at, Kind.NODE_STOP, rng.randrange(machines), 0.0)]
 
 
+def _odd(rng: random.Random, machines: int, length_s: float) -> list[Step]:
+    """Return odd entries, each beside a start of nodes that read them (the first beside
+    a start of all), and stops beside which the log loses its history."""
+    steps = []
+    starts = [Kind.POWER_LOSS]
+    choice = (Kind.POWER_LOSS, Kind.NODE_KILL, Kind.NODE_STOP, Kind.NODE_STOP)
+    starts += [rng.choice(choice) for _ in range(rng.randint(1, MAX_ODD - 1))]
+    for kind in starts:
+        at = rng.uniform(WARM_UP_S, length_s)
+        duration_s = round(rng.uniform(0.3, 2.0), 3)
+        target = rng.randrange(machines)
+        steps.append(Step(round(at, 3), kind, target, duration_s))
+        at += rng.uniform(-1.5, 1.5)
+        steps.append(Step(round(at, 3), Kind.ODD_ENTRIES, target, duration_s))
+    for _ in range(rng.randint(0, MAX_LOST_HISTORIES)):
+        kind = rng.choice((Kind.LOG_RESTORED, Kind.LOG_TRIMMED))
+        at = rng.uniform(WARM_UP_S, length_s)
+        duration_s = round(rng.uniform(0.2, 3.0), 3)
+        steps.append(Step(round(at, 3), kind, 0, duration_s))
+        at += duration_s + rng.uniform(-1.0, 0.5)
+        target = rng.randrange(machines)
+        steps.append(Step(round(at, 3), Kind.NODE_STOP, target, 0.0))
+    return steps
+
+
 def _silences(rng: random.Random, length_s: float) -> list[Step]:
     """Return times at which all open connections fall silent, each followed by a
     configuration."""
--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -1,6 +1,7 @@
 """Nodes as real processes, on the stand-ins of the platform."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import json
 import os
@@ -64,6 +65,14 @@
         """Return the node's metrics."""
         return httpx.get(self.metrics_url, timeout=1.0, trust_env=False).text
 
+    def metric(self, name: str) -> float:
+        """Return a metric of the node; -1 if it does not answer."""
+        with contextlib.suppress(httpx.HTTPError):
+            for line in self.metrics().splitlines():
+                if line.startswith(f"gingerturn_{name} "):
+                    return float(line.rpartition(" ")[2])
+        return -1.0
+
     def tell_upstream(self, **fields: object) -> None:
         """Set the behaviour of the upstream."""
         httpx.post(f"{self.upstream_url}/control", json=fields, trust_env=False)
@@ -213,6 +222,12 @@
         """Set faults of the store."""
         httpx.post(f"{self.store_url}/control", json=faults, trust_env=False)
 
+    def append(self, topic: str, records: collections.abc.Sequence[bytes]) -> None:
+        """Append records to a topic, as another writer."""
+        content = b"".join(len(r).to_bytes(4, "big") + r for r in records)
+        url = f"{self.store_url}/records"
+        httpx.post(url, params={"topic": topic}, content=content, trust_env=False)
+
     def back_up_store(self) -> None:
         """Make a backup of the store."""
         httpx.post(f"{self.store_url}/copy", trust_env=False)
--- a/tooling/gingerturn_standins/platform_store.py
+++ b/tooling/gingerturn_standins/platform_store.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's metadata store: keyed topics and injected faults.
 
 ``POST /control`` sets faults; ``POST /operator`` writes the operator's configuration,
-which is read-only for nodes. ``POST /copy`` makes a backup of all topics and
+which is read-only for nodes, and ``POST /records`` appends to any topic.
+``POST /copy`` makes a backup of all topics and
 ``POST /restore`` restores it: records written since are lost, and the epoch that is
 sent with each answer rises.
 """
@@ -33,12 +34,14 @@
     :param down: refuse everything with 503.
     :param silent: accept requests and never answer.
     :param delay_ms: wait before each answer.
+    :param drops: drop all records but the newest of each key.
     :param lose_answers: number of following appends that take effect unanswered.
     """
 
     down: bool = False
     silent: bool = False
     delay_ms: float = 0.0
+    drops: bool = False
     lose_answers: int = 0
 
 
@@ -107,6 +110,8 @@
         if parts.path == "/operator":
             self._topic("keyed.op").append(b"\x06config" + request.body, keyed=True)
             return http_server.Response(200, b"{}")
+        if parts.path == "/records":
+            return self._append(query, self._topic(query["topic"]), request.body)
         if parts.path == "/copy":
             self._backup = _copy_topics(self._topics)
             return http_server.Response(200, b"{}")
@@ -120,9 +125,10 @@
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000.0)
         topic = self._topic(query["topic"])
-        topic.drop_before(time.monotonic() - self._retention_s)
+        retention_s = 0.0 if self.faults.drops else self._retention_s
+        topic.drop_before(time.monotonic() - retention_s)
         if parts.path == "/log-append":
-            return self._append(query, topic, request.body)
+            return self._append_of_node(query, topic, request.body)
         if parts.path == "/log-read":
             return await self._read(query, topic)
         if parts.path == "/log-newest":
@@ -150,12 +156,21 @@
         reply = {**dataclasses.asdict(self.faults), "calls": self.calls}
         return http_server.Response(200, json.dumps(reply).encode())
 
+    def _append_of_node(
+        self, query: dict[str, str], topic: Topic, body: bytes
+    ) -> http_server.Response:
+        if query["topic"] in READ_ONLY:
+            return http_server.Response(403, b"{}")
+        response = self._append(query, topic, body)
+        if response.status == 200 and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise http_server.NoAnswer
+        return response
+
     def _append(
         self, query: dict[str, str], topic: Topic, body: bytes
     ) -> http_server.Response:
         name = query["topic"]
-        if name in READ_ONLY:
-            return http_server.Response(403, b"{}")
         expected = query.get("expected_end")
         if expected is not None and int(expected) != topic.end:
             return _json(412, {"end_offset": topic.end})
@@ -167,9 +182,6 @@
             record = body[position : position + length]
             topic.append(record, keyed=name.startswith("keyed."))
             position += length
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            raise http_server.NoAnswer
         return _json(200, {"offset": offset, "end_offset": topic.end})
 
     async def _read(self, query: dict[str, str], topic: Topic) -> http_server.Response:
