--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -35,6 +35,9 @@
 """Seeds whose schedules stop nodes under requests that last, twice in series and within
 the first second of a start."""
 
+ODD_SEED = 198
+"""Seed whose schedule has odd entries before a start of all nodes at once."""
+
 RESTORED_SEED = 1
 """Seed whose schedule restores the log more than once."""
 
@@ -107,6 +110,18 @@
     assert verdict.served > 0
 
 
+# Guards against entries of another writer that end readers, and so keep every node that
+# starts later from getting ready.
+def test_odd_entries_cause_no_violations(tmp_path: pathlib.Path) -> None:
+    verdict = run.play(
+        ODD_SEED, tmp_path, machines=3, length_s=4.0, timing=False, odd=True
+    )
+    for kind in (schedule.Kind.ODD_ENTRIES, schedule.Kind.POWER_LOSS):
+        assert any(kind.value in step for step in verdict.steps)
+    assert verdict.violations == []
+    assert verdict.served > 0
+
+
 # Guards against stops that cut answers and uploads, and starts that end at once.
 @pytest.mark.parametrize("seed", LASTING_SEEDS)
 def test_planned_steps_under_requests_that_last_cause_no_violations(
