Soak: requests with an API key, in half of the runs with requests that last

On routes that need a key; all others are public. The order of the other requests of a seed is unchanged.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -17,6 +17,7 @@
     __main__ as soak,
     callers,
     checks,
+    lasting,
     ledger,
     odd_entries,
     promises,
@@ -265,6 +266,15 @@
         assert {schedule.Kind.ODD_ENTRIES, schedule.Kind.POWER_LOSS} <= kinds
 
 
+def test_only_the_routes_of_requests_with_api_keys_need_one() -> None:
+    plain, more = lasting.routes(api_keys=False), lasting.routes(api_keys=True)
+    assert all(route["public"] for route in plain)
+    assert more[: len(plain)] == plain
+    prefixes = tuple(str(r["path_prefix"]) for r in more if not r["public"])
+    assert all(s.path.startswith(prefixes) for s in lasting.WITH_API_KEY)
+    assert not any(s.path.startswith(prefixes) for s in lasting.SHAPES)
+
+
 def test_a_calm_schedule_has_planned_common_steps_only() -> None:
     for seed in range(20):
         steps = schedule.draw(seed, machines=4, length_s=5.0, odd=True, calm=True)
--- a/tooling/gingerturn_soak/lasting.py
+++ b/tooling/gingerturn_soak/lasting.py
@@ -68,6 +68,15 @@
 )
 """What the callers send in turn."""
 
+API_KEY = "a-key"
+WORKSPACES = [{"name": "soak", "api_keys": [API_KEY]}]
+
+WITH_API_KEY = (
+    Shape("api-key", path="/k/x?work_ms=300", api_key=API_KEY, lasts_s=0.3),
+    Shape("api-key-post", "POST", "/q/x", body=2_000, api_key=API_KEY, answer=2_000),
+)
+"""What they send as well where requests have API keys."""
+
 LEAVING = frozenset(
     shape.name for shape in SHAPES if shape.leave_s or shape.leave_bytes
 )
@@ -79,18 +88,26 @@
 )
 
 
-def routes() -> list[dict[str, object]]:
-    """Return the routes of these requests."""
+def routes(*, api_keys: bool) -> list[dict[str, object]]:
+    """Return the routes of these requests.
+
+    :param api_keys: whether there are routes whose requests have API keys.
+    """
     common = {"hostname": raw_callers.HOST, "timeout_ms": TIMEOUT_MS}
-    common |= {"target_latency_ms": 1_500, "priority": 1}
+    common |= {"target_latency_ms": 1_500, "priority": 1, "public": True}
     safe = {"service_name": "plans", "max_attempts": 2}
-    return [
+    found = [
         {**common, "name": "r-l", "path_prefix": "/l/", "route_type": "safe"} | safe,
         {**common, "name": "r-d", "path_prefix": "/d/", "route_type": "download"}
         | safe,
         {**common, "name": "r-w", "path_prefix": "/w/", "max_attempts": 1}
         | {"service_name": "porting", "route_type": "non_idempotent"},
     ]
+    if api_keys:
+        read, write = found[0], found[-1]
+        found.append({**read, "name": "r-k", "path_prefix": "/k/", "public": False})
+        found.append({**write, "name": "r-q", "path_prefix": "/q/", "public": False})
+    return found
 
 
 class Fleet:
@@ -98,9 +115,11 @@
     ones and a small receive buffer.
 
     :param port: where the node accepts callers.
+    :param api_keys: whether some requests have API keys.
     """
 
-    def __init__(self, name: str, port: int) -> None:
+    def __init__(self, name: str, port: int, *, api_keys: bool = False) -> None:
+        self._more = WITH_API_KEY if api_keys else ()
         self._name = name
         self._port = port
         self._callers: list[raw_callers.Caller] = []
@@ -137,6 +156,8 @@
             for caller in list(self._callers):
                 shapes = list(SHAPES)
                 rng.shuffle(shapes)
+                # Behind the shuffle, which is the same without them.
+                shapes[2:2] = self._more
                 group.create_task(caller.run(stop, shapes, interval_s))
 
     async def send_wave(self) -> None:
--- a/tooling/gingerturn_soak/odd_entries.py
+++ b/tooling/gingerturn_soak/odd_entries.py
@@ -68,11 +68,15 @@
 
 
 def of_operator(
-    rng: random.Random, version: int, routes: list[dict[str, object]]
+    rng: random.Random,
+    version: int,
+    routes: list[dict[str, object]],
+    **more: object,
 ) -> list[bytes]:
     """Return entries in the operator's topic, of which the last is a configuration.
 
     :param version: of the odd configuration.
+    :param more: its further fields.
     """
     odd_route = {**routes[0], "name": "r-odd", "path_prefix": "/odd/"}
     fields = {
@@ -80,6 +84,7 @@
         "routes": json.dumps(routes),
         "services": "[]",
         "limits": "{}",
+        **{name: json.dumps(value) for name, value in more.items()},
     }
     route = {name: json.dumps(value) for name, value in odd_route.items()}
     route[rng.choice(list(route))] = rng.choice(VALUES)
--- a/tooling/gingerturn_soak/raw_callers.py
+++ b/tooling/gingerturn_soak/raw_callers.py
@@ -50,6 +50,7 @@
     :param lasts_s: how long an upstream works and writes.
     :param answer: length of a successful answer's body in bytes; -1 for any.
     :param keyed: the request has an ``Idempotency-Key``.
+    :param api_key: the API key that it has; empty for none.
     :param pair: two such requests are written at once.
     """
 
@@ -66,6 +67,7 @@
     lasts_s: float = 0.0
     answer: int = -1
     keyed: bool = False
+    api_key: str = ""
     pair: bool = False
 
 
@@ -312,6 +314,8 @@
         )
         if shape.keyed:
             head += f"Idempotency-Key: {_new_key()}\r\n"
+        if shape.api_key:
+            head += f"Key: {shape.api_key}\r\n"
         if shape.chunked:
             head += "Transfer-Encoding: chunked\r\n"
         elif shape.body or shape.method == "POST":
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -77,6 +77,9 @@
 
 SUCCESSES = frozenset({200, 204, 304})
 
+API_KEY_SHARE = 0.5
+"""Share of the runs with requests that last in which some of these have API keys."""
+
 VERSIONED_ROUTES = 6
 """Number of earlier versions that a configuration still has routes for."""
 
@@ -87,6 +90,7 @@
     :param folder: for the settings and logs of the processes.
     :param machines: number of nodes, each with a backend server.
     :param rng: order of the requests that last; ``None`` for none of them.
+    :param api_keys: whether some of these have API keys.
     """
 
     def __init__(
@@ -95,9 +99,11 @@
         *,
         machines: int,
         rng: random.Random | None = None,
+        api_keys: bool = False,
     ) -> None:
         self._count = machines
         self._rng = rng
+        self._api_keys = api_keys
         self._share = max(1.0, machines / USUAL_MACHINES)
         self._fleets: list[lasting.Fleet] = []
         self._watch = watch.Watch()
@@ -172,7 +178,9 @@
             return
         interval_s = lasting.INTERVAL_S * self._share
         for machine in self._platform.machines.values():
-            fleet = lasting.Fleet(machine.name, machine.ports["outbound"])
+            fleet = lasting.Fleet(
+                machine.name, machine.ports["outbound"], api_keys=self._api_keys
+            )
             self._fleets.append(fleet)
             group.create_task(fleet.run(stop, self._rng, interval_s))
 
@@ -271,13 +279,14 @@
         routes = [_route("r-a", "/a/", "plans"), _route("r-p", "/p/", "porting")]
         routes += [_route(f"r-{v}", f"/v/{v}/", "plans") for v in [*recent, *versions]]
         if self._rng is not None:
-            routes += lasting.routes()
+            routes += lasting.routes(api_keys=self._api_keys)
         return routes
 
     def _configure(self) -> None:
         # A configuration has a route with its own version, which callers probe.
         version = self._platform.next_version
-        self._platform.configure(*self._routes(version))
+        workspaces = lasting.WORKSPACES if self._api_keys else None
+        self._platform.configure(*self._routes(version), workspaces=workspaces)
         self._versions.append(version)
         self._published[version] = callers.now_ms()
         for each in self._callers:
@@ -535,7 +544,8 @@
             await asyncio.to_thread(self._platform.append, odd_entries.MEMBERS, records)
             await asyncio.sleep(step.duration_s / odd_entries.BATCHES)
         version = self._platform.next_version - 1
-        records = odd_entries.of_operator(rng, version, self._routes())
+        more = {"tenants": lasting.WORKSPACES} if self._api_keys else {}
+        records = odd_entries.of_operator(rng, version, self._routes(), **more)
         await asyncio.to_thread(self._platform.append, odd_entries.OPERATOR, records)
         await self._send_odd(self._machine(step.target), rng)
         self._configure()
@@ -642,6 +652,7 @@
     safe = service == "plans"
     return {
         "name": name,
+        "public": True,
         "hostname": callers.HOST,
         "path_prefix": prefix,
         "route_type": "safe" if safe else "non_idempotent",
@@ -743,7 +754,8 @@
         calm=calm,
     )
     rng = random.Random(f"requests {seed}") if lasts else None
-    run = Run(folder, machines=machines, rng=rng)
+    api_keys = lasts and random.Random(f"API keys {seed}").random() < API_KEY_SHARE
+    run = Run(folder, machines=machines, rng=rng, api_keys=api_keys)
     observed = asyncio.run(run.play(steps))
     violations = checks.violations(observed, timing=timing)
     if lasts or odd:
