Stand-in store: any bytes as keys, pages of at most 1 MB, odd paging

The stand-in decoded keys strictly and answered nothing for a topic with a key that is not UTF-8, so such keys were never played. Keys are bytes now; `key_form` says how they are written in JSON, `paging` makes pages that never end. The platform of processes can write entries of another writer and kill and start all nodes at once.

--- a/tooling/gingerturn_standins/platform_processes.py
+++ b/tooling/gingerturn_standins/platform_processes.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import signal
+import struct
 import subprocess
 import sys
 import time
@@ -205,10 +206,37 @@
         }
         if workspaces is not None:
             content["tenants"] = workspaces
-        url = f"{self.store_url}/operator"
-        httpx.post(url, content=json.dumps(content), trust_env=False)
+        self.write_configuration(json.dumps(content).encode())
         return self._version
 
+    def write_configuration(self, content: bytes) -> None:
+        """Write the operator's configuration as it is given."""
+        url = f"{self.store_url}/operator"
+        httpx.post(url, content=content, trust_env=False)
+
+    def write_entries(self, topic: str, *entries: tuple[bytes, bytes]) -> None:
+        """Append entries of another writer, each a key and a value."""
+        records = [bytes([len(key)]) + key + value for key, value in entries]
+        response = httpx.post(
+            f"{self.store_url}/log-append?topic={topic}&part=0",
+            content=b"".join(struct.pack(">I", len(r)) + r for r in records),
+            trust_env=False,
+            timeout=20.0,
+        )
+        response.raise_for_status()
+
+    def kill_nodes(self) -> None:
+        """Kill all nodes at once, as a loss of power does."""
+        for machine in self.machines.values():
+            machine.node.kill()
+        for machine in self.machines.values():
+            machine.node.wait(timeout=STOP_S)
+
+    def start_nodes(self) -> None:
+        """Start all nodes again."""
+        for machine in self.machines.values():
+            machine.node = self.start_node(machine.name)
+
     def fault(self, **faults: object) -> None:
         """Set faults of the store."""
         httpx.post(f"{self.store_url}/control", json=faults, trust_env=False)
--- a/tooling/gingerturn_standins/platform_store.py
+++ b/tooling/gingerturn_standins/platform_store.py
@@ -23,6 +23,10 @@
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
+MAX_ITEMS = 500
+MAX_PAGE_BYTES = 1_000_000
+"""Limits of a page of the newest records."""
+
 READ_ONLY = frozenset({"keyed.op", "keyed.servers"})
 
 
@@ -34,12 +38,18 @@
     :param silent: accept requests and never answer.
     :param delay_ms: wait before each answer.
     :param lose_answers: number of following appends that take effect unanswered.
+    :param key_form: how keys that are not UTF-8 are written in JSON: with replacement
+        characters (``replace``), as bytes (``raw``) or as surrogates (``escape``).
+    :param paging: ``endless`` says that each page has more, ``stuck`` ignores the place
+        after which a page is to begin.
     """
 
     down: bool = False
     silent: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
+    key_form: str = "replace"
+    paging: str = ""
 
 
 @dataclasses.dataclass
@@ -49,7 +59,7 @@
     first: int = 0
     records: list[bytes] = dataclasses.field(default_factory=list)
     times: list[float] = dataclasses.field(default_factory=list)
-    newest: dict[str, tuple[int, bytes]] = dataclasses.field(default_factory=dict)
+    newest: dict[bytes, tuple[int, bytes]] = dataclasses.field(default_factory=dict)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     @property
@@ -60,8 +70,8 @@
     def append(self, record: bytes, *, keyed: bool) -> None:
         """Append a record."""
         if keyed:
-            size = record[0]
-            key = record[1 : 1 + size].decode()
+            size = record[0] if record else 0
+            key = record[1 : 1 + size]
             value = record[1 + size :]
             self.newest.pop(key, None)
             if value:
@@ -101,7 +111,7 @@
 
     async def _serve(self, request: http_server.Request) -> http_server.Response:
         parts = urllib.parse.urlsplit(request.target)
-        query = dict(urllib.parse.parse_qsl(parts.query))
+        query = dict(urllib.parse.parse_qsl(parts.query, errors="surrogateescape"))
         if parts.path == "/control":
             return self._control(request)
         if parts.path == "/operator":
@@ -191,19 +201,28 @@
         )
 
     def _newest(self, query: dict[str, str], topic: Topic) -> http_server.Response:
-        after = query.get("after", "")
+        after = query.get("after", "").encode(errors="surrogateescape")
+        if self.faults.paging == "stuck":
+            after = b""
         keys = sorted(key for key in topic.newest if key > after)
-        page = keys[:500]
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(topic.newest[key][1]).decode(),
-                "offset": topic.newest[key][0],
-            }
-            for key in page
-        ]
-        reply = {"items": items, "has_more": len(keys) > 500, "end_offset": topic.end}
-        return _json(200, reply)
+        items: list[dict[str, object]] = []
+        size = 0
+        for key in keys[:MAX_ITEMS]:
+            offset, value = topic.newest[key]
+            size += len(value)
+            if items and size > MAX_PAGE_BYTES:
+                break
+            encoded = base64.b64encode(value).decode()
+            items.append({"key": self._text(key), "value": encoded, "offset": offset})
+        has_more = len(keys) > len(items) or bool(self.faults.paging)
+        reply = {"items": items, "has_more": has_more, "end_offset": topic.end}
+        is_raw = self.faults.key_form == "raw"
+        content = json.dumps(reply, ensure_ascii=not is_raw)
+        return http_server.Response(200, content.encode(errors="surrogateescape"))
+
+    def _text(self, key: bytes) -> str:
+        is_replaced = self.faults.key_form == "replace"
+        return key.decode(errors="replace" if is_replaced else "surrogateescape")
 
 
 def _copy_topics(topics: dict[str, Topic]) -> dict[str, Topic]:
