--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -27,6 +27,7 @@
     :param refused: refused and failed requests, by rule.
     :param answer_seconds: response time, by quantile.
     :param workspaces: samples by name, by workspace.
+    :param streams: samples by name, by stream of the log.
     :param zone: availability zone of the node.
     :param outcomes: calls that ended at the node, by kind and rule.
     """
@@ -35,6 +36,7 @@
     refused: dict[str, float] = {}
     answer_seconds: dict[str, float] = {}
     workspaces: dict[str, dict[str, float]] = {}
+    streams: dict[str, dict[str, float]] = {}
     zone: str = ""
     outcomes: dict[tuple[str, str], float] = {}
 
@@ -123,6 +125,13 @@
             f"routes version {known:.0f} is known and not active; the log had none"
             f" later than the active one {_count(plain, 'route_read_age_ms')} ms ago"
         )
+    skipped = [
+        f"{stream} {_count(samples, 'log_entries_skipped_total')}"
+        for stream, samples in sorted(found.streams.items())
+        if samples.get("log_entries_skipped_total")
+    ]
+    if skipped:
+        lines.append(f"entries of the log that could not be used: {', '.join(skipped)}")
     if plain.get("keys_closed"):
         lines.append("requests with API keys are refused: keys_stale")
     if plain.get("log_lines_dropped_total"):
@@ -243,6 +252,8 @@
             found.answer_seconds[quantile] = number
         case {"workspace": workspace}:
             found.workspaces.setdefault(workspace, {})[name] = number
+        case {"stream": stream}:
+            found.streams.setdefault(stream, {})[name] = number
         case {"zone": zone}:
             found.zone = zone
         case {}:
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -148,3 +148,12 @@
     )
     total = metrics_text.served([later], [earlier])[0]
     assert (total.ended, total.answered, total.causes) == (20.0, 0.0, {"level": 20.0})
+
+
+def test_entries_that_could_not_be_used_are_reported_by_stream() -> None:
+    name = "gingerturn_log_entries_skipped_total"
+    samples = f'{name}{{stream="members"}} 4\n{name}{{stream="routes"}} 1\n'
+    lines = metrics_text.summary(metrics_text.parse(PAGE + samples, origin="n1"))
+    assert lines[-1] == (
+        "entries of the log that could not be used: members 4, routes 1"
+    )
