A record that cannot be decoded no longer ends the reader of its stream

Seen: one valid record of a member with one more field nested 100,000 deep, and no node that started afterwards was ready; all killed and started again, none was ready and each knew itself alone. A configuration nested so, and no later version was in force at any node. A version of 6,000 hexadecimal digits was a ValueError.

Cause: each decoder named the errors of one library (msgspec's), and nesting raises RecursionError, long numbers ValueError. The task that reads ended, and its read counted as pending for ever. The whole page of newest records was decoded as `Any`, so one odd item took its page with it.

All decoders of what the store or the log service answers and holds go through `decoding`, which raises one error. Items of pages are decoded one by one; what would make the library refuse a page as a whole (a value nested too deeply, a lone surrogate) is replaced before. All numbers and names of records are bounded, a record of a member to 2 kB, and a record of another kind than its stream's is not used.

Each entry that is not used is named with stream, key, offset and problem, at most ten lines a second for a stream, and counted by `log_entries_skipped_total`, also by the log client and the core, which skipped silently. An answer that cannot be read as a whole names stream and offset.

Paging through the newest records goes on from the last key that is known exactly, sends keys as bytes, and ends where no new key is named, after 1,000 pages or 16 MB of records. Alternating keys were followed for ever. The lowest end of the pages counts: it was the first, and an end that went back skipped what followed. Reading the audit trail ends where a page is empty before its end.

--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -9,13 +9,16 @@
 import re
 import typing
 
-import msgspec
-
 from gingerturn import errors
+from gingerturn.internal import decoding
 
 _T = typing.TypeVar("_T")
 
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
+MAX_NAME_LENGTH = 63
+MAX_IP_LENGTH = 45
+"""Characters of an IPv6 address that ends in an IPv4 address."""
+
+NAME_PATTERN = re.compile(rf"[a-z0-9][a-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}\Z")
 """Names are used in Host headers and in names of log streams."""
 
 
@@ -71,11 +74,11 @@
     :raises InvalidDocument: naming the field that is missing or invalid.
     """
     try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.json_decoder(kind)(content)
+    except errors.DecodeError as error:
         content_type = step.partition(" ")[2]
         problem = f"no {content_type}: {error}"
-        if isinstance(error, msgspec.ValidationError):
+        if error.is_complete:
             raise errors.InvalidDocument([problem], step=step, peer=peer) from None
         raise errors.IncompleteDocument([problem], step=step, peer=peer) from None
 
@@ -83,13 +86,15 @@
 def parse_hex(field: str, text: str, *, step: str, peer: str) -> int:
     """Parse a hexadecimal number.
 
-    :raises InvalidDocument: if it is none.
+    :raises InvalidDocument: if it is none, or more than :data:`.decoding.MAX_WHOLE`.
     """
-    try:
-        return int(text, 16)
-    except ValueError:
-        problem = f"{field} is {text!r}; allowed are hexadecimal digits"
-        raise errors.InvalidDocument([problem], step=step, peer=peer) from None
+    number = decoding.parse_whole(text, most=decoding.MAX_WHOLE, base=16)
+    if number is None:
+        allowed = f"hexadecimal digits of a number up to {decoding.MAX_WHOLE:x}"
+        shown = text[: decoding.MAX_SHOWN]
+        problem = f"{field} is {shown!r}; allowed are {allowed}"
+        raise errors.InvalidDocument([problem], step=step, peer=peer)
+    return number
 
 
 def read_bytes(path: pathlib.Path, *, step: str) -> bytes:
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gingerturn import routes
+from gingerturn import log_service, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import allowance, messages, tolerance
 
@@ -311,6 +311,13 @@
     epoch: ids.LogEpoch = ids.LogEpoch(0)
 
 
+class EntriesSkipped(Event, frozen=True):
+    """A read found entries of a stream that cannot be used."""
+
+    stream: str
+    skipped: log_service.SkippedEntries
+
+
 class PutDone(Event, frozen=True):
     """The log acknowledged a record under a key.
 
@@ -455,6 +462,7 @@
     | BackendWithdrawn
     | LogRead
     | NewestRead
+    | EntriesSkipped
     | PutDone
     | PutFailed
     | RoutesReceived
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gingerturn import routes
-from gingerturn.internal import checks, ids
+from gingerturn.internal import checks, decoding, ids
 
 MISDIRECTED = 421
 """Status of a backend server that is not the intended one; nothing was run
@@ -385,12 +385,14 @@
     :raises ValueError: if ``host`` is no IP address.
     """
 
-    node: typing.Annotated[str, msgspec.Meta(min_length=1)]
+    node: typing.Annotated[
+        str, msgspec.Meta(min_length=1, max_length=checks.MAX_NAME_LENGTH)
+    ]
     incarnation: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
-    host: str
+    host: typing.Annotated[str, msgspec.Meta(max_length=checks.MAX_IP_LENGTH)]
     gossip_port: typing.Annotated[int, msgspec.Meta(ge=1, le=checks.MAX_PORT)]
-    zone: str
-    at: float
+    zone: typing.Annotated[str, msgspec.Meta(max_length=checks.MAX_NAME_LENGTH)]
+    at: decoding.Number
 
     def __post_init__(self) -> None:
         ipaddress.ip_address(self.host)
@@ -400,8 +402,8 @@
     """A node left by a planned stop."""
 
     node: str
-    incarnation: int
-    at: float
+    incarnation: decoding.Whole
+    at: decoding.Number
 
 
 MAX_FINGERPRINT = (1 << 8 * ids.FINGERPRINT_BYTES) - 1
@@ -417,7 +419,7 @@
 
     request: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_FINGERPRINT)]
     ends: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ENDS)]
-    at: float
+    at: decoding.Number
 
 
 class ClaimRecord(msgspec.Struct, frozen=True, tag="claim"):
@@ -443,30 +445,30 @@
     id: str
     team: str
     author: str
-    base: int
+    base: decoding.Integer
     text: str
-    at: float
+    at: decoding.Number
 
 
 class ConfigSnapshot(msgspec.Struct, frozen=True, tag="snapshot"):
     """The accepted set at a revision, re-appended before retention drops it."""
 
-    revision: int
+    revision: decoding.Whole
     documents: dict[str, str]
-    revisions: dict[str, int]
+    revisions: dict[str, decoding.Whole]
     digest: str
 
 
 class AuditRecord(msgspec.Struct, frozen=True, tag="audit"):
     """One entry of the audit trail."""
 
-    at: float
+    at: decoding.Number
     who: str
     what: str
     subject: str
     outcome: str
-    base: int = 0
-    revision: int = 0
+    base: decoding.Integer = 0
+    revision: decoding.Integer = 0
 
 
 LogRecord = (
@@ -486,14 +488,13 @@
     return msgspec.json.encode(record)
 
 
-_RECORD_DECODER: msgspec.json.Decoder[LogRecord] = msgspec.json.Decoder(LogRecord)
+_decode_record = decoding.json_decoder(typing.cast(type[LogRecord], LogRecord))
+
 
+def decode_record(content: bytes) -> LogRecord:
+    """Return a log record.
 
-def decode_record(content: bytes) -> LogRecord | None:
-    """Return a log record, or ``None`` for bytes that are no known record: records of
-    later versions or of other writers must not stop a reader.
+    :raises DecodeError: for bytes that are no known record, such as those of later
+        versions and of other writers, which must not stop a reader.
     """
-    try:
-        return _RECORD_DECODER.decode(content)
-    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return _decode_record(content)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from gingerturn import routes
+from gingerturn import errors, log_service, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     backend_reports,
@@ -251,11 +251,11 @@
     if event.stream == streams.CONFIG:
         revisions.on_read(state, first=event.first, oldest=event.oldest, gap=gap)
     joins: list[messages.JoinRecord] = []
-    for index, content in enumerate(event.records):
-        offset = event.first + index
-        if offset < start:
-            continue
-        record = messages.decode_record(content)
+    unread = max(0, start - event.first)
+    decoded = _decode_records(
+        state, event.stream, event.records[unread:], out, first=event.first + unread
+    )
+    for offset, record in decoded:
         if isinstance(record, messages.JoinRecord):
             joins.append(record)
         else:
@@ -267,11 +267,44 @@
         freshness.on_read(state, event.requested_at, held_open_ms=event.held_open_ms)
 
 
+def _decode_records(
+    state: states.State,
+    stream: str,
+    contents: tuple[bytes, ...],
+    out: states.Effects,
+    *,
+    first: int | None = None,
+) -> list[tuple[int, messages.LogRecord]]:
+    """Return the records that can be used, with their offsets.
+
+    :param contents: empty ones stand for entries that the node does not use.
+    :param first: offset of the first one; ``None`` if the offsets are not known.
+    """
+    skipped = log_service.NOTHING_SKIPPED
+    decoded: list[tuple[int, messages.LogRecord]] = []
+    for index, content in enumerate(contents):
+        offset = log_service.NO_OFFSET if first is None else first + index
+        if not content:
+            continue
+        try:
+            decoded.append((offset, streams.decode_record(stream, content)))
+        except errors.DecodeError as error:
+            skipped = skipped.and_entry(b"", offset, error.message)
+    streams.record_skipped(state, stream, skipped, out)
+    return decoded
+
+
+def _on_entries_skipped(
+    state: states.State, event: events.EntriesSkipped, out: states.Effects
+) -> None:
+    streams.record_skipped(state, event.stream, event.skipped, out)
+
+
 def _on_record(
     state: states.State,
     stream: str,
     offset: int,
-    record: messages.LogRecord | None,
+    record: messages.LogRecord,
     out: states.Effects,
 ) -> None:
     changed = False
@@ -304,13 +337,13 @@
         streams.retry_due(state, out)
         return
     streams.on_base_read(state, stream, end=event.end, out=out)
-    decoded = [messages.decode_record(content) for content in event.records]
+    decoded = _decode_records(state, event.stream, event.records, out)
     if event.stream == streams.MEMBERS:
-        joins = [r for r in decoded if isinstance(r, messages.JoinRecord)]
+        joins = [r for _, r in decoded if isinstance(r, messages.JoinRecord)]
         joining.on_base_read(state, joins, out)
-        decoded = [r for r in decoded if not isinstance(r, messages.JoinRecord)]
-    for record in decoded:
-        _on_record(state, event.stream, event.end, record, out)
+    for _, record in decoded:
+        if not isinstance(record, messages.JoinRecord):
+            _on_record(state, event.stream, event.end, record, out)
     if event.stream == streams.ROUTES and event.requested_at:
         freshness.on_read(state, event.requested_at)
     streams.retry_due(state, out)
@@ -674,6 +707,7 @@
     events.PutFailed: _on_put_failed,
     events.RoutesReceived: _on_routes,
     events.SettingsChanged: _on_settings_changed,
+    events.EntriesSkipped: _on_entries_skipped,
     events.LogReadFailed: _on_log_read_failed,
     events.AppendDone: _on_append_done,
     events.AppendFailed: _on_append_failed,
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -851,6 +851,19 @@
         return self.restores > 0 or self.highest > ids.FIRST_LOG_EPOCH
 
 
+class SkippedCount(msgspec.Struct):
+    """Entries of a stream that were not used.
+
+    :param total: number of them since the start.
+    :param second: of the latest log lines about them.
+    :param lines: log lines in that second.
+    """
+
+    total: int = 0
+    second: int = 0
+    lines: int = 0
+
+
 class Stream(msgspec.Struct):
     """The position of this node in a stream of the log.
 
@@ -1086,6 +1099,7 @@
         self.deadlines: list[tuple[ids.Milliseconds, Deadline, int]] = []
         self.membership = Membership()
         self.streams: dict[str, Stream] = {}
+        self.skipped_entries: dict[str, SkippedCount] = {}
         self.log = LogHistory()
         self.keys: dict[str, KeyEntry] = {}
         self.claim_keys: dict[str, str] = {}
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -2,6 +2,7 @@
 
 import math
 
+from gingerturn import errors, log_service, routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     effects,
@@ -28,6 +29,66 @@
 AUDIT = "audit"
 ROUTES = "routes"
 
+MAX_MEMBER_RECORD = 2_048
+"""Bytes of a record of a member, several times those that a node writes."""
+
+MAX_SKIPPED_LINES_PER_S = 10
+"""Log lines about entries of one stream that are not used."""
+
+_KINDS: dict[str, tuple[type, ...]] = {
+    CONFIG: (messages.PublishRecord, messages.ConfigSnapshot),
+    MEMBERS: (messages.JoinRecord, messages.LeaveRecord, messages.QuarantineRecord),
+    AUDIT: (messages.AuditRecord,),
+    ROUTES: (routes.RouteTable,),
+}
+"""The records that nodes write to each stream."""
+
+
+def decode_record(name: str, content: bytes) -> messages.LogRecord:
+    """Return a record of a stream.
+
+    :raises DecodeError: if it cannot be used.
+    """
+    if name == MEMBERS and len(content) > MAX_MEMBER_RECORD:
+        raise errors.DecodeError(
+            f"a record of {len(content)} bytes; allowed are {MAX_MEMBER_RECORD}"
+        )
+    record = messages.decode_record(content)
+    kinds = _KINDS.get(name, (messages.ClaimBatch,))
+    if isinstance(record, kinds):
+        return record
+    allowed = ", ".join(kind.__name__ for kind in kinds)
+    raise errors.DecodeError(f"a {type(record).__name__}; allowed are {allowed}")
+
+
+def record_skipped(
+    state: states.State,
+    name: str,
+    skipped: log_service.SkippedEntries,
+    out: states.Effects,
+) -> None:
+    """Count entries of a stream that are not used, and log the first of them."""
+    if not skipped.count:
+        return
+    counted = state.skipped_entries.setdefault(name, states.SkippedCount())
+    counted.total += skipped.count
+    second = int(state.now / 1_000.0)
+    if counted.second != second:
+        counted.second = second
+        counted.lines = 0
+    for entry in skipped.examples:
+        if counted.lines >= MAX_SKIPPED_LINES_PER_S:
+            return
+        counted.lines += 1
+        operator_log.warn(out, "words", f"{_describe(name, entry)}.")
+
+
+def _describe(name: str, entry: log_service.Skipped) -> str:
+    key = f" {entry.key.decode(errors='replace')!r}" if entry.key else ""
+    has_offset = entry.offset != log_service.NO_OFFSET
+    place = f" at offset {entry.offset}" if has_offset else ""
+    return f"Entry of {name}{key}{place} skipped: {entry.problem}"
+
 
 def follow(
     state: states.State,
--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from gingerturn import errors
-from gingerturn.internal import ids, logs
+from gingerturn.internal import decoding, ids, logs
 from gingerturn.internal.shell import sockets
 
 HTTP_OK = 200
@@ -157,9 +157,9 @@
         :raises LogServiceError: if it does not match the type.
         """
         try:
-            return msgspec.json.decode(answer.content, type=kind)
-        except msgspec.MsgspecError as error:
-            raise self.error(step, str(error), took_effect=None) from None
+            return decoding.json_decoder(kind)(decoding.salvage(answer.content))
+        except errors.DecodeError as error:
+            raise self.error(step, error.message, took_effect=None) from None
 
     def error(
         self, step: str, text: str, *, took_effect: bool | None, epoch: int = 0
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -1,11 +1,11 @@
 """HTTP client of the log service."""
 
-import base64
 import urllib.parse
 
 import msgspec
 
-from gingerturn import log_service, settings
+from gingerturn import errors, log_service, settings
+from gingerturn.internal import decoding
 from gingerturn.internal.shell import http_calls
 
 MAX_RECORDS = 500
@@ -19,23 +19,23 @@
 class NewestReply(msgspec.Struct):
     """Body of the answer to a base read."""
 
-    end: int
-    records: list[str]
+    end: decoding.Whole
+    records: list[msgspec.Raw]
 
 
 class ReadReply(msgspec.Struct):
     """Body of the answer to a read."""
 
-    first: int
-    oldest: int
-    end: int
-    records: list[str]
+    first: decoding.Whole
+    oldest: decoding.Whole
+    end: decoding.Whole
+    records: list[msgspec.Raw]
 
 
 class AppendReply(msgspec.Struct):
     """Body of the answer to an append."""
 
-    offset: int
+    offset: decoding.Whole
 
 
 class LogClient:
@@ -64,7 +64,7 @@
         :param wait: how long to wait for new records and for the answer.
         :raises LogServiceError: when the read fails or its answer is invalid.
         """
-        step = f"read {stream}"
+        step = f"read {stream} from offset {offset}"
         wait_ms = wait.hold_ms(self._poll_ms)
         query = f"from={offset}&max={MAX_RECORDS}&wait_ms={wait_ms}"
         resource = f"/streams/{stream}/records?{query}"
@@ -77,13 +77,15 @@
         )
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, ReadReply, step)
+        contents, skipped = _contents(reply.records, first=reply.first)
         return log_service.Records(
             first=reply.first,
             oldest=reply.oldest,
             end=reply.end,
-            contents=self._contents(reply.records, step),
+            contents=contents,
             held_ms=wait_ms,
             epoch=answer.epoch,
+            skipped=skipped,
         )
 
     async def newest(self, stream: str) -> log_service.Newest:
@@ -96,8 +98,8 @@
         answer = await self._peer.call("GET", resource, step=step)
         self._peer.check(answer, step)
         reply = self._peer.decode(answer, NewestReply, step)
-        contents = self._contents(reply.records, step)
-        return log_service.Newest(contents=contents, end=reply.end, epoch=answer.epoch)
+        contents, skipped = _contents(reply.records)
+        return log_service.Newest(contents, reply.end, answer.epoch, skipped)
 
     async def put(self, stream: str, key: str, record: bytes) -> log_service.Appended:
         """Append a record under a key; an empty record deletes the key.
@@ -130,8 +132,24 @@
         """Close the connections."""
         await self._peer.close()
 
-    def _contents(self, records: list[str], step: str) -> tuple[bytes, ...]:
+
+_decode_text = decoding.json_decoder(str)
+
+
+def _contents(
+    records: list[msgspec.Raw], *, first: int | None = None
+) -> tuple[tuple[bytes, ...], log_service.SkippedEntries]:
+    """Return decoded records, empty for those that cannot be decoded.
+
+    :param first: offset of the first one; ``None`` if the offsets are not known.
+    """
+    contents: list[bytes] = []
+    skipped = log_service.NOTHING_SKIPPED
+    for index, record in enumerate(records):
         try:
-            return tuple(base64.b64decode(record) for record in records)
-        except ValueError as error:
-            raise self._peer.error(step, str(error), took_effect=False) from None
+            contents.append(decoding.decode_base64(_decode_text(bytes(record))))
+        except errors.DecodeError as error:
+            offset = log_service.NO_OFFSET if first is None else first + index
+            skipped = skipped.and_entry(b"", offset, error.message)
+            contents.append(b"")
+    return tuple(contents), skipped
--- /dev/null
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -0,0 +1,151 @@
+"""Entries of keyed streams: which ones a node uses, and paging through them.
+
+The log has other writers and may answer anything, so paging ends whatever the pages
+hold, and what cannot be used takes no memory.
+"""
+
+import collections.abc
+
+import msgspec
+
+from gingerturn import errors, log_service
+from gingerturn.internal.core import streams
+
+MAX_PAGES = 1_000
+MAX_LISTED_BYTES = 16 << 20
+"""Bytes of the records that one listing returns."""
+
+_REPLACED = "\N{REPLACEMENT CHARACTER}".encode()
+"""In a key that is not the one in the log: the service could not encode it."""
+
+
+class Page(msgspec.Struct, frozen=True):
+    """A page of entries.
+
+    :param end: offset after the newest record of the stream.
+    :param oldest: oldest offset that is retained.
+    :param has_more: whether entries of more keys follow.
+    """
+
+    entries: tuple[log_service.Entry, ...]
+    end: int
+    oldest: int = 0
+    has_more: bool = False
+    epoch: int = 0
+
+
+ReadPage = collections.abc.Callable[[bytes], collections.abc.Awaitable[Page]]
+"""Reads the page after a key; an empty key reads the first page."""
+
+
+class Usable:
+    """The records of a stream that a node uses.
+
+    :param stream: name of the stream.
+    """
+
+    def __init__(self, stream: str) -> None:
+        self._stream = stream
+        self._contents: list[bytes] = []
+        self.skipped = log_service.NOTHING_SKIPPED
+        self.size = 0
+
+    @property
+    def contents(self) -> tuple[bytes, ...]:
+        """The record of each entry; empty for those that are not used."""
+        return tuple(self._contents)
+
+    def add(self, entry: log_service.Entry) -> None:
+        """Add an entry if it can be used."""
+        problem = entry.problem or self._problem(entry.value)
+        content = b"" if problem else entry.value
+        if problem:
+            self.skip(entry.key, entry.offset, problem)
+        self._contents.append(content)
+        self.size += len(content)
+
+    def skip(self, key: bytes, offset: int, problem: str) -> None:
+        """Add an entry that cannot be used."""
+        self.skipped = self.skipped.and_entry(key, offset, problem)
+
+    def _problem(self, value: bytes) -> str:
+        if not value:
+            # The key was deleted.
+            return ""
+        try:
+            streams.decode_record(self._stream, value)
+        except errors.DecodeError as error:
+            return error.message
+        return ""
+
+
+def records(
+    stream: str, page: Page, *, first: int, held_ms: float
+) -> log_service.Records:
+    """Return the result of a read.
+
+    :param first: offset of the first entry.
+    """
+    usable = Usable(stream)
+    for entry in page.entries:
+        usable.add(entry)
+    return log_service.Records(
+        first=first,
+        oldest=page.oldest,
+        end=page.end,
+        contents=usable.contents,
+        held_ms=held_ms,
+        epoch=page.epoch,
+        skipped=usable.skipped,
+    )
+
+
+async def read_newest(stream: str, read_page: ReadPage) -> log_service.Newest:
+    """Read the newest record of each key, page by page.
+
+    Pages are no snapshot: what changes meanwhile is read from the lowest end that a
+    page names.
+
+    :raises LogServiceError: if a page cannot be read.
+    """
+    usable = Usable(stream)
+    page = await read_page(b"")
+    end, epoch = page.end, page.epoch
+    visited: set[bytes] = set()
+    after = b""
+    while True:
+        for entry in page.entries:
+            usable.add(entry)
+        end = min(end, page.end)
+        if not page.has_more:
+            break
+        following = _next_place(page, visited)
+        problem = _paging_problem(following, len(visited), usable.size)
+        if problem:
+            usable.skip(after, log_service.NO_OFFSET, problem)
+            break
+        after = following
+        visited.add(after)
+        page = await read_page(after)
+    return log_service.Newest(usable.contents, end, epoch, usable.skipped)
+
+
+def _next_place(page: Page, visited: set[bytes]) -> bytes:
+    """Return the key after which the next page begins; empty if none can be used."""
+    keys = [entry.key for entry in page.entries if entry.key]
+    exact = [key for key in keys if _REPLACED not in key]
+    for key in (*exact[-1:], *keys[-1:]):
+        if key not in visited:
+            return key
+    return b""
+
+
+def _paging_problem(following: bytes, pages: int, size: int) -> str:
+    """Return why the entries behind a page are not read; empty if they are."""
+    if not following:
+        return "its page has more entries, but no new key to continue from"
+    if pages + 1 >= MAX_PAGES:
+        return f"more than {MAX_PAGES} pages behind it"
+    if size > MAX_LISTED_BYTES:
+        return f"records of more than {MAX_LISTED_BYTES} bytes before its end"
+    return ""
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -4,7 +4,7 @@
 
 from gingerturn import errors, log_service
 from gingerturn.internal import ids, logs
-from gingerturn.internal.core import effects, events, messages
+from gingerturn.internal.core import effects, events, messages, streams
 from gingerturn.internal.shell import clock
 
 if typing.TYPE_CHECKING:
@@ -43,13 +43,36 @@
         audited: list[messages.AuditRecord] = []
         offset = 0
         while True:
-            reply = await self._service.read("audit", offset, log_service.NO_LONG_POLL)
-            decoded = [messages.decode_record(record) for record in reply.contents]
-            audited += [r for r in decoded if isinstance(r, messages.AuditRecord)]
+            reply = await self._service.read(
+                streams.AUDIT, offset, log_service.NO_LONG_POLL
+            )
+            audited += self._audit_records(reply)
             offset = reply.first + len(reply.contents)
-            if offset >= reply.end:
+            if offset >= reply.end or not reply.contents:
                 return audited
 
+    def _audit_records(self, reply: log_service.Records) -> list[messages.AuditRecord]:
+        audited: list[messages.AuditRecord] = []
+        skipped = reply.skipped
+        for offset, content in enumerate(reply.contents, reply.first):
+            if not content:
+                continue
+            try:
+                record = streams.decode_record(streams.AUDIT, content)
+            except errors.DecodeError as error:
+                skipped = skipped.and_entry(b"", offset, error.message)
+                continue
+            audited.append(typing.cast(messages.AuditRecord, record))
+        self._report_skipped(streams.AUDIT, skipped)
+        return audited
+
+    def _report_skipped(self, stream: str, skipped: log_service.SkippedEntries) -> None:
+        if skipped.count:
+            now = clock.now()
+            self._node.apply(
+                events.EntriesSkipped(now=now, stream=stream, skipped=skipped)
+            )
+
     def _read_log(self, effect: effects.ReadLog) -> None:
         self._node.spawn(self._read_stream(effect))
 
@@ -70,6 +93,7 @@
                 )
             )
             return
+        self._report_skipped(stream, reply.skipped)
         now = clock.now()
         self._node.apply(
             events.LogRead(
@@ -107,6 +131,7 @@
                 )
             )
             return
+        self._report_skipped(stream, reply.skipped)
         self._node.apply(
             events.NewestRead(
                 now=clock.now(),
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -127,6 +127,14 @@
     ]
 
 
+def _skipped_entries(state: states.State) -> list[tuple[str, float]]:
+    """Return per stream how many entries were not used."""
+    return [
+        (_label(name, name="stream"), counted.total)
+        for name, counted in sorted(state.skipped_entries.items())
+    ]
+
+
 def metrics(node: "nodes.Node") -> bytes:
     """Return all metrics in the Prometheus text format."""
     state = node.state
@@ -202,6 +210,7 @@
     pending_ms = streams.pending_ms(state, streams.ROUTES)
     add("route_read_pending_ms", "gauge", ("", pending_ms))
     add("log_reads_missing_total", "counter", *_missing_reads(state))
+    add("log_entries_skipped_total", "counter", *_skipped_entries(state))
     add("log_epoch", "gauge", ("", state.log.highest))
     add("log_restores_total", "counter", ("", state.log.restores))
     add("requests_held", "gauge", ("", len(state.caps.waiting_calls)))
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -198,18 +198,18 @@
         ) from None
 
 
-def split(buffer: bytearray) -> list[bytes]:
+def split(buffer: bytearray, *, max_length: int = MAX_FRAME) -> list[bytes]:
     """Remove the complete frames from the front of a buffer and return them.
 
-    :raises FrameError: when a length exceeds :data:`MAX_FRAME`.
+    :raises FrameError: when a length exceeds the limit.
     """
     found: list[bytes] = []
     position = 0
     while len(buffer) - position >= LENGTH_BYTES:
         (length,) = _LENGTH.unpack_from(buffer, position)
-        if length > MAX_FRAME:
+        if length > max_length:
             raise errors.FrameError(
-                f"a frame of {length} bytes; allowed are {MAX_FRAME}",
+                f"a frame of {length} bytes; allowed are {max_length}",
                 step="split frames",
             )
         end = position + LENGTH_BYTES + length
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -42,6 +42,46 @@
 NO_LONG_POLL = Wait(is_long_poll=False)
 
 
+NO_OFFSET = -1
+MAX_KEY_SHOWN = 64
+"""Bytes of the key of an entry that is not used."""
+
+MAX_EXAMPLES = 10
+"""Entries of one read that are not used and of which more than the number is kept."""
+
+
+class Skipped(msgspec.Struct, frozen=True):
+    """An entry that a node does not use.
+
+    :param key: the beginning of its key; empty if it has none, or none is known.
+    :param offset: :data:`NO_OFFSET` if it is not known.
+    """
+
+    key: bytes
+    offset: int
+    problem: str
+
+
+class SkippedEntries(msgspec.Struct, frozen=True):
+    """The entries of a read that a node does not use.
+
+    :param examples: the first :data:`MAX_EXAMPLES` of them.
+    """
+
+    count: int = 0
+    examples: tuple[Skipped, ...] = ()
+
+    def and_entry(self, key: bytes, offset: int, problem: str) -> "SkippedEntries":
+        """Return these entries and one more."""
+        examples = self.examples
+        if len(examples) < MAX_EXAMPLES:
+            examples += (Skipped(key[:MAX_KEY_SHOWN], offset, problem),)
+        return SkippedEntries(self.count + 1, examples)
+
+
+NOTHING_SKIPPED = SkippedEntries()
+
+
 class Records(msgspec.Struct, frozen=True):
     """The result of a read.
 
@@ -54,6 +94,7 @@
     :param missing: the requested offset is no longer retained, and ``first`` and
         ``end`` are the first one that is.
     :param epoch: epoch of the log.
+    :param skipped: entries that could not be used.
     """
 
     first: int
@@ -63,6 +104,7 @@
     held_ms: float = 0.0
     missing: bool = False
     epoch: int = 0
+    skipped: SkippedEntries = NOTHING_SKIPPED
 
 
 def missing(first: int, *, epoch: int) -> Records:
@@ -78,11 +120,13 @@
 
     :param end: offset from which to continue reading.
     :param epoch: epoch of the log.
+    :param skipped: entries that could not be used.
     """
 
     contents: tuple[bytes, ...]
     end: int
     epoch: int = 0
+    skipped: SkippedEntries = NOTHING_SKIPPED
 
 
 class Appended(msgspec.Struct, frozen=True):
@@ -99,11 +143,13 @@
     """One entry of a keyed stream.
 
     :param problem: why it cannot be decoded; empty if it can.
+    :param offset: :data:`NO_OFFSET` if it is not known.
     """
 
     key: bytes
     value: bytes = b""
     problem: str = ""
+    offset: int = NO_OFFSET
 
 
 class LogService(typing.Protocol):
--- a/src/gingerturn/routes.py
+++ b/src/gingerturn/routes.py
@@ -13,13 +13,13 @@
 import msgspec
 
 from gingerturn import configuration, errors
-from gingerturn.internal import checks, ids
+from gingerturn.internal import checks, decoding, ids
 
 MAX_PRIORITY = configuration.IMPORTANCE_CLASSES - 1
 """Priorities from 0 (the highest) to this one have an importance class each; all others
 share the lowest class."""
 
-MAX_VERSION = (1 << 63) - 1
+MAX_VERSION = decoding.MAX_WHOLE
 """Versions are encoded as signed 64-bit integers."""
 
 TARGET_SPREAD = 10
@@ -47,7 +47,7 @@
     """A service of a route, with its weight among the services of the route."""
 
     service: str
-    weight: int = 1
+    weight: decoding.Integer = 1
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -64,11 +64,11 @@
     host: str
     path_prefix: str
     type: RouteType
-    timeout_ms: int
-    target_ms: int
+    timeout_ms: decoding.Integer
+    target_ms: decoding.Integer
     shares: tuple[Share, ...]
-    priority: int = 0
-    max_attempts: int = 1
+    priority: decoding.Integer = 0
+    max_attempts: decoding.Integer = 1
     public: bool = False
 
 
@@ -85,9 +85,9 @@
 
     name: str
     key_digests: tuple[str, ...]
-    priority: int | None = None
-    rate: float = 0.0
-    burst: float = 0.0
+    priority: decoding.Integer | None = None
+    rate: decoding.Number = 0.0
+    burst: decoding.Number = 0.0
 
 
 def workspace(
@@ -130,10 +130,10 @@
     :param head_timeout_ms: from the first to the last byte of a request head.
     """
 
-    head_bytes: int = 32_768
-    body_bytes: int = 67_108_864
-    head_timeout_ms: int = 10_000
-    idle_timeout_ms: int = 60_000
+    head_bytes: decoding.Integer = 32_768
+    body_bytes: decoding.Integer = 67_108_864
+    head_timeout_ms: decoding.Integer = 10_000
+    idle_timeout_ms: decoding.Integer = 60_000
 
 
 class RouteTable(msgspec.Struct, frozen=True, tag="routes"):
@@ -144,7 +144,7 @@
     :param workspaces: ``None`` if requests carry no API keys.
     """
 
-    version: int
+    version: decoding.Integer
     routes: tuple[Route, ...]
     limits: RequestLimits = RequestLimits()
     services: tuple[str, ...] = ()
