Supervision: an error that nothing caught has an owner

A reader of the log that ended by an error left its read pending for good: a node that met one was never ready, and no later version came into force. An error in a tick ended all timers, since the next one was scheduled behind it; one in an effect dropped the effects and events behind it; a request whose arrival or dispatch raised an error got no answer.

Cause: tasks, timers and callbacks were started and forgotten. A line of the event loop's handler was all that was left, and the handler itself failed on errors without a message, as those of datagrams are.

shell.supervision starts all of them, counts errors by part and logs them within a rate limit. What a task owes the core follows as the event that the core has already (LogReadFailed, PutFailed, AppendFailed, BackendChecked, AttemptLost); shell.unapplied says the same of events and effects. The reducer hands out the effects of an event up to the error, so that state and effects agree.

Each test fails in which an error is contained that it does not expect.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -344,12 +344,14 @@
     :param extra: as in :class:`LogRead`.
     :param generation: as in the effect that requested the read.
     :param epoch: of the log that refused it, if one did.
+    :param unapplied: it was answered, and the answer could not be applied.
     """
 
     stream: str
     extra: bool = False
     generation: int = 0
     epoch: ids.LogEpoch = ids.LogEpoch(0)
+    unapplied: bool = False
 
 
 class AppendDone(Event, frozen=True):
--- a/src/gingerturn/internal/core/freshness_renewal.py
+++ b/src/gingerturn/internal/core/freshness_renewal.py
@@ -95,12 +95,19 @@
         membership.ping(state, node, out, track=True, without_updates=True)
 
 
+def _is_extra_pending(state: states.State) -> bool:
+    """Whether the outcome of an extra read is still to be expected."""
+    freshness_state = state.freshness
+    pending_ms = state.now - freshness_state.extra_read_at
+    return freshness_state.extra_read_pending and pending_ms <= streams.MAX_PENDING_MS
+
+
 def _read_log(state: states.State, out: states.Effects) -> None:
     stream = state.streams.get(streams.ROUTES)
     freshness_state = state.freshness
     if (
         stream is None
-        or freshness_state.extra_read_pending
+        or _is_extra_pending(state)
         or state.now < freshness_state.next_read_at
     ):
         return
@@ -111,6 +118,7 @@
     if state.now - freshness_state.next_read_at > version_bound.bound_ms(state):
         freshness_state.failed_reads = 0
     freshness_state.extra_read_pending = True
+    freshness_state.extra_read_at = state.now
     out.append(
         effects.ReadLog(
             stream=streams.ROUTES,
--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -35,6 +35,11 @@
 """Delay until an unacknowledged join record is put again, before jitter."""
 
 
+LIST_WITHOUT_PUT_MS = 5_000.0
+"""Time after a start in which the other join records are read only once the own one
+was put, or could not be."""
+
+
 def start(state: states.State, me: messages.Member, out: states.Effects) -> None:
     """Enter the membership as its only member, and put the join record on the log."""
     state.membership.self_member = me
@@ -58,6 +63,7 @@
         out.append(effects.Append(append=number, stream=streams.MEMBERS, record=record))
         return
     view.join_put_number = number
+    view.join_retry_at = state.now + streams.MAX_PENDING_MS
     out.append(
         effects.PutRecord(
             put=number, stream=streams.MEMBERS, key=state.node, record=record
@@ -162,6 +168,8 @@
         membership.ping(state, ids.NodeId(state.random.choice(gone)), out)
     if view.join_put_number and now >= view.join_retry_at:
         put_join_record(state, out)
+    if state.keyed_log and now - state.started_at > LIST_WITHOUT_PUT_MS:
+        streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
     contact_unknown(state, now, out)
     if state.keyed_log and not member_table.reachable(state) and view.members_listed:
         # All other members may have been replaced while this node was cut off.
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -88,6 +88,17 @@
     :return: the effects, in the order of execution.
     """
     out: states.Effects = []
+    apply(state, event, out)
+    return out
+
+
+def apply(state: states.State, event: events.Event, out: states.Effects) -> None:
+    """Apply one event.
+
+    :param state: changed in place.
+    :param out: the effects are appended to it. After an error they are those of the
+        part of the event that was applied.
+    """
     # Time in the core is monotonic, even if the clock was set back.
     if event.now > state.now:
         state.now = event.now
@@ -96,7 +107,6 @@
         claims.flush(state, out)
     if state.stopping and not state.stopped:
         _check_stopped(state, out)
-    return out
 
 
 def _on_started(
@@ -196,6 +206,8 @@
         freshness_renewal.on_read_ended(state)
     if _is_usable(state, stream, event, out):
         _apply_read(state, stream, event, out)
+        if not event.extra:
+            stream.consecutive_unapplied = 0
     if event.stream == streams.ROUTES:
         pollers.set_read_times(state, stream)
     streams.retry_due(state, out)
@@ -346,6 +358,7 @@
             _on_record(state, event.stream, event.end, record, out)
     if event.stream == streams.ROUTES and event.requested_at:
         freshness.on_read(state, event.requested_at)
+    stream.consecutive_unapplied = 0
     streams.retry_due(state, out)
 
 
@@ -391,10 +404,12 @@
     log_epochs.on_reported_epoch(state, event.epoch, "a refused read", out)
     if event.extra:
         freshness_renewal.on_read_ended(state)
+        if event.unapplied:
+            streams.reread(state, event.stream)
         return
     stream = state.streams.get(event.stream)
     if stream is not None and event.generation == stream.generation:
-        streams.on_read_failed(state, stream, out)
+        streams.on_read_failed(state, stream, out, unapplied=event.unapplied)
 
 
 def _on_append_done(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -528,6 +528,7 @@
     :param query_count: number of such queries.
     :param closed_logged: it has been logged that all API keys are refused.
     :param extra_read_pending: an extra read of the log is under way.
+    :param extra_read_at: when the latest one was requested.
     :param next_read_at: earliest time of the next extra read.
     :param failed_reads: consecutive extra reads that gave no evidence.
     :param highest_log_version: highest version read from the log since it was last
@@ -542,6 +543,7 @@
     query_count: int = 0
     closed_logged: bool = False
     extra_read_pending: bool = False
+    extra_read_at: ids.Milliseconds = 0.0
     next_read_at: ids.Milliseconds = 0.0
     failed_reads: int = 0
     highest_log_version: int = 0
@@ -884,6 +886,7 @@
         discarded.
     :param consecutive_missing: consecutive reads whose offset the log did not hold.
     :param missing_total: number of such reads since the start.
+    :param consecutive_unapplied: consecutive answers that could not be applied.
     """
 
     name: str
@@ -905,6 +908,7 @@
     generation: int = 0
     consecutive_missing: int = 0
     missing_total: int = 0
+    consecutive_unapplied: int = 0
 
 
 class KeyPhase(enum.Enum):
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -24,6 +24,10 @@
 """Limit of the delay before a failed read of a keyed stream is repeated, so that its
 records are current again soon after the log returns."""
 
+MAX_PENDING_MS = 180_000.0
+"""Time after which a read without any outcome counts as failed. It is longer than any
+read takes with its long poll and its time-outs."""
+
 CONFIG = "config"
 MEMBERS = "members"
 AUDIT = "audit"
@@ -253,16 +257,36 @@
 
 
 def on_read_failed(
-    state: states.State, stream: states.Stream, out: states.Effects
+    state: states.State,
+    stream: states.Stream,
+    out: states.Effects,
+    *,
+    unapplied: bool = False,
 ) -> None:
     """Handle a failed read: back off with jitter, so that not all nodes read at once
-    when the log returns."""
+    when the log returns.
+
+    :param unapplied: it was answered, and the answer could not be applied.
+    """
     stream.read_pending = False
+    if unapplied:
+        _on_unapplied(state, stream)
     stream.outdated = False
     stream.failures += 1
     if stream.failures == 1:
         operator_log.warn(out, "log", f"Stream {stream.name} cannot be read.")
-    stream.retry_at = state.now + _backoff(state, stream, stream.failures)
+    tries = max(stream.failures, stream.consecutive_unapplied)
+    stream.retry_at = state.now + _backoff(state, stream, tries)
+
+
+def _on_unapplied(state: states.State, stream: states.Stream) -> None:
+    """Count what an answer held as missed, in so far as it was not applied."""
+    stream.consecutive_unapplied += 1
+    # A read that the part which was applied has requested is not waited for.
+    stream.generation += 1
+    stream.covered_from = state.now
+    # In a keyed stream a base read makes up for missed records.
+    stream.base_read = False
 
 
 def _backoff(
@@ -276,10 +300,20 @@
 def retry_due(state: states.State, out: states.Effects) -> None:
     """Read each stream whose next read is due."""
     for stream in state.streams.values():
+        if _is_overdue(state, stream):
+            text = f"Read of {stream.name} without an outcome; it is repeated."
+            operator_log.warn(out, "log", text)
+            # A late answer is not applied.
+            stream.generation += 1
+            on_read_failed(state, stream, out)
         if _awaits_next_read(stream) and state.now >= stream.retry_at:
             _read(state, stream, out)
 
 
+def _is_overdue(state: states.State, stream: states.Stream) -> bool:
+    return stream.read_pending and state.now - stream.requested_at > MAX_PENDING_MS
+
+
 def pending_ms(state: states.State, name: str) -> ids.Milliseconds:
     """Return for how long a read of a stream has been pending; 0 if none is."""
     stream = state.streams.get(name)
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -39,6 +39,9 @@
 ENDS_PER_S = 50
 """Rate limit of lines about connections that ended with an open request."""
 
+ERRORS_PER_S = 10
+"""Rate limit of lines about errors that nothing caught."""
+
 BACKLOG_BYTES = 65_536
 """Bytes buffered while the reader is slow."""
 
@@ -120,6 +123,7 @@
         self.successes = Budget(SUCCESSES_PER_S)
         self.changes = Budget(CHANGES_PER_S)
         self.ends = Budget(ENDS_PER_S)
+        self.errors = Budget(ERRORS_PER_S)
         self.output: Output | None = None
         self.node = ""
         self.min_severity = 0
@@ -216,6 +220,12 @@
     return _state.ends.take(time.monotonic())
 
 
+def may_write_error() -> bool:
+    """Whether a line about an error that nothing caught is within the rate limit, which
+    then counts it."""
+    return _state.errors.take(time.monotonic())
+
+
 def warn_skipped(what: str, key: bytes, problem: str) -> None:
     """Log that input of another program was skipped, within the rate limit of changes.
 
@@ -228,15 +238,21 @@
 
 def report_dropped() -> int:
     """Log the number of lines dropped since the last call, and return it."""
-    budgets = (_state.failures, _state.successes, _state.changes, _state.ends)
+    budgets = (
+        _state.failures,
+        _state.successes,
+        _state.changes,
+        _state.ends,
+        _state.errors,
+    )
     stalled = 0 if _state.output is None else _state.output.dropped
-    failures, successes, changes, ends = (budget.dropped for budget in budgets)
+    failures, successes, changes, ends, unhandled = (b.dropped for b in budgets)
     for budget in budgets:
         budget.dropped = 0
     if _state.output is not None:
         _state.output.dropped = 0
         _state.output.flush()
-    if failures or changes or ends or stalled:
+    if failures or changes or ends or unhandled or stalled:
         write(
             "WARNING",
             "logs",
@@ -245,6 +261,7 @@
             successes=successes,
             changes=changes,
             ends=ends,
+            errors=unhandled,
             stalled=stalled,
         )
-    return failures + successes + changes + ends + stalled
+    return failures + successes + changes + ends + unhandled + stalled
--- a/src/gingerturn/internal/shell/acknowledgements.py
+++ b/src/gingerturn/internal/shell/acknowledgements.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 
-from gingerturn.internal.shell import sockets
+from gingerturn.internal.shell import sockets, supervision
 
 CHECK_INTERVAL_S = 0.25
 
@@ -102,13 +102,16 @@
             return
         self._watched.add(watched)
         if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
+            self._timer = supervision.call_later(
+                CHECK_INTERVAL_S, self._check, part="acknowledgements"
+            )
 
     def _check(self) -> None:
         # Cleared first, so that an error below does not end the checks for good.
         self._timer = None
         watched, self._watched = self._watched, set()
         for connection in watched:
-            if connection.check():
-                self.add(connection)
+            # One that cannot be checked is not watched any more.
+            with supervision.contained("acknowledgements"):
+                if connection.check():
+                    self.add(connection)
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -5,8 +5,6 @@
 import pathlib
 import signal
 import socket
-import traceback
-import typing
 
 from gingerturn import errors, settings
 from gingerturn.internal import logs
@@ -16,6 +14,7 @@
     open_work,
     starting,
     stops,
+    supervision,
 )
 
 ADMIN_STOP_S = 2.0
@@ -29,6 +28,8 @@
 """The drain timed out or was interrupted."""
 
 
+_WATCHER = "settings"
+
 SETTINGS_POLL_S = 1.0
 """Interval between checks of the settings file for changes."""
 
@@ -87,7 +88,7 @@
     loop.add_signal_handler(signal.SIGTERM, _begin_stop, node, stopping)
     loop.add_signal_handler(signal.SIGINT, _on_interrupt, node, stopping, interrupted)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, source)
-    loop.set_exception_handler(_on_unhandled_error)
+    loop.set_exception_handler(supervision.on_loop_error)
     node_settings = node.settings.node
     try:
         administration = await starting.run_unless_stopped(stopping, _start(node))
@@ -108,7 +109,7 @@
         service=node.settings.backend.service,
         log=node.settings.log.url,
     )
-    node.spawn(_watch(node, source))
+    node.spawn(_watch(node, source), part=_WATCHER)
     if stopping.is_set():
         _begin_stop(node, stopping)
     await node.stop_begun.wait()
@@ -172,7 +173,9 @@
 
         self._server = admin.server(node)
         serving = self._server.serve(sockets=[listening])
-        self._task = asyncio.get_running_loop().create_task(serving)
+        self._task = supervision.spawn(
+            serving, part="administration", failed=self._log_end
+        )
 
     def stop(self) -> None:
         """Begin the shutdown."""
@@ -182,14 +185,9 @@
         """Wait for the shutdown, up to :data:`ADMIN_STOP_S`."""
         await asyncio.wait([self._task], timeout=ADMIN_STOP_S)
 
-
-def _on_unhandled_error(
-    loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
-) -> None:
-    """Log an exception that nothing caught; it does not end the process."""
-    error = context.get("exception")
-    trace = "".join(traceback.format_exception(error)[-3:]) if error else ""
-    logs.write("ERROR", "node", f"Unhandled error: {context['message']}.", trace=trace)
+    def _log_end(self) -> None:
+        text = "The administration API has ended; calls are served without it."
+        logs.write("ERROR", "node", text)
 
 
 def _on_interrupt(
@@ -214,8 +212,9 @@
 async def _watch(node: nodes.Node, source: Source) -> None:
     while True:
         await asyncio.sleep(SETTINGS_POLL_S)
-        if source.changed():
-            _reload(node, source)
+        with supervision.contained(_WATCHER):
+            if source.changed():
+                _reload(node, source)
 
 
 def _reload(node: nodes.Node, source: Source) -> None:
@@ -238,8 +237,8 @@
     node: nodes.Node, interrupted: asyncio.Event, limit: float
 ) -> bool:
     """Wait for the end of a planned stop; return whether it completed."""
-    ended = asyncio.create_task(stops.run(node))
-    interruption = asyncio.create_task(interrupted.wait())
+    ended = supervision.awaited(stops.run(node))
+    interruption = supervision.awaited(interrupted.wait())
     done, waiting = await asyncio.wait(
         {ended, interruption}, timeout=limit, return_when=asyncio.FIRST_COMPLETED
     )
--- a/src/gingerturn/internal/shell/descriptors.py
+++ b/src/gingerturn/internal/shell/descriptors.py
@@ -17,6 +17,7 @@
 import typing
 
 from gingerturn.internal import logs
+from gingerturn.internal.shell import supervision
 
 MAX_LIMIT = 65_536
 """Limit up to which the process's own is raised at its start."""
@@ -118,8 +119,7 @@
                 closed_idle=self.closed_idle,
             )
         if self._timer is None and not self._closed:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(RETRY_INTERVAL_S, self._retry)
+            self._schedule_retry()
 
     def close(self) -> None:
         """Give up the reserve for good."""
@@ -134,18 +134,23 @@
             return
         if not self._hold_again():
             self.closed_idle += self._make_room()
-            self._timer = asyncio.get_running_loop().call_later(
-                RETRY_INTERVAL_S, self._retry
-            )
+            self._schedule_retry()
             return
         self._short = len(self._held) < RESERVE
         waiting, self._waiting = self._waiting, []
         for resume in waiting:
-            resume()
+            with supervision.contained("descriptors"):
+                resume()
         if self._short and self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(
-                RETRY_INTERVAL_S, self._retry
-            )
+            self._schedule_retry()
+
+    def _schedule_retry(self) -> None:
+        self._timer = supervision.call_later(
+            RETRY_INTERVAL_S,
+            self._retry,
+            part="descriptors",
+            failed=self._schedule_retry,
+        )
 
     def _hold_again(self) -> bool:
         """Take the reserve again, if a descriptor is left beside it for a caller who
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -14,6 +14,9 @@
 
 MAX_DURATION_US = 60_000_000
 
+ERROR_CAUSE = "an error of this node"
+"""Cause of a connection's close, for the log."""
+
 
 class PendingAttempt:
     """An attempt whose answer has not arrived, or is still streamed.
@@ -145,6 +148,38 @@
                 self._drop_attempt(call, cancel=True)
                 pending.request.connection.abort(pending.request)
 
+    def refuse_unapplied(self, call: ids.CallId) -> None:
+        """Refuse a call whose arrival could not be applied. One with an attempt ends by
+        its answer or its deadline."""
+        registered = self._requests.get(call)
+        if registered is None or self.attempt_of(registered[0]) is not None:
+            return
+        self._node.apply(events.CallerGone(now=clock.now(), call=call))
+        registered[0].connection.refuse_for_error(registered[0])
+
+    def lose_attempt(self, attempt: ids.AttemptId) -> None:
+        """Handle an error while an attempt was sent."""
+        if attempt in self._attempts:
+            # A part of it may have been sent.
+            self.on_lost(attempt, reached=True)
+            return
+        self._node.apply(
+            events.AttemptLost(now=clock.now(), attempt=attempt, reached=False)
+        )
+
+    def abort_answer(self, attempt: ids.AttemptId) -> None:
+        """Handle an error while an answer was written to its caller."""
+        pending = self._attempts.get(attempt)
+        if pending is not None:
+            self._drop_attempt(attempt, cancel=True)
+            pending.request.connection.close(ERROR_CAUSE)
+
+    def close_connection(self, call: ids.CallId) -> None:
+        """Handle an error while a refusal was written to its caller."""
+        registered = self._requests.get(call)
+        if registered is not None:
+            registered[0].connection.close(ERROR_CAUSE)
+
     def record_durations(self) -> None:
         """Record the durations since the last tick in the histogram.
 
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -7,7 +7,7 @@
 
 from gingerturn.internal import ids, logs, outcome_log
 from gingerturn.internal.core import backend_reports, effects, events, messages
-from gingerturn.internal.shell import backend_http, clock
+from gingerturn.internal.shell import backend_http, clock, supervision
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -103,8 +103,9 @@
         if connection is not None:
             self._begin(connection, effect)
             return
-        task = asyncio.get_running_loop().create_task(self._connect(effect))
-        self._node.keep_task(task)
+        self._node.keep_task(
+            supervision.spawn(self._connect(effect), part="exchanges", failed=self.fail)
+        )
 
     def on_chunk(self, chunk: frames.Chunk) -> None:
         """Handle a piece of a streamed request body."""
@@ -130,6 +131,19 @@
             self._connection.abandon()
             self._connection = None
 
+    def fail(self) -> None:
+        """Handle an error after which the connection is in an unknown state, and may
+        have sent a part of the call."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abandon()
+        self.on_failure(dispatched=True)
+
+    def break_off(self) -> None:
+        """End the call at the entry node without an answer."""
+        self._send(frames.Broken(call=self._opened.call))
+        self._open = False
+
     def detach(self) -> None:
         """Stop sending frames; the entry node no longer waits for the call."""
         self._open = False
@@ -415,9 +429,8 @@
                 self._schedule_stall_check()
 
     def _schedule_stall_check(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._stall_timer = loop.call_later(
-            STALL_CHECK_INTERVAL_S, self._check_for_stall
+        self._stall_timer = supervision.call_later(
+            STALL_CHECK_INTERVAL_S, self._check_for_stall, part="exchanges"
         )
 
     def _check_for_stall(self) -> None:
--- a/src/gingerturn/internal/shell/gossip.py
+++ b/src/gingerturn/internal/shell/gossip.py
@@ -6,7 +6,7 @@
 from gingerturn import errors
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import clock
+from gingerturn.internal.shell import clock, supervision
 from gingerturn.internal.wire import datagrams
 
 if typing.TYPE_CHECKING:
@@ -37,6 +37,10 @@
         ignored, since gossip is repeated."""
         if not self._node.begun:
             return
+        with supervision.contained("gossip", subject=f"{address[0]}:{address[1]}"):
+            self._receive(data, address)
+
+    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         self.bytes_received += len(data)
         now = clock.now()
         try:
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -76,6 +76,27 @@
         exchange.detach()
         self._node.apply(events.CancelReceived(now=clock.now(), hosted=hosted))
 
+    def fail_dispatch(self, hosted: ids.HostedId) -> None:
+        """Handle an error while a call was dispatched, a part of which may have been
+        sent."""
+        exchange = self._exchanges.get(hosted)
+        if exchange is not None:
+            exchange.fail()
+            return
+        self._node.apply(
+            events.BackendFailed(now=clock.now(), hosted=hosted, dispatched=False)
+        )
+
+    def break_off(self, hosted: ids.HostedId) -> None:
+        """End a call that cannot be answered; its entry node gets to know."""
+        exchange = self._exchanges.get(hosted)
+        if exchange is None:
+            return
+        exchange.break_off()
+        self.on_cancelled(hosted)
+        if hosted not in self._node.state.hosted:
+            self.drop_exchange(hosted)
+
     def drop_exchange(self, hosted: ids.HostedId) -> None:
         """Remove an exchange that has ended."""
         exchange = self._exchanges.pop(hosted, None)
@@ -107,7 +128,11 @@
             self.drop_exchange(effect.hosted)
 
     def _check_backend(self, effect: effects.CheckBackend) -> None:
-        self._node.spawn(self._check(effect))
+        def failed() -> None:
+            # Inconclusive.
+            self._node.apply(events.BackendChecked(now=clock.now(), refused=False))
+
+        self._node.spawn(self._check(effect), part="backend check", failed=failed)
 
     async def _check(self, effect: effects.CheckBackend) -> None:
         self.pool.set_address(effect.host, effect.port)
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -16,8 +16,10 @@
     caller_requests,
     clock,
     connection_ends,
+    entry,
     heads,
     sockets,
+    supervision,
     tickets,
 )
 
@@ -39,6 +41,9 @@
 OWN_AUTHORITY = "gingerturn"
 """Authority (``Host``) of the requests that the node answers itself."""
 
+ERROR_RETRY_MS = 1_000.0
+"""Retry delay of a request that was refused for an error of this node."""
+
 _PART = "ingress"
 
 
@@ -109,9 +114,8 @@
                 self._reject_head()
                 return
             if isinstance(error, httptools.HttpParserCallbackError):
-                # A request that is read must not stay open without an answer.
-                logs.write("ERROR", _PART, f"Unhandled error: {cause!r}.")
-                self.close("an error of this node")
+                supervision.record(_PART, cause)
+                self._on_read_error()
                 return
             self._reject(400, f"not a valid HTTP/1.1 request: {error}")
 
@@ -492,7 +496,47 @@
             self._transport.pause_reading()
         request.body_sink(body, False)
 
+    def refuse_for_error(self, request: caller_requests.Request) -> None:
+        """Refuse a request that was not sent to an upstream, after an error."""
+        refusal = effects.RefuseCall(
+            call=request.call,
+            status=503,
+            outcome=messages.Outcome.NOT_RUN,
+            title=entry.ERROR_CAUSE,
+            retry_after_ms=ERROR_RETRY_MS,
+            decision="",
+        )
+        try:
+            self.send_problem(request, refusal)
+        except Exception as error:
+            supervision.record(_PART, error)
+            self.close(entry.ERROR_CAUSE)
+
+    def _on_read_error(self) -> None:
+        """Answer the request that is being read, and close the connection, as the rest
+        of the input cannot be read any more."""
+        reading = self._reading
+        if reading is None or reading.dispatched:
+            self.close(entry.ERROR_CAUSE)
+            return
+        try:
+            self._reject(503, entry.ERROR_CAUSE)
+        except Exception as error:
+            supervision.record(_PART, error)
+            self.close(entry.ERROR_CAUSE)
+
     def _dispatch(self, request: caller_requests.Request) -> None:
+        """Dispatch a request; one that cannot be, because of an error, is refused."""
+        try:
+            self._dispatch_request(request)
+        except Exception as error:
+            supervision.record(_PART, error, subject=f"request {request.call}")
+            if self._node.entry.attempt_of(request) is not None:
+                self.close(entry.ERROR_CAUSE)
+                return
+            self.refuse_for_error(request)
+
+    def _dispatch_request(self, request: caller_requests.Request) -> None:
         request.dispatched = True
         request.call = ids.CallId(self._node.next_number())
         service, path, target = caller_requests.destination(request)
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -8,7 +8,7 @@
 from gingerturn import errors, routes
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import decisions, effects, events, messages, revisions
-from gingerturn.internal.shell import clock, peers
+from gingerturn.internal.shell import clock, peers, supervision
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -132,15 +132,17 @@
         whose interval is that of the core's parts.
         """
         if self._next_check is None:
-            loop = asyncio.get_running_loop()
-            self._next_check = loop.call_later(peers.CHECK_INTERVAL_S, self._check)
+            self._next_check = supervision.call_later(
+                peers.CHECK_INTERVAL_S, self._check, part="links"
+            )
 
     def _check(self) -> None:
         # Cleared first, so that an error below does not end the checks for good.
         self._next_check = None
         now = clock.now()
-        for link in list(self._links.values()):
-            link.check(now)
+        for address, link in list(self._links.items()):
+            with supervision.contained("links", subject=str(address)):
+                link.check(now)
         if any(link.is_waiting for link in self._links.values()):
             self.start_checks()
 
@@ -213,7 +215,9 @@
         )
 
     def _fetch_routes(self, effect: effects.FetchRoutes) -> None:
-        self._node.spawn(self._request_routes(effect))
+        self._node.spawn(
+            self._request_routes(effect), part="queries", subject=effect.node
+        )
 
     async def _request_routes(self, effect: effects.FetchRoutes) -> None:
         query = frames.Query(call=self._next_query_id(), routes=True)
@@ -230,7 +234,9 @@
         )
 
     def _fetch_snapshot(self, effect: effects.FetchSnapshot) -> None:
-        self._node.spawn(self._request_snapshot(effect))
+        self._node.spawn(
+            self._request_snapshot(effect), part="queries", subject=effect.node
+        )
 
     async def _request_snapshot(self, effect: effects.FetchSnapshot) -> None:
         query = frames.Query(call=self._next_query_id(), since=effect.since)
--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -12,7 +12,7 @@
 import typing
 
 from gingerturn import errors
-from gingerturn.internal.shell import descriptors
+from gingerturn.internal.shell import descriptors, supervision
 
 BACKLOG = 1_024
 """Connections that wait in the kernel; its ``somaxconn`` limits it further."""
@@ -191,6 +191,14 @@
         return not self._tasks
 
     def _accept(self) -> None:
+        try:
+            self._accept_waiting()
+        except Exception as error:
+            # The event loop would call this again at once.
+            supervision.record("listeners", error)
+            self._pause()
+
+    def _accept_waiting(self) -> None:
         for _ in range(MAX_ACCEPTS):
             if self._yields and not self._reserve.is_held:
                 self._wait_for_reserve()
@@ -205,7 +213,9 @@
             self._begin(accepted)
 
     def _begin(self, accepted: socket.socket) -> None:
-        task = self._loop.create_task(self._serve(accepted))
+        task = supervision.spawn(
+            self._serve(accepted), part="listeners", failed=accepted.close
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -224,8 +234,12 @@
             if self._reserve.is_held:
                 self._reserve.begin_shortage(None)
                 return
-        self._loop.remove_reader(self._sock)
-        self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
+        self._pause()
+
+    def _pause(self) -> None:
+        if not self._closed:
+            self._loop.remove_reader(self._sock)
+            supervision.call_later(ACCEPT_PAUSE_S, self._resume, part="listeners")
 
     def _wait_for_reserve(self) -> None:
         self._loop.remove_reader(self._sock)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -51,6 +51,8 @@
     probes,
     side_http,
     starting,
+    supervision,
+    unapplied,
 )
 
 _FIXED_PARTS = (
@@ -159,6 +161,12 @@
         self._queue: collections.deque[events.Event] = collections.deque()
         self._applying = False
         self._begun = False
+        self._tick_work: tuple[collections.abc.Callable[[], None], ...] = (
+            self.home.pool.close_idle,
+            self.entry.record_durations,
+            self._log_readiness,
+            self._check_callers,
+        )
         self._ticker: asyncio.TimerHandle | None = None
         self._tick_at = math.inf
         self._last_number = 0
@@ -414,10 +422,22 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def spawn(self, coroutine: collections.abc.Coroutine[None, None, None]) -> None:
-        """Run a coroutine as a task, which is cancelled when the node closes."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.keep_task(task)
+    def spawn(
+        self,
+        coroutine: collections.abc.Coroutine[typing.Any, typing.Any, None],
+        *,
+        part: str,
+        subject: str = "",
+        failed: supervision.Failed | None = None,
+    ) -> None:
+        """Run a coroutine as a task, which is cancelled when the node closes.
+
+        :param part: of the node, and ``subject`` what it works on, for the log.
+        :param failed: called if an error ends it.
+        """
+        self.keep_task(
+            supervision.spawn(coroutine, part=part, subject=subject, failed=failed)
+        )
 
     def knows_service(self, service: str) -> bool:
         """Whether a service is configured or announced by any member."""
@@ -466,14 +486,36 @@
             raise
 
     def _apply_one(self, event: events.Event) -> None:
-        if self._recorder is not None:
-            self._recorder.record(event)
+        """Apply an event. After an error, what it has changed so far takes effect."""
         self.counters.events += 1
-        out = reducer.reduce(self.state, event)
+        out: list[effects.Effect] = []
+        try:
+            if self._recorder is not None:
+                self._recorder.record(event)
+            reducer.apply(self.state, event, out)
+        except Exception as error:
+            supervision.record("events", error, subject=type(event).__name__)
+            failed: supervision.Failed | None = unapplied.outcome(self, event)
+        else:
+            failed = None
         if self._recorder is not None:
-            self._recorder.record_effects(out)
+            with supervision.contained("recorder"):
+                self._recorder.record_effects(out)
         for effect in out:
-            self._handlers[type(effect)](effect)
+            self._carry_out(effect)
+        if failed is not None:
+            with supervision.contained("events", subject=type(event).__name__):
+                failed()
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Carry out an effect. An error does not affect those that follow."""
+        kind = type(effect)
+        try:
+            self._handlers[kind](effect)
+        except Exception as error:
+            supervision.record("effects", error, subject=kind.__name__)
+            with supervision.contained("effects", subject=kind.__name__):
+                unapplied.on_effect_failed(self, effect)
 
     def _log_readiness(self) -> None:
         """Log changes of readiness, and periodically dropped log lines and lag."""
@@ -579,10 +621,9 @@
             self._max_lag_ms = max(self._max_lag_ms, lag_ms)
         begun = time.thread_time()
         self.apply(events.Tick(now=clock.now()))
-        self.home.pool.close_idle()
-        self.entry.record_durations()
-        self._log_readiness()
-        self._check_callers()
+        for work in self._tick_work:
+            with supervision.contained("tick", subject=work.__qualname__):
+                work()
         self.counters.control_seconds += time.thread_time() - begun
         self._schedule_tick()
 
@@ -599,8 +640,9 @@
         # Timers of the event loop have a resolution of 1 ms. One that fires early runs
         # nothing, and another tick has to follow it.
         pause_ms = math.ceil(max(0.0, self._tick_at - clock.now())) + 1
-        loop = asyncio.get_running_loop()
-        self._ticker = loop.call_later(pause_ms / 1000.0, self._tick)
+        self._ticker = supervision.call_later(
+            pause_ms / 1000.0, self._tick, part="tick", failed=self._schedule_tick
+        )
 
 
 def _record_outcome_fact(effect: effects.LogDecision) -> None:
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -14,6 +14,7 @@
     connection_ends,
     descriptors,
     sockets,
+    supervision,
 )
 from gingerturn.internal.wire import compression, datagrams, frames
 
@@ -84,8 +85,9 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         sockets.enable_keepalive(transport)
         self._watched = acknowledgements.Watched(self._transport, self._on_silent)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._abort_unauthenticated)
+        self._timer = supervision.call_later(
+            HANDSHAKE_TIMEOUT_S, self._abort_unauthenticated, part=_PART
+        )
 
     def data_received(self, data: bytes) -> None:
         """Split and handle frames; an invalid one aborts the connection."""
@@ -96,7 +98,8 @@
                     self._check_unauthenticated_size(len(content))
                     self._on_handshake_frame(frames.decode(content))
                     continue
-                self.on_frame(frames.decode(content, self._inflater))
+                frame = frames.decode(content, self._inflater)
+                self._handle(frame)
             # Checked after the frames: the proof and a long call may arrive together.
             if not self._authenticated:
                 self._check_unauthenticated_size(len(self._buffer))
@@ -104,6 +107,18 @@
             logs.write("WARNING", _PART, f"Connection of {self._peer_name()}: {error}.")
             self._abort()
 
+    def _handle(self, frame: frames.Frame) -> None:
+        """Handle a frame. After an error of this node, other calls go on.
+
+        :raises GingerturnError: for a frame that is not allowed.
+        """
+        try:
+            self.on_frame(frame)
+        except errors.GingerturnError:
+            raise
+        except Exception as error:
+            supervision.record(_PART, error, subject=type(frame).__name__)
+
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end, and free the place among those that are compressed."""
         self._node.compressing.discard(self)
@@ -392,7 +407,9 @@
         # Consecutive checks at which calls waited and nothing had arrived since the
         # check before.
         self._silent_checks = 0
-        self._dial_task = asyncio.get_running_loop().create_task(self._dial())
+        self._dial_task = supervision.spawn(
+            self._dial(), part=_PART, subject=str(address), failed=self._on_lost
+        )
 
     @property
     def is_unused(self) -> bool:
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -7,7 +7,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import logs
-from gingerturn.internal.shell import listeners
+from gingerturn.internal.shell import listeners, supervision
 
 WAIT_LIMIT_S = 10.0
 """Time for which a start waits for an obstacle to pass, which is longer than a planned
@@ -28,8 +28,8 @@
 
     :raises Exception: those of the start.
     """
-    starting = asyncio.create_task(start)
-    stop = asyncio.create_task(stopping.wait())
+    starting = supervision.awaited(start)
+    stop = supervision.awaited(stopping.wait())
     try:
         await asyncio.wait({starting, stop}, return_when=asyncio.FIRST_COMPLETED)
         if starting.done():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,12 @@
 """Configuration of all tests: Hypothesis profile and known failures."""
 
+import collections.abc
 import pathlib
 
 import hypothesis
 import pytest
 
+from gingerturn.internal.shell import supervision
 from tests.common import known_red
 
 pytest_plugins = ["pytester"]
@@ -30,3 +32,14 @@
     unknown = sorted(set(listed) - found)
     if multiple_files and unknown:
         raise pytest.UsageError(f"KNOWN-RED.txt names unknown tests: {unknown}")
+
+
+@pytest.fixture(autouse=True)
+def _no_unhandled_errors(
+    request: pytest.FixtureRequest,
+) -> collections.abc.Iterator[None]:
+    """Fail a test in which an error was contained that it does not expect."""
+    before = supervision.errors_by_part()
+    yield
+    if request.node.get_closest_marker("unhandled_errors") is None:
+        assert supervision.errors_by_part() == before
