Reports: odd values are refused, with the field named

A heartbeat with a port of 5,000 digits, or one that is nested, was answered 500 and logged as an unhandled error. A deregistration with a start time beyond 64 bits passed, and so did connections and load of an announcement, which a recording and the frames between nodes cannot hold; an id of an instance had no bound, and an error repeated a value of any length.

Addresses are parsed by parse_whole, numbers of reports are bounded where they are decoded, and errors show the beginning of a long value. An environment variable with a port is parsed in the same way ('²' ended the process with a ValueError).

--- a/src/gingerturn/announcements.py
+++ b/src/gingerturn/announcements.py
@@ -2,9 +2,15 @@
 
 import msgspec
 
-from gingerturn.internal import checks
+from gingerturn import errors
+from gingerturn.internal import checks, decoding
 
 MAX_SLOTS = 100_000
+MAX_REPORTED = 1_000_000
+"""Largest number of connections, and of requests in progress, that is accepted."""
+
+MAX_SEQUENCE = MAX_TIME_MS = 1 << 62
+MAX_INSTANCE_LENGTH = 255
 MIN_TTL_MS = 100
 MAX_TTL_MS = 3_600_000
 
@@ -50,7 +56,22 @@
     checks.check_ip("host", announcement.host)
     checks.check_port("port", announcement.port)
     checks.check_range("slots", announcement.slots, 1, MAX_SLOTS)
-    checks.check_range("sequence", announcement.sequence, 0, 1 << 62)
-    checks.check_range("started_ms", announcement.started_ms, 0, 1 << 62)
+    checks.check_range("connections", announcement.connections, 0, MAX_REPORTED)
+    checks.check_range("load", announcement.load, -1, MAX_REPORTED)
+    checks.check_range("sequence", announcement.sequence, 0, MAX_SEQUENCE)
+    check_start(announcement.instance, announcement.started_ms)
     checks.check_range("ttl_ms", announcement.ttl_ms, MIN_TTL_MS, MAX_TTL_MS)
     return announcement
+
+
+def check_start(instance: str, started_ms: int) -> None:
+    """Check what names one start of a backend server.
+
+    :raises InvalidArgument: naming the field, its value and what is allowed.
+    """
+    if len(instance) > MAX_INSTANCE_LENGTH:
+        raise errors.InvalidArgument(
+            f"instance is {decoding.shown(instance)}; allowed are up to"
+            f" {MAX_INSTANCE_LENGTH} characters"
+        )
+    checks.check_range("started_ms", started_ms, 0, MAX_TIME_MS)
--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -9,9 +9,8 @@
 import re
 import typing
 
-import msgspec
-
 from gingerturn import errors
+from gingerturn.internal import decoding
 
 _T = typing.TypeVar("_T")
 
@@ -23,8 +22,8 @@
     """Check the name of a node, service, kind, zone or team."""
     if not NAME_PATTERN.match(value):
         raise errors.InvalidArgument(
-            f"{field} is {value!r}; allowed are 1 to 63 lower-case letters, digits,"
-            " '.', '_' and '-', starting with a letter or digit"
+            f"{field} is {decoding.shown(value)}; allowed are 1 to 63 lower-case"
+            " letters, digits, '.', '_' and '-', starting with a letter or digit"
         )
     return value
 
@@ -33,7 +32,7 @@
     """Check that a number is between ``low`` and ``high``, both included."""
     if not low <= value <= high:
         raise errors.InvalidArgument(
-            f"{field} is {value!r}; allowed is {low} to {high}"
+            f"{field} is {decoding.shown(value)}; allowed is {low} to {high}"
         )
     return value
 
@@ -44,7 +43,8 @@
         ipaddress.ip_address(value)
     except ValueError:
         raise errors.InvalidArgument(
-            f"{field} is {value!r}; allowed is an IP number such as 10.0.0.7"
+            f"{field} is {decoding.shown(value)}; allowed is an IP number such as"
+            " 10.0.0.7"
         ) from None
     return value
 
@@ -60,7 +60,21 @@
 def port_of(address: str) -> int:
     """Return the port of ``IP:PORT``; 0 if there is none."""
     port = address.rpartition(":")[2]
-    return int(port) if port.isascii() and port.isdigit() else 0
+    return decoding.parse_whole(port, most=MAX_PORT) or 0
+
+
+def check_address(field: str, value: str) -> tuple[str, int]:
+    """Return host and port of ``IP:PORT``.
+
+    :raises InvalidArgument: unless both are valid.
+    """
+    host, port = value.rpartition(":")[0], port_of(value)
+    if not port:
+        raise errors.InvalidArgument(
+            f"{field} is {decoding.shown(value)}; allowed is IP:PORT with a port from"
+            f" 1 to {MAX_PORT}"
+        )
+    return check_ip(field, host), port
 
 
 def decode_json(content: bytes, kind: type[_T], *, step: str, peer: str) -> _T:
@@ -71,11 +85,11 @@
     :raises InvalidDocument: naming the field that is missing or invalid.
     """
     try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoding.json_decoder(kind)(content)
+    except errors.DecodeError as error:
         content_type = step.partition(" ")[2]
         problem = f"no {content_type}: {error}"
-        if isinstance(error, msgspec.ValidationError):
+        if error.is_complete:
             raise errors.InvalidDocument([problem], step=step, peer=peer) from None
         raise errors.IncompleteDocument([problem], step=step, peer=peer) from None
 
--- a/src/gingerturn/internal/decoding.py
+++ b/src/gingerturn/internal/decoding.py
@@ -117,3 +117,23 @@
         error, msgspec.ValidationError
     )
     return errors.DecodeError(text[:MAX_SHOWN], is_complete=is_complete)
+
+
+def decode_toml(text: str) -> dict[str, typing.Any]:
+    """Decode TOML.
+
+    :raises DecodeError: which may be complete: a cut document can end anywhere.
+    """
+    # Imported lazily: a node whose settings have another format starts faster.
+    import tomllib
+
+    return _guarded(tomllib.loads)(text)
+
+
+def shown(value: object) -> str:
+    """Return a value as it is shown in an error, with at most about
+    :data:`MAX_SHOWN` characters."""
+    if isinstance(value, str) and len(value) > MAX_SHOWN:
+        return f"{value[:MAX_SHOWN]!r}..."
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -321,7 +321,11 @@
         logs.write("INFO", "node", text)
 
     def withdraw(self, instance: str = "", started_ms: int = 0) -> None:
-        """Stop dispatching to the backend server, or to one start of it."""
+        """Stop dispatching to the backend server, or to one start of it.
+
+        :raises InvalidArgument: for a value that is not allowed.
+        """
+        announcements.check_start(instance, started_ms)
         self.apply(
             events.BackendWithdrawn(
                 now=clock.now(), instance=instance, started_ms=started_ms
--- a/src/gingerturn/internal/shell/process.py
+++ b/src/gingerturn/internal/shell/process.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from gingerturn import errors
-from gingerturn.internal import checks, launch, logs
+from gingerturn.internal import checks, decoding, launch, logs
 
 RECORD_VARIABLE = "GINGERTURN_RECORD"
 """File to which a node records its events, for ``gingerturn replay``. For debugging: it
@@ -35,9 +35,11 @@
     :raises InvalidDocument: when the variable holds no port.
     """
     value = os.environ.get(ADVERTISE_VARIABLE, "0")
-    if value.isdigit() and int(value) <= checks.MAX_PORT:
-        return int(value)
-    problem = f"{ADVERTISE_VARIABLE} is {value!r}; allowed is 0 to {checks.MAX_PORT}"
+    port = decoding.parse_whole(value, most=checks.MAX_PORT)
+    if port is not None:
+        return port
+    shown = decoding.shown(value)
+    problem = f"{ADVERTISE_VARIABLE} is {shown}; allowed is 0 to {checks.MAX_PORT}"
     raise errors.InvalidDocument([problem], step="read settings", peer="environment")
 
 
