Heads: no number or text of a head ends a connection without an answer

Callers saw their connection closed without an answer after a Content-Length of 5,001 digits, 5,000 of them zeros, and after a ticket with a character that is not ASCII (hmac.compare_digest takes no such text). An answer of a backend server with leading zeros in its length failed; one of 2^63 bytes and more passed, and so did a rate limit of 1e60, which frames between nodes cannot hold or should not.

All numbers of heads go through parse_whole: leading zeros do not count, what is out of range is refused (413) or ends the exchange, with a line. Lengths are passed on in their shortest form. A traceparent holds hexadecimal digits only; int() takes '_' as well. The target of a report is bounded.

--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids
 from gingerturn.internal.core import ranks
 
 _RECORD = struct.Struct("<QdQHHI4fI")
@@ -323,13 +323,12 @@
         node, _, digits = decision_id.rpartition(":")
         if node != self._node:
             return None
-        try:
-            sequence = int(digits, 16)
-        except ValueError:
+        sequence = decoding.parse_whole(digits, most=decoding.MAX_WHOLE, base=16)
+        if not sequence:
             return None
         ring = self._refusals if sequence % 2 else self._admissions
         record = ring.read(sequence)
-        if record is None or sequence <= 0:
+        if record is None:
             return None
         return self._unpack(decision_id, record)
 
--- a/src/gingerturn/internal/core/rate_limits.py
+++ b/src/gingerturn/internal/core/rate_limits.py
@@ -21,6 +21,9 @@
 MAX_HEADER_BYTES = 64
 """Bytes of a header value that are read; longer values are invalid."""
 
+MAX_LIMIT = 1e9
+"""Calls a second; a higher limit is taken for this one."""
+
 MIN_RATE = 0.25
 """Calls a second that are sent despite a lower limit, since its end is only seen in
 answers."""
@@ -85,7 +88,7 @@
             f"{shown!r} is no rate limit; allowed is a decimal number from 0,"
             f" at most {MAX_HEADER_BYTES} bytes"
         )
-    return min(float(part) for part in parts)
+    return min(MAX_LIMIT, *(float(part) for part in parts))
 
 
 def report(
--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -7,7 +7,7 @@
 import httptools
 import msgspec
 
-from gingerturn.internal import ids, outcome_log
+from gingerturn.internal import decoding, ids, logs, outcome_log
 from gingerturn.internal.core import messages
 from gingerturn.internal.shell import (
     acknowledgements,
@@ -30,6 +30,23 @@
 """Rejected requests after which a connection is closed, which bounds their list."""
 
 
+def _content_length(values: list[bytes]) -> int | None:
+    """Return the length that headers give, -1 without a header.
+
+    :return: ``None`` if they differ, or give no number in range.
+    """
+    if not values:
+        return -1
+    text = values[0].strip().decode("latin-1")
+    length = decoding.parse_whole(text, most=decoding.MAX_WHOLE)
+    if length is None or len(set(values)) > 1:
+        shown = decoding.shown(b", ".join(values).decode("latin-1"))
+        problem = f"{shown} is no length; allowed is 0 to {decoding.MAX_WHOLE}"
+        logs.warn_skipped("Answer with the header", b"content-length", problem)
+        return None
+    return length
+
+
 class Rejection(msgspec.Struct, frozen=True):
     """An answer that says that its request did not run.
 
@@ -322,7 +339,8 @@
             lengths = [value for n, value in self._headers if n == b"content-length"]
         chunked = b"transfer-encoding" in values
         bodiless = self._head_only or status in BODILESS
-        if len(lengths) > 1 and len(set(lengths)) > 1:
+        length = _content_length(lengths)
+        if length is None:
             self._fail()
             return
         self._until_close = not (lengths or chunked or bodiless)
@@ -338,8 +356,9 @@
             self._pool.update_keep_alive(keep_alive)
         head = heads.status_line(status) + heads.forwarded_lines(self._headers)
         if self._head_only and lengths:
-            head += b"content-length: %b\r\n" % lengths[0]
-        length = int(lengths[0]) if lengths and not chunked else -1
+            head += b"content-length: %d\r\n" % length
+        if chunked:
+            length = -1
         is_misdirected = status == messages.MISDIRECTED
         if not is_misdirected:
             # Another instance sends 421, and its limit is not that of the intended one.
--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -8,7 +8,7 @@
 import urllib.parse
 
 from gingerturn import dialect as dialects, routes
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids
 from gingerturn.internal.shell import heads
 
 if typing.TYPE_CHECKING:
@@ -21,6 +21,9 @@
 """Length of the prefix of a streamed body that goes into the fingerprint. At least as
 much is buffered when a request is dispatched."""
 
+MAX_HEADER_NUMBER = 999_999_999
+"""Largest number that is read in a header of a caller."""
+
 BodySink = collections.abc.Callable[[bytes, bool], None]
 """Called with a piece of a body and whether it is the last one."""
 
@@ -107,11 +110,15 @@
 
 
 def declared_length(request: Request) -> int:
-    """Return the Content-Length; 0 if it is missing or not a number."""
+    """Return the Content-Length, 0 if it is missing.
+
+    One that is no number in range counts as the largest, which exceeds every limit.
+    """
     if b"content-length" not in request.values:
         return 0
     text = text_header(request, b"content-length")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    length = decoding.parse_whole(text, most=decoding.MAX_WHOLE)
+    return decoding.MAX_WHOLE if length is None else length
 
 
 def destination(request: Request) -> tuple[str, str, bytes]:
@@ -165,12 +172,12 @@
 
 
 def number_header(request: Request, wanted: bytes) -> float:
-    """Return the number in a header; 0 if there is none."""
+    """Return the whole number in a header; 0 if there is none, or a larger one than
+    :data:`MAX_HEADER_NUMBER`."""
     if wanted not in request.values:
         return 0.0
     text = text_header(request, wanted)
-    is_number = text.isascii() and text.isdigit() and len(text) <= 9
-    return float(text) if is_number else 0.0
+    return float(decoding.parse_whole(text, most=MAX_HEADER_NUMBER) or 0)
 
 
 def digest(body: bytes | bytearray) -> str:
@@ -225,7 +232,6 @@
         if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
             lines += b"content-length: %d\r\n" % len(request.body)
         return lines
-    content_length = request.values.get(b"content-length")
-    if content_length is not None:
-        return lines + b"content-length: %b\r\n" % content_length
+    if b"content-length" in request.values:
+        return lines + b"content-length: %d\r\n" % declared_length(request)
     return lines + b"transfer-encoding: chunked\r\n"
--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -8,7 +8,7 @@
 import json
 
 from gingerturn import dialect as dialects
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids
 from gingerturn.internal.core import messages
 
 HOP_BY_HOP = frozenset(
@@ -36,6 +36,9 @@
 
 Header = tuple[bytes, bytes]
 
+_MAX_TRACE = (1 << 128) - 1
+_MAX_SPAN = (1 << 64) - 1
+
 _PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -149,9 +152,8 @@
     parts = value.decode("latin-1").strip().split("-")
     if len(parts) < 4 or len(parts[1]) != 32 or len(parts[2]) != 16:
         return None
-    try:
-        if int(parts[1], 16) == 0 or int(parts[2], 16) == 0:
-            return None
-    except ValueError:
+    trace = decoding.parse_whole(parts[1], most=_MAX_TRACE, base=16)
+    span = decoding.parse_whole(parts[2], most=_MAX_SPAN, base=16)
+    if not trace or not span:
         return None
     return parts[1].lower(), ids.SpanId(parts[2].lower())
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -17,6 +17,9 @@
 MAX_BODY = 65_536
 """Limit of a request's body, in bytes."""
 
+MAX_TARGET = 8_192
+"""Limit of a request's target, in bytes."""
+
 _PART = "side"
 
 
@@ -77,8 +80,9 @@
         self._body.clear()
 
     def on_url(self, url: bytes) -> None:
-        """Collect the target, which may arrive in pieces."""
-        self._target += url
+        """Collect the target, which may arrive in pieces, up to its limit."""
+        if len(self._target) <= MAX_TARGET:
+            self._target += url
 
     def on_body(self, body: bytes) -> None:
         """Collect the body, up to its limit."""
@@ -104,6 +108,8 @@
             self._lingering_set.close(self._transport, self, is_sending=is_sending)
 
     def _reply(self) -> Reply:
+        if len(self._target) > MAX_TARGET:
+            return Reply(414)
         if len(self._body) > MAX_BODY:
             return Reply(413)
         request = Request(
--- a/src/gingerturn/internal/shell/tickets.py
+++ b/src/gingerturn/internal/shell/tickets.py
@@ -9,7 +9,7 @@
 import os
 
 from gingerturn import errors
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids
 from gingerturn.internal.core import keys
 from gingerturn.internal.wire import datagrams
 
@@ -44,15 +44,18 @@
         or was not minted within :data:`keys.KEY_WINDOW_MS`.
     """
     text, _, tag = key.rpartition(".")
+    given = tag.encode()
     if not any(
-        hmac.compare_digest(_ticket_mac(secret, text), tag) for secret in secrets
+        hmac.compare_digest(_ticket_mac(secret, text).encode(), given)
+        for secret in secrets
     ):
         raise _invalid("the ticket is not authentic")
     # Names may contain dots, so the fields before them are split off first.
     minted_at, _, incarnation, rest = text.removeprefix(PREFIX).split(".", 3)
     if not rest.startswith(f"{service}."):
         raise _invalid(f"the ticket is not one of service {service!r}")
-    if not now - keys.KEY_WINDOW_MS <= float(minted_at) <= now + keys.CLOCK_SKEW_MS:
+    minted_ms = decoding.parse_whole(minted_at, most=decoding.MAX_WHOLE) or 0
+    if not now - keys.KEY_WINDOW_MS <= minted_ms <= now + keys.CLOCK_SKEW_MS:
         raise _invalid("the ticket is older than 15 minutes; get a new one")
     node = rest.removeprefix(f"{service}.")
     return f"{node}/{incarnation}"
