Messages between nodes: no value raises, or passes and breaks a codec later

A frame with a deeply nested field raised RecursionError in the protocol; so did such a message about caps in a datagram. NaN and infinity passed in deadlines, retry delays and ages; a root of -5, a class of importance of 8 and more, a level of 2^40 or a revision of 2^32 passed and then ended each decision with struct.error. The rule of a later version ended the handling of a refusal with ValueError after its attempt was removed. A datagram of 96 bytes could stand for a list of millions of members, which were read for seconds. Members' names, hosts and versions had no bound: one with the incarnation 2^64 - 1 of a node's own name let that node encode no message any more.

The address ::1 in a record of another writer raised ValueError in sendto, within the effects of an event: those behind it were lost. An IPv6 address is valid in such a record; the socket is of IPv4.

Numbers of frames and datagrams are bounded where they are decoded. A member with a value that is not allowed is left out, with a line, and the rest of its datagram counts. What is read of a message is bounded (MAX_WORDS, MAX_ENTRIES). A datagram that cannot be encoded or sent is counted and logged. Metrics: datagrams_dropped_total, datagrams_unsent_total.

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -193,7 +193,7 @@
         event.report,
         answered=event.refusal.reached_backend,
     )
-    rule = decisions.Rule(event.refusal.rule)
+    rule = decisions.known_rule(event.refusal.rule)
     own_failure = event.refusal.reached_backend or rule in _UNKNOWN_OUTCOME_RULES
     upstreams.record_answer(state, attempt.node, failed=own_failure)
     if rule in _UNAVAILABLE_RULES:
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -12,7 +12,7 @@
 from gingerturn.internal import decoding, ids
 from gingerturn.internal.core import ranks
 
-_RECORD = struct.Struct("<QdQHHI4fI")
+_RECORD = struct.Struct("<QdQHHI4fQ")
 """Sequence number, time, root, rule, kind, rank, four figures, revision."""
 
 _SLOT_BYTES = 64
@@ -78,6 +78,17 @@
     return rule in REFUSALS or status >= 500
 
 
+def known_rule(number: int) -> Rule:
+    """Return the rule with a number that another node sent.
+
+    Nodes of a later version may have further rules; one of them says nothing here.
+    """
+    try:
+        return Rule(number)
+    except ValueError:
+        return Rule.OUTCOME_UNKNOWN
+
+
 def description_of(rule: Rule) -> str:
     """Return the description of a rule as a sentence."""
     return _DESCRIPTIONS[rule]
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from gingerturn import routes
-from gingerturn.internal import checks, ids
+from gingerturn import configuration, routes
+from gingerturn.internal import checks, decoding, ids
 
 MISDIRECTED = 421
 """Status of a backend server that is not the intended one; nothing was run
@@ -17,6 +17,15 @@
 MAX_INCARNATION = (1 << 63) - 1
 """Incarnations are encoded as signed 64-bit integers."""
 
+MAX_RANK = (1 << 32) - 1
+MAX_IMPORTANCE = configuration.IMPORTANCE_CLASSES - 1
+MAX_FINGERPRINT = (1 << 8 * ids.FINGERPRINT_BYTES) - 1
+
+ReportedRank = typing.Annotated[ids.Rank, msgspec.Meta(ge=0, le=MAX_RANK)]
+SentFingerprint = typing.Annotated[
+    ids.Fingerprint, msgspec.Meta(ge=0, le=MAX_FINGERPRINT)
+]
+
 
 class Outcome(enum.Enum):
     """Whether a call ran, as reported to a caller that gets no backend answer."""
@@ -37,12 +46,12 @@
     """
 
     instance: str
-    rate_limit: ids.RequestsPerSecond = -1.0
+    rate_limit: decoding.Number = -1.0
     leaving: bool = False
-    started_ms: int = 0
+    started_ms: decoding.Whole = 0
 
 
-WorkspaceFactors = tuple[tuple[ids.WorkspaceName, int], ...]
+WorkspaceFactors = tuple[tuple[ids.WorkspaceName, decoding.Whole], ...]
 """Share factors of workspaces in thousandths, the largest first."""
 
 
@@ -56,10 +65,10 @@
         if not reported.
     """
 
-    running: int
-    waiting: int
-    slots: int
-    pace: int = 0
+    running: decoding.Whole
+    waiting: decoding.Whole
+    slots: decoding.Whole
+    pace: decoding.Whole = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -83,19 +92,19 @@
         there is no pace.
     """
 
-    level: ids.Rank
-    tree_level: ids.Rank
-    load: int
-    limit: int
+    level: ReportedRank
+    tree_level: ReportedRank
+    load: decoding.Whole
+    limit: decoding.Whole
     leaving: bool = False
     bottleneck: ids.ServiceName = ids.ServiceName("")
-    bottleneck_slot_ms: float = 0.0
-    bottleneck_level: ids.Rank = ids.Rank(0)
-    bottleneck_age_ms: float = 0.0
+    bottleneck_slot_ms: decoding.Number = 0.0
+    bottleneck_level: ReportedRank = ids.Rank(0)
+    bottleneck_age_ms: decoding.Number = 0.0
     status: BackendStatus | None = None
     bottleneck_factors: WorkspaceFactors = ()
-    pace: int = 0
-    pace_age_ms: int = 0
+    pace: decoding.Whole = 0
+    pace_age_ms: decoding.Integer = 0
 
 
 class CallMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -121,19 +130,19 @@
 
     service: ids.ServiceName
     kind: ids.KindName
-    importance: int
-    depth: int
-    root: ids.RootHash
+    importance: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_IMPORTANCE)]
+    depth: decoding.Whole
+    root: typing.Annotated[ids.RootHash, msgspec.Meta(ge=0)]
     trace: str
-    deadline_ms: float
-    tokens: int
+    deadline_ms: decoding.Number
+    tokens: decoding.Whole
     repeatable: bool
     key: str = ""
     key_derived: bool = False
     never_ran: bool = True
     ticket: str = ""
     repeat: bool = False
-    fingerprint: ids.Fingerprint = ids.Fingerprint(0)
+    fingerprint: SentFingerprint = ids.Fingerprint(0)
     workspace: ids.WorkspaceName = ids.WorkspaceName("")
     status: BackendStatus | None = None
     knows_pace: bool = False
@@ -149,9 +158,9 @@
     :param had_free_slots: it turned the call away with slots free.
     """
 
-    rule: int
+    rule: decoding.Whole
     outcome: Outcome
-    retry_after_ms: float
+    retry_after_ms: decoding.Number
     decision: str
     holder: str = ""
     reached_backend: bool = False
@@ -259,10 +268,10 @@
     """
 
     workspace: str
-    rate_milli: int
-    leased_milli: int
-    waiting: int
-    overflowed_milli: int
+    rate_milli: decoding.Integer
+    leased_milli: decoding.Integer
+    waiting: decoding.Integer
+    overflowed_milli: decoding.Integer
 
 
 CAP_REPEAT_STEP = 1 << 48
@@ -279,8 +288,8 @@
         nothing.
     """
 
-    number: int
-    stamp: ids.Milliseconds
+    number: decoding.Integer
+    stamp: decoding.Number
     demands: tuple[CapDemand, ...]
 
 
@@ -293,8 +302,8 @@
     """
 
     workspace: str
-    rate_milli: int
-    tokens: int
+    rate_milli: decoding.Integer
+    tokens: decoding.Integer
     short: bool
 
 
@@ -307,8 +316,8 @@
     :param released: the sender was the allocator and has ended the delegation.
     """
 
-    number: int
-    stamp: ids.Milliseconds
+    number: decoding.Integer
+    stamp: decoding.Number
     leases: tuple[CapLease, ...]
     allocator: str = ""
     released: bool = False
@@ -322,8 +331,8 @@
     """
 
     workspace: str
-    first: int
-    slices_milli: tuple[int, ...]
+    first: decoding.Integer
+    slices_milli: tuple[decoding.Integer, ...]
 
 
 class CapHandover(msgspec.Struct, frozen=True, array_like=True, tag=True, gc=False):
@@ -334,8 +343,8 @@
     :param used: by workspace.
     """
 
-    share: float
-    delegations: tuple[tuple[str, ids.Milliseconds], ...]
+    share: decoding.Number
+    delegations: tuple[tuple[str, decoding.Number], ...]
     used: tuple[CapUsage, ...]
 
 
@@ -404,7 +413,6 @@
     at: float
 
 
-MAX_FINGERPRINT = (1 << 8 * ids.FINGERPRINT_BYTES) - 1
 MAX_ENDS = 0xFFFF
 
 
--- a/src/gingerturn/internal/shell/gossip.py
+++ b/src/gingerturn/internal/shell/gossip.py
@@ -4,7 +4,7 @@
 import typing
 
 from gingerturn import errors
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids, logs
 from gingerturn.internal.core import effects, events
 from gingerturn.internal.shell import clock
 from gingerturn.internal.wire import datagrams
@@ -13,6 +13,10 @@
     from gingerturn.internal.shell import node as nodes
 
 
+def _shown(error: Exception) -> str:
+    return str(error)[: decoding.MAX_SHOWN]
+
+
 class GossipProtocol(asyncio.DatagramProtocol):
     """The UDP endpoint of a node.
 
@@ -25,6 +29,7 @@
         self._guard = datagrams.ReplayGuard()
         self._last_sent = 0.0
         self.dropped = 0
+        self.unsent = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -41,8 +46,10 @@
         now = clock.now()
         try:
             sender, sent_at, message = datagrams.decode(self._node.secrets, data)
-        except errors.GingerturnError:
+        except errors.GingerturnError as error:
             self.dropped += 1
+            source = f"{address[0]}:{address[1]}"
+            logs.warn_skipped("Datagram of", source.encode(), _shown(error))
             return
         if not self._guard.accepts(sender, sent_at, now):
             self.dropped += 1
@@ -63,14 +70,23 @@
         if self._transport is None:
             return
         self._last_sent = max(clock.now(), self._last_sent + 0.001)
-        data = datagrams.encode(
-            self._node.secrets[0],
-            ids.NodeId(self._node.name),
-            self._last_sent,
-            effect.message,
-        )
+        try:
+            data = datagrams.encode(
+                self._node.secrets[0],
+                ids.NodeId(self._node.name),
+                self._last_sent,
+                effect.message,
+            )
+            self._transport.sendto(data, (effect.host, effect.port))
+        except (errors.GingerturnError, OSError, ValueError, OverflowError) as error:
+            # An address that another program wrote to the log, such as one of IPv6 on
+            # a socket of IPv4, must not keep the effects after this one from others.
+            self.unsent += 1
+            address = f"{effect.host}:{effect.port}"
+            shown = address.encode(errors="replace")
+            logs.warn_skipped("Datagram to", shown, _shown(error))
+            return
         self.bytes_sent += len(data)
-        self._transport.sendto(data, (effect.host, effect.port))
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -189,6 +189,8 @@
     add("connections_replaced_total", "counter", ("", replaced))
     ends = connection_ends.rows(node.counters.ends | node.home.pool.connection_ends)
     add("connection_ends_total", "counter", *ends)
+    add("datagrams_dropped_total", "counter", ("", node.gossip.dropped))
+    add("datagrams_unsent_total", "counter", ("", node.gossip.unsent))
     add("members", "gauge", ("", len(state.membership.members)))
     upstreams = sum(len(nodes) for nodes in state.membership.by_service.values())
     add("upstreams", "gauge", ("", upstreams))
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -4,13 +4,14 @@
 time of sending. :class:`ReplayGuard` rejects replayed datagrams.
 """
 
+import functools
 import hmac
 import typing
 
 import msgspec
 
-from gingerturn import errors
-from gingerturn.internal import ids
+from gingerturn import announcements, errors
+from gingerturn.internal import checks, decoding, ids, logs
 from gingerturn.internal.core import messages
 from gingerturn.internal.wire import schema
 
@@ -25,8 +26,30 @@
 
 _MAX_AGE = (1 << 32) - 1
 _KINDS = list(messages.GossipKind)
-_CAPS_DECODER: msgspec.msgpack.Decoder[messages.CapMessage] = msgspec.msgpack.Decoder(
-    messages.CapMessage
+_decode_caps = decoding.msgpack_decoder(
+    typing.cast(type[messages.CapMessage], messages.CapMessage)
+)
+
+MAX_WORDS = 65_536
+"""Words of 8 bytes that are read of a message, 8 times the size of a datagram. A few
+packed bytes can stand for gigabytes."""
+
+MAX_ENTRIES = 1_024
+"""Limit of each list of a message."""
+
+MAX_VERSION = 1 << 31
+"""Limit of a member's version, which leaves room for its further changes."""
+
+MAX_INCARNATION = 1 << 62
+"""Limit of an incarnation, since a node that learns of one of its own takes the next.
+"""
+
+_ENCODE_FAILURES = (
+    schema.CapnpError,
+    msgspec.MsgspecError,
+    ValueError,
+    TypeError,
+    OverflowError,
 )
 
 
@@ -41,7 +64,22 @@
     sent_at: ids.Milliseconds,
     message: messages.Gossip,
 ) -> bytes:
-    """Return the datagram of a message."""
+    """Return the datagram of a message.
+
+    :raises FrameError: for a value that the schema cannot hold.
+    """
+    try:
+        content = _encode_content(sender, sent_at, message)
+    except _ENCODE_FAILURES as error:
+        raise errors.FrameError(
+            _reason(error), step="encode a datagram", peer=sender
+        ) from None
+    return mac(secret, content) + content
+
+
+def _encode_content(
+    sender: ids.NodeId, sent_at: ids.Milliseconds, message: messages.Gossip
+) -> bytes:
     root = schema.peer.Gossip.new_message()
     root.sender = sender
     root.sentAtMs = sent_at
@@ -68,7 +106,7 @@
     _encode_quarantine(root, message.quarantine)
     _encode_members(root, message.members)
     content: bytes = root.to_bytes_packed()
-    return mac(secret, content) + content
+    return content
 
 
 def _encode_members(root: typing.Any, updates: tuple[messages.Member, ...]) -> None:
@@ -92,6 +130,8 @@
 ) -> tuple[ids.NodeId, ids.Milliseconds, messages.Gossip]:
     """Return sender, time of sending and message of a datagram.
 
+    Members with values that are not allowed are left out, each with a log line.
+
     :param secrets: the accepted secrets; two during a rotation.
     :raises AuthenticationError: when the MAC matches no secret.
     :raises FrameError: when the content is not a valid message.
@@ -102,31 +142,102 @@
             "a datagram is not authentic", step="check a datagram"
         )
     try:
-        root = schema.peer.Gossip.from_bytes_packed(content)
+        root = schema.peer.Gossip.from_bytes_packed(
+            content, traversal_limit_in_words=MAX_WORDS
+        )
+        sender = ids.NodeId(checks.check_name("sender", root.sender))
         message = messages.Gossip(
             kind=_KINDS[root.kind],
             sequence=root.sequence,
-            revision=ids.Revision(root.revision),
-            members=tuple(_member(slot) for slot in root.members),
+            revision=ids.Revision(_whole("revision", root.revision)),
+            members=_members(root, sender),
             target=root.target,
             cursor=root.cursor,
-            route_version=root.routeVersion,
+            route_version=_whole("routeVersion", root.routeVersion),
             quarantine=_decode_quarantine(root),
-            verified_age_ms=root.provenAgeMs,
-            read_age_ms=root.readAgeMs,
+            verified_age_ms=_age(root.provenAgeMs),
+            read_age_ms=_age(root.readAgeMs),
             without_updates=root.withoutUpdates,
-            caps=_CAPS_DECODER.decode(root.caps) if root.caps else None,
+            caps=_decode_caps(root.caps) if root.caps else None,
             log_epoch=ids.LogEpoch(root.logEpoch),
             config_digest=root.configDigest,
         )
-        return ids.NodeId(root.sender), root.sentAtMs, message
-    except (schema.CapnpError, IndexError, ValueError, UnicodeDecodeError) as error:
-        reason = str(error).split("\n", 1)[0]
+        return sender, root.sentAtMs, message
+    except _DECODE_FAILURES as error:
         raise errors.FrameError(
-            f"{len(content)} bytes are no message: {reason}", step="decode a datagram"
+            f"{len(content)} bytes are no message: {_reason(error)}",
+            step="decode a datagram",
         ) from None
 
 
+_DECODE_FAILURES = (
+    schema.CapnpError,
+    errors.DecodeError,
+    errors.InvalidArgument,
+    IndexError,
+    ValueError,
+    MemoryError,
+)
+
+
+def _reason(error: Exception) -> str:
+    return str(error).split("\n", 1)[0][: decoding.MAX_SHOWN]
+
+
+def _whole(field: str, value: int) -> int:
+    return int(checks.check_range(field, value, 0, decoding.MAX_WHOLE))
+
+
+def _age(age_ms: ids.Milliseconds) -> ids.Milliseconds:
+    """Return an age, or -1 for one that is not known or no number."""
+    return age_ms if 0.0 <= age_ms <= decoding.MAX_NUMBER else -1.0
+
+
+def _entries(field: str, entries: typing.Any) -> typing.Any:
+    checks.check_range(f"length of {field}", len(entries), 0, MAX_ENTRIES)
+    return entries
+
+
+def _members(root: typing.Any, sender: ids.NodeId) -> tuple[messages.Member, ...]:
+    found: list[messages.Member] = []
+    for slot in _entries("members", root.members):
+        member = _member(slot)
+        try:
+            _check_member(member)
+        except errors.InvalidArgument as error:
+            # The others of the datagram count, as nodes pass on what they are told.
+            problem = f"{error}; sent by {sender}"
+            logs.warn_skipped("Member", member.node.encode(), problem)
+            continue
+        found.append(member)
+    return tuple(found)
+
+
+def _check_member(member: messages.Member) -> None:
+    """Check that a member can be passed on and sent to.
+
+    :raises InvalidArgument: naming the field that has a value that is not allowed.
+    """
+    _check_texts(member.node, member.host, member.zone, member.service)
+    checks.check_range("incarnation", member.incarnation, 0, MAX_INCARNATION)
+    checks.check_range("version", member.version, 0, MAX_VERSION)
+    checks.check_range("peers_port", member.peers_port, 1, checks.MAX_PORT)
+    checks.check_range("gossip_port", member.gossip_port, 1, checks.MAX_PORT)
+    checks.check_range("slots", member.slots, 0, announcements.MAX_SLOTS)
+    started_ms = member.backend_started_ms
+    checks.check_range("started_ms", started_ms, 0, announcements.MAX_TIME_MS)
+
+
+@functools.lru_cache(maxsize=16_384)
+def _check_texts(node: str, host: str, zone: str, service: str) -> None:
+    """Check the texts of a member; cached, as each member is heard of often."""
+    checks.check_name("node", node)
+    checks.check_ip("host", host)
+    checks.check_name("zone", zone)
+    if service:
+        checks.check_name("service", service)
+
+
 def _member(slot: object) -> messages.Member:
     return messages.Member(
         node=ids.NodeId(slot.node),  # type: ignore[attr-defined]
@@ -169,10 +280,10 @@
     if not (root.quarantineDigest or len(root.ends) or len(root.words)):
         return messages.NO_QUARANTINE_GOSSIP
     return messages.QuarantineGossip(
-        crashes=tuple(_crash(slot) for slot in root.ends),
+        crashes=tuple(_crash(slot) for slot in _entries("ends", root.ends)),
         updates=tuple(
             messages.QuarantineUpdate(slot.request, slot.ends, float(slot.ageMs))
-            for slot in root.words
+            for slot in _entries("words", root.words)
         ),
         digest=root.quarantineDigest,
     )
@@ -209,7 +320,8 @@
         self, sender: ids.NodeId, sent_at: ids.Milliseconds, now: ids.Milliseconds
     ) -> bool:
         """Whether a datagram is new; if so, record it."""
-        if abs(now - sent_at) > MAX_AGE_MS:
+        if not abs(now - sent_at) <= MAX_AGE_MS:
+            # Also for a time that is no number.
             return False
         latest = self._latest.get(sender, 0.0)
         if sent_at < latest - REORDER_MS or (sender, sent_at) in self._recent:
--- a/src/gingerturn/internal/wire/frames.py
+++ b/src/gingerturn/internal/wire/frames.py
@@ -6,10 +6,12 @@
 """
 
 import struct
+import typing
 
 import msgspec
 
 from gingerturn import errors
+from gingerturn.internal import decoding
 from gingerturn.internal.core import messages
 from gingerturn.internal.wire import compression
 
@@ -27,7 +29,7 @@
     :param whole: whether the body is complete; otherwise chunks follow.
     """
 
-    call: int
+    call: decoding.Whole
     terms: messages.CallMetadata
     head: bytes
     body: bytes
@@ -41,31 +43,31 @@
     :param child_failed: whether a call that the backend server made for it failed.
     """
 
-    call: int
-    status: int
-    tokens: int
+    call: decoding.Whole
+    status: typing.Annotated[int, msgspec.Meta(ge=100, le=999)]
+    tokens: decoding.Whole
     report: messages.LoadReport
     decision: str
     head: bytes
     body: bytes
     whole: bool
-    length: int = -1
+    length: decoding.Integer = -1
     child_failed: bool = False
 
 
 class Refuse(msgspec.Struct, frozen=True, array_like=True, tag=3, gc=False):
     """The home node's refusal."""
 
-    call: int
+    call: decoding.Whole
     refusal: messages.Refusal
-    tokens: int
+    tokens: decoding.Whole
     report: messages.LoadReport
 
 
 class Chunk(msgspec.Struct, frozen=True, array_like=True, tag=4, gc=False):
     """Part of a body sent in several frames."""
 
-    call: int
+    call: decoding.Whole
     body: bytes
     last: bool
 
@@ -73,20 +75,20 @@
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=5, gc=False):
     """Cancels a call."""
 
-    call: int
+    call: decoding.Whole
 
 
 class Broken(msgspec.Struct, frozen=True, array_like=True, tag=6, gc=False):
     """Ends a body that the sender cannot complete."""
 
-    call: int
+    call: decoding.Whole
 
 
 class Credit(msgspec.Struct, frozen=True, array_like=True, tag=7, gc=False):
     """Flow control: allows the sender this many more bytes of the body."""
 
-    call: int
-    count: int
+    call: decoding.Whole
+    count: decoding.Whole
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=8, gc=False):
@@ -98,9 +100,9 @@
         earlier version abort the connection at a frame that they do not know.
     """
 
-    call: int
+    call: decoding.Whole
     node: str
-    incarnation: int
+    incarnation: decoding.Whole
     nonce: bytes
     proof: bytes = b""
     zone: str = ""
@@ -111,43 +113,43 @@
     """Queries a node for a decision, the route table, or the configuration changes
     since a revision."""
 
-    call: int
+    call: decoding.Whole
     decision: str = ""
-    since: int = 0
+    since: decoding.Whole = 0
     routes: bool = False
 
 
 class QueryReply(msgspec.Struct, frozen=True, array_like=True, tag=10, gc=False):
     """The result of a :class:`Query`, as JSON."""
 
-    call: int
+    call: decoding.Whole
     content: bytes
 
 
 class LevelRequest(msgspec.Struct, frozen=True, array_like=True, tag=11, gc=False):
     """Requests the current level of the receiver for calls of a kind."""
 
-    call: int
+    call: decoding.Whole
     kind: str
 
 
 class LevelReport(msgspec.Struct, frozen=True, array_like=True, tag=12, gc=False):
     """The reply to a :class:`LevelRequest`."""
 
-    call: int
+    call: decoding.Whole
     report: messages.LoadReport
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=13, gc=False):
     """Tests whether a connection is silent; it belongs to no call."""
 
-    call: int = 0
+    call: decoding.Whole = 0
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag=14, gc=False):
     """The reply to a :class:`Ping`."""
 
-    call: int = 0
+    call: decoding.Whole = 0
 
 
 Frame = (
@@ -168,7 +170,7 @@
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_decode = decoding.msgpack_decoder(typing.cast(type[Frame], Frame))
 
 
 def encode(frame: Frame, deflater: compression.Deflater | None = None) -> bytes:
@@ -191,8 +193,8 @@
     if inflater is not None and content.startswith(compression.MARKER):
         content = inflater.inflate(content)
     try:
-        return _DECODER.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _decode(content)
+    except errors.DecodeError as error:
         raise errors.FrameError(
             f"{len(content)} bytes are no frame: {error}", step="decode a frame"
         ) from None
