--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from gingerturn.internal import ids
+from gingerturn.internal import decoding, ids
 from gingerturn.internal.core import ranks
 
-_RECORD = struct.Struct("<QdQHHI4fI")
+_RECORD = struct.Struct("<QdQHHI4fQ")
 """Sequence number, time, root, rule, kind, rank, four figures, revision."""
 
 _SLOT_BYTES = 64
@@ -78,6 +78,17 @@
     return rule in REFUSALS or status >= 500
 
 
+def known_rule(number: int) -> Rule:
+    """Return the rule with a number that another node sent.
+
+    Nodes of a later version may have further rules; one of them says nothing here.
+    """
+    try:
+        return Rule(number)
+    except ValueError:
+        return Rule.OUTCOME_UNKNOWN
+
+
 def description_of(rule: Rule) -> str:
     """Return the description of a rule as a sentence."""
     return _DESCRIPTIONS[rule]
@@ -323,13 +334,12 @@
         node, _, digits = decision_id.rpartition(":")
         if node != self._node:
             return None
-        try:
-            sequence = int(digits, 16)
-        except ValueError:
+        sequence = decoding.parse_whole(digits, most=decoding.MAX_WHOLE, base=16)
+        if not sequence:
             return None
         ring = self._refusals if sequence % 2 else self._admissions
         record = ring.read(sequence)
-        if record is None or sequence <= 0:
+        if record is None:
             return None
         return self._unpack(decision_id, record)
 
