Stops: work under way is awaited until 0.1 s before the drain timeout

Callers saw 502 for requests at which the backend server was still at work: all calls of a stopping entry node were answered half a second before the drain timeout, 5.0 s after SIGTERM with a grace of 6 s. That is the first moment of the last sixth of the grace; a few milliseconds earlier and the answer breaks a rule of the platform, and callers lose half a second.

The half second was meant for sending the answers. They are written in the round of the event loop that makes them, and the end of a stop does not cut what the kernel has taken, so a tenth is enough. Where the process is held up past both moments, the timer of the answers still runs first. The drain timeout, and with it the distance to SIGKILL, stays.

Failed before: test_work_that_ends_shortly_before_the_drain_timeout_is_answered (work that ends 5.2 s after SIGTERM: 502 "stopping").

--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -61,9 +61,10 @@
 last :data:`STOP_LINGER_MS` of it, calls are still dispatched to the backend server
 beside it, which does not stop and which no other node can reach."""
 
-GRACE_MARGIN_MS = 500.0
-"""How long before the end of its grace a node answers all open calls. A reported
-unknown outcome is more useful to a caller than a broken connection."""
+GRACE_MARGIN_MS = 100.0
+"""How long before the end of its grace a node answers all open calls: a few rounds of
+the event loop, as the kernel delivers what it has taken. A reported unknown outcome is
+more useful to a caller than a broken connection."""
 
 FIRST_SEQUENCES = 1 << 30
 """The first ping number is the start time in ms modulo this, so a restarted node uses
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -160,6 +160,20 @@
     assert statuses == [0] * len(stopping)
 
 
+# Guards against answers that are replaced while their upstream may still end its work.
+def test_work_that_ends_shortly_before_the_drain_timeout_is_answered(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    # Ends 5.2 s after SIGTERM.
+    work = Shape("work", "POST", "/p/x?work_ms=5500")
+    (exchange,), statuses = asyncio.run(_stop(entry, [(-BEFORE_S, work)], entry))
+    assert _is_whole(exchange), exchange
+    assert exchange.signed
+    assert _runs(platform, exchange.id) == 1
+    assert statuses == [0]
+
+
 # Guards against a stop that a further signal ends, prolongs or turns into a failure.
 def test_signals_during_a_stop_change_nothing(
     platform: platform_processes.Platform,
