Stops: what would outlast a planned stop is served by another node

Callers at nodes that no signal concerned saw downloads cut in their body. The node beside an upstream takes calls until 1.5 s after its SIGTERM and ends at 5.5 s, so a call of 4.2 s that it takes after 1.3 s is cut; so are requests of the same kind that a stopping entry node takes until 3 s.

Each node now keeps, by kind, how long recent calls lasted until the last byte of their answers (a histogram of fixed size; kinds without a route are forgotten). A stopping home node refuses a call, at its head and as not run, if nine in ten of its kind last longer than the time that is left: nothing reached the backend server, so the entry node redirects it without a token and without the retry budget. A stopping entry node refuses such requests with 503 and a short Retry-After, except calls of the backend server beside it. A kind with fewer than five recent calls counts as short.

At SIGTERM a node tells its peers how long the calls may last that it still takes. They prefer other upstreams for calls that usually last longer, or for how long is not known, and use the stopping one if no other takes the call; so its capacity stays in use for short calls.

Failed before: tests/cover/test_calls_that_outlast_a_stop.py (refused, queued and streamed calls; in the fakes a call ended with an unknown outcome) and test_calls_that_would_outlast_the_stop_of_their_home_are_served_elsewhere with real processes (downloads cut at a sound entry node).

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -19,9 +19,11 @@
     retry_delay,
     route_table,
     routing,
+    run_times,
     sending,
     slot_costs,
     state as states,
+    stop_room,
     upstream_costs,
     upstreams,
     workspaces,
@@ -44,6 +46,10 @@
 """Ejection of a leaving upstream. It outlasts the upstream's linger time, so that no
 call is in flight when the upstream closes its connections."""
 
+OTHER_NODE_DELAY_MS = 100.0
+"""Minimum retry delay, before jitter, where any other node can serve the request at
+once."""
+
 _DEADLINE_RULES = frozenset(
     {decisions.Rule.DEADLINE_PASSED, decisions.Rule.QUEUE_EXPIRED}
 )
@@ -96,6 +102,10 @@
     if state.stopping and not _served_while_stopping(state, parent):
         refusals.refuse(state, call, decisions.Rule.STOPPING, out)
         return
+    kind = call.rule.name
+    if parent is None and not stop_room.has_room(state, state.relayed_times, kind):
+        _refuse_without_room(state, call, out)
+        return
     if not _check_key(state, call, event, out):
         return
     heapq.heappush(
@@ -127,6 +137,27 @@
     )
 
 
+def _refuse_without_room(
+    state: states.State, call: states.Call, out: states.Effects
+) -> None:
+    """Refuse a request that would outlast the planned stop of this node."""
+    refusals.refuse(
+        state,
+        call,
+        decisions.Rule.OUTLASTS_STOP,
+        out,
+        retry_after=OTHER_NODE_DELAY_MS * (1.0 + state.random.random()),
+        figures=stop_room.figures(state, state.relayed_times, call.rule.name),
+    )
+
+
+def on_answer_relayed(
+    state: states.State, event: events.AnswerRelayed, out: states.Effects
+) -> None:
+    """Record how long a request with a streamed answer lasted."""
+    run_times.record(state.relayed_times, event.kind, event.elapsed_ms, now=state.now)
+
+
 def on_caller_gone(
     state: states.State, event: events.CallerGone, out: states.Effects
 ) -> None:
@@ -158,6 +189,9 @@
         elapsed = state.now - attempt.sent_at
         kind = call.rule.name
         upstream_costs.record_traffic(state, attempt.node, kind, elapsed, event.size)
+        if event.whole:
+            lasted = state.now - call.arrived_at
+            run_times.record(state.relayed_times, kind, lasted, now=state.now)
     call.attempt = None
     if _should_retry(state, call, event):
         call.tried_upstreams.append(attempt.node)
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -65,6 +65,7 @@
     ROUTE_UNSETTLED = 45
     WAIT_TOO_LONG = 46
     CAP_UNANSWERED = 47
+    OUTLASTS_STOP = 48
 
 
 REFUSALS = frozenset(Rule) - {Rule.SENT, Rule.RUN, Rule.QUEUED, Rule.JOINED_FIRST}
@@ -125,6 +126,7 @@
         "ms to wait",
     ),
     Rule.RATE_LIMITED: ("requests a second", "calls left", "queued", "ms of wait"),
+    Rule.OUTLASTS_STOP: ("ms left", "usual ms", "", ""),
     Rule.WAIT_TOO_LONG: ("ms of wait expected", "ms allowed", "queued", ""),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
@@ -187,6 +189,10 @@
         "Refused: the backend server could not be reached; nothing was dispatched."
     ),
     Rule.STOPPING: "Refused: this node is stopping.",
+    Rule.OUTLASTS_STOP: (
+        "Refused: calls of this kind usually take longer than the stop of this node"
+        " leaves."
+    ),
     Rule.BACKEND_REFUSED: (
         "Refused: the backend server rejected the call without running it."
     ),
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -100,6 +100,7 @@
     :param child_failed: a call that the backend server made for it failed, so its own
         failure is no evidence against that upstream, and another one would fail too.
     :param size: buffered bytes of the call and its answer; 0 if not known.
+    :param whole: ``False`` if the answer is streamed.
     """
 
     attempt: ids.AttemptId
@@ -108,6 +109,7 @@
     report: messages.LoadReport
     child_failed: bool = False
     size: int = 0
+    whole: bool = True
 
 
 class AttemptRefused(Event, frozen=True):
@@ -142,6 +144,16 @@
     attempts: tuple[ids.AttemptId, ...]
 
 
+class AnswerRelayed(Event, frozen=True):
+    """The last byte of an upstream's streamed answer was relayed to its caller.
+
+    :param elapsed_ms: time since the request arrived.
+    """
+
+    kind: ids.KindName
+    elapsed_ms: ids.Milliseconds
+
+
 class OpenReceived(Event, frozen=True):
     """A call for this node's backend server arrives from an entry node."""
 
@@ -448,6 +460,7 @@
     | AttemptRefused
     | AttemptLost
     | AttemptsSilent
+    | AnswerRelayed
     | OpenReceived
     | LevelRequested
     | LevelReported
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -20,9 +20,11 @@
     ranks,
     rate_limits,
     replies,
+    run_times,
     saturation,
     slot_costs,
     state as states,
+    stop_room,
     workspace_shares,
 )
 
@@ -91,6 +93,10 @@
     if admission.exceeds_wait_limit(hosted):
         _refuse_waiting(state, hosted, out)
         return
+    kind, wait = metadata.kind, hosted.expected_wait
+    if not stop_room.has_room(state, state.hosted_times, kind, wait=wait):
+        _refuse_without_room(state, hosted, out)
+        return
     queue_slack.record_admitted(state, hosted)
     heapq.heappush(
         state.deadlines, (hosted.deadline, states.Deadline.HOSTED, hosted.id)
@@ -113,6 +119,14 @@
     replies.refuse(state, hosted, rule, out, figures=figures)
 
 
+def _refuse_without_room(
+    state: states.State, hosted: states.Hosted, out: states.Effects
+) -> None:
+    """Refuse a call that would outlast the planned stop of this node."""
+    figures = stop_room.figures(state, state.hosted_times, hosted.metadata.kind)
+    replies.refuse(state, hosted, decisions.Rule.OUTLASTS_STOP, out, figures=figures)
+
+
 def _refuse_shed(
     state: states.State,
     hosted: states.Hosted,
@@ -213,6 +227,8 @@
     if event.whole and event.status < calls.FIRST_FAILURE_STATUS:
         quarantine.record_run(state, hosted.metadata.fingerprint, out)
     if event.whole:
+        if event.status < calls.FIRST_FAILURE_STATUS:
+            _record_lasting(state, hosted)
         _release_slot(state, hosted, out, start_next=False)
     else:
         hosted.state = states.HostedState.STREAMING
@@ -252,6 +268,7 @@
     if hosted is None or hosted.state is not states.HostedState.STREAMING:
         return
     quarantine.record_run(state, hosted.metadata.fingerprint, out)
+    _record_lasting(state, hosted)
     _release_slot(state, hosted, out)
 
 
@@ -331,6 +348,16 @@
     admission.record_service_time(state, kind, elapsed)
 
 
+def _record_lasting(state: states.State, hosted: states.Hosted) -> None:
+    """Record how long a call lasted at the backend server, with its whole answer."""
+    run_times.record(
+        state.hosted_times,
+        hosted.metadata.kind,
+        state.now - hosted.started_at,
+        now=state.now,
+    )
+
+
 def _on_not_executed(
     state: states.State, hosted: states.Hosted, status: int, out: states.Effects
 ) -> None:
@@ -535,10 +562,13 @@
         if not quarantine.admits(state, hosted):
             replies.refuse(state, hosted, decisions.Rule.QUARANTINED, out)
             continue
-        needed = admission.service_time(state, hosted.metadata.kind)
-        if state.now + needed > hosted.deadline:
+        kind = hosted.metadata.kind
+        if state.now + admission.service_time(state, kind) > hosted.deadline:
             replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
             continue
+        if not stop_room.has_room(state, state.hosted_times, kind):
+            _refuse_without_room(state, hosted, out)
+            continue
         start(state, hosted, out)
 
 
--- a/src/gingerturn/internal/core/member_table.py
+++ b/src/gingerturn/internal/core/member_table.py
@@ -72,6 +72,10 @@
         membership.gone.pop(member.node, None)
     if member.state is messages.MemberState.LEAVING:
         membership.departed[member.node] = member.incarnation
+    if member.room_ms and member.state < messages.MemberState.LEAVING:
+        membership.stopping.add(member.node)
+    else:
+        membership.stopping.discard(member.node)
     if old is not None:
         _remove_from_service(state, old)
     if member.service and member.state < messages.MemberState.LEAVING:
@@ -176,5 +180,6 @@
         membership.version += 1
         membership.members.pop(node, None)
         membership.departed.pop(ids.NodeId(node), None)
+        membership.stopping.discard(ids.NodeId(node))
         membership.pending_updates.drop(node)
         state.upstreams.pop(ids.NodeId(node), None)
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -53,6 +53,7 @@
     slots: int | None = None,
     backend_started_ms: int | None = None,
     member_state: messages.MemberState | None = None,
+    room_ms: int | None = None,
     urgent: bool = True,
 ) -> None:
     """Advertise a change of this node; fields that are ``None`` stay.
@@ -71,6 +72,7 @@
         if backend_started_ms is None
         else backend_started_ms,
         state=me.state if member_state is None else member_state,
+        room_ms=me.room_ms if room_ms is None else room_ms,
     )
     state.membership.self_member = changed
     member_table.update(state, changed, out)
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -167,12 +167,17 @@
     GONE = 3
 
 
+MAX_ROOM_MS = 65_535
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One node as the others know it.
 
     :param version: incremented by the member itself with each change it gossips.
     :param backend_started_ms: Unix time at which its backend server started; 0 if not
         known.
+    :param room_ms: how long the calls may last that it still takes during a planned
+        stop; 0 if it does not stop.
     """
 
     node: ids.NodeId
@@ -186,6 +191,7 @@
     service: ids.ServiceName = ids.ServiceName("")
     slots: int = 0
     backend_started_ms: int = 0
+    room_ms: int = 0
 
 
 class GossipKind(enum.Enum):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -562,6 +562,10 @@
     state.depart_at = state.stop_after - STOP_LINGER_MS
     if event.grace_ms > 0:
         state.stop_by = state.now + max(0.0, event.grace_ms - GRACE_MARGIN_MS)
+        # What the calls that are taken last may last; 0 is no bound.
+        room_ms = round(state.stop_by - state.depart_at)
+        room_ms = max(1, min(room_ms, messages.MAX_ROOM_MS))
+        membership.update_self(state, out, room_ms=room_ms)
     operator_log.info(out, "node", "Planned stop begins.")
 
 
@@ -690,6 +694,7 @@
     events.AttemptRefused: calls.on_attempt_refused,
     events.AttemptLost: calls.on_attempt_lost,
     events.AttemptsSilent: calls.on_attempts_silent,
+    events.AnswerRelayed: calls.on_answer_relayed,
     events.OpenReceived: _on_open,
     events.LevelRequested: hosting.on_level_requested,
     events.LevelReported: calls.on_level_reported,
--- a/src/gingerturn/internal/core/replies.py
+++ b/src/gingerturn/internal/core/replies.py
@@ -13,7 +13,10 @@
     state as states,
 )
 
-_SENT_RULES = {decisions.Rule.WAIT_TOO_LONG: decisions.Rule.QUEUE_FULL}
+_SENT_RULES = {
+    decisions.Rule.WAIT_TOO_LONG: decisions.Rule.QUEUE_FULL,
+    decisions.Rule.OUTLASTS_STOP: decisions.Rule.QUEUE_FULL,
+}
 """Rules that nodes of earlier versions do not know, and those that are sent for them.
 Entry nodes handle both alike."""
 
--- a/src/gingerturn/internal/core/route_table.py
+++ b/src/gingerturn/internal/core/route_table.py
@@ -59,6 +59,8 @@
         state.split_credits,
         state.traffic,
         state.mean_answer_ms,
+        state.hosted_times.kinds,
+        state.relayed_times.kinds,
         *slot_costs.by_kind(state.costs),
     )
     for values in by_kind:
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -16,6 +16,7 @@
     routing,
     startup_waits,
     state as states,
+    stop_room,
     upstreams,
 )
 
@@ -121,9 +122,7 @@
     budget = _budget(state, call.service)
     if call.tokens < 1 or budget.balance < 1.0 or call.rank < _retry_cut(state, budget):
         return False
-    node = routing.choose(
-        state, _untried_upstreams(state, call), call.rule.name, call.rank
-    )
+    node = _choose(state, call, _untried_upstreams(state, call))
     return node is not None and state.now < call.deadline
 
 
@@ -133,9 +132,7 @@
         return False
     if state.now >= call.deadline or quarantine.entry_of(state, call.fingerprint):
         return False
-    node = routing.choose(
-        state, _untried_upstreams(state, call), call.rule.name, call.rank
-    )
+    node = _choose(state, call, _untried_upstreams(state, call))
     if node is None:
         return False
     _send_redirected(state, call, node, out)
@@ -219,9 +216,8 @@
 
     :param allow_tried: the call may go back to an upstream that rejected it.
     """
-    kind = call.rule.name
     if call.tokens >= 1:
-        node = routing.choose(state, _untried_upstreams(state, call), kind, call.rank)
+        node = _choose(state, call, _untried_upstreams(state, call))
         if node is not None or not allow_tried:
             return node
     nodes = [
@@ -229,7 +225,7 @@
         for n in upstreams.candidates(state, call.service)
         if n in call.tried_upstreams
     ]
-    return routing.choose(state, nodes, kind, call.rank)
+    return _choose(state, call, nodes)
 
 
 def _retry_cut(state: states.State, budget: allowance.Budget) -> ids.Rank:
@@ -302,7 +298,19 @@
         # All requests with one key prefer the same node, which detects repeats
         # without the log. Safety does not depend on this.
         return keys.preferred_node(call.key, nodes)
-    return routing.choose(state, nodes, call.rule.name, call.rank)
+    return _choose(state, call, nodes)
+
+
+def _choose(
+    state: states.State, call: states.Call, nodes: list[ids.NodeId]
+) -> ids.NodeId | None:
+    """Choose an upstream, if possible one whose planned stop does not cut the call."""
+    kind = call.rule.name
+    preferred = stop_room.preferred(state, kind, nodes)
+    node = routing.choose(state, preferred, kind, call.rank)
+    if node is None and len(preferred) < len(nodes):
+        return routing.choose(state, nodes, kind, call.rank)
+    return node
 
 
 def _refuse_by_level(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -18,6 +18,7 @@
     pace,
     ranks,
     rate_limits,
+    run_times,
     tolerance,
 )
 
@@ -800,6 +801,7 @@
     :param members_listed: the members on the log have been read.
     :param last_datagram_at: when the last datagram of a member arrived.
     :param departed: members that left by a planned stop, by incarnation.
+    :param stopping: members that have begun a planned stop and not departed.
     :param order_cache: derived from the members; valid for its own version only.
     """
 
@@ -824,6 +826,7 @@
     members_listed: bool = False
     last_datagram_at: ids.Milliseconds = 0.0
     departed: dict[ids.NodeId, ids.Incarnation] = {}
+    stopping: set[ids.NodeId] = set()
     order_cache: MemberOrder | None = None
 
 
@@ -1090,6 +1093,9 @@
         self.mean_call_size = 0.0
         # Mean time of answered whole requests, by kind.
         self.mean_answer_ms: dict[str, ids.Milliseconds] = {}
+        # Of the calls of this backend server, and of the requests of callers.
+        self.hosted_times = run_times.RunTimes()
+        self.relayed_times = run_times.RunTimes()
         self.trends: dict[ids.ServiceName, Trend] = {}
         self.child_kinds: dict[str, dict[tuple[str, str], ids.Milliseconds]] = {}
         # Calls that wait for the first upstream of their service, with their timeouts.
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -19,6 +19,7 @@
     """An attempt whose answer has not arrived, or is still streamed.
 
     :param upstream: the node that it was sent to.
+    :param kind: the kind of the call.
     """
 
     def __init__(
@@ -26,10 +27,12 @@
         request: caller_requests.Request,
         carrier: links.Carrier,
         upstream: ids.NodeId,
+        kind: ids.KindName,
     ) -> None:
         self.request = request
         self.carrier = carrier
         self.upstream = upstream
+        self.kind = kind
         self.answer: frames.Answer | None = None
         self.relaying = False
 
@@ -91,6 +94,7 @@
                     report=frame.report,
                     child_failed=frame.child_failed,
                     size=_size(pending.request, frame),
+                    whole=frame.whole,
                 )
             )
         elif isinstance(frame, frames.Refuse):
@@ -164,7 +168,9 @@
         carrier = self._node.links.carrier(
             effect.node, ids.Address(effect.host, effect.port)
         )
-        self._attempts[effect.attempt] = PendingAttempt(request, carrier, effect.node)
+        self._attempts[effect.attempt] = PendingAttempt(
+            request, carrier, effect.node, effect.metadata.kind
+        )
         request.attempt = effect.attempt
         carrier.send(
             frames.Open(
@@ -231,8 +237,19 @@
         request = pending.request
         if chunk.last:
             self._drop_attempt(chunk.call, cancel=False)
+            self._record_relayed(pending)
         request.connection.send_piece(request, chunk.body, last=chunk.last)
 
+    def _record_relayed(self, pending: PendingAttempt) -> None:
+        registered = self._requests.get(pending.request.call)
+        if registered is None:
+            return
+        now = clock.now()
+        elapsed_ms = now - registered[1]
+        self._node.apply(
+            events.AnswerRelayed(now=now, kind=pending.kind, elapsed_ms=elapsed_ms)
+        )
+
     def _refuse_call(self, effect: effects.RefuseCall) -> None:
         registered = self._requests.get(effect.call)
         counts = self._node.counters.refused
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -85,6 +85,7 @@
         slot.service = member.service
         slot.slots = member.slots
         slot.backendStartedMs = member.backend_started_ms
+        slot.roomMs = member.room_ms
 
 
 def decode(
@@ -140,6 +141,7 @@
         service=ids.ServiceName(slot.service),  # type: ignore[attr-defined]
         slots=slot.slots,  # type: ignore[attr-defined]
         backend_started_ms=slot.backendStartedMs,  # type: ignore[attr-defined]
+        room_ms=slot.roomMs,  # type: ignore[attr-defined]
     )
 
 
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -14,6 +14,7 @@
   service @8 :Text;
   slots @9 :UInt32;
   backendStartedMs @10 :UInt64;
+  roomMs @11 :UInt16;
 }
 
 struct BackendEnd {
--- /dev/null
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -0,0 +1,329 @@
+"""Planned stops under calls that may last longer than the time that a stop leaves."""
+
+import pytest
+
+from gingerturn.internal import ids
+from gingerturn.internal.core import (
+    decisions,
+    effects,
+    events,
+    messages,
+    reducer,
+    run_times,
+    state as states,
+)
+from gingerturn_fakes import parts, world as worlds
+from tests.common import builders, routed
+
+GRACE_MS = 5_500.0
+TIMEOUT_MS = 7_000
+LONG_MS = 4_200.0
+LONG, SHORT = "long", "short"
+ROUTES = (
+    routed.route(LONG, prefix="/l/", timeout_ms=TIMEOUT_MS),
+    routed.route(SHORT, prefix="/s/", timeout_ms=TIMEOUT_MS),
+)
+PLANS = ids.ServiceName("plans")
+
+
+def _world(*, entries: int = 1) -> worlds.World:
+    """Return a world with three upstreams of long calls, and other nodes as entries."""
+    table = routed.table(*ROUTES)
+    plans = parts.ServiceSpec(
+        name="plans",
+        upstreams=3,
+        slots=50,
+        service_ms={LONG: LONG_MS, SHORT: 20.0},
+    )
+    other = parts.ServiceSpec(name="other", upstreams=entries, slots=1, service_ms={})
+    made = worlds.World(
+        seed=7, services=[plans, other], documents={}, zones=["z"], table=table
+    )
+    made.gossip_on = True
+    made.run(3_000.0)
+    return made
+
+
+def _send(made: worlds.World, kind: str, number: int) -> parts.Root:
+    spec = parts.KindSpec(kind, "shop.example", "GET", f"/{kind[0]}/x")
+    root = parts.Root(id=number, kind=spec, key="", sent=made.now)
+    made.send(root, entry="other-1")
+    return root
+
+
+# Guards against calls that a stopping node takes beside its backend server and cuts,
+# at entry nodes that do not stop.
+def test_long_calls_are_served_elsewhere_while_the_node_beside_stops() -> None:
+    made = _world()
+    for number in range(40):
+        _send(made, LONG, number)
+        made.run(50.0)
+    made.run(8_000.0)
+    begun: list[tuple[str, float]] = []
+    made.on_execution = lambda node, work: begun.append((node.name, made.now))
+    stopped_at = made.now
+    made.apply("plans-1", events.StopRequested(now=made.now, grace_ms=GRACE_MS))
+    sent = []
+    for number in range(100, 130):
+        sent.append(_send(made, LONG, number))
+        made.run(50.0)
+    made.at(stopped_at + GRACE_MS - made.now, lambda: made.kill("plans-1"))
+    made.run(9_000.0)
+    assert [root.answer for root in sent] == ["ok"] * len(sent)
+    assert not [at for name, at in begun if name == "plans-1"]
+    assert len(begun) == len(sent)
+
+
+# Guards against an idle backend server during a stop that leaves time for its calls.
+def test_short_calls_are_still_taken_beside_a_stopping_node() -> None:
+    made = _world()
+    for number in range(40):
+        _send(made, LONG, number)
+        _send(made, SHORT, 1_000 + number)
+        made.run(50.0)
+    made.run(8_000.0)
+    begun: list[str] = []
+    made.on_execution = lambda node, work: begun.append(node.name)
+    made.apply("plans-1", events.StopRequested(now=made.now, grace_ms=GRACE_MS))
+    made.run(500.0)
+    sent = []
+    for number in range(2_000, 2_040):
+        sent.append(_send(made, SHORT, number))
+        made.run(10.0)
+    made.run(1_000.0)
+    assert [root.answer for root in sent] == ["ok"] * len(sent)
+    assert begun.count("plans-1") > len(sent) / 6
+
+
+def _home(*, lasts_ms: float, samples: int = 20) -> states.State:
+    """Return a home node whose calls have lasted so long."""
+    state = routed.node_state(*ROUTES, service="plans", slots=50)
+    for number in range(samples):
+        _open(state, 1_000 + number)
+    _advance(state, lasts_ms)
+    for number in range(samples):
+        done = events.BackendAnswered(
+            now=state.now, hosted=ids.HostedId(1_000 + number), status=200
+        )
+        reducer.reduce(state, done)
+    return state
+
+
+def _open(
+    state: states.State, hosted: int, *, deadline_ms: float = TIMEOUT_MS
+) -> list[effects.Effect]:
+    terms = builders.call_metadata(kind=LONG, deadline_ms=deadline_ms)
+    return reducer.reduce(state, builders.opened(hosted, terms, now=state.now))
+
+
+def _advance(state: states.State, duration: float) -> list[effects.Effect]:
+    return reducer.reduce(state, events.Tick(now=state.now + duration))
+
+
+def _stop(state: states.State, *, grace_ms: float = GRACE_MS) -> list[effects.Effect]:
+    return reducer.reduce(state, events.StopRequested(now=state.now, grace_ms=grace_ms))
+
+
+def test_a_call_that_cannot_end_in_time_is_refused_as_not_run() -> None:
+    state = _home(lasts_ms=LONG_MS)
+    _stop(state)
+    _advance(state, 1_300.0)
+    out = _open(state, 1)
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+    assert not builders.all_of(out, effects.DispatchCall)
+    # Entry nodes of earlier versions do not know the rule.
+    assert decisions.Rule(refusal.rule) is decisions.Rule.QUEUE_FULL
+
+
+# Guards against refusals by a guess.
+@pytest.mark.parametrize("samples", [0, run_times.MIN_SAMPLES - 1])
+def test_a_call_of_an_unknown_time_is_taken(samples: int) -> None:
+    state = _home(lasts_ms=LONG_MS, samples=samples)
+    _stop(state)
+    _advance(state, 1_300.0)
+    assert builders.all_of(_open(state, 1), effects.DispatchCall)
+
+
+# Guards against streamed answers that count only until their heads.
+def test_a_streamed_answer_counts_until_its_end() -> None:
+    state = routed.node_state(*ROUTES, service="plans", slots=50)
+    for number in range(20):
+        _open(state, 1_000 + number)
+        head = events.BackendAnswered(
+            now=state.now, hosted=ids.HostedId(1_000 + number), status=200, whole=False
+        )
+        reducer.reduce(state, head)
+    _advance(state, LONG_MS)
+    for number in range(20):
+        end = events.BackendFinished(now=state.now, hosted=ids.HostedId(1_000 + number))
+        reducer.reduce(state, end)
+    _stop(state)
+    _advance(state, 1_300.0)
+    assert builders.all_of(_open(state, 1), effects.SendRefusal)
+
+
+# Guards against queued calls that are dispatched when the time left is too short.
+def test_a_queued_call_is_refused_when_no_time_is_left_for_it() -> None:
+    state = _home(lasts_ms=LONG_MS)
+    state.backend.limit = state.backend.slots = 1
+    _open(state, 1)
+    queued = _open(state, 2, deadline_ms=30_000.0)
+    assert not builders.all_of(queued, effects.SendRefusal)
+    _stop(state, grace_ms=LONG_MS)
+    done = events.BackendAnswered(now=state.now, hosted=ids.HostedId(1), status=200)
+    out = reducer.reduce(state, done)
+    assert not builders.all_of(out, effects.DispatchCall)
+    refused = builders.only(out, effects.SendRefusal)
+    assert refused.refusal.outcome is messages.Outcome.NOT_RUN
+
+
+def _entry() -> states.State:
+    state = routed.node_state(*ROUTES)
+    builders.add_members(
+        state, builders.member("n2", "plans"), builders.member("n3", "plans")
+    )
+    return state
+
+
+def _record_relayed(state: states.State, *, count: int, lasts_ms: float) -> None:
+    for _ in range(count):
+        relayed = events.AnswerRelayed(
+            now=state.now, kind=ids.KindName(LONG), elapsed_ms=lasts_ms
+        )
+        reducer.reduce(state, relayed)
+
+
+# Guards against requests that a stopping entry node takes and cuts.
+@pytest.mark.parametrize("known", [True, False])
+def test_a_stopping_entry_node_refuses_what_cannot_end_in_time(*, known: bool) -> None:
+    state = _entry()
+    _record_relayed(state, count=20 * known, lasts_ms=LONG_MS)
+    _stop(state)
+    in_time = routed.arrived(1, path="/l/x", now=state.now + 100.0)
+    assert routed.sent_to(reducer.reduce(state, in_time))
+    late = routed.arrived(2, path="/l/x", now=state.now + 2_000.0)
+    out = reducer.reduce(state, late)
+    if not known:
+        assert routed.sent_to(out)
+        return
+    refused = builders.only(out, effects.RefuseCall)
+    assert (refused.status, refused.outcome) == (503, messages.Outcome.NOT_RUN)
+    # Another node can serve it at once.
+    assert refused.retry_after_ms < 500.0
+    short = routed.arrived(3, path="/s/x", now=state.now)
+    assert routed.sent_to(reducer.reduce(state, short))
+
+
+# Guards against a call that fails below a request which still runs here.
+def test_calls_of_the_backend_server_beside_are_served_however_long_they_last() -> None:
+    state = routed.node_state(*ROUTES, service="other", slots=4)
+    builders.add_members(state, builders.member("n2", "plans"))
+    _record_relayed(state, count=20, lasts_ms=LONG_MS)
+    terms = builders.call_metadata(trace="r1", service="other", kind=SHORT)
+    reducer.reduce(state, builders.opened(1, terms, now=state.now))
+    _stop(state)
+    child = routed.arrived(10, path="/l/x", request="r1.c", now=state.now + 2_900.0)
+    assert routed.sent_to(reducer.reduce(state, child))
+
+
+# Guards against a redirect for each long call while a node beside an upstream stops.
+def test_peers_prefer_other_upstreams_for_calls_that_may_outlast_a_stop() -> None:
+    state = _entry()
+    room_ms = round(GRACE_MS - 1_500.0)
+    stopping = builders.member("n2", "plans")
+    builders.add_members(
+        state, messages.Member(*_fields(stopping, version=2), room_ms=room_ms)
+    )
+    chosen = {_chosen(state, number, LONG) for number in range(20)}
+    assert chosen == {"n3"}
+    # No other upstream is left.
+    out = reducer.reduce(
+        state,
+        routed.refused(_attempt(state, 100), rule=int(decisions.Rule.QUEUE_FULL)),
+    )
+    assert routed.sent_to(out).node == "n2"
+    _record_relayed(state, count=20, lasts_ms=100.0)
+    assert {_chosen(state, 200 + number, LONG) for number in range(20)} == {"n2", "n3"}
+
+
+def _fields(member: messages.Member, *, version: int) -> tuple[object, ...]:
+    fields = [getattr(member, name) for name in member.__struct_fields__]
+    fields[2] = version
+    return tuple(fields[:-1])
+
+
+def _attempt(state: states.State, call: int) -> ids.AttemptId:
+    arrival = routed.arrived(call, path="/l/x", now=state.now, timeout_ms=TIMEOUT_MS)
+    out = reducer.reduce(state, arrival)
+    return routed.sent_to(out).attempt
+
+
+def _chosen(state: states.State, call: int, kind: str) -> str:
+    arrival = routed.arrived(call, path=f"/{kind[0]}/x", now=state.now)
+    sent = routed.sent_to(reducer.reduce(state, arrival))
+    return sent.node
+
+
+def test_a_stop_is_told_to_peers_at_once() -> None:
+    state = _home(lasts_ms=100.0)
+    builders.add_members(state, builders.member("n2", "other"))
+    _stop(state)
+    me = state.membership.self_member
+    assert me is not None
+    assert me.state is messages.MemberState.ALIVE
+    assert 3_000 < me.room_ms < GRACE_MS - 1_500.0
+
+
+# Guards against answers that are replaced on the bound of the last sixth of the grace.
+def test_work_under_way_is_awaited_past_the_last_sixth_of_the_grace() -> None:
+    state = _entry()
+    sent = _attempt(state, 1)
+    _stop(state)
+    out = _advance(state, 5_200.0)
+    assert not builders.all_of(out, effects.RefuseCall)
+    relayed = reducer.reduce(state, builders.answered(sent, now=state.now))
+    assert builders.only(relayed, effects.RelayAnswer)
+
+
+# Guards against open calls that the end of the process cuts without an answer.
+def test_work_that_does_not_end_is_answered_before_the_drain_timeout() -> None:
+    state = _entry()
+    _attempt(state, 1)
+    _stop(state)
+    out = _advance(state, GRACE_MS - 50.0)
+    assert builders.only(out, effects.RefuseCall).status == 502
+
+
+# Guards against memory that grows with kinds that no route has any more.
+def test_times_of_routes_that_are_gone_are_forgotten() -> None:
+    state = _home(lasts_ms=100.0)
+    _record_relayed(state, count=5, lasts_ms=100.0)
+    table = routed.table(routed.route(SHORT, prefix="/s/"), version=2)
+    reducer.reduce(state, events.RoutesReceived(now=state.now, table=table))
+    assert LONG not in state.hosted_times.kinds
+    assert LONG not in state.relayed_times.kinds
+
+
+def test_the_usual_time_is_that_of_nine_in_ten_recent_calls() -> None:
+    times = run_times.RunTimes()
+    for number in range(100):
+        elapsed = 4_000.0 if number % 5 == 0 else 20.0
+        run_times.record(times, "k", elapsed, now=0.0)
+    assert 4_000.0 <= run_times.usual_ms(times, "k") <= 4_400.0
+    for _ in range(100):
+        run_times.record(times, "k", 20.0, now=run_times.WINDOW_MS + 1.0)
+    for _ in range(100):
+        run_times.record(times, "k", 20.0, now=2.0 * run_times.WINDOW_MS + 2.0)
+    assert run_times.usual_ms(times, "k") <= run_times.SHORTEST_MS
+
+
+# Guards against memory that grows with names of kinds or with durations.
+def test_usual_times_take_bounded_memory() -> None:
+    times = run_times.RunTimes()
+    for number in range(3 * run_times.MAX_KINDS):
+        run_times.record(times, f"k{number}", 10.0, now=0.0)
+    assert len(times.kinds) == run_times.MAX_KINDS
+    for number in range(5_000):
+        run_times.record(times, "k1", 1.2**number if number < 200 else 1e9, now=0.0)
+    assert len(times.kinds["k1"].counts) < 100
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -52,6 +52,16 @@
         yield made
 
 
+@pytest.fixture
+def two_upstreams(
+    platform: platform_processes.Platform,
+) -> platform_processes.Platform:
+    """Add a second machine with an upstream of the same service."""
+    platform.add("plans-2", service="plans")
+    platform.wait_ready()
+    return platform
+
+
 async def _send(
     entry: platform_processes.Machine, shape: Shape, at_s: float
 ) -> raw_callers.Exchange:
@@ -160,6 +170,29 @@
     assert statuses == [0] * len(stopping)
 
 
+# Guards against calls that the node beside the upstream takes during its stop, and
+# cuts at entry nodes that no signal concerns.
+def test_calls_that_would_outlast_the_stop_of_their_home_are_served_elsewhere(
+    two_upstreams: platform_processes.Platform,
+) -> None:
+    machines = two_upstreams.machines
+    entry, home = machines["porting-1"], machines["plans-1"]
+    download = Shape("download", path="/d/x?bytes=800000&over_ms=4200")
+
+    async def warm_up() -> list[raw_callers.Exchange]:
+        sent = (_send(entry, download, 0.01 * n) for n in range(14))
+        return await asyncio.gather(*sent)
+
+    assert all(map(_is_whole, asyncio.run(warm_up())))
+    late = [(1.0 + 0.08 * n, download) for n in range(6)]
+    exchanges, statuses = asyncio.run(_stop(entry, late, home))
+    assert all(map(_is_whole, exchanges)), exchanges
+    runs = home.counts()["runs"]
+    assert not [e.id for e in exchanges if e.id in runs]
+    assert [_runs(two_upstreams, e.id) for e in exchanges] == [1] * len(exchanges)
+    assert statuses == [0]
+
+
 # Guards against answers that are replaced while their upstream may still end its work.
 def test_work_that_ends_shortly_before_the_drain_timeout_is_answered(
     platform: platform_processes.Platform,
