--- a/tests/cover/test_statements_of_not_run.py
+++ b/tests/cover/test_statements_of_not_run.py
@@ -14,12 +14,14 @@
     events,
     messages,
     reducer,
+    run_times,
     state as states,
 )
 from tests.common import builders, routed
 
 HOMES = ("n2", "n3")
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+GRACE_MS = 4_000.0
 MAX_OPEN = 3
 """Requests that are open at once."""
 
@@ -80,9 +82,13 @@
 
 
 class System:
-    """An entry node and its home nodes; a request is known by its number."""
+    """An entry node and its home nodes; a request is known by its number.
 
-    def __init__(self) -> None:
+    :param outlasts_stops: calls usually last longer than the stop of a home leaves.
+    """
+
+    def __init__(self, *, outlasts_stops: bool = False) -> None:
+        self._outlasts_stops = outlasts_stops
         route = routed.route(
             kind=routes.RouteType.UNREPEATABLE, max_attempts=3, timeout_ms=1_000
         )
@@ -103,7 +109,11 @@
         self._numbers = 0
 
     def _home_state(self, name: str) -> states.State:
-        return routed.node_state(self._route, name=name, service="plans", slots=1)
+        state = routed.node_state(self._route, name=name, service="plans", slots=1)
+        for _ in range(run_times.MIN_SAMPLES * self._outlasts_stops):
+            times = state.hosted_times
+            run_times.record(times, self._route.name, 2 * GRACE_MS, now=state.now)
+        return state
 
     def step(self, step: Step, choice: int) -> None:
         """Let a step happen, where it can; ``choice`` picks what it happens to."""
@@ -221,7 +231,7 @@
         self.homes[name].starts = home.starts
 
     def _home_stops(self, name: str, choice: int) -> None:
-        self._at_home(name, events.StopRequested(now=self.now, grace_ms=4_000.0))
+        self._at_home(name, events.StopRequested(now=self.now, grace_ms=GRACE_MS))
 
     def _backend_leaves(self, name: str, choice: int) -> None:
         self._at_home(name, events.BackendWithdrawn(now=self.now))
@@ -387,9 +397,11 @@
 ]
 
 
-def _play(drawn: list[tuple[Step | None, int]]) -> System:
+def _play(
+    drawn: list[tuple[Step | None, int]], *, outlasts_stops: bool = False
+) -> System:
     """Play steps; in place of ``None``, the choice picks one that is possible."""
-    system = System()
+    system = System(outlasts_stops=outlasts_stops)
     for step, choice in drawn:
         possible = system.possible()
         if step is None and possible:
@@ -401,23 +413,42 @@
     return system
 
 
+def _drawn(faults: list[Step]) -> st.SearchStrategy[list[tuple[Step | None, int]]]:
+    step = st.tuples(st.sampled_from([None] * 24 + faults), st.integers(0, 40))
+    return st.lists(step, min_size=10, max_size=60)
+
+
+def _check_statements(system: System) -> None:
+    for call, status in system.refused.items():
+        assert status not in NOT_RUN_STATUSES or not system.runs[call]
+    assert all(runs <= 1 for runs in system.runs.values())
+
+
 # Guards against a request that is answered as not run and runs later, or that runs
 # twice, in any order of arrivals, losses, restarts, deadlines and answers.
 @hypothesis.settings(max_examples=600)
-@hypothesis.given(
-    st.lists(
-        st.tuples(st.sampled_from([None] * 24 + FAULTS), st.integers(0, 40)),
-        min_size=10,
-        max_size=60,
-    )
-)
+@hypothesis.given(_drawn(FAULTS))
 def test_a_request_that_is_answered_as_not_run_never_runs(
     drawn: list[tuple[Step | None, int]],
 ) -> None:
-    system = _play(drawn)
-    for call, status in system.refused.items():
-        assert status not in NOT_RUN_STATUSES or not system.runs[call]
-    assert all(runs <= 1 for runs in system.runs.values())
+    _check_statements(_play(drawn))
+
+
+# Guards against the same where home nodes refuse what would outlast their stop.
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(_drawn(FAULTS + [Step.HOME_STOPS] * 4))
+def test_a_call_that_would_outlast_a_stop_never_runs_once_it_is_refused(
+    drawn: list[tuple[Step | None, int]],
+) -> None:
+    _check_statements(_play(drawn, outlasts_stops=True))
+
+
+def test_a_call_that_would_outlast_the_stop_of_its_home_runs_once_elsewhere() -> None:
+    for choice in range(len(HOMES)):
+        steps: list[tuple[Step | None, int]] = [(Step.HOME_STOPS, choice)]
+        system = _play([*steps, (Step.ARRIVE, 0)], outlasts_stops=True)
+        assert system.runs == {1: 1}
+        assert not system.refused
 
 
 def test_a_request_without_faults_runs_once() -> None:
