Logs: a long text is cut to 4,000 characters

Seen: a line that names a long value of another program (a route's name of 300 kB in a table that is refused) exceeds the backlog of 64 kB and is dropped, so the refusal has no line. tests/cover/test_logs.py::test_a_long_text_is_cut read nothing before (BlockingIOError), and passes now.

--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -173,8 +173,13 @@
     return stream.fileno()
 
 
+MAX_TEXT = 4_000
+"""Characters of the text of a line, which may contain input of other programs."""
+
+
 def write(level: str, part: str, text: str, **fields: typing.Any) -> None:
-    """Write one line."""
+    """Write one line, with the beginning of a long text."""
+    text = text[:MAX_TEXT]
     if _state.output is not None:
         if _SEVERITIES[level] >= _state.min_severity:
             common = {"level": level, "node": _state.node, "part": part}
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -81,6 +81,14 @@
     assert logged_at.utcoffset() is not None
 
 
+# Guards against a line that is dropped since it names a long value of another program.
+def test_a_long_text_is_cut(json_lines: int) -> None:
+    logs.write("WARNING", "words", "It is long: " + "x" * 300_000)
+    line = json.loads(os.read(json_lines, 1 << 16))
+    assert len(line["text"]) == logs.MAX_TEXT
+    assert line["text"].startswith("It is long: xx")
+
+
 def test_json_lines_import_no_library_for_text() -> None:
     code = (
         "import sys\n"
