--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -50,7 +50,7 @@
 """Entries of one read that are not used and of which more than the number is kept."""
 
 
-class Skipped(msgspec.Struct, frozen=True):
+class Skipped(msgspec.Struct, frozen=True, array_like=True):
     """An entry that a node does not use.
 
     :param key: the beginning of its key; empty if it has none, or none is known.
@@ -62,7 +62,7 @@
     problem: str
 
 
-class SkippedEntries(msgspec.Struct, frozen=True):
+class SkippedEntries(msgspec.Struct, frozen=True, array_like=True):
     """The entries of a read that a node does not use.
 
     :param examples: the first :data:`MAX_EXAMPLES` of them.
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from gingerturn import log_service
 from gingerturn.internal import ids
 from gingerturn.internal.core import effects, events, messages, trace
 from gingerturn.internal.wire import datagrams
@@ -250,6 +251,15 @@
         "98aa4e657765737452656164cb3ff0000000000000a76d656d6265727391c401"
         "7203cb3fe00000000000000709",
     ),
+    (
+        events.EntriesSkipped(
+            now=1.0,
+            stream="members",
+            skipped=log_service.NOTHING_SKIPPED.and_entry(b"k", 7, "no record"),
+        ),
+        "94ae456e7472696573536b6970706564cb3ff0000000000000a76d656d626572"
+        "7392019193c4016b07a96e6f207265636f7264",
+    ),
     (
         events.DatagramReceived(
             now=1.0, sender=N2, host="h", port=1, message=_gossip(CAP_REQUEST)
