A listing of the log ends after 30 s with what was read

A base read fails after 60 s since its supervision, and begins again with the first page: where entries of other writers fill more pages than the log serves in that time, no node would ever be ready. That no node is ready then was not played. The listing ends with what was read by then, named and counted as the other bounds are.

tests/cover/test_odd_values.py::test_a_listing_that_takes_too_long_ends_with_what_was_read reads on without the bound (mutation: the comparison removed).

--- a/src/gingerturn/internal/shell/log_entries.py
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import time
 
 import msgspec
 
@@ -15,6 +16,10 @@
 MAX_LISTED_BYTES = 16 << 20
 """Bytes of the records that one listing returns."""
 
+MAX_LISTING_S = 30.0
+"""Time after which a listing ends with what was read, half of that which a base read
+may take: one that fails begins again, and would never get further."""
+
 _REPLACED = "\N{REPLACEMENT CHARACTER}".encode()
 """In a key that is not the one in the log: the service could not encode it."""
 
@@ -109,6 +114,7 @@
     :raises LogServiceError: if a page cannot be read.
     """
     usable = Usable(stream)
+    began = time.monotonic()
     page = await read_page(b"")
     end, epoch = page.end, page.epoch
     visited: set[bytes] = set()
@@ -120,7 +126,8 @@
         if not page.has_more:
             break
         following = _next_place(page, visited)
-        problem = _paging_problem(following, len(visited), usable.size)
+        elapsed_s = time.monotonic() - began
+        problem = _paging_problem(following, len(visited), usable.size, elapsed_s)
         if problem:
             usable.skip(after, log_service.NO_OFFSET, problem)
             break
@@ -140,7 +147,7 @@
     return b""
 
 
-def _paging_problem(following: bytes, pages: int, size: int) -> str:
+def _paging_problem(following: bytes, pages: int, size: int, elapsed_s: float) -> str:
     """Return why the entries behind a page are not read; empty if they are."""
     if not following:
         return "its page has more entries, but no new key to continue from"
@@ -148,4 +155,6 @@
         return f"more than {MAX_PAGES} pages behind it"
     if size > MAX_LISTED_BYTES:
         return f"records of more than {MAX_LISTED_BYTES} bytes before its end"
+    if elapsed_s >= MAX_LISTING_S:
+        return f"more than {MAX_LISTING_S:g} s for the pages before its end"
     return ""
--- a/tests/cover/test_odd_values.py
+++ b/tests/cover/test_odd_values.py
@@ -27,6 +27,7 @@
     http_calls,
     log_client,
     log_entries,
+    log_side,
     node as nodes,
     probes,
 )
@@ -423,6 +424,19 @@
     assert "more than 1000 bytes" in found.skipped.examples[0].problem
 
 
+# Guards against a node that is never ready: a listing that takes longer than a base
+# read may failed each time, and began again.
+def test_a_listing_that_takes_too_long_ends_with_what_was_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert 1_000.0 * log_entries.MAX_LISTING_S < log_side.BASE_READ_LIMIT_MS
+    monkeypatch.setattr(log_entries, "MAX_LISTING_S", 0.0)
+    pages = _Pages(_page(_item("n1")), _page(_item("n2"), more=False))
+    found = pages.all()
+    assert len(found.contents) == 1
+    assert "0 s for the pages" in found.skipped.examples[0].problem
+
+
 def test_a_listing_whose_end_goes_back_is_followed_from_the_lowest_one() -> None:
     pages = _Pages(
         _page(_item("n1"), end=40),
