Readiness: why a node is not ready, and how its streams are read

Operators could not tell a node that follows a stream no more, has never read it, or why it is not ready: readiness was one number, the age of a read was shown for routes alone, and a stream that ended left no trace but one line.

readiness.Unready names the reason: a line when it changes and every 5 s while it stays, with the stream behind it; gingerturn_unready{reason}; the body of the readiness check. Each stream shows whether it is followed, the age of its last answer, of its pending read, and its failures in a row. Errors that nothing caught are shown by part. gingerturn status prints both.

A node is ready without the list of members once a member has sent all that it knows, and that member is reachable. What it lacks then is no more than what a node lacks whose list was read and which has contacted one member.

--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -171,6 +171,8 @@
         _send_page(state, host, port, message, out)
     elif message.kind is kinds.SYNC_PAGE and message.cursor:
         sync(state, host, port, message.cursor, out)
+    elif message.kind is kinds.SYNC_PAGE and sender != state.node:
+        state.membership.synced = True
     urgent = any(member.state is messages.MemberState.LEAVING for member in updated)
     if message.kind in _MEMBER_KINDS:
         urgent |= quarantine_gossip.on_gossip(state, message.quarantine, out)
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -801,6 +801,7 @@
     :param join_put_number: number of the pending put of this node's join record; 0 once
         it is acknowledged.
     :param members_listed: the members on the log have been read.
+    :param synced: a member has sent all the members that it knows.
     :param last_datagram_at: when the last datagram of a member arrived.
     :param departed: members that left by a planned stop, by incarnation.
     :param stopping: members that have begun a planned stop and not departed.
@@ -826,6 +827,7 @@
     join_put_number: int = 0
     join_retry_at: ids.Milliseconds = 0.0
     members_listed: bool = False
+    synced: bool = False
     last_datagram_at: ids.Milliseconds = 0.0
     departed: dict[ids.NodeId, ids.Incarnation] = {}
     stopping: set[ids.NodeId] = set()
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -275,7 +275,7 @@
     stream.failures += 1
     if stream.failures == 1:
         operator_log.warn(out, "log", f"Stream {stream.name} cannot be read.")
-    tries = max(stream.failures, stream.consecutive_unapplied)
+    tries = consecutive_failures(stream)
     stream.retry_at = state.now + _backoff(state, stream, tries)
 
 
@@ -310,6 +310,19 @@
             _read(state, stream, out)
 
 
+def age_ms(state: states.State, stream: states.Stream) -> ids.Milliseconds:
+    """Return the time since the last answer to a read; -1 if there was none."""
+    if stream.current_as_of < 0.0:
+        return -1.0
+    return max(0.0, state.now - stream.current_as_of)
+
+
+def consecutive_failures(stream: states.Stream) -> int:
+    """Return how many reads have failed, or could not be applied, since the last good
+    one."""
+    return max(stream.failures, stream.consecutive_unapplied)
+
+
 def _is_overdue(state: states.State, stream: states.Stream) -> bool:
     return stream.read_pending and state.now - stream.requested_at > MAX_PENDING_MS
 
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -71,6 +71,9 @@
 
 MIN_REPORTED_LAG_MS = 100.0
 
+UNREADY_LINE_INTERVAL_MS = 5_000.0
+"""Interval between log lines of a node that stays not ready."""
+
 FLUSH_TIMEOUT_S = 0.1
 """Time for which a node that closes waits until its connections are flushed."""
 
@@ -170,7 +173,9 @@
         self._ticker: asyncio.TimerHandle | None = None
         self._tick_at = math.inf
         self._last_number = 0
-        self._was_ready = False
+        # A node begins without configuration, which is logged if it lasts.
+        self._unready = readiness.unready(self.state)
+        self._next_unready_line = clock.now() + UNREADY_LINE_INTERVAL_MS
         self._next_report = 0.0
         self._max_lag_ms = 0.0
         self._stop_began = math.inf
@@ -523,13 +528,9 @@
 
     def _log_readiness(self) -> None:
         """Log changes of readiness, and periodically dropped log lines and lag."""
-        ready = readiness.is_ready(self.state)
-        if ready != self._was_ready:
-            self._was_ready = ready
-            text = "Ready for callers." if ready else "Not ready for callers."
-            logs.write("INFO", "node", text, version=self.state.version)
-        outcome_log.flush()
         now = clock.now()
+        self._log_readiness_change(now)
+        outcome_log.flush()
         if now >= self._next_report:
             self._next_report = now + REPORT_INTERVAL_MS
             self.descriptors.probe()
@@ -539,6 +540,30 @@
                 logs.write("WARNING", "node", text)
             self._max_lag_ms = 0.0
 
+    def _log_readiness_change(self, now: ids.Milliseconds) -> None:
+        """Log a change of readiness, and again while the node stays not ready."""
+        reason = readiness.unready(self.state)
+        if reason is self._unready and now < self._next_unready_line:
+            return
+        self._unready = reason
+        self._next_unready_line = math.inf
+        if reason is not None:
+            self._next_unready_line = now + UNREADY_LINE_INTERVAL_MS
+        self._write_readiness(reason)
+
+    def _write_readiness(self, reason: readiness.Unready | None) -> None:
+        version = self.state.version
+        if reason is None:
+            logs.write("INFO", "node", "Ready for callers.", version=version)
+            return
+        logs.write(
+            "INFO",
+            "node",
+            f"Not ready for callers: {readiness.description(self.state, reason)}",
+            version=version,
+            reason=reason.value,
+        )
+
     def _check_callers(self) -> None:
         now = clock.now()
         if now >= self._next_caller_check:
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+import msgspec
+
 from gingerturn.internal import outcome_log
 from gingerturn.internal.core import (
     freshness,
@@ -17,7 +19,7 @@
     upstream_costs,
     workspace_shares,
 )
-from gingerturn.internal.shell import connection_ends, side_http
+from gingerturn.internal.shell import connection_ends, side_http, supervision
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -32,7 +34,10 @@
     def handle(request: side_http.Request) -> side_http.Reply:
         if request.path == METRICS_PATH:
             return side_http.Reply(200, metrics(node), TEXT_CONTENT_TYPE)
-        return side_http.Reply(200 if readiness.is_ready(node.state) else 503)
+        reason = readiness.unready(node.state)
+        if reason is None:
+            return side_http.Reply(200)
+        return side_http.Reply(503, msgspec.json.encode({"reason": reason.value}))
 
     return handle
 
@@ -119,6 +124,46 @@
     ]
 
 
+def _unready(state: states.State) -> list[tuple[str, float]]:
+    """Return for each reason whether the node is not ready because of it."""
+    found = readiness.unready(state)
+    return [
+        (_label(reason.value, name="reason"), float(reason is found))
+        for reason in readiness.Unready
+    ]
+
+
+def _unhandled_errors() -> list[tuple[str, float]]:
+    """Return how many errors nothing caught, by the part that they ended."""
+    counts = sorted(supervision.errors_by_part().items())
+    return [(_label(part, name="part"), float(count)) for part, count in counts]
+
+
+def _streams(
+    state: states.State,
+) -> list[tuple[str, str, list[tuple[str, float]]]]:
+    """Return the metrics of the reads of each stream."""
+
+    def rows(
+        value: collections.abc.Callable[[states.Stream], float],
+    ) -> list[tuple[str, float]]:
+        return [
+            (_label(name, name="stream"), value(stream))
+            for name, stream in sorted(state.streams.items())
+        ]
+
+    return [
+        ("stream_followed", "gauge", rows(lambda s: s.followed)),
+        ("stream_read_age_ms", "gauge", rows(lambda s: streams.age_ms(state, s))),
+        (
+            "stream_read_pending_ms",
+            "gauge",
+            rows(lambda s: streams.pending_ms(state, s.name)),
+        ),
+        ("stream_read_failures", "gauge", rows(streams.consecutive_failures)),
+    ]
+
+
 def _missing_reads(state: states.State) -> list[tuple[str, float]]:
     """Return per stream how many reads requested an offset that the log lacks."""
     return [
@@ -146,6 +191,8 @@
         lines.extend(f"gingerturn_{name}{labels} {value:g}" for labels, value in rows)
 
     add("ready", "gauge", ("", readiness.is_ready(state)))
+    add("unready", "gauge", *_unready(state))
+    add("unhandled_errors_total", "counter", *_unhandled_errors())
     add("answered_total", "counter", ("", node.counters.answered))
     refused = [
         (f'{{rule="{rule}"}}', float(count))
@@ -211,6 +258,8 @@
     add("route_read_age_ms", "gauge", ("", age_ms))
     pending_ms = streams.pending_ms(state, streams.ROUTES)
     add("route_read_pending_ms", "gauge", ("", pending_ms))
+    for name, kind, rows in _streams(state):
+        add(name, kind, *rows)
     add("log_reads_missing_total", "counter", *_missing_reads(state))
     add("log_entries_skipped_total", "counter", *_skipped_entries(state))
     add("log_epoch", "gauge", ("", state.log.highest))
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -30,6 +30,8 @@
     :param streams: samples by name, by stream of the log.
     :param zone: availability zone of the node.
     :param outcomes: calls that ended at the node, by kind and rule.
+    :param unready: why callers may not be sent to the node; empty if they may.
+    :param unhandled_errors: errors that nothing caught, by part.
     """
 
     plain: dict[str, float] = {}
@@ -39,6 +41,8 @@
     streams: dict[str, dict[str, float]] = {}
     zone: str = ""
     outcomes: dict[tuple[str, str], float] = {}
+    unready: str = ""
+    unhandled_errors: dict[str, float] = {}
 
 
 def parse(text: str, *, origin: str) -> NodeMetrics:
@@ -64,6 +68,8 @@
     """Return a summary of the metrics, by line."""
     plain = found.plain
     ready = "ready" if plain.get("ready") else "not ready"
+    if found.unready:
+        ready = f"not ready: {found.unready}"
     lines = [
         f"{ready}, routes version {_count(plain, 'route_version')},"
         f" {_count(plain, 'members')} members,"
@@ -134,6 +140,10 @@
         lines.append(f"entries of the log that could not be used: {', '.join(skipped)}")
     if plain.get("keys_closed"):
         lines.append("requests with API keys are refused: keys_stale")
+    if found.unhandled_errors:
+        counts = sorted(found.unhandled_errors.items())
+        parts = ", ".join(f"{part} {count:.0f}" for part, count in counts)
+        lines.append(f"errors that nothing caught: {parts}")
     if plain.get("log_lines_dropped_total"):
         lines.append(f"{_count(plain, 'log_lines_dropped_total')} log lines dropped")
     return lines
@@ -254,6 +264,10 @@
             found.workspaces.setdefault(workspace, {})[name] = number
         case {"stream": stream}:
             found.streams.setdefault(stream, {})[name] = number
+        case {"reason": reason}:
+            found.unready = reason if number else found.unready
+        case {"part": part}:
+            found.unhandled_errors[part] = number
         case {"zone": zone}:
             found.zone = zone
         case {}:
--- a/tests/cover/test_metrics_text.py
+++ b/tests/cover/test_metrics_text.py
@@ -157,3 +157,15 @@
     assert lines[-1] == (
         "entries of the log that could not be used: members 4, routes 1"
     )
+
+
+def test_why_a_node_is_not_ready_is_told_with_its_errors() -> None:
+    samples = (
+        'gingerturn_unready{reason="stopping"} 0\n'
+        'gingerturn_unready{reason="members_not_listed"} 1\n'
+        'gingerturn_unhandled_errors_total{part="log"} 3\n'
+    )
+    page = PAGE.replace("gingerturn_ready 1", "gingerturn_ready 0")
+    lines = metrics_text.summary(metrics_text.parse(page + samples, origin="n1"))
+    assert lines[0].startswith("not ready: members_not_listed, routes version 12")
+    assert lines[-1] == "errors that nothing caught: log 3"
