Joining: members are found beside thousands of strangers' records

A node that started beside 2,000 records of other writers with later times, or times in the far future, contacted the same 16 of them every second and never a member: each repeated read of the list put them in front again and reset the count of tries. A node whose own record was deleted or replaced did not put it again, so that others no longer found it. A node that members reached stayed not ready for good while the list could not be read.

Nodes to be contacted are now a queue: the 16 latest, then the others in random order, and who was contacted goes to its end and keeps its place when the list is read again. While no member is reached, 48 are contacted every 100 ms. The queue holds at most 10,000. A record that the list lacks, or that names an earlier start or another address, is put again; one of a later start is not touched. A node without the list asks a member that has contacted it for all others every second; readiness follows from that answer.

--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -19,6 +19,13 @@
 """Nodes contacted at once from the join records of a keyed log, the latest first. Some
 of the nodes may no longer exist."""
 
+CONTACTS_WHILE_ALONE = 48
+"""Nodes contacted in each :data:`membership.CHECK_INTERVAL_MS` by a node that has
+reached none. One that answers knows the others."""
+
+MAX_UNCONTACTED = 10_000
+"""Nodes that are kept to be contacted. Of more, random ones are."""
+
 CONTACT_ATTEMPTS = 4
 GONE_PROBE_INTERVAL_MS = 1_000.0
 """How often a gone member is pinged, so that both sides of a network partition merge
@@ -126,35 +133,81 @@
     """Handle a base read of join records: contact nodes that are not members yet."""
     view = state.membership
     view.members_listed = True
-    members = view.members
-    latest = sorted(records, key=lambda record: -record.at)
-    for record in latest:
-        known = members.get(record.node)
-        if record.node == state.node or (
-            known is not None and known.incarnation >= record.incarnation
-        ):
-            continue
-        view.uncontacted[record.node] = (record, 0)
+    if _is_own_record_lost(state, records):
+        rewrite_join_record(state)
+    unknown = _in_order(state, [r for r in records if _is_unknown(state, r)])
+    listed = {record.node for record in unknown}
+    kept = {n: found for n, found in view.uncontacted.items() if n in listed}
+    for record in unknown[:MAX_UNCONTACTED]:
+        # Those that were contacted keep their place behind the others.
+        if record.node not in kept or kept[record.node][0] != record:
+            kept[record.node] = (record, 0)
+    view.uncontacted = kept
     contact_unknown(state, state.now, out)
 
 
+def _is_own_record_lost(
+    state: states.State, records: list[messages.JoinRecord]
+) -> bool:
+    """Whether the acknowledged join record was deleted or replaced. One of a later
+    start of this node is left alone."""
+    view = state.membership
+    me = view.self_member
+    if me is None or view.join_put_number:
+        return False
+    own = next((record for record in records if record.node == state.node), None)
+    if own is None or own.incarnation < me.incarnation:
+        return True
+    is_same = (own.host, own.gossip_port) == (me.host, me.gossip_port)
+    return own.incarnation == me.incarnation and not is_same
+
+
+def _is_unknown(state: states.State, record: messages.JoinRecord) -> bool:
+    """Whether a record is of another node, or a start of it, that is no member yet."""
+    if record.node == state.node:
+        return False
+    known = state.membership.members.get(record.node)
+    return known is None or known.incarnation < record.incarnation
+
+
+def _in_order(
+    state: states.State, records: list[messages.JoinRecord]
+) -> list[messages.JoinRecord]:
+    """Return the records in the order of contact: the latest, then the others in random
+    order, as other writers may state any time."""
+    latest = sorted(records, key=lambda record: -record.at)
+    others = latest[KEYED_CONTACTS:]
+    state.random.shuffle(others)
+    return latest[:KEYED_CONTACTS] + others
+
+
 def contact_unknown(
     state: states.State, now: ids.Milliseconds, out: states.Effects
 ) -> None:
     """Contact nodes with a join record that are not members yet, each a few times, as
-    datagrams may be lost."""
+    datagrams may be lost. Those that were contacted least often are next."""
+    _contact(state, KEYED_CONTACTS, out)
+
+
+def contact_while_alone(state: states.State, out: states.Effects) -> None:
+    """Contact further nodes while none was reached: most records may be of nodes that
+    do not exist."""
     view = state.membership
-    contacted = 0
-    for node, (record, tries) in list(view.uncontacted.items()):
-        known = view.members.get(node)
-        is_member = known is not None and known.incarnation >= record.incarnation
-        if is_member or tries >= CONTACT_ATTEMPTS:
-            del view.uncontacted[node]
-            continue
-        if contacted < KEYED_CONTACTS:
-            view.uncontacted[node] = (record, tries + 1)
-            membership.sync(state, record.host, record.gossip_port, "", out)
-            contacted += 1
+    if len(view.uncontacted) <= KEYED_CONTACTS or member_table.reachable(state):
+        return
+    if any(tries == 0 for _, tries in view.uncontacted.values()):
+        _contact(state, CONTACTS_WHILE_ALONE, out)
+
+
+def _contact(state: states.State, count: int, out: states.Effects) -> None:
+    uncontacted = state.membership.uncontacted
+    for node, (record, tries) in list(uncontacted.items()):
+        if tries >= CONTACT_ATTEMPTS or not _is_unknown(state, record):
+            del uncontacted[node]
+    for node in list(uncontacted)[:count]:
+        record, tries = uncontacted.pop(node)
+        uncontacted[node] = (record, tries + 1)
+        membership.sync(state, record.host, record.gossip_port, "", out)
 
 
 def probe_gone_member(
@@ -170,12 +223,22 @@
         put_join_record(state, out)
     if state.keyed_log and now - state.started_at > LIST_WITHOUT_PUT_MS:
         streams.follow(state, streams.MEMBERS, out, keyed=True, followed=False)
+    if state.keyed_log and not view.members_listed and not view.synced:
+        _sync_with_a_member(state, out)
     contact_unknown(state, now, out)
     if state.keyed_log and not member_table.reachable(state) and view.members_listed:
         # All other members may have been replaced while this node was cut off.
         streams.reread(state, streams.MEMBERS)
 
 
+def _sync_with_a_member(state: states.State, out: states.Effects) -> None:
+    """Ask a member that has contacted this node for all others, while the log cannot be
+    read."""
+    for node in member_table.random_members(state, 1):
+        member = state.membership.members[node]
+        membership.sync(state, member.host, member.gossip_port, "", out)
+
+
 def contact_seeds(
     state: states.State, now: ids.Milliseconds, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -632,6 +632,7 @@
 def _check_members(
     state: states.State, now: ids.Milliseconds, out: states.Effects
 ) -> None:
+    joining.contact_while_alone(state, out)
     doubted = state.membership.doubted
     doubted.update(membership.check(state, now, out))
     for node in sorted(doubted):
