Errors of one part of a tick leave the others; no request stays without an end

Where two parts of the core failed at every tick, reads of streams that were due were not reached, since the first error ended the tick. A deadline whose handling failed was gone from the queue, and its request stayed open for good. A connection that could not be checked for its time-outs kept those behind it from being checked, and so did a lingering one. An error of the recorder kept the event from being applied.

A tick runs all that is due and raises the errors afterwards, as a group. A request that has no outcome 10 s after its deadline has its connection closed, with a line. Connections are checked one by one.

--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -152,24 +152,40 @@
 
 
 def _on_tick(state: states.State, event: events.Tick, out: states.Effects) -> None:
+    """Run what is due.
+
+    :raises ExceptionGroup: with the errors of some of it; the rest has run.
+    """
     now = state.now
-    pause_detection.check(state, now, out)
+    failed: list[Exception] = []
+    with timers.collected(failed):
+        pause_detection.check(state, now, out)
     while state.deadlines and state.deadlines[0][0] <= now:
         _, which, number = heapq.heappop(state.deadlines)
-        if which == states.Deadline.CALL:
-            calls.on_deadline(state, ids.CallId(number), out)
-        elif which == states.Deadline.TOKEN:
-            hosting.on_token_due(state, ids.HostedId(number), out)
-        elif which == states.Deadline.WAIT:
-            hosting.on_wait_due(state, ids.HostedId(number), out)
-        elif which == states.Deadline.CAP_REQUEST:
-            caps.on_request_due(state, number, out)
-        elif which == states.Deadline.CAP_REPEAT:
-            cap_requests.repeat_unanswered(state, out)
-        else:
-            hosting.on_deadline(state, ids.HostedId(number), out)
-    timers.run_due(state, now, _TIMER_HANDLERS, out)
-    streams.retry_due(state, out)
+        with timers.collected(failed):
+            _on_deadline(state, which, number, out)
+    timers.run_due(state, now, _TIMER_HANDLERS, out, failed)
+    with timers.collected(failed):
+        streams.retry_due(state, out)
+    if failed:
+        raise ExceptionGroup("parts of a tick failed", failed)
+
+
+def _on_deadline(
+    state: states.State, which: states.Deadline, number: int, out: states.Effects
+) -> None:
+    if which == states.Deadline.CALL:
+        calls.on_deadline(state, ids.CallId(number), out)
+    elif which == states.Deadline.TOKEN:
+        hosting.on_token_due(state, ids.HostedId(number), out)
+    elif which == states.Deadline.WAIT:
+        hosting.on_wait_due(state, ids.HostedId(number), out)
+    elif which == states.Deadline.CAP_REQUEST:
+        caps.on_request_due(state, number, out)
+    elif which == states.Deadline.CAP_REPEAT:
+        cap_requests.repeat_unanswered(state, out)
+    else:
+        hosting.on_deadline(state, ids.HostedId(number), out)
 
 
 def next_tick(state: states.State) -> ids.Milliseconds:
--- a/src/gingerturn/internal/core/timers.py
+++ b/src/gingerturn/internal/core/timers.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import contextlib
 import math
 
 from gingerturn.internal import ids
@@ -46,9 +47,12 @@
     now: ids.Milliseconds,
     handlers: dict[str, Handler],
     out: states.Effects,
+    failed: list[Exception],
 ) -> None:
     """Run every part that is due.
 
+    :param failed: errors of parts are appended to it, and the other parts run.
+
     A part that missed runs because the process was paused runs once: catching up would
     be a burst of work under overload.
     """
@@ -57,4 +61,14 @@
             continue
         missed = (now - timer.due) // timer.period
         timer.due += (missed + 1) * timer.period
-        handlers[timer.name](state, now, out)
+        with collected(failed):
+            handlers[timer.name](state, now, out)
+
+
+@contextlib.contextmanager
+def collected(failed: list[Exception]) -> collections.abc.Iterator[None]:
+    """Append an error of the block to a list."""
+    try:
+        yield
+    except Exception as error:
+        failed.append(error)
--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -4,7 +4,7 @@
 
 from gingerturn import routes
 from gingerturn.internal import ids
-from gingerturn.internal.shell import clock
+from gingerturn.internal.shell import clock, supervision
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -35,7 +35,8 @@
 def check_connections(node: "nodes.Node", now: ids.Milliseconds) -> None:
     """Close the connections that exceed a timeout."""
     for connection in list(node.caller_connections):
-        connection.check_timeout(now)
+        with supervision.contained("ingress"):
+            connection.check_timeout(now)
 
 
 def close_idlest(node: "nodes.Node") -> int:
--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from gingerturn.internal import ids
+from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events
 from gingerturn.internal.shell import caller_requests, clock, links
 from gingerturn.internal.wire import frames
@@ -14,6 +14,10 @@
 
 MAX_DURATION_US = 60_000_000
 
+OVERDUE_AFTER_MS = 10_000.0
+"""Time after its deadline, or without one after its arrival, in which a request has had
+an outcome."""
+
 ERROR_CAUSE = "an error of this node"
 """Cause of a connection's close, for the log."""
 
@@ -171,6 +175,30 @@
             events.AttemptLost(now=clock.now(), attempt=attempt, reached=False)
         )
 
+    def end_overdue(self, now: ids.Milliseconds) -> None:
+        """Close the connections of requests that the core should have ended, and whose
+        end an error has prevented."""
+        for call, (request, arrived_at) in list(self._requests.items()):
+            if not self._is_overdue(request, arrived_at, now):
+                continue
+            text = f"Request {call} has no outcome; its connection is closed."
+            if logs.may_write_error():
+                logs.write("ERROR", "entry", text)
+            self._node.apply(events.CallerGone(now=now, call=call))
+            request.connection.close(ERROR_CAUSE)
+
+    def _is_overdue(
+        self,
+        request: caller_requests.Request,
+        arrived_at: ids.Milliseconds,
+        now: ids.Milliseconds,
+    ) -> bool:
+        call = self._node.state.calls.get(request.call)
+        if call is not None:
+            return now > call.deadline + OVERDUE_AFTER_MS
+        is_waiting = not request.answered and self.attempt_of(request) is None
+        return is_waiting and now > arrived_at + OVERDUE_AFTER_MS
+
     def abort_answer(self, attempt: ids.AttemptId) -> None:
         """Handle an error while an answer was written to its caller."""
         pending = self._attempts.get(attempt)
--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -10,7 +10,7 @@
 import math
 
 from gingerturn.internal import ids
-from gingerturn.internal.shell import clock
+from gingerturn.internal.shell import clock, supervision
 
 LINGER_MS = 5_000.0
 """Time for which a connection lingers once its last byte is handed to the kernel."""
@@ -77,8 +77,9 @@
     def check(self, now: ids.Milliseconds) -> None:
         """Close the connections that reached a bound."""
         for transport, discarding in list(self._connections.items()):
-            if discarding.is_over(now):
-                self._end(transport)
+            with supervision.contained("lingering"):
+                if discarding.is_over(now):
+                    self._end(transport)
 
     def _make_room(self) -> None:
         """Close the oldest connection that is not awaited, or else the oldest one."""
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -498,9 +498,10 @@
         """Apply an event. After an error, what it has changed so far takes effect."""
         self.counters.events += 1
         out: list[effects.Effect] = []
-        try:
-            if self._recorder is not None:
+        if self._recorder is not None:
+            with supervision.contained("recorder"):
                 self._recorder.record(event)
+        try:
             reducer.apply(self.state, event, out)
         except Exception as error:
             supervision.record("events", error, subject=type(event).__name__)
@@ -569,6 +570,7 @@
         if now >= self._next_caller_check:
             self._next_caller_check = now + caller_limits.CHECK_INTERVAL_MS
             caller_limits.check_connections(self, now)
+            self.entry.end_overdue(now)
             self.lingering.check(now)
 
     def _publish_ended(self, effect: effects.PublishEnded) -> None:
--- a/tests/cover/test_unhandled_errors.py
+++ b/tests/cover/test_unhandled_errors.py
@@ -13,6 +13,7 @@
     acknowledgements,
     daemon,
     descriptors,
+    entry,
     ingress,
     listeners,
     supervision,
@@ -86,6 +87,58 @@
     _run(monkeypatch, check)
 
 
+# Guards against a part that always fails and keeps others from running.
+def test_other_parts_and_reads_go_on_beside_one_that_always_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        for part in ("admission", "membership"):
+            monkeypatch.setitem(reducer._TIMER_HANDLERS, part, _raise)
+        running = scripted_logs.RunningNode(monkeypatch)
+        running.log.failures["newest", "routes"] = [KeyError("value")]
+        running.begin()
+        await running.advance(4_000.0)
+        assert running.is_ready
+        running.log.publish()
+        await running.advance(2_000.0)
+        assert running.state.routes is not None
+        assert running.state.routes.version == running.log.version
+        await running.close()
+
+    asyncio.run(run())
+
+
+# Guards against a request without an answer as its deadline met an error.
+def test_a_request_whose_deadline_fails_ends_soon_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(running: scripted_logs.RunningNode) -> None:
+        builders.add_members(running.state, builders.member("home", "plans"))
+        carrier = _Carrier()
+        monkeypatch.setattr(running.node.links, "carrier", lambda *_: carrier)
+        monkeypatch.setattr(reducer.calls, "on_deadline", _raise)
+        transport = _caller(running)
+        (call,) = running.state.calls.values()
+        await running.advance(call.deadline - running.now + 5_000.0)
+        assert not transport.closed
+        await running.advance(entry.OVERDUE_AFTER_MS)
+        assert transport.closed
+        assert not running.state.calls
+        assert not running.node.entry._requests
+
+    _run(monkeypatch, check)
+
+
+class _Carrier:
+    """A way to a home node that never answers."""
+
+    def send(self, frame: object) -> None:
+        return
+
+    def forget(self, call: int) -> None:
+        return
+
+
 def test_ticks_go_on_after_an_error_beside_the_core(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
