Stops: usual times of kinds without recent calls are forgotten

A kind that was not called for hours kept its last times, which counted as recent. Failed before: test_the_times_of_a_kind_without_recent_calls_are_forgotten.

--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -41,6 +41,7 @@
     replies,
     revisions,
     route_table,
+    run_times,
     sending,
     state as states,
     streams,
@@ -664,6 +665,8 @@
 
 
 def _prune(state: states.State, now: ids.Milliseconds, out: states.Effects) -> None:
+    run_times.prune(state.hosted_times, now)
+    run_times.prune(state.relayed_times, now)
     for key in keys.prune(state, now):
         out.append(effects.DeleteStoredAnswer(key=key))
     for children in state.child_kinds.values():
--- a/src/gingerturn/internal/core/run_times.py
+++ b/src/gingerturn/internal/core/run_times.py
@@ -53,12 +53,29 @@
         if len(times.kinds) >= MAX_KINDS:
             return
         known = times.kinds[kind] = KindTimes(began=now)
-    elif now - known.began >= WINDOW_MS:
-        known.earlier, known.counts, known.began = known.counts, {}, now
+    _begin_window(known, now)
     bucket = _bucket_of(elapsed)
     known.counts[bucket] = known.counts.get(bucket, 0) + 1
 
 
+def prune(times: RunTimes, now: ids.Milliseconds) -> None:
+    """Forget the kinds without recent calls."""
+    for kind, known in list(times.kinds.items()):
+        _begin_window(known, now)
+        if not known.counts and not known.earlier:
+            del times.kinds[kind]
+
+
+def _begin_window(known: KindTimes, now: ids.Milliseconds) -> None:
+    """Begin another window once the current one has passed."""
+    age = now - known.began
+    if age < WINDOW_MS:
+        return
+    known.earlier = known.counts if age < 2 * WINDOW_MS else {}
+    known.counts = {}
+    known.began = now
+
+
 def _bucket_of(elapsed: ids.Milliseconds) -> int:
     if elapsed <= SHORTEST_MS:
         return 0
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -318,6 +318,13 @@
     assert run_times.usual_ms(times, "k") <= run_times.SHORTEST_MS
 
 
+# Guards against times of hours ago that count as recent.
+def test_the_times_of_a_kind_without_recent_calls_are_forgotten() -> None:
+    state = _home(lasts_ms=LONG_MS)
+    _advance(state, 2.0 * run_times.WINDOW_MS + reducer.PRUNE_MS)
+    assert not state.hosted_times.kinds
+
+
 # Guards against memory that grows with names of kinds or with durations.
 def test_usual_times_take_bounded_memory() -> None:
     times = run_times.RunTimes()
