Soak: the harness takes less of the machine, so that it can drive 32 machines

Configurations are published in a thread. Initial starts are observed from the start; at 32 machines `starts_become_ready` reported all of them, as readiness was first asked once all were ready. Callers send fewer requests altogether from eight machines on. `--no-timing` leaves out the checks that need a machine which is not busy.

Odd entries have keys that are not UTF-8 too, which the store writes in three ways, and empty records.

--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -40,6 +40,12 @@
     help="Odd entries of another writer, and losses of the log's history.",
     show_default=True,
 )
+@click.option(
+    "--timing/--no-timing",
+    default=True,
+    help="Checks that need a machine which is not busy.",
+    show_default=True,
+)
 @click.option("--calm", is_flag=True, help="Of the common steps, planned ones only.")
 def main(
     seeds: tuple[int, ...],
@@ -48,6 +54,7 @@
     length: float,
     lasts: bool,
     odd: bool,
+    timing: bool,
     calm: bool,
 ) -> None:
     """Run soaks and print each verdict; exit with 1 if there was a violation."""
@@ -57,7 +64,9 @@
     failed = [
         seed
         for seed in chosen
-        if not play(seed, machines, length, lasts=lasts, odd=odd, calm=calm)
+        if not play(
+            seed, machines, length, lasts=lasts, odd=odd, timing=timing, calm=calm
+        )
     ]
     click.echo(f"{len(chosen)} runs, {len(failed)} with violations: {failed}")
     sys.exit(bool(failed))
@@ -70,6 +79,7 @@
     *,
     lasts: bool = True,
     odd: bool = True,
+    timing: bool = True,
     calm: bool = False,
 ) -> bool:
     """Run a soak and print its verdict; return whether there was no violation."""
@@ -82,7 +92,7 @@
             folder,
             machines=machines,
             length_s=length,
-            timing=True,
+            timing=timing,
             deadly=not calm,
             restored=not calm,
             reported=True,
--- a/tooling/gingerturn_soak/callers.py
+++ b/tooling/gingerturn_soak/callers.py
@@ -78,7 +78,7 @@
         self._numbers = itertools.count()
         limits = httpx.Limits(max_connections=64, max_keepalive_connections=32)
         self._client = httpx.AsyncClient(
-            trust_env=False, timeout=TIMEOUT_S, limits=limits
+            trust_env=False, verify=False, timeout=TIMEOUT_S, limits=limits
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/tooling/gingerturn_soak/odd_entries.py
+++ b/tooling/gingerturn_soak/odd_entries.py
@@ -37,7 +37,10 @@
 )
 """Texts of values, by which fields of an entry are replaced."""
 
-_KEYS = (b"", b"\0", b"~" * 255, b"\xc3\xbf", b"odd")
+KEY_FORMS = ("replace", "raw", "escape")
+"""How the store writes keys that are not UTF-8."""
+
+_KEYS = (b"", b"\0", b"~" * 255, b"\xff", b"\xc3", b"\xed\xa0\x80", b"odd")
 
 _Fields = dict[str, str]
 
@@ -53,7 +56,7 @@
     odd = [_keyed(f"odd{n}".encode(), _odd_member(rng, now_ms)) for n in range(ENTRIES)]
     odd += [_keyed(key, _odd_member(rng, now_ms)) for key in rng.sample(_KEYS, 2)]
     nested = _member("nested", now_ms) | {"odd": rng.choice(NESTED)}
-    odd += [_keyed(b"nested", _text(nested)), bytes([200]) + b"short"]
+    odd += [_keyed(b"nested", _text(nested)), bytes([200]) + b"short", b""]
     strangers = [
         _keyed(name.encode(), _text(_member(name, now_ms + n, rng.choice(addresses))))
         for addresses in [[NOBODY_PORT] * 9 + list(ports.values())]
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -63,7 +63,8 @@
 """Machines whose processes start within :data:`START_TIMEOUT_S`."""
 
 USUAL_MACHINES = 8
-"""Number of machines from which callers send less often each."""
+"""Number of machines from which callers send less often each, and fewer requests
+altogether: the processes themselves take more of the machine."""
 
 SPARE_DESCRIPTORS = 2
 """What a starved node has beyond its open descriptors."""
@@ -104,7 +105,7 @@
         self._count = machines
         self._rng = rng
         self._api_keys = api_keys
-        self._share = max(1.0, machines / USUAL_MACHINES)
+        self._share = max(1.0, machines / USUAL_MACHINES) ** 2
         self._fleets: list[lasting.Fleet] = []
         self._watch = watch.Watch()
         self._held_by_steps: collections.Counter[int] = collections.Counter()
@@ -117,6 +118,7 @@
         self._caller_links: list[proxy.Proxy] = []
         self._callers: list[callers.Callers] = []
         self._versions: list[int] = []
+        self._publishing = asyncio.Lock()
         self._settings: dict[str, bytes] = {}
         self._odd: list[raw_callers.Exchange] = []
 
@@ -130,11 +132,11 @@
         with self._platform:
             self._log_link = proxy.Proxy(link, self._platform.store_port)
             await self._log_link.start()
-            self._configure()
+            await self._configure()
             await self._start_machines()
+            watching = asyncio.create_task(self._watch.run(self._platform))
             timeout_s = START_TIMEOUT_S * max(1.0, self._count / MACHINES_PER_TIMEOUT)
             await asyncio.to_thread(self._platform.wait_ready, timeout_s)
-            watching = asyncio.create_task(self._watch.run(self._platform))
             reviving = asyncio.create_task(self._revive())
             stop = asyncio.Event()
             async with asyncio.TaskGroup() as group:
@@ -282,7 +284,11 @@
             routes += lasting.routes(api_keys=self._api_keys)
         return routes
 
-    def _configure(self) -> None:
+    async def _configure(self) -> None:
+        async with self._publishing:
+            await asyncio.to_thread(self._publish)
+
+    def _publish(self) -> None:
         # A configuration has a route with its own version, which callers probe.
         version = self._platform.next_version
         workspaces = lasting.WORKSPACES if self._api_keys else None
@@ -516,7 +522,7 @@
         await asyncio.to_thread(self._platform.restore_store)
         await asyncio.sleep(LOG_DOWNTIME_S)
         await asyncio.to_thread(self._platform.fault, down=False)
-        self._configure()
+        await self._configure()
 
     async def _log_trimmed(self, step: schedule.Step, fault: checks.Fault) -> None:
         """Drop all records but the newest of each key, for a while."""
@@ -540,15 +546,20 @@
         rng = random.Random(f"{step.at} {step.target} {step.duration_s}")
         machines = self._platform.machines.values()
         ports = {machine.name: machine.ports["gossip"] for machine in machines}
+        key_form = rng.choice(odd_entries.KEY_FORMS)
+        await asyncio.to_thread(self._platform.fault, key_form=key_form)
         for records in odd_entries.of_members(rng, ports, callers.now_ms()):
             await asyncio.to_thread(self._platform.append, odd_entries.MEMBERS, records)
             await asyncio.sleep(step.duration_s / odd_entries.BATCHES)
-        version = self._platform.next_version - 1
-        more = {"tenants": lasting.WORKSPACES} if self._api_keys else {}
-        records = odd_entries.of_operator(rng, version, self._routes(), **more)
-        await asyncio.to_thread(self._platform.append, odd_entries.OPERATOR, records)
+        async with self._publishing:
+            version = self._platform.next_version - 1
+            more = {"tenants": lasting.WORKSPACES} if self._api_keys else {}
+            records = odd_entries.of_operator(rng, version, self._routes(), **more)
+            await asyncio.to_thread(
+                self._platform.append, odd_entries.OPERATOR, records
+            )
         await self._send_odd(self._machine(step.target), rng)
-        self._configure()
+        await self._configure()
 
     async def _send_odd(
         self, machine: platform_processes.Machine, rng: random.Random
@@ -559,7 +570,7 @@
             self._odd.append(exchange)
 
     async def _change(self, step: schedule.Step, fault: checks.Fault) -> None:
-        self._configure()
+        await self._configure()
 
     async def _deadly(self, step: schedule.Step, fault: checks.Fault) -> None:
         """Send a crashing request through the machines in turn, and restart the backend
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -161,7 +161,9 @@
             "Deadline-Ms": request.headers.get("deadline-ms", ""),
         }
         url = f"http://{self._entry}{path}"
-        async with httpx.AsyncClient(timeout=10.0, trust_env=False) as client:
+        async with httpx.AsyncClient(
+            timeout=10.0, trust_env=False, verify=False
+        ) as client:
             try:
                 return (await client.get(url, headers=headers)).is_success
             except httpx.HTTPError:
@@ -225,7 +227,7 @@
 
 async def send_heartbeats(upstream: Upstream, control: str) -> None:
     """Send heartbeats until cancelled."""
-    async with httpx.AsyncClient(timeout=1.0, trust_env=False) as client:
+    async with httpx.AsyncClient(timeout=1.0, trust_env=False, verify=False) as client:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             if upstream.silent:
