Documents: settings, recordings, logs and metrics are decoded in one way

A settings file, or a team's document, with deeply nested values or a number of 5,000 digits ended a start, a reload and a publication with RecursionError or ValueError; on a reload nothing caught it. So did an address of the platform's log with '[', a bound of 1e306 (int() of infinity) and a peer whose port is '²'. A recording with a nested event ended a replay, a nested line of another program the reading of a log, a quantile that is no number the reading of metrics. Time-outs of calls to the log had no range.

All of them go through decoding: TOML, JSON, MessagePack and numbers, with one error. What is shown of a value is bounded.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -11,7 +11,7 @@
 
 import gingerturn
 from gingerturn import configuration, errors, explain, metrics_text, settings
-from gingerturn.internal import launch
+from gingerturn.internal import decoding, launch
 
 if typing.TYPE_CHECKING:
     import httpx
@@ -43,6 +43,16 @@
 _JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 
 
+class _Problem(msgspec.Struct):
+    """An RFC 9457 problem."""
+
+    title: str = ""
+
+
+_decode_reply = decoding.json_decoder(typing.cast(type[typing.Any], typing.Any))
+_decode_problem = decoding.json_decoder(_Problem)
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(gingerturn.__version__, prog_name="gingerturn")
 def cli() -> None:
@@ -455,7 +465,13 @@
 
 def _request(admin: str, method: str, path: str, **options: typing.Any) -> typing.Any:
     hint = "is the node running, and is --admin its admin_port?"
-    return _send(method, admin.rstrip("/") + path, hint=hint, **options).json()
+    url = admin.rstrip("/") + path
+    reply = _send(method, url, hint=hint, **options)
+    try:
+        return _decode_reply(reply.content)
+    except errors.DecodeError as error:
+        click.echo(f"gingerturn: the answer of {url} is no JSON: {error}", err=True)
+        sys.exit(EXIT_UNREACHABLE)
 
 
 def _send(
@@ -477,8 +493,8 @@
         sys.exit(EXIT_UNREACHABLE)
     if reply.status_code >= 400:
         try:
-            title = reply.json().get("title", reply.text)
-        except ValueError:
+            title = _decode_problem(reply.content).title or reply.text
+        except errors.DecodeError:
             title = reply.text
         click.echo(f"gingerturn: {title}", err=True)
         sys.exit(EXIT_REFUSED)
--- a/src/gingerturn/configuration.py
+++ b/src/gingerturn/configuration.py
@@ -34,7 +34,7 @@
 import msgspec
 
 from gingerturn import errors
-from gingerturn.internal import checks, ids, toml_lines
+from gingerturn.internal import checks, decoding, ids, toml_lines
 
 IMPORTANCE_CLASSES = 8
 """Number of importance classes; a rank has three bits for them."""
@@ -79,9 +79,9 @@
     """
 
     name: str
-    slots: int | None = None
-    retry_share: float = DEFAULT_RETRY_SHARE
-    eject_share: float = 0.5
+    slots: decoding.Integer | None = None
+    retry_share: decoding.Number = DEFAULT_RETRY_SHARE
+    eject_share: decoding.Number = 0.5
 
 
 class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,8 +97,8 @@
     path_prefix: str = "/"
     methods: list[str] = []
     repeatable: bool = True
-    retry_allowance: int = 0
-    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    retry_allowance: decoding.Integer = 0
+    timeout_ms: decoding.Integer = DEFAULT_TIMEOUT_MS
     key: KeyRule = KeyRule.REQUIRED
 
 
@@ -195,16 +195,13 @@
     :param origin: file name, for errors.
     :raises InvalidDocument: with all problems found, each with its line.
     """
-    # Imported lazily, as in :func:`.settings.load`.
-    import tomllib
-
     try:
-        table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        table = decoding.decode_toml(text)
+    except errors.DecodeError as error:
         raise _invalid([f"{origin}: not TOML: {error}"], origin) from None
     try:
-        document = msgspec.convert(table, Document)
-    except msgspec.ValidationError as error:
+        document = decoding.converter(Document)(table)
+    except errors.DecodeError as error:
         raise _invalid([_with_line(text, origin, str(error))], origin) from None
     problems = _document_problems(document, text, origin)
     if problems:
--- a/src/gingerturn/explain.py
+++ b/src/gingerturn/explain.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from gingerturn import errors
-from gingerturn.internal import outcome_log
+from gingerturn.internal import decoding, outcome_log
 from gingerturn.internal.core import decisions
 
 FIRST_FAILURE_STATUS = 500
@@ -42,15 +42,15 @@
     rule: str = ""
     kind: str = ""
     upstream: str = ""
-    status: int = 0
-    figures: dict[str, float] = {}
-    version: int = 0
-    waited_ms: float = 0.0
+    status: decoding.Integer = 0
+    figures: dict[str, decoding.Number] = {}
+    version: decoding.Integer = 0
+    waited_ms: decoding.Number = 0.0
     workspace: str = ""
     decision: str = ""
     instance: str = ""
-    connection: int = 0
-    exchange: int = 0
+    connection: decoding.Integer = 0
+    exchange: decoding.Integer = 0
     answer_id: str = ""
 
 
@@ -61,6 +61,10 @@
     facts: tuple[outcome_log.Fact, ...] = ()
 
 
+_decode_line = decoding.json_decoder(Line)
+_decode_facts = decoding.json_decoder(_Facts)
+
+
 class Explanation(msgspec.Struct, frozen=True):
     """The log lines of a request and its child calls, with the cause of its outcome.
 
@@ -87,8 +91,8 @@
         for raw in source:
             content = raw[raw.find(b"{") :]
             try:
-                line = msgspec.json.decode(content, type=Line)
-            except msgspec.MsgspecError:
+                line = _decode_line(content)
+            except errors.DecodeError:
                 continue
             if line.request:
                 found.append(line)
@@ -103,8 +107,8 @@
 def _facts_of(content: bytes) -> list[Line]:
     """Return the facts of a line that holds several."""
     try:
-        held = msgspec.json.decode(content, type=_Facts)
-    except msgspec.MsgspecError:
+        held = _decode_facts(content)
+    except errors.DecodeError:
         return []
     return [
         Line(node=held.node, text=_text_of(fact), **msgspec.structs.asdict(fact))
--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -259,14 +259,17 @@
     """
 
     id: str
-    time: ids.Milliseconds
+    time: decoding.Number
     root: str
     rule: str
     kind: str
     rank: str
     words: str
-    figures: dict[str, float]
-    revision: int
+    figures: dict[str, decoding.Number]
+    revision: decoding.Whole
+
+
+decode_decision = decoding.json_decoder(Decision)
 
 
 class _Ring:
--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -4,7 +4,7 @@
 
 import math
 
-from gingerturn.internal import ids
+from gingerturn.internal import checks, ids
 from gingerturn.internal.core import (
     effects,
     member_table,
@@ -246,8 +246,8 @@
     if len(state.membership.members) > 1 or state.stopping:
         return
     for seed in state.seeds:
-        host, _, port = seed.rpartition(":")
-        membership.sync(state, host, int(port), "", out)
+        host, port = checks.check_address("peers", seed)
+        membership.sync(state, host, port, "", out)
 
 
 def on_join_records(
--- a/src/gingerturn/internal/core/trace.py
+++ b/src/gingerturn/internal/core/trace.py
@@ -7,12 +7,15 @@
 import msgspec
 
 from gingerturn import errors
+from gingerturn.internal import decoding
 from gingerturn.internal.core import effects, events, reducer
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[events.AnyEvent] = msgspec.msgpack.Decoder(
-    events.AnyEvent
-)
+_decode = decoding.msgpack_decoder(typing.cast(type[events.AnyEvent], events.AnyEvent))
+
+MAX_EVENT = 1 << 28
+"""Limit of the bytes of an event that are read. A longer one is not of a node: what it
+receives in one piece has lower limits."""
 
 
 class Recorder:
@@ -51,12 +54,15 @@
     :raises InvalidArgument: if an event is not one of this version.
     """
     while len(length := source.read(4)) == 4:
-        content = source.read(int.from_bytes(length, "big"))
-        if len(content) < int.from_bytes(length, "big"):
+        size = int.from_bytes(length, "big")
+        content = source.read(min(size, MAX_EVENT))
+        if len(content) < min(size, MAX_EVENT):
             return
         try:
-            yield _DECODER.decode(content)
-        except msgspec.MsgspecError as error:
+            if size > MAX_EVENT:
+                raise errors.DecodeError(f"it has {size} bytes")
+            yield _decode(content)
+        except errors.DecodeError as error:
             raise errors.InvalidArgument(
                 f"the trace holds no event of this version: {error}",
                 step="read a trace",
--- a/src/gingerturn/internal/decoding.py
+++ b/src/gingerturn/internal/decoding.py
@@ -221,6 +221,14 @@
     return _guarded(tomllib.loads)(text)
 
 
+def parse_float(value: str | float) -> float:
+    """Return a text or a whole number as a float, which may be infinite or no number.
+
+    :raises DecodeError: for other texts, and for numbers that are too large.
+    """
+    return _guarded(float)(value)
+
+
 def shown(value: object) -> str:
     """Return a value as it is shown in an error, with at most about
     :data:`MAX_SHOWN` characters."""
--- a/src/gingerturn/internal/outcome_log.py
+++ b/src/gingerturn/internal/outcome_log.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from gingerturn.internal import logs
+from gingerturn.internal import decoding, logs
 
 STATEMENTS_PER_S = 500
 """Rate limit of facts on which a statement rests that a request has not run."""
@@ -53,12 +53,12 @@
     rule: str
     time: str = ""
     upstream: str = ""
-    status: int = 0
+    status: decoding.Integer = 0
     decision: str = ""
-    waited_ms: float = 0.0
+    waited_ms: decoding.Number = 0.0
     instance: str = ""
-    connection: int = 0
-    exchange: int = 0
+    connection: decoding.Integer = 0
+    exchange: decoding.Integer = 0
     answer_id: str = ""
 
 
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from gingerturn import errors, routes
-from gingerturn.internal import ids, logs
+from gingerturn.internal import decoding, ids, logs
 from gingerturn.internal.core import decisions, effects, events, messages, revisions
 from gingerturn.internal.shell import clock, peers, supervision
 from gingerturn.internal.wire import frames
@@ -179,7 +179,7 @@
         content = await self._query(address, query)
         if not content:
             return None
-        return msgspec.json.decode(content, type=decisions.Decision)
+        return decisions.decode_decision(content)
 
     def _send_level_request(self, effect: effects.RequestLevel) -> None:
         address = ids.Address(effect.host, effect.port)
@@ -223,8 +223,8 @@
         query = frames.Query(call=self._next_query_id(), routes=True)
         try:
             content = await self._query(ids.Address(effect.host, effect.port), query)
-            table = msgspec.json.decode(content, type=routes.RouteTable)
-        except (errors.GingerturnError, msgspec.MsgspecError) as error:
+            table = decoding.json_decoder(routes.RouteTable)(content)
+        except errors.GingerturnError as error:
             logs.write(
                 "WARNING", "routes", f"No route table from {effect.node}: {error}."
             )
@@ -242,8 +242,8 @@
         query = frames.Query(call=self._next_query_id(), since=effect.since)
         try:
             content = await self._query(ids.Address(effect.host, effect.port), query)
-            snapshot = msgspec.json.decode(content, type=messages.ConfigSnapshot)
-        except (errors.GingerturnError, msgspec.MsgspecError) as error:
+            snapshot = decoding.json_decoder(messages.ConfigSnapshot)(content)
+        except errors.GingerturnError as error:
             logs.write(
                 "WARNING", "config", f"No configuration from {effect.node}: {error}."
             )
--- a/src/gingerturn/metrics_text.py
+++ b/src/gingerturn/metrics_text.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gingerturn import errors
+from gingerturn.internal import decoding
 
 _LABEL = r"(\w+)=\"((?:[^\"\\]|\\.)*)\""
 _LABELS = re.compile(_LABEL)
@@ -36,7 +37,7 @@
 
     plain: dict[str, float] = {}
     refused: dict[str, float] = {}
-    answer_seconds: dict[str, float] = {}
+    answer_seconds: dict[float, float] = {}
     workspaces: dict[str, dict[str, float]] = {}
     streams: dict[str, dict[str, float]] = {}
     zone: str = ""
@@ -238,10 +239,7 @@
 
 def _add_sample(found: NodeMetrics, line: str, *, where: str) -> None:
     match = _LINE.fullmatch(line)
-    try:
-        number = float(match["number"]) if match else None
-    except ValueError:
-        number = None
+    number = None if match is None else _number(match["number"])
     if match is None or number is None:
         raise errors.InvalidArgument(
             f"{line[:80]!r} is no sample; expected NAME VALUE",
@@ -258,7 +256,7 @@
             found.outcomes[(kind, rule)] = number
         case {"rule": rule}:
             found.refused[rule] = number
-        case {"quantile": quantile}:
+        case {"quantile": text} if (quantile := _number(text)) is not None:
             found.answer_seconds[quantile] = number
         case {"workspace": workspace}:
             found.workspaces.setdefault(workspace, {})[name] = number
@@ -275,6 +273,13 @@
                 found.plain[name] = number
 
 
+def _number(text: str) -> float | None:
+    try:
+        return decoding.parse_float(text)
+    except errors.DecodeError:
+        return None
+
+
 def _count(plain: dict[str, float], name: str) -> str:
     value = plain.get(name)
     return "?" if value is None else f"{value:.0f}"
@@ -283,6 +288,6 @@
 def _latencies(found: NodeMetrics) -> str:
     quantiles = sorted(found.answer_seconds.items())
     return "".join(
-        f", p{100 * float(quantile):g} {1000 * seconds:.0f} ms"
+        f", p{100 * quantile:g} {1000 * seconds:.0f} ms"
         for quantile, seconds in quantiles
     )
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -21,14 +21,13 @@
 
 import collections.abc
 import contextlib
-import math
 import pathlib
 import urllib.parse
 
 import msgspec
 
 from gingerturn import errors
-from gingerturn.internal import checks, toml_lines
+from gingerturn.internal import checks, decoding, toml_lines
 
 MIN_SECRET_LENGTH = 16
 """A shorter secret could be found by an offline brute-force attack on one packet."""
@@ -50,15 +49,15 @@
     id: str
     zone: str
     host: str
-    calls_port: int
-    peers_port: int
-    gossip_port: int
-    admin_port: int
+    calls_port: decoding.Integer
+    peers_port: decoding.Integer
+    gossip_port: decoding.Integer
+    admin_port: decoding.Integer
     region: str = "default"
-    drain_timeout_ms: int = 30_000
-    ready_port: int = 0
-    metrics_port: int = 0
-    advertised_peers_port: int = 0
+    drain_timeout_ms: decoding.Integer = 30_000
+    ready_port: decoding.Integer = 0
+    metrics_port: decoding.Integer = 0
+    advertised_peers_port: decoding.Integer = 0
 
 
 class Log(msgspec.Struct, forbid_unknown_fields=True):
@@ -70,8 +69,8 @@
     """
 
     url: str
-    poll_ms: int = 1_000
-    timeout_ms: int = 3_000
+    poll_ms: decoding.Integer = 1_000
+    timeout_ms: decoding.Integer = 3_000
     keyed: bool = False
 
 
@@ -93,7 +92,7 @@
     """
 
     table: bool = False
-    apply_ms: int = 2_000
+    apply_ms: decoding.Integer = 2_000
 
 
 class Retries(msgspec.Struct, forbid_unknown_fields=True):
@@ -105,9 +104,9 @@
     :param slack: ``None`` applies retry budgets to each node separately.
     """
 
-    slack: float | None = None
-    ratio: float = 0.2
-    window_ms: int = 10_000
+    slack: decoding.Number | None = None
+    ratio: decoding.Number = 0.2
+    window_ms: decoding.Integer = 10_000
 
 
 class Workspaces(msgspec.Struct, forbid_unknown_fields=True):
@@ -120,10 +119,10 @@
     :param cap_slack: number of requests by which it may be exceeded in addition.
     """
 
-    revoke_ms: int = 0
-    cap_window_ms: int = 5_000
-    cap_over: float = 0.1
-    cap_slack: float = 20.0
+    revoke_ms: decoding.Integer = 0
+    cap_window_ms: decoding.Integer = 5_000
+    cap_over: decoding.Number = 0.1
+    cap_slack: decoding.Number = 20.0
 
 
 class Secret(msgspec.Struct, forbid_unknown_fields=True):
@@ -149,12 +148,12 @@
         longer than the idle timeouts of load balancers and client libraries.
     """
 
-    body_buffer: int = 262_144
-    head_bytes: int = 32_768
-    decisions: int = 32_768
-    body_bytes: int = 1_073_741_824
-    head_timeout_ms: int = 10_000
-    idle_timeout_ms: int = 120_000
+    body_buffer: decoding.Integer = 262_144
+    head_bytes: decoding.Integer = 32_768
+    decisions: decoding.Integer = 32_768
+    body_bytes: decoding.Integer = 1_073_741_824
+    head_timeout_ms: decoding.Integer = 10_000
+    idle_timeout_ms: decoding.Integer = 120_000
 
 
 RETRY_RANGES = {"ratio": (0.0, 1.0), "window_ms": (100, 3_600_000)}
@@ -171,6 +170,8 @@
 """A configuration takes up to 3 s to reach all nodes; 1 s remains for requests admitted
 before."""
 
+MIN_LOG_TIMEOUT_MS = 10
+
 MIN_APPLY_MS = 1_000
 """The age of a route table is checked each 100 ms, which is to remain a small part."""
 
@@ -227,19 +228,17 @@
     :raises IncompleteDocument: when it cannot be read, is not TOML or lacks a field.
     :raises InvalidDocument: with all problems found, each with its line.
     """
-    # Imported lazily: a node whose settings have another format starts faster.
-    import tomllib
-
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise _incomplete(f"{path}: cannot be read: {error}", path) from None
     try:
-        table = tomllib.loads(text)
-        settings = msgspec.convert(table, Settings)
-    except tomllib.TOMLDecodeError as error:
+        table = decoding.decode_toml(text)
+    except errors.DecodeError as error:
         raise _incomplete(f"{path}: not TOML: {error}", path) from None
-    except msgspec.ValidationError as error:
+    try:
+        settings = decoding.converter(Settings)(table)
+    except errors.DecodeError as error:
         if _MISSING_FIELD in str(error):
             # TOML that is cut between two lines is valid TOML.
             raise _incomplete(f"{path}: {error}", path) from None
@@ -311,6 +310,9 @@
     check(
         "$.log.poll_ms", checks.check_range, "poll_ms", settings.log.poll_ms, 10, 60_000
     )
+    timeout_ms = settings.log.timeout_ms
+    bounds = (timeout_ms, MIN_LOG_TIMEOUT_MS, 60_000)
+    check("$.log.timeout_ms", checks.check_range, "timeout_ms", *bounds)
     check("$.secret.current", _check_secret, "current", settings.secret.current)
     if settings.secret.previous:
         check("$.secret.previous", _check_secret, "previous", settings.secret.previous)
@@ -342,10 +344,16 @@
 
 
 def _check_url(url: str) -> None:
-    parts = urllib.parse.urlsplit(url)
-    if parts.scheme not in {"http", "https"} or not parts.hostname:
+    try:
+        parts = urllib.parse.urlsplit(url)
+        is_valid = parts.scheme in {"http", "https"} and bool(parts.hostname)
+        is_valid = is_valid and parts.port != 0
+    except ValueError:
+        is_valid = False
+    if not is_valid:
         raise errors.InvalidArgument(
-            f"url is {url!r}; allowed is http:// or https:// with an IP number"
+            f"url is {decoding.shown(url)}; allowed is http:// or https:// with an IP"
+            f" number and a port from 1 to {checks.MAX_PORT}"
         )
 
 
@@ -358,12 +366,7 @@
 
 
 def _check_peer(peer: str) -> None:
-    host, _, port = peer.rpartition(":")
-    checks.check_ip("peers", host)
-    if not port.isdigit():
-        raise errors.InvalidArgument(
-            f"peers holds {peer!r}; allowed is IP:PORT of a node's gossip port"
-        )
+    checks.check_address("peers", peer)
 
 
 def numeric_values(
@@ -373,16 +376,17 @@
 
     Other values are skipped, since they may be settings of other programs.
 
-    :raises InvalidDocument: for a number that is not finite.
+    :raises InvalidDocument: for a number that is not finite, or too large.
     """
     numbers: dict[str, float] = {}
+    limit = decoding.MAX_NUMBER
     for name, value in values.items():
-        with contextlib.suppress(ValueError):
-            numbers[name] = float(value)
+        with contextlib.suppress(errors.DecodeError):
+            numbers[name] = decoding.parse_float(value)
     problems = [
-        f"{name} is {value!r}; allowed is a finite number"
+        f"{name} is {value!r}; allowed is -{limit:g} to {limit:g}"
         for name, value in numbers.items()
-        if not math.isfinite(value)
+        if not -limit <= value <= limit
     ]
     if problems:
         raise errors.InvalidDocument(problems, step="read settings", peer=origin)
