--- a/src/gingerturn/announcements.py
+++ b/src/gingerturn/announcements.py
@@ -35,15 +35,15 @@
 
     service: str
     host: str
-    port: int
-    slots: int
-    connections: int = 0
+    port: decoding.Whole
+    slots: decoding.Whole
+    connections: decoding.Whole = 0
     instance: str = ""
-    sequence: int = 0
-    started_ms: int = 0
+    sequence: decoding.Whole = 0
+    started_ms: decoding.Whole = 0
     cold: bool = False
-    load: int = -1
-    ttl_ms: float = 10_000
+    load: decoding.Integer = -1
+    ttl_ms: decoding.Number = 10_000
     leaving: bool = False
 
 
--- a/src/gingerturn/internal/decoding.py
+++ b/src/gingerturn/internal/decoding.py
@@ -17,6 +17,7 @@
 import collections.abc
 import itertools
 import re
+import sys
 import typing
 
 import msgspec
@@ -33,6 +34,11 @@
 
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 
+MAX_FLOAT = sys.float_info.max
+
+Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_FLOAT, le=MAX_FLOAT)]
+"""A finite number that may be too large for any use."""
+
 Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 """A finite number."""
 
--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -16,7 +16,7 @@
 from litestar import exceptions, openapi, params, response as responses
 
 from gingerturn import announcements, configuration, errors
-from gingerturn.internal import checks, ids, logs
+from gingerturn.internal import checks, decoding, ids, logs
 from gingerturn.internal.core import (
     decisions,
     events,
@@ -85,7 +85,7 @@
     """A request to publish a team's document."""
 
     author: str
-    base: int
+    base: decoding.Integer
     text: str
 
 
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -21,6 +21,7 @@
 
 import collections.abc
 import contextlib
+import math
 import pathlib
 import urllib.parse
 
@@ -376,7 +377,10 @@
 
     Other values are skipped, since they may be settings of other programs.
 
-    :raises InvalidDocument: for a number that is not finite, or too large.
+    Numbers beyond :data:`.decoding.MAX_NUMBER` are taken for it, as they are too large
+    for any setting.
+
+    :raises InvalidDocument: for a number that is not finite.
     """
     numbers: dict[str, float] = {}
     limit = decoding.MAX_NUMBER
@@ -384,10 +388,10 @@
         with contextlib.suppress(errors.DecodeError):
             numbers[name] = decoding.parse_float(value)
     problems = [
-        f"{name} is {value!r}; allowed is -{limit:g} to {limit:g}"
+        f"{name} is {value!r}; allowed is a finite number"
         for name, value in numbers.items()
-        if not -limit <= value <= limit
+        if not math.isfinite(value)
     ]
     if problems:
         raise errors.InvalidDocument(problems, step="read settings", peer=origin)
-    return numbers
+    return {name: max(-limit, min(limit, number)) for name, number in numbers.items()}
