--- a/src/gingerturn/internal/shell/log_entries.py
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -117,6 +117,7 @@
     began = time.monotonic()
     page = await read_page(b"")
     end, epoch = page.end, page.epoch
+    pages_read = 1
     visited: set[bytes] = set()
     after = b""
     while True:
@@ -127,13 +128,14 @@
             break
         following = _next_place(page, visited)
         elapsed_s = time.monotonic() - began
-        problem = _paging_problem(following, len(visited), usable.size, elapsed_s)
+        problem = _paging_problem(following, pages_read, usable.size, elapsed_s)
         if problem:
             usable.skip(after, log_service.NO_OFFSET, problem)
             break
         after = following
         visited.add(after)
         page = await read_page(after)
+        pages_read += 1
     return log_service.Newest(usable.contents, end, epoch, usable.skipped)
 
 
@@ -147,11 +149,13 @@
     return b""
 
 
-def _paging_problem(following: bytes, pages: int, size: int, elapsed_s: float) -> str:
+def _paging_problem(
+    following: bytes, pages_read: int, size: int, elapsed_s: float
+) -> str:
     """Return why the entries behind a page are not read; empty if they are."""
     if not following:
         return "its page has more entries, but no new key to continue from"
-    if pages + 1 >= MAX_PAGES:
+    if pages_read >= MAX_PAGES:
         return f"more than {MAX_PAGES} pages behind it"
     if size > MAX_LISTED_BYTES:
         return f"records of more than {MAX_LISTED_BYTES} bytes before its end"
