--- a/src/gingerturn/internal/checks.py
+++ b/src/gingerturn/internal/checks.py
@@ -15,8 +15,9 @@
 _T = typing.TypeVar("_T")
 
 MAX_NAME_LENGTH = 63
-MAX_IP_LENGTH = 45
-"""Characters of an IPv6 address that ends in an IPv4 address."""
+MAX_IP_LENGTH = 45 + 1 + 15
+"""Characters of an IPv6 address that ends in an IPv4 address, with the name of an
+interface."""
 
 NAME_PATTERN = re.compile(rf"[a-z0-9][a-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}\Z")
 """Names are used in Host headers and in names of log streams."""
