--- a/src/gingerturn/internal/shell/admin.py
+++ b/src/gingerturn/internal/shell/admin.py
@@ -376,6 +376,10 @@
             detail = f"{detail}: {extra}"
     elif isinstance(error, errors.InvalidArgument | errors.InvalidDocument):
         status = 400
+    elif isinstance(error, RecursionError):
+        # Of the framework's decoder: the handlers do not recurse.
+        status, detail = 400, "the body is nested too deeply"
+        logs.warn_skipped("Request", request.url.path.encode(), detail)
     elif isinstance(error, errors.GingerturnError):
         status = 502
     if status == 500:
--- a/tests/cover/test_odd_documents.py
+++ b/tests/cover/test_odd_documents.py
@@ -11,10 +11,11 @@
 
 import msgspec
 import pytest
+from litestar import testing
 
 from gingerturn import configuration, errors, explain, metrics_text, settings
 from gingerturn.internal.core import decisions, trace
-from gingerturn.internal.shell import daemon, node as nodes
+from gingerturn.internal.shell import admin, daemon, node as nodes
 from gingerturn_platform import boot
 from tests.common import builders
 
@@ -252,3 +253,39 @@
 def test_an_odd_id_of_a_decision_is_held_by_no_node(digits: str) -> None:
     log = decisions.DecisionLog(node=builders.started("n1").node, size=4)
     assert log.find(f"n1:{digits}") is None
+
+
+BODIES = {
+    ("POST", "/config/plans"): {"author": "a", "base": 0, "text": ""},
+    ("PUT", "/backend"): {"service": "plans", "host": "::1", "port": 1, "slots": 1},
+}
+
+
+@pytest.mark.parametrize("depth", [2_000, 100_000])
+@pytest.mark.parametrize(("method", "path"), BODIES)
+def test_a_deeply_nested_body_of_the_administration_is_refused(
+    method: str, path: str, depth: int
+) -> None:
+    node = nodes.Node(builders.settings())
+    body = json.dumps(BODIES[method, path])[:-1]
+    content = f'{body}, "x": {"[" * depth}{"]" * depth}}}'
+    application = admin.Administration(node).application()
+    with testing.TestClient(application) as client:
+        answer = client.request(method, path, content=content)
+    assert answer.status_code == 400
+    assert answer.json()["title"] == "the body is nested too deeply"
+
+
+@pytest.mark.parametrize("number", ["9" * 40, "9" * 6_000, "1e400", "NaN"])
+@pytest.mark.parametrize(
+    ("method", "path", "field"),
+    [("POST", "/config/plans", "base"), ("PUT", "/backend", "slots")],
+)
+def test_a_number_out_of_range_in_a_body_of_the_administration_is_refused(
+    method: str, path: str, field: str, number: str
+) -> None:
+    node = nodes.Node(builders.settings())
+    body = json.dumps({**BODIES[method, path], field: "HERE"}).replace('"HERE"', number)
+    application = admin.Administration(node).application()
+    with testing.TestClient(application) as client:
+        assert client.request(method, path, content=body).status_code == 400
