--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -212,13 +212,20 @@
         return sum(machine.upstream.poll() is None for machine in machines)
 
     async def _revive(self) -> None:
-        """Start the nodes again that ended while no step was at work on them."""
+        """Start the nodes again that ended while no step was at work on them, and
+        backend servers that a request crashed late."""
         while True:
             await asyncio.sleep(REVIVAL_S)
+            self._revive_crashed()
             for target, machine in enumerate(self._platform.machines.values()):
                 if not self._held_by_steps[target]:
                     self._start_node(machine, target)
 
+    def _revive_crashed(self) -> None:
+        for machine in self._platform.machines.values():
+            if machine.upstream.poll() == platform_upstream.DEADLY_EXIT:
+                self._platform.restart_upstream(machine)
+
     async def _start_machines(self) -> None:
         for number in range(self._count):
             link, peers, door = processes.free_ports(3)
@@ -584,9 +591,7 @@
                 group.create_task(each.send_deadly(number))
                 number += 1
                 await asyncio.sleep(DEADLY_INTERVAL_S)
-                for machine in self._platform.machines.values():
-                    if machine.upstream.poll() == platform_upstream.DEADLY_EXIT:
-                        self._platform.restart_upstream(machine)
+                self._revive_crashed()
 
     async def _degrade_link(self, link: proxy.Proxy, step: schedule.Step) -> None:
         """Degrade a link, in a mode picked by the duration of the step."""
