--- a/tooling/gingerturn_soak/odd_entries.py
+++ b/tooling/gingerturn_soak/odd_entries.py
@@ -57,12 +57,11 @@
     odd += [_keyed(key, _odd_member(rng, now_ms)) for key in rng.sample(_KEYS, 2)]
     nested = _member("nested", now_ms) | {"odd": rng.choice(NESTED)}
     odd += [_keyed(b"nested", _text(nested)), bytes([200]) + b"short", b""]
-    strangers = [
-        _keyed(name.encode(), _text(_member(name, now_ms + n, rng.choice(addresses))))
-        for addresses in [[NOBODY_PORT] * 9 + list(ports.values())]
-        for n in range(STRANGERS)
-        for name in [f"stranger{n}"]
-    ]
+    strangers = []
+    for name in map("stranger{}".format, range(STRANGERS)):
+        port = rng.choice([NOBODY_PORT] * 9 + list(ports.values()))
+        at = now_ms + rng.uniform(0.0, 1_000.0)
+        strangers.append(_keyed(name.encode(), _text(_member(name, at, port))))
     rival = _member(node, now_ms, ports[node]) | {"incarnation": str(MAX_INCARNATION)}
     overwritten = rng.choice((_odd_member(rng, now_ms), b"", _text(rival)))
     batches = [odd, strangers, [_keyed(node.encode(), overwritten)]]
@@ -71,10 +70,7 @@
 
 
 def of_operator(
-    rng: random.Random,
-    version: int,
-    routes: list[dict[str, object]],
-    **more: object,
+    rng: random.Random, version: int, routes: list[dict[str, object]], **more: object
 ) -> list[bytes]:
     """Return entries in the operator's topic, of which the last is a configuration.
 
@@ -94,8 +90,7 @@
     with_odd_route = json.dumps(routes)[:-1] + f",{_text(route).decode()}]"
     number = rng.choice(_NUMBERS[:2])
     changes = (
-        {"odd": rng.choice(NESTED)},
-        {"odd": rng.choice(NESTED)},
+        *[{"odd": rng.choice(NESTED)}] * 2,
         {"version": rng.choice((json.dumps("f" * 6_000), *VALUES))},
         {"routes": with_odd_route},
         {"limits": f'{{"max_header_bytes":{number}}}'},
@@ -111,17 +106,11 @@
 
     :param port: of the backend server, which the heartbeats name.
     """
-    beats: tuple[tuple[str, str], ...] = (
-        (f"127.0.0.1:{'9' * 2_000}", "4"),
-        ("127.0.0.1:70000", "4"),
-        (f"127.0.0.1:{port}", "[" * 1_000 + "]" * 1_000),
-        (f"127.0.0.1:{port}", "9" * 1_000),
-    )
-    address, slots = rng.choice(beats)
-    beat = (
-        f'{{"address":"{address}","node_info":{{"service_name":"plans",'
-        f'"slots":{slots}}},"status":{{"state":"ready","sequence":1}}}}'
-    )
+    slots = rng.choice(("4", "[" * 1_000 + "]" * 1_000, "9" * 1_000))
+    odd_port = rng.choice(("9" * 2_000, "70000"))
+    info = f'{{"service_name":"plans","slots":{slots}}}'
+    beat = f'{{"address":"127.0.0.1:{odd_port if slots == "4" else port}",'
+    beat += f'"node_info":{info},"status":{{"state":"ready","sequence":1}}}}'
     heads = (
         f"POST /a/odd HTTP/1.1\r\nContent-Length: {'0' * 5_000}2",
         f"GET /a/odd HTTP/1.1\r\nDeadline-Ms: {'9' * 5_000}",
@@ -142,21 +131,18 @@
     machine: platform_processes.Machine, name: str, content: bytes
 ) -> raw_callers.Exchange:
     """Send a request to a port of a node and return how it ended."""
-    title = content.partition(b"\r\n")[0].decode("latin-1")
     found = raw_callers.Exchange("", f"odd-{name}", machine.name, time.time())
-    found.title = title
+    found.title = content[:60].decode("latin-1")
+    port = machine.ports[name]
     try:
         async with asyncio.timeout(SEND_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                "127.0.0.1", machine.ports[name]
-            )
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(content)
-            found.sent = time.time()
-            words = (await reader.readline()).split(maxsplit=2)
+            found.ending = raw_callers.Ending.FIN
+            if line := await reader.readline():
+                found.ending = raw_callers.Ending.ANSWERED
+                found.status = int(line.split()[1])
             writer.close()
-        found.ending = raw_callers.Ending.FIN
-        if len(words) > 1:
-            found.status, found.ending = int(words[1]), raw_callers.Ending.ANSWERED
     except TimeoutError:
         found.ending = raw_callers.Ending.TIMEOUT
     except OSError:
