Soak: a run says how late its callers were themselves

They are one process. Beside a load of 40 requests of theirs lasted up to 70 s, although they give up after 12 s, and such a run reports late answers by the hundred.

--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -104,7 +104,8 @@
         )
         click.echo(
             f"{verdict.served} of {verdict.attempts} served,"
-            f" {len(verdict.steps)} steps, {len(verdict.violations)} violations"
+            f" {len(verdict.steps)} steps, {len(verdict.violations)} violations,"
+            f" callers late by up to {verdict.late_ms:.0f} ms"
         )
         if not verdict.violations:
             return True
--- a/tooling/gingerturn_soak/checks.py
+++ b/tooling/gingerturn_soak/checks.py
@@ -80,6 +80,7 @@
     :param odd: requests with odd values.
     :param views: what the nodes know at the end.
     :param upstreams: backend servers that run at the end.
+    :param late_ms: by how much the callers themselves were late at most.
     """
 
     attempts: list[callers.Attempt]
@@ -94,6 +95,7 @@
     odd: list[raw_callers.Exchange] = msgspec.field(default_factory=list)
     views: list[View] = msgspec.field(default_factory=list)
     upstreams: int = 0
+    late_ms: float = 0.0
 
 
 Check = collections.abc.Callable[[Observations], collections.abc.Iterator[str]]
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -173,6 +173,7 @@
             odd=self._odd,
             views=views,
             upstreams=upstreams,
+            late_ms=self._watch.late_ms,
         )
 
     def _start_fleets(self, group: asyncio.TaskGroup, stop: asyncio.Event) -> None:
@@ -729,10 +730,12 @@
 class Verdict(msgspec.Struct):
     """The result of a run.
 
+    :param late_ms: by how much the callers themselves were late at most.
     :param violations: a sentence for each violation.
     """
 
     seed: int
+    late_ms: float
     attempts: int
     served: int
     steps: list[str]
@@ -778,6 +781,7 @@
         violations += promises.violations(observed, timing=timing)
     return Verdict(
         seed=seed,
+        late_ms=observed.late_ms,
         attempts=len(observed.attempts) + len(observed.exchanges),
         served=sum(attempt.status == 200 for attempt in observed.attempts)
         + sum(exchange.status in SUCCESSES for exchange in observed.exchanges),
--- a/tooling/gingerturn_soak/watch.py
+++ b/tooling/gingerturn_soak/watch.py
@@ -52,9 +52,10 @@
 
 
 class Watch:
-    """Observes processes and records their lives."""
+    """Observes processes and records their lives, and how late that is at most."""
 
     def __init__(self) -> None:
+        self.late_ms = 0.0
         self.lives: list[Life] = []
         self.backend_ends: list[BackendEnd] = []
         self._running: dict[int, tuple[subprocess.Popen[bytes], Life]] = {}
@@ -84,7 +85,10 @@
     async def run(self, platform: platform_processes.Platform) -> None:
         """Observe the processes of a platform until cancelled."""
         while True:
+            begun = time.monotonic()
             await asyncio.sleep(INTERVAL_S)
+            late_ms = (time.monotonic() - begun - INTERVAL_S) * 1000.0
+            self.late_ms = max(self.late_ms, late_ms)
             self.look(platform)
             await self._ask_readiness(platform)
 
