Soak: signals to a starting process go by its processor time

A signal goes to a process only once its interpreter can have found the program, 0.1 s after it handles SIGINT. Waits for processes have threads of their own number, as twelve were used up by a loss of power beside stops, and steps came late.

--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import concurrent.futures
 import contextlib
 import pathlib
 import random
@@ -69,10 +70,8 @@
 SPARE_DESCRIPTORS = 2
 """What a starved node has beyond its open descriptors."""
 
+THREADS = 128
 BEGIN_POLL_S = 0.01
-BEGIN_S = 0.1
-"""Time from the start of the interpreter in which it finds the program."""
-
 HELD_NAMES = ("outbound", "inbound", "ready", "control")
 """Addresses of a node that are held, picked by the duration of the step."""
 
@@ -124,6 +123,9 @@
 
     async def play(self, steps: list[schedule.Step]) -> checks.Observations:
         """Run a schedule and return the observations."""
+        # Waits for processes, of which each takes a thread, must not delay steps.
+        executor = concurrent.futures.ThreadPoolExecutor(THREADS)
+        asyncio.get_running_loop().set_default_executor(executor)
         (link,) = processes.free_ports(1)
         slots = platform_upstream.SLOTS if self._rng is None else lasting.SLOTS
         self._platform = platform_processes.Platform(
@@ -638,7 +640,6 @@
         if number is not signal.SIGKILL:
             while process.poll() is None and not watch.has_begun(process.pid):
                 await asyncio.sleep(BEGIN_POLL_S)
-            await asyncio.sleep(BEGIN_S)
         self._watch.tell(process, number)
 
     async def _signal_and_wait(
--- a/tooling/gingerturn_soak/watch.py
+++ b/tooling/gingerturn_soak/watch.py
@@ -1,6 +1,7 @@
 """The lives of the processes of a run: starts, readiness, signals and ends."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import subprocess
@@ -11,6 +12,8 @@
 from gingerturn_standins import platform_processes
 
 INTERVAL_S = 0.1
+BEGIN_S = 0.1
+"""Processor time of a process in which its interpreter finds the program."""
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -117,16 +120,22 @@
 
 
 def has_begun(pid: int) -> bool:
-    """Return whether the interpreter of a process runs, which handles SIGINT then.
+    """Return whether the interpreter of a process runs, which handles SIGINT then, and
+    has had the processor for long enough to find the program.
 
     Signals that arrive before it does have their default action, whatever the program.
     """
     try:
         text = pathlib.Path(f"/proc/{pid}/status").read_text()
+        fields = (
+            pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        )
     except OSError:
         return False
+    used_s = sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
     caught = text.partition("SigCgt:")[2].split()
-    return bool(caught) and bool(int(caught[0], 16) >> (signal.SIGINT - 1) & 1)
+    handled = bool(caught) and bool(int(caught[0], 16) >> (signal.SIGINT - 1) & 1)
+    return handled and used_s >= BEGIN_S
 
 
 def _now_ms() -> float:
