--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import concurrent.futures
 import contextlib
 import pathlib
 import random
@@ -69,10 +70,8 @@
 SPARE_DESCRIPTORS = 2
 """What a starved node has beyond its open descriptors."""
 
+THREADS = 128
 BEGIN_POLL_S = 0.01
-BEGIN_S = 0.1
-"""Time from the start of the interpreter in which it finds the program."""
-
 HELD_NAMES = ("outbound", "inbound", "ready", "control")
 """Addresses of a node that are held, picked by the duration of the step."""
 
@@ -124,6 +123,9 @@
 
     async def play(self, steps: list[schedule.Step]) -> checks.Observations:
         """Run a schedule and return the observations."""
+        # Waits for processes, of which each takes a thread, must not delay steps.
+        executor = concurrent.futures.ThreadPoolExecutor(THREADS)
+        asyncio.get_running_loop().set_default_executor(executor)
         (link,) = processes.free_ports(1)
         slots = platform_upstream.SLOTS if self._rng is None else lasting.SLOTS
         self._platform = platform_processes.Platform(
@@ -173,6 +175,7 @@
             odd=self._odd,
             views=views,
             upstreams=upstreams,
+            late_ms=self._watch.late_ms,
         )
 
     def _start_fleets(self, group: asyncio.TaskGroup, stop: asyncio.Event) -> None:
@@ -212,13 +215,20 @@
         return sum(machine.upstream.poll() is None for machine in machines)
 
     async def _revive(self) -> None:
-        """Start the nodes again that ended while no step was at work on them."""
+        """Start the nodes again that ended while no step was at work on them, and
+        backend servers that a request crashed late."""
         while True:
             await asyncio.sleep(REVIVAL_S)
+            self._revive_crashed()
             for target, machine in enumerate(self._platform.machines.values()):
                 if not self._held_by_steps[target]:
                     self._start_node(machine, target)
 
+    def _revive_crashed(self) -> None:
+        for machine in self._platform.machines.values():
+            if machine.upstream.poll() == platform_upstream.DEADLY_EXIT:
+                self._platform.restart_upstream(machine)
+
     async def _start_machines(self) -> None:
         for number in range(self._count):
             link, peers, door = processes.free_ports(3)
@@ -584,9 +594,7 @@
                 group.create_task(each.send_deadly(number))
                 number += 1
                 await asyncio.sleep(DEADLY_INTERVAL_S)
-                for machine in self._platform.machines.values():
-                    if machine.upstream.poll() == platform_upstream.DEADLY_EXIT:
-                        self._platform.restart_upstream(machine)
+                self._revive_crashed()
 
     async def _degrade_link(self, link: proxy.Proxy, step: schedule.Step) -> None:
         """Degrade a link, in a mode picked by the duration of the step."""
@@ -632,7 +640,6 @@
         if number is not signal.SIGKILL:
             while process.poll() is None and not watch.has_begun(process.pid):
                 await asyncio.sleep(BEGIN_POLL_S)
-            await asyncio.sleep(BEGIN_S)
         self._watch.tell(process, number)
 
     async def _signal_and_wait(
@@ -724,10 +731,12 @@
 class Verdict(msgspec.Struct):
     """The result of a run.
 
+    :param late_ms: by how much the callers themselves were late at most.
     :param violations: a sentence for each violation.
     """
 
     seed: int
+    late_ms: float
     attempts: int
     served: int
     steps: list[str]
@@ -773,6 +782,7 @@
         violations += promises.violations(observed, timing=timing)
     return Verdict(
         seed=seed,
+        late_ms=observed.late_ms,
         attempts=len(observed.attempts) + len(observed.exchanges),
         served=sum(attempt.status == 200 for attempt in observed.attempts)
         + sum(exchange.status in SUCCESSES for exchange in observed.exchanges),
