Tests: proofs of starts beside odd records fail without their mechanism

Three mutations: no contacts while alone, own record not looked at, no question to a member. And a list that is readable in part, which held before.

--- a/tests/cover/test_starts_beside_odd_records.py
+++ b/tests/cover/test_starts_beside_odd_records.py
@@ -117,6 +117,21 @@
         assert len(during) <= 600
 
 
+def test_the_members_of_a_list_that_is_readable_in_part_are_contacted() -> None:
+    state = _started()
+    valid = messages.encode_record(_record("n2", REAL_PORT))
+    nested = b'{"type":"join","x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    read = events.NewestRead(
+        now=state.now,
+        stream=streams.MEMBERS,
+        records=(nested, b"{", valid, b"\xff"),
+        end=4,
+    )
+    out = reducer.reduce(state, read)
+    assert _synced_ports(out) == [REAL_PORT]
+    assert readiness.is_ready(state)
+
+
 def test_a_node_that_reached_a_member_contacts_few_others_at_once() -> None:
     state = _started()
     builders.add_members(state, builders.member("n2", "plans"))
--- a/tests/quality/test_rules_can_be_broken.py
+++ b/tests/quality/test_rules_can_be_broken.py
@@ -55,6 +55,7 @@
     test_routed_attempts as attempts,
     test_routes as of_routes,
     test_silent_nodes as silent,
+    test_starts_beside_odd_records as odd_records,
     test_startup_waits as startup,
     test_ticks as ticks,
     test_unproven_refusals as unproven,
@@ -464,6 +465,32 @@
         lambda node: of_routes.routes.RequestLimits(),
         limits.test_a_body_that_is_announced_too_long_is_refused_before_it_is_read,
     ),
+    (
+        "start beside strangers' records: contacts while alone",
+        joining,
+        "contact_while_alone",
+        _nothing,
+        functools.partial(
+            odd_records.test_a_real_member_is_contacted_beside_thousands_of_later_records,
+            builders.START + 60_000.0,
+        ),
+    ),
+    (
+        "start beside strangers' records: the own one",
+        joining,
+        "_is_own_record_lost",
+        _false,
+        functools.partial(
+            odd_records.test_a_record_that_was_deleted_or_replaced_is_put_again, None
+        ),
+    ),
+    (
+        "start without the list of members",
+        joining,
+        "_sync_with_a_member",
+        _nothing,
+        odd_records.test_a_node_that_members_reach_is_ready_without_the_list,
+    ),
     (
         "calls stay in their zone",
         upstream_costs,
