Lingering: a peer's reset no longer raises in the refusal that closes

Where the peer had reset a connection, closing its sending side raised ENOTCONN within the effect that refused the request. The effects behind it were dropped until now; since supervision it was an unhandled error, which is how it showed: test_no_cut_answer_looks_whole[empty-first] ended with four of them in a run of tests/cover beside a load of 43 (asyncio's own event loop; not seen on uvloop). Such a connection is closed at once. The new test failed before with that error.

The same run also failed that test's own assertion, as the backend server could not be reached within the connect time-out; it passed when run again alone, and is not explained further than that.

--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -60,7 +60,12 @@
         self._connections[transport] = discarding
         if len(self._connections) > MAX_LINGERING:
             self._make_room()
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The peer has reset it.
+            self._end(transport)
+            return
         if not transport.is_closing():
             # Reading may be paused for lack of credit.
             transport.resume_reading()
--- a/tests/cover/test_lingering.py
+++ b/tests/cover/test_lingering.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import errno
 import socket
+import typing
 
 import pytest
 import uvloop
@@ -17,7 +19,7 @@
     lingering,
     node as nodes,
 )
-from tests.common import builders, routed
+from tests.common import builders, routed, transports
 
 TIMEOUT_S = 30.0
 GET = b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
@@ -312,3 +314,18 @@
         assert received.endswith(b"content-length: 100\r\n\r\npart")
 
     run(play)
+
+
+# Guards against a reset of the peer that keeps other effects from being carried out.
+def test_a_connection_that_the_peer_has_reset_is_closed_at_once() -> None:
+    class Reset(transports.Transport):
+        def write_eof(self) -> None:
+            raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    transport = Reset()
+    kept = lingering.Lingering()
+    kept.close(
+        typing.cast(asyncio.Transport, transport), asyncio.Protocol(), is_sending=True
+    )
+    assert transport.closed
+    assert not len(kept)
