Stops: calls longer than the histogram holds outlast every stop

The last bucket held all times from 51 s on and counted as 51 s, so a call of minutes counted as shorter than a stop of one minute. It begins at 410 s now, and what is in it is longer than any stop. Names and a comment of the same part. Failed before: test_calls_longer_than_the_histogram_holds_outlast_every_stop.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -228,7 +228,7 @@
         quarantine.record_run(state, hosted.metadata.fingerprint, out)
     if event.whole:
         if event.status < calls.FIRST_FAILURE_STATUS:
-            _record_lasting(state, hosted)
+            _record_run_time(state, hosted)
         _release_slot(state, hosted, out, start_next=False)
     else:
         hosted.state = states.HostedState.STREAMING
@@ -268,7 +268,7 @@
     if hosted is None or hosted.state is not states.HostedState.STREAMING:
         return
     quarantine.record_run(state, hosted.metadata.fingerprint, out)
-    _record_lasting(state, hosted)
+    _record_run_time(state, hosted)
     _release_slot(state, hosted, out)
 
 
@@ -348,7 +348,7 @@
     admission.record_service_time(state, kind, elapsed)
 
 
-def _record_lasting(state: states.State, hosted: states.Hosted) -> None:
+def _record_run_time(state: states.State, hosted: states.Hosted) -> None:
     """Record how long a call lasted at the backend server, with its whole answer."""
     run_times.record(
         state.hosted_times,
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -177,6 +177,8 @@
 
 
 MAX_ROOM_MS = 65_535
+"""Largest time that the schema holds. Calls that last longer go to other
+upstreams, if possible."""
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/src/gingerturn/internal/core/run_times.py
+++ b/src/gingerturn/internal/core/run_times.py
@@ -22,7 +22,9 @@
 """Shorter times are not distinguished."""
 
 BUCKETS_PER_OCTAVE = 8
-LAST_BUCKET = BUCKETS_PER_OCTAVE * 9
+LAST_BUCKET = BUCKETS_PER_OCTAVE * 12
+"""Holds all times from 400 s on, which count as longer than any planned stop."""
+
 MAX_KINDS = 1_024
 """Bound on the kinds, whose names other nodes send."""
 
@@ -98,4 +100,6 @@
         longer -= known.counts.get(bucket, 0) + known.earlier.get(bucket, 0)
         if longer < 0:
             break
+    if bucket == LAST_BUCKET:
+        return math.inf
     return SHORTEST_MS * math.pow(2.0, bucket / BUCKETS_PER_OCTAVE)
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -325,6 +325,14 @@
     assert not state.hosted_times.kinds
 
 
+# Guards against calls of many minutes that count as shorter than a long stop.
+def test_calls_longer_than_the_histogram_holds_outlast_every_stop() -> None:
+    times = run_times.RunTimes()
+    for _ in range(run_times.MIN_SAMPLES):
+        run_times.record(times, "k", 600_000.0, now=0.0)
+    assert run_times.usual_ms(times, "k") > 600_000.0
+
+
 # Guards against memory that grows with names of kinds or with durations.
 def test_usual_times_take_bounded_memory() -> None:
     times = run_times.RunTimes()
