Listings: one that ended early does not count as complete

Operators saw nodes without a configuration for good, or ready while each knew itself alone, where another writer had put more than a page of keys that are not UTF-8: the store shows them all alike, so the second page brought no new key, paging ended and the core took what was there for everything. The bounds of a listing (1,000 pages, 16 MB, 30 s) ended in the same state.

A listing now says whether it is complete. Without a route table, or without a member that was reached, a part counts as a failed read: repeated with the usual pauses, with a line and named by readiness. A record that is absent from a part is not lost; one that listings keep lacking is put again with doubled pauses. Where the only key to continue from is not the one in the log, reading goes on behind all keys that begin in the same way; a store that refuses that place ends the listing early.

Failed before: test_odd_entries.py::test_all_nodes_start_again_beside_keys_that_hide_ those_behind_them, both topics (TimeoutError: nodes were not ready within 20 s); both pass now. The tests of test_partial_listings.py and test_odd_values.py that look at the new field failed for want of it. The recorded form of NewestRead has one field more; its earlier form is kept among those that are still read.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -313,6 +313,7 @@
     :param requested_at: when the read began; 0 if not known.
     :param generation: as in the effect that requested the read.
     :param epoch: of the log that answered.
+    :param complete: whether it includes each key; not if reading ended early.
     """
 
     stream: str
@@ -321,6 +322,7 @@
     requested_at: ids.Milliseconds = 0.0
     generation: int = 0
     epoch: ids.LogEpoch = ids.LogEpoch(0)
+    complete: bool = True
 
 
 class EntriesSkipped(Event, frozen=True):
--- a/src/gingerturn/internal/core/joining.py
+++ b/src/gingerturn/internal/core/joining.py
@@ -35,6 +35,10 @@
 """Join records written by all nodes together after the log was restored from a backup.
 Bounds the load on a log that has just started."""
 
+MAX_REWRITE_DOUBLINGS = 6
+"""Limit of the growth of the delay before a join record is put again that one base
+read after another lacks."""
+
 RECENT_START_MS = 30_000.0
 """All members know a node that started longer ago than this."""
 
@@ -78,17 +82,20 @@
     )
 
 
-def rewrite_join_record(state: states.State) -> None:
+def rewrite_join_record(state: states.State, *, delay_factor: float = 1.0) -> None:
     """Schedule another put of the join record, as a restored log may have lost it.
 
     Nodes put theirs at random times, to spread the load.
+
+    :param delay_factor: by which the delay is longer than usually.
     """
     view = state.membership
     if state.departed:
         return
     spread_ms = 1_000.0 * max(1.0, len(view.members) / REWRITES_PER_SECOND)
     view.join_put_number = state.next_number()
-    view.join_retry_at = state.now + spread_ms * state.random.random()
+    delay_ms = delay_factor * spread_ms * state.random.random()
+    view.join_retry_at = state.now + delay_ms
 
 
 def on_put_ended(
@@ -129,12 +136,22 @@
     state: states.State,
     records: list[messages.JoinRecord],
     out: states.Effects,
+    *,
+    complete: bool = True,
+    sufficient: bool = True,
 ) -> None:
-    """Handle a base read of join records: contact nodes that are not members yet."""
+    """Handle a base read of join records: contact nodes that are not members yet.
+
+    :param complete: whether it includes each key.
+    :param sufficient: whether the members count as listed by it.
+    """
     view = state.membership
-    view.members_listed = True
-    if _is_own_record_lost(state, records):
-        rewrite_join_record(state)
+    view.members_listed |= sufficient
+    if _is_own_record_lost(state, records, complete=complete):
+        rewrite_join_record(state, delay_factor=2.0**view.join_rewrites)
+        view.join_rewrites = min(view.join_rewrites + 1, MAX_REWRITE_DOUBLINGS)
+    elif complete and not view.join_put_number:
+        view.join_rewrites = 0
     unknown = _in_order(state, [r for r in records if _is_unknown(state, r)])
     listed = {record.node for record in unknown}
     kept = {n: found for n, found in view.uncontacted.items() if n in listed}
@@ -147,16 +164,21 @@
 
 
 def _is_own_record_lost(
-    state: states.State, records: list[messages.JoinRecord]
+    state: states.State, records: list[messages.JoinRecord], *, complete: bool
 ) -> bool:
     """Whether the acknowledged join record was deleted or replaced. One of a later
-    start of this node is left alone."""
+    start of this node is left alone.
+
+    :param complete: whether the records include each key.
+    """
     view = state.membership
     me = view.self_member
     if me is None or view.join_put_number:
         return False
     own = next((record for record in records if record.node == state.node), None)
-    if own is None or own.incarnation < me.incarnation:
+    if own is None:
+        return complete
+    if own.incarnation < me.incarnation:
         return True
     is_same = (own.host, own.gossip_port) == (me.host, me.gossip_port)
     return own.incarnation == me.incarnation and not is_same
--- a/src/gingerturn/internal/core/readiness.py
+++ b/src/gingerturn/internal/core/readiness.py
@@ -48,6 +48,8 @@
         pending_ms = streams.pending_ms(state, name)
         return f"{reason.value}; stream {name} is being read for {pending_ms:.0f} ms."
     failures = streams.consecutive_failures(stream)
+    if stream.incomplete:
+        return f"{reason.value}; stream {name} is read in part only, {failures} tries."
     return f"{reason.value}; stream {name} could not be read, {failures} tries."
 
 
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -29,6 +29,7 @@
     keys,
     level_control,
     log_epochs,
+    member_table,
     membership,
     messages,
     operator_log,
@@ -366,20 +367,35 @@
     if not _is_usable(state, stream, event, out):
         streams.retry_due(state, out)
         return
-    streams.on_base_read(state, stream, end=event.end, out=out)
     decoded = _decode_records(state, event.stream, event.records, out)
+    sufficient = event.complete or _is_sufficient(state, event.stream, decoded)
+    if sufficient:
+        streams.on_base_read(state, stream, end=event.end, out=out)
+    else:
+        streams.on_read_failed(state, stream, out, incomplete=True)
     if event.stream == streams.MEMBERS:
         joins = [r for _, r in decoded if isinstance(r, messages.JoinRecord)]
-        joining.on_base_read(state, joins, out)
+        joining.on_base_read(
+            state, joins, out, complete=event.complete, sufficient=sufficient
+        )
     for _, record in decoded:
         if not isinstance(record, messages.JoinRecord):
             _on_record(state, event.stream, event.end, record, out)
-    if event.stream == streams.ROUTES and event.requested_at:
+    if event.stream == streams.ROUTES and event.requested_at and sufficient:
         freshness.on_read(state, event.requested_at)
     stream.consecutive_unapplied = 0
     streams.retry_due(state, out)
 
 
+def _is_sufficient(
+    state: states.State, stream: str, decoded: list[tuple[int, messages.LogRecord]]
+) -> bool:
+    """Whether a base read that ended early found what the stream is read for."""
+    if stream == streams.MEMBERS:
+        return bool(member_table.reachable(state))
+    return bool(decoded)
+
+
 def _on_put_done(
     state: states.State, event: events.PutDone, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -800,6 +800,7 @@
         the number of times each was contacted.
     :param join_put_number: number of the pending put of this node's join record; 0 once
         it is acknowledged.
+    :param join_rewrites: consecutive base reads that lacked this node's join record.
     :param members_listed: the members on the log have been read.
     :param synced: a member has sent all the members that it knows.
     :param last_datagram_at: when the last datagram of a member arrived.
@@ -826,6 +827,7 @@
     uncontacted: dict[str, tuple[messages.JoinRecord, int]] = {}
     join_put_number: int = 0
     join_retry_at: ids.Milliseconds = 0.0
+    join_rewrites: int = 0
     members_listed: bool = False
     synced: bool = False
     last_datagram_at: ids.Milliseconds = 0.0
@@ -892,6 +894,7 @@
     :param consecutive_missing: consecutive reads whose offset the log did not hold.
     :param missing_total: number of such reads since the start.
     :param consecutive_unapplied: consecutive answers that could not be applied.
+    :param incomplete: the last base read ended early, and counts as failed.
     """
 
     name: str
@@ -914,6 +917,7 @@
     consecutive_missing: int = 0
     missing_total: int = 0
     consecutive_unapplied: int = 0
+    incomplete: bool = False
 
 
 class KeyPhase(enum.Enum):
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -155,6 +155,7 @@
     _log_recovery(stream, out)
     stream.read_pending = False
     stream.failures = 0
+    stream.incomplete = False
     stream.base_read = not stream.outdated
     stream.outdated = False
     stream.caught_up = True
@@ -262,19 +263,23 @@
     out: states.Effects,
     *,
     unapplied: bool = False,
+    incomplete: bool = False,
 ) -> None:
     """Handle a failed read: back off with jitter, so that not all nodes read at once
     when the log returns.
 
     :param unapplied: it was answered, and the answer could not be applied.
+    :param incomplete: it was a base read that ended early.
     """
+    stream.incomplete = incomplete
     stream.read_pending = False
     if unapplied:
         _on_unapplied(state, stream)
     stream.outdated = False
     stream.failures += 1
     if stream.failures == 1:
-        operator_log.warn(out, "log", f"Stream {stream.name} cannot be read.")
+        problem = "is read in part only" if incomplete else "cannot be read"
+        operator_log.warn(out, "log", f"Stream {stream.name} {problem}.")
     tries = consecutive_failures(stream)
     stream.retry_at = state.now + _backoff(state, stream, tries)
 
--- a/src/gingerturn/internal/shell/log_entries.py
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -20,6 +20,9 @@
 """Time after which a listing ends with what was read, half of that which a base read
 may take: one that fails begins again, and would never get further."""
 
+MAX_KEY = 255
+"""Bytes of a key."""
+
 _REPLACED = "\N{REPLACEMENT CHARACTER}".encode()
 """In a key that is not the one in the log: the service could not encode it."""
 
@@ -120,6 +123,7 @@
     pages_read = 1
     visited: set[bytes] = set()
     after = b""
+    complete = True
     while True:
         for entry in page.entries:
             usable.add(entry)
@@ -131,24 +135,42 @@
         problem = _paging_problem(following, pages_read, usable.size, elapsed_s)
         if problem:
             usable.skip(after, log_service.NO_OFFSET, problem)
+            complete = False
             break
+        is_listed = any(entry.key == following for entry in page.entries)
         after = following
         visited.add(after)
-        page = await read_page(after)
+        try:
+            page = await read_page(after)
+        except errors.LogServiceError as error:
+            if is_listed:
+                raise
+            # The service may refuse a place that is none of its keys.
+            usable.skip(
+                after, log_service.NO_OFFSET, f"nothing is read behind: {error}"
+            )
+            complete = False
+            break
         pages_read += 1
-    return log_service.Newest(usable.contents, end, epoch, usable.skipped)
+    return log_service.Newest(usable.contents, end, epoch, usable.skipped, complete)
 
 
 def _next_place(page: Page, visited: set[bytes]) -> bytes:
     """Return the key after which the next page begins; empty if none can be used."""
     keys = [entry.key for entry in page.entries if entry.key]
     exact = [key for key in keys if _REPLACED not in key]
-    for key in (*exact[-1:], *keys[-1:]):
+    for key in (*exact[-1:], *keys[-1:], *map(_behind_prefix, keys[-1:])):
         if key not in visited:
             return key
     return b""
 
 
+def _behind_prefix(key: bytes) -> bytes:
+    """Return a place behind all keys with the known beginning of a key."""
+    prefix, replaced, _ = key.partition(_REPLACED)
+    return prefix[:MAX_KEY].ljust(MAX_KEY, b"\xff") if replaced else key
+
+
 def _paging_problem(
     following: bytes, pages_read: int, size: int, elapsed_s: float
 ) -> str:
--- a/src/gingerturn/internal/shell/log_side.py
+++ b/src/gingerturn/internal/shell/log_side.py
@@ -162,6 +162,7 @@
                 requested_at=requested_at,
                 generation=effect.generation,
                 epoch=ids.LogEpoch(reply.epoch),
+                complete=reply.complete,
             )
         )
 
--- a/src/gingerturn/log_service.py
+++ b/src/gingerturn/log_service.py
@@ -121,12 +121,14 @@
     :param end: offset from which to continue reading.
     :param epoch: epoch of the log.
     :param skipped: entries that could not be used.
+    :param complete: whether it includes each key; not if reading ended early.
     """
 
     contents: tuple[bytes, ...]
     end: int
     epoch: int = 0
     skipped: SkippedEntries = NOTHING_SKIPPED
+    complete: bool = True
 
 
 class Appended(msgspec.Struct, frozen=True):
--- a/tests/cover/test_odd_values.py
+++ b/tests/cover/test_odd_values.py
@@ -381,6 +381,7 @@
     found = pages.all()
     assert pages.places == [b"", b"n2"]
     assert any(found.contents)
+    assert not found.complete
     (entry,) = found.skipped.examples
     assert "no new key" in entry.problem
 
@@ -398,6 +399,7 @@
     found = pages.all()
     assert len(found.contents) == 9
     assert found.skipped.count == 0
+    assert found.complete
 
 
 def test_paging_ends_where_each_page_has_a_new_key() -> None:
@@ -412,6 +414,7 @@
     found = asyncio.run(log_entries.read_newest(streams.MEMBERS, read))
     assert len(places) == log_entries.MAX_PAGES
     assert "pages behind it" in found.skipped.examples[0].problem
+    assert not found.complete
 
 
 def test_paging_ends_where_its_records_take_too_much_memory(
@@ -422,6 +425,7 @@
     found = pages.all()
     assert sum(map(len, found.contents)) < 2_000
     assert "more than 1000 bytes" in found.skipped.examples[0].problem
+    assert not found.complete
 
 
 # Guards against a node that is never ready: a listing that takes longer than a base
@@ -435,6 +439,7 @@
     found = pages.all()
     assert len(found.contents) == 1
     assert "0 s for the pages" in found.skipped.examples[0].problem
+    assert not found.complete
 
 
 def test_a_listing_whose_end_goes_back_is_followed_from_the_lowest_one() -> None:
@@ -464,6 +469,60 @@
     assert pages.places == [b"", b"n2"]
 
 
+def _hidden_page(*, more: bool = True) -> log_entries.Page:
+    """Return a page whose keys are not those in the log."""
+    return _page(*[_item("a" + 3 * "\N{REPLACEMENT CHARACTER}")] * 3, more=more)
+
+
+# Guards against keys of another writer that hide those behind them: more than a page of
+# them looked the same, so the listing ended there.
+def test_a_listing_continues_behind_the_known_beginning_of_hidden_keys() -> None:
+    last = _page(_item("n1"), more=False)
+    pages = _Pages(_hidden_page(), _hidden_page(), last)
+    found = pages.all()
+    hidden = "a\N{REPLACEMENT CHARACTER}\N{REPLACEMENT CHARACTER}".encode()
+    assert pages.places[1].startswith(hidden)
+    assert pages.places[2] == b"a".ljust(log_entries.MAX_KEY, b"\xff")
+    assert len(found.contents) == 7
+    assert found.complete
+
+
+def test_a_listing_ends_where_nothing_is_behind_the_known_beginning() -> None:
+    pages = _Pages(_hidden_page())
+    assert not pages.all().complete
+    assert len(pages.places) == 3
+
+
+def test_a_place_that_the_store_refuses_ends_the_listing() -> None:
+    pages = _Pages(_hidden_page())
+
+    async def read(after: bytes) -> log_entries.Page:
+        if after.endswith(b"\xff"):
+            raise errors.LogServiceError(
+                "status 400", step="newest", peer="store", took_effect=None
+            )
+        return await pages.read(after)
+
+    found = asyncio.run(log_entries.read_newest(streams.MEMBERS, read))
+    assert len(found.contents) == 6
+    assert not found.complete
+    assert "status 400" in found.skipped.examples[-1].problem
+
+
+def test_a_refused_page_behind_a_listed_key_fails_the_listing() -> None:
+    first = _page(_item("n1"))
+
+    async def read(after: bytes) -> log_entries.Page:
+        if after:
+            raise errors.LogServiceError(
+                "status 500", step="newest", peer="store", took_effect=None
+            )
+        return first
+
+    with pytest.raises(errors.LogServiceError, match="status 500"):
+        asyncio.run(log_entries.read_newest(streams.MEMBERS, read))
+
+
 def test_a_key_that_is_not_utf_8_is_kept_as_its_bytes() -> None:
     page = _page(_item("nX").replace(b"nX", b"n\xff\xc3"), _item("n1"))
     assert [entry.key for entry in page.entries] == [b"n\xff\xc3", b"n1"]
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -248,8 +248,8 @@
             generation=7,
             epoch=ids.LogEpoch(9),
         ),
-        "98aa4e657765737452656164cb3ff0000000000000a76d656d6265727391c401"
-        "7203cb3fe00000000000000709",
+        "99aa4e657765737452656164cb3ff0000000000000a76d656d6265727391c401"
+        "7203cb3fe00000000000000709c3",
     ),
     (
         events.EntriesSkipped(
@@ -338,11 +338,16 @@
         "7475739a07090304c3a5706c616e73cb40040000000000000bcb403e00000000"
         "000094a169cb4004000000000000c307",
     ),
+    (
+        "NewestRead",
+        "98aa4e657765737452656164cb3ff0000000000000a76d656d6265727391c401"
+        "7203cb3fe00000000000000709",
+    ),
 ]
 """The same events as recorded before load reports and calls carried a status, load
 reports the share factors of workspaces, load reports, calls and answers of backend
-servers anything of the pace, and membership messages the age of what is known of the
-log."""
+servers anything of the pace, membership messages the age of what is known of the log,
+and base reads whether they are complete."""
 
 EFFECTS: list[tuple[effects.AnyEffect, str]] = [
     (
--- a/tests/nocover/test_odd_entries.py
+++ b/tests/nocover/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Real nodes beside entries of another writer in the topics that they read."""
 
 import collections.abc
+import itertools
 import json
 import pathlib
 import re
@@ -22,6 +23,7 @@
     "max_attempts": 2,
 }
 MEMBERS_TOPIC = "keyed.gingerturn-members"
+CONFIGURATION_TOPIC = "keyed.op"
 NESTED = b"[" * 100_000 + b"]" * 100_000
 
 APPLY_S = 2.0
@@ -127,6 +129,18 @@
     _restart_all(platform)
 
 
+# Guards against keys that look the same in a listing, more of them than a page holds:
+# nodes had no configuration, or were ready while each knew itself alone.
+@pytest.mark.parametrize("topic", [MEMBERS_TOPIC, CONFIGURATION_TOPIC])
+def test_all_nodes_start_again_beside_keys_that_hide_those_behind_them(
+    platform: platform_processes.Platform, topic: str
+) -> None:
+    endings = itertools.product(range(0x80, 0xC0), repeat=2)
+    hidden = [b"a\xff" + bytes(ending) for ending in itertools.islice(endings, 1_100)]
+    platform.write_entries(topic, *((key, b"no record") for key in hidden))
+    _restart_all(platform)
+
+
 # Guards against a node that pages through the members for ever.
 @pytest.mark.parametrize("paging", ["stuck", "endless"])
 def test_all_nodes_start_again_where_each_page_says_that_more_follow(
