Logs: lines about skipped input have a rate limit of their own

Operators saw no lines of members and versions while something sent datagrams that are not authentic: each dropped datagram took one of the 100 lines a second of changes. Such lines, and all others about skipped input, now share 50 a second of their own, and the report of dropped lines counts them as `skipped`.

Failed before: after 300 skipped datagrams in a second no line of a change was allowed (`assert all(may_write_change() ...)` was False).

--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -1,7 +1,8 @@
 """Structured logs.
 
-JSON lines go to standard output. Failed requests, other decisions and membership
-changes have separate rate limits, so that a burst of one does not displace the others.
+JSON lines go to standard output. Failed requests, other decisions, membership
+changes and invalid input have separate rate limits, so that a burst of one does not
+displace the others.
 A slow reader never blocks a request: lines that exceed the backlog are dropped and
 counted.
 
@@ -34,7 +35,10 @@
 """Rate limit of lines about all other decisions."""
 
 CHANGES_PER_S = 100
-"""Rate limit of lines about membership changes and invalid input of other programs."""
+"""Rate limit of lines about membership changes."""
+
+SKIPPED_PER_S = 50
+"""Rate limit of lines about invalid input of other programs."""
 
 ENDS_PER_S = 50
 """Rate limit of lines about connections that ended with an open request."""
@@ -122,6 +126,7 @@
         self.failures = Budget(FAILURES_PER_S)
         self.successes = Budget(SUCCESSES_PER_S)
         self.changes = Budget(CHANGES_PER_S)
+        self.skipped = Budget(SKIPPED_PER_S)
         self.ends = Budget(ENDS_PER_S)
         self.errors = Budget(ERRORS_PER_S)
         self.output: Output | None = None
@@ -232,11 +237,12 @@
 
 
 def warn_skipped(what: str, key: bytes, problem: str) -> None:
-    """Log that input of another program was skipped, within the rate limit of changes.
+    """Log that input of another program was skipped, within the rate limit of such
+    lines.
 
     :param key: key or name of the input, of which the beginning is shown.
     """
-    if may_write_change():
+    if _state.skipped.take(time.monotonic()):
         shown = key[:SHOWN_KEY_BYTES].decode(errors="replace")
         write("WARNING", "words", f"{what} {shown!r} skipped: {problem}.")
 
@@ -247,17 +253,20 @@
         _state.failures,
         _state.successes,
         _state.changes,
+        _state.skipped,
         _state.ends,
         _state.errors,
     )
     stalled = 0 if _state.output is None else _state.output.dropped
-    failures, successes, changes, ends, unhandled = (b.dropped for b in budgets)
+    failures, successes, changes, skipped, ends, unhandled = (
+        budget.dropped for budget in budgets
+    )
     for budget in budgets:
         budget.dropped = 0
     if _state.output is not None:
         _state.output.dropped = 0
         _state.output.flush()
-    if failures or changes or ends or unhandled or stalled:
+    if failures or changes or skipped or ends or unhandled or stalled:
         write(
             "WARNING",
             "logs",
@@ -265,8 +274,9 @@
             failures=failures,
             successes=successes,
             changes=changes,
+            skipped=skipped,
             ends=ends,
             errors=unhandled,
             stalled=stalled,
         )
-    return failures + successes + changes + ends + unhandled + stalled
+    return failures + successes + changes + skipped + ends + unhandled + stalled
--- a/tests/cover/test_logs.py
+++ b/tests/cover/test_logs.py
@@ -7,6 +7,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 
 import loguru
 import pytest
@@ -89,6 +90,24 @@
     assert line["text"].startswith("It is long: xx")
 
 
+# Guards against a node that is silent about its members and versions while something
+# sends it datagrams of another cluster.
+def test_lines_about_skipped_input_do_not_displace_those_of_changes(
+    json_lines: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fresh = logs._State()
+    fresh.output = logs._state.output
+    monkeypatch.setattr(logs, "_state", fresh)
+    monkeypatch.setattr(time, "monotonic", lambda: 7.0)
+    for _ in range(300):
+        logs.warn_skipped("Datagram of", b"127.0.0.1:9", "not authentic")
+    assert os.read(json_lines, 1 << 16).count(b"\n") == logs.SKIPPED_PER_S
+    assert all(logs.may_write_change() for _ in range(logs.CHANGES_PER_S))
+    assert logs.report_dropped() == 300 - logs.SKIPPED_PER_S
+    line = json.loads(os.read(json_lines, 1 << 16))
+    assert (line["skipped"], line["changes"]) == (300 - logs.SKIPPED_PER_S, 0)
+
+
 def test_json_lines_import_no_library_for_text() -> None:
     code = (
         "import sys\n"
