Logs: skipped entries of streams are lines of part log

Operators who look at part `log` for what is wrong with a stream did not find the entries that were skipped there; they were lines of part `words`. Two comments state what a bound means in place of how it was chosen.

Failed before: test_entries_that_are_skipped_are_counted_and_named ({'words'} == {'log'}).

--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -34,7 +34,7 @@
 ROUTES = "routes"
 
 MAX_MEMBER_RECORD = 2_048
-"""Bytes of a record of a member, several times those that a node writes."""
+"""Bytes of a record of a member; longer ones are skipped."""
 
 MAX_SKIPPED_LINES_PER_S = 10
 """Log lines about entries of one stream that are not used."""
@@ -84,7 +84,7 @@
         if counted.lines >= MAX_SKIPPED_LINES_PER_S:
             return
         counted.lines += 1
-        operator_log.warn(out, "words", f"{_describe(name, entry)}.")
+        operator_log.warn(out, "log", f"{_describe(name, entry)}.")
 
 
 def _describe(name: str, entry: log_service.Skipped) -> str:
--- a/src/gingerturn/internal/shell/log_entries.py
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -17,8 +17,8 @@
 """Bytes of the records that one listing returns."""
 
 MAX_LISTING_S = 30.0
-"""Time after which a listing ends with what was read, half of that which a base read
-may take: one that fails begins again, and would never get further."""
+"""Time after which a listing ends with what was read. It is shorter than the time-out
+of a base read, which would discard that."""
 
 MAX_KEY = 255
 """Bytes of a key."""
--- a/tests/cover/test_odd_values.py
+++ b/tests/cover/test_odd_values.py
@@ -304,7 +304,9 @@
     event = events.EntriesSkipped(now=builders.START, stream="members", skipped=skipped)
     state = routed.node_state()
     out = reducer.reduce(state, event)
-    lines = [e.text for e in out if isinstance(e, effects.WriteLog)]
+    written = [e for e in out if isinstance(e, effects.WriteLog)]
+    assert {e.part for e in written} == {"log"}
+    lines = [e.text for e in written]
     assert len(lines) == streams.MAX_SKIPPED_LINES_PER_S
     shown = "k" * log_service.MAX_KEY_SHOWN
     assert lines[0] == f"Entry of members '{shown}' at offset 0 skipped: no record."
