Errors: a call that lost a piece ends, and its caller sees that

A caller got a complete 200 whose body had a hole: an error of the node while it handled one piece of a streamed answer was recorded by the connection between nodes, and the later pieces of the same call went on. So it was with pieces of a request's body at its home, with the pieces behind an answer's head that could not be applied, and a whole answer that could not be written left its caller waiting.

The sides now end the call of a frame that they cannot handle: the entry cancels the attempt and closes the caller's connection, the home breaks the call off and drops the connection to the backend server. If that fails too, the connection between the nodes is aborted. BackendAnswered, UnprovenRefusal and AttemptAnswered that are not applied break their calls off.

--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -5,7 +5,7 @@
 
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import caller_requests, clock, links
+from gingerturn.internal.shell import caller_requests, clock, links, supervision
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -90,6 +90,24 @@
         pending = self._attempts.get(frame.call)
         if pending is None:
             return
+        try:
+            self._on_frame(pending, frame)
+        except Exception as error:
+            subject = f"{type(frame).__name__} of request {pending.request.call}"
+            supervision.record("entry", error, subject=subject)
+            self._end(pending, frame.call)
+
+    def _end(self, pending: PendingAttempt, call: int) -> None:
+        """End an attempt, and close its caller's connection: after a lost piece, the
+        later ones would make a body that looks complete."""
+        try:
+            pending.request.connection.close(ERROR_CAUSE)
+            self._drop_attempt(call, cancel=True)
+        except Exception:
+            pending.request.connection.abort_transport()
+            raise
+
+    def _on_frame(self, pending: PendingAttempt, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Answer):
             pending.answer = frame
             self._node.apply(
@@ -279,8 +297,12 @@
         request = pending.request
         if answer.whole:
             self._attempts.pop(effect.attempt)
-            pending.carrier.forget(effect.attempt)
-            request.connection.send_whole(request, head, answer.body)
+            try:
+                pending.carrier.forget(effect.attempt)
+                request.connection.send_whole(request, head, answer.body)
+            except Exception:
+                request.connection.close(ERROR_CAUSE)
+                raise
             return
         pending.relaying = True
         request.grant_credit = self._credit_granter(effect.attempt, pending.carrier)
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -5,7 +5,13 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import decisions, effects, events, messages
-from gingerturn.internal.shell import backend_pool, clock, exchanges, links
+from gingerturn.internal.shell import (
+    backend_pool,
+    clock,
+    exchanges,
+    links,
+    supervision,
+)
 from gingerturn.internal.wire import frames
 
 if typing.TYPE_CHECKING:
@@ -51,6 +57,30 @@
 
     def on_frame(self, channel: links.Channel, frame: frames.Frame) -> None:
         """Handle a frame from an entry node."""
+        hosted = channel.hosted.get(frame.call)
+        try:
+            self._on_frame(channel, frame)
+        except Exception as error:
+            subject = f"{type(frame).__name__} from {channel.peer}"
+            supervision.record("home", error, subject=subject)
+            self._end(channel, frame.call, channel.hosted.get(frame.call, hosted))
+
+    def _end(
+        self, channel: links.Channel, call: int, hosted: ids.HostedId | None
+    ) -> None:
+        """End a call: after a lost piece, the later ones would make a body that looks
+        complete."""
+        exchange = None if hosted is None else self._exchanges.get(hosted)
+        if hosted is None or exchange is None:
+            channel.hosted.pop(call, None)
+            channel.send(frames.Broken(call=call))
+            return
+        self.break_off(hosted)
+        if hosted in self._exchanges:
+            # What the backend server got may be incomplete.
+            exchange.fail()
+
+    def _on_frame(self, channel: links.Channel, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Open):
             self._on_open(channel, frame)
             return
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -49,6 +49,17 @@
 
 _PART = "peers"
 
+_OF_CALLS = (
+    frames.Open,
+    frames.Answer,
+    frames.Refuse,
+    frames.Chunk,
+    frames.Credit,
+    frames.Cancel,
+    frames.Broken,
+)
+"""Frames that carry a part of a call or end it."""
+
 
 class FrameProtocol(asyncio.Protocol):
     """Framing and mutual authentication, common to both ends of a connection.
@@ -99,7 +110,8 @@
                     self._on_handshake_frame(frames.decode(content))
                     continue
                 frame = frames.decode(content, self._inflater)
-                self._handle(frame)
+                if not self._handle(frame):
+                    return
             # Checked after the frames: the proof and a long call may arrive together.
             if not self._authenticated:
                 self._check_unauthenticated_size(len(self._buffer))
@@ -107,9 +119,13 @@
             logs.write("WARNING", _PART, f"Connection of {self._peer_name()}: {error}.")
             self._abort()
 
-    def _handle(self, frame: frames.Frame) -> None:
+    def _handle(self, frame: frames.Frame) -> bool:
         """Handle a frame. After an error of this node, other calls go on.
 
+        The sides end the call of a frame that they cannot handle. If even that fails,
+        the connection is aborted, since later frames of the call would follow.
+
+        :return: whether further frames may be handled.
         :raises GingerturnError: for a frame that is not allowed.
         """
         try:
@@ -118,6 +134,10 @@
             raise
         except Exception as error:
             supervision.record(_PART, error, subject=type(frame).__name__)
+            if isinstance(frame, _OF_CALLS):
+                self._abort()
+                return False
+        return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end, and free the place among those that are compressed."""
--- a/src/gingerturn/internal/shell/unapplied.py
+++ b/src/gingerturn/internal/shell/unapplied.py
@@ -29,8 +29,14 @@
             return lambda: node.apply(events.PutFailed(now=clock.now(), put=put))
         case events.CallArrived(call=call):
             return lambda: node.entry.refuse_unapplied(call)
-        case events.OpenReceived(hosted=hosted):
+        case (
+            events.OpenReceived(hosted=hosted)
+            | events.BackendAnswered(hosted=hosted)
+            | events.UnprovenRefusal(hosted=hosted)
+        ):
             return lambda: node.home.break_off(hosted)
+        case events.AttemptAnswered(attempt=attempt):
+            return lambda: node.entry.abort_answer(attempt)
     return None
 
 
