Errors: "not run" is said only of a request that is never sent

A caller with several requests on one connection read 503 "not run" for one, and the request reached its home node later; its answer went to the caller as well, as that of the next request. An error in the dispatch refused the request without withdrawing its call from the core. An arrival that failed after its attempt was sent and lost again was refused so, too.

The call is withdrawn first. If the request ever had an attempt, or cannot be withdrawn, its connection closes. No attempt is opened, and no answer written, for a request that is answered.

The existing test of a failed dispatch also asserts that the core holds no call.

--- a/src/gingerturn/internal/shell/entry.py
+++ b/src/gingerturn/internal/shell/entry.py
@@ -180,8 +180,25 @@
         registered = self._requests.get(call)
         if registered is None or self.attempt_of(registered[0]) is not None:
             return
-        self._node.apply(events.CallerGone(now=clock.now(), call=call))
-        registered[0].connection.refuse_for_error(registered[0])
+        self.refuse_for_error(registered[0])
+
+    def refuse_for_error(self, request: caller_requests.Request) -> None:
+        """Refuse a request as not run, after an error. The connection of one that was
+        sent before, or that cannot be withdrawn, is closed."""
+        is_withdrawn = self._withdraw(request.call)
+        if request.attempt or not is_withdrawn:
+            request.connection.close(ERROR_CAUSE)
+        else:
+            request.connection.refuse_for_error(request)
+
+    def _withdraw(self, call: ids.CallId) -> bool:
+        """Withdraw a call from the core; return whether that did not fail."""
+        with supervision.contained("entry", subject=f"request {call}"):
+            self._node.apply(events.CallerGone(now=clock.now(), call=call))
+            # An event that waits for others is applied later. An attempt that is opened
+            # before it is not sent, as the request is answered by then.
+            return self._node.is_applying or call not in self._node.state.calls
+        return False
 
     def lose_attempt(self, attempt: ids.AttemptId) -> None:
         """Handle an error while an attempt was sent."""
@@ -242,7 +259,7 @@
 
     def _open_attempt(self, effect: effects.OpenAttempt) -> None:
         registered = self._requests.get(effect.call)
-        if registered is None:
+        if registered is None or registered[0].answered:
             return
         request = registered[0]
         self._drop_attempt_of(request)
@@ -295,6 +312,9 @@
         if name:
             head += b"%b: %b\r\n" % (name, answer.decision.encode())
         request = pending.request
+        if request.answered:
+            self._drop_attempt(effect.attempt, cancel=not answer.whole)
+            return
         if answer.whole:
             self._attempts.pop(effect.attempt)
             try:
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -245,7 +245,7 @@
         self, request: caller_requests.Request, head: bytes, body: bytes
     ) -> None:
         """Write a complete answer."""
-        if self._closing:
+        if self._closing or request.answered:
             return
         if b"\ncontent-length:" not in head:
             # An answer to HEAD has the Content-Length of the backend server.
@@ -258,7 +258,7 @@
         self, request: caller_requests.Request, head: bytes, length: int
     ) -> None:
         """Write the head of a streamed answer; :meth:`send_piece` writes its body."""
-        if self._closing:
+        if self._closing or request.answered:
             return
         request.streaming_out = True
         request.chunked_out = length < 0
@@ -497,7 +497,7 @@
         request.body_sink(body, False)
 
     def refuse_for_error(self, request: caller_requests.Request) -> None:
-        """Refuse a request that was not sent to an upstream, after an error."""
+        """Refuse a request that was not sent and will not be, after an error."""
         refusal = effects.RefuseCall(
             call=request.call,
             status=503,
@@ -531,10 +531,7 @@
             self._dispatch_request(request)
         except Exception as error:
             supervision.record(_PART, error, subject=f"request {request.call}")
-            if self._node.entry.attempt_of(request) is not None:
-                self.close(entry.ERROR_CAUSE)
-                return
-            self.refuse_for_error(request)
+            self._node.entry.refuse_for_error(request)
 
     def _dispatch_request(self, request: caller_requests.Request) -> None:
         request.dispatched = True
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -420,6 +420,11 @@
         if deadlines and deadlines[0][0] < self._tick_at and self._begun:
             self._schedule_tick()
 
+    @property
+    def is_applying(self) -> bool:
+        """Whether an event is being applied; others wait until it has been."""
+        return self._applying
+
     def next_number(self) -> int:
         """Return an id that is unique within this node, for calls, hosted calls and
         queries."""
--- a/tests/cover/test_heads_that_cannot_be_used.py
+++ b/tests/cover/test_heads_that_cannot_be_used.py
@@ -53,6 +53,7 @@
     connection.connection_made(transport)  # type: ignore[arg-type]
     connection.data_received(b"GET /a/x HTTP/1.1\r\nhost: shop.example\r\n\r\n")
     assert transport.written.startswith(b"HTTP/1.1 503 ")
+    assert not node.state.calls
     assert not list(open_work.items(node))
 
 
