Claims: an append always ends

A home node refused all requests with a new key for good: an append of claims whose outcome met an error stayed pending, and no claims are appended beside a pending one. So it was after an error in the encoding of the batch, before which the append was registered.

An outcome that cannot be applied is applied once more, as a failed append. An append without any outcome counts as failed after as long as a read does. Claims that cannot be encoded are certainly not appended, and their calls are refused.

--- a/src/gingerturn/internal/core/claims.py
+++ b/src/gingerturn/internal/core/claims.py
@@ -9,6 +9,7 @@
     messages,
     replies,
     state as states,
+    streams,
 )
 
 APPENDS_PER_SECOND = 200.0
@@ -29,13 +30,17 @@
     batch = tuple(state.claim_batch)
     state.claim_batch.clear()
     state.appends[number] = [claim.key for claim in batch]
-    out.append(
-        effects.Append(
+    state.append_since = state.now
+    try:
+        effect = effects.Append(
             append=number,
             stream=keys.stream_name(state.backend.service),
             record=messages.encode_record(messages.ClaimBatch(claims=batch)),
         )
-    )
+    except Exception:
+        on_append_failed(state, number, True, out)
+        raise
+    out.append(effect)
 
 
 def update_append_interval(state: states.State) -> None:
@@ -99,7 +104,21 @@
 def check_timeouts(
     state: states.State, now: ids.Milliseconds, out: states.Effects
 ) -> None:
-    """Abandon claims that the log did not confirm in time."""
+    """Abandon claims that the log did not confirm in time.
+
+    An append without any outcome counts as failed, since it keeps others from being
+    sent.
+    """
+    if state.appends and now - state.append_since > streams.MAX_PENDING_MS:
+        for append in list(state.appends):
+            out.append(
+                effects.WriteLog(
+                    level="ERROR",
+                    part="log",
+                    text=f"Append {append} of claims without an outcome.",
+                )
+            )
+            on_append_failed(state, append, False, out)
     for entry in list(state.keys.values()):
         if entry.phase is not states.KeyPhase.CLAIMING:
             continue
--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -382,11 +382,13 @@
 
     :param certain: it is certain that nothing was appended.
     :param epoch: of the log that refused it, if one did.
+    :param unapplied: an event with its outcome could not be applied.
     """
 
     append: int
     certain: bool
     epoch: ids.LogEpoch = ids.LogEpoch(0)
+    unapplied: bool = False
 
 
 class DatagramReceived(Event, frozen=True):
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -433,12 +433,12 @@
 def _on_append_done(
     state: states.State, event: events.AppendDone, out: states.Effects
 ) -> None:
+    state.appends.pop(event.append, None)
     log_epochs.on_reported_epoch(state, event.epoch, "an append", out)
     # An acknowledgement does not decide claims and publications: they take effect
     # when they are read back in the order of the log.
     durable = not log_epochs.is_earlier(state, event.epoch)
     quarantine.on_saved(state, event.append, done=durable)
-    state.appends.pop(event.append, None)
 
 
 def _on_append_failed(
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -1117,6 +1117,7 @@
         self.claim_keys: dict[str, str] = {}
         self.claim_batch: list[messages.ClaimRecord] = []
         self.appends: dict[int, list[str]] = {}
+        self.append_since: ids.Milliseconds = 0.0
         self.next_claim: ids.Milliseconds = 0.0
         self.claim_gap: ids.Milliseconds = 0.0
         self.revisions = Revisions()
--- a/src/gingerturn/internal/shell/unapplied.py
+++ b/src/gingerturn/internal/shell/unapplied.py
@@ -27,6 +27,12 @@
             return lambda: node.apply(failed)
         case events.PutDone(put=put):
             return lambda: node.apply(events.PutFailed(now=clock.now(), put=put))
+        case events.AppendDone() | events.AppendFailed(unapplied=False):
+            certain = isinstance(event, events.AppendFailed) and event.certain
+            lost = events.AppendFailed(
+                now=event.now, append=event.append, certain=certain, unapplied=True
+            )
+            return lambda: node.apply(lost)
         case events.CallArrived(call=call):
             return lambda: node.entry.refuse_unapplied(call)
         case (
