Log: a record whose application fails is skipped

One record that passes the decoder and raises an error when it is applied kept the records behind it in its page from every node, which read the page again and again. Each record is applied on its own: one that fails is counted and logged like one that is not valid, with the error and its place, and the read counts as applied. The newest route table is the exception: it is read again, at growing intervals, since the error may pass and nothing replaces it.

Records of joins are still handled together.

--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -6,8 +6,10 @@
 """
 
 import collections.abc
+import contextlib
 import heapq
 import math
+import traceback
 import typing
 
 from gingerturn import errors, log_service, routes
@@ -50,6 +52,10 @@
     version_bound,
 )
 
+_Skip = collections.abc.Callable[
+    [int, messages.LogRecord], contextlib.AbstractContextManager[None]
+]
+
 SLOW_CHECK_MS = 1_000.0
 STOP_LINGER_MS = 1_500.0
 """A stopping node stays this long to refuse calls that are already on their way: a
@@ -285,13 +291,16 @@
     decoded = _decode_records(
         state, event.stream, event.records[unread:], out, first=event.first + unread
     )
-    for offset, record in decoded:
-        if isinstance(record, messages.JoinRecord):
-            joins.append(record)
-        else:
-            _on_record(state, event.stream, offset, record, out)
-    if joins:
-        joining.on_join_records(state, joins, out)
+    with _skipping(state, event.stream, out) as skip:
+        for offset, record in decoded:
+            if isinstance(record, messages.JoinRecord):
+                joins.append(record)
+                continue
+            with skip(offset, record):
+                _on_record(state, event.stream, offset, record, out)
+        if joins:
+            with skip(log_service.NO_OFFSET, joins[-1]):
+                joining.on_join_records(state, joins, out)
     reached = event.first + len(event.records) >= event.end
     if event.stream == streams.ROUTES and reached and not gap and event.requested_at:
         freshness.on_read(state, event.requested_at, held_open_ms=event.held_open_ms)
@@ -324,6 +333,40 @@
     return decoded
 
 
+@contextlib.contextmanager
+def _skipping(
+    state: states.State, stream: str, out: states.Effects
+) -> collections.abc.Iterator[_Skip]:
+    """Provide a context in which a record is applied.
+
+    One that raises an error is skipped, since it may raise it at every read, and keep
+    those behind it from being applied. What it has changed remains.
+
+    :raises Exception: of the newest route table, which is to be read again: the tables
+        before it are no substitute.
+    """
+    skipped = log_service.NOTHING_SKIPPED
+    failed: Exception | None = None
+
+    @contextlib.contextmanager
+    def skip(offset: int, record: messages.LogRecord) -> collections.abc.Iterator[None]:
+        nonlocal skipped, failed
+        failed = None
+        try:
+            yield
+        except Exception as error:
+            failed = error
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            kind = type(record).__name__
+            problem = f"{type(error).__name__} for a {kind} in {place.name}"
+            skipped = skipped.and_entry(b"", offset, f"{problem}, line {place.lineno}")
+
+    yield skip
+    streams.record_skipped(state, stream, skipped, out)
+    if failed is not None and stream == streams.ROUTES:
+        raise failed
+
+
 def _on_entries_skipped(
     state: states.State, event: events.EntriesSkipped, out: states.Effects
 ) -> None:
@@ -371,9 +414,12 @@
     if event.stream == streams.MEMBERS:
         joins = [r for _, r in decoded if isinstance(r, messages.JoinRecord)]
         joining.on_base_read(state, joins, out)
-    for _, record in decoded:
-        if not isinstance(record, messages.JoinRecord):
-            _on_record(state, event.stream, event.end, record, out)
+    with _skipping(state, event.stream, out) as skip:
+        for _, record in decoded:
+            if isinstance(record, messages.JoinRecord):
+                continue
+            with skip(log_service.NO_OFFSET, record):
+                _on_record(state, event.stream, event.end, record, out)
     if event.stream == streams.ROUTES and event.requested_at:
         freshness.on_read(state, event.requested_at)
     stream.consecutive_unapplied = 0
