Backend: errors of the node in an answer are recorded as such

Operators saw a failed backend server, without a line or a metric, where the node itself met an error while it handled an answer: the parser wraps errors of its callbacks, and they were caught with those of invalid answers. An error at the end of an answer, behind the parser, left the exchange without an end and its slot taken.

Both are recorded now, and the exchange fails.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -15,11 +15,14 @@
     connection_ends,
     heads,
     sockets,
+    supervision,
 )
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import backend_pool
 
+_PART = "backend"
+
 BODILESS = frozenset({204, 304})
 
 LEAVING = b"1"
@@ -298,7 +301,11 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error, httptools.HttpParserCallbackError):
+                # Not an answer that is invalid, but an error while it was handled.
+                cause = error.__context__ or error
+                supervision.record(_PART, cause, subject=self._subject)
             if not self._complete:
                 self._fail()
             self._reusable = False
@@ -412,8 +419,18 @@
             self._pool.put(self)
         else:
             self._transport.close()
-        if receiver is not None:
+        if receiver is None:
+            return
+        try:
             receiver.on_end()
+        except Exception as error:
+            supervision.record(_PART, error, subject=self._subject)
+            receiver.on_failure(dispatched=True)
+
+    @property
+    def _subject(self) -> str:
+        request_id = self._request_id.decode("latin-1")
+        return f"answer to {request_id or 'a request without an id'}"
 
     def _relay_reports(self, receiver: Receiver, values: dict[bytes, bytes]) -> None:
         """Relay what the head reports of the backend server."""
