Backend: the head of an answer is bounded

Trailers behind a body had no bound either.

Bytes are counted until the head, or the next piece of the body, is complete. Above 64 KiB the exchange fails, with a line.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -29,6 +29,10 @@
 """Value of the header by which a backend server reports that it is leaving."""
 
 
+MAX_HEAD_BYTES = 65_536
+"""Limit of the head of an answer, and of what follows its body. The parser copies what
+it has of an unfinished line with each piece that arrives."""
+
 MAX_REJECTED_IDS = 64
 """Rejected requests after which a connection is closed, which bounds their list."""
 
@@ -142,6 +146,8 @@
         self._idle_ms = 0.0
         self._begun_at = 0.0
         self._recorded_unanswered = False
+        self._head_bytes = 0
+        self._unparsed_bytes = 0
         self.write_paused = False
         self.idle_since = 0.0
 
@@ -226,6 +232,8 @@
         self._complete = False
         self._begun_at = clock.now()
         self._recorded_unanswered = False
+        self._head_bytes = 0
+        self._unparsed_bytes = 0
         self._idle_ms = self._begun_at - self.idle_since if self.idle_since else 0.0
         self._pool.watch.add(self._watched)
         if body and not self._chunked:
@@ -299,10 +307,17 @@
             self._pool.unrelated_answers += 1
             self._transport.abort()
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            if self._unparsed_bytes > MAX_HEAD_BYTES and not self._complete:
+                # The parser reports a header only once its line is complete.
+                self._fail_for_head()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if isinstance(error, httptools.HttpParserCallbackError):
+            if isinstance(error.__context__, _TooLarge):
+                if not self._complete:
+                    self._fail_for_head()
+            elif isinstance(error, httptools.HttpParserCallbackError):
                 # Not an answer that is invalid, but an error while it was handled.
                 cause = error.__context__ or error
                 supervision.record(_PART, cause, subject=self._subject)
@@ -317,6 +332,7 @@
     def on_message_begin(self) -> None:
         """Start an answer."""
         self._headers = []
+        self._head_bytes = 0
         if self._complete:
             self._pool.unrelated_answers += 1
             self._reusable = False
@@ -324,9 +340,13 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
         self._headers.append((name.lower(), value))
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise _TooLarge
 
     def on_headers_complete(self) -> None:
         """Handle the complete head."""
+        self._unparsed_bytes = 0
         if self._complete:
             return
         status = self._parser.get_status_code()
@@ -383,6 +403,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Handle a piece of the body."""
+        self._unparsed_bytes = 0
         is_own = not (self._informational or self._unrelated or self._complete)
         if self._receiver is not None and is_own:
             self._receiver.on_body(body)
@@ -498,8 +519,21 @@
         self._silence = TimeoutError("the peer acknowledges nothing")
         self._transport.abort()
 
+    def _fail_for_head(self) -> None:
+        if logs.may_write_change():
+            text = (
+                f"Head of the {self._subject} is too long; allowed are"
+                f" {MAX_HEAD_BYTES} bytes."
+            )
+            logs.write("WARNING", _PART, text)
+        self._fail()
+
     def _fail(self) -> None:
         receiver, self._receiver = self._receiver, None
         self._transport.abort()
         if receiver is not None:
             receiver.on_failure(dispatched=True)
+
+
+class _TooLarge(Exception):
+    """The head exceeds :data:`MAX_HEAD_BYTES`."""
