Stops: the drain timeout counts from the arrival of the signal

Operators saw processes that were still there at the end of their grace and were killed. The drain timeout counted from the turn of the event loop that handled SIGTERM; a loop blocked at that moment moved the end of the stop by as much. The time is taken by a handler that runs between bytecodes, in front of the event loop's own, and the delay comes off the grace of the core and off the wait for the end. A stop during the start notes its time as well.

--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -7,12 +7,13 @@
 import socket
 
 from gingerturn import errors, settings
-from gingerturn.internal import logs
+from gingerturn.internal import ids, logs
 from gingerturn.internal.shell import (
     descriptors,
     node as nodes,
     open_work,
     starting,
+    stop_signals,
     stops,
     supervision,
 )
@@ -77,7 +78,8 @@
     SIGHUP, or a change of the file, reloads the settings; invalid ones are ignored.
 
     SIGTERM or SIGINT begins the planned stop. SIGINT during a stop, or the drain's
-    timeout, ends the process at once; SIGTERM during a stop has no effect.
+    timeout, ends the process at once; SIGTERM during a stop has no effect. The
+    drain's timeout counts from the arrival of the signal.
 
     :return: the exit status.
     """
@@ -85,8 +87,21 @@
     stopping = asyncio.Event()
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, _begin_stop, node, stopping)
-    loop.add_signal_handler(signal.SIGINT, _on_interrupt, node, stopping, interrupted)
+    arrivals = stop_signals.Arrivals()
+
+    def begin_stop() -> None:
+        _begin_stop(node, stopping, arrivals.first_at)
+
+    def interrupt() -> None:
+        if node.stopping:
+            interrupted.set()
+        else:
+            begin_stop()
+
+    loop.add_signal_handler(signal.SIGTERM, begin_stop)
+    loop.add_signal_handler(signal.SIGINT, interrupt)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        arrivals.watch(number)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, source)
     loop.set_exception_handler(supervision.on_loop_error)
     node_settings = node.settings.node
@@ -111,11 +126,10 @@
     )
     node.spawn(_watch(node, source), part=_WATCHER)
     if stopping.is_set():
-        _begin_stop(node, stopping)
+        begin_stop()
     await node.stop_begun.wait()
-    drained = await _wait_stopped(
-        node, interrupted, node_settings.drain_timeout_ms / 1000.0
-    )
+    left_ms = node_settings.drain_timeout_ms - node.stop_age_ms
+    drained = await _wait_stopped(node, interrupted, max(0.0, left_ms / 1000.0))
     cut = [] if drained else open_work.cut_by_end(node)
     left_over = _left_over(node)
     open_work.log_cut(cut)
@@ -190,23 +204,17 @@
         logs.write("ERROR", "node", text)
 
 
-def _on_interrupt(
-    node: nodes.Node, stopping: asyncio.Event, interrupted: asyncio.Event
+def _begin_stop(
+    node: nodes.Node, stopping: asyncio.Event, at: ids.Milliseconds
 ) -> None:
-    """Begin a planned stop, or abort the one in progress."""
-    if node.stopping:
-        interrupted.set()
-    else:
-        _begin_stop(node, stopping)
-
-
-def _begin_stop(node: nodes.Node, stopping: asyncio.Event) -> None:
     """Begin a planned stop. A repeated request must not abort calls that the stop in
-    progress lets finish. One during the start ends the start."""
+    progress lets finish. One during the start ends the start.
+
+    :param at: when it was asked for.
+    """
+    node.begin_stop(at)
     if not node.begun:
         stopping.set()
-        return
-    node.begin_stop()
 
 
 async def _watch(node: nodes.Node, source: Source) -> None:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -74,6 +74,9 @@
 UNREADY_LINE_INTERVAL_MS = 5_000.0
 """Interval between log lines of a node that stays not ready."""
 
+MIN_GRACE_MS = 1.0
+"""Least grace of a planned stop, where its signal was handled late."""
+
 FLUSH_TIMEOUT_S = 0.1
 """Time for which a node that closes waits until its connections are flushed."""
 
@@ -222,15 +225,26 @@
             return -1
         return round(clock.now() - self._stop_began)
 
-    def begin_stop(self) -> None:
-        """Begin a planned stop, unless one is in progress."""
+    def begin_stop(self, at: ids.Milliseconds = math.inf) -> None:
+        """Begin a planned stop, unless one is in progress.
+
+        During the start this only notes when it was asked for.
+
+        :param at: when it was asked for, from which its limits count; now at the
+            latest.
+        """
         if self.stopping:
             logs.write("INFO", "node", "A planned stop is already in progress.")
             return
-        self._stop_began = clock.now()
+        now = clock.now()
+        self._stop_began = min(self._stop_began, at, now)
+        if not self._begun:
+            return
         self.stop_begun.set()
-        grace_ms = float(self.settings.node.drain_timeout_ms)
-        self.apply(events.StopRequested(now=self._stop_began, grace_ms=grace_ms))
+        grace_ms = self.settings.node.drain_timeout_ms - (now - self._stop_began)
+        # No grace would be no limit.
+        grace_ms = max(MIN_GRACE_MS, grace_ms)
+        self.apply(events.StopRequested(now=now, grace_ms=grace_ms))
 
     async def start(self) -> None:
         """Bind all addresses, apply the start event, then accept connections.
