Stops: the end of the process is bounded

Operators saw processes that were killed at the end of their grace without a line, with what they held. The close waited for tasks and for the log service without a limit, asyncio.Runner's close waited for all other tasks, and nothing bounded an event loop that a callback blocks. Now each part of the close has what is left of the drain timeout and a margin, a line names what is left, the process leaves by os._exit once its files are closed, and a watchdog thread ends it 0.35 s after the drain timeout, with status 3, a line and the recording.

Tests, drain timeout 2 s: a log service whose close hangs, a task of the node and another one that ignore cancellation, and a loop blocked to the end.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -84,7 +84,13 @@
     import uvloop
 
     from gingerturn.internal import logs
-    from gingerturn.internal.shell import daemon, node as nodes, process, starting
+    from gingerturn.internal.shell import (
+        daemon,
+        node as nodes,
+        process,
+        process_end,
+        starting,
+    )
 
     source = daemon.Source(path, settings.load)
     logs.set_up(settings.Logging(), node="")
@@ -94,8 +100,11 @@
     async def run() -> int:
         return await daemon.run(nodes.Node(loaded, record=record), source)
 
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(process.guard(run())))
+    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    status = runner.run(process.guard(run()))
+    if record is not None:
+        record.close()
+    process_end.leave(status)
 
 
 @cli.command()
--- a/src/gingerturn/internal/logs.py
+++ b/src/gingerturn/internal/logs.py
@@ -190,6 +190,12 @@
     loguru.logger.bind(part=part, **fields).log(level, text)
 
 
+def flush() -> None:
+    """Write as much of what is buffered as the reader accepts."""
+    if _state.output is not None:
+        _state.output.flush()
+
+
 def write_always(part: str, text: str, **fields: typing.Any) -> None:
     """Write one line at any level of the log."""
     if _state.output is not None:
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -12,6 +12,7 @@
     descriptors,
     node as nodes,
     open_work,
+    process_end,
     starting,
     stop_signals,
     stops,
@@ -25,10 +26,6 @@
 EXIT_NOT_STARTED = 7
 """An address in the settings cannot be bound."""
 
-EXIT_DRAIN_CUT = 3
-"""The drain timed out or was interrupted."""
-
-
 _WATCHER = "settings"
 
 SETTINGS_POLL_S = 1.0
@@ -88,9 +85,11 @@
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
     arrivals = stop_signals.Arrivals()
+    watchdog = process_end.Watchdog(node.flush_recording)
 
     def begin_stop() -> None:
         _begin_stop(node, stopping, arrivals.first_at)
+        watchdog.start(node.stop_left_ms(process_end.WATCHDOG_MARGIN_MS))
 
     def interrupt() -> None:
         if node.stopping:
@@ -128,8 +127,9 @@
     if stopping.is_set():
         begin_stop()
     await node.stop_begun.wait()
-    left_ms = node_settings.drain_timeout_ms - node.stop_age_ms
-    drained = await _wait_stopped(node, interrupted, max(0.0, left_ms / 1000.0))
+    # The administration begins stops as well.
+    watchdog.start(node.stop_left_ms(process_end.WATCHDOG_MARGIN_MS))
+    drained = await _wait_stopped(node, interrupted, node.stop_left_ms() / 1000.0)
     cut = [] if drained else open_work.cut_by_end(node)
     left_over = _left_over(node)
     open_work.log_cut(cut)
@@ -137,14 +137,15 @@
         administration.stop()
     await node.close()
     if administration is not None:
-        await administration.ended()
+        left_ms = node.stop_left_ms(process_end.CLOSE_MARGIN_MS)
+        await administration.ended(min(ADMIN_STOP_S, left_ms / 1000.0))
     if not cut and not interrupted.is_set():
         logs.write("INFO", "node", "Stopped; no call was cut.", **left_over)
         return EXIT_CLEAN
     logs.write(
         "WARNING", "node", f"Stopped early; {len(cut)} calls were cut.", **left_over
     )
-    return EXIT_DRAIN_CUT
+    return process_end.EXIT_DRAIN_CUT
 
 
 def _left_over(node: nodes.Node) -> dict[str, int]:
@@ -195,9 +196,9 @@
         """Begin the shutdown."""
         self._server.should_exit = True
 
-    async def ended(self) -> None:
-        """Wait for the shutdown, up to :data:`ADMIN_STOP_S`."""
-        await asyncio.wait([self._task], timeout=ADMIN_STOP_S)
+    async def ended(self, timeout_s: float) -> None:
+        """Wait for the shutdown, at most for a time."""
+        await asyncio.wait([self._task], timeout=timeout_s)
 
     def _log_end(self) -> None:
         text = "The administration API has ended; calls are served without it."
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -49,6 +49,7 @@
     log_side,
     peers,
     probes,
+    process_end,
     side_http,
     starting,
     supervision,
@@ -82,6 +83,15 @@
 
 FLUSH_CHECK_S = 0.005
 
+CLOSE_LIMIT_MS = 1_000.0
+"""Time for which a node that closes waits for its tasks, and for the log service."""
+
+MIN_CLOSE_MS = 20.0
+"""Time for which it waits past the limit of a stop."""
+
+MAX_NAMED = 10
+"""Tasks without an end that a line names."""
+
 Handlers = dict[type[effects.Effect], collections.abc.Callable[[typing.Any], None]]
 """The handler of each type of effect."""
 
@@ -160,6 +170,7 @@
         self.home = home.HomeSide(self)
         self.home.pool.reserve = self.descriptors
         self.log = log_side.LogSide(self, log or log_client.LogClient(loaded.log))
+        self._record = record
         self._recorder = None if record is None else trace.Recorder(record)
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -360,7 +371,11 @@
         )
 
     async def close(self) -> None:
-        """Close all connections and tasks; calls in flight are aborted."""
+        """Close all connections and tasks; calls in flight are aborted.
+
+        What does not end within the limit of a planned stop, or :data:`CLOSE_LIMIT_MS`
+        without one, is left and named in the log.
+        """
         if self._ticker is not None:
             self._ticker.cancel()
         # Keeps events that are still applied from scheduling another tick.
@@ -375,11 +390,7 @@
         self.gossip.close()
         await self.lingering.wait(self._linger_limit_ms())
         await self._flush()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self.log.close()
+        await self._end_tasks()
         outcome_log.flush()
         if self._recorder is not None:
             recorded, digest = self._recorder.events, self._recorder.digest
@@ -395,6 +406,53 @@
         self.lingering.end_flushed()
         return caller_limits.close_idlest(self)
 
+    def stop_left_ms(self, margin_ms: ids.Milliseconds = 0.0) -> ids.Milliseconds:
+        """Return what is left of the drain timeout of a planned stop and a margin
+        beyond it; infinite without a stop."""
+        if self._stop_began == math.inf:
+            return math.inf
+        ends_at = self._stop_began + self.settings.node.drain_timeout_ms + margin_ms
+        return max(0.0, ends_at - clock.now())
+
+    def flush_recording(self) -> None:
+        """Write what is buffered of the recording of events, if there is one."""
+        if self._record is not None:
+            self._record.flush()
+
+    async def _end_tasks(self) -> None:
+        """Cancel the tasks and close the log service; log what does not end."""
+        tasks: dict[asyncio.Task[None], str] = {
+            task: task.get_name() for task in self._tasks
+        }
+        for task in tasks:
+            task.cancel()
+        # Tasks may use the log service until they end.
+        waiting = await self._await_ends(tasks)
+        closing = supervision.awaited(self.log.close())
+        waiting |= await self._await_ends([closing])
+        if closing not in waiting:
+            closing.result()
+        tasks[closing] = "log service"
+        if waiting:
+            names = ", ".join(sorted(tasks[task] for task in waiting)[:MAX_NAMED])
+            text = f"Closed without waiting for {len(waiting)} tasks: {names}."
+            logs.write("WARNING", "node", text)
+
+    async def _await_ends(
+        self, tasks: collections.abc.Iterable[asyncio.Task[None]]
+    ) -> set[asyncio.Task[None]]:
+        """Wait until tasks end, within the limit of a close; return the others.
+
+        Ends that are due in the next turns of the event loop are awaited in any case.
+        """
+        left_ms = self.stop_left_ms(process_end.CLOSE_MARGIN_MS)
+        limit_ms = max(MIN_CLOSE_MS, min(CLOSE_LIMIT_MS, left_ms))
+        listed = list(tasks)
+        if not listed:
+            return set()
+        _, waiting = await asyncio.wait(listed, timeout=limit_ms / 1000.0)
+        return waiting
+
     def _linger_limit_ms(self) -> ids.Milliseconds:
         """Return the time for which the end may wait for lingering connections."""
         limit_ms = lingering.STOP_WAIT_MS
--- a/src/gingerturn/internal/shell/process.py
+++ b/src/gingerturn/internal/shell/process.py
@@ -12,6 +12,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import checks, decoding, launch, logs
+from gingerturn.internal.shell import process_end
 
 RECORD_VARIABLE = "GINGERTURN_RECORD"
 """File to which a node records its events, for ``gingerturn replay``. For debugging: it
@@ -47,8 +48,8 @@
     main: collections.abc.Callable[
         [typing.BinaryIO | None], collections.abc.Coroutine[typing.Any, typing.Any, int]
     ],
-) -> int:
-    """Run a node until it is stopped, and return its exit status.
+) -> typing.NoReturn:
+    """Run a node until it is stopped, and end the process with its exit status.
 
     :param main: called with the file to record events to, if any.
     """
@@ -60,9 +61,10 @@
     with contextlib.ExitStack() as stack:
         record = os.environ.get(RECORD_VARIABLE)
         target = stack.enter_context(open(record, "wb")) if record else None
+        # Is not closed, which would wait for tasks that ignore their cancellation.
         runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
-        stack.enter_context(runner)
-        return runner.run(guard(main(target)))
+        status = runner.run(guard(main(target)))
+    process_end.leave(status)
 
 
 async def guard(main: collections.abc.Coroutine[typing.Any, typing.Any, int]) -> int:
--- a/src/gingerturn/internal/shell/supervision.py
+++ b/src/gingerturn/internal/shell/supervision.py
@@ -82,7 +82,8 @@
 
     :param failed: called if an error ends it.
     """
-    task = asyncio.get_running_loop().create_task(coroutine)
+    name = f"{part} {subject[:MAX_SUBJECT_CHARS]}".rstrip()
+    task = asyncio.get_running_loop().create_task(coroutine, name=name)
     task.add_done_callback(functools.partial(_on_ended, part, subject, failed))
     return task
 
--- a/tests/nocover/test_ends_of_a_stop.py
+++ b/tests/nocover/test_ends_of_a_stop.py
@@ -8,6 +8,9 @@
 import time
 import typing
 
+import pytest
+
+from gingerturn.internal.core import trace
 from gingerturn_standins import processes
 from tests.common import stopping_process
 
@@ -66,3 +69,32 @@
     assert status == EXIT_DRAIN_CUT, lines
     assert lasted_s < GRACE_S
     assert _says(lines, "Stopped early")
+
+
+# Guards against an end that waits for a task or a service without a limit, until the
+# process is killed: nothing was cut, so the status says so.
+@pytest.mark.parametrize(
+    ("obstacle", "named"),
+    [("log", "log service"), ("task", "stubborn"), ("other task", "")],
+)
+def test_what_does_not_end_is_left(obstacle: str, named: str) -> None:
+    status, lasted_s, lines = _stop(obstacle)
+    assert status == EXIT_CLEAN, lines
+    assert lasted_s < GRACE_S
+    assert _says(lines, "Stopped; no call was cut")
+    if named:
+        assert _says(lines, "Closed without waiting for 1 tasks", named)
+
+
+# Guards against a process that is killed without a line, and loses its recording.
+def test_a_blocked_event_loop_does_not_outlast_the_grace(
+    tmp_path: pathlib.Path,
+) -> None:
+    record = tmp_path / "record"
+    status, lasted_s, lines = _stop("busy", record=record)
+    assert status == EXIT_DRAIN_CUT, lines
+    assert lasted_s < GRACE_S
+    assert _says(lines, "Ended at the limit of its stop")
+    assert "daemon.run" in lines[-1]["trace"] or "runner.run" in lines[-1]["trace"]
+    with record.open("rb") as file:
+        assert list(trace.read(file))
