Stops: calls that waited are compared with the time left before they are sent

Callers saw requests cut by the stop of their entry node, though calls of their kind were known not to fit. The time left was asked for once, as a request arrived; one that waited for a token or an upstream, and a redirect or retry of a call that did not run, began later without it. It is asked for again before each, and such a call is refused as not run, rule outlasts_stop, before it costs a token or budget. A call that may have run goes on, and so do calls of the backend server beside.

Tests: four cases, each of which sent an attempt on the code before (failed); a call that may have run is still sent again (passed before and after).

--- a/src/gingerturn/internal/core/calls.py
+++ b/src/gingerturn/internal/core/calls.py
@@ -23,7 +23,6 @@
     sending,
     slot_costs,
     state as states,
-    stop_room,
     upstream_costs,
     upstreams,
     workspaces,
@@ -46,10 +45,6 @@
 """Ejection of a leaving upstream. It outlasts the upstream's linger time, so that no
 call is in flight when the upstream closes its connections."""
 
-OTHER_NODE_DELAY_MS = 100.0
-"""Minimum retry delay, before jitter, where any other node can serve the request at
-once."""
-
 _DEADLINE_RULES = frozenset(
     {decisions.Rule.DEADLINE_PASSED, decisions.Rule.QUEUE_EXPIRED}
 )
@@ -102,9 +97,7 @@
     if state.stopping and not _served_while_stopping(state, parent):
         refusals.refuse(state, call, decisions.Rule.STOPPING, out)
         return
-    kind = call.rule.name
-    if parent is None and not stop_room.has_room(state, state.relayed_times, kind):
-        _refuse_without_room(state, call, out)
+    if sending.refuse_without_room(state, call, out):
         return
     if not _check_key(state, call, event, out):
         return
@@ -137,20 +130,6 @@
     )
 
 
-def _refuse_without_room(
-    state: states.State, call: states.Call, out: states.Effects
-) -> None:
-    """Refuse a request that would outlast the planned stop of this node."""
-    refusals.refuse(
-        state,
-        call,
-        decisions.Rule.OUTLASTS_STOP,
-        out,
-        retry_after=OTHER_NODE_DELAY_MS * (1.0 + state.random.random()),
-        figures=stop_room.figures(state, state.relayed_times, call.rule.name),
-    )
-
-
 def on_answer_relayed(
     state: states.State, event: events.AnswerRelayed, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -32,17 +32,52 @@
 """Callers of a quarantined request are asked to return this long, or up to twice as
 long, after its next trial is due, so that they do not return together."""
 
+OTHER_NODE_DELAY_MS = 100.0
+"""Minimum retry delay, before jitter, where any other node can serve the request at
+once."""
+
 REFUSED_RANK_TTL_MS = 10.0
 """Time for which a rank that all upstreams shed is refused without a new comparison of
 the upstreams, which saves work under overload."""
 
 
 def begin(state: states.State, call: states.Call, out: states.Effects) -> None:
-    """Credit the retry budget for a new call, and send the call."""
+    """Credit the retry budget for a new call, and send the call.
+
+    It may have waited for a token, so the time that a stop leaves is compared again.
+    """
+    if refuse_without_room(state, call, out):
+        return
     earn_retry_budget(state, call)
     send_first(state, call, out)
 
 
+def refuse_without_room(
+    state: states.State, call: states.Call, out: states.Effects
+) -> bool:
+    """Refuse a call that would outlast the planned stop of this node.
+
+    One that may have run goes on, as its answer may still come in time; so does a call
+    that the backend server beside makes, for the sake of the call that makes it.
+
+    :return: whether it was refused.
+    """
+    kind = call.rule.name
+    if call.parent is not None or call.unproven:
+        return False
+    if stop_room.has_room(state, state.relayed_times, kind):
+        return False
+    refusals.refuse(
+        state,
+        call,
+        decisions.Rule.OUTLASTS_STOP,
+        out,
+        retry_after=OTHER_NODE_DELAY_MS * (1.0 + state.random.random()),
+        figures=stop_room.figures(state, state.relayed_times, kind),
+    )
+    return True
+
+
 def send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
     """Send the first attempt of a call, let it wait for an upstream, or refuse it."""
     if call.holder:
@@ -105,7 +140,8 @@
     placeable = {ids.ServiceName(name) for name, nodes in services.items() if nodes}
     ready, expired = startup_waits.take_due(state, placeable)
     for call in ready:
-        send_first(state, call, out)
+        if not refuse_without_room(state, call, out):
+            send_first(state, call, out)
     for call in expired:
         refusals.refuse(state, call, decisions.Rule.NO_UPSTREAM, out)
 
@@ -127,7 +163,10 @@
 
 
 def redirect(state: states.State, call: states.Call, out: states.Effects) -> bool:
-    """Send a call that certainly did not run to another upstream."""
+    """Send a call that certainly did not run to another upstream.
+
+    :return: whether it was sent, or refused as it would outlast a stop.
+    """
     if call.redirects >= MAX_REDIRECTS or not call.replayable or call.holder:
         return False
     if state.now >= call.deadline or quarantine.entry_of(state, call.fingerprint):
@@ -135,7 +174,8 @@
     node = _choose(state, call, _untried_upstreams(state, call))
     if node is None:
         return False
-    _send_redirected(state, call, node, out)
+    if not refuse_without_room(state, call, out):
+        _send_redirected(state, call, node, out)
     return True
 
 
@@ -174,6 +214,7 @@
         is sent again.
     :param had_free_slots: the upstream rejected the call though it had free slots, so
         that the call may be sent back to it without a token.
+    :return: whether it was sent, or refused as it would outlast a stop.
     """
     budget = _budget(state, call.service)
     figures = (float(call.tokens), budget.balance, float(call.attempts))
@@ -192,6 +233,8 @@
     if node is None:
         refusals.decide(state, call, decisions.Rule.RETRY_NO_UPSTREAM, out, figures)
         return False
+    if refuse_without_room(state, call, out):
+        return True
     rationing.record_demand(budget.demand, call.rank, state.now)
     minimum_rank = _retry_cut(state, budget)
     if call.rank < minimum_rank:
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -4,12 +4,14 @@
 
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
+    caps,
     decisions,
     effects,
     events,
     messages,
     reducer,
     run_times,
+    sending,
     state as states,
 )
 from gingerturn_fakes import parts, world as worlds
@@ -215,6 +217,77 @@
     assert routed.sent_to(reducer.reduce(state, short))
 
 
+def _assert_refused(out: list[effects.Effect]) -> None:
+    assert not builders.all_of(out, effects.OpenAttempt)
+    refused = builders.only(out, effects.RefuseCall)
+    assert (refused.status, refused.outcome) == (503, messages.Outcome.NOT_RUN)
+    assert refused.title == "outlasts stop"
+    assert refused.retry_after_ms < 500.0
+
+
+# Guards against a call that waits for a token until it cannot end any more, and is
+# then sent and cut.
+def test_a_call_that_waited_for_a_token_is_compared_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    state = _entry()
+    _record_relayed(state, count=20, lasts_ms=LONG_MS)
+    _stop(state)
+
+    def wait(state: states.State, call: states.Call, out: states.Effects) -> bool:
+        state.caps.waiting_calls[call.id] = state.now + 5_000.0
+        return False
+
+    monkeypatch.setattr(caps, "admit", wait)
+    assert not reducer.reduce(state, routed.arrived(1, path="/l/x", now=state.now))
+    state.now += 2_000.0
+    earned = sending._budget(state, PLANS).balance
+    out: list[effects.Effect] = []
+    caps.admit_waiting(state, out)
+    _assert_refused(out)
+    assert sending._budget(state, PLANS).balance == earned
+
+
+# Guards against a call that waits for an upstream until it cannot end any more.
+def test_a_call_that_waited_for_an_upstream_is_compared_again() -> None:
+    state = routed.node_state(*ROUTES)
+    state.started_at = state.now
+    _record_relayed(state, count=20, lasts_ms=LONG_MS)
+    arrival = routed.arrived(1, path="/l/x", now=state.now, timeout_ms=TIMEOUT_MS)
+    reducer.reduce(state, arrival)
+    assert state.waiting_calls
+    _stop(state, grace_ms=LONG_MS)
+    message = builders.gossip(members=(builders.member("n2", "plans"),))
+    out = reducer.reduce(state, builders.datagram("n2", message, now=state.now))
+    _assert_refused(out)
+
+
+# Guards against a call that did not run, and is sent again when it cannot end any more.
+@pytest.mark.parametrize("reached", [True, False])
+def test_a_call_that_did_not_run_is_compared_before_it_is_sent_again(
+    *, reached: bool
+) -> None:
+    state = _entry()
+    _record_relayed(state, count=20, lasts_ms=LONG_MS)
+    attempt = _attempt(state, 1)
+    _stop(state)
+    rule = decisions.Rule.BACKEND_REFUSED if reached else decisions.Rule.QUEUE_FULL
+    refused = routed.refused(
+        attempt, rule=int(rule), reached_backend=reached, now=state.now + 2_000.0
+    )
+    _assert_refused(reducer.reduce(state, refused))
+
+
+# Guards against an answer that is replaced by a refusal, as the call may have run.
+def test_a_call_that_may_have_run_is_sent_again_as_before() -> None:
+    state = _entry()
+    _record_relayed(state, count=20, lasts_ms=LONG_MS)
+    attempt = _attempt(state, 1)
+    _stop(state)
+    lost = events.AttemptLost(now=state.now + 2_000.0, attempt=attempt, reached=True)
+    assert routed.sent_to(reducer.reduce(state, lost))
+
+
 # Guards against a call that fails below a request which still runs here.
 def test_calls_of_the_backend_server_beside_are_served_however_long_they_last() -> None:
     state = routed.node_state(*ROUTES, service="other", slots=4)
