--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -63,9 +63,8 @@
 beside it, which does not stop and which no other node can reach."""
 
 GRACE_MARGIN_MS = 100.0
-"""How long before the end of its grace a node answers all open calls: a few rounds of
-the event loop, as the kernel delivers what it has taken. A reported unknown outcome is
-more useful to a caller than a broken connection."""
+"""How long before the end of its grace a node answers all open calls. A reported
+unknown outcome is more useful to a caller than a broken connection."""
 
 FIRST_SEQUENCES = 1 << 30
 """The first ping number is the start time in ms modulo this, so a restarted node uses
