--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -7,12 +7,14 @@
 import socket
 
 from gingerturn import errors, settings
-from gingerturn.internal import logs
+from gingerturn.internal import ids, logs
 from gingerturn.internal.shell import (
     descriptors,
     node as nodes,
     open_work,
+    process_end,
     starting,
+    stop_signals,
     stops,
     supervision,
 )
@@ -24,10 +26,6 @@
 EXIT_NOT_STARTED = 7
 """An address in the settings cannot be bound."""
 
-EXIT_DRAIN_CUT = 3
-"""The drain timed out or was interrupted."""
-
-
 _WATCHER = "settings"
 
 SETTINGS_POLL_S = 1.0
@@ -77,7 +75,8 @@
     SIGHUP, or a change of the file, reloads the settings; invalid ones are ignored.
 
     SIGTERM or SIGINT begins the planned stop. SIGINT during a stop, or the drain's
-    timeout, ends the process at once; SIGTERM during a stop has no effect.
+    timeout, ends the process at once; SIGTERM during a stop has no effect. The
+    drain's timeout counts from the arrival of the signal.
 
     :return: the exit status.
     """
@@ -85,8 +84,23 @@
     stopping = asyncio.Event()
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, _begin_stop, node, stopping)
-    loop.add_signal_handler(signal.SIGINT, _on_interrupt, node, stopping, interrupted)
+    arrivals = stop_signals.Arrivals()
+    watchdog = process_end.Watchdog(node.flush_recording)
+
+    def begin_stop() -> None:
+        _begin_stop(node, stopping, arrivals.first_at)
+        watchdog.start(node.stop_left_ms(process_end.WATCHDOG_MARGIN_MS))
+
+    def interrupt() -> None:
+        if node.stopping:
+            interrupted.set()
+        else:
+            begin_stop()
+
+    loop.add_signal_handler(signal.SIGTERM, begin_stop)
+    loop.add_signal_handler(signal.SIGINT, interrupt)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        arrivals.watch(number)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, source)
     loop.set_exception_handler(supervision.on_loop_error)
     node_settings = node.settings.node
@@ -111,11 +125,11 @@
     )
     node.spawn(_watch(node, source), part=_WATCHER)
     if stopping.is_set():
-        _begin_stop(node, stopping)
+        begin_stop()
     await node.stop_begun.wait()
-    drained = await _wait_stopped(
-        node, interrupted, node_settings.drain_timeout_ms / 1000.0
-    )
+    # The administration begins stops as well.
+    watchdog.start(node.stop_left_ms(process_end.WATCHDOG_MARGIN_MS))
+    drained = await _wait_stopped(node, interrupted, node.stop_left_ms() / 1000.0)
     cut = [] if drained else open_work.cut_by_end(node)
     left_over = _left_over(node)
     open_work.log_cut(cut)
@@ -123,14 +137,15 @@
         administration.stop()
     await node.close()
     if administration is not None:
-        await administration.ended()
+        left_ms = node.stop_left_ms(process_end.CLOSE_MARGIN_MS)
+        await administration.ended(min(ADMIN_STOP_S, left_ms / 1000.0))
     if not cut and not interrupted.is_set():
         logs.write("INFO", "node", "Stopped; no call was cut.", **left_over)
         return EXIT_CLEAN
     logs.write(
         "WARNING", "node", f"Stopped early; {len(cut)} calls were cut.", **left_over
     )
-    return EXIT_DRAIN_CUT
+    return process_end.EXIT_DRAIN_CUT
 
 
 def _left_over(node: nodes.Node) -> dict[str, int]:
@@ -181,32 +196,26 @@
         """Begin the shutdown."""
         self._server.should_exit = True
 
-    async def ended(self) -> None:
-        """Wait for the shutdown, up to :data:`ADMIN_STOP_S`."""
-        await asyncio.wait([self._task], timeout=ADMIN_STOP_S)
+    async def ended(self, timeout_s: float) -> None:
+        """Wait for the shutdown, at most for a time."""
+        await asyncio.wait([self._task], timeout=timeout_s)
 
     def _log_end(self) -> None:
         text = "The administration API has ended; calls are served without it."
         logs.write("ERROR", "node", text)
 
 
-def _on_interrupt(
-    node: nodes.Node, stopping: asyncio.Event, interrupted: asyncio.Event
+def _begin_stop(
+    node: nodes.Node, stopping: asyncio.Event, at: ids.Milliseconds
 ) -> None:
-    """Begin a planned stop, or abort the one in progress."""
-    if node.stopping:
-        interrupted.set()
-    else:
-        _begin_stop(node, stopping)
-
-
-def _begin_stop(node: nodes.Node, stopping: asyncio.Event) -> None:
     """Begin a planned stop. A repeated request must not abort calls that the stop in
-    progress lets finish. One during the start ends the start."""
+    progress lets finish. One during the start ends the start.
+
+    :param at: when it was asked for.
+    """
+    node.begin_stop(at)
     if not node.begun:
         stopping.set()
-        return
-    node.begin_stop()
 
 
 async def _watch(node: nodes.Node, source: Source) -> None:
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -49,6 +49,7 @@
     log_side,
     peers,
     probes,
+    process_end,
     side_http,
     starting,
     supervision,
@@ -74,11 +75,23 @@
 UNREADY_LINE_INTERVAL_MS = 5_000.0
 """Interval between log lines of a node that stays not ready."""
 
+MIN_GRACE_MS = 1.0
+"""Least grace of a planned stop, where its signal was handled late."""
+
 FLUSH_TIMEOUT_S = 0.1
 """Time for which a node that closes waits until its connections are flushed."""
 
 FLUSH_CHECK_S = 0.005
 
+CLOSE_LIMIT_MS = 1_000.0
+"""Time for which a node that closes waits for its tasks, and for the log service."""
+
+MIN_CLOSE_MS = 20.0
+"""Time for which it waits past the limit of a stop."""
+
+MAX_NAMED = 10
+"""Tasks without an end that a line names."""
+
 Handlers = dict[type[effects.Effect], collections.abc.Callable[[typing.Any], None]]
 """The handler of each type of effect."""
 
@@ -157,6 +170,7 @@
         self.home = home.HomeSide(self)
         self.home.pool.reserve = self.descriptors
         self.log = log_side.LogSide(self, log or log_client.LogClient(loaded.log))
+        self._record = record
         self._recorder = None if record is None else trace.Recorder(record)
         self._publications: dict[str, asyncio.Future[effects.PublishEnded]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -222,15 +236,26 @@
             return -1
         return round(clock.now() - self._stop_began)
 
-    def begin_stop(self) -> None:
-        """Begin a planned stop, unless one is in progress."""
+    def begin_stop(self, at: ids.Milliseconds = math.inf) -> None:
+        """Begin a planned stop, unless one is in progress.
+
+        During the start this only notes when it was asked for.
+
+        :param at: when it was asked for, from which its limits count; now at the
+            latest.
+        """
         if self.stopping:
             logs.write("INFO", "node", "A planned stop is already in progress.")
             return
-        self._stop_began = clock.now()
+        now = clock.now()
+        self._stop_began = min(self._stop_began, at, now)
+        if not self._begun:
+            return
         self.stop_begun.set()
-        grace_ms = float(self.settings.node.drain_timeout_ms)
-        self.apply(events.StopRequested(now=self._stop_began, grace_ms=grace_ms))
+        grace_ms = self.settings.node.drain_timeout_ms - (now - self._stop_began)
+        # No grace would be no limit.
+        grace_ms = max(MIN_GRACE_MS, grace_ms)
+        self.apply(events.StopRequested(now=now, grace_ms=grace_ms))
 
     async def start(self) -> None:
         """Bind all addresses, apply the start event, then accept connections.
@@ -346,7 +371,11 @@
         )
 
     async def close(self) -> None:
-        """Close all connections and tasks; calls in flight are aborted."""
+        """Close all connections and tasks; calls in flight are aborted.
+
+        What does not end within the limit of a planned stop, or :data:`CLOSE_LIMIT_MS`
+        without one, is left and named in the log.
+        """
         if self._ticker is not None:
             self._ticker.cancel()
         # Keeps events that are still applied from scheduling another tick.
@@ -361,11 +390,7 @@
         self.gossip.close()
         await self.lingering.wait(self._linger_limit_ms())
         await self._flush()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self.log.close()
+        await self._end_tasks()
         outcome_log.flush()
         if self._recorder is not None:
             recorded, digest = self._recorder.events, self._recorder.digest
@@ -381,6 +406,53 @@
         self.lingering.end_flushed()
         return caller_limits.close_idlest(self)
 
+    def stop_left_ms(self, margin_ms: ids.Milliseconds = 0.0) -> ids.Milliseconds:
+        """Return what is left of the drain timeout of a planned stop and a margin
+        beyond it; infinite without a stop."""
+        if self._stop_began == math.inf:
+            return math.inf
+        ends_at = self._stop_began + self.settings.node.drain_timeout_ms + margin_ms
+        return max(0.0, ends_at - clock.now())
+
+    def flush_recording(self) -> None:
+        """Write what is buffered of the recording of events, if there is one."""
+        if self._record is not None:
+            self._record.flush()
+
+    async def _end_tasks(self) -> None:
+        """Cancel the tasks and close the log service; log what does not end."""
+        tasks: dict[asyncio.Task[None], str] = {
+            task: task.get_name() for task in self._tasks
+        }
+        for task in tasks:
+            task.cancel()
+        # Tasks may use the log service until they end.
+        waiting = await self._await_ends(tasks)
+        closing = supervision.awaited(self.log.close())
+        waiting |= await self._await_ends([closing])
+        if closing not in waiting:
+            closing.result()
+        tasks[closing] = "log service"
+        if waiting:
+            names = ", ".join(sorted(tasks[task] for task in waiting)[:MAX_NAMED])
+            text = f"Closed without waiting for {len(waiting)} tasks: {names}."
+            logs.write("WARNING", "node", text)
+
+    async def _await_ends(
+        self, tasks: collections.abc.Iterable[asyncio.Task[None]]
+    ) -> set[asyncio.Task[None]]:
+        """Wait until tasks end, within the limit of a close; return the others.
+
+        Ends that are due in the next turns of the event loop are awaited in any case.
+        """
+        left_ms = self.stop_left_ms(process_end.CLOSE_MARGIN_MS)
+        limit_ms = max(MIN_CLOSE_MS, min(CLOSE_LIMIT_MS, left_ms))
+        listed = list(tasks)
+        if not listed:
+            return set()
+        _, waiting = await asyncio.wait(listed, timeout=limit_ms / 1000.0)
+        return waiting
+
     def _linger_limit_ms(self) -> ids.Milliseconds:
         """Return the time for which the end may wait for lingering connections."""
         limit_ms = lingering.STOP_WAIT_MS
