Pages: other work has its turn while the entries of a page are decoded

One page of another writer's entries kept the event loop, and all requests, for 1 to 1.7 s. Entries are now decoded as they are used, 256 at a time, and those that are skipped are only counted once the examples are full.

Failed before: test_other_work_has_its_turn_while_a_page_is_decoded (1 turn, wanted 19).

--- a/src/gingerturn/internal/shell/log_entries.py
+++ b/src/gingerturn/internal/shell/log_entries.py
@@ -4,14 +4,19 @@
 hold, and what cannot be used takes no memory.
 """
 
+import asyncio
 import collections.abc
 import time
+import typing
 
 import msgspec
 
 from gingerturn import errors, log_service
 from gingerturn.internal.core import streams
 
+ENTRIES_AT_ONCE = 256
+"""Entries that are decoded before other work of the event loop has its turn."""
+
 MAX_PAGES = 1_000
 MAX_LISTED_BYTES = 16 << 20
 """Bytes of the records that one listing returns."""
@@ -23,10 +28,45 @@
 MAX_KEY = 255
 """Bytes of a key."""
 
+_T = typing.TypeVar("_T")
+
 _REPLACED = "\N{REPLACEMENT CHARACTER}".encode()
 """In a key that is not the one in the log: the service could not encode it."""
 
 
+Entries = collections.abc.Sequence[log_service.Entry]
+
+
+class DecodedOnUse(Entries):
+    """Entries of a page, each of which is decoded whenever it is used.
+
+    :param items: the encoded entries.
+    :param decode: decodes the item at an index.
+    """
+
+    def __init__(
+        self,
+        items: collections.abc.Sequence[_T],
+        decode: collections.abc.Callable[[int, _T], log_service.Entry],
+    ) -> None:
+        self._count = len(items)
+
+        def decode_at(index: int) -> log_service.Entry:
+            return decode(index, items[index])
+
+        self._decode = decode_at
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __getitem__(self, index: typing.Any) -> typing.Any:
+        if isinstance(index, slice):
+            return [self[i] for i in range(*index.indices(self._count))]
+        if not -self._count <= index < self._count:
+            raise IndexError(index)
+        return self._decode(index % self._count)
+
+
 class Page(msgspec.Struct, frozen=True):
     """A page of entries.
 
@@ -35,7 +75,7 @@
     :param has_more: whether entries of more keys follow.
     """
 
-    entries: tuple[log_service.Entry, ...]
+    entries: Entries
     end: int
     oldest: int = 0
     has_more: bool = False
@@ -46,6 +86,16 @@
 """Reads the page after a key; an empty key reads the first page."""
 
 
+async def in_turns(
+    items: collections.abc.Iterable[_T],
+) -> collections.abc.AsyncIterator[_T]:
+    """Iterate over the items, and let other work of the event loop have its turn."""
+    for number, item in enumerate(items, 1):
+        yield item
+        if number % ENTRIES_AT_ONCE == 0:
+            await asyncio.sleep(0)
+
+
 class Usable:
     """The records of a stream that a node uses.
 
@@ -55,7 +105,8 @@
     def __init__(self, stream: str) -> None:
         self._stream = stream
         self._contents: list[bytes] = []
-        self.skipped = log_service.NOTHING_SKIPPED
+        self._skipped = log_service.NOTHING_SKIPPED
+        self._skipped_count = 0
         self.size = 0
 
     @property
@@ -63,6 +114,11 @@
         """The record of each entry; empty for those that are not used."""
         return tuple(self._contents)
 
+    @property
+    def skipped(self) -> log_service.SkippedEntries:
+        """The entries that are not used."""
+        return msgspec.structs.replace(self._skipped, count=self._skipped_count)
+
     def add(self, entry: log_service.Entry) -> None:
         """Add an entry if it can be used."""
         problem = entry.problem or self._problem(entry.value)
@@ -74,7 +130,9 @@
 
     def skip(self, key: bytes, offset: int, problem: str) -> None:
         """Add an entry that cannot be used."""
-        self.skipped = self.skipped.and_entry(key, offset, problem)
+        self._skipped_count += 1
+        if self._skipped_count <= log_service.MAX_EXAMPLES:
+            self._skipped = self._skipped.and_entry(key, offset, problem)
 
     def _problem(self, value: bytes) -> str:
         if not value:
@@ -87,7 +145,7 @@
         return ""
 
 
-def records(
+async def records(
     stream: str, page: Page, *, first: int, held_ms: float
 ) -> log_service.Records:
     """Return the result of a read.
@@ -95,7 +153,7 @@
     :param first: offset of the first entry.
     """
     usable = Usable(stream)
-    for entry in page.entries:
+    async for entry in in_turns(page.entries):
         usable.add(entry)
     return log_service.Records(
         first=first,
@@ -125,19 +183,21 @@
     after = b""
     complete = True
     while True:
-        for entry in page.entries:
+        keys: list[bytes] = []
+        async for entry in in_turns(page.entries):
             usable.add(entry)
+            keys.append(entry.key)
         end = min(end, page.end)
         if not page.has_more:
             break
-        following = _next_place(page, visited)
+        following = _next_place(keys, visited)
         elapsed_s = time.monotonic() - began
         problem = _paging_problem(following, pages_read, usable.size, elapsed_s)
         if problem:
             usable.skip(after, log_service.NO_OFFSET, problem)
             complete = False
             break
-        is_listed = any(entry.key == following for entry in page.entries)
+        is_listed = following in keys
         after = following
         visited.add(after)
         try:
@@ -155,9 +215,9 @@
     return log_service.Newest(usable.contents, end, epoch, usable.skipped, complete)
 
 
-def _next_place(page: Page, visited: set[bytes]) -> bytes:
+def _next_place(keys: list[bytes], visited: set[bytes]) -> bytes:
     """Return the key after which the next page begins; empty if none can be used."""
-    keys = [entry.key for entry in page.entries if entry.key]
+    keys = [key for key in keys if key]
     exact = [key for key in keys if _REPLACED not in key]
     for key in (*exact[-1:], *keys[-1:], *map(_behind_prefix, keys[-1:])):
         if key not in visited:
--- a/tests/cover/test_odd_values.py
+++ b/tests/cover/test_odd_values.py
@@ -525,6 +525,34 @@
         asyncio.run(log_entries.read_newest(streams.MEMBERS, read))
 
 
+def _turns_during(read: collections.abc.Awaitable[object]) -> int:
+    """Return how often other work of the event loop runs during a read."""
+
+    async def count() -> int:
+        turns = 0
+        task = asyncio.ensure_future(read)
+        while not task.done():
+            turns += 1
+            await asyncio.sleep(0)
+        await task
+        return turns
+
+    return asyncio.run(count())
+
+
+# Guards against a page of another writer that keeps all requests waiting for a second.
+@pytest.mark.parametrize("stream", [streams.MEMBERS, streams.ROUTES])
+def test_other_work_has_its_turn_while_a_page_is_decoded(stream: str) -> None:
+    turns = 5_000 // log_entries.ENTRIES_AT_ONCE
+    record = b"\x06config{"
+    body = (struct.pack(">I", len(record)) + record) * 5_000
+    answers = _Answers(struct.pack(">QQ", 5_000, 0) + body)
+    assert _turns_during(answers.read(stream, 0)) >= turns
+    items = b",".join([_item("config")] * 5_000)
+    content = b'{"items": [%b], "end_offset": 9, "has_more": false}' % items
+    assert _turns_during(_Answers(content).newest(stream)) >= turns
+
+
 def test_a_key_that_is_not_utf_8_is_kept_as_its_bytes() -> None:
     page = _page(_item("nX").replace(b"nX", b"n\xff\xc3"), _item("n1"))
     assert [entry.key for entry in page.entries] == [b"n\xff\xc3", b"n1"]
