Tests: one way to run a check against a started node

test_lost_pieces.py and test_unhandled_errors.py each had the same function, which scripted_logs holds now. No assertion changes.

--- a/tests/common/scripted_logs.py
+++ b/tests/common/scripted_logs.py
@@ -141,3 +141,25 @@
 
     async def close(self) -> None:
         await self.node.close()
+
+
+Check = collections.abc.Callable[[RunningNode], collections.abc.Awaitable[None]]
+
+SETTLED_MS = 2_000.0
+"""Time after its start in which a node has read its log."""
+
+
+def run_started(monkeypatch: pytest.MonkeyPatch, check: Check) -> None:
+    """Run a check against a node that has started and read its log."""
+
+    async def run() -> None:
+        running = RunningNode(monkeypatch)
+        running.begin()
+        try:
+            await running.advance(SETTLED_MS)
+            await check(running)
+        finally:
+            monkeypatch.undo()
+            await running.node.close()
+
+    asyncio.run(run())
--- a/tests/cover/test_lost_pieces.py
+++ b/tests/cover/test_lost_pieces.py
@@ -1,7 +1,5 @@
 """Pieces of a body that an error loses: the call ends, and whoever waits sees that."""
 
-import asyncio
-import collections.abc
 import typing
 
 import pytest
@@ -18,10 +16,6 @@
 
 pytestmark = pytest.mark.unhandled_errors
 
-Check = collections.abc.Callable[
-    [scripted_logs.RunningNode], collections.abc.Awaitable[None]
-]
-
 
 class _Carrier:
     """Records what is sent to a home node."""
@@ -52,20 +46,6 @@
     raise MemoryError
 
 
-def _run(monkeypatch: pytest.MonkeyPatch, check: Check) -> None:
-    async def run() -> None:
-        running = scripted_logs.RunningNode(monkeypatch)
-        running.begin()
-        try:
-            await running.advance(2_000.0)
-            await check(running)
-        finally:
-            monkeypatch.undo()
-            await running.node.close()
-
-    asyncio.run(run())
-
-
 def _call(
     running: scripted_logs.RunningNode, monkeypatch: pytest.MonkeyPatch
 ) -> tuple[transports.Transport, _Carrier, peers.Dialled]:
@@ -120,7 +100,7 @@
         if not last:
             assert isinstance(carrier.sent[-1], frames.Cancel)
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against pieces of an answer whose head was never written.
@@ -138,7 +118,7 @@
         assert not transport.written
         assert not running.state.calls
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against a caller that waits for ever for a whole answer.
@@ -153,7 +133,7 @@
         assert transport.closed
         assert not running.node.entry._requests
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against calls that go on over a connection after an error that ended none.
@@ -171,7 +151,7 @@
         assert transport.closed
         monkeypatch.undo()
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against a body with a hole that the backend server takes as complete.
@@ -192,7 +172,7 @@
         assert not channel.hosted
         assert not home._exchanges
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 class _Exchange:
@@ -234,4 +214,4 @@
         assert [type(frame) for frame in channel.sent] == [frames.Broken]
         assert supervision.errors_by_part()["home"] == before + 1
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
--- a/tests/cover/test_unhandled_errors.py
+++ b/tests/cover/test_unhandled_errors.py
@@ -24,10 +24,6 @@
 
 pytestmark = pytest.mark.unhandled_errors
 
-Check = collections.abc.Callable[
-    [scripted_logs.RunningNode], collections.abc.Awaitable[None]
-]
-
 
 def _raise(*arguments: typing.Any, **options: typing.Any) -> typing.NoReturn:
     raise KeyError("value")
@@ -47,20 +43,6 @@
         return None if self._function is None else self._function(*arguments, **options)
 
 
-def _run(monkeypatch: pytest.MonkeyPatch, check: Check) -> None:
-    async def run() -> None:
-        running = scripted_logs.RunningNode(monkeypatch)
-        running.begin()
-        try:
-            await running.advance(2_000.0)
-            await check(running)
-        finally:
-            monkeypatch.undo()
-            await running.node.close()
-
-    asyncio.run(run())
-
-
 def _caller(running: scripted_logs.RunningNode) -> transports.Transport:
     connection = ingress.CallerConnection(running.node)
     transport = transports.Transport()
@@ -84,7 +66,7 @@
         assert running.node._ticker is not None
         assert not running.node._ticker.cancelled()
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against a part that always fails and keeps others from running.
@@ -126,7 +108,7 @@
         assert not running.state.calls
         assert not running.node.entry._requests
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 class _Carrier:
@@ -150,7 +132,7 @@
         assert node._ticker is not None
         assert node._tick_at < running.now + 1_000.0
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against effects and events behind an effect that fails.
@@ -184,7 +166,7 @@
             events.Tick,
         ]
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against a call whose arrival fails and whose caller gets no answer.
@@ -198,7 +180,7 @@
         assert not running.state.calls
         assert not running.node.entry._requests
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 def test_a_request_whose_dispatch_fails_is_refused_as_not_run(
@@ -210,7 +192,7 @@
         assert transport.written.startswith(b"HTTP/1.1 503 ")
         assert not running.state.calls
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 def test_a_request_whose_head_fails_is_refused_as_not_run(
@@ -222,7 +204,7 @@
         assert transport.written.startswith(b"HTTP/1.1 503 ")
         assert transport.closed
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 def test_a_request_whose_attempt_cannot_be_sent_is_answered(
@@ -236,7 +218,7 @@
         assert transport.written.startswith(b"HTTP/1.1 503 ")
         assert not running.state.calls
 
-    _run(monkeypatch, check)
+    scripted_logs.run_started(monkeypatch, check)
 
 
 # Guards against an answer of the log that cannot be applied and is not read again.
