A request id that was answered does not return over the same connection

Cause: a connection remembered only the ids that were rejected on it. An answer 200, 500 or 504 that is repeated late has the right id as well.

Change: a connection also remembers the last 64 other ids that were answered on it and carries none of them again; the pool then uses another connection. Requests that are sent for the first time use connections as before.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -36,6 +36,9 @@
 MAX_REJECTED_IDS = 64
 """Rejected requests after which a connection is closed, which bounds their list."""
 
+MAX_ANSWERED_IDS = 64
+"""Other answered requests whose ids a connection remembers, the latest ones."""
+
 
 def _content_length(values: list[bytes]) -> int | None:
     """Return the length that headers give, -1 without a header.
@@ -111,7 +114,7 @@
     Invariant: it returns to the pool only after a complete answer with no bytes after
     it. It is closed after a cancelled or failed exchange, and after an answer to
     another request. So one that left a request unanswered is never reused. It carries
-    no request id again that was rejected on it: a second answer to the first sending
+    no request id again that was answered on it: a second answer to the first sending
     could not be told from the answer to the next one.
 
     :param pool: the pool that it returns to.
@@ -138,6 +141,8 @@
         self._upload_ended = True
         self._request_id = b""
         self._rejected_ids: set[bytes] = set()
+        # In the order of their answers.
+        self._answered_ids: dict[bytes, None] = {}
         self._unrelated = False
         self._in_sync = True
         self._until_close = False
@@ -163,7 +168,8 @@
         """
         if not request_id and self._pool.dialect.request_id:
             return self._exchanges == 0
-        return request_id not in self._rejected_ids
+        is_known = request_id in self._rejected_ids or request_id in self._answered_ids
+        return not is_known
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable the detection of a silent backend server."""
@@ -393,7 +399,7 @@
         rejection = None
         if is_misdirected or self._pool.dialect.not_executed in values:
             rejection = self._rejection(status, values)
-            self._forbid_request_id()
+        self._forbid_request_id(is_rejected=rejection is not None)
         self._receiver.on_head(
             status, head, 0 if bodiless else length, rejection=rejection
         )
@@ -463,10 +469,15 @@
         if load is not None:
             receiver.on_load(load)
 
-    def _forbid_request_id(self) -> None:
-        """Keep the rejected request from returning over this connection."""
+    def _forbid_request_id(self, *, is_rejected: bool) -> None:
+        """Keep the answered request from returning over this connection."""
         if not self._request_id:
             return
+        if not is_rejected:
+            self._answered_ids[self._request_id] = None
+            if len(self._answered_ids) > MAX_ANSWERED_IDS:
+                del self._answered_ids[next(iter(self._answered_ids))]
+            return
         self._rejected_ids.add(self._request_id)
         if len(self._rejected_ids) >= MAX_REJECTED_IDS:
             self._reusable = False
--- a/tests/cover/test_unrelated_answers.py
+++ b/tests/cover/test_unrelated_answers.py
@@ -7,6 +7,7 @@
 import re
 
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 
 from gingerturn.internal.core import messages
@@ -93,6 +94,42 @@
     asyncio.run(play())
 
 
+# Guards against a late second answer to an earlier sending of a request id, which a
+# caller used again, that is taken for the answer to the later one.
+@pytest.mark.parametrize("status", [200, 500, 504])
+@pytest.mark.parametrize("split", [0, 9, 40])
+def test_an_answered_request_does_not_return_over_the_same_connection(
+    status: int, split: int
+) -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        answered = home_nodes.answer(status, request_id=b"r1", body=b"first")
+        first = await home.open(b"r1", repeatable=True)
+        (connection,) = home.connections
+        connection.data_received(answered)
+        assert isinstance(home.reply_to(first), frames.Answer)
+        second = await home.open(b"r1", repeatable=True)
+        connection.data_received(answered[:split])
+        connection.data_received(answered[split:])
+        assert home.reply_to(second) is None
+
+    asyncio.run(play())
+
+
+def test_few_answered_ids_are_remembered() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        for number in range(backend_http.MAX_ANSWERED_IDS + 10):
+            request_id = b"r%d" % number
+            await home.open(request_id)
+            (connection,) = home.connections
+            connection.data_received(home_nodes.answer(200, request_id=request_id))
+        assert len(connection._answered_ids) == backend_http.MAX_ANSWERED_IDS
+        assert not connection.may_carry(request_id)
+
+    asyncio.run(play())
+
+
 def test_another_request_uses_the_connection_of_a_rejected_one() -> None:
     async def play() -> None:
         home = home_nodes.HomeNode()
