Stops: unrepeatable calls that may be cut are refused as not run

Cause: a kind with fewer than five recent calls counted as short; the longest tenth of a kind was left to be cut; running calls did not count.

Change: unrepeatable calls are compared with the time within which 99 in 100 of their kind ended, open calls counted with their ages, or with their own deadline where less than five are known. Repeatable calls as before.

--- a/src/gingerturn/internal/core/decisions.py
+++ b/src/gingerturn/internal/core/decisions.py
@@ -137,7 +137,7 @@
         "ms to wait",
     ),
     Rule.RATE_LIMITED: ("requests a second", "calls left", "queued", "ms of wait"),
-    Rule.OUTLASTS_STOP: ("ms left", "usual ms", "", ""),
+    Rule.OUTLASTS_STOP: ("ms left", "expected ms", "", ""),
     Rule.WAIT_TOO_LONG: ("ms of wait expected", "ms allowed", "queued", ""),
     Rule.RUN: ("running", "limit", "queued", "ms waited"),
     Rule.QUEUED: ("running", "limit", "queued", "queue bound"),
@@ -201,8 +201,7 @@
     ),
     Rule.STOPPING: "Refused: this node is stopping.",
     Rule.OUTLASTS_STOP: (
-        "Refused: calls of this kind usually take longer than the stop of this node"
-        " leaves."
+        "Refused: calls of this kind may take longer than the stop of this node leaves."
     ),
     Rule.BACKEND_REFUSED: (
         "Refused: the backend server rejected the call without running it."
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -48,6 +48,7 @@
 slot. Refusing it certainly wastes the work of its parents, and trying it costs only an
 idle slot."""
 
+_AT_WORK = frozenset({states.HostedState.RUNNING, states.HostedState.STREAMING})
 _SLOTLESS_STATES = frozenset({states.HostedState.WAITING, states.HostedState.CHECKING})
 
 
@@ -93,8 +94,7 @@
     if admission.exceeds_wait_limit(hosted):
         _refuse_waiting(state, hosted, out)
         return
-    kind, wait = metadata.kind, hosted.expected_wait
-    if not stop_room.has_room(state, state.hosted_times, kind, wait=wait):
+    if not _has_stop_room(state, hosted, wait=hosted.expected_wait):
         _refuse_without_room(state, hosted, out)
         return
     queue_slack.record_admitted(state, hosted)
@@ -119,11 +119,40 @@
     replies.refuse(state, hosted, rule, out, figures=figures)
 
 
+def _has_stop_room(
+    state: states.State, hosted: states.Hosted, *, wait: ids.Milliseconds = 0.0
+) -> bool:
+    """Whether a call is expected to end before the end of a planned stop of this node.
+
+    :param wait: how long it is expected to wait before it starts.
+    """
+    if not state.stopping:
+        return True
+    return wait + _expected_ms(state, hosted) <= stop_room.left_ms(state)
+
+
+def _expected_ms(state: states.State, hosted: states.Hosted) -> ids.Milliseconds:
+    """Return the time that a call is expected to take once it starts."""
+    kind = hosted.metadata.kind
+    ages = (
+        state.now - running.started_at
+        for running in state.hosted.values()
+        if running.metadata.kind == kind and running.state in _AT_WORK
+    )
+    return stop_room.expected_ms(
+        state.hosted_times,
+        kind,
+        repeatable=hosted.metadata.repeatable,
+        limit=hosted.deadline - state.now,
+        ages=ages,
+    )
+
+
 def _refuse_without_room(
     state: states.State, hosted: states.Hosted, out: states.Effects
 ) -> None:
     """Refuse a call that would outlast the planned stop of this node."""
-    figures = stop_room.figures(state, state.hosted_times, hosted.metadata.kind)
+    figures = (stop_room.left_ms(state), _expected_ms(state, hosted))
     replies.refuse(state, hosted, decisions.Rule.OUTLASTS_STOP, out, figures=figures)
 
 
@@ -566,7 +595,7 @@
         if state.now + admission.service_time(state, kind) > hosted.deadline:
             replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
             continue
-        if not stop_room.has_room(state, state.hosted_times, kind):
+        if not _has_stop_room(state, hosted):
             _refuse_without_room(state, hosted, out)
             continue
         start(state, hosted, out)
--- a/src/gingerturn/internal/core/run_times.py
+++ b/src/gingerturn/internal/core/run_times.py
@@ -3,6 +3,8 @@
 A planned stop compares them with the time that it leaves.
 """
 
+import collections
+import collections.abc
 import math
 
 import msgspec
@@ -12,6 +14,9 @@
 USUAL_SHARE = 0.9
 """Share of the recent calls of a kind that end within its usual time."""
 
+NEARLY_ALL = 0.99
+"""The same share where a call that is cut is worse than one that is refused."""
+
 MIN_SAMPLES = 5
 """Recent calls of a kind below which its usual time is not known."""
 
@@ -85,19 +90,31 @@
     return min(bucket, LAST_BUCKET)
 
 
-def usual_ms(times: RunTimes, kind: str) -> ids.Milliseconds:
+def usual_ms(
+    times: RunTimes,
+    kind: str,
+    *,
+    share: float = USUAL_SHARE,
+    ages: collections.abc.Iterable[ids.Milliseconds] = (),
+) -> ids.Milliseconds:
     """Return the time within which calls of a kind usually end, or 0 if it is not
-    known."""
-    known = times.kinds.get(kind)
-    if known is None:
-        return 0.0
-    total = sum(known.counts.values()) + sum(known.earlier.values())
+    known.
+
+    :param share: share of the calls that end within it.
+    :param ages: of calls that have not ended, each of which counts as one that lasted
+        so long.
+    """
+    counts: collections.Counter[int] = collections.Counter(map(_bucket_of, ages))
+    if (known := times.kinds.get(kind)) is not None:
+        counts.update(known.counts)
+        counts.update(known.earlier)
+    total = counts.total()
     if total < MIN_SAMPLES:
         return 0.0
-    longer = math.floor(total * (1.0 - USUAL_SHARE))
+    longer = math.floor(total * (1.0 - share))
     bucket = 0
-    for bucket in sorted(known.counts.keys() | known.earlier.keys(), reverse=True):
-        longer -= known.counts.get(bucket, 0) + known.earlier.get(bucket, 0)
+    for bucket in sorted(counts, reverse=True):
+        longer -= counts[bucket]
         if longer < 0:
             break
     if bucket == LAST_BUCKET:
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -62,10 +62,10 @@
 
     :return: whether it was refused.
     """
-    kind = call.rule.name
-    if call.parent is not None or call.unproven:
+    if not state.stopping or call.parent is not None or call.unproven:
         return False
-    if stop_room.has_room(state, state.relayed_times, kind):
+    left, expected = stop_room.left_ms(state), _expected_ms(state, call)
+    if expected <= left:
         return False
     refusals.refuse(
         state,
@@ -73,11 +73,28 @@
         decisions.Rule.OUTLASTS_STOP,
         out,
         retry_after=OTHER_NODE_DELAY_MS * (1.0 + state.random.random()),
-        figures=stop_room.figures(state, state.relayed_times, kind),
+        figures=(left, expected),
     )
     return True
 
 
+def _expected_ms(state: states.State, call: states.Call) -> ids.Milliseconds:
+    """Return the time that a call is expected to take until its answer is relayed."""
+    kind = call.rule.name
+    ages = (
+        state.now - other.arrived_at
+        for other in state.calls.values()
+        if other.rule.name == kind and other.id != call.id
+    )
+    return stop_room.expected_ms(
+        state.relayed_times,
+        kind,
+        repeatable=call.rule.repeatable,
+        limit=call.deadline - state.now,
+        ages=ages,
+    )
+
+
 def send_first(state: states.State, call: states.Call, out: states.Effects) -> None:
     """Send the first attempt of a call, let it wait for an upstream, or refuse it."""
     if call.holder:
--- a/src/gingerturn/internal/core/stop_room.py
+++ b/src/gingerturn/internal/core/stop_room.py
@@ -4,6 +4,8 @@
 is refused, as not run, before it starts, and served by another node.
 """
 
+import collections.abc
+
 from gingerturn.internal import ids
 from gingerturn.internal.core import run_times, state as states
 
@@ -14,29 +16,29 @@
     return state.stop_by - state.now
 
 
-def has_room(
-    state: states.State,
+def expected_ms(
     times: run_times.RunTimes,
     kind: str,
     *,
-    wait: ids.Milliseconds = 0.0,
-) -> bool:
-    """Whether a call usually ends before the end of a planned stop of this node.
-
-    A call of a kind whose time is not known counts as short.
-
-    :param wait: how long it is expected to wait before it starts.
+    repeatable: bool,
+    limit: ids.Milliseconds,
+    ages: collections.abc.Iterable[ids.Milliseconds],
+) -> ids.Milliseconds:
+    """Return the time that a call is expected to take, with which the time left is
+    compared.
+
+    A repeatable call that is cut can be sent again, so it counts as short where the
+    time of its kind is not known. Nobody knows of an unrepeatable one that is cut
+    whether it ran, so nearly all calls of its kind have to end in time, and where that
+    is not known it counts as taking as long as it may.
+
+    :param limit: the longest time that the call may take.
+    :param ages: of the open calls of its kind.
     """
-    if not state.stopping:
-        return True
-    return wait + run_times.usual_ms(times, kind) <= left_ms(state)
-
-
-def figures(
-    state: states.State, times: run_times.RunTimes, kind: str
-) -> tuple[float, ...]:
-    """Return the figures of a refusal."""
-    return (left_ms(state), run_times.usual_ms(times, kind))
+    if repeatable:
+        return run_times.usual_ms(times, kind)
+    nearly_all = run_times.usual_ms(times, kind, share=run_times.NEARLY_ALL, ages=ages)
+    return min(limit, nearly_all or limit)
 
 
 def preferred(
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gingerturn import routes
 from gingerturn.internal import ids
 from gingerturn.internal.core import (
     caps,
@@ -111,10 +112,22 @@
     return state
 
 
+def _assert_not_run(out: list[effects.Effect]) -> None:
+    assert not builders.all_of(out, effects.DispatchCall)
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+
+
 def _open(
-    state: states.State, hosted: int, *, deadline_ms: float = TIMEOUT_MS
+    state: states.State,
+    hosted: int,
+    *,
+    deadline_ms: float = TIMEOUT_MS,
+    repeatable: bool = True,
 ) -> list[effects.Effect]:
-    terms = builders.call_metadata(kind=LONG, deadline_ms=deadline_ms)
+    terms = builders.call_metadata(
+        kind=LONG, deadline_ms=deadline_ms, repeatable=repeatable
+    )
     return reducer.reduce(state, builders.opened(hosted, terms, now=state.now))
 
 
@@ -147,6 +160,48 @@
     assert builders.all_of(_open(state, 1), effects.DispatchCall)
 
 
+# Guards against unrepeatable calls that a stopping node takes and cuts, as nothing is
+# known of the time that they take.
+@pytest.mark.parametrize("samples", [0, run_times.MIN_SAMPLES - 1])
+def test_an_unrepeatable_call_of_an_unknown_time_is_refused(samples: int) -> None:
+    state = _home(lasts_ms=LONG_MS, samples=samples)
+    _stop(state)
+    _advance(state, 1_300.0)
+    _assert_not_run(_open(state, 1, repeatable=False))
+    # It ends in time in any case.
+    in_time = _open(state, 2, repeatable=False, deadline_ms=LONG_MS - 200.0)
+    assert builders.all_of(in_time, effects.DispatchCall)
+
+
+# Guards against unrepeatable calls of a kind whose longest ones a stop cuts.
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_the_longest_calls_of_a_kind_count_for_unrepeatable_ones(
+    *, repeatable: bool
+) -> None:
+    state = _home(lasts_ms=20.0, samples=57)
+    for _ in range(3):
+        run_times.record(state.hosted_times, LONG, LONG_MS, now=state.now)
+    _stop(state)
+    _advance(state, 1_300.0)
+    out = _open(state, 1, repeatable=repeatable)
+    if repeatable:
+        assert builders.all_of(out, effects.DispatchCall)
+    else:
+        _assert_not_run(out)
+
+
+# Guards against unrepeatable calls of a kind that has become slow, whose earlier calls
+# were short.
+def test_open_calls_count_for_unrepeatable_ones() -> None:
+    state = _home(lasts_ms=20.0, samples=100)
+    for number in range(3):
+        _open(state, 10 + number, repeatable=False, deadline_ms=30_000.0)
+    _advance(state, LONG_MS)
+    _stop(state)
+    _advance(state, 1_300.0)
+    _assert_not_run(_open(state, 1, repeatable=False))
+
+
 # Guards against streamed answers that count only until their heads.
 def test_a_streamed_answer_counts_until_its_end() -> None:
     state = routed.node_state(*ROUTES, service="plans", slots=50)
@@ -180,8 +235,8 @@
     assert refused.refusal.outcome is messages.Outcome.NOT_RUN
 
 
-def _entry() -> states.State:
-    state = routed.node_state(*ROUTES)
+def _entry(*listed: routes.Route) -> states.State:
+    state = routed.node_state(*(listed or ROUTES))
     builders.add_members(
         state, builders.member("n2", "plans"), builders.member("n3", "plans")
     )
@@ -217,6 +272,24 @@
     assert routed.sent_to(reducer.reduce(state, short))
 
 
+# Guards against unrepeatable requests that a stopping entry node takes and cuts, as
+# nothing is known of their time or their kind has become slow.
+@pytest.mark.parametrize("samples", [0, 100])
+def test_a_stopping_entry_node_refuses_unrepeatable_requests_that_may_be_cut(
+    samples: int,
+) -> None:
+    kind = routes.RouteType.UNREPEATABLE
+    order = routed.route(LONG, prefix="/l/", timeout_ms=30_000, kind=kind)
+    state = _entry(order)
+    _record_relayed(state, count=samples, lasts_ms=20.0)
+    for number in range(10, 13 if samples else 10):
+        reducer.reduce(state, routed.arrived(number, path="/l/x", now=state.now))
+    _advance(state, LONG_MS)
+    _stop(state)
+    late = routed.arrived(1, path="/l/x", now=state.now + 1_300.0)
+    _assert_refused(reducer.reduce(state, late))
+
+
 def _assert_refused(out: list[effects.Effect]) -> None:
     assert not builders.all_of(out, effects.OpenAttempt)
     refused = builders.only(out, effects.RefuseCall)
--- a/tests/nocover/test_stops_of_a_node.py
+++ b/tests/nocover/test_stops_of_a_node.py
@@ -193,6 +193,22 @@
     assert statuses == [0]
 
 
+# Guards against unrepeatable requests that a node takes after SIGTERM, and gives up
+# with an unknown outcome while their upstream works on them.
+def test_unrepeatable_requests_after_the_signal_are_answered_or_not_run(
+    platform: platform_processes.Platform,
+) -> None:
+    entry = platform.machines["porting-1"]
+    work = Shape("work", "POST", "/p/x?work_ms=4500")
+    late = [(0.2 + 0.4 * number, work) for number in range(8)]
+    exchanges, statuses = asyncio.run(_stop(entry, late, entry))
+    for exchange in exchanges:
+        assert exchange.ending is Ending.ANSWERED, exchange
+        assert exchange.status in {200, 503}, exchange
+        assert _runs(platform, exchange.id) == (exchange.status == 200)
+    assert statuses == [0]
+
+
 # Guards against answers that are replaced while their upstream may still end its work.
 def test_work_that_ends_shortly_before_the_drain_timeout_is_answered(
     platform: platform_processes.Platform,
