Log service: an answer has a limit of size and of time

What operators saw (of another system): a faulty peer's answer without an end was kept until the process had no memory.

Cause: the client of the log service read an answer whole, with a timeout for each read only.

Change: the body is read as a stream, up to 32 MiB and for at most 30 s beyond the timeout of the call; a longer one is an error whose outcome is unknown, and its connection is closed.

--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -4,6 +4,7 @@
 a node may use.
 """
 
+import asyncio
 import math
 import typing
 
@@ -15,8 +16,23 @@
 from gingerturn.internal.shell import sockets
 
 HTTP_OK = 200
+
+MAX_ANSWER_BYTES = 33_554_432
+"""Limit of an answer's body. The services answer with pages of a few megabytes."""
+
+MAX_TRANSFER_S = 30.0
+"""Time for which the body of an answer may take beyond the timeout of the call."""
+
 MAX_EPOCH_DIGITS = 10
+
+
+class AnswerTooLong(Exception):
+    """The body of an answer exceeds :data:`MAX_ANSWER_BYTES`."""
+
+
 _FAILURES = (
+    TimeoutError,
+    AnswerTooLong,
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
@@ -37,6 +53,19 @@
     epoch: int = 0
 
 
+async def _read_body(response: httpcore.Response) -> bytes:
+    """Read the body of a response, up to its limit."""
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in response.aiter_stream():
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            text = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
+            raise AnswerTooLong(text)
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 class _Pool:
     """A pool of connections that can be retired while calls use it.
 
@@ -52,16 +81,22 @@
 
     async def request(
         self, method: str, url: str, body: bytes, timeouts: dict[str, float]
-    ) -> httpcore.Response:
-        """Make a call.
+    ) -> tuple[httpcore.Response, bytes]:
+        """Make a call; return the response and its body.
 
+        :raises AnswerTooLong: if the body is longer than :data:`MAX_ANSWER_BYTES`.
+        :raises TimeoutError: if it takes longer than :data:`MAX_TRANSFER_S`.
         :raises Exception: those of the library.
         """
         self._pending += 1
         try:
-            return await self._pool.request(
-                method, url, content=body, extensions={"timeout": timeouts}
-            )
+            async with (
+                asyncio.timeout(sum(timeouts.values()) + MAX_TRANSFER_S),
+                self._pool.stream(
+                    method, url, content=body, extensions={"timeout": timeouts}
+                ) as response,
+            ):
+                return response, await _read_body(response)
         finally:
             self._pending -= 1
             if self._retired:
@@ -127,16 +162,16 @@
         timeouts["connect"] = timeout_s
         pool = self._pool
         try:
-            answer = await pool.request(
+            answer, content = await pool.request(
                 method, f"{self._url}{resource}", body, timeouts
             )
         except _CONNECT_FAILURES as error:
             raise self.error(step, repr(error), took_effect=False) from None
         except _FAILURES as error:
-            if isinstance(error, httpcore.TimeoutException):
+            if isinstance(error, httpcore.TimeoutException | TimeoutError):
                 await self._replace(pool)
             raise self.error(step, repr(error), took_effect=None) from None
-        return Answer(answer.status, answer.content, self._epoch(answer.headers))
+        return Answer(answer.status, content, self._epoch(answer.headers))
 
     def check(
         self, answer: Answer, step: str, *, took_effect: bool | None = False
