Callers: unfinished lines around a body are bounded

What callers saw: a node that ended, out of memory, and its requests with it.

Cause: the parser reports a trailer once its line is complete, and keeps what it has of it. Only the lines of heads were bounded. Extensions of chunks, which it never reports, were read without an end.

Change: what arrives since the parser last reported a head or a piece of a body is bounded by the limit of heads, wherever it stands; then 431 and the end of the connection. Bodies in small chunks do not meet it, as each piece is reported.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -69,6 +69,8 @@
         self._in_head = False
         self._head_bytes = 0
         self._unparsed_bytes = 0
+        # Heads and pieces of bodies that the parser has reported.
+        self._reports = 0
         self._limits = caller_limits.effective(node)
         # Time at which the head being read began, or the last request ended.
         self._waiting_since = clock.now()
@@ -98,11 +100,14 @@
         if self._closing or self._final_response:
             return
         try:
-            request = self._reading if self._in_head else None
+            request, reports = self._reading, self._reports
             self._parser.feed_data(data)
-            if self._in_head and self._reading is request:
-                # The parser reports a header only once its line is complete, so the
-                # bytes of an unfinished line are bounded here.
+            if self._reading is not None and (request, reports) == (
+                self._reading,
+                self._reports,
+            ):
+                # The parser reports lines only once they are complete, and extensions
+                # of chunks never, so their bytes are bounded here.
                 self._count_unparsed(len(data))
         except _TooLarge:
             self._reject_head()
@@ -160,6 +165,7 @@
     def on_headers_complete(self) -> None:
         """Check the complete head."""
         self._in_head = False
+        self._note_report()
         if self._closing or self._final_response:
             return
         request = self._current()
@@ -188,6 +194,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of a body, or stream it to the home node."""
         request = self._current()
+        self._note_report()
         if self._closing or self._final_response:
             return
         request.body_bytes += len(body)
@@ -483,6 +490,10 @@
         if self._head_bytes > self._limits.head_bytes:
             raise _TooLarge
 
+    def _note_report(self) -> None:
+        self._reports += 1
+        self._unparsed_bytes = 0
+
     def _count_unparsed(self, count: int) -> None:
         self._unparsed_bytes += count
         if self._unparsed_bytes > self._limits.head_bytes:
@@ -756,7 +767,8 @@
 
     def _reject_head(self) -> None:
         limit = self._limits.head_bytes
-        self._reject(431, f"the request's head is longer than {limit} bytes")
+        part = "head" if self._in_head else "trailer section or a chunk's head"
+        self._reject(431, f"the request's {part} is longer than {limit} bytes")
 
     def _reject_body(self) -> None:
         limit = self._limits.body_bytes
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -182,3 +182,29 @@
     table = routes.RouteTable(version=1, routes=(routed.route(),), limits=limits)
     with pytest.raises(errors.InvalidDocument, match=f"{field} is 0; allowed is 1"):
         routes.check_table(table, origin="test")
+
+
+# Guards against lines of trailers and extensions of chunks that are kept, or read, without
+# an end.
+@pytest.mark.parametrize(
+    "unfinished",
+    [b"0\r\nx-trailer", b"0\r\nx-trailer: ", b"1;extension=", b"0" * 10],
+)
+def test_an_unfinished_line_around_a_body_is_refused(unfinished: bytes) -> None:
+    caller = Caller()
+    head = _put(b"transfer-encoding: chunked", b"1\r\nz\r\n")
+    caller.send(head, unfinished, *([b"0" * 50] * 3))
+    assert caller.statuses == []
+    caller.send(b"0" * 50, b"0" * 50)
+    assert caller.statuses == [431]
+    assert not caller.dispatched
+
+
+def test_a_body_in_many_chunks_does_not_count_as_an_unfinished_line() -> None:
+    caller = Caller(routes.RequestLimits(head_bytes=200, body_bytes=1_000))
+    caller.send(_put(b"transfer-encoding: chunked"))
+    for _ in range(100):
+        caller.send(b"1\r", b"\n", b"z", b"\r\n")
+    caller.send(b"0\r\n\r\n")
+    assert len(caller.dispatched) == 1
+    assert not caller.statuses
