Callers: a rejected body that was sent in part is not called "not run"

What callers saw: 413, 431 or 400 with the outcome "not-run" for a request whose body was being passed on when it passed a limit or became invalid, and on which the backend server may have begun to work.

Cause: the rejection of bad input stated "not run" whatever became of the request.

Change: it states "unknown" once an attempt of the request was opened. The statuses are as before; none of them is a promise where statuses promise.

Evidence: the new example with a request that was sent failed before and passes.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -786,16 +786,19 @@
         if self._closing or self._final_response:
             return
         logs.write("WARNING", _PART, f"Request rejected with {status}: {title[:120]}.")
+        rejected = bad or self._reading
+        is_sent = rejected is not None and rejected.attempt != 0
+        outcome = messages.Outcome.UNKNOWN if is_sent else messages.Outcome.NOT_RUN
         self._final_response = heads.problem(
             status=status,
-            outcome=messages.Outcome.NOT_RUN,
+            outcome=outcome,
             title=title[:200],
             retry_after_ms=0,
             decision="",
             close=True,
             dialect=self._node.dialect,
         )
-        self._drop_from(bad or self._reading)
+        self._drop_from(rejected)
         if not self._requests:
             self._send_final_response()
 
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gingerturn import errors, routes
+from gingerturn import errors, routes, settings
 from gingerturn.internal.core import effects, messages
 from gingerturn.internal.shell import (
     caller_limits,
@@ -109,6 +109,25 @@
     assert not caller.dispatched
 
 
+# Guards against a body that is said not to have run, though it was sent in part to a
+# backend server, which may have begun to work on it.
+@pytest.mark.parametrize(
+    ("is_sent", "outcome"), [(True, "unknown"), (False, "not-run")]
+)
+def test_a_body_over_the_bound_states_whether_it_was_sent(
+    *, is_sent: bool, outcome: str
+) -> None:
+    buffered = settings.Limits().body_buffer
+    caller = Caller(routes.RequestLimits(body_bytes=buffered + 10))
+    piece = b"%x\r\n%b\r\n" % (buffered + 1, b"z" * (buffered + 1))
+    caller.send(_put(b"transfer-encoding: chunked", piece))
+    (request,) = caller.dispatched
+    request.attempt = int(is_sent)
+    caller.send(piece)
+    assert caller.statuses == [413]
+    assert f"gingerturn-outcome: {outcome}\r\n".encode() in caller.transport.written
+
+
 def test_a_head_that_takes_too_long_gets_a_408_with_outcome_not_run() -> None:
     caller = Caller()
     caller.send(b"GET /a/ HTTP/1.1\r\n")
@@ -184,8 +203,8 @@
         routes.check_table(table, origin="test")
 
 
-# Guards against lines of trailers and extensions of chunks that are kept, or read, without
-# an end.
+# Guards against lines of trailers and extensions of chunks that are kept, or read,
+# without an end.
 @pytest.mark.parametrize(
     "unfinished",
     [b"0\r\nx-trailer", b"0\r\nx-trailer: ", b"1;extension=", b"0" * 10],
