Callers: trailers are not merged into the head

What backend servers saw: trailer fields of a buffered chunked body, forwarded as headers. A second Host, API key or other header came behind the checks of the head.

Cause: the parser reports trailers like headers, and the head is written once the body is complete.

Change: trailers are counted against the limit of heads, and dropped (RFC 9110, 6.5.1 allows that).

Evidence: the new test failed before and passes.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -154,9 +154,14 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        request = self._reading or self._current()
-        request.headers.append((name.lower(), value))
+        """Add a header; trailers are only counted.
+
+        Merged into the head, a trailer could stand for a header that was checked or is
+        written by nodes (RFC 9110, 6.5.1).
+        """
+        if self._in_head:
+            request = self._reading or self._current()
+            request.headers.append((name.lower(), value))
         # As in _count_head(), without the call: this runs for each header.
         self._head_bytes += len(name) + len(value) + 4
         if self._head_bytes > self._limits.head_bytes:
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -227,3 +227,24 @@
     caller.send(b"0\r\n\r\n")
     assert len(caller.dispatched) == 1
     assert not caller.statuses
+
+
+# Guards against trailers that reach the backend server as headers, which were not
+# checked as such.
+def test_trailers_are_not_merged_into_the_head() -> None:
+    caller = Caller(routes.RequestLimits(body_bytes=100))
+    caller.send(_put(b"transfer-encoding: chunked"))
+    caller.send(b"1\r\nz\r\n0\r\nhost: other.example\r\nx-api-key: k\r\n\r\n")
+    (request,) = caller.dispatched
+    names = [name for name, _ in request.headers]
+    assert names == [b"host", b"transfer-encoding"]
+    assert b"other.example" not in request.head
+
+
+def test_trailers_over_the_bound_are_refused() -> None:
+    caller = Caller()
+    caller.send(_put(b"transfer-encoding: chunked", b"1\r\nz\r\n0\r\n"))
+    for _ in range(4):
+        caller.send(b"x-trailer: %b\r\n" % (b"x" * 50))
+    assert caller.statuses == [431]
+    assert not caller.dispatched
