Callers: input in small pieces is joined, and parsed in turns

Cause: a read of up to 256 kB was parsed in one go. Work follows the number of pieces, each of which was counted, buffered or sent as a frame by itself, and the number of pipelined requests, all of which were kept.

Change: a read takes 16 kB, parsed in steps of 1 kB, or of the rest of a body of known length. The pieces of a step are joined. Where enough requests are read ahead, the rest of the read waits unparsed. Each reason to pause is kept apart: a pause for lack of credit was ended by an answer to another request of the connection.

The test of many requests behind a slow one lets the connections take their turns; it asserts as much as before, and that reading goes on.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -43,6 +43,8 @@
         self.headers: list[heads.Header] = []
         # The first value of each header, once the head is complete.
         self.values: dict[bytes, bytes] = {}
+        # The Content-Length, once the head is complete; 0 if there is none.
+        self.length = 0
         self.body = bytearray()
         self.body_bytes = 0
         self.complete = False
@@ -106,7 +108,7 @@
 
 def has_body(request: Request) -> bool:
     """Whether the head announces a body."""
-    return declared_length(request) > 0 or b"transfer-encoding" in request.values
+    return request.length > 0 or b"transfer-encoding" in request.values
 
 
 def declared_length(request: Request) -> int:
@@ -233,5 +235,5 @@
             lines += b"content-length: %d\r\n" % len(request.body)
         return lines
     if b"content-length" in request.values:
-        return lines + b"content-length: %d\r\n" % declared_length(request)
+        return lines + b"content-length: %d\r\n" % request.length
     return lines + b"transfer-encoding: chunked\r\n"
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import enum
 import json
 import typing
 
@@ -35,6 +36,16 @@
 """Answers that wait for earlier ones on their connection, above which no further
 request of it is dispatched ahead of its turn."""
 
+READ_BYTES = 16_384
+"""Bytes that are read of a connection at once."""
+
+FEED_BYTES = 1_024
+"""Input that is parsed at once. One step reads no more requests than fit into it beyond
+:data:`MAX_PIPELINED`."""
+
+MAX_TURN_REPORTS = 64
+"""Heads and pieces of bodies after which a connection waits for its next turn."""
+
 PARALLEL_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods of pipelined requests that may run in parallel (RFC 9112, 9.3.2)."""
 
@@ -47,7 +58,15 @@
 _PART = "ingress"
 
 
-class CallerConnection(asyncio.Protocol):
+class _Pause(enum.Enum):
+    """Why nothing is read of a connection."""
+
+    PIPELINE = "enough requests are read ahead"
+    BODY = "a body is not passed on yet, or lacks credit"
+    TURN = "other connections have their turn"
+
+
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; its requests are answered in order.
 
     Pipelined requests that are safe run in parallel, since one that waits for the
@@ -55,7 +74,9 @@
 
     Invariants: answers are written only for ``_requests[0]``, others are held; nothing
     behind a request after which the connection closes is dispatched; input is ignored
-    once ``_final_response`` is set or the connection closes.
+    once ``_final_response`` is set or the connection closes; nothing is parsed while
+    ``_pauses`` is not empty, and nothing is read from the transport while ``_unparsed``
+    is not.
 
     :param node: the node that serves the connection.
     """
@@ -71,6 +92,13 @@
         self._unparsed_bytes = 0
         # Heads and pieces of bodies that the parser has reported.
         self._reports = 0
+        self._turn_began_at = 0
+        self._pieces: list[bytes] = []
+        self._pauses: set[_Pause] = set()
+        # Input that waits while the connection is paused.
+        self._unparsed = b""
+        self._parsing = False
+        self._is_reading = True
         self._limits = caller_limits.effective(node)
         # Time at which the head being read began, or the last request ended.
         self._waiting_since = clock.now()
@@ -93,15 +121,81 @@
         self._record_end(error)
         self._closing = True
         self._node.caller_connections.discard(self)
+        self._node.turns.forget(self)
         self._drop_requests()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the node, whose content is copied at once."""
+        return self._node.read_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        """Take what was read into the buffer."""
+        self.data_received(bytes(self._node.read_buffer[:count]))
+
     def data_received(self, data: bytes) -> None:
+        """Parse input, until the connection is paused; keep the rest."""
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self._turn_began_at = self._reports
+        self._parse()
+
+    def _parse(self) -> None:
+        if self._parsing:
+            # The outer call continues.
+            return
+        self._parsing = True
+        position, data = 0, self._unparsed
+        try:
+            while position < len(data) and not self._pauses:
+                end = position + self._feed_size()
+                self._feed(data[position:end])
+                position = end
+                if self._reports - self._turn_began_at > MAX_TURN_REPORTS:
+                    self._wait_for_turn()
+        finally:
+            self._parsing = False
+            self._unparsed = data[position:]
+        if not (self._is_reading or self._pauses or self._closing):
+            self._is_reading = True
+            self._transport.resume_reading()
+
+    def _feed_size(self) -> int:
+        """Return how much input is parsed at once: the rest of a body of known length,
+        which is one piece, or :data:`FEED_BYTES`."""
+        request = self._reading
+        if request is None or self._in_head:
+            return FEED_BYTES
+        return max(FEED_BYTES, request.length - request.body_bytes)
+
+    def _wait_for_turn(self) -> None:
+        if self._closing:
+            return
+        self._pause(_Pause.TURN)
+        self._node.turns.wait(self, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._turn_began_at = self._reports
+        self._resume(_Pause.TURN)
+
+    def _pause(self, why: _Pause) -> None:
+        self._pauses.add(why)
+        self._is_reading = False
+        self._transport.pause_reading()
+
+    def _resume(self, why: _Pause) -> None:
+        """Go on with the input that waits, and then with the transport, unless there is
+        another reason to pause."""
+        self._pauses.discard(why)
+        if not (self._closing or self._pauses):
+            self._parse()
+
+    def _feed(self, data: bytes) -> None:
         """Feed the parser; reject input that is not valid and close the connection."""
         if self._closing or self._final_response:
             return
         try:
             request, reports = self._reading, self._reports
             self._parser.feed_data(data)
+            self._take_pieces()
             if self._reading is not None and (request, reports) == (
                 self._reading,
                 self._reports,
@@ -123,6 +217,11 @@
                 self._on_read_error()
                 return
             self._reject(400, f"not a valid HTTP/1.1 request: {error}")
+        except Exception as error:
+            supervision.record(_PART, error)
+            self._on_read_error()
+        finally:
+            self._pieces.clear()
 
     def pause_writing(self) -> None:
         """Withhold credit until the caller has read what is buffered."""
@@ -176,6 +275,7 @@
         request = self._current()
         request.index_headers()
         request.method = self._parser.get_method()
+        request.length = caller_requests.declared_length(request)
         request.close_after = not self._parser.should_keep_alive()
         self._requests.append(request)
         version = self._parser.get_http_version()
@@ -185,7 +285,7 @@
         if problem:
             self._reject(400, problem)
             return
-        if caller_requests.declared_length(request) > self._limits.body_bytes:
+        if request.length > self._limits.body_bytes:
             self._reject_body()
             return
         if not self._is_first(request):
@@ -197,11 +297,22 @@
         self._ask_for_body(request)
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a piece of a body, or stream it to the home node."""
-        request = self._current()
+        """Collect a piece of a body, which may be as small as a byte."""
         self._note_report()
-        if self._closing or self._final_response:
+        if not (self._closing or self._final_response):
+            self._pieces.append(body)
+
+    def _take_pieces(self) -> None:
+        """Join the pieces that were parsed at once, and take them as one."""
+        pieces = self._pieces
+        if not pieces:
             return
+        body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        pieces.clear()
+        self._take_body(self._current(), body)
+
+    def _take_body(self, request: caller_requests.Request, body: bytes) -> None:
+        """Buffer a piece of a body, or stream it to the home node."""
         request.body_bytes += len(body)
         if request.body_bytes > self._limits.body_bytes:
             self._reject_body()
@@ -215,12 +326,13 @@
             if request.answered:
                 request.body.clear()
             return
-        self._transport.pause_reading()
+        self._pause(_Pause.BODY)
         if request is self._requests[0] and not request.dispatched:
             self._dispatch(request)
 
     def on_message_complete(self) -> None:
         """Dispatch the complete request if it is first in line."""
+        self._take_pieces()
         request = self._current()
         request.complete = True
         self._reading = None
@@ -228,9 +340,10 @@
             return
         if request.body_sink is not None:
             request.body_sink(b"", True)
+            self._resume(_Pause.BODY)
             return
         if len(self._requests) > MAX_PIPELINED:
-            self._transport.pause_reading()
+            self._pause(_Pause.PIPELINE)
         self._dispatch_ready()
 
     # Called by the node.
@@ -245,13 +358,13 @@
             sink(b"", True)
             return
         if request.credit > 0:
-            self._transport.resume_reading()
+            self._resume(_Pause.BODY)
 
     def add_credit(self, request: caller_requests.Request, count: int) -> None:
         """Add credit for a streamed request body; resume reading if it is positive."""
         request.credit += count
-        if request.credit > 0 and not self._closing:
-            self._transport.resume_reading()
+        if request.credit > 0:
+            self._resume(_Pause.BODY)
 
     def send_whole(
         self, request: caller_requests.Request, head: bytes, body: bytes
@@ -363,8 +476,8 @@
 
     @property
     def has_unread_input(self) -> bool:
-        """Whether the kernel has received what this node has not read."""
-        return sockets.has_unread(self._transport)
+        """Whether this node, or the kernel, has received what is not parsed yet."""
+        return bool(self._unparsed) or sockets.has_unread(self._transport)
 
     @property
     def closing(self) -> bool:
@@ -509,7 +622,7 @@
             return
         request.credit -= len(body)
         if request.credit <= 0:
-            self._transport.pause_reading()
+            self._pause(_Pause.BODY)
         request.body_sink(body, False)
 
     def refuse_for_error(self, request: caller_requests.Request) -> None:
@@ -686,11 +799,20 @@
         if self._final_response and not self._requests:
             self._send_final_response()
             return
-        if len(self._requests) <= MAX_PIPELINED:
-            self._transport.resume_reading()
         if self._requests and not self._requests[0].complete:
             self._ask_for_body(self._requests[0])
         self._dispatch_ready()
+        self._pass_body_on()
+        if len(self._requests) <= MAX_PIPELINED:
+            self._resume(_Pause.PIPELINE)
+
+    def _pass_body_on(self) -> None:
+        """Dispatch a request whose body filled the buffer behind earlier requests."""
+        request = self._reading
+        if request is None or _Pause.BODY not in self._pauses:
+            return
+        if self._is_first(request) and not request.dispatched:
+            self._dispatch(request)
 
     def _ask_for_body(self, request: caller_requests.Request) -> None:
         """Answer ``Expect: 100-continue`` of the first request."""
--- a/src/gingerturn/internal/shell/lingering.py
+++ b/src/gingerturn/internal/shell/lingering.py
@@ -42,7 +42,7 @@
     def close(
         self,
         transport: asyncio.Transport,
-        protocol: asyncio.Protocol,
+        protocol: asyncio.Protocol | asyncio.BufferedProtocol,
         *,
         is_sending: bool,
     ) -> None:
@@ -56,6 +56,8 @@
         if transport.is_closing():
             return
         discarding = _Discarding(self, transport, protocol, is_sending=is_sending)
+        # The event loop chooses at the start of reading how a protocol is fed.
+        transport.pause_reading()
         transport.set_protocol(discarding)
         self._connections[transport] = discarding
         if len(self._connections) > MAX_LINGERING:
@@ -67,7 +69,6 @@
             self._end(transport)
             return
         if not transport.is_closing():
-            # Reading may be paused for lack of credit.
             transport.resume_reading()
 
     def awaits(self, transport: asyncio.Transport) -> bool:
@@ -127,7 +128,7 @@
         self,
         lingering: Lingering,
         transport: asyncio.Transport,
-        protocol: asyncio.Protocol,
+        protocol: asyncio.Protocol | asyncio.BufferedProtocol,
         *,
         is_sending: bool,
     ) -> None:
--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -36,7 +36,7 @@
 """Pause after a connection could not be accepted, which the event loop would otherwise
 report all the time."""
 
-MakeProtocol = collections.abc.Callable[[], asyncio.Protocol]
+MakeProtocol = collections.abc.Callable[[], asyncio.BaseProtocol]
 
 
 class AddressUnavailable(errors.GingerturnError):
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -53,6 +53,7 @@
     side_http,
     starting,
     supervision,
+    turns,
     unapplied,
 )
 
@@ -156,6 +157,8 @@
         self.compressing: set[peers.FrameProtocol] = set()
         self.caller_connections: set[ingress.CallerConnection] = set()
         self.lingering = lingering.Lingering()
+        self.turns = turns.Turns()
+        self.read_buffer = memoryview(bytearray(ingress.READ_BYTES))
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
         self.descriptors = descriptors.Reserve(
--- a/tests/common/memory_links.py
+++ b/tests/common/memory_links.py
@@ -46,6 +46,11 @@
     def set_protocol(self, protocol: asyncio.Protocol) -> None:
         self.other.receiver = protocol
 
+    def pause_reading(self) -> None:
+        pass
+
+    resume_reading = pause_reading
+
     def get_write_buffer_size(self) -> int:
         return 0
 
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -1,5 +1,6 @@
 """Limits of callers' requests and connections."""
 
+import asyncio
 import re
 
 import pytest
@@ -12,6 +13,7 @@
     clock,
     ingress,
     node as nodes,
+    turns,
 )
 from tests.common import builders, routed, transports
 
@@ -35,6 +37,12 @@
         self.transport = transports.Transport()
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
 
+    def another(self) -> ingress.CallerConnection:
+        """Return another connection to the node."""
+        connection = ingress.CallerConnection(self.node)
+        connection.connection_made(transports.Transport())  # type: ignore[arg-type]
+        return connection
+
     def put_in_force(self, limits: routes.RequestLimits) -> None:
         table = routes.RouteTable(version=1, routes=(routed.route(),), limits=limits)
         self.node.state.routes = routes.RouteIndex(table)
@@ -49,6 +57,11 @@
         for piece in pieces:
             self.connection.data_received(piece)
 
+    def send_in_reads(self, data: bytes) -> None:
+        """Send as much as is read at once, again and again."""
+        size = ingress.READ_BYTES
+        self.send(*(data[start : start + size] for start in range(0, len(data), size)))
+
     def pass_time(self, elapsed_ms: float) -> None:
         caller_limits.check_connections(self.node, clock.now() + elapsed_ms)
 
@@ -120,10 +133,12 @@
     buffered = settings.Limits().body_buffer
     caller = Caller(routes.RequestLimits(body_bytes=buffered + 10))
     piece = b"%x\r\n%b\r\n" % (buffered + 1, b"z" * (buffered + 1))
-    caller.send(_put(b"transfer-encoding: chunked", piece))
+    caller.send_in_reads(_put(b"transfer-encoding: chunked", piece))
     (request,) = caller.dispatched
     request.attempt = int(is_sent)
-    caller.send(piece)
+    caller.connection.start_streaming(request, lambda body, last: None)
+    caller.connection.add_credit(request, len(piece))
+    caller.send_in_reads(piece)
     assert caller.statuses == [413]
     assert f"gingerturn-outcome: {outcome}\r\n".encode() in caller.transport.written
 
@@ -248,3 +263,49 @@
         caller.send(b"x-trailer: %b\r\n" % (b"x" * 50))
     assert caller.statuses == [431]
     assert not caller.dispatched
+
+
+# Guards against work that grows with the number of pieces in place of their bytes.
+def test_small_pieces_are_joined_before_they_are_passed_on() -> None:
+    buffered = settings.Limits().body_buffer
+    caller = Caller(routes.RequestLimits(body_bytes=2 * buffered))
+    caller.send(_put(b"transfer-encoding: chunked"))
+    caller.send_in_reads(b"%x\r\n%b\r\n" % (buffered + 1, b"z" * (buffered + 1)))
+    (request,) = caller.dispatched
+    passed_on: list[bytes] = []
+    caller.connection.start_streaming(request, lambda body, _: passed_on.append(body))
+    caller.connection.add_credit(request, buffered)
+    pieces = 40
+    caller.send(b"1\r\nz\r\n" * pieces)
+    assert passed_on == [b"z" * pieces]
+    assert request.body_bytes == buffered + 1 + pieces
+
+
+# Guards against ordinary callers that wait while the input of others is parsed, which
+# consists of many small pieces.
+def test_connections_with_many_small_pieces_take_turns() -> None:
+    async def play() -> None:
+        limits = routes.RequestLimits(head_bytes=200, body_bytes=100_000)
+        caller = Caller(limits)
+        others = [caller.another() for _ in range(40)]
+        for connection in others:
+            connection.data_received(_put(b"transfer-encoding: chunked"))
+            connection.data_received(b"1\r\nz\r\n" * 2_000)
+        before = caller.node.turns.taken
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        # One turn of the event loop does a bounded part of the work.
+        assert 0 < caller.node.turns.taken - before <= 2 * turns.AT_ONCE
+        caller.send(GET)
+        assert len(caller.dispatched) == 1
+        while any(connection.has_unread_input for connection in others):
+            await asyncio.sleep(0)
+        for connection in others:
+            (request,) = connection.accepted_requests
+            assert request.body_bytes == 2_000
+            connection.data_received(b"0\r\n\r\n")
+        while any(connection.has_unread_input for connection in others):
+            await asyncio.sleep(0)
+        assert len(caller.dispatched) == 1 + len(others)
+
+    asyncio.run(play())
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -1,5 +1,6 @@
 """Requests that a caller sends before the earlier ones are answered."""
 
+import asyncio
 import re
 import typing
 
@@ -314,16 +315,44 @@
 # Guards against a recursion as deep as the number of requests, whose error would end
 # the handling of an event midway.
 def test_many_requests_that_the_node_answers_itself_follow_a_slow_one() -> None:
-    caller = Caller()
-    caller.send("/post/1", method="POST")
     count = 2_000
     head = (
         b"POST /tickets/none HTTP/1.1\r\nhost: gingerturn\r\ncontent-length: 0\r\n\r\n"
     )
-    caller.connection.data_received(head * count)
-    assert len(caller.dispatched) == 1
-    caller.answer(0)
-    assert caller.transport.written.count(b"HTTP/1.1 404 ") == count
+
+    async def play() -> None:
+        caller = Caller()
+        caller.send("/post/1", method="POST")
+        caller.connection.data_received(head * count)
+        assert len(caller.dispatched) == 1
+        caller.answer(0)
+        await _settle(caller.node)
+        assert caller.transport.written.count(b"HTTP/1.1 404 ") == count
+        assert caller.transport.reading
+
+    asyncio.run(play())
+
+
+async def _settle(node: nodes.Node) -> None:
+    """Let the connections take their turns."""
+    taken = -1
+    while taken != node.turns.taken:
+        taken = node.turns.taken
+        await asyncio.sleep(0.005)
+
+
+# Guards against requests that are read ahead without a bound, since one read holds many
+# of them.
+def test_few_requests_of_one_read_are_parsed_ahead() -> None:
+    caller = Caller()
+    caller.send("/post/1", method="POST")
+    head = b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
+    caller.connection.data_received(head * (ingress.READ_BYTES // len(head)))
+    in_one_step = ingress.FEED_BYTES // len(head) + 1
+    most = ingress.MAX_PIPELINED + 1 + in_one_step
+    assert len(caller.connection.accepted_requests) <= most
+    assert not caller.transport.reading
+    assert caller.connection.has_unread_input
 
 
 # Guards against unrepeatable requests that run twice where no route table is in force:
