Callers: a body that stops, or takes too long, is given up

What callers saw: requests whose bodies never end are held for as long as their clients stay, and with them memory and descriptors that ordinary callers need.

Cause: the checks of connections ended at the first request whose head was complete. A body that is buffered had no limit in time.

Change: a body that makes no progress for the idle timeout, or that is not complete within the time that its caller waits (limits.body_timeout_ms, 300 s, where it does not say), gets 408, not run. Neither counts while the node itself has paused the connection, nor against input that it has not read yet. A body that is passed on ends by the deadline of its call, as before.

--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -4,7 +4,7 @@
 
 from gingerturn import routes
 from gingerturn.internal import ids
-from gingerturn.internal.shell import clock, supervision
+from gingerturn.internal.shell import caller_requests, clock, supervision
 
 if typing.TYPE_CHECKING:
     from gingerturn.internal.shell import node as nodes
@@ -32,6 +32,16 @@
     )
 
 
+def body_timeout(
+    node: "nodes.Node", request: caller_requests.Request
+) -> ids.Milliseconds:
+    """Return the time from the first byte of a request to the last one of its body:
+    for as long as its caller waits for the answer, if it says so."""
+    stated = caller_requests.number_header(request, node.dialect.timeout)
+    limit = float(node.settings.limits.body_timeout_ms)
+    return min(stated, limit) if stated else limit
+
+
 def check_connections(node: "nodes.Node", now: ids.Milliseconds) -> None:
     """Close the connections that exceed a timeout."""
     for connection in list(node.caller_connections):
--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -38,6 +38,8 @@
         self.connection = connection
         self.call = ids.CallId(0)
         self.attempt = 0
+        # When its head began to arrive.
+        self.began_at: ids.Milliseconds = 0.0
         self.target = b""
         self.method = b""
         self.headers: list[heads.Header] = []
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -100,7 +100,8 @@
         self._parsing = False
         self._is_reading = True
         self._limits = caller_limits.effective(node)
-        # Time at which the head being read began, or the last request ended.
+        # Time at which the head being read began, the last piece of a body arrived, or
+        # the last request ended.
         self._waiting_since = clock.now()
         # The error response to bad input; sent after the answers to earlier requests.
         self._final_response = b""
@@ -244,7 +245,7 @@
         self._head_bytes = 0
         self._unparsed_bytes = 0
         self._limits = caller_limits.effective(self._node)
-        self._waiting_since = clock.now()
+        self._waiting_since = self._reading.began_at = clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Append to the target, which may arrive in several pieces."""
@@ -314,6 +315,7 @@
     def _take_body(self, request: caller_requests.Request, body: bytes) -> None:
         """Buffer a piece of a body, or stream it to the home node."""
         request.body_bytes += len(body)
+        self._waiting_since = clock.now()
         if request.body_bytes > self._limits.body_bytes:
             self._reject_body()
             return
@@ -536,23 +538,47 @@
                 self._dispatch(request)
 
     def check_timeout(self, now: ids.Milliseconds) -> None:
-        """Close the connection if a head or the next request did not arrive in time.
+        """Close the connection if a head, a body or the next request did not arrive in
+        time.
 
         What arrived in time may not have been read yet, after a pause of the process.
         """
-        if self._requests or self._closing:
+        if self._closing or self._final_response:
+            return
+        if self._reading is not None and not self._in_head:
+            self._check_body(self._reading, now)
+            return
+        if self._requests:
             return
         limits = caller_limits.effective(self._node)
         is_idle = self._reading is None
         limit_ms = limits.idle_timeout_ms if is_idle else limits.head_timeout_ms
         is_late = now - self._waiting_since > limit_ms
-        if not is_late or sockets.has_unread(self._transport):
+        if not is_late or self.has_unread_input:
             return
         if is_idle:
             self.close("idle")
         else:
             self._reject(408, "the request's head took too long")
 
+    def _check_body(
+        self, request: caller_requests.Request, now: ids.Milliseconds
+    ) -> None:
+        """Reject a request whose body stopped, or took longer than its caller waits.
+
+        One that is dispatched ends by its deadline.
+        """
+        if request.dispatched or self._pauses:
+            return
+        idle_ms = caller_limits.effective(self._node).idle_timeout_ms
+        has_stopped = now - self._waiting_since > idle_ms
+        is_late = now - request.began_at > caller_limits.body_timeout(
+            self._node, request
+        )
+        if not (has_stopped or is_late) or self.has_unread_input:
+            return
+        self._reject(408, "the request's body took too long")
+
     def close(self, cause: str) -> None:
         """Close the connection after the write buffer is flushed.
 
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -145,8 +145,11 @@
     :param head_bytes: size of the head of a caller's request.
     :param body_bytes: size of the body of a caller's request.
     :param head_timeout_ms: from the first to the last byte of a request head.
-    :param idle_timeout_ms: after which an idle connection of a caller is closed;
-        longer than the idle timeouts of load balancers and client libraries.
+    :param body_timeout_ms: from the first byte of a request to the last one of a body
+        that is buffered; at most as long as the caller says it waits.
+    :param idle_timeout_ms: after which an idle connection of a caller is closed, or one
+        whose body stopped; longer than the idle timeouts of load balancers and client
+        libraries.
     """
 
     body_buffer: decoding.Integer = 262_144
@@ -154,6 +157,7 @@
     decisions: decoding.Integer = 32_768
     body_bytes: decoding.Integer = 1_073_741_824
     head_timeout_ms: decoding.Integer = 10_000
+    body_timeout_ms: decoding.Integer = 300_000
     idle_timeout_ms: decoding.Integer = 120_000
 
 
@@ -182,6 +186,7 @@
     "head_bytes": (1_024, 1_048_576),
     "body_bytes": (1, 1 << 40),
     "head_timeout_ms": (100, 600_000),
+    "body_timeout_ms": (100, 86_400_000),
     "idle_timeout_ms": (100, 86_400_000),
 }
 """Allowed range of each limit."""
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -154,6 +154,46 @@
     assert caller.transport.closed
 
 
+# Guards against bodies that are held for as long as their callers stay.
+def test_a_body_that_stops_gets_a_408_with_outcome_not_run() -> None:
+    caller = Caller()
+    caller.send(_put(b"content-length: 10", b"01234567"))
+    caller.pass_time(4_900)
+    assert not caller.transport.closed
+    caller.pass_time(5_100)
+    assert caller.statuses == [408]
+    assert b"gingerturn-outcome: not-run" in caller.transport.written
+    assert caller.transport.closed
+    assert not caller.dispatched
+
+
+# Guards against bodies that trickle for longer than their callers wait.
+@pytest.mark.parametrize(
+    ("head", "limit_ms"),
+    [
+        (b"content-length: 10\r\ngingerturn-timeout-ms: 2000", 2_000),
+        (b"content-length: 10", settings.Limits().body_timeout_ms),
+    ],
+)
+def test_a_body_that_takes_too_long_gets_a_408(head: bytes, limit_ms: int) -> None:
+    caller = Caller(routes.RequestLimits(idle_timeout_ms=86_400_000))
+    caller.send(_put(head, b"01234"))
+    caller.pass_time(limit_ms - 100)
+    caller.send(b"5")
+    assert not caller.transport.closed
+    caller.pass_time(limit_ms + 100)
+    assert caller.statuses == [408]
+
+
+def test_a_body_that_is_passed_on_ends_by_the_deadline_of_its_call() -> None:
+    buffered = settings.Limits().body_buffer
+    caller = Caller(routes.RequestLimits(body_bytes=2 * buffered))
+    caller.send(_put(b"content-length: %d" % (2 * buffered), b"z" * (buffered + 1)))
+    assert len(caller.dispatched) == 1
+    caller.pass_time(3_600_000)
+    assert not caller.transport.closed
+
+
 def test_an_idle_connection_is_closed_only_after_the_bound() -> None:
     caller = Caller()
     caller.pass_time(4_900)
