Callers: one account bounds the memory that their connections hold

Cause: what a connection may hold was bounded, and the sum was not. A body up to the buffer's 256 KiB is held until it is complete.

Change: an account of what connections hold of requests, parsed or not, and of answers that are not read. At the limit, connections that wait for their callers are given up, by bytes times the time since the last progress: a request that was not sent gets 503, not run, with Retry-After; other connections are closed. A complete body is refused while running requests hold the limit. Metrics held_bytes, held_bytes_limit, held_given_up_total, input_turns_total, and a line.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -65,6 +65,11 @@
         self.grant_credit: typing.Callable[[int], None] | None = None
         self.withheld_credit = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of its body, and of its answer, that wait in this process."""
+        return len(self.body) + sum(map(len, self.held_output))
+
     def trace_id(self, dialect: dialects.Dialect) -> str:
         """Return the id by which logs name the request; empty if it has none."""
         return self.values.get(dialect.request_id, b"").decode("latin-1")
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -19,6 +19,7 @@
     connection_ends,
     entry,
     heads,
+    held_bytes,
     sockets,
     supervision,
     tickets,
@@ -52,6 +53,15 @@
 OWN_AUTHORITY = "gingerturn"
 """Authority (``Host``) of the requests that the node answers itself."""
 
+MIN_COUNTED_BYTES = 4_096
+"""Bodies below are not counted once they are complete."""
+
+NO_MEMORY_CAUSE = "no memory left"
+"""Cause of a connection's close, for the log."""
+
+NO_MEMORY_RETRY_MS = 1_000.0
+"""Retry delay of a request that was refused for lack of memory."""
+
 ERROR_RETRY_MS = 1_000.0
 """Retry delay of a request that was refused for an error of this node."""
 
@@ -99,6 +109,8 @@
         self._unparsed = b""
         self._parsing = False
         self._is_reading = True
+        # As set in the account of the node.
+        self._held = 0
         self._limits = caller_limits.effective(node)
         # Time at which the head being read began, the last piece of a body arrived, or
         # the last request ended.
@@ -110,6 +122,8 @@
         self._close_cause = ""
         self._is_end_recorded = False
         self._write_paused = False
+        # When the caller stopped reading, while writing is paused.
+        self._unread_since = 0.0
         self._dispatching = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -124,6 +138,7 @@
         self._node.caller_connections.discard(self)
         self._node.turns.forget(self)
         self._drop_requests()
+        self._set_held(0)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of the node, whose content is copied at once."""
@@ -144,7 +159,8 @@
             # The outer call continues.
             return
         self._parsing = True
-        position, data = 0, self._unparsed
+        position = 0
+        data, self._unparsed = self._unparsed, b""
         try:
             while position < len(data) and not self._pauses:
                 end = position + self._feed_size()
@@ -155,6 +171,8 @@
         finally:
             self._parsing = False
             self._unparsed = data[position:]
+        if self._held or self._reading is not None:
+            self._count_held()
         if not (self._is_reading or self._pauses or self._closing):
             self._is_reading = True
             self._transport.resume_reading()
@@ -227,10 +245,13 @@
     def pause_writing(self) -> None:
         """Withhold credit until the caller has read what is buffered."""
         self._write_paused = True
+        self._unread_since = clock.now()
+        self._count_held()
 
     def resume_writing(self) -> None:
         """Grant the withheld credit, and dispatch what waited."""
         self._write_paused = False
+        self._count_held()
         if not self._requests:
             return
         self._grant_withheld(self._requests[0])
@@ -323,6 +344,10 @@
             self._stream_in(request, body)
             return
         request.body += body
+        if len(request.body) > MIN_COUNTED_BYTES:
+            self._count_held()
+            if self._final_response:
+                return
         limit = self._node.settings.limits.body_buffer
         if len(request.body) <= limit or request.answered:
             if request.answered:
@@ -466,6 +491,45 @@
         request.close_after = close
         self._finish(request)
 
+    @property
+    def held_since(self) -> ids.Milliseconds:
+        """When the caller last sent a part of a request, or began not to read."""
+        return self._unread_since if self._write_paused else self._waiting_since
+
+    @property
+    def may_be_given_up(self) -> bool:
+        """Whether the caller is waited for, to send or to read."""
+        return not self._closing and (self._write_paused or self._reading is not None)
+
+    def give_up(self) -> None:
+        """Free the memory that is held for a caller that is waited for."""
+        reading = self._reading
+        if reading is None or reading.dispatched or self._write_paused:
+            self.close(NO_MEMORY_CAUSE)
+            # What the caller does not read would stay in the write buffer.
+            self._transport.abort()
+            return
+        self._reject(503, NO_MEMORY_CAUSE, retry_after_ms=NO_MEMORY_RETRY_MS)
+        reading.body.clear()
+        if not self._closing:
+            self._count_held()
+
+    def _count_held(self) -> None:
+        """Set in the account what is held for the caller."""
+        requests = list(self._requests)
+        if self._reading is not None and self._reading not in requests:
+            requests.append(self._reading)
+        held = len(self._unparsed) + self._transport.get_write_buffer_size()
+        held += sum(request.held_bytes for request in requests)
+        if requests:
+            held += held_bytes.CONNECTION_BYTES + self._head_bytes
+        self._set_held(0 if self._closing else held)
+
+    def _set_held(self, count: int) -> None:
+        if count != self._held:
+            self._held = count
+            self._node.held.set(self, count)
+
     @property
     def idle(self) -> bool:
         """Whether no request is being served or read."""
@@ -595,6 +659,7 @@
             self._record_end(None)
         is_sending = self._reading is not None or bool(self._final_response)
         self._drop_requests()
+        self._set_held(0)
         self._node.lingering.close(self._transport, self, is_sending=is_sending)
 
     def _record_end(self, error: Exception | None) -> None:
@@ -691,6 +756,9 @@
     def _dispatch_request(self, request: caller_requests.Request) -> None:
         request.dispatched = True
         request.call = ids.CallId(self._node.next_number())
+        if request.body and self._node.held.is_full:
+            self.send_problem(request, self._no_memory(request))
+            return
         service, path, target = caller_requests.destination(request)
         if not service:
             self._reject(400, "the request names no service in Host", request)
@@ -739,6 +807,16 @@
         )
         self._node.entry.begin_request(request, arrival)
 
+    def _no_memory(self, request: caller_requests.Request) -> effects.RefuseCall:
+        return effects.RefuseCall(
+            call=request.call,
+            status=503,
+            outcome=messages.Outcome.NOT_RUN,
+            title=NO_MEMORY_CAUSE,
+            retry_after_ms=NO_MEMORY_RETRY_MS,
+            decision="",
+        )
+
     def _answer_ticket_request(
         self, request: caller_requests.Request, path: str
     ) -> None:
@@ -829,6 +907,8 @@
             self._ask_for_body(self._requests[0])
         self._dispatch_ready()
         self._pass_body_on()
+        if self._held:
+            self._count_held()
         if len(self._requests) <= MAX_PIPELINED:
             self._resume(_Pause.PIPELINE)
 
@@ -928,7 +1008,12 @@
         self._reject(413, f"the request's body is longer than {limit} bytes")
 
     def _reject(
-        self, status: int, title: str, bad: caller_requests.Request | None = None
+        self,
+        status: int,
+        title: str,
+        bad: caller_requests.Request | None = None,
+        *,
+        retry_after_ms: ids.Milliseconds = 0.0,
     ) -> None:
         """Answer bad input and close the connection.
 
@@ -946,7 +1031,7 @@
             status=status,
             outcome=outcome,
             title=title[:200],
-            retry_after_ms=0,
+            retry_after_ms=retry_after_ms,
             decision="",
             close=True,
             dialect=self._node.dialect,
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -40,6 +40,7 @@
     descriptors,
     entry,
     gossip,
+    held_bytes,
     home,
     ingress,
     lingering,
@@ -158,6 +159,7 @@
         self.caller_connections: set[ingress.CallerConnection] = set()
         self.lingering = lingering.Lingering()
         self.turns = turns.Turns()
+        self.held = held_bytes.Account(held_bytes.limit_of(loaded.limits.memory_mb))
         self.read_buffer = memoryview(bytearray(ingress.READ_BYTES))
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -236,6 +236,10 @@
     add("backend_unrelated_answers_total", "counter", ("", unrelated))
     add("outcome_facts_dropped_total", "counter", ("", outcome_log.dropped_total()))
     reserve = node.descriptors
+    add("held_bytes", "gauge", ("", node.held.total))
+    add("held_bytes_limit", "gauge", ("", node.held.limit))
+    add("held_given_up_total", "counter", ("", node.held.given_up))
+    add("input_turns_total", "counter", ("", node.turns.taken))
     add("descriptors_short", "gauge", ("", reserve.short))
     add("descriptor_shortages_total", "counter", ("", reserve.shortages))
     add("idle_callers_closed_total", "counter", ("", reserve.closed_idle))
--- a/src/gingerturn/settings.py
+++ b/src/gingerturn/settings.py
@@ -138,6 +138,8 @@
 
     The request limits of a route table take precedence over these.
 
+    :param memory_mb: memory of the machine, from which the bound of what is held for
+        callers follows; 0 if it is not known.
     :param body_buffer: largest body in bytes that is buffered for retries and
         checks; longer bodies are streamed.
     :param decisions: decision records retained for ``gingerturn why``, for admissions
@@ -152,6 +154,7 @@
         libraries.
     """
 
+    memory_mb: decoding.Integer = 0
     body_buffer: decoding.Integer = 262_144
     head_bytes: decoding.Integer = 32_768
     decisions: decoding.Integer = 32_768
@@ -181,6 +184,7 @@
 """The age of a route table is checked each 100 ms, which is to remain a small part."""
 
 LIMIT_RANGES = {
+    "memory_mb": (0, 16_777_216),
     "body_buffer": (1_024, MAX_BODY_BUFFER),
     "decisions": (1_024, 1_048_576),
     "head_bytes": (1_024, 1_048_576),
