Descriptors: stalled callers and idle side connections make room

What callers saw: nobody is served while other clients hold all descriptors with requests whose bodies they never end, or with connections to the addresses for readiness, metrics and announcements.

Cause: in a shortage only idle connections of callers were closed. One whose request is read in part is not idle, and the side addresses had no bound at all.

Change: where no caller is idle, those without progress for 1 s are given up, the oldest first: 503, not run, for a request that was not sent. A side address keeps 64 connections, of which the one used least recently makes room; one without a request for 60 s is closed, and for 0.1 s while descriptors are short.

--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -15,6 +15,13 @@
 IDLE_BEFORE_CLOSE_MS = 100.0
 """Time for which a connection is idle before it is closed for a new one."""
 
+STALLED_BEFORE_CLOSE_MS = 1_000.0
+"""Time without progress after which a connection that waits for its caller, to send or
+to read, is closed for a new one."""
+
+NO_DESCRIPTORS_CAUSE = "no file descriptors left"
+"""Cause of a connection's close, for the log."""
+
 MAX_CLOSED_AT_ONCE = 64
 
 
@@ -67,5 +74,26 @@
     )
     closed = [c for c in idle[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
     for connection in closed:
-        connection.close("no file descriptors left")
+        connection.close(NO_DESCRIPTORS_CAUSE)
     return len(closed)
+
+
+def give_up_stalled(node: "nodes.Node") -> int:
+    """Give up the connections whose callers have made no progress for longest, to free
+    their descriptors.
+
+    :return: their number.
+    """
+    since_before = clock.now() - STALLED_BEFORE_CLOSE_MS
+    stalled = sorted(
+        (
+            c
+            for c in node.caller_connections
+            if c.may_be_given_up and c.held_since < since_before
+        ),
+        key=lambda c: c.held_since,
+    )
+    given_up = [c for c in stalled[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
+    for connection in given_up:
+        connection.give_up(NO_DESCRIPTORS_CAUSE)
+    return len(given_up)
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -59,8 +59,8 @@
 NO_MEMORY_CAUSE = "no memory left"
 """Cause of a connection's close, for the log."""
 
-NO_MEMORY_RETRY_MS = 1_000.0
-"""Retry delay of a request that was refused for lack of memory."""
+EXHAUSTED_RETRY_MS = 1_000.0
+"""Retry delay of a request that was refused for lack of memory or descriptors."""
 
 ERROR_RETRY_MS = 1_000.0
 """Retry delay of a request that was refused for an error of this node."""
@@ -501,15 +501,15 @@
         """Whether the caller is waited for, to send or to read."""
         return not self._closing and (self._write_paused or self._reading is not None)
 
-    def give_up(self) -> None:
-        """Free the memory that is held for a caller that is waited for."""
+    def give_up(self, cause: str = NO_MEMORY_CAUSE) -> None:
+        """Free what is held for a caller that is waited for, and end the connection."""
         reading = self._reading
         if reading is None or reading.dispatched or self._write_paused:
-            self.close(NO_MEMORY_CAUSE)
+            self.close(cause)
             # What the caller does not read would stay in the write buffer.
             self._transport.abort()
             return
-        self._reject(503, NO_MEMORY_CAUSE, retry_after_ms=NO_MEMORY_RETRY_MS)
+        self._reject(503, cause, retry_after_ms=EXHAUSTED_RETRY_MS)
         reading.body.clear()
         if not self._closing:
             self._count_held()
@@ -813,7 +813,7 @@
             status=503,
             outcome=messages.Outcome.NOT_RUN,
             title=NO_MEMORY_CAUSE,
-            retry_after_ms=NO_MEMORY_RETRY_MS,
+            retry_after_ms=EXHAUSTED_RETRY_MS,
             decision="",
         )
 
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -158,6 +158,7 @@
         self.compressing: set[peers.FrameProtocol] = set()
         self.caller_connections: set[ingress.CallerConnection] = set()
         self.lingering = lingering.Lingering()
+        self._side_connections: list[side_http.Connections] = []
         self.turns = turns.Turns()
         self.held = held_bytes.Account(held_bytes.limit_of(loaded.limits.memory_mb))
         self.read_buffer = memoryview(bytearray(ingress.READ_BYTES))
@@ -293,7 +294,11 @@
         :raises GingerturnError: when the node has started and the address cannot be
             bound.
         """
-        self.listeners.add(port, lambda: side_http.Connection(handler, self.lingering))
+        connections = side_http.Connections()
+        self._side_connections.append(connections)
+        self.listeners.add(
+            port, lambda: side_http.Connection(handler, self.lingering, connections)
+        )
         if self._begun:
             self.listeners.bind()
             self.listeners.listen()
@@ -406,10 +411,12 @@
             self._recorder = None
 
     def _free_descriptors(self) -> int:
-        """Close what needs no descriptor any more, and idle connections of callers;
-        return the number of the latter."""
+        """Close what needs no descriptor any more, and connections that wait for their
+        peers; return the number of those of callers."""
         self.lingering.end_flushed()
-        return caller_limits.close_idlest(self)
+        for connections in self._side_connections:
+            connections.close_idle(side_http.IDLE_BEFORE_CLOSE_MS)
+        return caller_limits.close_idlest(self) or caller_limits.give_up_stalled(self)
 
     def stop_left_ms(self, margin_ms: ids.Milliseconds = 0.0) -> ids.Milliseconds:
         """Return what is left of the drain timeout of a planned stop and a margin
@@ -654,6 +661,8 @@
             caller_limits.check_connections(self, now)
             self.entry.end_overdue(now)
             self.lingering.check(now)
+            for connections in self._side_connections:
+                connections.close_idle()
 
     def _publish_ended(self, effect: effects.PublishEnded) -> None:
         future = self._publications.pop(effect.request, None)
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -11,8 +11,8 @@
 import httptools
 import msgspec
 
-from gingerturn.internal import logs
-from gingerturn.internal.shell import heads, lingering
+from gingerturn.internal import ids, logs
+from gingerturn.internal.shell import clock, heads, lingering
 
 MAX_BODY = 65_536
 """Limit of a request's body, in bytes."""
@@ -41,6 +41,51 @@
 
 Handler = collections.abc.Callable[[Request], Reply]
 
+MAX_CONNECTIONS = 64
+"""Connections of an address. The one that was used least recently makes room."""
+
+IDLE_TIMEOUT_MS = 60_000.0
+"""Time without a complete request after which a connection is closed."""
+
+IDLE_BEFORE_CLOSE_MS = 100.0
+"""The same time while descriptors are short."""
+
+
+class Connections:
+    """The connections of an address, in the order of their last use.
+
+    Invariant: at most :data:`MAX_CONNECTIONS`.
+    """
+
+    def __init__(self) -> None:
+        self._used_at: dict[Connection, ids.Milliseconds] = {}
+
+    def __len__(self) -> int:
+        return len(self._used_at)
+
+    def note_use(self, connection: "Connection") -> None:
+        """Add a connection, or note that it was used."""
+        self._used_at.pop(connection, None)
+        self._used_at[connection] = clock.now()
+        if len(self._used_at) > MAX_CONNECTIONS:
+            self._close(next(iter(self._used_at)))
+
+    def forget(self, connection: "Connection") -> None:
+        """Remove a connection that is closed."""
+        self._used_at.pop(connection, None)
+
+    def close_idle(self, idle_ms: ids.Milliseconds = IDLE_TIMEOUT_MS) -> int:
+        """Close the connections that were not used for a time; return their number."""
+        used_before = clock.now() - idle_ms
+        idle = [c for c, used_at in self._used_at.items() if used_at < used_before]
+        for connection in idle:
+            self._close(connection)
+        return len(idle)
+
+    def _close(self, connection: "Connection") -> None:
+        self.forget(connection)
+        connection.close()
+
 
 class Connection(asyncio.Protocol):
     """A client connection.
@@ -49,11 +94,18 @@
 
     :param handler: answers its requests.
     :param lingering_set: the lingering connections of the node.
+    :param connections: those of its address.
     """
 
-    def __init__(self, handler: Handler, lingering_set: lingering.Lingering) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        lingering_set: lingering.Lingering,
+        connections: Connections,
+    ) -> None:
         self._handler = handler
         self._lingering_set = lingering_set
+        self._connections = connections
         self._closing = False
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
@@ -61,8 +113,18 @@
         self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
+        """Store the transport, and register the connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._connections.note_use(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Remove the connection from those of its address."""
+        self._connections.forget(self)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._closing = True
+        self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; answer an invalid request and close the connection."""
@@ -94,6 +156,7 @@
         if self._closing:
             return
         keep_alive = self._parser.should_keep_alive()
+        self._connections.note_use(self)
         self._write(self._reply(), keep_alive=keep_alive, is_sending=False)
 
     def _write(self, reply: Reply, *, keep_alive: bool, is_sending: bool) -> None:
@@ -105,6 +168,7 @@
         self._transport.write(head + b"\r\n" + reply.body)
         if not keep_alive:
             self._closing = True
+            self._connections.forget(self)
             self._lingering_set.close(self._transport, self, is_sending=is_sending)
 
     def _reply(self) -> Reply:
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -7,6 +7,7 @@
 from gingerturn import routes
 from gingerturn.internal.core import effects, messages
 from gingerturn.internal.shell import (
+    caller_limits,
     caller_requests,
     clock,
     held_bytes,
@@ -128,6 +129,21 @@
     assert site.node.held.total < LIMIT / 2
 
 
+# Guards against callers that wait for a descriptor for as long as others keep theirs.
+def test_callers_without_progress_make_room_for_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site(monkeypatch)
+    stalled, running, late = site.connect(), site.connect(), site.connect()
+    stalled.send(100, 50)
+    running.send(100, 100)
+    site.now += caller_limits.STALLED_BEFORE_CLOSE_MS + 1.0
+    late.send(100, 50)
+    assert caller_limits.give_up_stalled(site.node) == 1
+    assert (stalled.statuses, running.statuses, late.statuses) == ([503], [], [])
+    assert stalled.transport.closed
+
+
 def test_a_lost_connection_holds_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     site = Site(monkeypatch)
     caller = site.connect()
@@ -154,4 +170,4 @@
     )
     assert isinstance(refusal, effects.RefuseCall)
     assert refusal.outcome is messages.Outcome.NOT_RUN
-    assert refusal.retry_after_ms == ingress.NO_MEMORY_RETRY_MS
+    assert refusal.retry_after_ms == ingress.EXHAUSTED_RETRY_MS
--- a/tests/cover/test_odd_heads.py
+++ b/tests/cover/test_odd_heads.py
@@ -197,7 +197,8 @@
         return side_http.Reply(200)
 
     lingering = nodes.Node(builders.settings()).lingering
-    connection = side_http.Connection(handle, lingering)
+    connections = side_http.Connections()
+    connection = side_http.Connection(handle, lingering, connections)
     transport = transports.Transport()
     connection.connection_made(transport)  # type: ignore[arg-type]
     connection.data_received(b"GET /")
--- a/tests/cover/test_side_connections.py
+++ b/tests/cover/test_side_connections.py
@@ -5,8 +5,8 @@
 import pytest
 import uvloop
 
-from gingerturn.internal.shell import lingering, side_http
-from tests.common import late_readers
+from gingerturn.internal.shell import clock, lingering, side_http
+from tests.common import late_readers, transports
 
 PIECE = b"u" * 1_000_000
 
@@ -20,7 +20,9 @@
 
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: side_http.Connection(handle, lingering.Lingering()),
+            lambda: side_http.Connection(
+                handle, lingering.Lingering(), side_http.Connections()
+            ),
             "127.0.0.1",
             0,
         )
@@ -61,3 +63,53 @@
     assert seen.received.startswith(b"HTTP/1.1 200 ")
     assert seen.received.endswith(b"handled")
     assert seen.received.count(b"HTTP/1.1 ") == 1
+
+
+def _connect(
+    connections: side_http.Connections,
+) -> tuple[side_http.Connection, transports.Transport]:
+    def handle(request: side_http.Request) -> side_http.Reply:
+        return side_http.Reply(200)
+
+    connection = side_http.Connection(handle, lingering.Lingering(), connections)
+    transport = transports.Transport()
+    connection.connection_made(transport)  # type: ignore[arg-type]
+    return connection, transport
+
+
+# Guards against clients that take all descriptors of a node at an address that is not
+# for callers.
+def test_the_connections_of_an_address_are_bounded() -> None:
+    connections = side_http.Connections()
+    first, first_transport = _connect(connections)
+    _, second_transport = _connect(connections)
+    for _ in range(side_http.MAX_CONNECTIONS - 2):
+        _connect(connections)
+    first.data_received(b"GET /x HTTP/1.1\r\nhost: n\r\n\r\n")
+    _connect(connections)
+    assert len(connections) == side_http.MAX_CONNECTIONS
+    # The one that was used least recently made room.
+    assert second_transport.closed
+    assert not first_transport.closed
+
+
+# Guards against connections that stay for as long as their clients do.
+def test_an_idle_connection_of_an_address_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = 1_000.0
+    monkeypatch.setattr(clock, "now", lambda: now)
+    connections = side_http.Connections()
+    _, transport = _connect(connections)
+    now += side_http.IDLE_TIMEOUT_MS - 1.0
+    assert connections.close_idle() == 0
+    now += 2.0
+    assert connections.close_idle() == 1
+    assert transport.closed
+
+
+def test_a_lost_connection_is_forgotten() -> None:
+    connections = side_http.Connections()
+    connection, _ = _connect(connections)
+    connection.connection_lost(None)
+    assert len(connections) == 0
