Uploads: a caller that leaves in its body releases the slot at once

Cause: an unrepeatable call that runs is left to end when its caller leaves, for its outcome. It was so too where the rest of its body would never arrive.

Change: such a call is cancelled, which closes its connection to the backend server. One with a key is left to end as before, since its outcome is stored.

Evidence: the new example without the last piece failed before and passes.

--- a/src/gingerturn/internal/core/events.py
+++ b/src/gingerturn/internal/core/events.py
@@ -181,9 +181,13 @@
 
 
 class CancelReceived(Event, frozen=True):
-    """The entry node gave up on a call, or its connection broke."""
+    """The entry node gave up on a call, or its connection broke.
+
+    :param body_whole: the whole body of the call had arrived.
+    """
 
     hosted: ids.HostedId
+    body_whole: bool = True
 
 
 class BackendAnswered(Event, frozen=True):
--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -216,8 +216,7 @@
         out.append(effects.CancelBackend(hosted=hosted.id))
         replies.forget(state, hosted)
         return
-    running = states.HostedState.RUNNING
-    if hosted.state is running and not hosted.metadata.repeatable:
+    if hosted.state is states.HostedState.RUNNING and _may_still_end(hosted, event):
         return
     out.append(effects.CancelBackend(hosted=hosted.id))
     if hosted.state is states.HostedState.QUEUED:
@@ -231,6 +230,17 @@
         _release_slot(state, hosted, out)
 
 
+def _may_still_end(hosted: states.Hosted, event: events.CancelReceived) -> bool:
+    """Whether the backend server is to end its work on a call that was cancelled.
+
+    It cannot where the rest of the body will not arrive. A call with a key is left
+    alone, since its outcome is stored.
+    """
+    if hosted.metadata.repeatable:
+        return False
+    return event.body_whole or bool(hosted.metadata.key)
+
+
 def on_backend_answered(
     state: states.State, event: events.BackendAnswered, out: states.Effects
 ) -> None:
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -78,6 +78,7 @@
         self._connection: backend_http.Connection | None = None
         self._abandoned = False
         self._upload: list[frames.Chunk] = []
+        self._body_whole = opened.whole
         self._status = 0
         self._executed = True
         self._unproven = False
@@ -109,6 +110,7 @@
 
     def on_chunk(self, chunk: frames.Chunk) -> None:
         """Handle a piece of a streamed request body."""
+        self._body_whole = self._body_whole or chunk.last
         if self._connection is None:
             self._upload.append(chunk)
             return
@@ -305,6 +307,11 @@
         if self._hosted not in self._node.state.hosted:
             self._node.home.drop_exchange(self._hosted)
 
+    @property
+    def body_whole(self) -> bool:
+        """Whether the whole body of the request has arrived."""
+        return self._body_whole
+
     @property
     def call(self) -> int:
         """The id of the call on its channel."""
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -104,7 +104,11 @@
         if exchange is None:
             return
         exchange.detach()
-        self._node.apply(events.CancelReceived(now=clock.now(), hosted=hosted))
+        self._node.apply(
+            events.CancelReceived(
+                now=clock.now(), hosted=hosted, body_whole=exchange.body_whole
+            )
+        )
 
     def fail_dispatch(self, hosted: ids.HostedId) -> None:
         """Handle an error while a call was dispatched, a part of which may have been
--- a/tests/common/home_nodes.py
+++ b/tests/common/home_nodes.py
@@ -66,9 +66,17 @@
         return connection
 
     async def open(
-        self, request_id: bytes, *, repeatable: bool = False, method: bytes = b"POST"
+        self,
+        request_id: bytes,
+        *,
+        repeatable: bool = False,
+        method: bytes = b"POST",
+        whole: bool = True,
     ) -> int:
-        """Open a call, let it be dispatched, and return its number."""
+        """Open a call, let it be dispatched, and return its number.
+
+        :param whole: the whole body has arrived.
+        """
         self._calls += 1
         head = method + b" / HTTP/1.1\r\n"
         if request_id:
@@ -80,7 +88,7 @@
             ),
             head=head,
             body=b"",
-            whole=True,
+            whole=whole,
         )
         channel: links.Channel = self.channel  # type: ignore[assignment]
         self.node.home.on_frame(channel, opened)
--- a/tests/cover/test_answers_without_a_reader.py
+++ b/tests/cover/test_answers_without_a_reader.py
@@ -80,6 +80,22 @@
     asyncio.run(play())
 
 
+# Guards against slots that are held until the deadline by uploads whose callers left.
+@pytest.mark.parametrize("last", [False, True])
+def test_an_upload_that_its_caller_left_releases_its_slot(*, last: bool) -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode()
+        call = await home.open(b"r1", whole=False)
+        home.receive(frames.Chunk(call=call, body=b"part", last=last))
+        (connection,) = home.connections
+        home.cancel(call)
+        # The backend server may still end its work on a whole body.
+        assert home.node.state.backend.running == int(last)
+        assert home_nodes.transport_of(connection).closed is not last
+
+    asyncio.run(play())
+
+
 # Guards against slots that are held for good by answers that nobody reads. Their end is
 # not noticed at the backend server either, as reading is paused.
 @pytest.mark.parametrize("repeatable", [True, False])
