Callers: a body that passed the buffer's size with its end no longer stops reading

Cause: the pause for a body that waits to be passed on ended with credit for it, and a body that is complete needs none.

Change: the pause ends with the body. Answers that are written while their caller does not read count in the account at once.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -363,11 +363,12 @@
         request = self._current()
         request.complete = True
         self._reading = None
+        # Nothing of its body is left to be passed on.
+        self._resume(_Pause.BODY)
         if self._closing or self._final_response:
             return
         if request.body_sink is not None:
             request.body_sink(b"", True)
-            self._resume(_Pause.BODY)
             return
         if len(self._requests) > MAX_PIPELINED:
             self._pause(_Pause.PIPELINE)
@@ -862,6 +863,8 @@
             self._transport.writelines(pieces)
         else:
             request.held_output.extend(pieces)
+        if self._write_paused:
+            self._count_held()
 
     def _is_first(self, request: caller_requests.Request) -> bool:
         return bool(self._requests) and self._requests[0] is request
@@ -909,7 +912,7 @@
         self._pass_body_on()
         if self._held:
             self._count_held()
-        if len(self._requests) <= MAX_PIPELINED:
+        if _Pause.PIPELINE in self._pauses and len(self._requests) <= MAX_PIPELINED:
             self._resume(_Pause.PIPELINE)
 
     def _pass_body_on(self) -> None:
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -305,6 +305,20 @@
     assert not caller.dispatched
 
 
+# Guards against a kept connection of which nothing more is read, since its last body
+# passed the buffer's size with its last piece.
+def test_a_request_behind_a_body_that_just_passed_the_buffer_is_read() -> None:
+    size = settings.Limits().body_buffer + 10
+    caller = Caller(routes.RequestLimits(body_bytes=2 * size))
+    caller.send_in_reads(_put(b"content-length: %d" % size, b"z" * size))
+    (request,) = caller.dispatched
+    assert request.complete
+    caller.connection.send_whole(request, b"HTTP/1.1 200 OK\r\n", b"")
+    caller.send(GET)
+    assert len(caller.dispatched) == 2
+    assert caller.transport.reading
+
+
 # Guards against work that grows with the number of pieces in place of their bytes.
 def test_small_pieces_are_joined_before_they_are_passed_on() -> None:
     buffered = settings.Limits().body_buffer
--- a/tests/cover/test_lost_pieces.py
+++ b/tests/cover/test_lost_pieces.py
@@ -178,6 +178,8 @@
 class _Exchange:
     """An exchange whose second piece cannot be written."""
 
+    body_whole = False
+
     def __init__(self, channel: links.Channel, call: int) -> None:
         self.channel = channel
         self.call = call
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -281,3 +281,15 @@
 ) -> None:
     with pytest.raises(errors.InvalidDocument, match=named):
         boot.to_settings(boot.load(_written(tmp_path, {**BOOT, "bounds": bounds})))
+
+
+# Guards against a bound of held memory that ignores what the machine has.
+@pytest.mark.parametrize(
+    ("limits", "memory_mb"),
+    [({}, 0), ({"memory_mb": 300, "max_fds": 4_100, "link_mbps": 1000.0}, 300)],
+)
+def test_the_memory_of_the_machine_is_taken_from_the_settings(
+    tmp_path: pathlib.Path, limits: dict[str, float], memory_mb: int
+) -> None:
+    loaded = boot.load(_written(tmp_path, {**BOOT, "limits": limits}))
+    assert boot.to_settings(loaded).limits.memory_mb == memory_mb
