Tests: a crowd that pipelines requests and reads no answers

Cause: not tried before. Change: 600 clients with eight requests each for 250 kB; crowds stay for 2 s before the nodes are compared with the bound.

--- a/tests/alone/test_clients_without_limits.py
+++ b/tests/alone/test_clients_without_limits.py
@@ -29,7 +29,7 @@
 
 DESCRIPTOR_CROWD = 90
 HOLD_S = 2.0
-"""Time for which a crowd that may wait to be accepted is alone."""
+"""Time for which a crowd stays before an ordinary request is sent."""
 
 CLOSE_LIMIT_S = 60.0
 """Limit of a test, for connections that a node would never close."""
@@ -102,6 +102,7 @@
     try:
         async with asyncio.timeout(2 * CLOSE_LIMIT_S):
             await crowd.send(port, count, write)
+        await asyncio.sleep(HOLD_S)
         _check_nodes(made)
         await _until_served(made)
     finally:
@@ -208,6 +209,7 @@
         (8, _endless_extension),
         (300, _unread_answer),
         (60, _unread_answers),
+        (600, _unread_answers),
     ],
     ids=lambda value: getattr(value, "__name__", str(value)).lstrip("_"),
 )
