Home nodes: answers wait for an entry node that does not read

Cause: a whole answer is written to the connection of its entry node whatever waits there, and its slot is free at once for the next call.

Change: above 4 MiB of unsent bytes on the connection an answer waits, with its slot, until the entry node has read. So no more answers are made than are read, and what comes meets the limits of admission. It goes on if the connection is lost.

--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -1,6 +1,7 @@
 """Exchange of a call between the entry node and the backend server."""
 
 import asyncio
+import collections.abc
 import typing
 
 import msgspec
@@ -46,9 +47,16 @@
     peer: ids.NodeId
     hosted: dict[int, ids.HostedId]
 
+    @property
+    def is_backed_up(self) -> bool:
+        """Whether the entry node does not read what is sent to it."""
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame."""
 
+    def when_writable(self, function: collections.abc.Callable[[], None]) -> None:
+        """Call a function once the entry node has read, or the channel is lost."""
+
 
 class HostedExchange:
     """Relays one call to the backend server and its answer to the entry node.
@@ -268,8 +276,15 @@
             self._start_streaming()
 
     def on_end(self) -> None:
-        """Handle the end of the answer."""
+        """Handle the end of the answer. It waits, and keeps its slot, while the entry
+        node does not read."""
         self._connection = None
+        if self._open and not self._streaming and self._channel.is_backed_up:
+            self._channel.when_writable(self._end)
+            return
+        self._end()
+
+    def _end(self) -> None:
         if self._streaming:
             self._send(frames.Chunk(call=self._opened.call, body=b"", last=True))
             self._open = False
--- a/src/gingerturn/internal/shell/links.py
+++ b/src/gingerturn/internal/shell/links.py
@@ -1,6 +1,7 @@
 """Dispatch of frames between nodes, and queries to other nodes."""
 
 import asyncio
+import collections.abc
 import typing
 
 import msgspec
@@ -52,6 +53,8 @@
 class LocalChannel:
     """The reply channel of a node to itself."""
 
+    is_backed_up = False
+
     def __init__(self, node: "nodes.Node") -> None:
         self._node = node
         self.hosted: dict[int, ids.HostedId] = {}
@@ -61,6 +64,10 @@
         """Dispatch a frame to the entry side."""
         self._node.links.on_link_frame(frame)
 
+    def when_writable(self, function: collections.abc.Callable[[], None]) -> None:
+        """Call a function at once."""
+        function()
+
 
 Channel = peers.Accepted | LocalChannel
 """The reply channel to an entry node."""
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -1,6 +1,7 @@
 """Authenticated, multiplexed connections between nodes."""
 
 import asyncio
+import collections
 import collections.abc
 import hmac
 import os
@@ -42,6 +43,10 @@
 """Answers that are being streamed over a replaced connection are aborted after this
 many such checks, 10 s: they have no deadline, and TCP may never report the loss."""
 
+MAX_UNSENT_BYTES = 4_194_304
+"""Unsent bytes of a connection above which answers wait for it, each with the slot of
+its call, so that no more are made than the peer reads."""
+
 MAX_COMPRESSING = 100
 """Limit of connections whose frames a node compresses, which bounds memory: the two
 streams of a connection take 25 kB. Frames on further connections are sent uncompressed;
@@ -355,6 +360,9 @@
     def __init__(self, node: "nodes.Node") -> None:
         super().__init__(node)
         self._peer_nonce = b""
+        self._on_writable: collections.deque[collections.abc.Callable[[], None]] = (
+            collections.deque()
+        )
         self.hosted: dict[int, ids.HostedId] = {}
 
     @property
@@ -374,6 +382,26 @@
         for hosted in list(self.hosted.values()):
             self._node.home.on_cancelled(hosted)
         self.hosted.clear()
+        self._run_waiting()
+
+    @property
+    def is_backed_up(self) -> bool:
+        """Whether the peer does not read what is sent to it."""
+        return self.unsent_bytes > MAX_UNSENT_BYTES
+
+    def when_writable(self, function: collections.abc.Callable[[], None]) -> None:
+        """Call a function once the peer has read, or the connection is lost."""
+        self._on_writable.append(function)
+
+    def resume_writing(self) -> None:
+        """Call the functions that waited for the peer to read, until it is behind
+        again."""
+        self._run_waiting()
+
+    def _run_waiting(self) -> None:
+        while self._on_writable and (self.is_closing or not self.is_backed_up):
+            with supervision.contained(_PART):
+                self._on_writable.popleft()()
 
     def close(self) -> None:
         """Close after flushing buffered data; calls of the peer may be under way."""
--- a/tests/common/home_nodes.py
+++ b/tests/common/home_nodes.py
@@ -1,6 +1,7 @@
 """A home node whose connections to the backend server have no network."""
 
 import asyncio
+import collections.abc
 
 from gingerturn import dialect
 from gingerturn.internal import ids
@@ -30,6 +31,11 @@
     def __init__(self) -> None:
         self.hosted: dict[int, ids.HostedId] = {}
         self.sent: list[frames.Frame] = []
+        self.is_backed_up = False
+        self.waiting: list[collections.abc.Callable[[], None]] = []
+
+    def when_writable(self, function: collections.abc.Callable[[], None]) -> None:
+        self.waiting.append(function)
 
     def send(self, frame: frames.Frame) -> None:
         self.sent.append(frame)
--- a/tests/cover/test_answers_without_a_reader.py
+++ b/tests/cover/test_answers_without_a_reader.py
@@ -80,6 +80,45 @@
     asyncio.run(play())
 
 
+# Guards against a home node that runs out of memory for answers that an entry node does
+# not read.
+def test_answers_wait_with_their_slots_while_the_entry_node_does_not_read() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode(slots=2)
+        home.channel.is_backed_up = True
+        calls = [await home.open(b"r%d" % number) for number in range(3)]
+        for number in range(2):
+            _feed(home, number, home_nodes.answer(200, request_id=b"r%d" % number))
+        # Neither is sent, and the third call is not started in their place.
+        assert [home.reply_to(call) for call in calls] == [None] * 3
+        assert home.node.state.backend.running == 2
+        home.channel.is_backed_up = False
+        for function in home.channel.waiting:
+            function()
+        await home.settle()
+        replies = [home.reply_to(call) for call in calls]
+        assert [isinstance(r, frames.Answer) for r in replies] == [True, True, False]
+        assert home.node.state.backend.running == 1
+
+    asyncio.run(play())
+
+
+# Guards against a slot that is held for good by an answer that waits for an entry node
+# which is lost.
+def test_an_answer_that_waits_releases_its_slot_once_its_channel_is_lost() -> None:
+    async def play() -> None:
+        home = home_nodes.HomeNode(slots=1)
+        home.channel.is_backed_up = True
+        call = await home.open(b"r1")
+        _feed(home, 0, home_nodes.answer(200, request_id=b"r1"))
+        home.cancel(call)
+        for function in home.channel.waiting:
+            function()
+        assert _is_empty(home)
+
+    asyncio.run(play())
+
+
 # Guards against slots that are held until the deadline by uploads whose callers left.
 @pytest.mark.parametrize("last", [False, True])
 def test_an_upload_that_its_caller_left_releases_its_slot(*, last: bool) -> None:
--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -133,6 +133,8 @@
 
     peer = ids.NodeId("entry")
 
+    is_backed_up = False
+
     def __init__(self) -> None:
         self.hosted: dict[int, ids.HostedId] = {}
         self.sent: list[frames.Frame] = []
--- a/tests/cover/test_lost_pieces.py
+++ b/tests/cover/test_lost_pieces.py
@@ -33,6 +33,8 @@
 class _Channel:
     """Records what is sent to an entry node."""
 
+    is_backed_up = False
+
     def __init__(self) -> None:
         self.peer = ids.NodeId("entry")
         self.hosted: dict[int, ids.HostedId] = {}
