Callers: a request counts for more than a piece in the turns of connections

Cause: a turn allowed 64 heads as well as 64 pieces, though a request costs some hundred times a piece, and each read began a new turn. Requests that the node answers at once were taken without end.

Change: a head counts as 16 pieces. What was parsed counts over reads, until the next turn or until all requests of the connection are answered.

The tests' callers take their turns at once; their assertions are unchanged.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -44,8 +44,12 @@
 """Input that is parsed at once. One step reads no more requests than fit into it beyond
 :data:`MAX_PIPELINED`."""
 
-MAX_TURN_REPORTS = 64
-"""Heads and pieces of bodies after which a connection waits for its next turn."""
+MAX_TURN_COST = 64
+"""Pieces of bodies after which a connection waits for its next turn. They are counted
+anew once all requests of the connection are answered."""
+
+HEAD_COST = 16
+"""Pieces as which a head counts, which begins a request."""
 
 PARALLEL_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods of pipelined requests that may run in parallel (RFC 9112, 9.3.2)."""
@@ -102,7 +106,8 @@
         self._unparsed_bytes = 0
         # Heads and pieces of bodies that the parser has reported.
         self._reports = 0
-        self._turn_began_at = 0
+        # What was parsed since the last turn; see MAX_TURN_COST.
+        self._turn_cost = 0
         self._pieces: list[bytes] = []
         self._pauses: set[_Pause] = set()
         # Input that waits while the connection is paused.
@@ -151,7 +156,6 @@
     def data_received(self, data: bytes) -> None:
         """Parse input, until the connection is paused; keep the rest."""
         self._unparsed = self._unparsed + data if self._unparsed else data
-        self._turn_began_at = self._reports
         self._parse()
 
     def _parse(self) -> None:
@@ -166,7 +170,7 @@
                 end = position + self._feed_size()
                 self._feed(data[position:end])
                 position = end
-                if self._reports - self._turn_began_at > MAX_TURN_REPORTS:
+                if self._turn_cost > MAX_TURN_COST:
                     self._wait_for_turn()
         finally:
             self._parsing = False
@@ -192,7 +196,7 @@
         self._node.turns.wait(self, self._take_turn)
 
     def _take_turn(self) -> None:
-        self._turn_began_at = self._reports
+        self._turn_cost = 0
         self._resume(_Pause.TURN)
 
     def _pause(self, why: _Pause) -> None:
@@ -291,7 +295,7 @@
     def on_headers_complete(self) -> None:
         """Check the complete head."""
         self._in_head = False
-        self._note_report()
+        self._note_report(HEAD_COST)
         if self._closing or self._final_response:
             return
         request = self._current()
@@ -320,7 +324,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of a body, which may be as small as a byte."""
-        self._note_report()
+        self._note_report(1)
         if not (self._closing or self._final_response):
             self._pieces.append(body)
 
@@ -700,8 +704,9 @@
         if self._head_bytes > self._limits.head_bytes:
             raise _TooLarge
 
-    def _note_report(self) -> None:
+    def _note_report(self, cost: int) -> None:
         self._reports += 1
+        self._turn_cost += cost
         self._unparsed_bytes = 0
 
     def _count_unparsed(self, count: int) -> None:
@@ -912,6 +917,8 @@
         self._pass_body_on()
         if self._held:
             self._count_held()
+        if not (self._requests or self._parsing or self._unparsed):
+            self._turn_cost = 0
         if _Pause.PIPELINE in self._pauses and len(self._requests) <= MAX_PIPELINED:
             self._resume(_Pause.PIPELINE)
 
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Limits of callers' requests and connections."""
 
 import asyncio
+import collections.abc
 import re
 
 import pytest
@@ -23,9 +24,14 @@
 
 
 class Caller:
-    """A connection to a node whose table has :data:`LIMITS`, without a network."""
+    """A connection to a node whose table has :data:`LIMITS`, without a network.
 
-    def __init__(self, limits: routes.RequestLimits = LIMITS) -> None:
+    :param is_taking_turns: turns come with the event loop, not at once.
+    """
+
+    def __init__(
+        self, limits: routes.RequestLimits = LIMITS, *, is_taking_turns: bool = False
+    ) -> None:
         self.node = nodes.Node(builders.settings())
         self.node.state.routed = True
         self.put_in_force(limits)
@@ -33,6 +39,11 @@
         self.node.entry.begin_request = (  # type: ignore[method-assign]
             lambda request, arrival: self.dispatched.append(request)
         )
+        self._turns: list[collections.abc.Callable[[], None]] = []
+        if not is_taking_turns:
+            self.node.turns.wait = (  # type: ignore[method-assign]
+                lambda waiter, go_on: self._turns.append(go_on)
+            )
         self.connection = ingress.CallerConnection(self.node)
         self.transport = transports.Transport()
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
@@ -56,6 +67,8 @@
     def send(self, *pieces: bytes) -> None:
         for piece in pieces:
             self.connection.data_received(piece)
+            while self._turns:
+                self._turns.pop(0)()
 
     def send_in_reads(self, data: bytes) -> None:
         """Send as much as is read at once, again and again."""
@@ -340,7 +353,7 @@
 def test_connections_with_many_small_pieces_take_turns() -> None:
     async def play() -> None:
         limits = routes.RequestLimits(head_bytes=200, body_bytes=100_000)
-        caller = Caller(limits)
+        caller = Caller(limits, is_taking_turns=True)
         others = [caller.another() for _ in range(40)]
         for connection in others:
             connection.data_received(_put(b"transfer-encoding: chunked"))
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -1,6 +1,6 @@
 """Requests that a caller sends before the earlier ones are answered."""
 
-import asyncio
+import collections.abc
 import re
 import typing
 
@@ -36,6 +36,10 @@
         self.node.apply = (  # type: ignore[method-assign]
             lambda event: self.gone.append(event.call)  # type: ignore[attr-defined]
         )
+        self._turns: list[collections.abc.Callable[[], None]] = []
+        self.node.turns.wait = (  # type: ignore[method-assign]
+            lambda waiter, go_on: self._turns.append(go_on)
+        )
         self.connection = ingress.CallerConnection(self.node)
         self.transport = transports.Transport()
         self.connection.connection_made(self.transport)  # type: ignore[arg-type]
@@ -49,11 +53,21 @@
     ) -> None:
         for target in targets:
             head = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n{more}\r\n"
-            self.connection.data_received(head.encode())
+            self.receive(head.encode())
+
+    def receive(self, data: bytes) -> None:
+        """Receive data, and let the connection take its turns."""
+        self.connection.data_received(data)
+        self._take_turns()
+
+    def _take_turns(self) -> None:
+        while self._turns:
+            self._turns.pop(0)()
 
     def answer(self, number: int, body: bytes = b"") -> None:
         request = self.dispatched[number]
         self.connection.send_whole(request, HEAD, body or request.target)
+        self._take_turns()
 
     def refuse(self, number: int) -> None:
         effect = effects.RefuseCall(
@@ -320,25 +334,13 @@
         b"POST /tickets/none HTTP/1.1\r\nhost: gingerturn\r\ncontent-length: 0\r\n\r\n"
     )
 
-    async def play() -> None:
-        caller = Caller()
-        caller.send("/post/1", method="POST")
-        caller.connection.data_received(head * count)
-        assert len(caller.dispatched) == 1
-        caller.answer(0)
-        await _settle(caller.node)
-        assert caller.transport.written.count(b"HTTP/1.1 404 ") == count
-        assert caller.transport.reading
-
-    asyncio.run(play())
-
-
-async def _settle(node: nodes.Node) -> None:
-    """Let the connections take their turns."""
-    taken = -1
-    while taken != node.turns.taken:
-        taken = node.turns.taken
-        await asyncio.sleep(0.005)
+    caller = Caller()
+    caller.send("/post/1", method="POST")
+    caller.receive(head * count)
+    assert len(caller.dispatched) == 1
+    caller.answer(0)
+    assert caller.transport.written.count(b"HTTP/1.1 404 ") == count
+    assert caller.transport.reading
 
 
 # Guards against requests that are read ahead without a bound, since one read holds many
@@ -347,7 +349,7 @@
     caller = Caller()
     caller.send("/post/1", method="POST")
     head = b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
-    caller.connection.data_received(head * (ingress.READ_BYTES // len(head)))
+    caller.receive(head * (ingress.READ_BYTES // len(head)))
     in_one_step = ingress.FEED_BYTES // len(head) + 1
     most = ingress.MAX_PIPELINED + 1 + in_one_step
     assert len(caller.connection.accepted_requests) <= most
