Callers: input has a module of its own

Cause: the connection had grown by what waits to be parsed, its reasons to pause and its turns, in between what it does with requests. Change: caller_input.Input holds them; the connection parses a step, and says what it costs. Behaviour as before.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import enum
 import json
 import typing
 
@@ -13,6 +12,7 @@
 from gingerturn.internal import ids, logs
 from gingerturn.internal.core import effects, events, messages, routing
 from gingerturn.internal.shell import (
+    caller_input,
     caller_limits,
     caller_requests,
     clock,
@@ -37,20 +37,6 @@
 """Answers that wait for earlier ones on their connection, above which no further
 request of it is dispatched ahead of its turn."""
 
-READ_BYTES = 16_384
-"""Bytes that are read of a connection at once."""
-
-FEED_BYTES = 1_024
-"""Input that is parsed at once. One step reads no more requests than fit into it beyond
-:data:`MAX_PIPELINED`."""
-
-MAX_TURN_COST = 64
-"""Pieces of bodies after which a connection waits for its next turn. They are counted
-anew once all requests of the connection are answered."""
-
-HEAD_COST = 16
-"""Pieces as which a head counts, which begins a request."""
-
 PARALLEL_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods of pipelined requests that may run in parallel (RFC 9112, 9.3.2)."""
 
@@ -72,14 +58,6 @@
 _PART = "ingress"
 
 
-class _Pause(enum.Enum):
-    """Why nothing is read of a connection."""
-
-    PIPELINE = "enough requests are read ahead"
-    BODY = "a body is not passed on yet, or lacks credit"
-    TURN = "other connections have their turn"
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller; its requests are answered in order.
 
@@ -88,9 +66,7 @@
 
     Invariants: answers are written only for ``_requests[0]``, others are held; nothing
     behind a request after which the connection closes is dispatched; input is ignored
-    once ``_final_response`` is set or the connection closes; nothing is parsed while
-    ``_pauses`` is not empty, and nothing is read from the transport while ``_unparsed``
-    is not.
+    once ``_final_response`` is set or the connection closes.
 
     :param node: the node that serves the connection.
     """
@@ -106,14 +82,13 @@
         self._unparsed_bytes = 0
         # Heads and pieces of bodies that the parser has reported.
         self._reports = 0
-        # What was parsed since the last turn; see MAX_TURN_COST.
-        self._turn_cost = 0
         self._pieces: list[bytes] = []
-        self._pauses: set[_Pause] = set()
-        # Input that waits while the connection is paused.
-        self._unparsed = b""
-        self._parsing = False
-        self._is_reading = True
+        self._input = caller_input.Input(
+            node.turns,
+            parse=self._parse,
+            step_bytes=self._step_bytes,
+            parsed=self._on_parsed,
+        )
         # As set in the account of the node.
         self._held = 0
         self._limits = caller_limits.effective(node)
@@ -134,6 +109,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the node."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._input.connect(self._transport)
         self._node.caller_connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -141,7 +117,7 @@
         self._record_end(error)
         self._closing = True
         self._node.caller_connections.discard(self)
-        self._node.turns.forget(self)
+        self._input.close()
         self._drop_requests()
         self._set_held(0)
 
@@ -154,64 +130,22 @@
         self.data_received(bytes(self._node.read_buffer[:count]))
 
     def data_received(self, data: bytes) -> None:
-        """Parse input, until the connection is paused; keep the rest."""
-        self._unparsed = self._unparsed + data if self._unparsed else data
-        self._parse()
-
-    def _parse(self) -> None:
-        if self._parsing:
-            # The outer call continues.
-            return
-        self._parsing = True
-        position = 0
-        data, self._unparsed = self._unparsed, b""
-        try:
-            while position < len(data) and not self._pauses:
-                end = position + self._feed_size()
-                self._feed(data[position:end])
-                position = end
-                if self._turn_cost > MAX_TURN_COST:
-                    self._wait_for_turn()
-        finally:
-            self._parsing = False
-            self._unparsed = data[position:]
-        if self._held or self._reading is not None:
-            self._count_held()
-        if not (self._is_reading or self._pauses or self._closing):
-            self._is_reading = True
-            self._transport.resume_reading()
+        """Take what was read."""
+        self._input.receive(data)
 
-    def _feed_size(self) -> int:
+    def _step_bytes(self) -> int:
         """Return how much input is parsed at once: the rest of a body of known length,
-        which is one piece, or :data:`FEED_BYTES`."""
+        which is one piece, or a step."""
         request = self._reading
         if request is None or self._in_head:
-            return FEED_BYTES
-        return max(FEED_BYTES, request.length - request.body_bytes)
+            return caller_input.STEP_BYTES
+        return max(caller_input.STEP_BYTES, request.length - request.body_bytes)
 
-    def _wait_for_turn(self) -> None:
-        if self._closing:
-            return
-        self._pause(_Pause.TURN)
-        self._node.turns.wait(self, self._take_turn)
-
-    def _take_turn(self) -> None:
-        self._turn_cost = 0
-        self._resume(_Pause.TURN)
-
-    def _pause(self, why: _Pause) -> None:
-        self._pauses.add(why)
-        self._is_reading = False
-        self._transport.pause_reading()
-
-    def _resume(self, why: _Pause) -> None:
-        """Go on with the input that waits, and then with the transport, unless there is
-        another reason to pause."""
-        self._pauses.discard(why)
-        if not (self._closing or self._pauses):
-            self._parse()
-
-    def _feed(self, data: bytes) -> None:
+    def _on_parsed(self) -> None:
+        if self._held or self._reading is not None:
+            self._count_held()
+
+    def _parse(self, data: bytes) -> None:
         """Feed the parser; reject input that is not valid and close the connection."""
         if self._closing or self._final_response:
             return
@@ -295,7 +229,7 @@
     def on_headers_complete(self) -> None:
         """Check the complete head."""
         self._in_head = False
-        self._note_report(HEAD_COST)
+        self._note_report(caller_input.HEAD_COST)
         if self._closing or self._final_response:
             return
         request = self._current()
@@ -324,7 +258,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of a body, which may be as small as a byte."""
-        self._note_report(1)
+        self._note_report(caller_input.PIECE_COST)
         if not (self._closing or self._final_response):
             self._pieces.append(body)
 
@@ -357,7 +291,7 @@
             if request.answered:
                 request.body.clear()
             return
-        self._pause(_Pause.BODY)
+        self._input.pause(caller_input.Pause.BODY)
         if request is self._requests[0] and not request.dispatched:
             self._dispatch(request)
 
@@ -368,14 +302,14 @@
         request.complete = True
         self._reading = None
         # Nothing of its body is left to be passed on.
-        self._resume(_Pause.BODY)
+        self._input.resume(caller_input.Pause.BODY)
         if self._closing or self._final_response:
             return
         if request.body_sink is not None:
             request.body_sink(b"", True)
             return
         if len(self._requests) > MAX_PIPELINED:
-            self._pause(_Pause.PIPELINE)
+            self._input.pause(caller_input.Pause.PIPELINE)
         self._dispatch_ready()
 
     # Called by the node.
@@ -390,13 +324,13 @@
             sink(b"", True)
             return
         if request.credit > 0:
-            self._resume(_Pause.BODY)
+            self._input.resume(caller_input.Pause.BODY)
 
     def add_credit(self, request: caller_requests.Request, count: int) -> None:
         """Add credit for a streamed request body; resume reading if it is positive."""
         request.credit += count
         if request.credit > 0:
-            self._resume(_Pause.BODY)
+            self._input.resume(caller_input.Pause.BODY)
 
     def send_whole(
         self, request: caller_requests.Request, head: bytes, body: bytes
@@ -524,7 +458,7 @@
         requests = list(self._requests)
         if self._reading is not None and self._reading not in requests:
             requests.append(self._reading)
-        held = len(self._unparsed) + self._transport.get_write_buffer_size()
+        held = self._input.waiting_bytes + self._transport.get_write_buffer_size()
         held += sum(request.held_bytes for request in requests)
         if requests:
             held += held_bytes.CONNECTION_BYTES + self._head_bytes
@@ -548,7 +482,7 @@
     @property
     def has_unread_input(self) -> bool:
         """Whether this node, or the kernel, has received what is not parsed yet."""
-        return bool(self._unparsed) or sockets.has_unread(self._transport)
+        return bool(self._input.waiting_bytes) or sockets.has_unread(self._transport)
 
     @property
     def closing(self) -> bool:
@@ -637,7 +571,7 @@
 
         One that is dispatched ends by its deadline.
         """
-        if request.dispatched or self._pauses:
+        if request.dispatched or self._input.is_paused:
             return
         idle_ms = caller_limits.effective(self._node).idle_timeout_ms
         has_stopped = now - self._waiting_since > idle_ms
@@ -663,6 +597,7 @@
         if self.open_requests:
             self._record_end(None)
         is_sending = self._reading is not None or bool(self._final_response)
+        self._input.close()
         self._drop_requests()
         self._set_held(0)
         self._node.lingering.close(self._transport, self, is_sending=is_sending)
@@ -706,7 +641,7 @@
 
     def _note_report(self, cost: int) -> None:
         self._reports += 1
-        self._turn_cost += cost
+        self._input.add_cost(cost)
         self._unparsed_bytes = 0
 
     def _count_unparsed(self, count: int) -> None:
@@ -719,7 +654,7 @@
             return
         request.credit -= len(body)
         if request.credit <= 0:
-            self._pause(_Pause.BODY)
+            self._input.pause(caller_input.Pause.BODY)
         request.body_sink(body, False)
 
     def refuse_for_error(self, request: caller_requests.Request) -> None:
@@ -917,15 +852,16 @@
         self._pass_body_on()
         if self._held:
             self._count_held()
-        if not (self._requests or self._parsing or self._unparsed):
-            self._turn_cost = 0
-        if _Pause.PIPELINE in self._pauses and len(self._requests) <= MAX_PIPELINED:
-            self._resume(_Pause.PIPELINE)
+        if not self._requests:
+            self._input.begin_turn()
+        if len(self._requests) <= MAX_PIPELINED:
+            self._input.resume(caller_input.Pause.PIPELINE)
 
     def _pass_body_on(self) -> None:
         """Dispatch a request whose body filled the buffer behind earlier requests."""
         request = self._reading
-        if request is None or _Pause.BODY not in self._pauses:
+        is_waiting = self._input.is_paused_for(caller_input.Pause.BODY)
+        if request is None or not is_waiting:
             return
         if self._is_first(request) and not request.dispatched:
             self._dispatch(request)
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -34,6 +34,7 @@
 )
 from gingerturn.internal.shell import (
     acknowledgements,
+    caller_input,
     caller_limits,
     clock,
     connection_ends,
@@ -161,7 +162,7 @@
         self._side_connections: list[side_http.Connections] = []
         self.turns = turns.Turns()
         self.held = held_bytes.Account(held_bytes.limit_of(loaded.limits.memory_mb))
-        self.read_buffer = memoryview(bytearray(ingress.READ_BYTES))
+        self.read_buffer = memoryview(bytearray(caller_input.READ_BYTES))
         self.counters = Counters(refused={})
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
         self.descriptors = descriptors.Reserve(
--- a/tests/cover/test_caller_limits.py
+++ b/tests/cover/test_caller_limits.py
@@ -9,6 +9,7 @@
 from gingerturn import errors, routes, settings
 from gingerturn.internal.core import effects, messages
 from gingerturn.internal.shell import (
+    caller_input,
     caller_limits,
     caller_requests,
     clock,
@@ -72,7 +73,7 @@
 
     def send_in_reads(self, data: bytes) -> None:
         """Send as much as is read at once, again and again."""
-        size = ingress.READ_BYTES
+        size = caller_input.READ_BYTES
         self.send(*(data[start : start + size] for start in range(0, len(data), size)))
 
     def pass_time(self, elapsed_ms: float) -> None:
--- a/tests/cover/test_pipelined_requests.py
+++ b/tests/cover/test_pipelined_requests.py
@@ -8,7 +8,12 @@
 
 from gingerturn import configuration, routes
 from gingerturn.internal.core import effects, messages
-from gingerturn.internal.shell import caller_requests, ingress, node as nodes
+from gingerturn.internal.shell import (
+    caller_input,
+    caller_requests,
+    ingress,
+    node as nodes,
+)
 from tests.common import builders, routed, transports
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -349,8 +354,8 @@
     caller = Caller()
     caller.send("/post/1", method="POST")
     head = b"GET /a/ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
-    caller.receive(head * (ingress.READ_BYTES // len(head)))
-    in_one_step = ingress.FEED_BYTES // len(head) + 1
+    caller.receive(head * (caller_input.READ_BYTES // len(head)))
+    in_one_step = caller_input.STEP_BYTES // len(head) + 1
     most = ingress.MAX_PIPELINED + 1 + in_one_step
     assert len(caller.connection.accepted_requests) <= most
     assert not caller.transport.reading
