--- a/src/gingerturn/internal/shell/caller_input.py
+++ b/src/gingerturn/internal/shell/caller_input.py
@@ -125,8 +125,9 @@
         self._is_parsing = True
         position = 0
         data, self._waiting = self._waiting, b""
+        size = len(data)
         try:
-            while position < len(data) and not self._pauses:
+            while position < size and not self._pauses:
                 end = position + self._step_bytes()
                 self._parse(data[position:end])
                 position = end
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -301,8 +301,9 @@
         request = self._current()
         request.complete = True
         self._reading = None
-        # Nothing of its body is left to be passed on.
-        self._input.resume(caller_input.Pause.BODY)
+        if self._input.is_paused:
+            # Nothing of its body is left to be passed on.
+            self._input.resume(caller_input.Pause.BODY)
         if self._closing or self._final_response:
             return
         if request.body_sink is not None:
@@ -854,7 +855,7 @@
             self._count_held()
         if not self._requests:
             self._input.begin_turn()
-        if len(self._requests) <= MAX_PIPELINED:
+        if self._input.is_paused and len(self._requests) <= MAX_PIPELINED:
             self._input.resume(caller_input.Pause.PIPELINE)
 
     def _pass_body_on(self) -> None:
