--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -21,7 +21,7 @@
 """Limit of an answer's body. The services answer with pages of a few megabytes."""
 
 MAX_TRANSFER_S = 30.0
-"""Time for which the body of an answer may take beyond the timeout of the call."""
+"""Time that an answer may take beyond the sum of the timeouts of the call."""
 
 MAX_EPOCH_DIGITS = 10
 
