Stops: connections whose handshake ends as the listener closes are served

Cause: the kernel completes handshakes on its own until the listening socket closes, and resets those that ended behind the last accept. Ruled out: the idle close of accepted connections, which ends with FIN.

Change: the socket gets a filter that drops SYN segments, handshakes under way have 20 ms to end, what is in the queue is accepted, and then it closes.

--- a/src/gingerturn/internal/shell/listeners.py
+++ b/src/gingerturn/internal/shell/listeners.py
@@ -8,11 +8,12 @@
 import collections.abc
 import contextlib
 import errno
+import math
 import socket
 import typing
 
 from gingerturn import errors
-from gingerturn.internal.shell import descriptors, supervision
+from gingerturn.internal.shell import clock, descriptors, supervision, syn_filter
 
 BACKLOG = 1_024
 """Connections that wait in the kernel; its ``somaxconn`` limits it further."""
@@ -36,6 +37,9 @@
 """Pause after a connection could not be accepted, which the event loop would otherwise
 report all the time."""
 
+HANDSHAKE_MS = 20.0
+"""Time for which an address that closes still completes handshakes under way."""
+
 MakeProtocol = collections.abc.Callable[[], asyncio.BaseProtocol]
 
 
@@ -160,6 +164,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
+        self._closes_at = math.inf
         self._resume()
 
     def close(self) -> None:
@@ -171,18 +176,26 @@
         self._sock.close()
 
     def close_when_empty(self) -> bool:
-        """Accept the connections that wait in the kernel, and close the address.
+        """Accept the connections that wait in the kernel, and close the address once it
+        begins no new ones.
 
         It stays open while one cannot be accepted, since the kernel would reset it.
 
         :return: whether it is closed and all accepted connections are served.
         """
+        if self._closes_at == math.inf:
+            wait_ms = HANDSHAKE_MS if syn_filter.attach(self._sock) else 0.0
+            self._closes_at = clock.now() + wait_ms
+        # A handshake that ends behind the last accept is under way before it.
+        is_due = clock.now() >= self._closes_at
         while not self._closed:
             try:
                 accepted, _ = self._sock.accept()
             except ConnectionAbortedError:
                 continue
             except BlockingIOError:
+                if not is_due:
+                    return False
                 self.close()
             except OSError:
                 return False
