Side addresses: one request at a time

Cause: each request of a read was answered at once, whatever its client had read.

Change: one request is answered at a time. With one behind it in the same read the connection closes after the answer; with an answer that was not read, at the next read. Probes and scrapes send no request before they have read the answer to the last.

Result: test_requests_behind_an_unanswered_one_are_dropped, test_a_client_that_reads_no_answer_is_closed and, with a real node, test_a_crowd_at_the_metrics_leaves_the_node_alive_and_within_its_memory fail before and pass.

--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -39,6 +39,14 @@
     content_type: str = "application/json"
 
 
+class _Complete(typing.NamedTuple):
+    """A complete request, whose target and body may be too long."""
+
+    method: str
+    target: bytes
+    body: bytes
+
+
 Handler = collections.abc.Callable[[Request], Reply]
 
 MAX_CONNECTIONS = 64
@@ -88,7 +96,10 @@
 
 
 class Connection(asyncio.Protocol):
-    """A client connection.
+    """A client connection, on which one request is answered at a time.
+
+    A client that sends another one before the answer to the first is written would make
+    any number of answers and read none; its connection closes with the first.
 
     Invariant: nothing is written once ``_closing`` is set.
 
@@ -111,6 +122,9 @@
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._target = b""
         self._body = bytearray()
+        self._complete: _Complete | None = None
+        self._keeps_alive = True
+        self._has_more = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and register the connection."""
@@ -127,17 +141,31 @@
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; answer an invalid request and close the connection."""
+        """Parse received bytes and answer the request that they complete; answer an
+        invalid one and close the connection."""
+        if self._closing:
+            return
+        if self._transport.get_write_buffer_size():
+            # Its client has not read the answer before.
+            self.close()
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if self._closing:
+            self._has_more = True
+            if self._complete is None:
+                logs.write("WARNING", _PART, f"Invalid request: {error}.")
+                self._write(Reply(400))
                 return
-            logs.write("WARNING", _PART, f"Invalid request: {error}.")
-            self._write(Reply(400), keep_alive=False, is_sending=True)
+        if self._complete is not None:
+            request, self._complete = self._complete, None
+            self._connections.note_use(self)
+            self._write(self._reply(request))
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
+        if self._complete is not None:
+            self._has_more = True
         self._target = b""
         self._body.clear()
 
@@ -152,35 +180,32 @@
             self._body += body
 
     def on_message_complete(self) -> None:
-        """Answer the request."""
-        if self._closing:
-            return
-        keep_alive = self._parser.should_keep_alive()
-        self._connections.note_use(self)
-        self._write(self._reply(), keep_alive=keep_alive, is_sending=False)
-
-    def _write(self, reply: Reply, *, keep_alive: bool, is_sending: bool) -> None:
+        """Note the request; those behind it are dropped."""
+        if self._complete is None:
+            self._keeps_alive = self._parser.should_keep_alive()
+            method = self._parser.get_method().decode("ascii")
+            self._complete = _Complete(method, self._target, bytes(self._body))
+
+    def _write(self, reply: Reply) -> None:
+        closes = self._has_more or not self._keeps_alive
         head = heads.status_line(reply.status)
         head += b"content-type: %b\r\n" % reply.content_type.encode()
         head += b"content-length: %d\r\n" % len(reply.body)
-        if not keep_alive:
+        if closes:
             head += b"connection: close\r\n"
         self._transport.write(head + b"\r\n" + reply.body)
-        if not keep_alive:
+        if closes:
             self._closing = True
             self._connections.forget(self)
-            self._lingering_set.close(self._transport, self, is_sending=is_sending)
+            self._lingering_set.close(self._transport, self, is_sending=self._has_more)
 
-    def _reply(self) -> Reply:
-        if len(self._target) > MAX_TARGET:
+    def _reply(self, complete: "_Complete") -> Reply:
+        if len(complete.target) > MAX_TARGET:
             return Reply(414)
-        if len(self._body) > MAX_BODY:
+        if len(complete.body) > MAX_BODY:
             return Reply(413)
-        request = Request(
-            method=self._parser.get_method().decode("ascii"),
-            path=self._target.split(b"?", 1)[0].decode("latin-1"),
-            body=bytes(self._body),
-        )
+        path = complete.target.split(b"?", 1)[0].decode("latin-1")
+        request = Request(method=complete.method, path=path, body=complete.body)
         try:
             return self._handler(request)
         except Exception as error:
--- a/tests/alone/test_clients_without_limits.py
+++ b/tests/alone/test_clients_without_limits.py
@@ -94,10 +94,17 @@
 
 
 async def _play(
-    made: platform_processes.Platform, count: int, write: crowds.Writing
+    made: platform_processes.Platform,
+    count: int,
+    write: crowds.Writing,
+    *,
+    port: int = 0,
 ) -> None:
-    """Let a crowd send and stay; an ordinary request is served beside and after it."""
-    port = made.machines["entry"].ports["outbound"]
+    """Let a crowd send and stay; an ordinary request is served beside and after it.
+
+    :param port: where it connects; 0 for that of callers.
+    """
+    port = port or made.machines["entry"].ports["outbound"]
     crowd = crowds.Crowd()
     try:
         async with asyncio.timeout(2 * CLOSE_LIMIT_S):
@@ -219,6 +226,19 @@
     asyncio.run(_play(platform, count, write))
 
 
+async def _pipelined_metrics(client: crowds.Client) -> None:
+    for _ in range(200):
+        await client.send(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 200)
+
+
+# Guards against the same for requests to an address that is not for callers.
+def test_a_crowd_at_the_metrics_leaves_the_node_alive_and_within_its_memory(
+    platform: platform_processes.Platform,
+) -> None:
+    port = platform.machines["entry"].ports["gossip"] + 1
+    asyncio.run(_play(platform, 100, _pipelined_metrics, port=port))
+
+
 async def _trickle(client: crowds.Client) -> None:
     await client.send_head("Content-Length: 100000", "Deadline-Ms: 1000")
 
--- a/tests/cover/test_side_connections.py
+++ b/tests/cover/test_side_connections.py
@@ -65,6 +65,30 @@
     assert seen.received.count(b"HTTP/1.1 ") == 1
 
 
+# Guards against a client that keeps the event loop busy, and the memory full, with
+# answers that it does not read.
+def test_requests_behind_an_unanswered_one_are_dropped() -> None:
+    get = b"GET /x HTTP/1.1\r\nhost: n\r\n\r\n"
+    seen = _play(get * 1_000)
+    assert seen.error == ""
+    assert seen.received.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close\r\n" in seen.received
+    assert seen.received.count(b"HTTP/1.1 ") == 1
+
+
+# Guards against the same, with each request in a segment of its own.
+def test_a_client_that_reads_no_answer_is_closed() -> None:
+    connection, transport = _connect(side_http.Connections())
+    get = b"GET /x HTTP/1.1\r\nhost: n\r\n\r\n"
+    connection.data_received(get)
+    connection.data_received(get)
+    assert transport.written.count(b"HTTP/1.1 200 ") == 2
+    transport.buffered = 1
+    connection.data_received(get)
+    assert transport.closed
+    assert transport.written.count(b"HTTP/1.1 200 ") == 2
+
+
 def _connect(
     connections: side_http.Connections,
 ) -> tuple[side_http.Connection, transports.Transport]:
