Peers: handshakes that take long make room while descriptors are short

Connections at the address for peers are given up after 2 s without a proof, but others may return as often: with 60 descriptors left and 180 such clients, ten ordinary requests one after the other took 22 s (24.3 s with the 2 s before them).

Cause: a shortage closed idle and stalled connections of callers, lingering ones and those of the side addresses, and no handshake.

Change: one older than 250 ms makes room then. A peer tries again by itself.

--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -167,7 +167,7 @@
         self.durations = histogram.HdrHistogram(1, entry.MAX_DURATION_US, 2)
         self.descriptors = descriptors.Reserve(
             lambda: len(self.caller_connections),
-            self._free_descriptors,
+            self.free_descriptors,
         )
         self.stop_begun = asyncio.Event()
         self.stopped = asyncio.Event()
@@ -411,9 +411,12 @@
             # logged digest.
             self._recorder = None
 
-    def _free_descriptors(self) -> int:
+    def free_descriptors(self) -> int:
         """Close what needs no descriptor any more, and connections that wait for their
         peers; return the number of those of callers."""
+        now = clock.now()
+        for accepted in list(self.accepted):
+            accepted.free_descriptor(now)
         self.lingering.end_flushed()
         for connections in self._side_connections:
             connections.close_idle(side_http.IDLE_BEFORE_CLOSE_MS)
--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import hmac
+import math
 import os
 import typing
 
@@ -25,6 +26,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
+SHORT_HANDSHAKE_MS = 250.0
+"""Time for which a handshake keeps its descriptor while descriptors are short."""
+
 NONCE_BYTES = 16
 MAX_UNAUTHENTICATED_BYTES = 4_096
 """Limit of bytes buffered for a peer that is not authenticated yet."""
@@ -84,6 +88,7 @@
         self._silence: TimeoutError | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._authenticated = False
+        self._made_at = math.inf
         self._deflater: compression.Deflater | None = None
         self._inflater: compression.Inflater | None = None
         self.peer = ids.NodeId("")
@@ -99,6 +104,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection and start the handshake timeout."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._made_at = clock.now()
         sockets.enable_keepalive(transport)
         self._watched = acknowledgements.Watched(self._transport, self._on_silent)
         self._timer = supervision.call_later(
@@ -403,6 +409,11 @@
             with supervision.contained(_PART):
                 self._on_writable.popleft()()
 
+    def free_descriptor(self, now: ids.Milliseconds) -> None:
+        """Give up a handshake that takes long."""
+        if now - self._made_at >= SHORT_HANDSHAKE_MS:
+            self._abort_unauthenticated()
+
     def close(self) -> None:
         """Close after flushing buffered data; calls of the peer may be under way."""
         self._close(is_sending=True)
--- a/tests/alone/test_clients_without_limits.py
+++ b/tests/alone/test_clients_without_limits.py
@@ -321,3 +321,34 @@
         _check_nodes(platform)
 
     asyncio.run(play())
+
+
+# Guards against a node without descriptors, as others come back at the address for
+# peers as often as their handshake is given up.
+def test_a_crowd_that_returns_to_the_address_for_peers_leaves_descriptors_to_others(
+    platform: platform_processes.Platform,
+) -> None:
+    machine = platform.machines["entry"]
+    pid = machine.node.pid
+    limit = len(os.listdir(f"/proc/{pid}/fd")) + LEFT
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    crowd = crowds.Crowd()
+
+    async def return_always() -> None:
+        while True:
+            await crowd.send(machine.ports["inbound"], 1, crowds.Client.until_closed)
+
+    async def play() -> None:
+        count = 2 * DESCRIPTOR_CROWD
+        sending = [asyncio.create_task(return_always()) for _ in range(count)]
+        try:
+            await asyncio.sleep(HOLD_S)
+            await _until_served(platform)
+        finally:
+            for task in sending:
+                task.cancel()
+            crowd.leave()
+        assert crowds.descriptors(pid) <= limit
+        _check_nodes(platform)
+
+    asyncio.run(play())
--- a/tests/cover/test_descriptors.py
+++ b/tests/cover/test_descriptors.py
@@ -11,7 +11,15 @@
 
 from gingerturn import dialect
 from gingerturn.internal.core import effects, events
-from gingerturn.internal.shell import caller_limits, clock, descriptors, home
+from gingerturn.internal.shell import (
+    caller_limits,
+    clock,
+    descriptors,
+    home,
+    node as nodes,
+    peers,
+)
+from tests.common import builders, transports
 
 NO_DESCRIPTOR = OSError(errno.EMFILE, "Too many open files")
 
@@ -179,3 +187,25 @@
         reserve.close()
 
     asyncio.run(run())
+
+
+# Guards against descriptors that are held by connections which are never authenticated.
+def test_handshakes_that_take_long_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 1_000.0
+    monkeypatch.setattr(clock, "now", lambda: now)
+
+    async def run() -> None:
+        nonlocal now
+        node = nodes.Node(builders.settings())
+        transport = transports.Transport()
+        accepted = peers.Accepted(node)
+        accepted.connection_made(transport)  # type: ignore[arg-type]
+        now += peers.SHORT_HANDSHAKE_MS - 1.0
+        node.free_descriptors()
+        assert not transport.closed
+        now += 2.0
+        node.free_descriptors()
+        assert transport.closed
+        accepted.connection_lost(None)
+
+    asyncio.run(run())
