Soak: two nodes of a run get no port twice

Cause: ports of a run that has just ended are not free for a minute (TIME_WAIT). Where the last of a block were not, the search went on at the first of the block, in place of another block; ports that were drawn shortly before seem free until their node listens.

Change: another block is taken before any port is drawn again.

Result: test_another_block_is_taken_before_a_port_is_drawn_again fails before.

--- a/tests/cover/test_ports_of_runs.py
+++ b/tests/cover/test_ports_of_runs.py
@@ -3,6 +3,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from gingerturn_standins import processes
 
 DRAW = (
@@ -39,3 +41,17 @@
 def test_a_port_is_drawn_again_only_after_the_others() -> None:
     drawn = processes.free_ports(200)
     assert len(set(drawn)) == len(drawn)
+
+
+# Guards against a port that two nodes of a run get, as the last ones of a block are
+# still in use after a run that ended shortly before.
+def test_another_block_is_taken_before_a_port_is_drawn_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ports = processes._Ports()
+    drawn = [ports.draw()]
+    half = set(ports._ports[2::2])
+    monkeypatch.setattr(processes, "is_free", lambda port: port not in half)
+    drawn += [ports.draw() for _ in range(2 * len(half))]
+    assert len(set(drawn)) == len(drawn)
+    assert not half & set(drawn)
--- a/tooling/gingerturn_standins/processes.py
+++ b/tooling/gingerturn_standins/processes.py
@@ -43,12 +43,16 @@
 
         :raises OSError: if other processes use all ports.
         """
-        if self._next >= len(self._ports) and len(self._guards) < _MAX_OWN_BLOCKS:
-            with contextlib.suppress(OSError):
-                self._add_block()
-        for _ in range(len(self._ports)):
+        tried = 0
+        while tried <= len(self._ports):
+            if self._next >= len(self._ports) and len(self._guards) < _MAX_OWN_BLOCKS:
+                with contextlib.suppress(OSError):
+                    self._add_block()
+            if not self._ports:
+                break
             port = self._ports[self._next % len(self._ports)]
             self._next += 1
+            tried += 1
             if is_free(port):
                 return port
         self._next = len(self._ports)
