Start: descriptors are awaited and held before the event loop

Cause: libuv aborts the process where it has no descriptor for the event loop; with some more the loop or an import raised an error, status 1. The soft limit was raised only in the loop.

Change: gingerturn.internal.launch raises the soft limit, waits for 24 free descriptors and holds 16 of them during the imports; shell.process waits for 24 before the loop. After 10 s the start ends with status 7 and a line. Both ways to start a node use it.

--- a/src/gingerturn/cli/main.py
+++ b/src/gingerturn/cli/main.py
@@ -1,6 +1,5 @@
 """The ``gingerturn`` command."""
 
-import asyncio
 import difflib
 import pathlib
 import sys
@@ -81,8 +80,6 @@
     """Run a node beside a backend server."""
     launch.begin(json=False)
     # Imported lazily: the other commands do not need these libraries.
-    import uvloop
-
     from gingerturn.internal import logs
     from gingerturn.internal.shell import (
         daemon,
@@ -100,8 +97,7 @@
     async def run() -> int:
         return await daemon.run(nodes.Node(loaded, record=record), source)
 
-    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
-    status = runner.run(process.guard(run()))
+    status = process.run_loop(run())
     if record is not None:
         record.close()
     process_end.leave(status)
--- a/src/gingerturn/internal/launch.py
+++ b/src/gingerturn/internal/launch.py
@@ -4,18 +4,46 @@
 are handled and the standard streams are open before them.
 """
 
+import collections.abc
 import fcntl
 import os
+import resource
 import signal
+import time
 import types
 
 STANDARD_DESCRIPTORS = (0, 1, 2)
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 EXIT_CLEAN = 0
+EXIT_NOT_STARTED = 7
+"""An obstacle to the start did not pass."""
+
+MAX_DESCRIPTORS = 65_536
+"""Limit up to which the process's own is raised."""
+
+START_DESCRIPTORS = 24
+"""Descriptors that must be free for a start."""
+
+IMPORT_DESCRIPTORS = 8
+"""Those of them that are left to the imports."""
+
+WAIT_LIMIT_S = 10.0
+"""Time for which a start waits for an obstacle to pass, which is longer than a planned
+stop of the process before it usually takes."""
+
+_WAIT_INTERVAL_S = 0.05
+
+Write = collections.abc.Callable[[str, str], None]
+"""Writes a log line, given its level and text."""
+
+_held: list[int] = []
+"""Descriptors that are held during the imports. Without one, the event loop and some
+libraries abort the process."""
 
 
 def begin(*, json: bool) -> None:
-    """Open the standard streams, and handle signals until the node does.
+    """Open the standard streams, handle signals until the node does, and hold the
+    descriptors that the start needs.
 
     SIGTERM and SIGINT end the process with status 0: it has accepted nothing. SIGHUP
     is ignored: its default action would end the process, and a node that runs checks
@@ -27,17 +55,82 @@
     open_standard_streams()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-    def end(number: int, frame: types.FrameType | None) -> None:
-        text = f"Stopped by {signal.Signals(number).name} before the node had started."
+    def write(level: str, text: str) -> None:
         if json:
-            _write(1, f'{{"level":"INFO","node":"","part":"node","text":"{text}"}}\n')
+            _write(
+                1, f'{{"level":"{level}","node":"","part":"node","text":"{text}"}}\n'
+            )
         else:
             _write(2, f"gingerturn: {text}\n")
+
+    def end(number: int, frame: types.FrameType | None) -> None:
+        name = signal.Signals(number).name
+        write("INFO", f"Stopped by {name} before the node had started.")
         # A module that is being imported could catch SystemExit.
         os._exit(EXIT_CLEAN)
 
     signal.signal(signal.SIGTERM, end)
     signal.signal(signal.SIGINT, end)
+    # Called twice where the command and its entry point both do.
+    if not _held:
+        if not _hold_descriptors(write):
+            os._exit(EXIT_NOT_STARTED)
+        while len(_held) > START_DESCRIPTORS - IMPORT_DESCRIPTORS:
+            os.close(_held.pop(0))
+
+
+def release_descriptors(write: Write) -> bool:
+    """Release the descriptors that were held, once the start can have all of them.
+
+    :return: whether it can, within :data:`WAIT_LIMIT_S`.
+    """
+    _release()
+    is_held = _hold_descriptors(write)
+    _release()
+    return is_held
+
+
+def raise_descriptor_limit() -> None:
+    """Raise the soft limit of descriptors to the hard one, where that is allowed."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_DESCRIPTORS
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(hard, wanted)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    except (OSError, ValueError):
+        return
+
+
+def _hold_descriptors(write: Write) -> bool:
+    ends_at = time.monotonic() + WAIT_LIMIT_S
+    problem = ""
+    while True:
+        raise_descriptor_limit()
+        try:
+            while len(_held) < START_DESCRIPTORS:
+                _held.append(os.dup(STANDARD_DESCRIPTORS[0]))
+        except OSError as error:
+            _release()
+            shown = f"{START_DESCRIPTORS} file descriptors are not free"
+            if not problem:
+                write(
+                    "WARNING", f"Waiting up to {WAIT_LIMIT_S:.0f} s to start: {shown}."
+                )
+            problem = f"Not started: {shown}: {error.strerror}."
+        else:
+            return True
+        if time.monotonic() >= ends_at:
+            write("ERROR", problem)
+            return False
+        time.sleep(_WAIT_INTERVAL_S)
+
+
+def _release() -> None:
+    while _held:
+        os.close(_held.pop())
 
 
 def hold_signals() -> None:
--- a/src/gingerturn/internal/shell/daemon.py
+++ b/src/gingerturn/internal/shell/daemon.py
@@ -7,9 +7,8 @@
 import socket
 
 from gingerturn import errors, settings
-from gingerturn.internal import ids, logs
+from gingerturn.internal import ids, launch, logs
 from gingerturn.internal.shell import (
-    descriptors,
     node as nodes,
     open_work,
     process_end,
@@ -23,8 +22,6 @@
 """Timeout of the administration API's shutdown, after the node has closed."""
 
 EXIT_CLEAN = 0
-EXIT_NOT_STARTED = 7
-"""An address in the settings cannot be bound."""
 
 _WATCHER = "settings"
 
@@ -80,7 +77,7 @@
 
     :return: the exit status.
     """
-    descriptors.raise_limit()
+    launch.raise_descriptor_limit()
     stopping = asyncio.Event()
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -109,7 +106,7 @@
     except errors.GingerturnError as error:
         logs.write("ERROR", "node", f"Not started: {error}.")
         await node.close()
-        return EXIT_NOT_STARTED
+        return launch.EXIT_NOT_STARTED
     if not node.begun:
         logs.write("INFO", "node", "Stopped before the node had started.")
         await node.close()
--- a/src/gingerturn/internal/shell/descriptors.py
+++ b/src/gingerturn/internal/shell/descriptors.py
@@ -8,10 +8,8 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import errno
 import os
-import resource
 import socket
 import time
 import typing
@@ -19,9 +17,6 @@
 from gingerturn.internal import logs
 from gingerturn.internal.shell import supervision
 
-MAX_LIMIT = 65_536
-"""Limit up to which the process's own is raised at its start."""
-
 RESERVE = 32
 MIN_RESERVE = 8
 """Descriptors of the reserve, and those that suffice for a few callers."""
@@ -38,15 +33,6 @@
 _T = typing.TypeVar("_T")
 
 
-def raise_limit() -> None:
-    """Raise the soft limit of descriptors to the hard one, where that is allowed."""
-    with contextlib.suppress(OSError, ValueError):
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        wanted = MAX_LIMIT if hard == resource.RLIM_INFINITY else min(hard, MAX_LIMIT)
-        if soft != resource.RLIM_INFINITY and soft < wanted:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
-
-
 class Reserve:
     """The reserve, and the state of a shortage.
 
--- a/src/gingerturn/internal/shell/process.py
+++ b/src/gingerturn/internal/shell/process.py
@@ -61,12 +61,26 @@
     with contextlib.ExitStack() as stack:
         record = os.environ.get(RECORD_VARIABLE)
         target = stack.enter_context(open(record, "wb")) if record else None
-        # Is not closed, which would wait for tasks that ignore their cancellation.
-        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
-        status = runner.run(guard(main(target)))
+        status = run_loop(main(target))
     process_end.leave(status)
 
 
+def run_loop(main: collections.abc.Coroutine[typing.Any, typing.Any, int]) -> int:
+    """Run a node in a new event loop; return its exit status.
+
+    The loop is not closed, which would wait for tasks that ignore their cancellation.
+    """
+
+    def write(level: str, text: str) -> None:
+        logs.write(level, "node", text)
+
+    if not launch.release_descriptors(write):
+        main.close()
+        return launch.EXIT_NOT_STARTED
+    runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    return runner.run(guard(main))
+
+
 async def guard(main: collections.abc.Coroutine[typing.Any, typing.Any, int]) -> int:
     """Return the exit status of a node.
 
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -6,13 +6,9 @@
 import typing
 
 from gingerturn import errors
-from gingerturn.internal import logs
+from gingerturn.internal import launch, logs
 from gingerturn.internal.shell import listeners, supervision
 
-WAIT_LIMIT_S = 10.0
-"""Time for which a start waits for an obstacle to pass, which is longer than a planned
-stop of the process before it usually takes."""
-
 RETRY_INTERVAL_S = 0.1
 LOG_INTERVAL_S = 1.0
 """Intervals between tries, and between log lines about them."""
@@ -45,7 +41,7 @@
     """Time-out of a start that waits for an obstacle to pass."""
 
     def __init__(self) -> None:
-        self._ends_at = time.monotonic() + WAIT_LIMIT_S
+        self._ends_at = time.monotonic() + launch.WAIT_LIMIT_S
         self._next_line = 0.0
 
     def is_over(self, obstacle: errors.GingerturnError) -> bool:
--- a/tests/nocover/test_command_line.py
+++ b/tests/nocover/test_command_line.py
@@ -13,7 +13,7 @@
 import httpx
 import pytest
 
-from gingerturn.internal.shell import daemon
+from gingerturn.internal import launch
 from gingerturn_standins import processes
 from tests.common import builders
 
@@ -147,7 +147,7 @@
         again = cluster._spawn(
             "again", "-m", "gingerturn", "node", "--settings", str(path)
         )
-        assert again.wait(timeout=20) == daemon.EXIT_NOT_STARTED
+        assert again.wait(timeout=20) == launch.EXIT_NOT_STARTED
         result = (tmp_path / "again.log").read_text()
         assert f"listen, 127.0.0.1:{port}: cannot listen" in result
 
--- a/tests/nocover/test_starts_and_ends.py
+++ b/tests/nocover/test_starts_and_ends.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import resource
 import signal
 import socket
 import struct
@@ -80,15 +81,28 @@
 
 @contextlib.contextmanager
 def _start(
-    command: str, path: pathlib.Path
+    command: str, path: pathlib.Path, *, descriptors: int = 0
 ) -> collections.abc.Iterator[subprocess.Popen[bytes]]:
+    """Start a node.
+
+    :param descriptors: limit of its descriptors; 0 for that of the tests.
+    """
+
+    def limit() -> None:
+        if descriptors:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     arguments = [sys.executable, *COMMANDS[command]]
     if command == "own":
         arguments += ["--settings", str(path)]
     environment = {**os.environ, "GINGERTURN_BOOT": str(path)}
     environment["PYTHONPATH"] = str(processes.ROOT / "src")
     process = subprocess.Popen(
-        arguments, env=environment, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+        arguments,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        preexec_fn=limit,
     )
     try:
         yield process
@@ -317,3 +331,38 @@
     assert completed.returncode == 1
     assert b"RuntimeError('broken')" in completed.stdout
     assert b"Ended by an error" in completed.stdout
+
+
+# Guards against a start that the event loop aborts, or that fails in its imports, where
+# the process may open few descriptors.
+@pytest.mark.parametrize(
+    ("command", "count"), [("platform", 6), ("platform", 8), ("own", 12)]
+)
+def test_a_start_without_descriptors_ends_with_a_line(
+    command: str, count: int, tmp_path: pathlib.Path
+) -> None:
+    path = tmp_path / "settings"
+    with _start(command, path, descriptors=count) as process:
+        output, _ = process.communicate(timeout=START_S)
+    assert process.returncode == EXIT_NOT_STARTED, output
+    assert WAITING.encode() in output
+    assert b"Not started: 24 file descriptors are not free" in output
+
+
+# Guards against the same where they are short for a part of the start.
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6])
+def test_a_start_bears_that_descriptors_are_short_for_a_while(
+    after_s: float, platform: platform_processes.Platform
+) -> None:
+    machine = platform.machines["m"]
+    machine.node = platform.start_node("m")
+    pid = machine.node.pid
+    _await(lambda: _catches(machine.node, signal.SIGTERM))
+    time.sleep(after_s)
+    whole = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    few = len(os.listdir(f"/proc/{pid}/fd")) + 2
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (few, whole[1]))
+    time.sleep(1.5)
+    assert machine.node.poll() is None, platform.log_of("m")
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, whole)
+    platform.wait_ready()
