--- a/tests/alone/test_clients_without_limits.py
+++ b/tests/alone/test_clients_without_limits.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import collections.abc
-import os
 import pathlib
 import resource
 
@@ -156,32 +155,28 @@
         await client.send(b"x" * 50_000)
 
 
-async def _endless_trailer_line(client: crowds.Client) -> None:
+async def _send_endlessly(client: crowds.Client, begin: bytes, go_on: bytes) -> None:
     await client.send_head("Transfer-Encoding: chunked", "Deadline-Ms: 5000")
-    await client.send(_chunk(b"x") + b"0\r\nX-Trailer: ")
+    await client.send(begin)
     for _ in range(250):
-        await client.send(b"x" * 65_536)
+        await client.send(go_on)
+
+
+async def _endless_trailer_line(client: crowds.Client) -> None:
+    await _send_endlessly(client, _chunk(b"x") + b"0\r\nX-Trailer: ", b"x" * 65_536)
 
 
 async def _endless_trailer_name(client: crowds.Client) -> None:
-    await client.send_head("Transfer-Encoding: chunked", "Deadline-Ms: 5000")
-    await client.send(_chunk(b"x") + b"0\r\n")
-    for _ in range(250):
-        await client.send(b"x" * 65_536)
+    await _send_endlessly(client, _chunk(b"x") + b"0\r\n", b"x" * 65_536)
 
 
 async def _endless_trailer_lines(client: crowds.Client) -> None:
-    await client.send_head("Transfer-Encoding: chunked", "Deadline-Ms: 5000")
-    await client.send(_chunk(b"x") + b"0\r\n")
-    for _ in range(250):
-        await client.send(b"X-Trailer: %b\r\n" % (b"x" * 100) * 600)
+    lines = b"X-Trailer: %b\r\n" % (b"x" * 100) * 600
+    await _send_endlessly(client, _chunk(b"x") + b"0\r\n", lines)
 
 
 async def _endless_extension(client: crowds.Client) -> None:
-    await client.send_head("Transfer-Encoding: chunked", "Deadline-Ms: 5000")
-    await client.send(b"1;x=")
-    for _ in range(250):
-        await client.send(b"x" * 65_536)
+    await _send_endlessly(client, b"1;x=", b"x" * 65_536)
 
 
 async def _unread_answer(client: crowds.Client) -> None:
@@ -286,6 +281,13 @@
     pass
 
 
+def _leave_few_descriptors(pid: int) -> int:
+    """Limit the descriptors of a process to few more than it has; return the limit."""
+    limit = crowds.descriptors(pid) + LEFT
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    return limit
+
+
 # Guards against callers that nobody serves, as other clients hold all descriptors.
 @pytest.mark.parametrize(
     ("address", "write"),
@@ -304,8 +306,7 @@
 ) -> None:
     machine = platform.machines["entry"]
     pid = machine.node.pid
-    limit = len(os.listdir(f"/proc/{pid}/fd")) + LEFT
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    limit = _leave_few_descriptors(pid)
 
     async def play() -> None:
         port = machine.ports[address]
@@ -330,8 +331,7 @@
 ) -> None:
     machine = platform.machines["entry"]
     pid = machine.node.pid
-    limit = len(os.listdir(f"/proc/{pid}/fd")) + LEFT
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    limit = _leave_few_descriptors(pid)
     crowd = crowds.Crowd()
 
     async def return_always() -> None:
