Tests: a check of SIGINT's handler holds where a shell ignores it

Cause: such a shell ignores SIGINT, and Python then installs no handler for it in the process of the tests, which the test asks for. Shown with trap '' INT: fails before, passes without the trap. The test installs the handler itself now and asserts the same.

--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -835,7 +835,13 @@
 
 
 def test_a_process_has_begun_once_its_interpreter_runs() -> None:
-    assert watch.has_begun(os.getpid())
+    # A shell starts jobs in the background with SIGINT ignored, and the interpreter
+    # leaves it so.
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        assert watch.has_begun(os.getpid())
+    finally:
+        signal.signal(signal.SIGINT, before)
     with subprocess.Popen(["sleep", "60"]) as process:
         assert not watch.has_begun(process.pid)
         process.kill()
