--- a/tests/cover/test_open_work.py
+++ b/tests/cover/test_open_work.py
@@ -179,11 +179,14 @@
             await asyncio.sleep(0.005)
 
 
+def _ask(caller: socket.socket) -> None:
+    caller.sendall(b"GET /tickets/none HTTP/1.1\r\nhost: gingerturn\r\n\r\n")
+
+
 async def _assert_served(callers: collections.abc.Iterable[socket.socket]) -> None:
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(WAIT_S):
         for caller in callers:
-            caller.sendall(b"GET /tickets/none HTTP/1.1\r\nhost: gingerturn\r\n\r\n")
             answer = await loop.sock_recv(caller, 65_536)
             assert answer.startswith(b"HTTP/1.1 404 ")
             caller.close()
@@ -202,6 +205,7 @@
         callers = [socket.create_connection(address) for _ in range(20)]
         for caller in callers:
             caller.setblocking(False)
+            _ask(caller)
         # No wait since: the event loop has not accepted any of them.
         assert not node.caller_connections
         assert not server.close_when_empty()
@@ -225,6 +229,8 @@
         listening.listen()
         listening.setblocking(False)
         await _close(_acceptor(node, listening))
+        for caller in _RacedSocket.connected:
+            _ask(caller)
         await _assert_served(_RacedSocket.connected)
 
     _run(play())
