Stops: the time that a call is expected to take is computed once

A call that a stopping home node refused had its expected time computed for the decision and again for the figures of the refusal, each time over all hosted calls. hosting has one function that decides and refuses now, as sending has. Behaviour is the same.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -94,8 +94,7 @@
     if admission.exceeds_wait_limit(hosted):
         _refuse_waiting(state, hosted, out)
         return
-    if not _has_stop_room(state, hosted, wait=hosted.expected_wait):
-        _refuse_without_room(state, hosted, out)
+    if _refuse_without_room(state, hosted, out, wait=hosted.expected_wait):
         return
     queue_slack.record_admitted(state, hosted)
     heapq.heappush(
@@ -119,16 +118,26 @@
     replies.refuse(state, hosted, rule, out, figures=figures)
 
 
-def _has_stop_room(
-    state: states.State, hosted: states.Hosted, *, wait: ids.Milliseconds = 0.0
+def _refuse_without_room(
+    state: states.State,
+    hosted: states.Hosted,
+    out: states.Effects,
+    *,
+    wait: ids.Milliseconds = 0.0,
 ) -> bool:
-    """Whether a call is expected to end before the end of a planned stop of this node.
+    """Refuse a call that would outlast the planned stop of this node.
 
     :param wait: how long it is expected to wait before it starts.
+    :return: whether it was refused.
     """
     if not state.stopping:
-        return True
-    return wait + _expected_ms(state, hosted) <= stop_room.left_ms(state)
+        return False
+    left, expected = stop_room.left_ms(state), _expected_ms(state, hosted)
+    if wait + expected <= left:
+        return False
+    figures = (left, expected)
+    replies.refuse(state, hosted, decisions.Rule.OUTLASTS_STOP, out, figures=figures)
+    return True
 
 
 def _expected_ms(state: states.State, hosted: states.Hosted) -> ids.Milliseconds:
@@ -148,14 +157,6 @@
     )
 
 
-def _refuse_without_room(
-    state: states.State, hosted: states.Hosted, out: states.Effects
-) -> None:
-    """Refuse a call that would outlast the planned stop of this node."""
-    figures = (stop_room.left_ms(state), _expected_ms(state, hosted))
-    replies.refuse(state, hosted, decisions.Rule.OUTLASTS_STOP, out, figures=figures)
-
-
 def _refuse_shed(
     state: states.State,
     hosted: states.Hosted,
@@ -605,8 +606,7 @@
         if state.now + admission.service_time(state, kind) > hosted.deadline:
             replies.refuse(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
             continue
-        if not _has_stop_room(state, hosted):
-            _refuse_without_room(state, hosted, out)
+        if _refuse_without_room(state, hosted, out):
             continue
         start(state, hosted, out)
 
