Callers: one function answers the problems that the core has not decided on

Four places built the same effect but for status, title, outcome and delay, two of them refusals with a delay. The test of the delay asked the function that is gone; it now sends complete bodies until one is refused, with the same assertions.

--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -395,17 +395,8 @@
             return
         request.held_output.clear()
         request.answered = False
-        self.send_problem(
-            request,
-            effects.RefuseCall(
-                call=request.call,
-                status=502,
-                outcome=messages.Outcome.UNKNOWN,
-                title="the answer broke off",
-                retry_after_ms=0,
-                decision="",
-            ),
-        )
+        unknown = messages.Outcome.UNKNOWN
+        self._answer_problem(request, 502, "the answer broke off", outcome=unknown)
 
     def send_problem(
         self, request: caller_requests.Request, refusal: effects.RefuseCall
@@ -660,16 +651,11 @@
 
     def refuse_for_error(self, request: caller_requests.Request) -> None:
         """Refuse a request that was not sent and will not be, after an error."""
-        refusal = effects.RefuseCall(
-            call=request.call,
-            status=503,
-            outcome=messages.Outcome.NOT_RUN,
-            title=entry.ERROR_CAUSE,
-            retry_after_ms=ERROR_RETRY_MS,
-            decision="",
-        )
+        retry_ms = ERROR_RETRY_MS
         try:
-            self.send_problem(request, refusal)
+            self._answer_problem(
+                request, 503, entry.ERROR_CAUSE, retry_after_ms=retry_ms
+            )
         except Exception as error:
             supervision.record(_PART, error)
             self.close(entry.ERROR_CAUSE)
@@ -699,7 +685,8 @@
         request.dispatched = True
         request.call = ids.CallId(self._node.next_number())
         if request.body and self._node.held.is_full:
-            self.send_problem(request, self._no_memory(request))
+            retry_ms = EXHAUSTED_RETRY_MS
+            self._answer_problem(request, 503, NO_MEMORY_CAUSE, retry_after_ms=retry_ms)
             return
         service, path, target = caller_requests.destination(request)
         if not service:
@@ -749,15 +736,25 @@
         )
         self._node.entry.begin_request(request, arrival)
 
-    def _no_memory(self, request: caller_requests.Request) -> effects.RefuseCall:
-        return effects.RefuseCall(
+    def _answer_problem(
+        self,
+        request: caller_requests.Request,
+        status: int,
+        title: str,
+        *,
+        outcome: messages.Outcome = messages.Outcome.NOT_RUN,
+        retry_after_ms: ids.Milliseconds = 0.0,
+    ) -> None:
+        """Write a problem response that the core has not decided on."""
+        refusal = effects.RefuseCall(
             call=request.call,
-            status=503,
-            outcome=messages.Outcome.NOT_RUN,
-            title=NO_MEMORY_CAUSE,
-            retry_after_ms=EXHAUSTED_RETRY_MS,
+            status=status,
+            outcome=outcome,
+            title=title,
+            retry_after_ms=retry_after_ms,
             decision="",
         )
+        self.send_problem(request, refusal)
 
     def _answer_ticket_request(
         self, request: caller_requests.Request, path: str
@@ -778,15 +775,8 @@
 
     def _answer_unknown(self, request: caller_requests.Request, service: str) -> None:
         logs.write("WARNING", _PART, f"Service {service[:64]!r} is not known.")
-        refusal = effects.RefuseCall(
-            call=request.call,
-            status=404,
-            outcome=messages.Outcome.NOT_RUN,
-            title=f"service {service[:64]!r} is neither declared nor announced",
-            retry_after_ms=0,
-            decision="",
-        )
-        self.send_problem(request, refusal)
+        title = f"service {service[:64]!r} is neither declared nor announced"
+        self._answer_problem(request, 404, title)
 
     def _write_head(
         self, request: caller_requests.Request, head: bytes, body: bytes = b""
--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -165,9 +165,15 @@
 
 def test_a_refusal_for_memory_states_a_delay(monkeypatch: pytest.MonkeyPatch) -> None:
     site = Site(monkeypatch)
-    refusal = site.connect().connection._no_memory(
-        caller_requests.Request(site.connect().connection)
+    refusals: list[effects.RefuseCall] = []
+    monkeypatch.setattr(
+        ingress.CallerConnection,
+        "send_problem",
+        lambda connection, request, refusal: refusals.append(refusal),
     )
+    for _ in range(3):
+        site.connect().send(BODY, BODY)
+    (refusal,) = refusals
     assert isinstance(refusal, effects.RefuseCall)
     assert refusal.outcome is messages.Outcome.NOT_RUN
     assert refusal.retry_after_ms == ingress.EXHAUSTED_RETRY_MS
