--- a/src/gingerturn/internal/shell/caller_limits.py
+++ b/src/gingerturn/internal/shell/caller_limits.py
@@ -1,5 +1,6 @@
 """Limits of callers' requests and connections."""
 
+import collections.abc
 import typing
 
 from gingerturn import routes
@@ -7,7 +8,7 @@
 from gingerturn.internal.shell import caller_requests, clock, supervision
 
 if typing.TYPE_CHECKING:
-    from gingerturn.internal.shell import node as nodes
+    from gingerturn.internal.shell import ingress, node as nodes
 
 CHECK_INTERVAL_MS = 250.0
 """Interval between checks of all connections, which avoid a timer per connection."""
@@ -59,20 +60,10 @@
 def close_idlest(node: "nodes.Node") -> int:
     """Close the connections that have been idle longest, to free their descriptors.
 
-    One with unread input is not idle: its next request has arrived.
-
     :return: their number.
     """
-    idle_before = clock.now() - IDLE_BEFORE_CLOSE_MS
-    idle = sorted(
-        (
-            c
-            for c in node.caller_connections
-            if c.idle and not c.closing and c.idle_since < idle_before
-        ),
-        key=lambda c: c.idle_since,
-    )
-    closed = [c for c in idle[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
+    idle = [c for c in node.caller_connections if c.idle and not c.closing]
+    closed = _oldest(idle, lambda c: c.idle_since, IDLE_BEFORE_CLOSE_MS)
     for connection in closed:
         connection.close(NO_DESCRIPTORS_CAUSE)
     return len(closed)
@@ -84,16 +75,24 @@
 
     :return: their number.
     """
-    since_before = clock.now() - STALLED_BEFORE_CLOSE_MS
-    stalled = sorted(
-        (
-            c
-            for c in node.caller_connections
-            if c.may_be_given_up and c.held_since < since_before
-        ),
-        key=lambda c: c.held_since,
-    )
-    given_up = [c for c in stalled[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
+    stalled = [c for c in node.caller_connections if c.may_be_given_up]
+    given_up = _oldest(stalled, lambda c: c.held_since, STALLED_BEFORE_CLOSE_MS)
     for connection in given_up:
         connection.give_up(NO_DESCRIPTORS_CAUSE)
     return len(given_up)
+
+
+def _oldest(
+    connections: "collections.abc.Iterable[ingress.CallerConnection]",
+    since: "collections.abc.Callable[[ingress.CallerConnection], ids.Milliseconds]",
+    age_ms: ids.Milliseconds,
+) -> "list[ingress.CallerConnection]":
+    """Return the connections in a state for longest, at least for a time.
+
+    One with unread input is none: its caller has made progress.
+
+    :param since: returns when a connection got into its state.
+    """
+    before = clock.now() - age_ms
+    found = sorted((c for c in connections if since(c) < before), key=since)
+    return [c for c in found[:MAX_CLOSED_AT_ONCE] if not c.has_unread_input]
