--- a/src/gingerturn/internal/shell/peers.py
+++ b/src/gingerturn/internal/shell/peers.py
@@ -88,7 +88,6 @@
         self._silence: TimeoutError | None = None
         self._nonce = os.urandom(NONCE_BYTES)
         self._authenticated = False
-        self._made_at = math.inf
         self._deflater: compression.Deflater | None = None
         self._inflater: compression.Inflater | None = None
         self.peer = ids.NodeId("")
@@ -104,7 +103,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection and start the handshake timeout."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._made_at = clock.now()
         sockets.enable_keepalive(transport)
         self._watched = acknowledgements.Watched(self._transport, self._on_silent)
         self._timer = supervision.call_later(
@@ -366,6 +364,7 @@
     def __init__(self, node: "nodes.Node") -> None:
         super().__init__(node)
         self._peer_nonce = b""
+        self._made_at = math.inf
         self._on_writable: collections.deque[collections.abc.Callable[[], None]] = (
             collections.deque()
         )
@@ -379,6 +378,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, so that the node closes it at its stop."""
         super().connection_made(transport)
+        self._made_at = clock.now()
         self._node.accepted.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
