Side addresses: the answer is kept in place of a copy of the request

A second type held what Request holds, until the whole read was parsed. The answer to the first request of a read is made at its end, as before, and written once the read is parsed. Behaviour is the same.

--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -39,14 +39,6 @@
     content_type: str = "application/json"
 
 
-class _Complete(typing.NamedTuple):
-    """A complete request, whose target and body may be too long."""
-
-    method: str
-    target: bytes
-    body: bytes
-
-
 Handler = collections.abc.Callable[[Request], Reply]
 
 MAX_CONNECTIONS = 64
@@ -122,7 +114,7 @@
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._target = b""
         self._body = bytearray()
-        self._complete: _Complete | None = None
+        self._answer: Reply | None = None
         self._keeps_alive = True
         self._has_more = False
 
@@ -153,18 +145,16 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._has_more = True
-            if self._complete is None:
+            if self._answer is None:
                 logs.write("WARNING", _PART, f"Invalid request: {error}.")
-                self._write(Reply(400))
-                return
-        if self._complete is not None:
-            request, self._complete = self._complete, None
-            self._connections.note_use(self)
-            self._write(self._reply(request))
+                self._answer = Reply(400)
+        if self._answer is not None:
+            answer, self._answer = self._answer, None
+            self._write(answer)
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
-        if self._complete is not None:
+        if self._answer is not None:
             self._has_more = True
         self._target = b""
         self._body.clear()
@@ -180,11 +170,11 @@
             self._body += body
 
     def on_message_complete(self) -> None:
-        """Note the request; those behind it are dropped."""
-        if self._complete is None:
+        """Answer the request; those behind it are dropped."""
+        if self._answer is None:
             self._keeps_alive = self._parser.should_keep_alive()
-            method = self._parser.get_method().decode("ascii")
-            self._complete = _Complete(method, self._target, bytes(self._body))
+            self._connections.note_use(self)
+            self._answer = self._reply()
 
     def _write(self, reply: Reply) -> None:
         closes = self._has_more or not self._keeps_alive
@@ -199,13 +189,16 @@
             self._connections.forget(self)
             self._lingering_set.close(self._transport, self, is_sending=self._has_more)
 
-    def _reply(self, complete: "_Complete") -> Reply:
-        if len(complete.target) > MAX_TARGET:
+    def _reply(self) -> Reply:
+        if len(self._target) > MAX_TARGET:
             return Reply(414)
-        if len(complete.body) > MAX_BODY:
+        if len(self._body) > MAX_BODY:
             return Reply(413)
-        path = complete.target.split(b"?", 1)[0].decode("latin-1")
-        request = Request(method=complete.method, path=path, body=complete.body)
+        request = Request(
+            method=self._parser.get_method().decode("ascii"),
+            path=self._target.split(b"?", 1)[0].decode("latin-1"),
+            body=bytes(self._body),
+        )
         try:
             return self._handler(request)
         except Exception as error:
