Tests: the refusal for memory is reached where a running request holds the limit

Now one request runs and the limit is lowered, so that the next complete body is refused; same assertions.

--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -171,8 +171,10 @@
         "send_problem",
         lambda connection, request, refusal: refusals.append(refusal),
     )
-    for _ in range(3):
-        site.connect().send(BODY, BODY)
+    site.connect().send(BODY, BODY)
+    # What runs cannot be given up.
+    site.node.held.limit = BODY // 2
+    site.connect().send(100, 100)
     (refusal,) = refusals
     assert isinstance(refusal, effects.RefuseCall)
     assert refusal.outcome is messages.Outcome.NOT_RUN
