--- a/tests/cover/test_held_bytes.py
+++ b/tests/cover/test_held_bytes.py
@@ -172,9 +172,9 @@
         lambda connection, request, refusal: refusals.append(refusal),
     )
     site.connect().send(BODY, BODY)
-    # What runs cannot be given up.
+    # What runs cannot be given up, nor what is complete at once.
     site.node.held.limit = BODY // 2
-    site.connect().send(100, 100)
+    site.connect().connection.data_received(HEAD % 100 + b"z" * 100)
     (refusal,) = refusals
     assert isinstance(refusal, effects.RefuseCall)
     assert refusal.outcome is messages.Outcome.NOT_RUN
