Start: one time-out for all obstacles

The wait for descriptors had its own loop with a limit and a line; starting.StartTimeout did the same for settings and addresses. It stands in launch now, which can import neither, and takes how a line is written. Seen by an operator: the line about descriptors is repeated each second and names the system's error, as with other obstacles, and tries are 0.1 s apart, not 0.05.

--- a/src/gingerturn/internal/launch.py
+++ b/src/gingerturn/internal/launch.py
@@ -31,7 +31,9 @@
 """Time for which a start waits for an obstacle to pass, which is longer than a planned
 stop of the process before it usually takes."""
 
-_WAIT_INTERVAL_S = 0.05
+RETRY_INTERVAL_S = 0.1
+LOG_INTERVAL_S = 1.0
+"""Intervals between tries, and between log lines about them."""
 
 Write = collections.abc.Callable[[str, str], None]
 """Writes a log line, given its level and text."""
@@ -41,6 +43,26 @@
 libraries abort the process."""
 
 
+class StartTimeout:
+    """Time-out of a start that waits for an obstacle to pass."""
+
+    def __init__(self, write: Write) -> None:
+        self._write = write
+        self._ends_at = time.monotonic() + WAIT_LIMIT_S
+        self._next_line = 0.0
+
+    def is_over(self, obstacle: object) -> bool:
+        """Return whether the start has waited long enough; log that it waits if not."""
+        now = time.monotonic()
+        if now >= self._ends_at:
+            return True
+        if now >= self._next_line:
+            self._next_line = now + LOG_INTERVAL_S
+            left = self._ends_at - now
+            self._write("WARNING", f"Waiting up to {left:.0f} s to start: {obstacle}.")
+        return False
+
+
 def begin(*, json: bool) -> None:
     """Open the standard streams, handle signals until the node does, and hold the
     descriptors that the start needs.
@@ -105,27 +127,22 @@
 
 
 def _hold_descriptors(write: Write) -> bool:
-    ends_at = time.monotonic() + WAIT_LIMIT_S
-    problem = ""
+    timeout = StartTimeout(write)
     while True:
         raise_descriptor_limit()
         try:
             while len(_held) < START_DESCRIPTORS:
                 _held.append(os.dup(STANDARD_DESCRIPTORS[0]))
+            return True
         except OSError as error:
             _release()
-            shown = f"{START_DESCRIPTORS} file descriptors are not free"
-            if not problem:
-                write(
-                    "WARNING", f"Waiting up to {WAIT_LIMIT_S:.0f} s to start: {shown}."
-                )
-            problem = f"Not started: {shown}: {error.strerror}."
-        else:
-            return True
-        if time.monotonic() >= ends_at:
-            write("ERROR", problem)
+            obstacle = (
+                f"{START_DESCRIPTORS} file descriptors are not free: {error.strerror}"
+            )
+        if timeout.is_over(obstacle):
+            write("ERROR", f"Not started: {obstacle}.")
             return False
-        time.sleep(_WAIT_INTERVAL_S)
+        time.sleep(RETRY_INTERVAL_S)
 
 
 def _release() -> None:
--- a/src/gingerturn/internal/shell/process.py
+++ b/src/gingerturn/internal/shell/process.py
@@ -12,7 +12,7 @@
 
 from gingerturn import errors
 from gingerturn.internal import checks, decoding, launch, logs
-from gingerturn.internal.shell import process_end
+from gingerturn.internal.shell import process_end, starting
 
 RECORD_VARIABLE = "GINGERTURN_RECORD"
 """File to which a node records its events, for ``gingerturn replay``. For debugging: it
@@ -70,11 +70,7 @@
 
     The loop is not closed, which would wait for tasks that ignore their cancellation.
     """
-
-    def write(level: str, text: str) -> None:
-        logs.write(level, "node", text)
-
-    if not launch.release_descriptors(write):
+    if not launch.release_descriptors(starting.write_line):
         main.close()
         return launch.EXIT_NOT_STARTED
     runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
--- a/src/gingerturn/internal/shell/starting.py
+++ b/src/gingerturn/internal/shell/starting.py
@@ -9,10 +9,6 @@
 from gingerturn.internal import launch, logs
 from gingerturn.internal.shell import listeners, supervision
 
-RETRY_INTERVAL_S = 0.1
-LOG_INTERVAL_S = 1.0
-"""Intervals between tries, and between log lines about them."""
-
 _T = typing.TypeVar("_T")
 
 
@@ -37,24 +33,9 @@
         stop.cancel()
 
 
-class StartTimeout:
-    """Time-out of a start that waits for an obstacle to pass."""
-
-    def __init__(self) -> None:
-        self._ends_at = time.monotonic() + launch.WAIT_LIMIT_S
-        self._next_line = 0.0
-
-    def is_over(self, obstacle: errors.GingerturnError) -> bool:
-        """Return whether the start has waited long enough; log that it waits if not."""
-        now = time.monotonic()
-        if now >= self._ends_at:
-            return True
-        if now >= self._next_line:
-            self._next_line = now + LOG_INTERVAL_S
-            left = self._ends_at - now
-            text = f"Waiting up to {left:.0f} s to start: {obstacle}."
-            logs.write("WARNING", "node", text)
-        return False
+def write_line(level: str, text: str) -> None:
+    """Write a log line about the start."""
+    logs.write(level, "node", text)
 
 
 def load_when_complete(load: collections.abc.Callable[[], _T]) -> _T:
@@ -65,14 +46,14 @@
     :raises IncompleteDocument: when they stay incomplete.
     :raises InvalidDocument: for values that are not allowed.
     """
-    timeout = StartTimeout()
+    timeout = launch.StartTimeout(write_line)
     while True:
         try:
             return load()
         except errors.IncompleteDocument as error:
             if timeout.is_over(error):
                 raise
-        time.sleep(RETRY_INTERVAL_S)
+        time.sleep(launch.RETRY_INTERVAL_S)
 
 
 async def retry(
@@ -84,7 +65,7 @@
 
     :raises GingerturnError: for an address that cannot be used, or stays held.
     """
-    timeout = StartTimeout()
+    timeout = launch.StartTimeout(write_line)
     while True:
         try:
             await open_addresses()
@@ -92,4 +73,4 @@
         except listeners.AddressUnavailable as error:
             if timeout.is_over(error):
                 raise
-        await asyncio.sleep(RETRY_INTERVAL_S)
+        await asyncio.sleep(launch.RETRY_INTERVAL_S)
