--- a/tests/alone/test_clients_without_limits.py
+++ b/tests/alone/test_clients_without_limits.py
@@ -6,7 +6,6 @@
 import asyncio
 import collections.abc
 import pathlib
-import resource
 
 import pytest
 
@@ -281,13 +280,6 @@
     pass
 
 
-def _leave_few_descriptors(pid: int) -> int:
-    """Limit the descriptors of a process to few more than it has; return the limit."""
-    limit = crowds.descriptors(pid) + LEFT
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
-    return limit
-
-
 # Guards against callers that nobody serves, as other clients hold all descriptors.
 @pytest.mark.parametrize(
     ("address", "write"),
@@ -306,7 +298,7 @@
 ) -> None:
     machine = platform.machines["entry"]
     pid = machine.node.pid
-    limit = _leave_few_descriptors(pid)
+    limit = crowds.leave_descriptors(pid, LEFT)
 
     async def play() -> None:
         port = machine.ports[address]
@@ -331,7 +323,7 @@
 ) -> None:
     machine = platform.machines["entry"]
     pid = machine.node.pid
-    limit = _leave_few_descriptors(pid)
+    limit = crowds.leave_descriptors(pid, LEFT)
     crowd = crowds.Crowd()
 
     async def return_always() -> None:
--- a/tests/common/crowds.py
+++ b/tests/common/crowds.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import pathlib
+import resource
 import socket
 
 HOST = "shop.example"
@@ -99,3 +100,11 @@
 def descriptors(pid: int) -> int:
     """Return the number of open descriptors of a process."""
     return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+
+
+def leave_descriptors(pid: int, count: int) -> int:
+    """Limit the descriptors of a process to a number more than it has; return the
+    limit."""
+    limit = descriptors(pid) + count
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
+    return limit
--- a/tests/nocover/test_last_descriptor.py
+++ b/tests/nocover/test_last_descriptor.py
@@ -14,6 +14,7 @@
 import pytest
 
 from gingerturn_standins import platform_processes
+from tests.common import crowds
 
 CALLERS = 300
 LEFT = 40
@@ -47,16 +48,10 @@
         made.add("short", service="plans")
         made.add("other", service="porting")
         made.wait_ready()
-        _limit(made.machines["short"])
+        crowds.leave_descriptors(made.machines["short"].node.pid, LEFT)
         yield made
 
 
-def _limit(machine: platform_processes.Machine) -> None:
-    pid = machine.node.pid
-    limit = len(os.listdir(f"/proc/{pid}/fd")) + LEFT
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, limit))
-
-
 def _head(path: str, number: str) -> bytes:
     return (
         f"GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {number}\r\n"
