--- a/review/6/play.py
+++ b/review/6/play.py
@@ -50,6 +50,7 @@
     leaving.stop_beats()
     if not harness.TROUBLE:
         await leaving.report(report)
+    leaving.state = "draining"
     if await leaving.report(b"", "deregister") != 200:
         raise harness.NotPlayed("the leaving was not confirmed")
     left_at = played.record.write(f"leaving of {leaving.instance} is confirmed")
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -296,15 +296,19 @@
             await self._work(self, request, writer)
         finally:
             self.running -= 1
+        if self.state == "draining":
+            raise asyncio.IncompleteReadError(b"", None)
 
 
 def signed(upstream: Upstream, request: Message) -> Headers:
     """Return the headers of an upstream's answer to a request it has run."""
     number = request.headers["request-id"]
+    closes = {"Connection": "close"} if upstream.state == "draining" else {}
     return {
         "Request-Id": number,
         "Response-Signature": f"signed.{number}",
         "Instance-Id": upstream.instance,
+        **closes,
     }
 
 
