--- a/review/7/play.py
+++ b/review/7/play.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import harness_2 as harness  # noqa: E402
 
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
 PLANS, BOOKING = "plans", "booking"
 BUDGET_MS = 6_000
 REQUESTS = 10
@@ -88,4 +89,4 @@
 
 
 if __name__ == "__main__":
-    harness.play(__file__, main)
+    harness.play(RECORD, main)
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -42,10 +42,13 @@
 
 
 class Record:
-    """What was sent, answered and run, with the time in seconds since the start."""
+    """What was sent, answered and run, with the time in seconds since the start.
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    :param path: the file that it is written to.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w")
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -481,11 +484,11 @@
 class Deployment:
     """A small deployment; use it as a context manager.
 
-    :param case: folder of the case, in which the record is written.
+    :param record: file that the record is written to.
     """
 
-    def __init__(self, case: pathlib.Path) -> None:
-        self.record = Record(case)
+    def __init__(self, record: pathlib.Path) -> None:
+        self.record = Record(record)
         self.machines: list[Machine] = []
         self.upstreams: list[Upstream] = []
         self.store = Store()
@@ -613,24 +616,29 @@
     return True
 
 
-def play(case: str, main: typing.Callable[[Deployment], typing.Any]) -> typing.NoReturn:
+def play(
+    record: pathlib.Path, main: typing.Callable[[Deployment], typing.Any]
+) -> typing.NoReturn:
     """Play a case, and exit with 1 if its rule was broken, 0 if it held, and 2 if it
     could not run.
 
-    :param case: path of the script of the case.
+    :param record: file that the record is written to.
     :param main: plays it; returns how the rule was broken, empty if it held.
     """
-    folder = pathlib.Path(case).resolve().parent
 
     async def run() -> str:
-        async with asyncio.timeout(100), Deployment(folder) as deployment:
+        task = asyncio.current_task()
+        if task is not None:
+            # Ends the processes too.
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(100), Deployment(record) as deployment:
             result: str = await main(deployment)
             deployment.record.write(f"result: {result or 'the rule held'}")
             return result
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print(broken or "the rule held")
