Queues: calls for another service are refused when the address changes hands

Cause: the service of a call was compared with that of the backend server on arrival only. When a silent backend server's address went to another service, the announcement reset the node's measurements but not its queue, and start_queued dispatched the queued calls with the new instance as the expected one.

Change: an announcement refuses queued calls for other services at once, as not run, and start_queued compares the service again. Calls for the same service go to its new instance as before.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -599,8 +599,11 @@
         if hosted_id is None:
             return
         hosted = state.hosted[hosted_id]
-        if not quarantine.admits(state, hosted):
-            replies.refuse(state, hosted, decisions.Rule.QUARANTINED, out)
+        rule = _absence_rule(state, hosted)
+        if rule is None and not quarantine.admits(state, hosted):
+            rule = decisions.Rule.QUARANTINED
+        if rule is not None:
+            replies.refuse(state, hosted, rule, out)
             continue
         kind = hosted.metadata.kind
         if state.now + admission.service_time(state, kind) > hosted.deadline:
@@ -611,6 +614,18 @@
         start(state, hosted, out)
 
 
+def refuse_other_services(state: states.State, out: states.Effects) -> None:
+    """Refuse the queued calls for services that the backend server does not offer.
+
+    Other upstreams may still accept them.
+    """
+    for _, _, hosted_id in list(state.backend.queue):
+        hosted = state.hosted[hosted_id]
+        if hosted.metadata.service != state.backend.service:
+            admission.remove(state, hosted_id)
+            replies.refuse(state, hosted, decisions.Rule.NO_BACKEND, out)
+
+
 def withdraw(
     state: states.State,
     hosted: states.Hosted,
@@ -632,13 +647,22 @@
 def _unavailable_rule(
     state: states.State, hosted: states.Hosted
 ) -> decisions.Rule | None:
+    rule = _absence_rule(state, hosted)
+    if rule is None and state.now < state.backend.unreachable_until:
+        return decisions.Rule.BACKEND_UNREACHABLE
+    return rule
+
+
+def _absence_rule(state: states.State, hosted: states.Hosted) -> decisions.Rule | None:
+    """Return why no backend server of the call's service takes work here, or ``None``.
+
+    This may change while a call is queued.
+    """
     backend = state.backend
     if backend.leaving or state.departed:
         return decisions.Rule.LEAVING
     if not backend.present or backend.service != hosted.metadata.service:
         return decisions.Rule.NO_BACKEND
-    if state.now < backend.unreachable_until:
-        return decisions.Rule.BACKEND_UNREACHABLE
     return None
 
 
--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -42,6 +42,7 @@
     backend.present = True
     backend.leaving = False
     backend.expires_at = event.now + event.ttl_ms
+    hosting.refuse_other_services(state, out)
     hosting.start_queued(state, out)
 
 
