Claims: records count whatever service is announced beside the node

Could happen: a key of an unrepeatable call ran at two nodes, after the service announced beside one of them had changed and returned (TWICE). No run of real processes showed it.

Cause: claims read from the log were applied only if their stream was that of the service announced at that moment. Others were dropped, and the stream is not read again.

Change: claims of every followed stream are applied. A claim that wins while another service is announced leaves its call not run.

--- a/src/gingerturn/internal/core/claims.py
+++ b/src/gingerturn/internal/core/claims.py
@@ -137,6 +137,10 @@
         entry.hosted = None
         hosting.withdraw(state, hosted, decisions.Rule.QUEUE_EXPIRED, out)
         return
+    if hosted.metadata.service != state.backend.service:
+        replies.fail_key(state, hosted, out, dispatched=False)
+        hosting.withdraw(state, hosted, decisions.Rule.NO_BACKEND, out)
+        return
     keys.mark_running(entry)
     hosting.dispatch(state, hosted, out)
 
--- a/src/gingerturn/internal/core/keys.py
+++ b/src/gingerturn/internal/core/keys.py
@@ -25,10 +25,17 @@
 MAX_STORED_ANSWERS = 512
 """Stored answers; the shell bounds each to 64 kB."""
 
+_STREAM_PREFIX = "claims."
+
 
 def stream_name(service: ids.ServiceName) -> str:
     """Return the name of the stream of a service's claims."""
-    return f"claims.{service}"
+    return f"{_STREAM_PREFIX}{service}"
+
+
+def is_stream(name: str) -> bool:
+    """Whether a stream holds the claims of a service."""
+    return name.startswith(_STREAM_PREFIX)
 
 
 def key_in_window(key: str, now: ids.Milliseconds) -> bool:
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -385,7 +385,8 @@
         if stream == streams.MEMBERS:
             quarantine_gossip.on_record(state, record, out)
     elif isinstance(record, messages.ClaimBatch):
-        if stream == keys.stream_name(state.backend.service):
+        # The stream is not read again if the service of its claims is announced later.
+        if keys.is_stream(stream):
             claims.on_record(state, record, out)
     elif isinstance(record, routes.RouteTable) and stream == streams.ROUTES:
         freshness.on_table(state, record.version)
--- a/tests/cover/test_calls_at_another_service.py
+++ b/tests/cover/test_calls_at_another_service.py
@@ -54,6 +54,44 @@
     assert builders.only(out, effects.DispatchCall).instance == "i-2"
 
 
+def _claimed_call(hosted: int, key: str, *, now: float) -> events.OpenReceived:
+    metadata = builders.call_metadata(
+        service="porting", kind="port-request", repeatable=False, key=key
+    )
+    return builders.opened(hosted, metadata, now=now)
+
+
+# A call whose key was claimed could run at a service that got the address meanwhile.
+def test_a_claimed_call_does_not_run_at_a_service_that_gets_the_address() -> None:
+    state = builders.node_state(service="porting")
+    key = builders.key_at(builders.START)
+    out = reducer.reduce(state, _claimed_call(1, key, now=state.now))
+    claimed = builders.only(out, effects.Append).record
+    assert claimed is not None
+    reducer.reduce(state, builders.announced("plans"))
+    read = builders.log_read("claims.porting", messages.decode_record(claimed))
+    out = reducer.reduce(state, read)
+    assert not builders.all_of(out, effects.DispatchCall)
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.outcome is messages.Outcome.NOT_RUN
+    assert state.backend.running == 0
+
+
+# Claims of other nodes that were read while another service was announced were lost, so
+# a key could run twice.
+def test_claims_count_while_another_service_is_announced() -> None:
+    state = builders.node_state(service="porting")
+    key = builders.key_at(builders.START)
+    reducer.reduce(state, builders.announced("plans"))
+    claim = messages.ClaimRecord(key=key, claim="other", node="n2/1")
+    foreign = messages.ClaimBatch(claims=(claim,))
+    reducer.reduce(state, builders.log_read("claims.porting", foreign))
+    reducer.reduce(state, builders.announced("porting"))
+    out = reducer.reduce(state, _claimed_call(1, key, now=state.now))
+    refusal = builders.only(out, effects.SendRefusal).refusal
+    assert refusal.rule == decisions.Rule.CLAIM_LOST
+
+
 ARRIVAL = st.tuples(st.just("arrival"), st.sampled_from(SERVICES))
 ANNOUNCEMENT = st.tuples(
     st.just("announcement"),
