Departures: members and the log keep them across a restart of the node

Cause: the instances that have left were known to the process of the node alone; one that has restarted takes any report for a new start. A planned stop was saved by the calls that it refuses meanwhile: entry nodes return the reported status with their next calls.

Change: member entries carry the last four departed starts, which others keep and send back; the log keeps them under departure/NODE, and a departure is confirmed once it is there, after 0.5 s at the latest. A started node holds announcements until the log and a member were asked, 1.5 s at most.

Ruled out: the log alone (not while it is down) and the members alone (not when all are killed at once).

--- a/src/gingerturn/internal/core/effects.py
+++ b/src/gingerturn/internal/core/effects.py
@@ -70,6 +70,10 @@
     hosted: ids.HostedId
 
 
+class DeparturesSaved(Effect, frozen=True):
+    """The put of departures has ended, so that they can be confirmed."""
+
+
 class CheckBackend(Effect, frozen=True):
     """Check whether the backend server still listens."""
 
@@ -282,6 +286,7 @@
     | DispatchCall
     | CancelBackend
     | CheckBackend
+    | DeparturesSaved
     | SendAnswer
     | SendStoredAnswer
     | StoreAnswer
--- a/src/gingerturn/internal/core/instances.py
+++ b/src/gingerturn/internal/core/instances.py
@@ -30,7 +30,7 @@
     if not instance:
         return False
     if instance in backend.departed_instances:
-        return not started_ms or started_ms <= backend.departed_instances[instance]
+        return has_departed(state, instance, started_ms)
     if instance == backend.instance:
         if _differ(started_ms, backend.started_ms):
             return started_ms < backend.started_ms
@@ -46,6 +46,17 @@
     return backend.present or sequence <= last.sequence
 
 
+def has_departed(state: states.State, instance: str, started_ms: int) -> bool:
+    """Whether a start of an instance is known to have left.
+
+    :param started_ms: start time of the instance; 0 if not reported.
+    """
+    departed_ms = state.backend.departed_instances.get(instance)
+    if departed_ms is None:
+        return False
+    return not started_ms or started_ms <= departed_ms
+
+
 def _differ(started_ms: int, other_ms: int) -> bool:
     return bool(started_ms and other_ms) and started_ms != other_ms
 
--- a/src/gingerturn/internal/core/membership.py
+++ b/src/gingerturn/internal/core/membership.py
@@ -54,10 +54,12 @@
     backend_started_ms: int | None = None,
     member_state: messages.MemberState | None = None,
     room_ms: int | None = None,
+    departed: tuple[messages.DepartedStart, ...] | None = None,
     urgent: bool = True,
 ) -> None:
     """Advertise a change of this node; fields that are ``None`` stay.
 
+    :param departed: the starts of backend servers that left last.
     :param urgent: notify some members at once instead of with the next probes.
     """
     me = state.membership.self_member
@@ -73,6 +75,7 @@
         else backend_started_ms,
         state=me.state if member_state is None else member_state,
         room_ms=me.room_ms if room_ms is None else room_ms,
+        departed=me.departed if departed is None else departed,
     )
     state.membership.self_member = changed
     member_table.update(state, changed, out)
@@ -223,6 +226,8 @@
         return False
     if known is None and received.state is messages.MemberState.GONE:
         return False
+    if known is not None:
+        received = _with_departures(received, known)
     if known is not None and _has_restarted(known, received):
         # Reports from before the restart are obsolete.
         _reset_upstream(
@@ -232,6 +237,18 @@
     return True
 
 
+def _with_departures(
+    received: messages.Member, known: messages.Member
+) -> messages.Member:
+    """Return an update with the departures that are known of the member: one that has
+    restarted learns of them from the others."""
+    lacking = [s for s in known.departed if s not in received.departed]
+    if not lacking:
+        return received
+    departed = (*lacking, *received.departed)[-messages.MAX_DEPARTED :]
+    return msgspec.structs.replace(received, departed=departed)
+
+
 def _has_restarted(known: messages.Member, received: messages.Member) -> bool:
     """Whether a member, or the backend server beside it, was restarted."""
     return received.incarnation > known.incarnation or _backend_restarted(
--- a/src/gingerturn/internal/core/messages.py
+++ b/src/gingerturn/internal/core/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from gingerturn import configuration, routes
+from gingerturn import announcements, configuration, routes
 from gingerturn.internal import checks, decoding, ids
 
 MISDIRECTED = 421
@@ -181,6 +181,22 @@
 upstreams, if possible."""
 
 
+MAX_DEPARTED = 4
+"""Departed starts that are kept of a node, which bounds the size of its updates."""
+
+
+class DepartedStart(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A start of a backend server that has left.
+
+    :param started_ms: Unix time at which it started, at the latest.
+    """
+
+    instance: typing.Annotated[
+        str, msgspec.Meta(min_length=1, max_length=announcements.MAX_INSTANCE_LENGTH)
+    ]
+    started_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=announcements.MAX_TIME_MS)]
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One node as the others know it.
 
@@ -189,6 +205,7 @@
         known.
     :param room_ms: how long the calls may last that it still takes during a planned
         stop; 0 if it does not stop.
+    :param departed: the starts that left last beside it, the latest one last.
     """
 
     node: ids.NodeId
@@ -203,6 +220,7 @@
     slots: int = 0
     backend_started_ms: int = 0
     room_ms: int = 0
+    departed: tuple[DepartedStart, ...] = ()
 
 
 class GossipKind(enum.Enum):
@@ -423,6 +441,21 @@
     at: decoding.Number
 
 
+class DepartureRecord(msgspec.Struct, frozen=True, tag="departure"):
+    """The starts of backend servers that left last beside a node.
+
+    :param at: when the latest of them left.
+    """
+
+    node: typing.Annotated[
+        str, msgspec.Meta(min_length=1, max_length=checks.MAX_NAME_LENGTH)
+    ]
+    departed: typing.Annotated[
+        tuple[DepartedStart, ...], msgspec.Meta(max_length=MAX_DEPARTED)
+    ]
+    at: decoding.Number
+
+
 MAX_ENDS = 0xFFFF
 
 
@@ -495,6 +528,7 @@
     | ConfigSnapshot
     | AuditRecord
     | QuarantineRecord
+    | DepartureRecord
     | routes.RouteTable
 )
 
--- a/src/gingerturn/internal/core/presence.py
+++ b/src/gingerturn/internal/core/presence.py
@@ -5,9 +5,11 @@
     admission,
     backend_crashes,
     decisions,
+    departures,
     events,
     hosting,
     instances,
+    membership,
     operator_log,
     replies,
     state as states,
@@ -56,10 +58,11 @@
     backend = state.backend
     if instances.is_of_earlier_start(backend, event.instance, event.started_ms):
         return False
-    instances.record_departure(state, event.instance, event.started_ms)
-    if event.instance and event.instance != backend.instance:
-        return False
-    if not backend.present or backend.leaving:
+    is_news = departures.record(state, event.instance, event.started_ms, out)
+    is_other = event.instance not in {"", backend.instance}
+    if is_other or not backend.present or backend.leaving:
+        if is_news:
+            membership.push(state, out)
         return False
     backend.leaving = True
     operator_log.info(
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -21,6 +21,7 @@
     caps,
     claims,
     decisions,
+    departures,
     effects,
     events,
     freshness,
@@ -111,6 +112,9 @@
     if event.now > state.now:
         state.now = event.now
     _HANDLERS[type(event)](state, event, out)
+    if state.departures.held:
+        for held in departures.take_held(state):
+            _on_announced(state, held, out)
     if state.claim_batch:
         claims.flush(state, out)
     if state.stopping and not state.stopped:
@@ -384,6 +388,9 @@
     if isinstance(record, messages.QuarantineRecord):
         if stream == streams.MEMBERS:
             quarantine_gossip.on_record(state, record, out)
+    elif isinstance(record, messages.DepartureRecord):
+        if record.node == state.node:
+            _learn_departures(state, record.departed, out)
     elif isinstance(record, messages.ClaimBatch):
         # The stream is not read again if the service of its claims is announced later.
         if keys.is_stream(stream):
@@ -418,6 +425,8 @@
         streams.on_read_failed(state, stream, out, incomplete=True)
     if event.stream == streams.MEMBERS:
         joins = [r for _, r in decoded if isinstance(r, messages.JoinRecord)]
+        departed = [r for _, r in decoded if isinstance(r, messages.DepartureRecord)]
+        departures.delete_outdated(state, departed, out)
         joining.on_base_read(
             state, joins, out, complete=event.complete, sufficient=sufficient
         )
@@ -449,6 +458,7 @@
     durable = not log_epochs.is_earlier(state, event.epoch)
     quarantine.on_saved(state, event.put, done=durable)
     joining.on_put_ended(state, event.put, out, done=durable)
+    departures.on_put_ended(state, event.put, out, done=durable)
     streams.retry_due(state, out)
 
 
@@ -458,6 +468,7 @@
     log_epochs.on_reported_epoch(state, event.epoch, "a put", out)
     quarantine.on_saved(state, event.put, done=False)
     joining.on_put_ended(state, event.put, out, done=False)
+    departures.on_put_ended(state, event.put, out, done=False)
 
 
 def _on_routes(
@@ -532,6 +543,7 @@
     membership.on_gossip(
         state, event.sender, event.host, event.port, event.message, out
     )
+    _learn_departures(state, departures.told_by(state, event.message), out)
     if state.waiting_calls:
         sending.send_waiting(state, out)
 
@@ -548,7 +560,10 @@
 ) -> None:
     backend = state.backend
     announced = (event.instance, event.sequence, event.started_ms)
+    if departures.holds(state, event):
+        return
     if instances.is_outdated(state, *announced):
+        departures.report_outdated(state, event, out)
         return
     before = _advertised(backend)
     presence.on_announced(state, event, out)
@@ -640,6 +655,19 @@
         _advertise_no_backend(state, out)
 
 
+def _learn_departures(
+    state: states.State,
+    departed: tuple[messages.DepartedStart, ...],
+    out: states.Effects,
+) -> None:
+    """Apply departures that were confirmed before this node started."""
+    for start in departed:
+        if departures.is_news(state, start):
+            text = f"{start.instance} has left before this node started."
+            operator_log.info(out, "backend", text)
+            _withdraw(state, start.instance, start.started_ms, out)
+
+
 def _advertise_no_backend(state: states.State, out: states.Effects) -> None:
     """Advertise to the members that no backend server takes work here."""
     membership.update_self(state, out, service=ids.ServiceName(""), slots=0)
@@ -740,6 +768,7 @@
     revisions.renew_snapshot(state, now, out)
     joining.contact_seeds(state, now, out)
     quarantine.check(state, now, out)
+    departures.check(state, now, out)
     _follow_claims(state, out)
 
 
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -12,6 +12,7 @@
     allowance,
     decisions,
     effects,
+    events,
     gossip_queue,
     histograms,
     messages,
@@ -339,6 +340,28 @@
     slack: QueueSlack = msgspec.field(default_factory=QueueSlack)
 
 
+class Departures(msgspec.Struct):
+    """The latest departures of backend servers from this node.
+
+    :param starts: the starts that left, the latest one last; bounded.
+    :param at: when the latest one left.
+    :param put_number: number of the pending put of their record; 0 if none is.
+    :param retry_at: when the record is put again; infinite once it is saved.
+    :param held: announcements that wait until earlier departures are known, in the
+        order of their arrival.
+    :param held_count: announcements that waited while this node ran.
+    :param outdated_count: announcements that were ignored while this node ran.
+    """
+
+    starts: tuple[messages.DepartedStart, ...] = ()
+    at: ids.Milliseconds = 0.0
+    put_number: int = 0
+    retry_at: ids.Milliseconds = math.inf
+    held: list[events.BackendAnnounced] = []
+    held_count: int = 0
+    outdated_count: int = 0
+
+
 class ReportedLevel(msgspec.Struct, frozen=True, gc=False):
     """A reported level and when it was reported."""
 
@@ -1079,6 +1102,7 @@
         self.hosted: dict[ids.HostedId, Hosted] = {}
         self.hosted_by_span: dict[ids.SpanId, ids.HostedId] = {}
         self.backend = Backend()
+        self.departures = Departures()
         self.upstreams: dict[ids.NodeId, Upstream] = {}
         # Reported levels by service and kind; an empty kind is the service's own.
         self.levels: dict[tuple[str, str], ServiceLevel] = {}
--- a/src/gingerturn/internal/core/streams.py
+++ b/src/gingerturn/internal/core/streams.py
@@ -41,7 +41,12 @@
 
 _KINDS: dict[str, tuple[type, ...]] = {
     CONFIG: (messages.PublishRecord, messages.ConfigSnapshot),
-    MEMBERS: (messages.JoinRecord, messages.LeaveRecord, messages.QuarantineRecord),
+    MEMBERS: (
+        messages.JoinRecord,
+        messages.LeaveRecord,
+        messages.QuarantineRecord,
+        messages.DepartureRecord,
+    ),
     AUDIT: (messages.AuditRecord,),
     ROUTES: (routes.RouteTable,),
 }
--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -24,6 +24,7 @@
 from gingerturn.internal.core import (
     allowance,
     decisions,
+    departures,
     effects,
     events,
     histograms,
@@ -38,6 +39,7 @@
     caller_limits,
     clock,
     connection_ends,
+    departure_waits,
     descriptors,
     entry,
     gossip,
@@ -160,6 +162,7 @@
         self.caller_connections: set[ingress.CallerConnection] = set()
         self.lingering = lingering.Lingering()
         self._side_connections: list[side_http.Connections] = []
+        self._departure_waits = departure_waits.DepartureWaits()
         self.turns = turns.Turns()
         self.held = held_bytes.Account(held_bytes.limit_of(loaded.limits.memory_mb))
         self.read_buffer = memoryview(bytearray(caller_input.READ_BYTES))
@@ -211,6 +214,7 @@
             effects.WriteLog: self._write_log,
             effects.LogDecision: self._log_decision,
             effects.Stopped: self._on_stopped,
+            effects.DeparturesSaved: self._departure_waits.on_saved,
         }
 
     def __repr__(self) -> str:
@@ -305,16 +309,18 @@
             self.listeners.listen()
             self.listeners.serve()
 
-    def announce(self, announcement: announcements.Announcement) -> None:
+    def announce(
+        self, announcement: announcements.Announcement
+    ) -> asyncio.Future[None] | None:
         """Apply an announcement of the backend server.
 
+        :return: done once it may be confirmed; ``None`` if it may be at once.
         :raises InvalidArgument: for a value that is not allowed.
         """
         announcements.check_announcement(announcement)
         self._check_service(announcement)
         if announcement.leaving:
-            self.withdraw(announcement.instance, announcement.started_ms)
-            return
+            return self.withdraw(announcement.instance, announcement.started_ms)
         self.apply(
             events.BackendAnnounced(
                 now=clock.now(),
@@ -331,6 +337,7 @@
                 started_ms=announcement.started_ms,
             )
         )
+        return None
 
     def _check_service(self, announcement: announcements.Announcement) -> None:
         """Reject announcements of services that the route table does not declare.
@@ -369,9 +376,12 @@
             text += f" Changes of {', '.join(later)} take effect at the next start."
         logs.write("INFO", "node", text)
 
-    def withdraw(self, instance: str = "", started_ms: int = 0) -> None:
+    def withdraw(
+        self, instance: str = "", started_ms: int = 0
+    ) -> asyncio.Future[None] | None:
         """Stop dispatching to the backend server, or to one start of it.
 
+        :return: done once it may be confirmed; ``None`` if it may be at once.
         :raises InvalidArgument: for a value that is not allowed.
         """
         announcements.check_start(instance, started_ms)
@@ -380,6 +390,9 @@
                 now=clock.now(), instance=instance, started_ms=started_ms
             )
         )
+        if not departures.is_saving(self.state, instance):
+            return None
+        return self._departure_waits.begin()
 
     async def close(self) -> None:
         """Close all connections and tasks; calls in flight are aborted.
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -230,6 +230,11 @@
     add("backend_invalid_load_reports_total", "counter", ("", invalid))
     add("upstreams_slow", "gauge", ("", upstream_costs.count_slow(state)))
     add("backend_ends_total", "counter", ("", backend.crash_count))
+    departure = state.departures
+    held = ("", departure.held_count)
+    add("backend_announcements_held_total", "counter", held)
+    outdated = ("", departure.outdated_count)
+    add("backend_announcements_outdated_total", "counter", outdated)
     discarded = node.home.pool.discarded_count
     add("backend_connections_discarded_total", "counter", ("", discarded))
     unrelated = node.home.pool.unrelated_answers
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -39,7 +39,21 @@
     content_type: str = "application/json"
 
 
-Handler = collections.abc.Callable[[Request], Reply]
+class DelayedReply(msgspec.Struct, frozen=True):
+    """A complete response that is sent once a future is done."""
+
+    reply: Reply
+    after: "asyncio.Future[None]"
+
+
+AnyReply = Reply | DelayedReply
+Handler = collections.abc.Callable[[Request], AnyReply]
+
+
+def reply_after(after: "asyncio.Future[None] | None", reply: Reply) -> AnyReply:
+    """Return a response that waits for a future, if there is one."""
+    return reply if after is None else DelayedReply(reply, after)
+
 
 MAX_CONNECTIONS = 64
 """Connections of an address. The one that was used least recently makes room."""
@@ -114,7 +128,8 @@
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._target = b""
         self._body = bytearray()
-        self._answer: Reply | None = None
+        self._answer: AnyReply | None = None
+        self._awaits_reply = False
         self._keeps_alive = True
         self._has_more = False
 
@@ -137,6 +152,9 @@
         invalid one and close the connection."""
         if self._closing:
             return
+        if self._awaits_reply:
+            self._has_more = True
+            return
         if self._transport.get_write_buffer_size():
             # Its client has not read the answer before.
             self.close()
@@ -150,7 +168,10 @@
                 self._answer = Reply(400)
         if self._answer is not None:
             answer, self._answer = self._answer, None
-            self._write(answer)
+            if isinstance(answer, DelayedReply):
+                self._write_after(answer)
+            else:
+                self._write(answer)
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
@@ -176,6 +197,15 @@
             self._connections.note_use(self)
             self._answer = self._reply()
 
+    def _write_after(self, delayed: DelayedReply) -> None:
+        def write(_: "asyncio.Future[None]") -> None:
+            self._awaits_reply = False
+            if not self._closing and not self._transport.is_closing():
+                self._write(delayed.reply)
+
+        self._awaits_reply = True
+        delayed.after.add_done_callback(write)
+
     def _write(self, reply: Reply) -> None:
         closes = self._has_more or not self._keeps_alive
         head = heads.status_line(reply.status)
@@ -189,7 +219,7 @@
             self._connections.forget(self)
             self._lingering_set.close(self._transport, self, is_sending=self._has_more)
 
-    def _reply(self) -> Reply:
+    def _reply(self) -> AnyReply:
         if len(self._target) > MAX_TARGET:
             return Reply(414)
         if len(self._body) > MAX_BODY:
--- a/src/gingerturn/internal/wire/datagrams.py
+++ b/src/gingerturn/internal/wire/datagrams.py
@@ -124,6 +124,17 @@
         slot.slots = member.slots
         slot.backendStartedMs = member.backend_started_ms
         slot.roomMs = member.room_ms
+        if member.departed:
+            _encode_departed(slot, member.departed)
+
+
+def _encode_departed(
+    slot: typing.Any, departed: tuple[messages.DepartedStart, ...]
+) -> None:
+    starts = slot.init("departed", len(departed))
+    for entry, start in zip(starts, departed, strict=True):
+        entry.instance = start.instance
+        entry.startedMs = start.started_ms
 
 
 def decode(
@@ -227,6 +238,8 @@
     checks.check_range("slots", member.slots, 0, announcements.MAX_SLOTS)
     started_ms = member.backend_started_ms
     checks.check_range("started_ms", started_ms, 0, announcements.MAX_TIME_MS)
+    for start in member.departed:
+        announcements.check_start(start.instance, start.started_ms)
 
 
 @functools.lru_cache(maxsize=16_384)
@@ -253,9 +266,18 @@
         slots=slot.slots,  # type: ignore[attr-defined]
         backend_started_ms=slot.backendStartedMs,  # type: ignore[attr-defined]
         room_ms=slot.roomMs,  # type: ignore[attr-defined]
+        departed=_departed(slot),
     )
 
 
+def _departed(slot: typing.Any) -> tuple[messages.DepartedStart, ...]:
+    starts = slot.departed
+    if not len(starts):
+        return ()
+    kept = list(_entries("departed", starts))[-messages.MAX_DEPARTED :]
+    return tuple(messages.DepartedStart(s.instance, s.startedMs) for s in kept)
+
+
 def _encode_quarantine(root: typing.Any, gossip: messages.QuarantineGossip) -> None:
     """Write the quarantine part of a message."""
     if gossip is messages.NO_QUARANTINE_GOSSIP:
--- a/src/gingerturn/internal/wire/peer.capnp
+++ b/src/gingerturn/internal/wire/peer.capnp
@@ -15,6 +15,12 @@
   slots @9 :UInt32;
   backendStartedMs @10 :UInt64;
   roomMs @11 :UInt16;
+  departed @12 :List(DepartedStart);
+}
+
+struct DepartedStart {
+  instance @0 :Text;
+  startedMs @1 :UInt64;
 }
 
 struct BackendEnd {
--- a/tests/cover/test_a_new_start_under_the_same_id.py
+++ b/tests/cover/test_a_new_start_under_the_same_id.py
@@ -194,8 +194,8 @@
     heartbeat = beats.decode("i-1", json.dumps({**BEAT, "born": SECOND_MS}).encode())
     assert heartbeat.started_ms == SECOND_MS
     assert beats.decode("i-1", json.dumps(BEAT).encode()).started_ms == 0
-    assert beats.decode_deregistration("i-1", b"") == 0
-    assert beats.decode_deregistration("i-1", b'{"born": 7}') == 7
+    assert beats.decode_leaving("i-1", b"") == 0
+    assert beats.decode_leaving("i-1", b'{"born": 7}') == 7
 
 
 @pytest.mark.parametrize("value", [None, 1.5, "1800000000000", True, [1], {}])
@@ -203,4 +203,4 @@
     with pytest.raises(errors.InvalidArgument, match="born"):
         beats.decode("i-1", json.dumps({**BEAT, "born": value}).encode())
     with pytest.raises(errors.InvalidArgument, match="born"):
-        beats.decode_deregistration("i-1", json.dumps({"born": value}).encode())
+        beats.decode_leaving("i-1", json.dumps({"born": value}).encode())
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -1,5 +1,6 @@
 """Planned stops under calls that may last longer than the time that a stop leaves."""
 
+import msgspec
 import pytest
 
 from gingerturn import routes
@@ -379,7 +380,7 @@
     room_ms = round(GRACE_MS - 1_500.0)
     stopping = builders.member("n2", "plans")
     builders.add_members(
-        state, messages.Member(*_fields(stopping, version=2), room_ms=room_ms)
+        state, msgspec.structs.replace(stopping, version=2, room_ms=room_ms)
     )
     chosen = {_chosen(state, number, LONG) for number in range(20)}
     assert chosen == {"n3"}
@@ -393,12 +394,6 @@
     assert {_chosen(state, 200 + number, LONG) for number in range(20)} == {"n2", "n3"}
 
 
-def _fields(member: messages.Member, *, version: int) -> tuple[object, ...]:
-    fields = [getattr(member, name) for name in member.__struct_fields__]
-    fields[2] = version
-    return tuple(fields[:-1])
-
-
 def _attempt(state: states.State, call: int) -> ids.AttemptId:
     arrival = routed.arrived(call, path="/l/x", now=state.now, timeout_ms=TIMEOUT_MS)
     out = reducer.reduce(state, arrival)
--- a/tests/cover/test_recordings_keep_their_format.py
+++ b/tests/cover/test_recordings_keep_their_format.py
@@ -439,6 +439,33 @@
     ),
 ]
 DATAGRAMS: list[tuple[messages.CapMessage, str]] = [
+    (
+        CAP_REQUEST,
+        "f8b803d324622a34591e2722dbd43b331024500707e0408f4013050103010201"
+        "04c10cf0fd1101150c0cfd11191a11650711151a11151a11292f114917310d1a"
+        "01036e31036e32036e39ff94a643617041736b001f05cb405680fc9195a47368"
+        "6fff70cd05dccd04b0020007cd012c5104030201010104011411051a11056203"
+        "6e32200608081104020106110328500405",
+    ),
+    (
+        CAP_ANSWER,
+        "d1decdd54f831e19c01241afdc0e02471024500707e0408f4013050103010201"
+        "04c10cf0fd1101150c0cfd11191a11650711151a11151a11292f114917310d2a"
+        "01036e31036e32036e39ff96a9436170416e730177657205cb4057c0e09194a4"
+        "ff73686f70cd057801001fc3a26e34c35104030201010104011411051a110562"
+        "036e32200608081104020106110328500405",
+    ),
+    (
+        CAP_HANDOVER,
+        "baa7068512eaba87ccc7de302571097d1025500707e0408f4013050103010201"
+        "04c10cf0fd1101150c0cfd11191a11690711151a11151a112d2f114d17310d82"
+        "01036e31036e32036e39ff94ab43617048616e01646f766572cb3fe8c091923f"
+        "a26e35cb4079f09193a473ff686f70089264ccc8005104030201010104011411"
+        "051a110562036e32200608081104020106110328500405",
+    ),
+]
+
+DATAGRAMS_WITHOUT_DEPARTURES: list[tuple[messages.CapMessage, str]] = [
     (
         CAP_REQUEST,
         "121d54efbbfbe2bdd152be3889f8ba301024500707e0408f4013050103010201"
@@ -464,6 +491,7 @@
         "051a110562036e32200608081104020106110328500404",
     ),
 ]
+"""The same datagrams, sent before members carried departures."""
 
 EARLIER_DATAGRAMS: list[tuple[messages.CapMessage, str]] = [
     (
@@ -558,3 +586,11 @@
     message = _gossip(caps, read_age_ms=-1.0, without_updates=False)
     decoded = datagrams.decode([b"secret"], bytes.fromhex(datagram))
     assert decoded == ("n1", 1_000.0, message)
+
+
+@pytest.mark.parametrize(("caps", "datagram"), DATAGRAMS_WITHOUT_DEPARTURES, ids=_name)
+def test_a_datagram_without_departures_is_still_read(
+    caps: messages.CapMessage, datagram: str
+) -> None:
+    decoded = datagrams.decode([b"secret"], bytes.fromhex(datagram))
+    assert decoded == ("n1", 1_000.0, _gossip(caps))
--- a/tests/quality/test_completeness.py
+++ b/tests/quality/test_completeness.py
@@ -25,6 +25,7 @@
     ignored = {
         effects.StoreAnswer,
         effects.DeleteStoredAnswer,
+        effects.DeparturesSaved,
         effects.FetchSnapshot,
         effects.PublishEnded,
         effects.WriteLog,
--- a/tooling/gingerturn_fakes/world.py
+++ b/tooling/gingerturn_fakes/world.py
@@ -140,6 +140,9 @@
         node.state.revisions.documents = dict(self._documents)
         node.tick_at = math.inf
         self.apply_to(node, started)
+        # Stands for the listing and the sync with which a node joins.
+        view = node.state.membership
+        view.members_listed = view.synced = True
         self.announce(node)
         self._schedule_tick(node)
 
