Stops: late calls of the backend server beside are compared with the time left

Callers saw: orders failed as the node beside their backend server stopped.

Cause: calls of the backend server beside were left out of the comparison with the time that a stop leaves, whatever was left.

Change: after the linger time such a call is taken only if its kind usually ends in time, or its own deadline does where the kind is not known; within it an unrepeatable one of a kind that is known not to end in time is refused. Others are taken as before, since a refusal ends the call that makes them.

The new test fails before in 7 of 7 cases, 43 tests of its file pass.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -148,11 +148,13 @@
         for running in state.hosted.values()
         if running.metadata.kind == kind and running.state in _AT_WORK
     )
+    repeatable, limit = hosted.metadata.repeatable, hosted.deadline - state.now
     return stop_room.expected_ms(
         state.hosted_times,
         kind,
-        repeatable=hosted.metadata.repeatable,
-        limit=hosted.deadline - state.now,
+        repeatable=repeatable,
+        limit=limit,
+        assumed=stop_room.assumed_ms(repeatable=repeatable, limit=limit),
         ages=ages,
     )
 
--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -57,12 +57,11 @@
 ) -> bool:
     """Refuse a call that would outlast the planned stop of this node.
 
-    One that may have run goes on, as its answer may still come in time; so does a call
-    that the backend server beside makes, for the sake of the call that makes it.
+    A request that may have run goes on, as its answer may still come in time.
 
     :return: whether it was refused.
     """
-    if not state.stopping or call.parent is not None or call.unproven:
+    if not state.stopping or (call.parent is None and call.unproven):
         return False
     left, expected = stop_room.left_ms(state), _expected_ms(state, call)
     if expected <= left:
@@ -80,7 +79,16 @@
 
 def _expected_ms(state: states.State, call: states.Call) -> ids.Milliseconds:
     """Return the time that a call is expected to take until its answer is relayed."""
-    kind = call.rule.name
+    kind, repeatable = call.rule.name, call.rule.repeatable
+    limit = call.deadline - state.now
+    assumed = stop_room.assumed_ms(repeatable=repeatable, limit=limit)
+    if call.parent is not None:
+        # A refusal ends the call that makes it, and no other node can take it: until
+        # the node takes nothing else, one that may end in time is tried.
+        is_late = state.now >= state.stop_after
+        if repeatable and not is_late:
+            return 0.0
+        assumed = limit if is_late else 0.0
     ages = (
         state.now - other.arrived_at
         for other in state.calls.values()
@@ -89,8 +97,9 @@
     return stop_room.expected_ms(
         state.relayed_times,
         kind,
-        repeatable=call.rule.repeatable,
-        limit=call.deadline - state.now,
+        repeatable=repeatable,
+        limit=limit,
+        assumed=assumed,
         ages=ages,
     )
 
--- a/src/gingerturn/internal/core/stop_room.py
+++ b/src/gingerturn/internal/core/stop_room.py
@@ -22,23 +22,33 @@
     *,
     repeatable: bool,
     limit: ids.Milliseconds,
+    assumed: ids.Milliseconds,
     ages: collections.abc.Iterable[ids.Milliseconds],
 ) -> ids.Milliseconds:
     """Return the time that a call is expected to take, with which the time left is
     compared.
 
-    A repeatable call that is cut can be sent again, so it counts as short where the
-    time of its kind is not known. Nobody knows of an unrepeatable one that is cut
-    whether it ran, so nearly all calls of its kind have to end in time, and where that
-    is not known it counts as taking as long as it may.
+    Nobody knows of an unrepeatable call that is cut whether it ran, so nearly all calls
+    of its kind have to end in time.
 
     :param limit: the longest time that the call may take.
+    :param assumed: the time that counts where that of its kind is not known.
     :param ages: of the open calls of its kind.
     """
     if repeatable:
-        return run_times.usual_ms(times, kind)
+        return run_times.usual_ms(times, kind) or assumed
     nearly_all = run_times.usual_ms(times, kind, share=run_times.NEARLY_ALL, ages=ages)
-    return min(limit, nearly_all or limit)
+    return min(limit, nearly_all or assumed)
+
+
+def assumed_ms(*, repeatable: bool, limit: ids.Milliseconds) -> ids.Milliseconds:
+    """Return the time that counts for a call that other nodes can serve, where the time
+    of its kind is not known.
+
+    A repeatable call that is cut can be sent again, so it counts as short. Another one
+    counts as taking as long as it may.
+    """
+    return 0.0 if repeatable else limit
 
 
 def preferred(
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -374,6 +374,84 @@
     assert routed.sent_to(reducer.reduce(state, child))
 
 
+def _child_after(
+    stop_ms: float,
+    *,
+    lasts_ms: float = 0.0,
+    deadline_ms: float = 5_000.0,
+    repeatable: bool = False,
+) -> list[effects.Effect]:
+    """Return the effects of a call that the backend server beside makes in a stop.
+
+    :param stop_ms: time since the signal.
+    :param lasts_ms: how long recent calls of its kind lasted; 0 for none.
+    """
+    kind = routes.RouteType.SAFE if repeatable else routes.RouteType.UNREPEATABLE
+    made = routed.route(LONG, prefix="/l/", timeout_ms=TIMEOUT_MS, kind=kind)
+    state = routed.node_state(made, ROUTES[1], service="other", slots=4)
+    builders.add_members(state, builders.member("n2", "plans"))
+    if lasts_ms:
+        _record_relayed(state, count=20, lasts_ms=lasts_ms)
+    terms = builders.call_metadata(
+        trace="r1",
+        service="other",
+        kind=SHORT,
+        deadline_ms=60_000.0,
+        never_ran=True,
+        repeatable=False,
+    )
+    reducer.reduce(state, builders.opened(1, terms, now=state.now))
+    _stop(state)
+    child = routed.arrived(
+        10,
+        path="/l/x",
+        request="r1.c",
+        now=state.now + stop_ms,
+        timeout_ms=deadline_ms,
+    )
+    return reducer.reduce(state, child)
+
+
+# Guards against calls of the backend server beside that a stopping node passes on late
+# in the grace, and breaks off while they are at work.
+@pytest.mark.parametrize(
+    ("stop_ms", "lasts_ms", "repeatable"),
+    [
+        (3_500.0, 0.0, False),
+        (3_500.0, 0.0, True),
+        (3_500.0, 2_100.0, False),
+        (3_500.0, 2_100.0, True),
+        (5_000.0, 500.0, False),
+        (5_000.0, 500.0, True),
+        (2_900.0, LONG_MS, False),
+    ],
+)
+def test_late_calls_of_the_backend_server_beside_that_cannot_end_are_refused(
+    stop_ms: float, lasts_ms: float, *, repeatable: bool
+) -> None:
+    _assert_refused(_child_after(stop_ms, lasts_ms=lasts_ms, repeatable=repeatable))
+
+
+# Guards against requests that fail though their late calls would end in time.
+@pytest.mark.parametrize(
+    ("stop_ms", "lasts_ms", "deadline_ms", "repeatable"),
+    [
+        (3_500.0, 0.0, 1_800.0, False),
+        (3_500.0, 1_000.0, 5_000.0, False),
+        (5_000.0, 200.0, 5_000.0, True),
+        (2_900.0, 0.0, 5_000.0, False),
+        (2_900.0, 2_000.0, 5_000.0, False),
+    ],
+)
+def test_late_calls_of_the_backend_server_beside_that_can_end_are_served(
+    stop_ms: float, lasts_ms: float, deadline_ms: float, *, repeatable: bool
+) -> None:
+    out = _child_after(
+        stop_ms, lasts_ms=lasts_ms, deadline_ms=deadline_ms, repeatable=repeatable
+    )
+    assert routed.sent_to(out)
+
+
 # Guards against a redirect for each long call while a node beside an upstream stops.
 def test_peers_prefer_other_upstreams_for_calls_that_may_outlast_a_stop() -> None:
     state = _entry()
