Backend servers: a status outside 100 to 599 is no answer

Cause: the parser takes any three digits, and the node took those below 200 for interim answers and all others for final ones.

Change: such a status fails the exchange where the head is complete, with an unknown outcome, a counter and one bounded line.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -25,6 +25,9 @@
 
 BODILESS = frozenset({204, 304})
 
+FIRST_STATUS, LAST_STATUS = 100, 599
+"""Valid statuses (RFC 9110, section 15). The parser takes any three digits."""
+
 LEAVING = b"1"
 """Value of the header by which a backend server reports that it is leaving."""
 
@@ -356,6 +359,9 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fail_for_status(status)
+            return
         self._answered = True
         self._informational = status < 200
         if self._informational or self._receiver is None:
@@ -539,6 +545,20 @@
             logs.write("WARNING", _PART, text)
         self._fail()
 
+    def _fail_for_status(self, status: int) -> None:
+        """Fail the exchange for an answer that is none, whatever its headers state."""
+        if self._receiver is None:
+            return
+        self._pool.invalid_statuses += 1
+        if logs.may_write_change():
+            host, port = self.address
+            text = (
+                f"Status {status:03} in the {self._subject} of {host}:{port}; allowed"
+                f" are {FIRST_STATUS} to {LAST_STATUS}."
+            )
+            logs.write("WARNING", _PART, text)
+        self._fail()
+
     def _fail(self) -> None:
         receiver, self._receiver = self._receiver, None
         self._transport.abort()
--- a/src/gingerturn/internal/shell/backend_pool.py
+++ b/src/gingerturn/internal/shell/backend_pool.py
@@ -80,6 +80,7 @@
         self._invalid_load_logged_at = -math.inf
         self.load_reports = 0
         self.invalid_load_reports = 0
+        self.invalid_statuses = 0
 
     def set_address(self, host: str, port: int) -> None:
         """Set the address; close idle connections to another one."""
