Log service: only a refusal states that an append took no effect

Cause: on the platform each status other than 200 counted as a certain failure of an append, 500 and 600 too; the service may have done it.

Change: 4xx, 503 and 507 refuse a call, any other status leaves it open, for both clients of a log service.

--- a/src/gingerturn/internal/shell/http_calls.py
+++ b/src/gingerturn/internal/shell/http_calls.py
@@ -17,6 +17,9 @@
 
 HTTP_OK = 200
 
+_REFUSALS = frozenset({503, 507})
+"""Statuses besides 4xx with which a service refuses a call."""
+
 MAX_ANSWER_BYTES = 33_554_432
 """Limit of an answer's body. The services answer with pages of a few megabytes."""
 
@@ -173,18 +176,21 @@
             raise self.error(step, repr(error), took_effect=None) from None
         return Answer(answer.status, content, self._epoch(answer.headers))
 
-    def check(
-        self, answer: Answer, step: str, *, took_effect: bool | None = False
-    ) -> None:
+    def check(self, answer: Answer, step: str) -> None:
         """Check the status of an answer.
 
-        :param took_effect: whether a call with another status may have taken effect;
-            ``None`` if that is unknown.
-        :raises LogServiceError: for any other status than 200.
+        :raises LogServiceError: for any other status than 200. Only one that refuses
+            the call states that it took no effect.
         """
-        if answer.status != HTTP_OK:
-            text = f"status {answer.status}"
-            raise self.error(step, text, took_effect=took_effect, epoch=answer.epoch)
+        if answer.status == HTTP_OK:
+            return
+        refuses = answer.status in _REFUSALS or 400 <= answer.status < 500
+        raise self.error(
+            step,
+            f"status {answer.status}",
+            took_effect=False if refuses else None,
+            epoch=answer.epoch,
+        )
 
     def decode(self, answer: Answer, kind: type[_T], step: str) -> _T:
         """Decode a JSON answer.
--- a/src/gingerturn/internal/shell/log_client.py
+++ b/src/gingerturn/internal/shell/log_client.py
@@ -113,8 +113,8 @@
         """Append a record.
 
         :raises LogServiceError: with ``took_effect`` ``False`` when nothing was
-            appended for certain (no connection was made, or the status is 4xx or
-            503), else ``None``.
+            appended for certain (no connection was made, or the status is 4xx, 503
+            or 507), else ``None``.
         """
         return await self._append(f"{stream}/records", record)
 
@@ -123,8 +123,7 @@
         answer = await self._peer.call(
             "POST", f"/streams/{resource}", step=step, body=record
         )
-        refused = answer.status == 503 or 400 <= answer.status < 500
-        self._peer.check(answer, step, took_effect=False if refused else None)
+        self._peer.check(answer, step)
         offset = self._peer.decode(answer, AppendReply, step).offset
         return log_service.Appended(offset, answer.epoch)
 
