Streamed answers: one that makes no progress ends at its deadline

Cause: with the first piece of a streamed answer the entry node forgets the call and its deadline, and the home node ended calls at their deadline only before that.

Change: from the deadline on, the home node breaks off a streamed answer of which nothing arrives for four checks, 0.4 s. One that makes progress, or waits for its caller to read, goes on.

--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -26,6 +26,12 @@
 may be gone, or the caller does not read. Checks are counted rather than time, since a
 node that was paused has not read the credit that arrived."""
 
+PROGRESS_INTERVAL_S = 0.1
+
+PROGRESS_CHECKS = 4
+"""A streamed answer of which nothing arrives for this many checks is ended, but not
+before its deadline. Checks are counted for the same reason."""
+
 CONNECT_TRIES = 2
 """Connections that are opened for a call while the backend server resets them at once,
 as it does where it has too many."""
@@ -99,9 +105,14 @@
         self._credit = WINDOW_BYTES
         self._stall_timer: asyncio.TimerHandle | None = None
         self._stalled_checks = 0
+        self._deadline: ids.Milliseconds = 0.0
+        self._progress_timer: asyncio.TimerHandle | None = None
+        self._has_progressed = False
+        self._idle_checks = 0
 
     def dispatch(self, effect: effects.DispatchCall) -> None:
         """Dispatch the call to the backend server."""
+        self._deadline = clock.now() + effect.deadline_ms
         pool = self._node.home.pool
         pool.set_address(effect.host, effect.port)
         self._request_id = pool.request_id_of(self._opened.head)
@@ -134,6 +145,7 @@
     def abandon(self) -> None:
         """Close the exchange with the backend server."""
         self._abandoned = True
+        self._cancel_progress_check()
         if self._streaming:
             self._send(frames.Broken(call=self._opened.call))
             self._open = False
@@ -266,6 +278,7 @@
         """Buffer a piece of the answer, or stream it to the entry node."""
         if not self._is_relayed:
             return
+        self._has_progressed = True
         if self._streaming:
             if self._open:
                 self._send(frames.Chunk(call=self._opened.call, body=body, last=False))
@@ -279,6 +292,7 @@
         """Handle the end of the answer. It waits, and keeps its slot, while the entry
         node does not read."""
         self._connection = None
+        self._cancel_progress_check()
         if self._open and not self._streaming and self._channel.is_backed_up:
             self._channel.when_writable(self._end)
             return
@@ -309,6 +323,7 @@
     def on_failure(self, *, dispatched: bool) -> None:
         """Handle a failure of the exchange."""
         self._connection = None
+        self._cancel_progress_check()
         if self._abandoned:
             return
         if self._streaming:
@@ -433,6 +448,9 @@
         if not self._open:
             # Nobody gives credit for it: the rest is read and dropped.
             self._body.clear()
+        left_ms = max(0.0, self._deadline - clock.now())
+        checked_s = PROGRESS_CHECKS * PROGRESS_INTERVAL_S
+        self._schedule_progress_check(max(0.0, left_ms / 1_000.0 - checked_s))
         self._node.apply(
             events.BackendAnswered(
                 now=clock.now(),
@@ -443,6 +461,40 @@
             )
         )
 
+    def _schedule_progress_check(self, delay_s: float) -> None:
+        self._progress_timer = supervision.call_later(
+            delay_s + PROGRESS_INTERVAL_S, self._check_progress, part="exchanges"
+        )
+
+    def _cancel_progress_check(self) -> None:
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+            self._progress_timer = None
+
+    def _check_progress(self) -> None:
+        """End a streamed answer that makes no progress at its deadline or later.
+
+        One that waits for credit waits for its caller and not for the backend server.
+        """
+        self._progress_timer = None
+        if self._has_progressed or self._credit <= 0:
+            self._has_progressed = False
+            self._idle_checks = 0
+        else:
+            self._idle_checks += 1
+        is_overdue = clock.now() >= self._deadline
+        if self._idle_checks < PROGRESS_CHECKS or not is_overdue:
+            self._schedule_progress_check(0.0)
+            return
+        self._node.home.stalled_answers += 1
+        if logs.may_write_end():
+            text = (
+                f"Answer to {self._request_id.decode('latin-1')!r} ended: it is past"
+                f" its deadline, and the backend server sends nothing."
+            )
+            logs.write("WARNING", _PART, text)
+        self._node.apply(events.CancelReceived(now=clock.now(), hosted=self._hosted))
+
     def _use_credit(self, count: int) -> None:
         self._credit -= count
         if self._credit <= 0 and self._connection is not None:
--- a/src/gingerturn/internal/shell/home.py
+++ b/src/gingerturn/internal/shell/home.py
@@ -41,6 +41,7 @@
         self.pool = backend_pool.Pool(node.dialect)
         self._exchanges: dict[ids.HostedId, exchanges.HostedExchange] = {}
         self._stored: dict[str, exchanges.StoredAnswer] = {}
+        self.stalled_answers = 0
 
     def handlers(self) -> "nodes.Handlers":
         """Return the handlers of the effects on hosted calls."""
--- a/src/gingerturn/internal/shell/probes.py
+++ b/src/gingerturn/internal/shell/probes.py
@@ -228,6 +228,8 @@
     add("backend_load_reports_total", "counter", ("", pool.load_reports))
     invalid = pool.invalid_load_reports
     add("backend_invalid_load_reports_total", "counter", ("", invalid))
+    stalled = ("", node.home.stalled_answers)
+    add("backend_stalled_answers_total", "counter", stalled)
     statuses = ("", pool.invalid_statuses)
     add("backend_invalid_statuses_total", "counter", statuses)
     add("upstreams_slow", "gauge", ("", upstream_costs.count_slow(state)))
--- a/tests/common/home_nodes.py
+++ b/tests/common/home_nodes.py
@@ -78,6 +78,7 @@
         repeatable: bool = False,
         method: bytes = b"POST",
         whole: bool = True,
+        deadline_ms: float = 60_000.0,
     ) -> int:
         """Open a call, let it be dispatched, and return its number.
 
@@ -90,7 +91,7 @@
         opened = frames.Open(
             call=self._calls,
             terms=builders.call_metadata(
-                service="plans", deadline_ms=60_000.0, repeatable=repeatable
+                service="plans", deadline_ms=deadline_ms, repeatable=repeatable
             ),
             head=head,
             body=b"",
