Requests: an offer of another protocol leaves the body and the next request alone

Cause: the parsing library ends a request with an Upgrade at its head and tells of the offer after it has reported that end; the node had dispatched the request by then.

Change: shell.request_parser drops that end and goes on with the body in another parser, for callers and side addresses. CONNECT is refused at its head.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -92,6 +92,8 @@
     """
     if version != "1.1":
         return f"HTTP/{version} is not served; use HTTP/1.1"
+    if request.method == b"CONNECT":
+        return "tunnels are not served"
     values = request.values
     if len(values) != len(request.headers):
         names = [name for name, _ in request.headers]
@@ -118,6 +120,15 @@
     return request.length > 0 or b"transfer-encoding" in request.values
 
 
+def framing_line(request: Request) -> bytes:
+    """Return the header line that frames the body of a request; empty without one."""
+    if b"transfer-encoding" in request.values:
+        return b"transfer-encoding: chunked\r\n"
+    if request.length > 0:
+        return b"content-length: %d\r\n" % request.length
+    return b""
+
+
 def declared_length(request: Request) -> int:
     """Return the Content-Length, 0 if it is missing.
 
--- a/src/gingerturn/internal/shell/ingress.py
+++ b/src/gingerturn/internal/shell/ingress.py
@@ -20,6 +20,7 @@
     entry,
     heads,
     held_bytes,
+    request_parser,
     sockets,
     supervision,
     tickets,
@@ -73,7 +74,7 @@
 
     def __init__(self, node: "nodes.Node") -> None:
         self._node = node
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = request_parser.RequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._requests: collections.deque[caller_requests.Request] = collections.deque()
         self._reading: caller_requests.Request | None = None
@@ -163,7 +164,8 @@
         except _TooLarge:
             self._reject_head()
         except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrades are not served")
+            # The request for a tunnel was rejected at its head.
+            pass
         except httptools.HttpParserError as error:
             cause = error.__context__ if error.__context__ else error
             if isinstance(cause, _TooLarge):
@@ -195,7 +197,7 @@
         self._grant_withheld(self._requests[0])
         self._dispatch_ready()
 
-    # Callbacks of httptools.HttpRequestParser.
+    # Callbacks of request_parser.RequestParser.
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -256,6 +258,10 @@
             return
         self._ask_for_body(request)
 
+    def framing_line(self) -> bytes:
+        """Return the header line that frames the body of the current request."""
+        return caller_requests.framing_line(self._current())
+
     def on_body(self, body: bytes) -> None:
         """Collect a piece of a body, which may be as small as a byte."""
         self._note_report(caller_input.PIECE_COST)
--- a/src/gingerturn/internal/shell/side_http.py
+++ b/src/gingerturn/internal/shell/side_http.py
@@ -12,11 +12,13 @@
 import msgspec
 
 from gingerturn.internal import ids, logs
-from gingerturn.internal.shell import clock, heads, lingering
+from gingerturn.internal.shell import clock, heads, lingering, request_parser
 
 MAX_BODY = 65_536
 """Limit of a request's body, in bytes."""
 
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 MAX_TARGET = 8_192
 """Limit of a request's target, in bytes."""
 
@@ -124,10 +126,11 @@
         self._lingering_set = lingering_set
         self._connections = connections
         self._closing = False
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = request_parser.RequestParser(self)
         self._transport: asyncio.Transport = typing.cast(asyncio.Transport, None)
         self._target = b""
         self._body = bytearray()
+        self._framing = b""
         self._answer: AnyReply | None = None
         self._awaits_reply = False
         self._keeps_alive = True
@@ -178,6 +181,7 @@
         if self._answer is not None:
             self._has_more = True
         self._target = b""
+        self._framing = b""
         self._body.clear()
 
     def on_url(self, url: bytes) -> None:
@@ -185,6 +189,18 @@
         if len(self._target) <= MAX_TARGET:
             self._target += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note the header that frames the body."""
+        if name.lower() in _FRAMING_HEADERS:
+            self._framing = b"%b: %b\r\n" % (name, value)
+
+    def on_headers_complete(self) -> None:
+        """Do nothing; the request is answered once it is complete."""
+
+    def framing_line(self) -> bytes:
+        """Return the header line that frames the body of the current request."""
+        return self._framing
+
     def on_body(self, body: bytes) -> None:
         """Collect the body, up to its limit."""
         if len(self._body) <= MAX_BODY:
