Settings: a reload changes the service in whose name calls begin

Cause: the section of the backend server took effect at a start only.

Change: a reload puts it in effect for the requests that are read next.

Measured: test_calls_name_the_service_of_the_reloaded_settings fails before.

--- a/src/gingerturn/internal/shell/node.py
+++ b/src/gingerturn/internal/shell/node.py
@@ -65,7 +65,6 @@
     "node",
     "log",
     "secret",
-    "backend",
     "routing",
     "limits",
     "workspaces",
@@ -366,6 +365,7 @@
             if getattr(reloaded, part) != getattr(self.settings, part)
         ]
         self.settings.retries = reloaded.retries
+        self.settings.backend = reloaded.backend
         self.apply(
             events.SettingsChanged(
                 now=clock.now(), retry_bound=_retry_bound(reloaded.retries)
