Backend servers: a body in chunks that is whole is sent with its end

Cause: the head of a request whose body is not complete announces chunks.

Change: an exchange that begins with a whole body in chunks ends it.

Measured: test_a_whole_body_in_chunks_is_sent_with_its_end fails before; 23 tests of the two files pass.

--- a/src/gingerturn/internal/shell/backend_http.py
+++ b/src/gingerturn/internal/shell/backend_http.py
@@ -251,6 +251,8 @@
         self._transport.write(head + b"\r\n")
         if body:
             self.write(body)
+        if whole and self._chunked:
+            self.write_end()
 
     def write(self, body: bytes) -> None:
         """Write a piece of a streamed body."""
--- a/tests/cover/test_backend_answers.py
+++ b/tests/cover/test_backend_answers.py
@@ -12,7 +12,7 @@
 class Exchange:
     """An exchange on one connection that records its callbacks."""
 
-    def __init__(self, *, whole: bool = True) -> None:
+    def __init__(self, *, whole: bool = True, begins: bool = True) -> None:
         self.pool = backend_pool.Pool(NAMED)
         self.connection = backend_http.Connection(self.pool)
         self.transport = transports.Transport()
@@ -24,8 +24,12 @@
         self.body = b""
         self.ends = 0
         self.failures = 0
+        if begins:
+            self.begin(HEAD, b"", whole=whole)
+
+    def begin(self, head: bytes, body: bytes, *, whole: bool) -> None:
         self.connection.begin(
-            self, HEAD, b"", request_id=b"r1", head_only=False, whole=whole
+            self, head, body, request_id=b"r1", head_only=False, whole=whole
         )
 
     def on_report(self, rate_limit: float, *, leaving: bool) -> None:
@@ -73,6 +77,23 @@
     )
 
 
+# A body in chunks that became whole while its call waited was sent without its end.
+def test_a_whole_body_in_chunks_is_sent_with_its_end() -> None:
+    exchange = Exchange(begins=False)
+    head = b"POST / HTTP/1.1\r\nrequest-id: r1\r\ntransfer-encoding: chunked\r\n"
+    exchange.begin(head, b"abc", whole=True)
+    assert exchange.transport.written.endswith(b"\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+    exchange.receive(_answer(b"r1"))
+    assert exchange.reusable
+
+
+def test_a_body_in_chunks_that_goes_on_is_sent_without_an_end() -> None:
+    exchange = Exchange(begins=False)
+    head = b"POST / HTTP/1.1\r\nrequest-id: r1\r\ntransfer-encoding: chunked\r\n"
+    exchange.begin(head, b"abc", whole=False)
+    assert exchange.transport.written.endswith(b"3\r\nabc\r\n")
+
+
 def test_a_whole_answer_leaves_the_connection_for_the_next() -> None:
     exchange = Exchange()
     exchange.receive(_answer(b"r1"))
