--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -152,7 +152,9 @@
             return "", "", target
         authority = parts.netloc
         path = parts.path or "/"
-        query = f"?{parts.query}" if parts.query else ""
+        # urlsplit() drops the mark of an empty query.
+        has_query = b"?" in target.partition(b"#")[0]
+        query = f"?{parts.query}" if has_query else ""
         target = f"{path}{query}".encode("latin-1")
     path = target.split(b"?", 1)[0].decode("latin-1")
     return _service_of(authority), path, target
