Stops: only calls that have ended make the time of their kind known

Cause: open calls counted like calls that have ended, with their ages. Five young ones made their kind known as short, and a slow one among many short ones counted as short until it was older than the time that was left.

Change: open calls do not make a time known, and the time of a kind is not known while one of them lasts longer than it.

--- a/src/gingerturn/internal/core/run_times.py
+++ b/src/gingerturn/internal/core/run_times.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import collections.abc
 import math
 
 import msgspec
@@ -95,16 +94,13 @@
     kind: str,
     *,
     share: float = USUAL_SHARE,
-    ages: collections.abc.Iterable[ids.Milliseconds] = (),
 ) -> ids.Milliseconds:
     """Return the time within which calls of a kind usually end, or 0 if it is not
     known.
 
     :param share: share of the calls that end within it.
-    :param ages: of calls that have not ended, each of which counts as one that lasted
-        so long.
     """
-    counts: collections.Counter[int] = collections.Counter(map(_bucket_of, ages))
+    counts: collections.Counter[int] = collections.Counter()
     if (known := times.kinds.get(kind)) is not None:
         counts.update(known.counts)
         counts.update(known.earlier)
--- a/src/gingerturn/internal/core/stop_room.py
+++ b/src/gingerturn/internal/core/stop_room.py
@@ -29,7 +29,8 @@
     compared.
 
     Nobody knows of an unrepeatable call that is cut whether it ran, so nearly all calls
-    of its kind have to end in time.
+    of its kind have to end in time. The time of the kind is not known, either, while an
+    open call lasts longer than that: the kind has become slow.
 
     :param limit: the longest time that the call may take.
     :param assumed: the time that counts where that of its kind is not known.
@@ -37,8 +38,11 @@
     """
     if repeatable:
         return run_times.usual_ms(times, kind) or assumed
-    nearly_all = run_times.usual_ms(times, kind, share=run_times.NEARLY_ALL, ages=ages)
-    return min(limit, nearly_all or assumed)
+    nearly_all = run_times.usual_ms(times, kind, share=run_times.NEARLY_ALL)
+    oldest = max(ages, default=0.0)
+    if nearly_all and oldest <= nearly_all:
+        return min(limit, nearly_all)
+    return min(limit, max(assumed, nearly_all, oldest))
 
 
 def assumed_ms(*, repeatable: bool, limit: ids.Milliseconds) -> ids.Milliseconds:
--- a/tests/cover/test_calls_that_outlast_a_stop.py
+++ b/tests/cover/test_calls_that_outlast_a_stop.py
@@ -203,6 +203,31 @@
     _assert_not_run(_open(state, 1, repeatable=False))
 
 
+# Guards against unrepeatable calls that are taken and cut at a node just started, where
+# young open calls made the time of their kind known as short.
+@pytest.mark.parametrize("count", [1, run_times.MIN_SAMPLES, 20])
+def test_open_calls_alone_do_not_make_the_time_of_a_kind_known(count: int) -> None:
+    state = _home(lasts_ms=0.0, samples=0)
+    _stop(state)
+    for number in range(count):
+        in_time = _open(state, 10 + number, repeatable=False, deadline_ms=4_000.0)
+        assert builders.all_of(in_time, effects.DispatchCall)
+    _advance(state, 1_300.0)
+    _assert_not_run(_open(state, 1, repeatable=False))
+
+
+# Guards against unrepeatable calls that are taken and cut as their kind has become slow
+# since the signal, and whose open calls have not lasted long yet.
+def test_an_open_call_that_lasts_longer_than_usual_makes_its_kind_slow() -> None:
+    state = _home(lasts_ms=20.0, samples=200)
+    _stop(state)
+    assert builders.all_of(_open(state, 10, repeatable=False), effects.DispatchCall)
+    _advance(state, 300.0)
+    _assert_not_run(_open(state, 1, repeatable=False))
+    in_time = _open(state, 2, repeatable=False, deadline_ms=2_000.0)
+    assert builders.all_of(in_time, effects.DispatchCall)
+
+
 # Guards against streamed answers that count only until their heads.
 def test_a_streamed_answer_counts_until_its_end() -> None:
     state = routed.node_state(*ROUTES, service="plans", slots=50)
