Headers: all Connection headers name what is not forwarded

Cause: only the first Connection header of a message was read, so a header that a second one names as of this connection alone was forwarded (RFC 9110, 7.6.1). Found by reading beside the offers of other protocols.

Measured: test_headers_named_by_any_connection_header_are_dropped fails before.

--- a/src/gingerturn/internal/shell/heads.py
+++ b/src/gingerturn/internal/shell/heads.py
@@ -68,10 +68,10 @@
 
 
 def _connection_options(headers: list[Header]) -> frozenset[bytes]:
-    for name, value in headers:
-        if name == b"connection":
-            return frozenset(part.strip().lower() for part in value.split(b","))
-    return frozenset()
+    values = [value for name, value in headers if name == b"connection"]
+    if not values:
+        return frozenset()
+    return frozenset(part.strip().lower() for part in b",".join(values).split(b","))
 
 
 def find_value(head: bytes, name: bytes) -> bytes:
