Departures: only what a backend server states of itself is kept on the log

Cause: an instance that a call found missing (421) was put on the log and in the gossip like a confirmed departure. A false 421 of a faulty backend server would have kept it without calls across restarts of its node, which ended that before. Found by reading the change.

Change: such an instance is known to the process only, as before.

Measured: test_an_instance_that_a_call_found_missing_is_not_kept_on_the_log fails before; 28 tests of the two files pass.

--- a/src/gingerturn/internal/core/hosting.py
+++ b/src/gingerturn/internal/core/hosting.py
@@ -8,9 +8,9 @@
     backend_crashes,
     calls,
     decisions,
-    departures,
     effects,
     events,
+    instances,
     keys,
     messages,
     operator_log,
@@ -436,7 +436,7 @@
         text = f"Backend server {backend.service} {backend.instance} lost its address."
         operator_log.warn(out, "backend", text)
     backend.present = False
-    departures.record(state, backend.instance, 0, out)
+    instances.record_departure(state, backend.instance)
     replies.refuse_queue(state, decisions.Rule.NO_BACKEND, out)
 
 
--- a/tests/cover/test_departures_outlast_a_restart.py
+++ b/tests/cover/test_departures_outlast_a_restart.py
@@ -158,6 +158,21 @@
     assert made.nodes["n1"].backend.present
 
 
+# A 421 is no departure that was confirmed, and may come of a faulty backend server.
+def test_an_instance_that_a_call_found_missing_is_not_kept_on_the_log() -> None:
+    made = _running_cluster()
+    made.apply("n1", builders.opened(next(_numbers), now=made.now))
+    misdirected = events.BackendAnswered(
+        now=made.now,
+        hosted=made.dispatched[-1][1].hosted,
+        status=messages.MISDIRECTED,
+        executed=False,
+    )
+    made.apply("n1", misdirected)
+    assert not _gets_calls(made)
+    assert "departure/n1" not in made.log
+
+
 def test_a_departure_is_put_again_until_it_is_saved() -> None:
     made = _running_cluster()
     made.log_works = False
