Soak: backend servers leave beside a kill of their node

A step lets a backend server leave with one heartbeat, kills its node, and lets a heartbeat from before the departure arrive late. Drawn separately, so that the other steps of a seed stay as they are.

--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -31,6 +31,9 @@
 """Seed whose schedule has backend servers that send answers which belong to no
 request."""
 
+DEPARTED_SEED = 3
+"""Seed whose schedule has two departures beside kills of their nodes."""
+
 LASTING_SEEDS = (19, 27)
 """Seeds whose schedules stop nodes under requests that last, twice in series and within
 the first second of a start."""
@@ -122,6 +125,17 @@
     assert verdict.served > 0
 
 
+# Guards against a node that forgets at its restart that its backend server has left.
+def test_departures_beside_kills_cause_no_violations(tmp_path: pathlib.Path) -> None:
+    verdict = run.play(
+        DEPARTED_SEED, tmp_path, machines=4, length_s=5.0, timing=False, departed=True
+    )
+    departure = schedule.Kind.BACKEND_DEPARTURE.value
+    assert sum(departure in step for step in verdict.steps) > 1
+    assert verdict.violations == []
+    assert verdict.served > 0
+
+
 # Guards against stops that cut answers and uploads, and starts that end at once.
 @pytest.mark.parametrize("seed", LASTING_SEEDS)
 def test_planned_steps_under_requests_that_last_cause_no_violations(
--- a/tooling/gingerturn_soak/__main__.py
+++ b/tooling/gingerturn_soak/__main__.py
@@ -99,6 +99,7 @@
             silenced=not calm,
             unrelated=not calm,
             odd=odd,
+            departed=not calm,
             lasts=lasts,
             calm=calm,
         )
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -72,6 +72,10 @@
 
 THREADS = 128
 BEGIN_POLL_S = 0.01
+
+DEPARTURE_S = 0.6
+"""Time in which a backend server leaves, and in which its node has started again: some
+of its heartbeats."""
 HELD_NAMES = ("outbound", "inbound", "ready", "control")
 """Addresses of a node that are held, picked by the duration of the step."""
 
@@ -462,6 +466,20 @@
         await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.duration_s)
         await self._backend_kill(step, fault)
 
+    async def _backend_departure(
+        self, step: schedule.Step, fault: checks.Fault
+    ) -> None:
+        """Let a backend server leave, kill its node, and let a heartbeat from before
+        the departure arrive late. It serves for a while before it is replaced."""
+        machine = self._machine(step.target)
+        await self.control_backend(machine, departs=True)
+        await asyncio.sleep(DEPARTURE_S)
+        await self._node_kill(step, fault)
+        await asyncio.sleep(DEPARTURE_S)
+        await self.control_backend(machine, sends_late=True)
+        await asyncio.sleep(checks.APPLY_MS / 1000.0 + step.duration_s)
+        await self._backend_kill(step, fault)
+
     async def _backend_limit(self, step: schedule.Step, fault: checks.Fault) -> None:
         """Let a backend server report a rate limit for a while."""
         machine = self._machine(step.target)
@@ -725,6 +743,7 @@
     schedule.Kind.ODD_ENTRIES: Run._odd_entries,
     schedule.Kind.POWER_LOSS: Run._power_loss,
     schedule.Kind.LOG_TRIMMED: Run._log_trimmed,
+    schedule.Kind.BACKEND_DEPARTURE: Run._backend_departure,
 }
 
 
@@ -756,6 +775,7 @@
     silenced: bool = False,
     unrelated: bool = False,
     odd: bool = False,
+    departed: bool = False,
     lasts: bool = False,
     calm: bool = False,
 ) -> Verdict:
@@ -770,6 +790,7 @@
         silenced=silenced,
         unrelated=unrelated,
         odd=odd,
+        departed=departed,
         lasting=lasts,
         calm=calm,
     )
--- a/tooling/gingerturn_soak/schedule.py
+++ b/tooling/gingerturn_soak/schedule.py
@@ -48,6 +48,7 @@
     ODD_ENTRIES = "odd-entries"
     POWER_LOSS = "power-loss"
     LOG_TRIMMED = "log-trimmed"
+    BACKEND_DEPARTURE = "backend-departure"
 
 
 LASTING_KINDS = (
@@ -79,6 +80,7 @@
         Kind.ODD_ENTRIES,
         Kind.POWER_LOSS,
         Kind.LOG_TRIMMED,
+        Kind.BACKEND_DEPARTURE,
         *(kind for kind in LASTING_KINDS if kind not in _COMMON_LASTING_KINDS),
     }
 )
@@ -148,6 +150,9 @@
 MAX_LASTING = 6
 """Most steps under requests that last, each of them twice at times."""
 
+MAX_DEPARTURES = 2
+"""Most backend servers that leave beside a kill of their node in one run."""
+
 STALL_S = 1.0
 """Minimum duration of an upstream that does not read."""
 
@@ -186,6 +191,7 @@
     silenced: bool = False,
     unrelated: bool = False,
     odd: bool = False,
+    departed: bool = False,
     lasting: bool = False,
     calm: bool = False,
 ) -> list[Step]:
@@ -198,6 +204,7 @@
     :param unrelated: whether backend servers send answers that belong to no request.
     :param odd: whether another writer appends odd entries, and the log loses its
         history beside stops.
+    :param departed: whether backend servers leave beside a kill of their node.
     :param lasting: whether requests last, with the steps that go with them.
     :param calm: whether the common steps are planned ones only.
     """
@@ -230,6 +237,8 @@
         steps += _unrelated(random.Random(f"unrelated {seed}"), machines, length_s)
     if odd:
         steps += _odd(random.Random(f"odd {seed}"), machines, length_s)
+    if departed:
+        steps += _departures(random.Random(f"departed {seed}"), machines, length_s)
     if calm:
         steps = [step for step in steps if step.kind in PLANNED_KINDS]
     if lasting:
@@ -279,6 +288,20 @@
     return steps
 
 
+def _departures(rng: random.Random, machines: int, length_s: float) -> list[Step]:
+    """Return departures of backend servers; a step lasts while the node is down."""
+    targets = rng.sample(range(machines), min(machines, MAX_DEPARTURES))
+    return [
+        Step(
+            at=round(rng.uniform(WARM_UP_S, length_s), 3),
+            kind=Kind.BACKEND_DEPARTURE,
+            target=target,
+            duration_s=round(rng.uniform(0.2, 2.0), 3),
+        )
+        for target in targets[: rng.randint(1, MAX_DEPARTURES)]
+    ]
+
+
 def _silences(rng: random.Random, length_s: float) -> list[Step]:
     """Return times at which all open connections fall silent, each followed by a
     configuration."""
--- a/tooling/gingerturn_standins/platform_upstream.py
+++ b/tooling/gingerturn_standins/platform_upstream.py
@@ -1,7 +1,8 @@
 """A stand-in for an upstream of the platform, with its heartbeats.
 
 ``POST /control`` sets: ``state`` (``draining``), ``refuse`` (answer 503 with
-``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``instance``, ``cut``
+``Not-Executed``), ``work_ms``, ``silent`` (no more heartbeats), ``departs`` (one more
+heartbeat, ``draining``), ``sends_late`` (one from before that), ``instance``, ``cut``
 (break the connection in the middle of each answer), ``limit`` (the text of a rate limit
 that each answer reports, ``null`` for none), ``leaving`` (each answer reports it) and
 ``unrelated`` (it rejects some requests, and sends bytes that belong to no request).
@@ -83,6 +84,9 @@
         self.limit: str | None = None
         self.leaving = False
         self.unrelated = False
+        self.departs = False
+        self.sends_late = False
+        self.late_heartbeat: dict[str, object] | None = None
         self._arrived = 0
         self._unrelated = itertools.cycle(_unrelated_bytes())
         self.work_ms = 5.0
@@ -180,8 +184,19 @@
             headers["Instance-Id"] = self.instance
         return headers
 
+    def due_heartbeat(self) -> dict[str, object] | None:
+        """Return the heartbeat to send now, if any."""
+        if self.departs and self.late_heartbeat is None:
+            self.late_heartbeat = self.next_heartbeat()
+            self.state = "draining"
+        if self.sends_late and self.late_heartbeat is not None:
+            self.sends_late = False
+            return self.late_heartbeat
+        return None if self.silent else self.next_heartbeat()
+
     def on_acknowledged(self, state: str) -> None:
         """Record that a heartbeat with this state was acknowledged."""
+        self.silent |= self.departs
         if state == "draining" and state not in self.acknowledged:
             self._write("acknowledged", "")
         self.acknowledged.append(state)
@@ -230,12 +245,13 @@
     async with httpx.AsyncClient(timeout=1.0, trust_env=False, verify=False) as client:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            if upstream.silent:
+            heartbeat = upstream.due_heartbeat()
+            if heartbeat is None:
                 continue
             state = upstream.state
             url = f"http://{control}/instances/{upstream.instance}/heartbeat"
             try:
-                reply = await client.post(url, json=upstream.next_heartbeat())
+                reply = await client.post(url, json=heartbeat)
             except httpx.HTTPError:
                 continue
             if reply.status_code == 200:
