Stops: late repeatable calls of an unknown kind are taken, as requests are

Cause: refused late calls of the backend server beside whose kind is not known, repeatable ones too, and ended the calls that make them. test_a_late_call_of_the_backend_server_beside_is_served, which calls 3.5 s after SIGTERM for half a second, failed on it.

Change: only unrepeatable ones of an unknown kind are refused.

--- a/src/gingerturn/internal/core/sending.py
+++ b/src/gingerturn/internal/core/sending.py
@@ -82,13 +82,12 @@
     kind, repeatable = call.rule.name, call.rule.repeatable
     limit = call.deadline - state.now
     assumed = stop_room.assumed_ms(repeatable=repeatable, limit=limit)
-    if call.parent is not None:
+    if call.parent is not None and state.now < state.stop_after:
         # A refusal ends the call that makes it, and no other node can take it: until
         # the node takes nothing else, one that may end in time is tried.
-        is_late = state.now >= state.stop_after
-        if repeatable and not is_late:
+        if repeatable:
             return 0.0
-        assumed = limit if is_late else 0.0
+        assumed = 0.0
     ages = (
         state.now - other.arrived_at
         for other in state.calls.values()
