Streamed answers: progress is checked only where there is a connection

Cause: the check's timer was scheduled for any streamed answer, so test_an_answer_with_a_load_carries_the_pace_to_the_entry_node, which has no event loop and no connection, failed.

Measured: it passes again, as does test_answers_that_stop.py.

--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -448,9 +448,10 @@
         if not self._open:
             # Nobody gives credit for it: the rest is read and dropped.
             self._body.clear()
-        left_ms = max(0.0, self._deadline - clock.now())
-        checked_s = PROGRESS_CHECKS * PROGRESS_INTERVAL_S
-        self._schedule_progress_check(max(0.0, left_ms / 1_000.0 - checked_s))
+        if self._connection is not None:
+            left_s = (self._deadline - clock.now()) / 1_000.0
+            checked_s = PROGRESS_CHECKS * PROGRESS_INTERVAL_S
+            self._schedule_progress_check(max(0.0, left_s - checked_s))
         self._node.apply(
             events.BackendAnswered(
                 now=clock.now(),
