--- a/tests/nocover/test_departures_of_real_nodes.py
+++ b/tests/nocover/test_departures_of_real_nodes.py
@@ -6,18 +6,8 @@
 import pytest
 
 from gingerturn_standins import platform_processes
+from tests.nocover import test_on_platform
 
-ROUTE = {
-    "name": "r-lookup",
-    "hostname": "shop.example",
-    "path_prefix": "/a/",
-    "route_type": "safe",
-    "timeout_ms": 2_000,
-    "target_latency_ms": 500,
-    "priority": 2,
-    "service_name": "plans",
-    "max_attempts": 2,
-}
 NODES = ("plans-1", "plans-2", "porting-1")
 
 
@@ -53,7 +43,7 @@
     tmp_path: pathlib.Path, how: str, killed: tuple[str, ...]
 ) -> None:
     with platform_processes.Platform(tmp_path) as made:
-        made.configure(ROUTE)
+        made.configure(test_on_platform.ROUTE)
         for name in NODES:
             made.add(name, service=name.partition("-")[0])
         made.wait_ready()
