--- a/tests/cover/test_soak_checks.py
+++ b/tests/cover/test_soak_checks.py
@@ -302,6 +302,7 @@
             silenced=True,
             unrelated=True,
             odd=True,
+            departed=True,
             lasting=True,
         )
     }
