Departures: those that are learned are put once, and not where the log has them

Cause: each recorded departure put the record at once. A node that learned several at its start put one record for each, of which the first ones held a part of what the log had: work done several times, and a short while in which another kill would have lost the rest. Found by reading the change.

Change: an event marks the departures as changed, and they are put once at its end; a listing that has them all leaves nothing to put.

--- a/src/gingerturn/internal/core/departures.py
+++ b/src/gingerturn/internal/core/departures.py
@@ -45,7 +45,7 @@
 def record(
     state: states.State, instance: str, started_ms: int, out: states.Effects
 ) -> bool:
-    """Record that a start of a backend server has left, and save it.
+    """Record that a start of a backend server has left; :func:`save` follows.
 
     :param started_ms: start time of the instance; 0 if not reported.
     :return: whether it was not known.
@@ -60,12 +60,23 @@
     starts = (*others, messages.DepartedStart(instance, departed_ms))
     kept.starts = starts[-messages.MAX_DEPARTED :]
     kept.at = state.now
+    kept.is_unsaved = state.keyed_log
     membership.update_self(state, out, departed=kept.starts, urgent=False)
-    if state.keyed_log:
-        _put(state, out)
     return True
 
 
+def save(state: states.State, out: states.Effects) -> None:
+    """Put the departures on the log, once for all that an event recorded."""
+    state.departures.is_unsaved = False
+    _put(state, out)
+
+
+def on_listed(state: states.State, found: messages.DepartureRecord) -> None:
+    """Note that the log has the departures in a record of this node."""
+    kept = state.departures
+    kept.is_unsaved &= not set(kept.starts) <= set(found.departed)
+
+
 def is_saving(state: states.State, instance: str) -> bool:
     """Whether the departure of an instance is being put on the log."""
     is_kept = any(start.instance == instance for start in state.departures.starts)
--- a/src/gingerturn/internal/core/reducer.py
+++ b/src/gingerturn/internal/core/reducer.py
@@ -115,6 +115,8 @@
     if state.departures.held:
         for held in departures.take_held(state):
             _on_announced(state, held, out)
+    if state.departures.is_unsaved:
+        departures.save(state, out)
     if state.claim_batch:
         claims.flush(state, out)
     if state.stopping and not state.stopped:
@@ -391,6 +393,7 @@
     elif isinstance(record, messages.DepartureRecord):
         if record.node == state.node:
             _learn_departures(state, record.departed, out)
+            departures.on_listed(state, record)
     elif isinstance(record, messages.ClaimBatch):
         # The stream is not read again if the service of its claims is announced later.
         if keys.is_stream(stream):
--- a/src/gingerturn/internal/core/state.py
+++ b/src/gingerturn/internal/core/state.py
@@ -345,6 +345,7 @@
 
     :param starts: the starts that left, the latest one last; bounded.
     :param at: when the latest one left.
+    :param is_unsaved: they changed in the current event.
     :param put_number: number of the pending put of their record; 0 if none is.
     :param retry_at: when the record is put again; infinite once it is saved.
     :param held: announcements that wait until earlier departures are known, in the
@@ -355,6 +356,7 @@
 
     starts: tuple[messages.DepartedStart, ...] = ()
     at: ids.Milliseconds = 0.0
+    is_unsaved: bool = False
     put_number: int = 0
     retry_at: ids.Milliseconds = math.inf
     held: list[events.BackendAnnounced] = []
--- a/tests/common/cluster.py
+++ b/tests/common/cluster.py
@@ -31,6 +31,7 @@
         self.log: dict[str, bytes] = {}
         self.log_works = log_works
         self.dispatched: list[tuple[str, effects.DispatchCall]] = []
+        self.puts: list[effects.PutRecord] = []
         self.refused: list[tuple[str, effects.SendRefusal]] = []
         self._ports = {name: FIRST_PORT + n for n, name in enumerate(names)}
         self._pending: collections.deque[tuple[str, events.Event]] = collections.deque()
@@ -99,6 +100,7 @@
                 self._pending.append((target, arrival))
 
     def _put(self, name: str, effect: effects.PutRecord) -> None:
+        self.puts.append(effect)
         if not self.log_works:
             failed = events.PutFailed(now=self.now, put=effect.put)
             self._pending.append((name, failed))
--- a/tests/cover/test_departures_outlast_a_restart.py
+++ b/tests/cover/test_departures_outlast_a_restart.py
@@ -116,6 +116,32 @@
     assert not _gets_calls(made)
 
 
+# Each departure that a started node learned was put by itself, so that the log held a
+# part of them meanwhile.
+@pytest.mark.parametrize(("listed", "put_count"), [(True, 0), (False, 1)])
+def test_departures_that_are_learned_are_put_once_unless_the_log_has_them(
+    *, listed: bool, put_count: int
+) -> None:
+    made = _running_cluster()
+    for instance in ("i-1", "i-2", "i-3"):
+        made.apply("n1", _leaving(made, instance))
+    # Changes within 250 ms of each other reach the members with a later message.
+    made.advance(1_000.0)
+    if not listed:
+        del made.log["departure/n1"]
+    made.kill("n1")
+    made.advance(500.0)
+    made.puts.clear()
+    made.start("n1")
+    made.advance(1_000.0)
+    put = [effect for effect in made.puts if effect.key == "departure/n1"]
+    assert len(put) == put_count
+    record = messages.decode_record(made.log["departure/n1"])
+    assert isinstance(record, messages.DepartureRecord)
+    kept = [start.instance for start in record.departed]
+    assert kept == ["i-1", "i-2", "i-3"]
+
+
 @pytest.mark.parametrize("instance", ["i-1", "i-2"])
 def test_a_new_start_gets_calls_at_once(instance: str) -> None:
     made = _running_cluster(started_ms=BORN_MS)
