Requests: the framing of a body is written by one function

The head for the backend server and the parser behind an offer each wrote the line that frames a body. Behaviour is as before.

--- a/src/gingerturn/internal/shell/caller_requests.py
+++ b/src/gingerturn/internal/shell/caller_requests.py
@@ -254,6 +254,4 @@
         if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
             lines += b"content-length: %d\r\n" % len(request.body)
         return lines
-    if b"content-length" in request.values:
-        return lines + b"content-length: %d\r\n" % request.length
-    return lines + b"transfer-encoding: chunked\r\n"
+    return lines + framing_line(request)
--- a/src/gingerturn/internal/shell/exchanges.py
+++ b/src/gingerturn/internal/shell/exchanges.py
@@ -30,7 +30,8 @@
 
 PROGRESS_CHECKS = 4
 """A streamed answer of which nothing arrives for this many checks is ended, but not
-before its deadline. Checks are counted for the same reason."""
+before its deadline. Checks are counted for the reason given for :data:`STALL_CHECKS`.
+"""
 
 CONNECT_TRIES = 2
 """Connections that are opened for a call while the backend server resets them at once,
--- a/tooling/gingerturn_soak/run.py
+++ b/tooling/gingerturn_soak/run.py
@@ -76,6 +76,7 @@
 DEPARTURE_S = 0.6
 """Time in which a backend server leaves, and in which its node has started again: some
 of its heartbeats."""
+
 HELD_NAMES = ("outbound", "inbound", "ready", "control")
 """Addresses of a node that are held, picked by the duration of the step."""
 
